--- /dev/null
+++ b/internal/caller/refusal/refusal.go
@@ -0,0 +1,142 @@
+// Package refusal is what a caller is told when there is no answer: which
+// kind of refusal it is, whether the request ran, and what to do about it.
+package refusal
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Kind names a refusal. Kinds are part of the callers' interface.
+type Kind string
+
+// The kinds.
+const (
+	BadRequest    Kind = "bad-request"
+	UnknownName   Kind = "unknown-name"
+	KeyRequired   Kind = "key-required"
+	KeyMismatch   Kind = "key-mismatch"
+	TooLarge      Kind = "too-large"
+	Overloaded    Kind = "overloaded"
+	TooLate       Kind = "too-late"
+	NoUpstream    Kind = "no-upstream"
+	Convicted     Kind = "crashes-upstreams"
+	StoreDown     Kind = "claims-unavailable"
+	NotConfigured Kind = "not-configured"
+	Leaving       Kind = "leaving"
+	Lost          Kind = "lost"
+	Failed        Kind = "failed"
+	Unfinished    Kind = "unfinished"
+)
+
+// Ran tells whether the request was run.
+type Ran string
+
+// The two answers. NotRun is only said on proof.
+const (
+	NotRun     Ran = "not-run"
+	MayHaveRun Ran = "may-have-run"
+)
+
+// Refusal is one refusal, ready to be written.
+type Refusal struct {
+	kind       Kind
+	ran        Ran
+	message    string
+	remedy     string
+	retryAfter time.Duration
+}
+
+// New returns a refusal. Message says what happened; remedy says what the
+// caller can do.
+func New(kind Kind, ran Ran, message, remedy string) *Refusal {
+	return &Refusal{kind: kind, ran: ran, message: message, remedy: remedy}
+}
+
+// RetryAfter returns the same refusal with the time after which another try
+// is worth making.
+func (r *Refusal) RetryAfter(d time.Duration) *Refusal {
+	copied := *r
+	copied.retryAfter = d
+	return &copied
+}
+
+// Kind returns the kind.
+func (r *Refusal) Kind() Kind { return r.kind }
+
+// Ran tells whether the request was run.
+func (r *Refusal) Ran() Ran { return r.ran }
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return string(r.kind) + " (" + string(r.ran) + "): " + r.message + "; " + r.remedy
+}
+
+// status maps each kind to its HTTP status.
+var status = map[Kind]int{
+	BadRequest:    http.StatusBadRequest,
+	UnknownName:   http.StatusNotFound,
+	KeyRequired:   http.StatusBadRequest,
+	KeyMismatch:   http.StatusUnprocessableEntity,
+	TooLarge:      http.StatusRequestEntityTooLarge,
+	Overloaded:    http.StatusTooManyRequests,
+	TooLate:       http.StatusServiceUnavailable,
+	NoUpstream:    http.StatusServiceUnavailable,
+	Convicted:     http.StatusUnprocessableEntity,
+	StoreDown:     http.StatusServiceUnavailable,
+	NotConfigured: http.StatusServiceUnavailable,
+	Leaving:       http.StatusServiceUnavailable,
+	Lost:          http.StatusBadGateway,
+	Failed:        http.StatusBadGateway,
+	Unfinished:    http.StatusConflict,
+}
+
+// Status returns the HTTP status.
+func (r *Refusal) Status() int {
+	if code, ok := status[r.kind]; ok {
+		return code
+	}
+	return http.StatusInternalServerError
+}
+
+type bodyJSON struct {
+	Error errorJSON `json:"error"`
+}
+
+// errorJSON has the fields that OpenAI's clients read, and ours.
+type errorJSON struct {
+	Message      string `json:"message"`
+	Type         Kind   `json:"type"`
+	Code         Kind   `json:"code"`
+	Ran          Ran    `json:"ran"`
+	Remedy       string `json:"remedy"`
+	RetryAfterMS int64  `json:"retry-after-ms,omitempty"`
+	RequestID    string `json:"request-id"`
+}
+
+// Body returns the refusal as JSON.
+func (r *Refusal) Body(requestID string) []byte {
+	raw, err := json.Marshal(bodyJSON{Error: errorJSON{
+		Message: r.message, Type: r.kind, Code: r.kind, Ran: r.ran, Remedy: r.remedy,
+		RetryAfterMS: r.retryAfter.Milliseconds(), RequestID: requestID,
+	}})
+	if err != nil {
+		return []byte(`{"error":{"type":"failed"}}`)
+	}
+	return raw
+}
+
+// Write answers the caller at once: a refusal is never held back.
+func (r *Refusal) Write(w http.ResponseWriter, requestID string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("X-Ran", string(r.ran))
+	if r.retryAfter > 0 {
+		seconds := int(math.Ceil(r.retryAfter.Seconds()))
+		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+	}
+	w.WriteHeader(r.Status())
+	_, _ = w.Write(r.Body(requestID))
+}
--- /dev/null
+++ b/internal/fleet/control/control.go
@@ -0,0 +1,211 @@
+// Package control is the conversation that two processes keep beside their
+// requests, one stream for each session: each tells the other what changed,
+// and whoever holds the higher configuration revision hands it on. Nothing is
+// sent while nothing changes.
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/persimmonridge/persimmonridge/internal/config/changelog"
+	"github.com/persimmonridge/persimmonridge/internal/fleet/link"
+	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
+	"github.com/persimmonridge/persimmonridge/internal/upstream/suspect"
+)
+
+const (
+	// noticeGap is the least time between two notices on one stream.
+	noticeGap = 200 * time.Millisecond
+	// sendTimeout bounds the writing of one message.
+	sendTimeout = 5 * time.Second
+	// idleLimit is how long a peer may say nothing: forever, in effect, since
+	// requests and not notices are the evidence that a link lives.
+	idleLimit = 365 * 24 * time.Hour
+)
+
+// Signal wakes all who wait for a change. It is safe for concurrent use.
+type Signal struct {
+	mu sync.Mutex
+	ch chan struct{}
+}
+
+// NewSignal returns a signal.
+func NewSignal() *Signal { return &Signal{ch: make(chan struct{})} }
+
+// Raise wakes all who wait now.
+func (s *Signal) Raise() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.ch)
+	s.ch = make(chan struct{})
+}
+
+// Wait returns a channel that the next Raise closes.
+func (s *Signal) Wait() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ch
+}
+
+// Peer is what a process tells on its control streams, and where it puts what
+// it is told.
+type Peer struct {
+	log      *changelog.Log
+	suspects *suspect.Register
+	changed  *Signal
+	now      func() time.Time
+	describe func(now time.Time, notice *wire.Notice)
+}
+
+// Option sets one of a peer's hooks.
+type Option func(*Peer)
+
+// Describe lets f add to each notice before it is sent.
+func Describe(f func(now time.Time, notice *wire.Notice)) Option {
+	return func(p *Peer) { p.describe = f }
+}
+
+// NewPeer returns a peer over a configuration log and a register of crashes.
+// Changed is raised by whoever changes something worth telling.
+func NewPeer(log *changelog.Log, suspects *suspect.Register, changed *Signal, now func() time.Time, options ...Option) *Peer {
+	p := &Peer{log: log, suspects: suspects, changed: changed, now: now}
+	for _, option := range options {
+		option(p)
+	}
+	return p
+}
+
+// Run keeps the conversation until the stream or the context ends. Learn is
+// called with each notice of the other side; it may be nil.
+func (p *Peer) Run(ctx context.Context, stream *link.Stream, learn func(now time.Time, notice *wire.Notice)) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	var writing sync.WaitGroup
+	writing.Go(func() {
+		defer cancel()
+		p.tell(ctx, stream)
+	})
+	p.listen(stream, learn)
+	cancel()
+	writing.Wait()
+	stop()
+	_ = stream.Close()
+}
+
+func (p *Peer) tell(ctx context.Context, stream *link.Stream) {
+	for {
+		changed, logChanged := p.changed.Wait(), p.log.Changed()
+		now := p.now()
+		if err := stream.Send(now.Add(sendTimeout), notice(p.notice(now))); err != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(noticeGap):
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-logChanged:
+		}
+	}
+}
+
+func (p *Peer) notice(now time.Time) *wire.Notice {
+	n := &wire.Notice{Revision: p.log.Revision()}
+	for _, crash := range p.suspects.Crashes(now) {
+		n.Crashes = append(n.Crashes, &wire.Crash{Id: crash.ID(), Fingerprints: crash.Fingerprints()})
+	}
+	if p.describe != nil {
+		p.describe(now, n)
+	}
+	return n
+}
+
+func (p *Peer) listen(stream *link.Stream, learn func(time.Time, *wire.Notice)) {
+	for {
+		envelope, err := stream.Receive(p.now().Add(idleLimit))
+		if err != nil {
+			return
+		}
+		now := p.now()
+		switch body := envelope.GetBody().(type) {
+		case *wire.Envelope_Notice:
+			p.take(now, body.Notice)
+			if learn != nil {
+				learn(now, body.Notice)
+			}
+			if body.Notice.GetRevision() > p.log.Revision() {
+				err = stream.Send(now.Add(sendTimeout), ask(p.log.Revision()))
+			}
+		case *wire.Envelope_ChangesAsk:
+			err = stream.Send(now.Add(sendTimeout), p.changes(body.ChangesAsk.GetAbove()))
+		case *wire.Envelope_Changes:
+			p.apply(body.Changes)
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (p *Peer) take(now time.Time, n *wire.Notice) {
+	news := false
+	for _, crash := range n.GetCrashes() {
+		if p.suspects.Learn(now, suspect.NewCrash(crash.GetId(), now, crash.GetFingerprints())) {
+			news = true
+		}
+	}
+	if news {
+		p.changed.Raise()
+	}
+}
+
+func (p *Peer) changes(above uint64) *wire.Envelope {
+	snapshot, records := p.log.Since(above)
+	out := &wire.Changes{}
+	if snapshot != nil {
+		out.Snapshot, _ = json.Marshal(snapshot)
+	}
+	for _, record := range records {
+		raw, err := json.Marshal(record)
+		if err == nil {
+			out.Records = append(out.Records, raw)
+		}
+	}
+	return &wire.Envelope{Body: &wire.Envelope_Changes{Changes: out}}
+}
+
+// apply takes a peer's changes. What does not parse or does not follow is
+// dropped: the store's own log will bring the node up to date.
+func (p *Peer) apply(c *wire.Changes) {
+	var snapshot *changelog.Snapshot
+	if len(c.GetSnapshot()) > 0 {
+		snapshot = &changelog.Snapshot{}
+		if err := json.Unmarshal(c.GetSnapshot(), snapshot); err != nil {
+			return
+		}
+	}
+	records := make([]changelog.Record, 0, len(c.GetRecords()))
+	for _, raw := range c.GetRecords() {
+		var record changelog.Record
+		if err := json.Unmarshal(raw, &record); err != nil {
+			return
+		}
+		records = append(records, record)
+	}
+	_ = p.log.Apply(snapshot, records)
+}
+
+func notice(n *wire.Notice) *wire.Envelope {
+	return &wire.Envelope{Body: &wire.Envelope_Notice{Notice: n}}
+}
+
+func ask(above uint64) *wire.Envelope {
+	return &wire.Envelope{Body: &wire.Envelope_ChangesAsk{ChangesAsk: &wire.ChangesAsk{Above: above}}}
+}
--- /dev/null
+++ b/internal/role/entry/choose.go
@@ -0,0 +1,114 @@
+package entry
+
+import (
+	"sort"
+	"time"
+
+	"github.com/persimmonridge/persimmonridge/internal/caller/request"
+	"github.com/persimmonridge/persimmonridge/internal/config/document"
+	"github.com/persimmonridge/persimmonridge/internal/config/inventory"
+	"github.com/persimmonridge/persimmonridge/internal/dispatch/candidate"
+	"github.com/persimmonridge/persimmonridge/internal/dispatch/forecast"
+	"github.com/persimmonridge/persimmonridge/internal/dispatch/index"
+	"github.com/persimmonridge/persimmonridge/internal/fleet/member"
+)
+
+const (
+	// wideSet is the number of candidates that a request may be offered to
+	// before it is refused; narrowSet and largeSet are those expected to hold
+	// its prefix, for small and for large workspaces.
+	wideSet   = 24
+	narrowSet = 2
+	largeSet  = 4
+	// heldShare and hashedShare are the shares of a prompt's prefill that a
+	// cache is assumed to save: where the prefix was sent lately, and where
+	// all entries send it.
+	heldShare   = 0.8
+	hashedShare = 0.3
+	// prefillRate is the assumed prompt tokens a second at speed 1.
+	prefillRate = 2000
+	// decodeGap is the time of one token at speed 1.
+	decodeGap = 30 * time.Millisecond
+	// workQuantile is the quantile of the learned lengths taken as expected.
+	workQuantile = 0.5
+)
+
+// choice is one upstream to ask, with the work that the request means there.
+type choice struct {
+	upstream *member.Upstream
+	// incarnation is the agent's process that the choice was made for, 0 when
+	// unknown.
+	incarnation uint64
+	// finish is the expected time until the answer is whole, in seconds.
+	finish float64
+	work   time.Duration
+}
+
+// plan returns whom to ask, in order: all of the wide set, by expected finish.
+// Upstreams of the version that the request's share belongs to come first;
+// those of the other version follow, if it may be used at all.
+func (e *Entry) plan(now time.Time, q *request.Request, doc document.Document) []choice {
+	var plan []choice
+	for _, version := range e.moves.versions(q, doc) {
+		plan = append(plan, e.rank(now, q, e.table.Group(q.Service().Name(), version))...)
+	}
+	return plan
+}
+
+func (e *Entry) rank(now time.Time, q *request.Request, group *member.Group) []choice {
+	if group == nil {
+		return nil
+	}
+	var buffer [candidate.Most]int
+	key := candidate.Key(q.Workspace(), q.PrefixKey())
+	chosen := candidate.Choose(buffer[:0], group.Members(), key, wideSet)
+	narrow := narrowSet
+	if q.Large() {
+		narrow = largeSet
+	}
+	choices := make([]choice, 0, len(chosen))
+	for position, at := range chosen {
+		u := group.At(at)
+		if !u.Available(now) {
+			continue
+		}
+		choices = append(choices, e.weigh(now, q, u, position < narrow))
+	}
+	sort.SliceStable(choices, func(i, j int) bool { return choices[i].finish < choices[j].finish })
+	return choices
+}
+
+func (e *Entry) weigh(now time.Time, q *request.Request, u *member.Upstream, hashed bool) choice {
+	view := u.View(now, q.Tier())
+	job := index.Job{Cost: 1}
+	if q.Service().Kind() == inventory.Model {
+		tokens := e.forecast.Quantile(route(q), workQuantile)
+		job.Decode = time.Duration(tokens) * decodeGap
+		job.Prefill = time.Duration(q.PromptTokens()) * time.Second / prefillRate
+		view.Cached = e.cached(now, q, u, hashed)
+	} else {
+		job.Decode = e.plainWork(q)
+	}
+	alone := (job.Decode.Seconds() + job.Prefill.Seconds()*(1-view.Cached)) / view.Speed
+	return choice{upstream: u, incarnation: u.Incarnation(), finish: index.Finish(view, job), work: time.Duration(alone * float64(time.Second))}
+}
+
+func (e *Entry) cached(now time.Time, q *request.Request, u *member.Upstream, hashed bool) float64 {
+	switch {
+	case e.prefixes.Holds(now, q.PrefixKey(), u.Name()):
+		return heldShare
+	case hashed:
+		return hashedShare
+	}
+	return 0
+}
+
+// plainWork is the expected time of a plain service's call, learned in
+// milliseconds where a model's answer is learned in tokens.
+func (e *Entry) plainWork(q *request.Request) time.Duration {
+	return time.Duration(e.forecast.Quantile(route(q), workQuantile)) * time.Millisecond
+}
+
+func route(q *request.Request) forecast.Route {
+	return forecast.NewRoute(q.Workspace(), q.Action().Route())
+}
--- /dev/null
+++ b/internal/role/entry/peers.go
@@ -0,0 +1,106 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/persimmonridge/persimmonridge/internal/fleet/link"
+	"github.com/persimmonridge/persimmonridge/internal/fleet/member"
+	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
+	"github.com/persimmonridge/persimmonridge/internal/platform/vmlist"
+)
+
+const (
+	// contactMost is the number of upstreams up to which all are linked at
+	// once; beyond it a link is opened when an upstream is first chosen.
+	contactMost = 64
+	// contactTimeout bounds the wait for a first word from an agent.
+	contactTimeout = time.Second
+	// peerMessage bounds the wait for a peer's first message.
+	peerMessage = 10 * time.Second
+	// sendTimeout bounds the writing of one message.
+	sendTimeout = 5 * time.Second
+)
+
+// replaceList takes a new list of VMs.
+func (e *Entry) replaceList(vms []vmlist.VM) {
+	for _, gone := range e.table.Replace(vms) {
+		e.pool.Drop(gone.Address())
+	}
+	all := e.table.All()
+	e.logger.Debug("vm list in use", "upstreams", len(all), "entries", len(e.table.Entries()))
+	if len(all) > contactMost {
+		return
+	}
+	for _, u := range all {
+		if !u.Leaving() {
+			e.wg.Go(func() { e.contact(e.ctx, u) })
+		}
+	}
+}
+
+// contact makes sure that the agent has said something of itself: its
+// incarnation and its clock, without which no offer can be made.
+func (e *Entry) contact(ctx context.Context, u *member.Upstream) bool {
+	ctx, cancel := context.WithTimeout(ctx, contactTimeout)
+	defer cancel()
+	if _, err := e.pool.Session(ctx, u.Address()); err != nil {
+		u.Failed(e.now())
+		return false
+	}
+	select {
+	case <-u.Known():
+		return true
+	case <-ctx.Done():
+		u.Failed(e.now())
+		return false
+	}
+}
+
+// sessionOpened starts the control conversation of a new session.
+func (e *Entry) sessionOpened(address string, s *link.Session) {
+	stream, err := s.Open()
+	if err != nil {
+		return
+	}
+	hello := &wire.Envelope{Body: &wire.Envelope_Hello{Hello: &wire.Hello{Node: e.settings.Node(), Revision: e.log.Revision()}}}
+	if err := stream.Send(e.now().Add(sendTimeout), hello); err != nil {
+		_ = stream.Close()
+		return
+	}
+	go e.peer.Run(e.ctx, stream, func(now time.Time, n *wire.Notice) { e.learn(now, address, n) })
+}
+
+// learn takes a notice of the agent at the address.
+func (e *Entry) learn(now time.Time, address string, n *wire.Notice) {
+	if n.GetLoad() == nil {
+		return
+	}
+	for _, u := range e.table.All() {
+		if u.Address() != address {
+			continue
+		}
+		u.Report(now, n.GetLoad())
+		e.moves.learn(u, n)
+	}
+}
+
+// servePeer serves one stream of another entry.
+func (e *Entry) servePeer(ctx context.Context, stream *link.Stream) {
+	defer func() { _ = stream.Close() }()
+	envelope, err := stream.Receive(e.now().Add(peerMessage))
+	if err != nil {
+		return
+	}
+	switch body := envelope.GetBody().(type) {
+	case *wire.Envelope_Hello:
+		e.peer.Run(ctx, stream, nil)
+	case *wire.Envelope_ClaimAsk:
+		reply := e.claims.serve(ctx, body.ClaimAsk)
+		answer := &wire.Envelope{Body: &wire.Envelope_ClaimReply{ClaimReply: reply}}
+		if err := stream.Send(e.now().Add(sendTimeout), answer); err != nil {
+			return
+		}
+		_, _ = stream.Receive(e.now().Add(time.Second))
+	}
+}
--- /dev/null
+++ b/internal/standin/relay/relay.go
@@ -0,0 +1,144 @@
+// Package relay stands between two processes in tests and trials and loses
+// track of their connections: old ones fall silent for good while new ones
+// work, as a device on the way may do.
+package relay
+
+import (
+	"net"
+	"sync"
+)
+
+// Relay forwards connections to a target.
+type Relay struct {
+	listener net.Listener
+	target   string
+
+	mu     sync.Mutex
+	conns  map[*pair]bool
+	closed bool
+	wg     sync.WaitGroup
+}
+
+// pair is one forwarded connection.
+type pair struct {
+	near, far net.Conn
+	mu        sync.Mutex
+	silent    bool
+}
+
+// New forwards what arrives on the listener to the target.
+func New(listener net.Listener, target string) *Relay {
+	r := &Relay{listener: listener, target: target, conns: make(map[*pair]bool)}
+	r.wg.Go(r.accept)
+	return r
+}
+
+// Addr returns the address to connect to.
+func (r *Relay) Addr() string { return r.listener.Addr().String() }
+
+// SetTarget changes where new connections go.
+func (r *Relay) SetTarget(target string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.target = target
+}
+
+// Silence makes all present connections silent for good; nothing is closed.
+func (r *Relay) Silence() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p := range r.conns {
+		p.mu.Lock()
+		p.silent = true
+		p.mu.Unlock()
+	}
+	return len(r.conns)
+}
+
+// Close ends all connections and waits.
+func (r *Relay) Close() error {
+	err := r.listener.Close()
+	r.mu.Lock()
+	r.closed = true
+	for p := range r.conns {
+		p.close()
+	}
+	r.mu.Unlock()
+	r.wg.Wait()
+	return err
+}
+
+func (r *Relay) accept() {
+	for {
+		near, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		r.wg.Go(func() { r.forward(near) })
+	}
+}
+
+func (r *Relay) forward(near net.Conn) {
+	r.mu.Lock()
+	target := r.target
+	r.mu.Unlock()
+	far, err := net.Dial("tcp", target)
+	if err != nil {
+		reset(near)
+		return
+	}
+	p := &pair{near: near, far: far}
+	r.mu.Lock()
+	if r.closed {
+		p.close()
+	}
+	r.conns[p] = true
+	r.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { p.copy(far, near) })
+	both.Go(func() { p.copy(near, far) })
+	both.Wait()
+	p.close()
+	r.mu.Lock()
+	delete(r.conns, p)
+	r.mu.Unlock()
+}
+
+// reset makes the caller see a refusal, as when nothing listens.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+// copy forwards until either end closes. A silent pair swallows what it reads.
+func (p *pair) copy(to, from net.Conn) {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		p.mu.Lock()
+		silent := p.silent
+		p.mu.Unlock()
+		if silent && err == nil {
+			continue
+		}
+		if silent {
+			return
+		}
+		if n > 0 {
+			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+				break
+			}
+		}
+		if err != nil {
+			break
+		}
+	}
+	p.close()
+}
+
+func (p *pair) close() {
+	_ = p.near.Close()
+	_ = p.far.Close()
+}
--- /dev/null
+++ b/internal/standin/service/service.go
@@ -0,0 +1,119 @@
+// Package service is a stand-in of a plain booking service for tests and
+// trials. It does not know of idempotency: whatever reaches it takes effect,
+// and it counts each effect, so that a doubled action shows.
+package service
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Settings is the service's nature.
+type Settings struct {
+	// Delay is the time of one call.
+	Delay time.Duration
+}
+
+// Ledger counts the effects of actions over several stand-ins, by their
+// idempotency key, or by the body of those without one.
+type Ledger struct {
+	mu      sync.Mutex
+	effects map[string]int
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger { return &Ledger{effects: make(map[string]int)} }
+
+// Effects returns how often the action took effect.
+func (l *Ledger) Effects(key string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.effects[key]
+}
+
+// Doubled returns the number of actions that took effect more than once.
+func (l *Ledger) Doubled() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	doubled := 0
+	for _, n := range l.effects {
+		if n > 1 {
+			doubled++
+		}
+	}
+	return doubled
+}
+
+func (l *Ledger) add(key string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.effects[key]++
+	return l.effects[key]
+}
+
+// Service is one stand-in.
+type Service struct {
+	settings Settings
+	ledger   *Ledger
+	listener net.Listener
+	server   *http.Server
+	wg       sync.WaitGroup
+
+	mu    sync.Mutex
+	calls int
+}
+
+// New starts a service on the listener.
+func New(listener net.Listener, settings Settings, ledger *Ledger) *Service {
+	s := &Service{settings: settings, ledger: ledger, listener: listener}
+	s.server = &http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: time.Minute}
+	s.wg.Go(func() { _ = s.server.Serve(listener) })
+	return s
+}
+
+// Addr returns the address served.
+func (s *Service) Addr() string { return s.listener.Addr().String() }
+
+// Calls returns the number of calls so far.
+func (s *Service) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Close stops the service and waits.
+func (s *Service) Close() error {
+	err := s.server.Close()
+	s.wg.Wait()
+	return err
+}
+
+func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	s.calls++
+	call := s.calls
+	s.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	if r.Method == http.MethodGet {
+		time.Sleep(s.settings.Delay)
+		_ = json.NewEncoder(w).Encode(map[string]string{"schedule": r.URL.Path})
+		return
+	}
+	key := r.Header.Get("Idempotency-Key")
+	if key == "" {
+		key = r.URL.Path + string(body)
+	}
+	times := s.ledger.add(key)
+	time.Sleep(s.settings.Delay)
+	w.WriteHeader(http.StatusCreated)
+	_, _ = fmt.Fprintf(w, `{"action":%q,"call":%d,"times":%d}`, key, call, times)
+}
