--- a/cmd/persimmonridge/operate.go
+++ b/cmd/persimmonridge/operate.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"time"
@@ -78,7 +79,7 @@
 }
 
 func (c connection) submitter() (*changelog.Submitter, *store.Client) {
-	client := store.New(c.Store, time.Now)
+	client := store.New(c.Store, time.Now, &net.Dialer{Timeout: time.Second})
 	return changelog.NewSubmitter(client), client
 }
 
--- a/cmd/persimmonridge/try.go
+++ b/cmd/persimmonridge/try.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return err
 	}
-	callers := load.New(plan, site.URLs)
+	callers := load.New(plan, shape.Network, site.URLs)
 	c.play(ctx, callers)
 	r := report.New(c.Seed, c.Duration, tiers, callers.Samples())
 	r.DoubledActions, r.InvariantBreaches = site.Effects().Doubled(), invariants.Total()
--- a/internal/action/claim/partition.go
+++ b/internal/action/claim/partition.go
@@ -126,13 +126,21 @@
 	if known.Fingerprint != a.GetFingerprint() {
 		return decision{reply: &wire.ClaimReply{State: wire.ClaimReply_STATE_MISMATCH}}
 	}
-	takesOver := known.State == held && a.GetReplaces() != "" && known.RequestID == a.GetReplaces()
-	if takesOver || known.State == held && known.RequestID == a.GetRequestId() {
+	if known.State == held && proven(known, a.GetReplaces()) || known.State == held && known.RequestID == a.GetRequestId() {
 		return decision{write: fresh(now, a), reply: granted()}
 	}
 	return l.standing(known, exists)
 }
 
+// proven tells whether the proof that a request did not run is about the very
+// place where its claim stands now. Without that, a holder that has moved on
+// to another upstream in the meantime would run beside the one that replaces
+// it: a doubled action.
+func proven(known record, replaced *wire.ClaimAsk_Replaced) bool {
+	return replaced != nil && known.RequestID == replaced.GetRequestId() &&
+		known.Upstream == replaced.GetUpstream() && known.Incarnation == replaced.GetIncarnation()
+}
+
 // standing tells who holds the key, or how it ended.
 func (l *ledger) standing(known record, exists bool) decision {
 	if !exists {
--- a/internal/caller/request/request.go
+++ b/internal/caller/request/request.go
@@ -61,6 +61,7 @@
 	fingerprint  uint64
 	prefixKey    uint64
 	promptTokens int
+	prefixTokens int
 	repeatSafe   bool
 	large        bool
 	body         []byte
@@ -171,19 +172,19 @@
 			return refusal.New(refusal.UnknownName, refusal.NotRun, "service "+name+" has no action "+strconv.Quote(actionName), "name an action of the inventory")
 		}
 	}
-	q.prefixKey = prefixOf(c)
+	q.prefixKey, q.prefixTokens = prefixOf(c)
 	q.promptTokens = max(len(q.body)/bytesPerToken, 1)
 	return nil
 }
 
 // prefixOf takes a leading system message as the prefix, since those are what
 // prompts share; without one, the beginning of the first message.
-func prefixOf(c chat) uint64 {
-	first := c.Messages[0]
-	if first.Role == "system" {
-		return xxhash.Sum64(first.Content)
+func prefixOf(c chat) (key uint64, tokens int) {
+	shared := c.Messages[0].Content
+	if c.Messages[0].Role != "system" {
+		shared = shared[:min(len(shared), prefixBytes)]
 	}
-	return xxhash.Sum64(first.Content[:min(len(first.Content), prefixBytes)])
+	return xxhash.Sum64(shared), len(shared) / bytesPerToken
 }
 
 func (q *Request) readWorkspace(r *http.Request, doc document.Document) *refusal.Refusal {
@@ -274,6 +275,9 @@
 // PrefixKey identifies the prompt's prefix.
 func (q *Request) PrefixKey() uint64 { return q.prefixKey }
 
+// PrefixTokens returns the prefix's estimated length.
+func (q *Request) PrefixTokens() int { return q.prefixTokens }
+
 // PromptTokens returns the prompt's estimated length.
 func (q *Request) PromptTokens() int { return q.promptTokens }
 
--- a/internal/fleet/control/control.go
+++ b/internal/fleet/control/control.go
@@ -18,7 +18,7 @@
 
 const (
 	// noticeGap is the least time between two notices on one stream.
-	noticeGap = 200 * time.Millisecond
+	noticeGap = 40 * time.Millisecond
 	// sendTimeout bounds the writing of one message.
 	sendTimeout = 5 * time.Second
 	// idleLimit is how long a peer may say nothing: forever, in effect, since
--- a/internal/fleet/link/pool.go
+++ b/internal/fleet/link/pool.go
@@ -39,6 +39,8 @@
 	sessions map[string]*Session
 	dialing  map[string]*dialAttempt
 	closed   bool
+	closing  chan struct{}
+	wg       sync.WaitGroup
 }
 
 // dialAttempt lets all who want the same address wait for one dial.
@@ -79,7 +81,7 @@
 // NewPool returns an empty pool. Opened is called, without any lock held,
 // for each new session, so that its control stream can be opened.
 func NewPool(dialer Dialer, opened func(address string, s *Session)) *Pool {
-	return &Pool{dialer: dialer, opened: opened, sessions: make(map[string]*Session), dialing: make(map[string]*dialAttempt)}
+	return &Pool{dialer: dialer, opened: opened, sessions: make(map[string]*Session), dialing: make(map[string]*dialAttempt), closing: make(chan struct{})}
 }
 
 // Open opens a stream to the address, on a new session if there is none. A
@@ -116,7 +118,7 @@
 	if attempt == nil {
 		attempt = &dialAttempt{done: make(chan struct{})}
 		p.dialing[address] = attempt
-		go p.dial(address, attempt)
+		p.wg.Go(func() { p.dial(address, attempt) })
 	}
 	p.mu.Unlock()
 	select {
@@ -175,7 +177,17 @@
 		return
 	}
 	delete(p.sessions, address)
-	time.AfterFunc(keepAlive, func() { closeQuietly(session.mux) })
+	p.wg.Go(func() { p.retire(session) })
+}
+
+// retire closes a replaced session once its streams had time to end.
+func (p *Pool) retire(session *Session) {
+	select {
+	case <-session.Done():
+	case <-p.closing:
+	case <-time.After(keepAlive):
+	}
+	closeQuietly(session.mux)
 }
 
 // Drop closes the session to an address that left.
@@ -199,6 +211,9 @@
 // Close ends all sessions and waits for them.
 func (p *Pool) Close() error {
 	p.mu.Lock()
+	if !p.closed {
+		close(p.closing)
+	}
 	p.closed = true
 	sessions := p.sessions
 	p.sessions = make(map[string]*Session)
@@ -206,6 +221,7 @@
 	for _, session := range sessions {
 		closeQuietly(session.mux)
 	}
+	p.wg.Wait()
 	return nil
 }
 
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -4,6 +4,7 @@
 package member
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/persimmonridge/persimmonridge/internal/dispatch/index"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
 	"github.com/persimmonridge/persimmonridge/internal/platform/vmlist"
+	"github.com/persimmonridge/persimmonridge/internal/upstream/prefixcache"
 )
 
 const (
@@ -36,6 +38,7 @@
 	load        *wire.Load
 	loadAt      time.Time
 	known       chan struct{}
+	lost        bool
 	sent        []sentWork
 	failures    int
 	failedUntil time.Time
@@ -43,8 +46,9 @@
 
 // sentWork is a request sent after the last report.
 type sentWork struct {
-	at   time.Time
-	work time.Duration
+	at     time.Time
+	work   time.Duration
+	prefix uint64
 }
 
 func newUpstream(vm vmlist.VM) *Upstream {
@@ -77,16 +81,34 @@
 	if u.load != nil && load.GetIncarnation() < u.load.GetIncarnation() {
 		return
 	}
-	if u.load == nil {
+	if u.load == nil || u.lost {
 		close(u.known)
 	}
-	u.load, u.loadAt = load, now
+	u.load, u.loadAt, u.lost = load, now, false
 	u.sent = u.sent[:0]
 	u.failures, u.failedUntil = 0, time.Time{}
 }
 
-// Known is closed once the agent has said anything.
-func (u *Upstream) Known() <-chan struct{} { return u.known }
+// Lost notes that the control conversation ended. What the agent said last
+// still counts as its load, but no longer forbids an offer: the process that
+// was leaving may have been replaced.
+func (u *Upstream) Lost() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.load == nil || u.lost {
+		return
+	}
+	u.lost = true
+	u.known = make(chan struct{})
+}
+
+// Known returns a channel that is closed once the agent has said anything on
+// its present control conversation.
+func (u *Upstream) Known() <-chan struct{} {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.known
+}
 
 // Incarnation returns the number of the agent's process, 0 if unknown.
 func (u *Upstream) Incarnation() uint64 {
@@ -108,10 +130,10 @@
 }
 
 // Sent notes work sent there, to correct the last report.
-func (u *Upstream) Sent(now time.Time, work time.Duration) {
+func (u *Upstream) Sent(now time.Time, work time.Duration, prefix uint64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.sent = append(u.sent, sentWork{at: now, work: work})
+	u.sent = append(u.sent, sentWork{at: now, work: work, prefix: prefix})
 }
 
 // Failed notes that the agent could not be reached.
@@ -128,18 +150,43 @@
 func (u *Upstream) Available(now time.Time) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.listed == vmlist.Leaving || u.load.GetLeaving() {
+	if u.listed == vmlist.Leaving || now.Before(u.failedUntil) {
 		return false
 	}
-	blocked := u.load.GetBlocked() != wire.Decline_REASON_UNSPECIFIED
-	return !blocked && !now.Before(u.failedUntil)
+	forbidden := u.load.GetLeaving() || u.load.GetBlocked() != wire.Decline_REASON_UNSPECIFIED
+	return u.lost || !forbidden
 }
 
 // Leaving tells whether the upstream is known to be leaving.
 func (u *Upstream) Leaving() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.listed == vmlist.Leaving || u.load.GetLeaving()
+	return u.listed == vmlist.Leaving || !u.lost && u.load.GetLeaving()
+}
+
+// Connected tells whether the agent has spoken on a conversation that goes on.
+func (u *Upstream) Connected() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.load != nil && !u.lost
+}
+
+// Holds tells whether the upstream's cache probably holds the prefix: its
+// agent said so, or this entry sent it there since.
+func (u *Upstream) Holds(prefix uint64) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if slices.Contains(u.load.GetPrefixes(), prefixcache.Mark(prefix)) {
+		return true
+	}
+	return slices.ContainsFunc(u.sent, func(s sentWork) bool { return s.prefix == prefix })
+}
+
+// Listed returns what the platform's list says of the upstream.
+func (u *Upstream) Listed() vmlist.State {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.listed
 }
 
 // Load returns the last report, or nil.
--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -108,6 +108,11 @@
 // Bytes returns the bytes of all answers.
 func (a *Account) Bytes() uint64 { return a.bytes.Load() }
 
+// Dialer opens connections to the service.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // Client speaks to one of several addresses of the service.
 type Client struct {
 	addresses []string
@@ -120,9 +125,9 @@
 
 // New returns a client for the service at the addresses, such as
 // "http://127.0.0.1:8500". Now is the clock that paces its calls.
-func New(addresses []string, now func() time.Time) *Client {
+func New(addresses []string, now func() time.Time, dialer Dialer) *Client {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     90 * time.Second,
 	}
--- a/internal/platform/vmlist/vmlist.go
+++ b/internal/platform/vmlist/vmlist.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"time"
 
@@ -121,6 +122,11 @@
 	maxList = 8 << 20
 )
 
+// Dialer opens connections to the platform.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // Poller reads the list again and again.
 type Poller struct {
 	url    string
@@ -133,9 +139,10 @@
 }
 
 // Poll starts reading the list at url; found is called with each new one.
-func Poll(url string, logger *slog.Logger, found func([]VM)) *Poller {
+func Poll(url string, dialer Dialer, logger *slog.Logger, found func([]VM)) *Poller {
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &Poller{url: url, http: &http.Client{Timeout: pollTimeout}, logger: logger, found: found, cancel: cancel, done: make(chan struct{})}
+	client := &http.Client{Timeout: pollTimeout, Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1}}
+	p := &Poller{url: url, http: client, logger: logger, found: found, cancel: cancel, done: make(chan struct{})}
 	go p.run(ctx)
 	return p
 }
--- /dev/null
+++ b/internal/proof/bubble/bubble.go
@@ -0,0 +1,18 @@
+// Package bubble runs a test of whole processes in fake time.
+package bubble
+
+import (
+	"runtime"
+	"testing"
+	"testing/synctest"
+)
+
+// Run runs f in a synctest bubble. The multiplexer keeps used timers in a
+// sync.Pool, and a timer of one bubble must not be used in another; a pool is
+// empty after two collections.
+func Run(t *testing.T, f func(t *testing.T)) {
+	t.Helper()
+	runtime.GC()
+	runtime.GC()
+	synctest.Test(t, f)
+}
--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -22,6 +22,7 @@
 	"github.com/persimmonridge/persimmonridge/internal/upstream/admission"
 	"github.com/persimmonridge/persimmonridge/internal/upstream/engine"
 	"github.com/persimmonridge/persimmonridge/internal/upstream/limit"
+	"github.com/persimmonridge/persimmonridge/internal/upstream/prefixcache"
 	"github.com/persimmonridge/persimmonridge/internal/upstream/suspect"
 	"github.com/persimmonridge/persimmonridge/internal/version/evidence"
 )
@@ -29,12 +30,18 @@
 const (
 	// tickEvery is how often start-by moments and ages are looked at.
 	tickEvery = 50 * time.Millisecond
+	// evidenceEvery is how often evidence is told while a move is under way.
+	evidenceEvery = time.Second
 	// sweepEvery is how often the remembered ids are gone through.
 	sweepEvery = 10 * time.Second
 	// tiersHeld is the number of tiers that an agent tells apart.
 	tiersHeld = 8
 	// waitingBound is the number of requests that may wait.
 	waitingBound = 256
+	// dialTimeout bounds a connection to the upstream on the same VM.
+	dialTimeout = 500 * time.Millisecond
+	// pollEvery is how often the engine's load report is read.
+	pollEvery = time.Second
 	// probeEvery is how often a down upstream is tried.
 	probeEvery = 200 * time.Millisecond
 )
@@ -47,6 +54,7 @@
 	now         func() time.Time
 	incarnation uint64
 	startedAt   time.Time
+	dialer      engine.Dialer
 	engine      *engine.Client
 	server      *link.Server
 	log         *changelog.Log
@@ -58,6 +66,7 @@
 	mu        sync.Mutex
 	admission *admission.Controller
 	limit     *limit.Limit
+	cached    *prefixcache.Guess
 	runs      map[string]*run
 	withdrawn map[string]time.Time
 	// dispatched maps a request to when its dispatch may be forgotten.
@@ -66,8 +75,12 @@
 	boardOf    string
 	swept      time.Time
 	crashes    uint64
+	crashedAt  time.Time
 	probing    bool
-	counts     Counts
+	// evidenceNews tells that runs ended since the last notice.
+	evidenceNews bool
+	evidenceAt   time.Time
+	counts       Counts
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -89,6 +102,9 @@
 // WithInvariants uses the recorder.
 func WithInvariants(r *invariant.Recorder) Option { return func(a *Agent) { a.invariants = r } }
 
+// WithDialer uses the dialer towards the upstream.
+func WithDialer(d engine.Dialer) Option { return func(a *Agent) { a.dialer = d } }
+
 // New starts an agent that serves entries on the listener. Incarnation must
 // differ from that of every earlier process with the same address.
 func New(s settings.Agent, listener net.Listener, incarnation uint64, logger *slog.Logger, now func() time.Time, options ...Option) *Agent {
@@ -99,11 +115,12 @@
 		now:         now,
 		incarnation: incarnation,
 		startedAt:   now(),
-		engine:      engine.New(s.UpstreamURL(), now),
+		dialer:      &net.Dialer{Timeout: dialTimeout},
 		suspects:    suspect.New(),
 		changed:     control.NewSignal(),
 		forecast:    forecast.New(),
 		limit:       limit.New(limit.NewTargets(s.TokenGap(), s.FirstToken()), s.Limit(), 1, s.MaxLimit()),
+		cached:      prefixcache.New(),
 		runs:        make(map[string]*run),
 		withdrawn:   make(map[string]time.Time),
 		dispatched:  make(map[string]time.Time),
@@ -117,11 +134,15 @@
 	if a.invariants == nil {
 		a.invariants = invariant.New(logger)
 	}
+	a.engine = engine.New(s.UpstreamURL(), now, a.dialer)
 	a.log = changelog.New(a.invariants)
 	a.admission = admission.New(tiersHeld, s.Limit(), waitingBound, a.invariants)
 	a.peer = control.NewPeer(a.log, a.suspects, a.changed, now, control.Describe(a.describe))
 	a.server = link.Serve(listener, a.serveStream)
 	a.wg.Go(a.tick)
+	if !s.Plain() {
+		a.wg.Go(a.poll)
+	}
 	logger.Info("agent started", "node", s.Node(), "upstream", s.Upstream(), "incarnation", incarnation, "address", listener.Addr().String())
 	return a
 }
@@ -160,6 +181,7 @@
 		Limit:       uint32(a.admission.Limit()),
 		TokenGapUs:  uint32(a.limit.TokenGap().Microseconds()),
 		Version:     a.settings.Version(),
+		Prefixes:    a.cached.Told(),
 	}
 	tiers := a.tiers()
 	for tier := range tiers {
@@ -221,12 +243,34 @@
 		a.dispatched[r.id()] = now.Add(keyedDispatched)
 	}
 	a.counts.Dispatched++
+	if r.offer.GetPrefixTokens() > 0 {
+		a.cached.Used(r.offer.GetPrefixKey(), int(r.offer.GetPrefixTokens()))
+	}
 	r.started = true
 	r.startedAt = now
 	close(r.decided)
 	a.wg.Go(func() { a.execute(r) })
 }
 
+// poll reads the engine's own load report, for the size of its cache.
+func (a *Agent) poll() {
+	ticker := time.NewTicker(pollEvery)
+	defer ticker.Stop()
+	for {
+		report, err := a.engine.Load(a.ctx)
+		if err == nil {
+			a.mu.Lock()
+			a.cached.Reported(report.CachedTokens)
+			a.mu.Unlock()
+		}
+		select {
+		case <-a.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 func (a *Agent) tick() {
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
@@ -244,8 +288,23 @@
 			a.limit.Saturated()
 		}
 		a.sweep(now)
+		tell := a.evidenceDue(now)
 		a.mu.Unlock()
+		if tell {
+			a.changed.Raise()
+		}
+	}
+}
+
+// evidenceDue tells whether evidence shall be told now: once a second at most,
+// and only while a move is under way; the caller holds the lock.
+func (a *Agent) evidenceDue(now time.Time) bool {
+	if !a.evidenceNews || now.Sub(a.evidenceAt) < evidenceEvery {
+		return false
 	}
+	a.evidenceNews, a.evidenceAt = false, now
+	_, moving := a.move()
+	return moving
 }
 
 // sweep gives up abandoned runs and forgets old ones; the caller holds the
--- a/internal/role/agent/execute.go
+++ b/internal/role/agent/execute.go
@@ -16,6 +16,12 @@
 	// crashWindow is how long after one run was cut the others are waited for:
 	// an upstream that dies cuts all at once.
 	crashWindow = 200 * time.Millisecond
+	// spreadWindow is the time in which a crash is told to the fleet before its
+	// callers hear of it.
+	spreadWindow = 100 * time.Millisecond
+	// abandonedWindow is how long after its cancellation a run is still taken
+	// to have been there when the upstream died.
+	abandonedWindow = time.Second
 	// reforecastEvery is the number of tokens after which a run's expected
 	// work is estimated anew.
 	reforecastEvery = 16
@@ -46,6 +52,9 @@
 	}
 	if !result.Sent() && outcome == wire.End_OUTCOME_FAILED {
 		r.notRun = wire.Decline_REASON_UNREACHABLE
+		if abandoned := a.abandonedLately(now); len(abandoned) > 0 {
+			a.crashed(now, abandoned)
+		}
 		a.block(now, wire.Decline_REASON_UNREACHABLE)
 	}
 	r.endedAt = now
@@ -74,9 +83,7 @@
 	a.startBoard()
 	a.board.Observe(a.settings.Version(), r.evidenceRoute(), failed, perToken(now.Sub(r.startedAt), result.Tokens()))
 	a.brake(now, r)
-	if _, moving := a.move(); moving {
-		a.changed.Raise()
-	}
+	a.evidenceNews = true
 }
 
 // startBoard begins a new board with each move, so that both versions are
@@ -146,6 +153,7 @@
 			company = append(company, other)
 		}
 	}
+	abandoned := a.abandonedLately(a.now())
 	a.mu.Unlock()
 	select {
 	case <-time.After(crashWindow):
@@ -153,34 +161,64 @@
 		return false
 	}
 	now := a.now()
+	died := a.judgeCrash(now, r, company, abandoned)
+	if died {
+		// The runs' callers are told once the fleet has heard: a caller that
+		// sends the request again at once must meet the suspicion.
+		select {
+		case <-time.After(spreadWindow):
+		case <-a.ctx.Done():
+		}
+	}
+	return died
+}
+
+// abandonedLately returns the fingerprints of runs that were canceled a moment
+// ago: a caller that hangs up early must not hide what its request does. The
+// caller holds the lock.
+func (a *Agent) abandonedLately(now time.Time) []uint64 {
+	var fingerprints []uint64
+	for _, r := range a.runs {
+		ended := r.buffer.Ended()
+		if ended.GetOutcome() == wire.End_OUTCOME_CANCELED && now.Sub(r.endedAt) < abandonedWindow {
+			fingerprints = append(fingerprints, r.offer.GetFingerprint())
+		}
+	}
+	return fingerprints
+}
+
+func (a *Agent) judgeCrash(now time.Time, r *run, company []*run, fingerprints []uint64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	var fingerprints []uint64
 	for _, other := range company {
-		if !other.cut && other.startedAt.Before(now.Add(-crashWindow)) {
+		survived := !other.cut && other.endedAt.IsZero() && other.startedAt.Before(now.Add(-crashWindow))
+		if survived {
 			return false
 		}
 		if other.cut {
 			fingerprints = append(fingerprints, other.offer.GetFingerprint())
 		}
 	}
-	a.crashed(now, fingerprints)
+	r.crash = a.crashed(now, fingerprints)
 	return true
 }
 
 // crashed notes one crash, whichever of its runs tells first; the caller holds
 // the lock. The runs of one crash find the upstream blocked already.
-func (a *Agent) crashed(now time.Time, fingerprints []uint64) {
-	if a.admission.Blocked() == wire.Decline_REASON_UNREACHABLE {
+func (a *Agent) crashed(now time.Time, fingerprints []uint64) *wire.Crash {
+	if now.Sub(a.crashedAt) < crashWindow {
 		a.suspects.Learn(now, suspect.NewCrash(a.crashID(a.crashes), now, fingerprints))
-		return
+		return &wire.Crash{Id: a.crashID(a.crashes), Fingerprints: fingerprints}
 	}
+	a.crashedAt = now
+	a.cached.Lost()
 	a.crashes++
 	a.counts.Crashes++
 	a.suspects.Learn(now, suspect.NewCrash(a.crashID(a.crashes), now, fingerprints))
 	a.logger.Warn("upstream died", "upstream", a.settings.Upstream(), "running", len(fingerprints))
 	a.block(now, wire.Decline_REASON_UNREACHABLE)
 	a.changed.Raise()
+	return &wire.Crash{Id: a.crashID(a.crashes), Fingerprints: fingerprints}
 }
 
 // block stops offers until the upstream can be reached again; the caller holds
--- a/internal/role/agent/run.go
+++ b/internal/role/agent/run.go
@@ -49,6 +49,7 @@
 	notRun    wire.Decline_Reason
 	preempted bool
 	cut       bool
+	crash     *wire.Crash
 
 	startedAt   time.Time
 	firstToken  time.Time
--- a/internal/role/agent/serve.go
+++ b/internal/role/agent/serve.go
@@ -233,14 +233,14 @@
 // its upstream is declined: that is proof, too.
 func (a *Agent) sendEnd(ctx context.Context, stream *link.Stream, r *run, end *wire.End) {
 	a.mu.Lock()
-	load, notRun := a.load(a.now()), r.notRun
+	load, notRun, crash := a.load(a.now()), r.notRun, r.crash
 	a.mu.Unlock()
 	if notRun != wire.Decline_REASON_UNSPECIFIED {
 		_ = a.send(stream, declineEnvelope(notRun, load))
 		a.linger(ctx)
 		return
 	}
-	_ = a.send(stream, endEnvelope(&wire.End{Outcome: end.GetOutcome(), Length: end.GetLength(), Detail: end.GetDetail(), Load: load}))
+	_ = a.send(stream, endEnvelope(&wire.End{Outcome: end.GetOutcome(), Length: end.GetLength(), Detail: end.GetDetail(), Load: load, Crash: crash}))
 	a.linger(ctx)
 }
 
--- a/internal/role/entry/attempt.go
+++ b/internal/role/entry/attempt.go
@@ -102,7 +102,7 @@
 	}
 	a.current.Store(stream)
 	defer a.closeStream()
-	a.upstream.Sent(now, c.work)
+	a.upstream.Sent(now, c.work, a.q.PrefixKey())
 	offer := &wire.Envelope{Body: &wire.Envelope_Offer{Offer: a.build(now, clock, c)}}
 	if err := stream.Send(now.Add(sendTimeout), offer); err != nil {
 		return a.follow(ctx, false)
@@ -123,7 +123,7 @@
 		Tier: uint32(q.Tier()), DeadlineMs: uint32(left.Milliseconds()), ExpectedMs: uint32(c.work.Milliseconds()),
 		StartByClockMs: clock + uint64(horizon.Milliseconds()),
 		RepeatSafe:     q.RepeatSafe(), Keyed: q.Keyed(),
-		Fingerprint: q.Fingerprint(), PrefixKey: q.PrefixKey(),
+		Fingerprint: q.Fingerprint(), PrefixKey: q.PrefixKey(), PrefixTokens: uint32(q.PrefixTokens()),
 		Method: q.Method(), Path: q.Path(), Body: q.Body(),
 		Suspect: a.entry.suspects.Standing(now, q.Fingerprint()) == suspect.Suspected,
 	}
@@ -213,6 +213,13 @@
 	return result{ending: a.lostOrBroken(), detail: "the agent beside the upstream cannot be reached"}, false
 }
 
+func (a *attempt) overOrBroken() ending {
+	if a.out.started {
+		return broken
+	}
+	return failedEarly
+}
+
 func (a *attempt) lostOrBroken() ending {
 	if a.out.started {
 		return broken
@@ -302,7 +309,9 @@
 func (a *attempt) declined(d *wire.Decline) result {
 	restarted := d.GetReason() == wire.Decline_REASON_INCARNATION && a.resumed
 	if restarted || a.headSeen {
-		return result{ending: a.lostOrBroken(), detail: "the agent beside the upstream was restarted"}
+		// The earlier process's connection to its upstream ended with it, and
+		// the run with the connection: it is over, whatever it did.
+		return result{ending: a.overOrBroken(), outcome: wire.End_OUTCOME_FAILED, detail: "the agent beside the upstream was restarted"}
 	}
 	return result{ending: notRun, reason: d.GetReason()}
 }
@@ -320,6 +329,7 @@
 		r.ending = failedEarly
 	}
 	if end.GetOutcome() == wire.End_OUTCOME_UPSTREAM_LOST {
+		a.entry.learnCrash(end.GetCrash())
 		a.entry.logger.Warn("upstream died under a request", "request", a.runID, "upstream", a.upstream.Name())
 	}
 	return r
--- a/internal/role/entry/choose.go
+++ b/internal/role/entry/choose.go
@@ -85,7 +85,7 @@
 		tokens := e.forecast.Quantile(route(q), workQuantile)
 		job.Decode = time.Duration(tokens) * decodeGap
 		job.Prefill = time.Duration(q.PromptTokens()) * time.Second / prefillRate
-		view.Cached = e.cached(now, q, u, hashed)
+		view.Cached = cached(q, u)
 	} else {
 		job.Decode = e.plainWork(q)
 	}
@@ -93,14 +93,12 @@
 	return choice{upstream: u, incarnation: u.Incarnation(), finish: index.Finish(view, job), work: time.Duration(alone * float64(time.Second))}
 }
 
-func (e *Entry) cached(now time.Time, q *request.Request, u *member.Upstream, hashed bool) float64 {
-	switch {
-	case e.prefixes.Holds(now, q.PrefixKey(), u.Name()):
-		return heldShare
-	case hashed:
-		return hashedShare
+// cached is the share of the prompt's prefill that the upstream's cache saves.
+func cached(q *request.Request, u *member.Upstream) float64 {
+	if !u.Holds(q.PrefixKey()) {
+		return 0
 	}
-	return 0
+	return float64(q.PrefixTokens()) / float64(q.PromptTokens())
 }
 
 // plainWork is the expected time of a plain service's call, learned in
--- a/internal/role/entry/claims.go
+++ b/internal/role/entry/claims.go
@@ -5,8 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -18,159 +16,127 @@
 const (
 	// ownerPrefix is where the owners of partitions stand in the store.
 	ownerPrefix = "persimmonridge/claim-owner/"
-	// ownEvery is how often a process looks for partitions without an owner.
-	ownEvery = time.Second
-	// ownersFresh is how long the list of owners is used unread.
-	ownersFresh = 10 * time.Second
 	// askTimeout bounds one question to an owner.
 	askTimeout = 3 * time.Second
-	// askAgain is the pause before a question whose owner is changing.
-	askAgain = 100 * time.Millisecond
-	// orphanRounds is how often a partition must be found without an owner
-	// before a process takes more than its fair share.
-	orphanRounds = 3
+	// askAgain is the least pause before a question whose owner is changing;
+	// it is jittered, so that not every entry takes an orphan over at once.
+	askAgain = 50 * time.Millisecond
 )
 
-// ownerJSON is the value of an owner's key.
+// ownerJSON is the value of an owner's key. It is advice on whom to ask; who
+// owns a partition is decided by its tail alone.
 type ownerJSON struct {
 	Node    string `json:"node"`
 	Address string `json:"address"`
 }
 
 // claims is this entry's part in keyed actions: the partitions it owns, and
-// the way to those of others.
+// the way to those of others. A partition without an owner is taken by the
+// entry that first needs it, and one whose owner cannot be reached as well.
+// No lease is needed for that: whoever opens a partition swaps its tail, and
+// an owner before it, paused or cut off, can write no more.
 type claims struct {
 	entry *Entry
 
-	mu       sync.Mutex
-	owned    map[int]*claim.Partition
-	owners   map[int]ownerJSON
-	readAt   time.Time
-	orphaned map[int]int
-	leaving  bool
+	mu      sync.Mutex
+	owned   map[int]*claim.Partition
+	owners  map[int]ownerJSON
+	opening map[int]chan struct{}
+	leaving bool
 }
 
 func newClaims(e *Entry) *claims {
-	return &claims{entry: e, owned: make(map[int]*claim.Partition), owners: make(map[int]ownerJSON), orphaned: make(map[int]int)}
+	return &claims{entry: e, owned: make(map[int]*claim.Partition), owners: make(map[int]ownerJSON), opening: make(map[int]chan struct{})}
 }
 
 func ownerKey(partition int) string { return fmt.Sprintf("%s%04d", ownerPrefix, partition) }
 
-// run keeps looking for partitions without an owner.
-func (c *claims) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		c.look(ctx)
-		sleep(ctx, ownEvery/2+rand.N(ownEvery))
-	}
-}
-
-// look reads the owners and takes what nobody holds, up to a fair share. The
-// lease only spreads the work: whoever opens a partition fences the one
-// before by swapping the partition's tail.
-func (c *claims) look(ctx context.Context) {
-	if !c.refresh(ctx, store.Watches) {
-		return
+// readOwner learns who says to own the partition.
+func (c *claims) readOwner(ctx context.Context, partition int) (ownerJSON, store.Entry, error) {
+	entry, err := c.entry.store.Get(ctx, store.Claims, ownerKey(partition))
+	if err != nil || !entry.Exists() {
+		return ownerJSON{}, entry, err
 	}
-	free := c.unowned()
-	rand.Shuffle(len(free), func(i, j int) { free[i], free[j] = free[j], free[i] })
-	for _, partition := range free {
-		if ctx.Err() != nil || !c.mayTake(partition) {
-			continue
-		}
-		c.take(ctx, partition)
-	}
-}
-
-// refresh reads who owns what, and drops what this process lost.
-func (c *claims) refresh(ctx context.Context, priority store.Priority) bool {
-	entries, err := c.entry.store.List(ctx, priority, ownerPrefix)
-	if err != nil {
-		return false
-	}
-	owners := make(map[int]ownerJSON)
-	for _, entry := range entries {
-		partition, err := strconv.Atoi(strings.TrimPrefix(entry.Key(), ownerPrefix))
-		var owner ownerJSON
-		if err != nil || entry.Session() == "" || json.Unmarshal(entry.Value(), &owner) != nil {
-			continue
-		}
-		owners[partition] = owner
+	var owner ownerJSON
+	if err := json.Unmarshal(entry.Value(), &owner); err != nil {
+		return ownerJSON{}, entry, nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.owners, c.readAt = owners, c.entry.now()
-	for partition, p := range c.owned {
-		if isDone(p) || owners[partition].Node != c.entry.settings.Node() {
-			delete(c.owned, partition)
-			go func() { _ = p.Close() }()
-		}
-	}
-	return true
-}
-
-func isDone(p *claim.Partition) bool {
-	select {
-	case <-p.Done():
-		return true
-	default:
-		return false
-	}
+	c.owners[partition] = owner
+	return owner, entry, nil
 }
 
-func (c *claims) unowned() []int {
+// take opens a partition, once for all who ask for it here.
+func (c *claims) take(ctx context.Context, partition int) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	var free []int
-	for partition := range c.entry.settings.ClaimPartitions() {
-		owner, owned := c.owners[partition]
-		mine := owner.Node == c.entry.settings.Node() && c.owned[partition] == nil
-		if owned && !mine {
-			delete(c.orphaned, partition)
-			continue
+	if c.leaving || c.mine(partition) != nil {
+		c.mu.Unlock()
+		return
+	}
+	if under, busy := c.opening[partition]; busy {
+		c.mu.Unlock()
+		select {
+		case <-under:
+		case <-ctx.Done():
 		}
-		c.orphaned[partition]++
-		free = append(free, partition)
+		return
 	}
-	return free
-}
-
-func (c *claims) mayTake(partition int) bool {
-	entries := max(len(c.entry.table.Entries()), 1)
+	done := make(chan struct{})
+	c.opening[partition] = done
+	c.mu.Unlock()
+	c.open(ctx, partition)
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.leaving {
-		return false
-	}
-	share := (c.entry.settings.ClaimPartitions() + entries - 1) / entries
-	return len(c.owned) < share || c.orphaned[partition] >= orphanRounds
+	delete(c.opening, partition)
+	c.mu.Unlock()
+	close(done)
 }
 
-func (c *claims) take(ctx context.Context, partition int) {
+func (c *claims) open(ctx context.Context, partition int) {
 	e := c.entry
-	value, err := json.Marshal(ownerJSON{Node: e.settings.Node(), Address: e.peers.Addr()})
-	if err != nil {
-		return
-	}
-	held, err := e.holder.TryAcquire(ctx, ownerKey(partition), value)
-	if err != nil || !held {
-		return
-	}
 	p, err := claim.Open(ctx, partition, e.store, e.logger, e.now)
 	if err != nil {
 		e.logger.Warn("claims not taken over", "partition", partition, "error", err.Error())
 		return
 	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.orphaned, partition)
 	c.owned[partition] = p
-	c.owners[partition] = ownerJSON{Node: e.settings.Node(), Address: e.peers.Addr()}
+	c.mu.Unlock()
+	c.announce(ctx, partition, ownerJSON{Node: e.settings.Node(), Address: e.peers.Addr()})
+}
+
+// announce writes the owner's key; if that fails, askers find out later.
+func (c *claims) announce(ctx context.Context, partition int, owner ownerJSON) {
+	value, err := json.Marshal(owner)
+	if err != nil {
+		return
+	}
+	_, entry, err := c.readOwner(ctx, partition)
+	if err == nil {
+		_, _ = c.entry.store.Swap(ctx, store.Claims, ownerKey(partition), value, entry.Index())
+	}
+}
+
+// mine returns the partition if this process owns it; the caller holds the
+// lock.
+func (c *claims) mine(partition int) *claim.Partition {
+	p := c.owned[partition]
+	if p == nil {
+		return nil
+	}
+	select {
+	case <-p.Done():
+		delete(c.owned, partition)
+		return nil
+	default:
+		return p
+	}
 }
 
 // serve answers an ask as the partition's owner.
 func (c *claims) serve(ctx context.Context, ask *wire.ClaimAsk) *wire.ClaimReply {
 	c.mu.Lock()
-	p := c.owned[int(ask.GetPartition())]
+	p := c.mine(int(ask.GetPartition()))
 	c.mu.Unlock()
 	if p == nil {
 		return &wire.ClaimReply{State: wire.ClaimReply_STATE_NOT_OWNER}
@@ -185,56 +151,65 @@
 func (c *claims) ask(ctx context.Context, ask *wire.ClaimAsk) *wire.ClaimReply {
 	partition := claim.PartitionOf(ask.GetKey(), c.entry.settings.ClaimPartitions())
 	ask.Partition = uint32(partition)
-	for {
-		reply := c.askOwner(ctx, partition, ask)
-		moved := reply.GetState() == wire.ClaimReply_STATE_NOT_OWNER
-		if !moved {
+	for ctx.Err() == nil {
+		reply := c.askOnce(ctx, partition, ask)
+		if reply.GetState() != wire.ClaimReply_STATE_NOT_OWNER {
 			return reply
 		}
-		if ctx.Err() != nil {
-			return &wire.ClaimReply{State: wire.ClaimReply_STATE_UNAVAILABLE, Detail: "the claims of this key have no owner for the moment"}
-		}
-		sleep(ctx, askAgain)
-		c.refresh(ctx, store.Claims)
+		sleep(ctx, askAgain+rand.N(askAgain))
+		c.findOwner(ctx, partition)
 	}
+	return &wire.ClaimReply{State: wire.ClaimReply_STATE_UNAVAILABLE, Detail: "the claims of this key have no owner for the moment"}
 }
 
-func (c *claims) askOwner(ctx context.Context, partition int, ask *wire.ClaimAsk) *wire.ClaimReply {
-	notOwner := &wire.ClaimReply{State: wire.ClaimReply_STATE_NOT_OWNER}
-	e := c.entry
+// findOwner reads the owner anew; when it is still the one that did not
+// answer, or there is none, this process takes the partition over.
+func (c *claims) findOwner(ctx context.Context, partition int) {
 	c.mu.Lock()
-	owner, known := c.owners[partition]
-	mine := c.owned[partition] != nil
-	stale := e.now().Sub(c.readAt) > ownersFresh
+	before := c.owners[partition]
+	c.mu.Unlock()
+	owner, _, err := c.readOwner(ctx, partition)
+	if err != nil {
+		return
+	}
+	if owner == before || owner.Address == "" || owner.Node == c.entry.settings.Node() {
+		c.take(ctx, partition)
+	}
+}
+
+func (c *claims) askOnce(ctx context.Context, partition int, ask *wire.ClaimAsk) *wire.ClaimReply {
+	c.mu.Lock()
+	owner, mine := c.owners[partition], c.mine(partition) != nil
 	c.mu.Unlock()
 	if mine {
 		return c.serve(ctx, ask)
 	}
-	if !known || stale {
-		c.refresh(ctx, store.Claims)
-		c.mu.Lock()
-		owner, known = c.owners[partition]
-		c.mu.Unlock()
-	}
-	if !known || owner.Node == e.settings.Node() {
-		return notOwner
+	if owner.Address == "" || owner.Node == c.entry.settings.Node() {
+		return &wire.ClaimReply{State: wire.ClaimReply_STATE_NOT_OWNER}
 	}
-	stream, err := e.pool.Open(ctx, owner.Address)
+	return c.askPeer(ctx, owner.Address, ask)
+}
+
+// askPeer asks another entry. One that cannot be reached or says nothing is
+// taken not to be the owner.
+func (c *claims) askPeer(ctx context.Context, address string, ask *wire.ClaimAsk) *wire.ClaimReply {
+	notOwner := &wire.ClaimReply{State: wire.ClaimReply_STATE_NOT_OWNER}
+	e := c.entry
+	stream, err := e.pool.Open(ctx, address)
 	if err != nil {
 		return notOwner
 	}
 	defer func() { _ = stream.Close() }()
-	deadline := e.now().Add(askTimeout)
-	if err := stream.Send(deadline, &wire.Envelope{Body: &wire.Envelope_ClaimAsk{ClaimAsk: ask}}); err != nil {
-		e.pool.Replace(owner.Address, stream.Session())
-		return notOwner
-	}
-	envelope, err := stream.Receive(deadline)
-	if err != nil {
-		e.pool.Replace(owner.Address, stream.Session())
-		return notOwner
+	deadline := e.now().Add(askTimeout + time.Second)
+	err = stream.Send(deadline, &wire.Envelope{Body: &wire.Envelope_ClaimAsk{ClaimAsk: ask}})
+	if err == nil {
+		var envelope *wire.Envelope
+		if envelope, err = stream.Receive(deadline); err == nil && envelope.GetClaimReply() != nil {
+			return envelope.GetClaimReply()
+		}
 	}
-	return envelope.GetClaimReply()
+	e.pool.Replace(address, stream.Session())
+	return notOwner
 }
 
 // handOver gives all partitions up, so that others take them at once.
@@ -244,11 +219,11 @@
 	owned := c.owned
 	c.owned = make(map[int]*claim.Partition)
 	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
 	for partition, p := range owned {
 		_ = p.Close()
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		_, _ = c.entry.store.Release(ctx, ownerKey(partition), c.entry.holder.Session(), nil)
-		cancel()
+		c.announce(ctx, partition, ownerJSON{})
 	}
 }
 
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -19,7 +19,6 @@
 	"github.com/persimmonridge/persimmonridge/internal/config/settings"
 	"github.com/persimmonridge/persimmonridge/internal/dispatch/budget"
 	"github.com/persimmonridge/persimmonridge/internal/dispatch/forecast"
-	"github.com/persimmonridge/persimmonridge/internal/dispatch/prefix"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/control"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/link"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/member"
@@ -34,6 +33,8 @@
 	// leaseTerm is how long a silent holder keeps its duties; the published
 	// shape of the service allows no less.
 	leaseTerm = 10 * time.Second
+	// dialTimeout bounds a connection to a peer or to the platform.
+	dialTimeout = time.Second
 	// retryRate and retryBurst refill the budget of second runs beside what
 	// first attempts earn.
 	retryRate  = 0.5
@@ -53,6 +54,7 @@
 	now        func() time.Time
 	grace      time.Duration
 
+	dialer   link.Dialer
 	store    *store.Client
 	log      *changelog.Log
 	follower *changelog.Follower
@@ -65,7 +67,6 @@
 	changed  *control.Signal
 	suspects *suspect.Register
 	forecast *forecast.Forecast
-	prefixes *prefix.Memory
 	retries  *budget.Bucket
 	claims   *claims
 	moves    *moves
@@ -85,10 +86,8 @@
 // WithInvariants uses the recorder.
 func WithInvariants(r *invariant.Recorder) Option { return func(e *Entry) { e.invariants = r } }
 
-// WithDialer uses the dialer for links.
-func WithDialer(d link.Dialer) Option {
-	return func(e *Entry) { e.pool = link.NewPool(d, e.sessionOpened) }
-}
+// WithDialer uses the dialer for links and towards the platform.
+func WithDialer(d link.Dialer) Option { return func(e *Entry) { e.dialer = d } }
 
 // WithGrace changes how long a stop waits for the balancer.
 func WithGrace(d time.Duration) Option { return func(e *Entry) { e.grace = d } }
@@ -98,17 +97,15 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Entry{
 		settings: s, logger: logger, now: now, grace: drainGrace,
-		store:    store.New(s.StoreAddresses(), now),
 		table:    member.New(),
 		changed:  control.NewSignal(),
 		suspects: suspect.New(),
 		forecast: forecast.New(),
-		prefixes: prefix.New(),
 		retries:  budget.New(retryRate, retryBurst),
 		listener: callers,
+		dialer:   &net.Dialer{Timeout: dialTimeout},
 		ctx:      ctx, cancel: cancel,
 	}
-	e.pool = link.NewPool(&net.Dialer{}, e.sessionOpened)
 	for _, option := range options {
 		option(e)
 	}
@@ -120,6 +117,8 @@
 }
 
 func (e *Entry) start(peers net.Listener) {
+	e.store = store.New(e.settings.StoreAddresses(), e.now, e.dialer)
+	e.pool = link.NewPool(e.dialer, e.sessionOpened)
 	e.log = changelog.New(e.invariants)
 	e.peer = control.NewPeer(e.log, e.suspects, e.changed, e.now)
 	e.metrics = newMetrics(e)
@@ -127,7 +126,7 @@
 	e.claims = newClaims(e)
 	e.moves = newMoves(e)
 	e.follower = changelog.Follow(e.log, e.store, e.logger)
-	e.poller = vmlist.Poll(e.settings.VMListURL(), e.logger, e.replaceList)
+	e.poller = vmlist.Poll(e.settings.VMListURL(), e.dialer, e.logger, e.replaceList)
 	e.peers = link.Serve(peers, e.servePeer)
 	e.http = &http.Server{Handler: e.handler(), ReadHeaderTimeout: headerTimeout, ErrorLog: slog.NewLogLogger(e.logger.Handler(), slog.LevelDebug)}
 	e.wg.Go(func() {
@@ -135,7 +134,6 @@
 			e.logger.Error("caller interface ended", "error", err.Error())
 		}
 	})
-	e.wg.Go(func() { e.claims.run(e.ctx) })
 	e.wg.Go(func() { e.moves.run(e.ctx) })
 	e.logger.Info("entry started", "node", e.settings.Node(), "callers", e.listener.Addr().String(), "peers", e.peers.Addr())
 }
@@ -146,6 +144,9 @@
 // Revision returns the configuration revision in force here.
 func (e *Entry) Revision() uint64 { return e.log.Revision() }
 
+// PeerAddr returns the address that other entries link to.
+func (e *Entry) PeerAddr() string { return e.peers.Addr() }
+
 // Ready tells whether callers may be sent here.
 func (e *Entry) Ready() bool { return !e.leaving.Load() && e.log.Revision() > 0 }
 
@@ -153,7 +154,7 @@
 func (e *Entry) Upstreams() int {
 	count := 0
 	for _, u := range e.table.All() {
-		if u.Load() != nil {
+		if u.Connected() {
 			count++
 		}
 	}
@@ -193,9 +194,9 @@
 	err := e.http.Close()
 	_ = e.poller.Close()
 	_ = e.follower.Close()
+	_ = e.pool.Close()
 	e.wg.Wait()
 	e.claims.close()
-	_ = e.pool.Close()
 	_ = e.peers.Close()
 	_ = e.store.Close()
 	return err
--- a/internal/role/entry/keyed.go
+++ b/internal/role/entry/keyed.go
@@ -43,8 +43,9 @@
 // keyed is the way of one keyed request through its claim.
 type keyed struct {
 	call *call
-	// replaces is an earlier request that was proven not to have run.
-	replaces string
+	// replaces is an earlier try's claim whose request was proven not to have
+	// run where the claim stood.
+	replaces *wire.ClaimAsk_Replaced
 	// held tells that another try with the key was found; from then on "not
 	// run" is not ours to say.
 	held        bool
@@ -61,6 +62,8 @@
 	}
 	next.incarnation = next.upstream.Incarnation()
 	reply := c.claim(ctx, next, k.replaces)
+	c.entry.logger.Info("claim answered", "request", c.q.ID(), "key", c.q.ClaimKey(), "state", reply.GetState().String(),
+		"holder", reply.GetRequestId(), "replaces", k.replaces.GetRequestId())
 	switch reply.GetState() {
 	case wire.ClaimReply_STATE_GRANTED:
 		return c.runClaimed(ctx, next)
@@ -95,14 +98,14 @@
 	case r.ending == answered, r.ending == callerGone, r.ending == broken:
 		return k.call.refusalOf(r), true
 	case r.ending == notRun && r.reason == wire.Decline_REASON_UNKNOWN_RUN:
-		k.replaces = reply.GetRequestId()
+		k.replaces = &wire.ClaimAsk_Replaced{RequestId: reply.GetRequestId(), Upstream: reply.GetUpstream(), Incarnation: reply.GetIncarnation()}
 	case r.ending == lost || r.ending == failedEarly:
 		k.unreachable++
 	}
 	return nil, false
 }
 
-func (c *call) claim(ctx context.Context, next choice, replaces string) *wire.ClaimReply {
+func (c *call) claim(ctx context.Context, next choice, replaces *wire.ClaimAsk_Replaced) *wire.ClaimReply {
 	ctx, cancel := context.WithTimeout(ctx, claimWithin)
 	defer cancel()
 	ask := c.ask(wire.ClaimAsk_STEP_CLAIM, next)
--- a/internal/role/entry/moves.go
+++ b/internal/role/entry/moves.go
@@ -231,7 +231,7 @@
 
 func (m *moves) contactAll(ctx context.Context, service string) {
 	for _, u := range m.entry.table.Service(service) {
-		if u.Load() == nil && !u.Leaving() {
+		if !u.Connected() && !u.Leaving() {
 			m.entry.contact(ctx, u)
 		}
 	}
--- a/internal/role/entry/peers.go
+++ b/internal/role/entry/peers.go
@@ -8,6 +8,7 @@
 	"github.com/persimmonridge/persimmonridge/internal/fleet/member"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
 	"github.com/persimmonridge/persimmonridge/internal/platform/vmlist"
+	"github.com/persimmonridge/persimmonridge/internal/upstream/suspect"
 )
 
 const (
@@ -16,6 +17,8 @@
 	contactMost = 64
 	// contactTimeout bounds the wait for a first word from an agent.
 	contactTimeout = time.Second
+	// reconnectPause is between two attempts to reach an agent that went away.
+	reconnectPause = 250 * time.Millisecond
 	// peerMessage bounds the wait for a peer's first message.
 	peerMessage = 10 * time.Second
 	// sendTimeout bounds the writing of one message.
@@ -34,7 +37,7 @@
 	}
 	for _, u := range all {
 		if !u.Leaving() {
-			e.wg.Go(func() { e.contact(e.ctx, u) })
+			e.wg.Go(func() { e.reconnect(u) })
 		}
 	}
 }
@@ -68,7 +71,35 @@
 		_ = stream.Close()
 		return
 	}
-	go e.peer.Run(e.ctx, stream, func(now time.Time, n *wire.Notice) { e.learn(now, address, n) })
+	e.wg.Go(func() {
+		e.peer.Run(e.ctx, stream, func(now time.Time, n *wire.Notice) { e.learn(now, address, n) })
+		e.conversationEnded(address, s)
+	})
+}
+
+// conversationEnded notes that an agent went away, and looks for the process
+// that takes its place while the platform's list still names it.
+func (e *Entry) conversationEnded(address string, s *link.Session) {
+	e.pool.Replace(address, s.Number())
+	for _, u := range e.table.All() {
+		if u.Address() == address {
+			u.Lost()
+			e.wg.Go(func() { e.reconnect(u) })
+		}
+	}
+}
+
+// reconnect tries again until the agent speaks or is no longer listed. With
+// many upstreams the next offer does that instead.
+func (e *Entry) reconnect(u *member.Upstream) {
+	for e.ctx.Err() == nil && !u.Connected() {
+		listed, ok := e.table.Upstream(u.Name())
+		if !ok || listed != u || u.Listed() == vmlist.Leaving || len(e.table.All()) > contactMost {
+			return
+		}
+		e.contact(e.ctx, u)
+		sleep(e.ctx, reconnectPause)
+	}
 }
 
 // learn takes a notice of the agent at the address.
@@ -85,6 +116,15 @@
 	}
 }
 
+// learnCrash takes what an agent told of its upstream's death with an answer's
+// end, and passes it on.
+func (e *Entry) learnCrash(crash *wire.Crash) {
+	now := e.now()
+	if crash != nil && e.suspects.Learn(now, suspect.NewCrash(crash.GetId(), now, crash.GetFingerprints())) {
+		e.changed.Raise()
+	}
+}
+
 // servePeer serves one stream of another entry.
 func (e *Entry) servePeer(ctx context.Context, stream *link.Stream) {
 	defer func() { _ = stream.Close() }()
--- a/internal/role/entry/serve.go
+++ b/internal/role/entry/serve.go
@@ -167,9 +167,6 @@
 func (c *call) try(ctx context.Context, next choice) result {
 	e := c.entry
 	e.moves.check(c.q, next.upstream, c.doc)
-	if c.q.Service().Kind() == inventory.Model {
-		e.prefixes.Sent(e.now(), c.q.PrefixKey(), next.upstream.Name())
-	}
 	a := &attempt{entry: e, q: c.q, out: c.out, upstream: next.upstream, runID: c.q.ID(), dispatched: c.outcome.Dispatched, mayRetry: c.q.RepeatSafe() && !c.retried}
 	started := e.now()
 	r := a.offer(ctx, next)
@@ -235,6 +232,9 @@
 	case callerGone:
 		return errGoneRefusal
 	case notRun:
+		if c.retried {
+			return refusal.New(refusal.Failed, refusal.MayHaveRun, "the upstream failed, and no other took the request", "send it again; its action is safe to repeat").RetryAfter(c.advice())
+		}
 		return c.notRunRefusal(r)
 	case failedEarly:
 		return refusal.New(refusal.Failed, refusal.MayHaveRun, "the upstream failed: "+orUnknown(r.detail), "look whether it took effect before sending it again")
@@ -243,7 +243,7 @@
 }
 
 func (c *call) notRunRefusal(r result) *refusal.Refusal {
-	after := min(max(c.retryAfter, retryAtLeast), retryAtMost)
+	after := c.advice()
 	switch {
 	case r.reason == wire.Decline_REASON_CONVICTED:
 		return convicted()
@@ -255,6 +255,9 @@
 	return refusal.New(refusal.Overloaded, refusal.NotRun, "every upstream that may take it is full", "try again later").RetryAfter(after)
 }
 
+// advice is when another try is worth making.
+func (c *call) advice() time.Duration { return min(max(c.retryAfter, retryAtLeast), retryAtMost) }
+
 func convicted() *refusal.Refusal {
 	return refusal.New(refusal.Convicted, refusal.NotRun, "this very request has crashed two upstreams", "do not send it again; change it or report it")
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -37,6 +37,9 @@
 	RestartAfter time.Duration
 	// Seed decides which requests fail.
 	Seed uint64
+	// Listen opens the listener again after a death; the machine's own network
+	// if nil.
+	Listen func(address string) (net.Listener, error)
 }
 
 // Faults is what goes wrong.
@@ -157,7 +160,11 @@
 	if closed {
 		return
 	}
-	listener, err := net.Listen("tcp", e.address)
+	listen := e.settings.Listen
+	if listen == nil {
+		listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
+	listener, err := listen(e.address)
 	if err == nil {
 		e.serve(listener)
 	}
--- /dev/null
+++ b/internal/standin/network/network.go
@@ -0,0 +1,124 @@
+// Package network is a network in memory for tests: listeners and connections
+// with buffers, deadlines and faults, and no sockets, so that a whole site can
+// run in a bubble of fake time.
+package network
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+)
+
+// Network connects listeners and dialers. It is safe for concurrent use.
+type Network struct {
+	mu        sync.Mutex
+	nextPort  int
+	listeners map[string]*listener
+	conns     map[*conn]bool
+}
+
+// New returns a network without listeners.
+func New() *Network {
+	return &Network{nextPort: 1000, listeners: make(map[string]*listener), conns: make(map[*conn]bool)}
+}
+
+// address implements net.Addr.
+type address string
+
+func (a address) Network() string { return "tcp" }
+func (a address) String() string  { return string(a) }
+
+// Listen opens a listener; port 0 chooses one.
+func (n *Network) Listen(at string) (net.Listener, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	host, port, err := net.SplitHostPort(at)
+	if err != nil {
+		return nil, err
+	}
+	if port == "0" {
+		n.nextPort++
+		at = fmt.Sprintf("%s:%d", host, n.nextPort)
+	}
+	if n.listeners[at] != nil {
+		return nil, &net.OpError{Op: "listen", Net: "tcp", Addr: address(at), Err: syscall.EADDRINUSE}
+	}
+	l := &listener{network: n, at: at, arriving: make(chan net.Conn, 128), closed: make(chan struct{})}
+	n.listeners[at] = l
+	return l, nil
+}
+
+// DialContext connects to a listener or is refused at once.
+func (n *Network) DialContext(_ context.Context, _, to string) (net.Conn, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := n.listeners[to]
+	if l == nil {
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Addr: address(to), Err: syscall.ECONNREFUSED}
+	}
+	near, far := newPair(n, to)
+	select {
+	case l.arriving <- far:
+		n.conns[near] = true
+		return near, nil
+	default:
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Addr: address(to), Err: syscall.ECONNREFUSED}
+	}
+}
+
+// Silence makes the present connections to an address silent for good: what is
+// written is lost, nothing is closed, and new connections work. It returns
+// their number.
+func (n *Network) Silence(to string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	count := 0
+	for c := range n.conns {
+		if c.to == to {
+			c.silence()
+			count++
+		}
+	}
+	return count
+}
+
+func (n *Network) forget(c *conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.conns, c)
+	delete(n.conns, c.peer)
+}
+
+type listener struct {
+	network  *Network
+	at       string
+	arriving chan net.Conn
+	once     sync.Once
+	closed   chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.arriving:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		l.network.mu.Lock()
+		delete(l.network.listeners, l.at)
+		l.network.mu.Unlock()
+		close(l.closed)
+	})
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *listener) Addr() net.Addr { return address(l.at) }
--- a/internal/trial/load/load.go
+++ b/internal/trial/load/load.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -82,6 +83,11 @@
 	Tokens     int
 }
 
+// Dialer opens connections to entries.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // Callers plays a plan.
 type Callers struct {
 	plan   Plan
@@ -94,8 +100,8 @@
 }
 
 // New returns callers that send to the entries that urls names at the time.
-func New(plan Plan, urls func() []string) *Callers {
-	transport := &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}
+func New(plan Plan, dialer Dialer, urls func() []string) *Callers {
+	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 256, DisableCompression: true}
 	return &Callers{plan: plan, urls: urls, client: &http.Client{Transport: transport}}
 }
 
--- a/internal/upstream/admission/admission.go
+++ b/internal/upstream/admission/admission.go
@@ -14,6 +14,9 @@
 const (
 	// fairQuantum is how far a workspace may be ahead of the least served one.
 	fairQuantum = 2 * time.Second
+	// suspectPatience is how long a suspect waits for the upstream to be empty
+	// by itself.
+	suspectPatience = time.Second
 	// remainingFloor is the share of a run's expected work that is assumed to
 	// remain when the run has outlasted its forecast.
 	remainingFloor = 0.1
@@ -30,6 +33,7 @@
 	repeatSafe bool
 	suspect    bool
 
+	arrivedAt time.Time
 	startedAt time.Time
 	preempted bool
 }
@@ -156,6 +160,7 @@
 	if !fits {
 		return effects
 	}
+	t.arrivedAt = now
 	c.waiting.Push(t)
 	return append(effects, c.start(now)...)
 }
@@ -306,11 +311,11 @@
 func (c *Controller) start(now time.Time) []Effect {
 	var effects []Effect
 	for len(c.running) < c.limit && !c.suspectRuns() {
-		next, ok := c.waiting.Peek()
+		next, ok := c.next(now)
 		if !ok || next.suspect && len(c.running) > 0 {
 			break
 		}
-		c.waiting.Pop()
+		c.waiting.Serve(next)
 		next.startedAt = now
 		c.running[next.id] = next
 		c.invariants.Check(!c.leaving, invariant.NoOfferAfterLeave, next.id, "dispatched after leaving")
@@ -319,6 +324,18 @@
 	return effects
 }
 
+// next returns what starts next: a suspect that has been patient long enough,
+// for which the upstream is left to empty, or the head of the queue.
+func (c *Controller) next(now time.Time) (*Ticket, bool) {
+	patient, ok := c.waiting.Find(func(t *Ticket) bool {
+		return t.suspect && now.Sub(t.arrivedAt) > suspectPatience
+	})
+	if ok {
+		return patient, true
+	}
+	return c.waiting.Peek()
+}
+
 func (c *Controller) suspectRuns() bool {
 	for _, t := range c.running {
 		if t.suspect {
--- a/internal/upstream/engine/engine.go
+++ b/internal/upstream/engine/engine.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net"
@@ -18,6 +19,9 @@
 const (
 	// dialTimeout bounds the connection to an upstream on the same VM.
 	dialTimeout = 500 * time.Millisecond
+	// loadTimeout bounds the reading of a load report, maxReport its size.
+	loadTimeout = time.Second
+	maxReport   = 64 << 10
 	// chunk is the most that is read at once.
 	chunk = 16 << 10
 	// eventStream is the content type of a streamed answer.
@@ -80,11 +84,17 @@
 // Detail returns the failure in words.
 func (r Result) Detail() string { return r.detail }
 
+// Dialer opens connections to the upstream.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // Client speaks to one upstream.
 type Client struct {
-	base string
-	http *http.Client
-	now  func() time.Time
+	base   string
+	dialer Dialer
+	http   *http.Client
+	now    func() time.Time
 }
 
 // New returns a client for the upstream at base, such as
@@ -92,13 +102,13 @@
 // one, the library would by itself send a request again whose connection
 // ended early, and a request must reach the upstream at most once. A new
 // connection over loopback costs little, and cannot have gone silent before.
-func New(base string, now func() time.Time) *Client {
+func New(base string, now func() time.Time, dialer Dialer) *Client {
 	transport := &http.Transport{
-		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:        dialer.DialContext,
 		DisableKeepAlives:  true,
 		DisableCompression: true,
 	}
-	return &Client{base: base, http: &http.Client{Transport: transport, CheckRedirect: noRedirect}, now: now}
+	return &Client{base: base, dialer: dialer, http: &http.Client{Transport: transport, CheckRedirect: noRedirect}, now: now}
 }
 
 // noRedirect hands a redirect to the caller; following it would be a second
@@ -179,11 +189,34 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
+// Report is what an engine says of itself; a field it does not know is 0.
+type Report struct {
+	CachedTokens int `json:"cached-tokens"`
+}
+
+// Load reads the engine's load report.
+func (c *Client) Load(ctx context.Context) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/load", nil)
+	if err != nil {
+		return Report{}, err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return Report{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	var report Report
+	err = json.NewDecoder(io.LimitReader(response.Body, maxReport)).Decode(&report)
+	return report, err
+}
+
 // Alive tells whether the upstream accepts connections.
 func (c *Client) Alive(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", strings.TrimPrefix(c.base, "http://"))
+	conn, err := c.dialer.DialContext(ctx, "tcp", strings.TrimPrefix(c.base, "http://"))
 	if err != nil {
 		return false
 	}
--- a/internal/upstream/queue/queue.go
+++ b/internal/upstream/queue/queue.go
@@ -81,21 +81,53 @@
 	return none, false
 }
 
-// Pop removes the first item of the highest non-empty tier.
+// Pop removes the first item of the highest non-empty tier and charges its
+// workspace with its work.
 func (q *Queue[T]) Pop() (T, bool) {
+	item, ok := q.Peek()
+	if ok {
+		q.Serve(item)
+	}
+	return item, ok
+}
+
+// Serve removes an item that is served now and charges its workspace with its
+// work.
+func (q *Queue[T]) Serve(item T) {
+	t := q.tiers[q.clamp(item.Tier())]
+	l := t.lanes[item.Workspace()]
+	if l == nil {
+		return
+	}
+	for at, known := range l.items {
+		if known.ID() == item.ID() {
+			heap.Remove(l, at)
+			t.removed(item)
+			t.serve(l, item.Work())
+			q.length--
+			return
+		}
+	}
+}
+
+// Find returns the first item, from the highest tier on, for which want is
+// true; inside a tier the one with the earliest deadline.
+func (q *Queue[T]) Find(want func(T) bool) (T, bool) {
+	var best T
 	for _, t := range q.tiers {
-		l := t.choose(q.quantum)
-		if l == nil {
-			continue
+		found := false
+		for _, l := range t.lanes {
+			for _, item := range l.items {
+				if want(item) && (!found || later(best, item)) {
+					best, found = item, true
+				}
+			}
+		}
+		if found {
+			return best, true
 		}
-		item := heap.Pop(l).(T)
-		t.removed(item)
-		t.serve(l, item.Work())
-		q.length--
-		return item, true
 	}
-	var none T
-	return none, false
+	return best, false
 }
 
 // TakeLowest removes the item that is given up first: of the lowest held tier
