Place waiting requests anew; assume untried upstreams fast; random failures

Two causes: an upstream without a measured speed was taken for ten times slower and so never tried; and entries with stale views chose the same upstream in one moment, where the request then waited to its end. Change: an untried upstream is assumed as fast as the best known; a request that waits longer than was predicted (1.5 times, plus 150 ms) is handed back as not run and placed anew, three times at most, never for keyed actions. Not tried: pushing load reports more often, which would cost control bytes. Conclusion: proof of not having run is cheap, so moving is.

--- a/internal/dispatch/index/index.go
+++ b/internal/dispatch/index/index.go
@@ -79,7 +79,7 @@
 
 // Myopic takes the earliest finish of this job, as if no cache existed.
 func Myopic(views []View, job Job, _ Traffic, _ *rand.Rand) int {
-	return least(views, func(v View) float64 { return v.wait() + size(job)/v.Speed })
+	return least(views, func(v View) float64 { return v.Wait().Seconds() + size(job)/v.Speed })
 }
 
 // ExpectedFinish takes the earliest finish, with the prefill that the
@@ -91,7 +91,7 @@
 // Finish returns the expected time until the job is finished, in seconds.
 func Finish(v View, job Job) float64 {
 	prefill := job.Prefill.Seconds() * (1 - v.Cached)
-	return v.wait() + (prefill+job.Decode.Seconds())/v.Speed
+	return v.Wait().Seconds() + (prefill+job.Decode.Seconds())/v.Speed
 }
 
 // MarginalCost is formula 5 of "Lookahead Actions in Dispatching to Parallel
@@ -121,7 +121,7 @@
 	rate := traffic.Rate
 	later, next := 0.0, math.Inf(1)
 	for j, v := range views {
-		u := v.wait()
+		u := v.Wait().Seconds()
 		if j == i {
 			u += size(job) / v.Speed
 		}
@@ -136,7 +136,7 @@
 
 func marginal(v View, job Job, traffic Traffic, total float64) float64 {
 	x := size(job) / v.Speed
-	u := v.wait() + x
+	u := v.Wait().Seconds() + x
 	return u*job.Cost + weight(v, traffic, total)*x*(2*u-x)
 }
 
@@ -150,12 +150,12 @@
 	return rate / (2 * (1 - load))
 }
 
-// wait is the time until a slot is free, in seconds.
-func (v View) wait() float64 {
+// Wait is the expected time until a slot is free.
+func (v View) Wait() time.Duration {
 	if v.Jobs < v.Slots {
 		return 0
 	}
-	return v.Backlog.Seconds() / float64(max(v.Slots, 1))
+	return v.Backlog / time.Duration(max(v.Slots, 1))
 }
 
 func size(job Job) float64 { return (job.Prefill + job.Decode).Seconds() }
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -196,11 +196,12 @@
 	return u.load
 }
 
-// View returns what the index needs, for a request of the tier.
+// View returns what the index needs, for a request of the tier. The speed is 0
+// while none was measured.
 func (u *Upstream) View(now time.Time, tier int) index.View {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	v := index.View{Slots: defaultSlots, Speed: u.vm.Weight()}
+	v := index.View{Slots: defaultSlots}
 	if u.load != nil {
 		v.Slots = max(int(u.load.GetLimit()), 1)
 		v.Jobs = int(u.load.GetRunning())
--- a/internal/role/agent/serve.go
+++ b/internal/role/agent/serve.go
@@ -87,6 +87,9 @@
 	if o.GetRepeatSafe() {
 		options = append(options, admission.RepeatSafe())
 	}
+	if o.GetPatienceMs() > 0 {
+		options = append(options, admission.Patience(milliseconds(o.GetPatienceMs())))
+	}
 	if o.GetSuspect() || a.suspects.Standing(now, o.GetFingerprint()) == suspect.Suspected {
 		options = append(options, admission.Suspect())
 	}
--- a/internal/role/entry/choose.go
+++ b/internal/role/entry/choose.go
@@ -15,16 +15,8 @@
 
 const (
 	// wideSet is the number of candidates that a request may be offered to
-	// before it is refused; narrowSet and largeSet are those expected to hold
-	// its prefix, for small and for large workspaces.
-	wideSet   = 24
-	narrowSet = 2
-	largeSet  = 4
-	// heldShare and hashedShare are the shares of a prompt's prefill that a
-	// cache is assumed to save: where the prefix was sent lately, and where
-	// all entries send it.
-	heldShare   = 0.8
-	hashedShare = 0.3
+	// before it is refused.
+	wideSet = 24
 	// prefillRate is the assumed prompt tokens a second at speed 1.
 	prefillRate = 2000
 	// decodeGap is the time of one token at speed 1.
@@ -42,6 +34,9 @@
 	// finish is the expected time until the answer is whole, in seconds.
 	finish float64
 	work   time.Duration
+	// wait is the predicted wait there, patience how much of it is borne.
+	wait     time.Duration
+	patience time.Duration
 }
 
 // plan returns whom to ask, in order: all of the wide set, by expected finish.
@@ -62,24 +57,39 @@
 	var buffer [candidate.Most]int
 	key := candidate.Key(q.Workspace(), q.PrefixKey())
 	chosen := candidate.Choose(buffer[:0], group.Members(), key, wideSet)
-	narrow := narrowSet
-	if q.Large() {
-		narrow = largeSet
+	var views [candidate.Most]index.View
+	for i, at := range chosen {
+		views[i] = group.At(at).View(now, q.Tier())
 	}
+	assumeSpeeds(views[:len(chosen)])
 	choices := make([]choice, 0, len(chosen))
-	for position, at := range chosen {
-		u := group.At(at)
-		if !u.Available(now) {
-			continue
+	for i, at := range chosen {
+		if u := group.At(at); u.Available(now) {
+			choices = append(choices, e.weigh(q, u, views[i]))
 		}
-		choices = append(choices, e.weigh(now, q, u, position < narrow))
 	}
 	sort.SliceStable(choices, func(i, j int) bool { return choices[i].finish < choices[j].finish })
 	return choices
 }
 
-func (e *Entry) weigh(now time.Time, q *request.Request, u *member.Upstream, hashed bool) choice {
-	view := u.View(now, q.Tier())
+// assumeSpeeds takes an upstream without a measured speed to be as fast as the
+// best of the others: one that was never tried would otherwise never be.
+func assumeSpeeds(views []index.View) {
+	best := 0.0
+	for _, v := range views {
+		best = max(best, v.Speed)
+	}
+	if best == 0 {
+		best = 1
+	}
+	for i := range views {
+		if views[i].Speed == 0 {
+			views[i].Speed = best
+		}
+	}
+}
+
+func (e *Entry) weigh(q *request.Request, u *member.Upstream, view index.View) choice {
 	job := index.Job{Cost: 1}
 	if q.Service().Kind() == inventory.Model {
 		tokens := e.forecast.Quantile(route(q), workQuantile)
@@ -90,7 +100,7 @@
 		job.Decode = e.plainWork(q)
 	}
 	alone := (job.Decode.Seconds() + job.Prefill.Seconds()*(1-view.Cached)) / view.Speed
-	return choice{upstream: u, incarnation: u.Incarnation(), finish: index.Finish(view, job), work: time.Duration(alone * float64(time.Second))}
+	return choice{upstream: u, incarnation: u.Incarnation(), finish: index.Finish(view, job), wait: view.Wait(), work: time.Duration(alone * float64(time.Second))}
 }
 
 // cached is the share of the prompt's prefill that the upstream's cache saves.
--- a/internal/role/entry/keyed.go
+++ b/internal/role/entry/keyed.go
@@ -56,7 +56,7 @@
 // request has its outcome.
 func (k *keyed) round(ctx context.Context) (refused *refusal.Refusal, over bool) {
 	c := k.call
-	next, ok := c.next(c.entry.now(), nil)
+	next, ok := newSearch(c).next(c.entry.now())
 	if !ok || !c.entry.contact(ctx, next.upstream) {
 		return k.without(c.refusalOf(result{ending: notRun})), true
 	}
--- a/internal/role/entry/serve.go
+++ b/internal/role/entry/serve.go
@@ -124,15 +124,15 @@
 // asked before each offer and may forbid it.
 func (c *call) dispatch(ctx context.Context, before func(choice) bool) result {
 	e := c.entry
-	asked := make(map[string]bool)
+	s := newSearch(c)
 	last := result{ending: notRun, reason: wire.Decline_REASON_UNSPECIFIED}
 	for {
 		now := e.now()
-		next, ok := c.next(now, asked)
+		next, ok := s.next(now)
 		if !ok || now.After(c.q.Deadline()) {
 			return last
 		}
-		asked[next.upstream.Name()] = true
+		next.patience = s.patience(next)
 		if !before(next) {
 			return result{ending: notRun, reason: wire.Decline_REASON_WITHDRAWN}
 		}
@@ -142,9 +142,11 @@
 		}
 		switch {
 		case r.ending == notRun:
+			s.note(next, r.reason)
 			c.note(next, r)
 			last = r
 		case r.ending == failedEarly && c.mayRunAgain(now):
+			s.note(next, wire.Decline_REASON_UNSPECIFIED)
 			c.retried = true
 			c.out.reset()
 			last = r
@@ -154,16 +156,6 @@
 	}
 }
 
-// next plans anew for each offer, since each decline brings news.
-func (c *call) next(now time.Time, asked map[string]bool) (choice, bool) {
-	for _, candidate := range c.entry.plan(now, c.q, c.doc) {
-		if !asked[candidate.upstream.Name()] && len(asked) < wideSet {
-			return candidate, true
-		}
-	}
-	return choice{}, false
-}
-
 func (c *call) try(ctx context.Context, next choice) result {
 	e := c.entry
 	e.moves.check(c.q, next.upstream, c.doc)
@@ -208,7 +200,9 @@
 }
 
 func (c *call) note(next choice, r result) {
-	c.declines++
+	if r.reason != wire.Decline_REASON_PATIENCE {
+		c.declines++
+	}
 	if r.reason == wire.Decline_REASON_TOO_LATE {
 		c.tooLate++
 	}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -24,10 +25,11 @@
 type Ledger struct {
 	mu      sync.Mutex
 	effects map[string]int
+	calls   map[string]int
 }
 
 // NewLedger returns an empty ledger.
-func NewLedger() *Ledger { return &Ledger{effects: make(map[string]int)} }
+func NewLedger() *Ledger { return &Ledger{effects: make(map[string]int), calls: make(map[string]int)} }
 
 // Effects returns how often the action took effect.
 func (l *Ledger) Effects(key string) int {
@@ -49,6 +51,19 @@
 	return doubled
 }
 
+// Calls returns how often each request id was called.
+func (l *Ledger) Calls() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.calls)
+}
+
+func (l *Ledger) called(requestID string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls[requestID]++
+}
+
 func (l *Ledger) add(key string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -102,6 +117,7 @@
 	s.calls++
 	call := s.calls
 	s.mu.Unlock()
+	s.ledger.called(r.Header.Get("X-Request-Id"))
 	w.Header().Set("Content-Type", "application/json")
 	if r.Method == http.MethodGet {
 		time.Sleep(s.settings.Delay)
--- a/internal/trial/report/report.go
+++ b/internal/trial/report/report.go
@@ -41,6 +41,7 @@
 	DoubledActions    int                `json:"doubled-actions"`
 	InvariantBreaches int                `json:"invariant-breaches"`
 	CutAnswers        int                `json:"cut-answers"`
+	WrongAnswers      int                `json:"wrong-answers"`
 	WastedPrefill     float64            `json:"wasted-prefill"`
 	PrefillTokens     int                `json:"prefill-tokens"`
 	RefusalKinds      map[string]int     `json:"refusal-kinds"`
@@ -77,6 +78,9 @@
 	case load.Cut:
 		t.Cut++
 		r.CutAnswers++
+	case load.Wrong:
+		t.Cut++
+		r.WrongAnswers++
 	case load.Unreached:
 		t.Unreached++
 	}
--- a/internal/trial/scenario/judge.go
+++ b/internal/trial/scenario/judge.go
@@ -19,7 +19,9 @@
 	}
 	fault(r.Report.DoubledActions > 0, "%d actions doubled", r.Report.DoubledActions)
 	fault(len(r.Twice) > 0, "requests run twice on one engine: %v", r.Twice)
-	fault(r.Report.RefusalKinds["crossed"] > 0, "%d crossed answers", r.Report.RefusalKinds["crossed"])
+	fault(r.Report.WrongAnswers > 0, "%d answers looked whole and were not, or were another's", r.Report.WrongAnswers)
+	fault(len(r.Untrue) > 0, "refused as not run, but ran: %v", r.Untrue)
+	fault(len(r.BadTail) > 0, "not answered in time although nothing failed any more: %+v", r.BadTail)
 	fault(r.Report.CutAnswers > want.CutMost, "%d answers cut, %d allowed", r.Report.CutAnswers, want.CutMost)
 	mayHaveRun, notRun, unreached := 0, 0, 0
 	for _, tier := range r.Report.Tiers {
--- a/internal/trial/scenario/run.go
+++ b/internal/trial/scenario/run.go
@@ -53,6 +53,10 @@
 	AllRuns   int
 	Injected  map[Action]int
 	Twice     []string
+	// Untrue are requests refused as not run that ran.
+	Untrue []string
+	// BadTail are requests of the quiet tail without an answer in time.
+	BadTail []load.Sample
 }
 
 // player plays one script.
@@ -278,9 +282,11 @@
 			r.Convicted++
 		}
 	}
+	ran := p.site.Effects().Calls()
 	for _, name := range p.site.Upstreams() {
-		p.collectEngine(name, r)
+		p.collectEngine(name, r, ran)
 	}
+	p.collectUntrue(r, ran)
 	if entries := p.site.Entries(); len(entries) > 0 {
 		for _, move := range entries[0].Status().Moves {
 			r.Verdict, r.Why = move.Verdict, move.Why
@@ -289,7 +295,20 @@
 	return r
 }
 
-func (p *player) collectEngine(name string, r *Result) {
+// collectUntrue compares what callers were told with what the upstreams saw.
+func (p *player) collectUntrue(r *Result, ran map[string]int) {
+	tail := time.Duration(p.script.Expect.TailFrom)
+	for _, s := range r.Samples {
+		if s.Ending == load.NotRun && ran[s.RequestID] > 0 {
+			r.Untrue = append(r.Untrue, s.RequestID)
+		}
+		if tail > 0 && s.At >= tail && s.Ending != load.InTime {
+			r.BadTail = append(r.BadTail, s)
+		}
+	}
+}
+
+func (p *player) collectEngine(name string, r *Result, ran map[string]int) {
 	e := p.site.Engine(name)
 	if e == nil {
 		return
@@ -301,6 +320,7 @@
 		r.NewRuns += len(runs)
 	}
 	for id, times := range runs {
+		ran[id] += times
 		if times > 1 {
 			r.Twice = append(r.Twice, id)
 		}
--- a/internal/trial/scenario/script.go
+++ b/internal/trial/scenario/script.go
@@ -58,6 +58,8 @@
 type Expect struct {
 	// Goodput is the least share in time, by tier.
 	Goodput map[string]float64 `json:"goodput,omitempty"`
+	// TailFrom is the moment from which every request must be answered in time.
+	TailFrom Duration `json:"tail-from,omitempty"`
 	// CutMost, MayHaveRunMost and UnreachedMost bound those endings.
 	CutMost        int `json:"cut-most"`
 	MayHaveRunMost int `json:"may-have-run-most"`
--- a/internal/upstream/admission/admission.go
+++ b/internal/upstream/admission/admission.go
@@ -32,6 +32,7 @@
 	work       time.Duration
 	repeatSafe bool
 	suspect    bool
+	patience   time.Duration
 
 	arrivedAt time.Time
 	startedAt time.Time
@@ -47,6 +48,10 @@
 // Suspect marks a request that ran on an upstream which died.
 func Suspect() TicketOption { return func(t *Ticket) { t.suspect = true } }
 
+// Patience hands a request back after it has waited so long; it was not shed,
+// and its entry places it anew.
+func Patience(d time.Duration) TicketOption { return func(t *Ticket) { t.patience = d } }
+
 // NewTicket returns a ticket. Work is the expected time on the upstream; past
 // startBy it is no longer worth starting.
 func NewTicket(id, workspace string, tier int, deadline, startBy time.Time, work time.Duration, options ...TicketOption) *Ticket {
@@ -156,6 +161,9 @@
 	case now.Add(t.work).After(t.deadline):
 		return decline(t, wire.Decline_REASON_TOO_LATE)
 	}
+	if t.patience > 0 && c.Wait(now, t.tier) > t.patience {
+		return decline(t, wire.Decline_REASON_PATIENCE)
+	}
 	effects, fits := c.makeRoom(now, t)
 	if !fits {
 		return effects
@@ -239,10 +247,16 @@
 
 // Tick declines what can no longer meet its start-by moment or deadline.
 func (c *Controller) Tick(now time.Time) []Effect {
+	impatient := c.waiting.RemoveIf(func(t *Ticket) bool {
+		return t.patience > 0 && now.Sub(t.arrivedAt) > t.patience
+	})
 	late := c.waiting.RemoveIf(func(t *Ticket) bool {
 		return now.After(t.startBy) || now.Add(t.work).After(t.deadline)
 	})
 	var effects []Effect
+	for _, t := range impatient {
+		effects = append(effects, decline(t, wire.Decline_REASON_PATIENCE)...)
+	}
 	for _, t := range late {
 		effects = append(effects, decline(t, wire.Decline_REASON_TOO_LATE)...)
 	}
