Measure the index and version moves; weigh prefill; watch for late faults

Cause: no figure argued for the index or the moves' test. Moves: measure moves plays seeded moves. Brakes of agents and entries use the same sum.

--- a/cmd/persimmonridge/main.go
+++ b/cmd/persimmonridge/main.go
@@ -21,6 +21,7 @@
 	Audit   auditCommand   `cmd:"" help:"List accepted changes: who, when, why, what."`
 	Status  statusCommand  `cmd:"" help:"Show what a running entry holds."`
 	StandIn standInCommand `cmd:"" help:"Run a stand-in of the platform or of an upstream."`
+	Measure measureCommand `cmd:"" help:"Measure decisions and costs; the pages' tables come from here."`
 	Try     tryCommand     `cmd:"" help:"Run a whole small site in this process, under load, and report."`
 }
 
--- /dev/null
+++ b/cmd/persimmonridge/measure_moves.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"sort"
+	"text/tabwriter"
+	"time"
+
+	"github.com/persimmonridge/persimmonridge/internal/config/document"
+	"github.com/persimmonridge/persimmonridge/internal/trial/moves"
+)
+
+type movesCommand struct {
+	Seeds int           `default:"100" help:"Moves of each kind."`
+	Rate  float64       `default:"20" help:"Requests a second of the service."`
+	Span  time.Duration `default:"1h" help:"Time from start to deadline."`
+}
+
+// Run implements kong's command.
+func (c *movesCommand) Run() error {
+	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "trouble\tversion\tmoves\tcompleted in time\ttaken back\topen\tharmed, mean\tharmed, worst\tshare while faulty, worst\tfirst fault to none, p50\tworst")
+	for _, trouble := range moves.Troubles() {
+		for _, kind := range moves.Kinds() {
+			if err := c.row(table, trouble, kind); err != nil {
+				return err
+			}
+		}
+	}
+	return table.Flush()
+}
+
+func (c *movesCommand) row(table *tabwriter.Writer, trouble moves.Trouble, kind moves.Kind) error {
+	completed, takenBack, open, harmed, worstHarm := 0, 0, 0, 0, 0
+	share := 0.0
+	var times []time.Duration
+	for seed := range c.Seeds {
+		o, err := moves.Run(moves.Setting{Seed: uint64(seed + 1), Kind: kind, Trouble: trouble, Rate: c.Rate, Span: c.Span})
+		if err != nil {
+			return err
+		}
+		switch {
+		case o.InTime:
+			completed++
+		case o.Verdict == document.TakenBack:
+			takenBack++
+		default:
+			open++
+		}
+		harmed += o.Harmed
+		worstHarm = max(worstHarm, o.Harmed)
+		share = max(share, o.MostShare)
+		times = append(times, o.FaultToNone)
+	}
+	sort.Slice(times, func(i, j int) bool { return times[i] < times[j] })
+	fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\t%.1f\t%d\t%.0f%%\t%s\t%s\n", trouble, kind, c.Seeds, completed, takenBack, open,
+		float64(harmed)/float64(c.Seeds), worstHarm, 100*share, times[len(times)/2].Round(time.Second), times[len(times)-1].Round(time.Second))
+	return nil
+}
--- a/cmd/persimmonridge/try.go
+++ b/cmd/persimmonridge/try.go
@@ -53,8 +53,8 @@
 	c.play(ctx, callers)
 	r := report.New(c.Seed, c.Duration, tiers, callers.Samples())
 	r.DoubledActions, r.InvariantBreaches = site.Effects().Doubled(), invariants.Total()
-	r.PrefillTokens = site.Prefill().Total()
-	r.WastedPrefill = float64(site.Prefill().Wasted()) / float64(max(r.PrefillTokens, 1))
+	r.PromptTokens = site.Prefill().Offered()
+	r.WastedPrefill = float64(site.Prefill().Wasted()) / float64(max(r.PromptTokens, 1))
 	if err := site.Close(); err != nil {
 		return err
 	}
--- a/internal/dispatch/index/index.go
+++ b/internal/dispatch/index/index.go
@@ -56,6 +56,8 @@
 	"marginal-cost":       MarginalCost,
 	"lookahead":           Lookahead,
 	"expected-finish":     ExpectedFinish,
+	"weighted-prefill":    WeightedPrefill,
+	"cached-lookahead":    CachedLookahead,
 }
 
 // RandomOfTwo takes the shorter of two random queues.
@@ -88,6 +90,40 @@
 	return least(views, func(v View) float64 { return Finish(v, job) })
 }
 
+// prefillWeight is how much dearer a second of prefill is than one of waiting:
+// besides this job's own time it takes the engine's, and evicts a prefix that
+// the next job would have found. docs/INDEX.md has the measurement.
+const prefillWeight = 5
+
+// WeightedPrefill is ExpectedFinish with prefill weighed by what it costs
+// others.
+func WeightedPrefill(views []View, job Job, _ Traffic, _ *rand.Rand) int {
+	return least(views, func(v View) float64 { return Weighted(v, job) })
+}
+
+// Weighted returns the expected finish, in seconds, and what the job's prefill
+// costs others.
+func Weighted(v View, job Job) float64 {
+	prefill := job.Prefill.Seconds() * (1 - v.Cached) / v.Speed
+	return Finish(v, job) + (prefillWeight-1)*prefill
+}
+
+// CachedLookahead is the paper's formula 8 with the prefill that the
+// upstream's cache saves taken off the job's size there.
+func CachedLookahead(views []View, job Job, traffic Traffic, _ *rand.Rand) int {
+	total := totalSpeed(views)
+	best, bestCost := 0, math.Inf(1)
+	for i, v := range views {
+		left := job
+		left.Prefill = time.Duration(float64(job.Prefill) * (1 - v.Cached))
+		cost := marginal(v, left, traffic, total) + secondAction(views, i, left, traffic, total)
+		if cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	return best
+}
+
 // Finish returns the expected time until the job is finished, in seconds.
 func Finish(v View, job Job) float64 {
 	prefill := job.Prefill.Seconds() * (1 - v.Cached)
--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -73,6 +73,7 @@
 	dispatched map[string]time.Time
 	board      *evidence.Board
 	boardOf    string
+	brakeWatch *evidence.Brake
 	swept      time.Time
 	crashes    uint64
 	crashedAt  time.Time
@@ -125,6 +126,7 @@
 		withdrawn:   make(map[string]time.Time),
 		dispatched:  make(map[string]time.Time),
 		board:       evidence.NewBoard(),
+		brakeWatch:  evidence.NewBrake(),
 		ctx:         ctx,
 		cancel:      cancel,
 	}
--- a/internal/role/agent/execute.go
+++ b/internal/role/agent/execute.go
@@ -25,10 +25,6 @@
 	// reforecastEvery is the number of tokens after which a run's expected
 	// work is estimated anew.
 	reforecastEvery = 16
-	// brakeFalseAlarm and brakeMissed are the error rates of an agent's own
-	// sequential test on its version.
-	brakeFalseAlarm = 0.0001
-	brakeMissed     = 0.01
 )
 
 // execute runs one request on the upstream and settles its outcome.
@@ -82,7 +78,7 @@
 	}
 	a.startBoard()
 	a.board.Observe(a.settings.Version(), r.evidenceRoute(), failed, perToken(now.Sub(r.startedAt), result.Tokens()))
-	a.brake(now, r)
+	a.brake(now, r, failed)
 	a.evidenceNews = true
 }
 
@@ -94,7 +90,7 @@
 		return
 	}
 	a.boardOf = move.Name()
-	a.board = evidence.NewBoard()
+	a.board, a.brakeWatch = evidence.NewBoard(), evidence.NewBrake()
 }
 
 // perToken makes latencies of unlike lengths comparable: the time a hundred
@@ -127,18 +123,17 @@
 // brake stops this upstream when its version is under test and its own
 // evidence shows a fault. It needs neither store nor entry; a version that is
 // not under test is never braked, since nothing stands beside it to take over.
-func (a *Agent) brake(now time.Time, r *run) {
+func (a *Agent) brake(now time.Time, r *run, failed bool) {
 	move, moving := a.move()
 	if !moving || move.To() != a.settings.Version() || a.admission.Blocked() != wire.Decline_REASON_UNSPECIFIED {
 		return
 	}
-	route := r.evidenceRoute()
-	tally := a.board.Get(move.To(), route)
-	if !evidence.NewTest(brakeFalseAlarm, brakeMissed).Egregious(tally) {
+	if !a.brakeWatch.Observe(r.evidenceRoute(), failed) {
 		return
 	}
+	tally := a.board.Get(move.To(), r.evidenceRoute())
 	a.apply(now, a.admission.Block(wire.Decline_REASON_BRAKED))
-	a.logger.Warn("version braked", "version", a.settings.Version(), "route", route, "runs", tally.Runs(), "failures", tally.Failures(), "request", r.id())
+	a.logger.Warn("version braked", "version", a.settings.Version(), "route", r.evidenceRoute(), "runs", tally.Runs(), "failures", tally.Failures(), "request", r.id())
 	a.changed.Raise()
 }
 
--- a/internal/role/entry/choose.go
+++ b/internal/role/entry/choose.go
@@ -31,15 +31,15 @@
 	// incarnation is the agent's process that the choice was made for, 0 when
 	// unknown.
 	incarnation uint64
-	// finish is the expected time until the answer is whole, in seconds.
-	finish float64
-	work   time.Duration
+	// rank is the index's cost; the least is asked first.
+	rank float64
+	work time.Duration
 	// wait is the predicted wait there, patience how much of it is borne.
 	wait     time.Duration
 	patience time.Duration
 }
 
-// plan returns whom to ask, in order: all of the wide set, by expected finish.
+// plan returns whom to ask, in order: all of the wide set, by the index.
 // Upstreams of the version that the request's share belongs to come first;
 // those of the other version follow, if it may be used at all.
 func (e *Entry) plan(now time.Time, q *request.Request, doc document.Document) []choice {
@@ -68,7 +68,7 @@
 			choices = append(choices, e.weigh(q, u, views[i]))
 		}
 	}
-	sort.SliceStable(choices, func(i, j int) bool { return choices[i].finish < choices[j].finish })
+	sort.SliceStable(choices, func(i, j int) bool { return choices[i].rank < choices[j].rank })
 	return choices
 }
 
@@ -100,7 +100,7 @@
 		job.Decode = e.plainWork(q)
 	}
 	alone := (job.Decode.Seconds() + job.Prefill.Seconds()*(1-view.Cached)) / view.Speed
-	return choice{upstream: u, incarnation: u.Incarnation(), finish: index.Finish(view, job), wait: view.Wait(), work: time.Duration(alone * float64(time.Second))}
+	return choice{upstream: u, incarnation: u.Incarnation(), rank: index.Weighted(view, job), wait: view.Wait(), work: time.Duration(alone * float64(time.Second))}
 }
 
 // cached is the share of the prompt's prefill that the upstream's cache saves.
--- a/internal/role/entry/moves.go
+++ b/internal/role/entry/moves.go
@@ -24,10 +24,6 @@
 	dutyKey = "persimmonridge/duty/moves"
 	// stepEvery is how often the duty's holder looks at each move.
 	stepEvery = time.Second
-	// localFalseAlarm and localMissed are the error rates of an entry's own
-	// brake; false alarms are rarer than the duty's, since every entry tests.
-	localFalseAlarm = 0.0001
-	localMissed     = 0.01
 )
 
 // moves is this entry's part in version moves: which version a request may go
@@ -44,7 +40,7 @@
 
 // localMove is what this entry saw of a move with its own requests.
 type localMove struct {
-	board   *evidence.Board
+	brake   *evidence.Brake
 	stopped bool
 }
 
@@ -62,6 +58,7 @@
 	stage int
 	since time.Time
 	board *evidence.Board
+	watch *evidence.Watch
 }
 
 func newMoves(e *Entry) *moves {
@@ -158,18 +155,16 @@
 	defer m.mu.Unlock()
 	known := m.local[wish.Name()]
 	if known == nil {
-		known = &localMove{board: evidence.NewBoard()}
+		known = &localMove{brake: evidence.NewBrake()}
 		m.local[wish.Name()] = known
 	}
-	known.board.Observe(u.Version(), q.Workspace()+"/"+q.Action().Route(), failed, 0)
 	if known.stopped || u.Version() != wish.To() {
 		return
 	}
-	finding := evidence.NewTest(localFalseAlarm, localMissed).Judge(known.board, wish.From(), wish.To())
-	if finding.Verdict() == evidence.BadFailures {
+	route := q.Workspace() + "/" + q.Action().Route()
+	if known.brake.Observe(route, failed) {
 		known.stopped = true
-		m.entry.logger.Warn("version stopped here", "move", wish.Name(), "version", wish.To(), "route", finding.Route(),
-			"runs", finding.Fresh().Runs(), "failures", finding.Fresh().Failures())
+		m.entry.logger.Warn("version stopped here", "move", wish.Name(), "version", wish.To(), "route", route, "request", q.ID())
 	}
 }
 
@@ -248,21 +243,14 @@
 		}
 	}
 	base := m.stages[wish.Name()]
-	if base == nil || base.stage != state.Stage() || !base.since.Equal(state.Since()) {
-		base = &stageBase{stage: state.Stage(), since: state.Since(), board: all}
+	if base == nil {
+		base = &stageBase{stage: state.Stage(), since: state.Since(), board: all, watch: evidence.NewWatch()}
 		m.stages[wish.Name()] = base
 	}
-	return move.Observed{All: all, Stage: since(all, base.board), Braked: m.braked(wish), Ready: m.ready(now, wish)}
-}
-
-func since(all, base *evidence.Board) *evidence.Board {
-	stage := evidence.NewBoard()
-	for _, version := range all.Versions() {
-		for _, route := range all.Routes(version) {
-			stage.Set(version, route, all.Get(version, route).Minus(base.Get(version, route)))
-		}
+	if base.stage != state.Stage() || !base.since.Equal(state.Since()) {
+		base.stage, base.since, base.board = state.Stage(), state.Since(), all
 	}
-	return stage
+	return move.Observed{All: all, Stage: all.Since(base.board), Fault: base.watch.Update(all, wish.From(), wish.To()), Braked: m.braked(wish), Ready: m.ready(now, wish)}
 }
 
 func (m *moves) ready(now time.Time, wish rules.Move) bool {
--- a/internal/standin/engine/cache.go
+++ b/internal/standin/engine/cache.go
@@ -57,15 +57,23 @@
 // computes a prefix that another engine held at that moment, and when the run
 // it was for was cut short.
 type Ledger struct {
-	mu     sync.Mutex
-	held   map[uint64]int
-	total  int
-	wasted int
+	mu      sync.Mutex
+	held    map[uint64]int
+	offered int
+	total   int
+	wasted  int
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger { return &Ledger{held: make(map[uint64]int)} }
 
+// Offered returns the tokens of all prompts, cached or not.
+func (l *Ledger) Offered() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.offered
+}
+
 // Total returns all prefill tokens computed.
 func (l *Ledger) Total() int {
 	l.mu.Lock()
@@ -80,15 +88,16 @@
 	return l.wasted
 }
 
-func (l *Ledger) computed(prefix uint64, prefixTokens, ownTokens int, evicted []uint64) {
+func (l *Ledger) computed(p prompt, prefixTokens int, evicted []uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.total += prefixTokens + ownTokens
+	l.offered += p.prefixTokens + p.ownTokens
+	l.total += prefixTokens + p.ownTokens
 	if prefixTokens > 0 {
-		if l.held[prefix] > 0 {
+		if l.held[p.prefix] > 0 {
 			l.wasted += prefixTokens
 		}
-		l.held[prefix]++
+		l.held[p.prefix]++
 	}
 	for _, gone := range evicted {
 		l.held[gone]--
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -340,7 +340,7 @@
 		prefixTokens = 0
 	}
 	if e.ledger != nil {
-		e.ledger.computed(p.prefix, prefixTokens, p.ownTokens, evicted)
+		e.ledger.computed(p, prefixTokens, evicted)
 	}
 	tokens := prefixTokens + p.ownTokens
 	select {
--- a/internal/trial/report/report.go
+++ b/internal/trial/report/report.go
@@ -43,7 +43,7 @@
 	CutAnswers        int                `json:"cut-answers"`
 	WrongAnswers      int                `json:"wrong-answers"`
 	WastedPrefill     float64            `json:"wasted-prefill"`
-	PrefillTokens     int                `json:"prefill-tokens"`
+	PromptTokens      int                `json:"prompt-tokens"`
 	RefusalKinds      map[string]int     `json:"refusal-kinds"`
 }
 
@@ -120,7 +120,7 @@
 	if err := table.Flush(); err != nil {
 		return err
 	}
-	_, err := fmt.Fprintf(w, "seed %d, %s: doubled actions %d, invariant breaches %d, cut answers %d, wasted prefill %.1f%% of %d tokens\n",
-		r.Seed, r.Duration, r.DoubledActions, r.InvariantBreaches, r.CutAnswers, 100*r.WastedPrefill, r.PrefillTokens)
+	_, err := fmt.Fprintf(w, "seed %d, %s: doubled actions %d, invariant breaches %d, cut answers %d, wasted prefill %.1f%% of %d prompt tokens\n",
+		r.Seed, r.Duration, r.DoubledActions, r.InvariantBreaches, r.CutAnswers, 100*r.WastedPrefill, r.PromptTokens)
 	return err
 }
--- a/internal/version/evidence/evidence.go
+++ b/internal/version/evidence/evidence.go
@@ -140,19 +140,6 @@
 	return Test{alarm: math.Log((1 - missed) / falseAlarm), clear: math.Log(missed / (1 - falseAlarm))}
 }
 
-const (
-	// egregiousLeast and egregiousRate are the failure shares between which
-	// an agent's brake decides without knowing the old version's record.
-	egregiousLeast = 0.05
-	egregiousRate  = 0.3
-)
-
-// Egregious tells whether a version fails so often that no comparison is
-// needed.
-func (s Test) Egregious(t Tally) bool {
-	return s.judge(ratio(t.failures, t.runs, egregiousLeast, egregiousRate), BadFailures) == BadFailures
-}
-
 const (
 	// failureFactor and failureLeast say what is bad: this many times the old
 	// rate, and at least this share.
@@ -188,11 +175,17 @@
 }
 
 func (s Test) compareFailures(old, fresh Tally) Verdict {
-	p0 := max(old.FailureRate(), baselineLeast)
-	p1 := min(max(failureLeast, failureFactor*p0), 0.95)
+	p0, p1 := failureRates(old)
 	return s.judge(ratio(fresh.failures, fresh.runs, p0, p1), BadFailures)
 }
 
+// failureRates are the shares between which the test decides: the old
+// version's, and what would be bad.
+func failureRates(old Tally) (p0, p1 float64) {
+	p0 = max(old.FailureRate(), baselineLeast)
+	return p0, min(max(failureLeast, failureFactor*p0), 0.95)
+}
+
 // compareLatency counts a run as slow when it is over twice the old version's
 // median bucket: a route's own quantity, whatever its usual length.
 func (s Test) compareLatency(old, fresh Tally) Verdict {
@@ -259,6 +252,30 @@
 	b.tallies[version][route] = t
 }
 
+// Since returns what came after an earlier state of the same board.
+func (b *Board) Since(earlier *Board) *Board {
+	later := NewBoard()
+	for version, routes := range b.tallies {
+		for route, t := range routes {
+			later.Set(version, route, t.Minus(earlier.Get(version, route)))
+		}
+	}
+	return later
+}
+
+// With returns a board with this board's version from and the other's version
+// to.
+func (b *Board) With(from string, other *Board, to string) *Board {
+	joined := NewBoard()
+	for route, t := range b.tallies[from] {
+		joined.Set(from, route, t)
+	}
+	for route, t := range other.tallies[to] {
+		joined.Set(to, route, t)
+	}
+	return joined
+}
+
 // Merge adds every tally of another board.
 func (b *Board) Merge(other *Board) {
 	for version, routes := range other.tallies {
--- a/internal/version/move/move.go
+++ b/internal/version/move/move.go
@@ -14,20 +14,22 @@
 	"github.com/persimmonridge/persimmonridge/internal/version/evidence"
 )
 
-// stage is one share of traffic and until when, as a part of the time between
-// start and deadline, it is held while the evidence is still open.
+// stage is one share of traffic, with the parts of the time between start and
+// deadline at which it ends at the earliest, however good the evidence, and at
+// the latest, if nothing speaks against the version.
 type stage struct {
-	share float64
-	until float64
+	share    float64
+	earliest float64
+	latest   float64
 }
 
-// stages leave the last tenth of the time unused, so that a move that needed
-// all of its stages' time is still complete before its deadline.
-var stages = []stage{{0.02, 0.25}, {0.10, 0.45}, {0.50, 0.70}, {1, 0.90}}
+// stages spread a move over its time instead of racing it: a fault that shows
+// only later meets a small share. The last tenth of the time is slack.
+var stages = []stage{{0.02, 0.15, 0.25}, {0.10, 0.35, 0.45}, {0.50, 0.60, 0.70}, {1, 0.80, 0.90}}
 
 const (
-	// dwellPart is the least part of the time that a stage lasts: some faults
-	// show only later, however good the first runs looked.
+	// dwellPart is the least part of the time that a stage lasts, also when
+	// the move is behind its plan.
 	dwellPart = 0.04
 	// falseAlarm and missed are the error rates of the test behind a step.
 	falseAlarm = 0.001
@@ -46,6 +48,8 @@
 	// stage began.
 	All   *evidence.Board
 	Stage *evidence.Board
+	// Fault is what the watch over the newest reports found.
+	Fault evidence.Finding
 	// Braked is the number of upstreams that braked themselves.
 	Braked int
 	// Ready tells whether upstreams of the new version can be chosen at all.
@@ -88,7 +92,10 @@
 		total := o.All.Total(m.To())
 		return fmt.Sprintf("%d upstreams of %s stopped themselves: %d of %d runs failed", o.Braked, m.To(), total.Failures(), total.Runs()), true
 	}
-	finding := Test().Judge(o.All, m.From(), m.To())
+	finding := o.Fault
+	if finding.Verdict() == evidence.Open {
+		finding = Test().Judge(o.All, m.From(), m.To())
+	}
 	switch finding.Verdict() {
 	case evidence.BadFailures:
 		return fmt.Sprintf("%s fails%s: %d of %d runs against %d of %d with %s", m.To(), on(finding.Route()),
@@ -111,13 +118,12 @@
 // lasted long enough, or when the stage's time is up and nothing speaks
 // against it: little traffic must not keep a good version from completing.
 func advance(now time.Time, m rules.Move, state document.MoveState, o Observed) (document.MoveState, bool) {
-	span := m.By().Sub(m.Start())
-	dwelt := now.Sub(state.Since()) >= part(span, dwellPart)
-	verdict := Test().Judge(o.Stage, m.From(), m.To()).Verdict()
+	span, plan := m.By().Sub(m.Start()), stages[state.Stage()]
+	early := now.Before(m.Start().Add(part(span, plan.earliest))) || now.Sub(state.Since()) < part(span, dwellPart)
 	fresh := o.Stage.Total(m.To())
-	timeUp := now.Sub(m.Start()) >= part(span, stages[state.Stage()].until)
+	timeUp := !now.Before(m.Start().Add(part(span, plan.latest)))
 	nothingAgainst := timeUp && fresh.Failures() == 0 && o.Ready
-	if !dwelt || verdict != evidence.Good && !nothingAgainst {
+	if early || !nothingAgainst && o.stageVerdict(m) != evidence.Good {
 		return state, false
 	}
 	why := fmt.Sprintf("%d runs of %s, %d failed", fresh.Runs(), m.To(), fresh.Failures())
@@ -128,6 +134,12 @@
 	return document.NewMoveState(next, stages[next].share, document.Moving, now, why), true
 }
 
+// stageVerdict compares the new version's runs of this stage with the old
+// version's of the whole move: in the last stage the old one has none.
+func (o Observed) stageVerdict(m rules.Move) evidence.Verdict {
+	return Test().Judge(o.All.With(m.From(), o.Stage, m.To()), m.From(), m.To()).Verdict()
+}
+
 // late applies the operators' rule for a move that did not meet its deadline.
 func late(now time.Time, m rules.Move, state document.MoveState, o Observed) (document.MoveState, bool) {
 	if m.IfLate() == rules.Hold {
@@ -140,7 +152,7 @@
 
 // advanceLate lets a held move go on, on good evidence only.
 func advanceLate(now time.Time, m rules.Move, state document.MoveState, o Observed) (document.MoveState, bool) {
-	if Test().Judge(o.Stage, m.From(), m.To()).Verdict() != evidence.Good {
+	if o.stageVerdict(m) != evidence.Good {
 		return state, false
 	}
 	return advance(now, m, state, o)
