An entry's own brake takes the move back

Change: whichever entry's brake stops a version records the take-back itself, by the same compare-and-swap. Conclusion: silence is no evidence, here as elsewhere.

--- a/internal/role/entry/moves.go
+++ b/internal/role/entry/moves.go
@@ -105,11 +105,11 @@
 // stopped tells whether this entry must not choose the new version, on its own
 // evidence or on that of any agent that braked itself.
 func (m *moves) stopped(wish rules.Move) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if known := m.local[wish.Name()]; known != nil && known.stopped {
+	if m.stoppedHere(wish) {
 		return true
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	return m.braked(wish) > 0
 }
 
@@ -186,13 +186,34 @@
 func (m *moves) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		doc, revision := m.entry.log.Current()
-		if m.anyOpen(doc) && m.holds(ctx) {
+		if !m.takeBackStopped(ctx, doc, revision) && m.anyOpen(doc) && m.holds(ctx) {
 			m.stepAll(ctx, doc, revision)
 		}
 		sleep(ctx, stepEvery)
 	}
 }
 
+// takeBackStopped records what this entry's own brake decided, and tells
+// whether there was anything to record.
+func (m *moves) takeBackStopped(ctx context.Context, doc document.Document, revision uint64) bool {
+	for _, wish := range doc.Rules().Moves() {
+		state, known := doc.MoveState(wish.Name())
+		if known && state.Verdict() == document.Moving && m.stoppedHere(wish) {
+			now := m.entry.now()
+			m.submit(ctx, now, wish, move.Stopped(now, wish, state, m.entry.settings.Node()), revision)
+			return true
+		}
+	}
+	return false
+}
+
+func (m *moves) stoppedHere(wish rules.Move) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known := m.local[wish.Name()]
+	return known != nil && known.stopped
+}
+
 func (m *moves) anyOpen(doc document.Document) bool {
 	for _, wish := range doc.Rules().Moves() {
 		state, known := doc.MoveState(wish.Name())
--- a/internal/trial/moves/moves.go
+++ b/internal/trial/moves/moves.go
@@ -275,6 +275,12 @@
 	if p.setting.Trouble == PausedHolder && part > 0.3 && now.Sub(p.start) < time.Duration(0.3*float64(p.setting.Span))+12*time.Second {
 		return
 	}
+	for _, stopped := range p.stopped {
+		if stopped && p.state.Verdict() == document.Moving {
+			p.state = move.Stopped(now, p.wish, p.state, "an entry")
+			return
+		}
+	}
 	all := evidence.NewBoard()
 	for version := range p.agents {
 		for _, board := range p.agents[version] {
--- a/internal/version/move/move.go
+++ b/internal/version/move/move.go
@@ -140,6 +140,14 @@
 	return Test().Judge(o.All.With(m.From(), o.Stage, m.To()), m.From(), m.To()).Verdict()
 }
 
+// Stopped is the state of a move that a single entry's brake stopped. Any entry
+// may record it, whoever holds the duty: were it kept to itself, the duty
+// would see no more failures and take the silence for health.
+func Stopped(now time.Time, m rules.Move, state document.MoveState, who string) document.MoveState {
+	why := fmt.Sprintf("%s fails: %s stopped sending to it on what its own callers saw", m.To(), who)
+	return document.NewMoveState(state.Stage(), 0, document.TakenBack, now, why)
+}
+
 // late applies the operators' rule for a move that did not meet its deadline.
 func late(now time.Time, m rules.Move, state document.MoveState, o Observed) (document.MoveState, bool) {
 	if m.IfLate() == rules.Hold {
