--- a/cmd/persimmonridge/operate.go
+++ b/cmd/persimmonridge/operate.go
@@ -79,7 +79,7 @@
 }
 
 func (c connection) submitter() (*changelog.Submitter, *store.Client) {
-	client := store.New(c.Store, time.Now, &net.Dialer{Timeout: time.Second})
+	client := store.New(c.Store, time.Now, &net.Dialer{Timeout: time.Second}, store.ForOperator())
 	return changelog.NewSubmitter(client), client
 }
 
--- a/internal/action/claim/owner.go
+++ b/internal/action/claim/owner.go
@@ -28,8 +28,9 @@
 	// writes it whole.
 	segmentBytes = 16 << 10
 	// commitGap is the least time between two commits of a partition; what
-	// arrives meanwhile shares the next one.
-	commitGap = 5 * time.Millisecond
+	// arrives meanwhile shares the next one. It bounds the writes: partitions
+	// times ten a second, however many actions there are.
+	commitGap = 100 * time.Millisecond
 	// settleMost is the longest pause between attempts of one commit.
 	settleMost = 500 * time.Millisecond
 	// asksHeld bounds the asks that wait for a partition.
@@ -284,7 +285,9 @@
 	p.grouped += uint64(len(records))
 	p.mu.Unlock()
 	if p.size > segmentBytes {
-		return p.roll()
+		if err := p.roll(); err != nil {
+			return err
+		}
 	}
 	select {
 	case <-p.ctx.Done():
--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -50,9 +50,12 @@
 )
 
 const (
-	// callsPerSecond and callBurst are one process's share of the service.
-	callsPerSecond = 40
-	callBurst      = 80
+	// callsPerSecond and callBurst are one process's share of the service, for
+	// all but claims, which limit themselves by their commit rate.
+	callsPerSecond = 20
+	callBurst      = 40
+	// operatorCalls is the share of an operator's command.
+	operatorCalls = 200
 	// callTimeout bounds a call that does not block on purpose.
 	callTimeout = 2 * time.Second
 	// watchSlack is the time allowed beyond a blocking read's wait.
@@ -61,8 +64,8 @@
 	maxValue = 1 << 20
 )
 
-// reserves leaves the last calls of the burst to the more urgent.
-var reserves = [...]float64{Claims: 0, Watches: callBurst / 4, Housekeeping: callBurst / 2}
+// housekeepingReserve leaves the last part of the burst to the more urgent.
+const housekeepingReserve = 0.5
 
 // Entry is one key's value as the service holds it.
 type Entry struct {
@@ -118,6 +121,7 @@
 	addresses []string
 	http      *http.Client
 	calls     *budget.Bucket
+	burst     float64
 	account   *Account
 	current   atomic.Uint32
 	now       func() time.Time
@@ -125,19 +129,45 @@
 
 // New returns a client for the service at the addresses, such as
 // "http://127.0.0.1:8500". Now is the clock that paces its calls.
-func New(addresses []string, now func() time.Time, dialer Dialer) *Client {
+func New(addresses []string, now func() time.Time, dialer Dialer, options ...Option) *Client {
 	transport := &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     90 * time.Second,
 	}
-	return &Client{
+	c := &Client{
 		addresses: addresses,
 		http:      &http.Client{Transport: transport},
 		calls:     budget.New(callsPerSecond, callBurst),
+		burst:     callBurst,
 		account:   &Account{},
 		now:       now,
 	}
+	for _, option := range options {
+		option(c)
+	}
+	return c
+}
+
+// Option changes a client.
+type Option func(*Client)
+
+// ForOperator gives the client an operator's share of calls: one person at a
+// keyboard, and not a fleet of nodes.
+func ForOperator() Option {
+	return func(c *Client) { c.calls, c.burst = budget.New(operatorCalls, operatorCalls), operatorCalls }
+}
+
+// allowed draws on the process's share. Claims always may: there are few, and
+// someone waits for each.
+func (c *Client) allowed(priority Priority) bool {
+	switch priority {
+	case Claims:
+		return true
+	case Housekeeping:
+		return c.calls.Take(c.now(), 1, housekeepingReserve*c.burst)
+	}
+	return c.calls.Take(c.now(), 1, 0)
 }
 
 // Account returns the count of the client's own calls.
@@ -288,7 +318,7 @@
 }
 
 func (c *Client) call(ctx context.Context, priority Priority, method, path string, query url.Values, body []byte) (reply, error) {
-	if !c.calls.Take(c.now(), 1, reserves[priority]) {
+	if !c.allowed(priority) {
 		c.account.throttled.Add(1)
 		return reply{}, Throttled.New("this process has used its share of calls on the service; wait a second")
 	}
--- a/internal/role/entry/claims.go
+++ b/internal/role/entry/claims.go
@@ -53,7 +53,7 @@
 
 // readOwner learns who says to own the partition.
 func (c *claims) readOwner(ctx context.Context, partition int) (ownerJSON, store.Entry, error) {
-	entry, err := c.entry.store.Get(ctx, store.Claims, ownerKey(partition))
+	entry, err := c.entry.store.Get(ctx, store.Watches, ownerKey(partition))
 	if err != nil || !entry.Exists() {
 		return ownerJSON{}, entry, err
 	}
