--- a/internal/dispatch/forecast/forecast.go
+++ b/internal/dispatch/forecast/forecast.go
@@ -25,7 +25,7 @@
 	// maxRoutes bounds the state; the least recently used goes.
 	maxRoutes = 2048
 	// DefaultTokens is the forecast when nothing is known.
-	DefaultTokens = 200
+	DefaultTokens = 60
 )
 
 // Route names whose lengths are alike.
--- /dev/null
+++ b/internal/fleet/link/stream_test.go
@@ -0,0 +1,90 @@
+package link_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/persimmonridge/persimmonridge/internal/fleet/link"
+	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
+	"github.com/persimmonridge/persimmonridge/internal/proof/bubble"
+	"github.com/persimmonridge/persimmonridge/internal/standin/network"
+)
+
+func heartbeat() *wire.Envelope {
+	return &wire.Envelope{Body: &wire.Envelope_Heartbeat{Heartbeat: &wire.Heartbeat{Running: true}}}
+}
+
+// echo answers each message with the same.
+func echo(_ context.Context, s *link.Stream) {
+	defer func() { _ = s.Close() }()
+	for {
+		message, err := s.Receive(time.Now().Add(time.Hour))
+		if err != nil || s.Send(time.Now().Add(time.Second), message) != nil {
+			return
+		}
+	}
+}
+
+// A connection goes silent for good while new ones work.
+// The stream on it must end as silent in the time allowed, and the next one
+// must come over a new session.
+func TestSilentSessionIsReplaced(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		net := network.New()
+		listener, err := net.Listen("127.0.0.1:0")
+		require.NoError(t, err)
+		server := link.Serve(listener, echo)
+		pool := link.NewPool(net, nil)
+		ctx := context.Background()
+		stream, err := pool.Open(ctx, server.Addr())
+		require.NoError(t, err)
+		require.NoError(t, stream.Send(time.Now().Add(time.Second), heartbeat()))
+		_, err = stream.Receive(time.Now().Add(time.Second))
+		require.NoError(t, err)
+		require.Equal(t, 1, net.Silence(server.Addr()))
+		require.NoError(t, stream.Send(time.Now().Add(time.Second), heartbeat()))
+		_, err = stream.Receive(time.Now().Add(2 * time.Second))
+		require.True(t, errorx.IsOfType(err, link.Silent))
+		pool.Replace(server.Addr(), stream.Session())
+		fresh, err := pool.Open(ctx, server.Addr())
+		require.NoError(t, err)
+		require.NotEqual(t, stream.Session(), fresh.Session())
+		require.NoError(t, fresh.Send(time.Now().Add(time.Second), heartbeat()))
+		_, err = fresh.Receive(time.Now().Add(time.Second))
+		require.NoError(t, err)
+		require.NoError(t, pool.Close())
+		require.NoError(t, server.Close())
+	})
+}
+
+// "Not run" is told on this error alone, so it must mean that nothing listens.
+func TestRefusedMeansNothingWasSent(t *testing.T) {
+	pool := link.NewPool(network.New(), nil)
+	_, err := pool.Open(context.Background(), "127.0.0.1:9")
+	require.True(t, errorx.IsOfType(err, link.Refused))
+	require.NoError(t, pool.Close())
+	_, err = pool.Open(context.Background(), "127.0.0.1:9")
+	require.True(t, errorx.IsOfType(err, link.Refused))
+}
+
+func FuzzDecode(f *testing.F) {
+	var whole bytes.Buffer
+	_, err := protodelim.MarshalTo(&whole, heartbeat())
+	require.NoError(f, err)
+	f.Add(whole.Bytes())
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0x0f})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		envelope, err := link.Decode(bufio.NewReader(bytes.NewReader(raw)))
+		if err == nil {
+			require.LessOrEqual(t, proto.Size(envelope), link.MaxFrame)
+		}
+	})
+}
--- a/internal/role/entry/output.go
+++ b/internal/role/entry/output.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/persimmonridge/persimmonridge/internal/caller/request"
@@ -100,9 +99,7 @@
 	o.firstAt = o.now()
 	header := o.writer.Header()
 	for _, field := range o.head.GetHeaders() {
-		if !strings.EqualFold(field.GetName(), "Content-Length") || o.recorder != nil {
-			header.Add(field.GetName(), field.GetValue())
-		}
+		header.Add(field.GetName(), field.GetValue())
 	}
 	header.Set(request.HeaderRequestID, o.requestID)
 	header.Set("X-Ran", "ran")
