Capacity measured; claims answer reads at once; heads stay small

Cause: a keyed replay took up to 100 ms, because the owner slept between two commits and answered nothing meanwhile; a change cost each node 24.9 KB, since the head carried a first record of 32 KB sixteen times; a plain service's limit stayed at 4 for ever, because nothing it streams could raise it.

--- a/cmd/persimmonridge/measure.go
+++ b/cmd/persimmonridge/measure.go
@@ -11,8 +11,9 @@
 )
 
 type measureCommand struct {
-	Moves movesCommand `cmd:"" help:"Play many seeded version moves, good and bad."`
-	Index indexCommand `cmd:"" help:"Compare the index's policies on the same seeded arrivals."`
+	Capacity capacityCommand `cmd:"" help:"Measure what the roles cost; renew docs/CAPACITY.md."`
+	Moves    movesCommand    `cmd:"" help:"Play many seeded version moves, good and bad."`
+	Index    indexCommand    `cmd:"" help:"Compare the index's policies on the same seeded arrivals."`
 }
 
 type indexCommand struct {
--- a/internal/action/claim/owner.go
+++ b/internal/action/claim/owner.go
@@ -207,91 +207,95 @@
 	return nil
 }
 
-// run answers asks, commit after commit.
+// staged is a decision that waits for the next commit.
+type staged struct {
+	question *pendingAsk
+	record   record
+	reply    *wire.ClaimReply
+}
+
+// run answers asks: at once where nothing is written, else with the next
+// commit, for which all that arrives meanwhile is gathered.
 func (p *Partition) run() {
 	defer close(p.done)
-	var waiting []*pendingAsk
-	for {
-		if len(waiting) == 0 {
-			select {
-			case <-p.ctx.Done():
-				return
-			case question := <-p.asks:
-				waiting = append(waiting, question)
-			}
+	var batch []staged
+	var busy []*pendingAsk
+	due := time.NewTimer(0)
+	defer due.Stop()
+	for ready := false; ; {
+		select {
+		case <-p.ctx.Done():
+			return
+		case question := <-p.asks:
+			batch, busy = p.decide(question, batch, busy)
+		case <-due.C:
+			ready = true
+		}
+		batch, busy = p.gather(batch, busy)
+		if !ready || len(batch) == 0 {
+			continue
 		}
-		waiting = p.gather(waiting)
-		var err error
-		if waiting, err = p.round(waiting); err != nil {
+		if err := p.commit(batch); err != nil {
 			p.logger.Warn("claims given up", "partition", p.number, "error", err.Error())
 			return
 		}
+		again := busy
+		batch, busy, ready = nil, nil, false
+		for _, question := range again {
+			batch, busy = p.decide(question, batch, busy)
+		}
+		due.Reset(commitGap)
 	}
 }
 
-// gather takes all asks that have arrived.
-func (p *Partition) gather(waiting []*pendingAsk) []*pendingAsk {
+// gather decides on all asks that have arrived.
+func (p *Partition) gather(batch []staged, busy []*pendingAsk) ([]staged, []*pendingAsk) {
 	for {
 		select {
 		case question := <-p.asks:
-			waiting = append(waiting, question)
+			batch, busy = p.decide(question, batch, busy)
 		default:
-			return waiting
+			return batch, busy
 		}
 	}
 }
 
-// round decides on all that waits, writes what must be written in one commit,
-// then replies. It returns those whose key is busy in this very commit.
-func (p *Partition) round(waiting []*pendingAsk) ([]*pendingAsk, error) {
-	now := p.now()
-	var records []record
-	var replies []*wire.ClaimReply
-	var answered, again []*pendingAsk
-	for _, question := range waiting {
-		d := p.ledger.ask(now, question.ask)
-		switch {
-		case d.wait:
-			again = append(again, question)
-		case d.write == nil:
-			question.reply <- d.reply
-		default:
-			records = append(records, *d.write)
-			replies = append(replies, d.reply)
-			answered = append(answered, question)
-		}
-	}
-	if len(records) == 0 {
-		return again, nil
-	}
-	if err := p.commit(records); err != nil {
-		return nil, err
-	}
-	for i, question := range answered {
-		question.reply <- replies[i]
-	}
-	return again, nil
+// decide answers an ask, stages its write, or keeps it back while a write for
+// the same key is staged.
+func (p *Partition) decide(question *pendingAsk, batch []staged, busy []*pendingAsk) ([]staged, []*pendingAsk) {
+	d := p.ledger.ask(p.now(), question.ask)
+	switch {
+	case d.wait:
+		busy = append(busy, question)
+	case d.write == nil:
+		question.reply <- d.reply
+	default:
+		batch = append(batch, staged{question: question, record: *d.write, reply: d.reply})
+	}
+	return batch, busy
 }
 
-func (p *Partition) commit(records []record) error {
+// commit writes a batch down, then gives its replies.
+func (p *Partition) commit(batch []staged) error {
+	records := make([]record, 0, len(batch))
+	for _, s := range batch {
+		records = append(records, s.record)
+	}
 	p.open.Records = append(p.open.Records, records...)
 	p.size += measure(records)
 	if err := p.swap(p.ctx); err != nil {
 		return err
 	}
 	p.commitAll(records)
+	for _, s := range batch {
+		s.question.reply <- s.reply
+	}
 	p.mu.Lock()
 	p.commits++
 	p.grouped += uint64(len(records))
 	p.mu.Unlock()
 	if p.size > segmentBytes {
-		if err := p.roll(); err != nil {
-			return err
-		}
-	}
-	select {
-	case <-p.ctx.Done():
-	case <-time.After(commitGap):
+		return p.roll()
 	}
 	return nil
 }
--- a/internal/config/changelog/changelog.go
+++ b/internal/config/changelog/changelog.go
@@ -28,9 +28,15 @@
 	Gap = namespace.NewType("gap")
 )
 
-// recentKept is the number of records that the head carries. A snapshot is
-// written as often, so that a head and one snapshot are always the whole.
-const recentKept = 16
+const (
+	// recentKept and recentBytes bound the records that the head carries, since
+	// every node reads it at every change. A snapshot is written whenever they
+	// are reached, so that a head and one snapshot are always the whole.
+	recentKept  = 16
+	recentBytes = 4 << 10
+	// recordBytes is about the length of a record besides its patch.
+	recordBytes = 200
+)
 
 // Record is one accepted change. It never changes.
 type Record struct {
@@ -214,13 +220,23 @@
 	}
 	next := state{revision: r.revision, mark: r.mark, raw: raw, base: s.base}
 	next.recent = append(append(next.recent, s.recent...), r)
-	if r.revision%recentKept == 0 {
+	if next.full() {
 		next.base = Snapshot{Revision: r.revision, Mark: r.mark, Document: raw}
 		next.recent = nil
 	}
 	return next, nil
 }
 
+// full tells whether a snapshot is due. It depends on the records alone, so
+// that every node comes to the same base.
+func (s state) full() bool {
+	size := 0
+	for _, r := range s.recent {
+		size += len(r.patch) + recordBytes
+	}
+	return len(s.recent) >= recentKept || size > recentBytes
+}
+
 func rejection(findings []schema.Finding) error {
 	lines := make([]string, 0, len(findings))
 	for _, f := range findings {
--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -120,7 +120,7 @@
 		suspects:    suspect.New(),
 		changed:     control.NewSignal(),
 		forecast:    forecast.New(),
-		limit:       limit.New(limit.NewTargets(s.TokenGap(), s.FirstToken()), s.Limit(), 1, s.MaxLimit()),
+		limit:       limit.New(limit.NewTargets(s.TokenGap(), s.FirstToken()), firstLimit(s), 1, s.MaxLimit()),
 		cached:      prefixcache.New(),
 		runs:        make(map[string]*run),
 		withdrawn:   make(map[string]time.Time),
@@ -138,7 +138,7 @@
 	}
 	a.engine = engine.New(s.UpstreamURL(), now, a.dialer)
 	a.log = changelog.New(a.invariants)
-	a.admission = admission.New(tiersHeld, s.Limit(), waitingBound, a.invariants)
+	a.admission = admission.New(tiersHeld, firstLimit(s), waitingBound, a.invariants)
 	a.peer = control.NewPeer(a.log, a.suspects, a.changed, now, control.Describe(a.describe))
 	a.server = link.Serve(listener, a.serveStream)
 	a.wg.Go(a.tick)
@@ -149,6 +149,15 @@
 	return a
 }
 
+// firstLimit is where the limit starts. A plain service streams no tokens from
+// which a limit could be found, so it has its highest from the start.
+func firstLimit(s settings.Agent) int {
+	if s.Plain() {
+		return s.MaxLimit()
+	}
+	return s.Limit()
+}
+
 // Addr returns the address served.
 func (a *Agent) Addr() string { return a.server.Addr() }
 
--- a/internal/trial/fleet/fleet.go
+++ b/internal/trial/fleet/fleet.go
@@ -236,7 +236,7 @@
 	p := &place{service: service.New(listener, service.Settings{Delay: shape.Delay}, f.effects)}
 	doc := map[string]any{
 		"node": "agent-" + shape.Name, "failure-domain": shape.Domain, "peer-address": "127.0.0.1:0", "upstream": shape.Name,
-		"service": shape.Service, "version": shape.Version, "upstream-url": "http://" + p.service.Addr(), "plain": true, "limit": 16,
+		"service": shape.Service, "version": shape.Version, "upstream-url": "http://" + p.service.Addr(), "plain": true, "max-limit": 16,
 	}
 	return f.addPlace(p, doc, vmlist.NewAgent(shape.Name, shape.Service, shape.Version, "", shape.Domain, 1))
 }
--- a/internal/trial/fleet/session_test.go
+++ b/internal/trial/fleet/session_test.go
@@ -136,15 +136,15 @@
 // another body the key is refused.
 func TestSessionEnrolmentSentTwice(t *testing.T) {
 	play(t, "enrolment-twice", func(s *session) string {
-		enrol := call{method: http.MethodPost, path: "/booking/enrolments", header: map[string]string{"Idempotency-Key": "seat-41"}, body: `{"class":"evening","learner":"Nadia"}`}
-		other := enrol
+		seat := call{method: http.MethodPost, path: "/booking/enrolments", header: map[string]string{"Idempotency-Key": "seat-41"}, body: `{"class":"evening","learner":"Nadia"}`}
+		other := seat
 		other.entry = 1
 		var first, second string
 		var both sync.WaitGroup
-		both.Go(func() { first = s.do(enrol) })
+		both.Go(func() { first = s.do(seat) })
 		both.Go(func() { second = s.do(other) })
 		both.Wait()
-		third := s.do(enrol)
+		third := s.do(seat)
 		changed := other
 		changed.body = `{"class":"evening","learner":"Salma"}`
 		fourth := s.do(changed)
--- a/internal/upstream/admission/admission_test.go
+++ b/internal/upstream/admission/admission_test.go
@@ -140,7 +140,7 @@
 				waiting[id] = true
 				settle(c.Offer(now, admission.NewTicket(id, "w", tiers[id], deadline, deadline.Add(-work), work, options...)))
 			},
-			"finish": func(t *rapid.T) {
+			"finish": func(*rapid.T) {
 				for id := range running {
 					delete(running, id)
 					settle(c.Finish(now, id))
--- a/internal/upstream/prefixcache/prefixcache.go
+++ b/internal/upstream/prefixcache/prefixcache.go
@@ -12,7 +12,7 @@
 	// assumedTokens is the cache's size until the engine has reported.
 	assumedTokens = 16000
 	// toldMost bounds the prefixes told to entries, most recent first.
-	toldMost = 24
+	toldMost = 12
 )
 
 type prefix struct {
