--- a/cmd/persimmonridge/standin.go
+++ b/cmd/persimmonridge/standin.go
@@ -43,6 +43,7 @@
 		FailWhenRunning int     `json:"fail-when-running"`
 		FailBody        string  `json:"fail-body"`
 		Slow            float64 `json:"slow"`
+		Silent          bool    `json:"silent"`
 	} `json:"engine-faults"`
 }
 
--- a/internal/dispatch/candidate/candidate.go
+++ b/internal/dispatch/candidate/candidate.go
@@ -6,6 +6,7 @@
 
 import (
 	"math"
+	"math/bits"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -39,33 +40,48 @@
 	if k == 0 {
 		return dst
 	}
+	// worst is the score to beat, 0 until k members are held.
+	worst := 0.0
 	for index := range members {
 		m := &members[index]
-		u := unit(mix(m.seed ^ key))
-		if len(dst) == k {
-			// -ln(u) is at least 1-u, so weight/(1-u) bounds the score from
-			// above; most members are passed over without a logarithm.
-			if m.weight <= scores[k-1]*(1-u) {
-				continue
-			}
+		u := unit(scramble(m.seed ^ key))
+		// -ln(u) is at least 1-u, so weight/(1-u) bounds the score from above;
+		// most members are passed over without a logarithm.
+		if m.weight <= worst*(1-u) {
+			continue
 		}
 		score := m.weight / -math.Log(u)
-		if len(dst) == k && score <= scores[k-1] {
+		if score <= worst {
 			continue
 		}
 		if len(dst) < k {
 			dst = append(dst, 0)
 		}
-		at := len(dst) - 1
-		for at > 0 && scores[at-1] < score {
-			scores[at], dst[at] = scores[at-1], dst[at-1]
-			at--
+		insert(dst, scores[:len(dst)], index, score)
+		if len(dst) == k {
+			worst = scores[k-1]
 		}
-		scores[at], dst[at] = score, index
 	}
 	return dst
 }
 
+// insert puts a member in its place; the last one falls out.
+func insert(dst []int, scores []float64, index int, score float64) {
+	at := len(dst) - 1
+	for at > 0 && scores[at-1] < score {
+		scores[at], dst[at] = scores[at-1], dst[at-1]
+		at--
+	}
+	scores[at], dst[at] = score, index
+}
+
+// scramble folds a 128-bit product; seeds and keys are well mixed already.
+func scramble(x uint64) uint64 {
+	const odd = 0x9e3779b97f4a7c15
+	high, low := bits.Mul64(x, odd)
+	return high ^ low
+}
+
 // mix is the finalizer of SplitMix64.
 func mix(x uint64) uint64 {
 	x ^= x >> 30
--- a/internal/proof/seed/seed.go
+++ b/internal/proof/seed/seed.go
@@ -1,4 +1,4 @@
-// Package seed, imported for its effect by tests, gives property tests a fixed
+// Package seed gives property tests that import it for its effect a fixed
 // seed, so that CI comes to the same verdict every time. The flag -rapid.seed
 // overrides it.
 package seed
--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -329,6 +329,9 @@
 			a.decline(now, r, wire.Decline_REASON_WITHDRAWN)
 		case r.abandoned(now) && r.offer.GetRepeatSafe():
 			r.cancel()
+		case r.stalled(now) && !a.settings.Plain():
+			r.stall = true
+			r.cancel()
 		case r.forgettable(now):
 			delete(a.runs, id)
 		}
--- a/internal/role/agent/execute.go
+++ b/internal/role/agent/execute.go
@@ -46,6 +46,9 @@
 	if outcome == wire.End_OUTCOME_CANCELED && r.preempted {
 		outcome = wire.End_OUTCOME_PREEMPTED
 	}
+	if outcome == wire.End_OUTCOME_CANCELED && r.stall {
+		outcome = wire.End_OUTCOME_FAILED
+	}
 	if !result.Sent() && outcome == wire.End_OUTCOME_FAILED {
 		r.notRun = wire.Decline_REASON_UNREACHABLE
 		if abandoned := a.abandonedLately(now); len(abandoned) > 0 {
--- a/internal/role/agent/run.go
+++ b/internal/role/agent/run.go
@@ -28,6 +28,8 @@
 	// StartHorizon is the furthest moment ahead at which an offer may still
 	// start.
 	StartHorizon = 5 * time.Minute
+	// stalledAfter is how long a model may produce nothing.
+	stalledAfter = 30 * time.Second
 	// detachedFor is how long a run may have no reader before it is taken to
 	// be abandoned; an entry that lives resumes sooner.
 	detachedFor = 6 * time.Second
@@ -49,6 +51,7 @@
 	notRun    wire.Decline_Reason
 	preempted bool
 	cut       bool
+	stall     bool
 	crash     *wire.Crash
 
 	startedAt   time.Time
@@ -80,6 +83,16 @@
 	return now.Sub(r.endedAt) > kept
 }
 
+// stalled tells whether a model's run has made no progress for so long that
+// its connection to the engine must be taken to be silent for good.
+func (r *run) stalled(now time.Time) bool {
+	progress := r.startedAt
+	if r.lastToken.After(progress) {
+		progress = r.lastToken
+	}
+	return r.live() && now.Sub(progress) > stalledAfter
+}
+
 // abandoned tells whether the run's entry has not come back for it.
 func (r *run) abandoned(now time.Time) bool {
 	return r.endedAt.IsZero() && r.readers == 0 && !r.detachedAt.IsZero() && now.Sub(r.detachedAt) > detachedFor
--- a/internal/role/entry/choose.go
+++ b/internal/role/entry/choose.go
@@ -14,9 +14,11 @@
 )
 
 const (
-	// wideSet is the number of candidates that a request may be offered to
-	// before it is refused.
-	wideSet = 24
+	// firstSet is the number of candidates that are weighed at first, and
+	// wideSet that which a request may be offered to before it is refused. In
+	// a group of at most wideSet all are weighed.
+	firstSet = 8
+	wideSet  = 24
 	// prefillRate is the assumed prompt tokens a second at speed 1.
 	prefillRate = 2000
 	// decodeGap is the time of one token at speed 1.
@@ -39,24 +41,29 @@
 	patience time.Duration
 }
 
-// plan returns whom to ask, in order: all of the wide set, by the index.
+// plan returns whom to ask, in the index's order, out of the first set or of
+// the wide one.
 // Upstreams of the version that the request's share belongs to come first;
 // those of the other version follow, if it may be used at all.
-func (e *Entry) plan(now time.Time, q *request.Request, doc document.Document) []choice {
+func (e *Entry) plan(now time.Time, q *request.Request, doc document.Document, wide bool) []choice {
 	var plan []choice
 	for _, version := range e.moves.versions(q, doc) {
-		plan = append(plan, e.rank(now, q, e.table.Group(q.Service().Name(), version))...)
+		plan = append(plan, e.rank(now, q, e.table.Group(q.Service().Name(), version), wide)...)
 	}
 	return plan
 }
 
-func (e *Entry) rank(now time.Time, q *request.Request, group *member.Group) []choice {
+func (e *Entry) rank(now time.Time, q *request.Request, group *member.Group, wide bool) []choice {
 	if group == nil {
 		return nil
 	}
 	var buffer [candidate.Most]int
 	key := candidate.Key(q.Workspace(), q.PrefixKey())
-	chosen := candidate.Choose(buffer[:0], group.Members(), key, wideSet)
+	size := firstSet
+	if wide || group.Len() <= wideSet {
+		size = wideSet
+	}
+	chosen := candidate.Choose(buffer[:0], group.Members(), key, size)
 	var views [candidate.Most]index.View
 	for i, at := range chosen {
 		views[i] = group.At(at).View(now, q.Tier())
--- a/internal/role/entry/search.go
+++ b/internal/role/entry/search.go
@@ -24,6 +24,8 @@
 	// left are upstreams where it waited longer than was predicted.
 	left  map[string]bool
 	moves int
+	// wide tells that the first set was not enough.
+	wide bool
 	// bound tells that it may not be handed back: each move of a keyed action
 	// costs a write.
 	bound bool
@@ -36,13 +38,17 @@
 // next plans anew, since each decline brings news, and returns the best
 // upstream that may still run the request.
 func (s *search) next(now time.Time) (choice, bool) {
-	plan := s.call.entry.plan(now, s.call.q, s.call.doc)
+	plan := s.call.entry.plan(now, s.call.q, s.call.doc, s.wide)
 	for _, c := range plan {
 		name := c.upstream.Name()
 		if !s.declined[name] && !s.left[name] && len(s.declined) < wideSet {
 			return c, true
 		}
 	}
+	if !s.wide {
+		s.wide = true
+		return s.next(now)
+	}
 	if len(s.left) == 0 {
 		return choice{}, false
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -54,6 +54,9 @@
 	FailBody string `json:"fail-body"`
 	// Slow multiplies the gap between tokens.
 	Slow float64 `json:"slow"`
+	// Silent makes requests that arrive, and streams that run, hang for good;
+	// nothing is closed.
+	Silent bool `json:"silent"`
 }
 
 // Engine is one stand-in.
@@ -353,8 +356,13 @@
 }
 
 func (e *Engine) gap(p prompt) time.Duration {
+	// silence is longer than anyone waits.
+	const silence = 24 * time.Hour
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.faults.Silent {
+		return silence
+	}
 	gap := float64(e.settings.TokenGap) * (1 + float64(e.running-1)/float64(e.settings.Knee))
 	if e.faults.Slow > 0 && strings.Contains(p.body, e.faults.FailBody) {
 		gap *= e.faults.Slow
--- a/internal/trial/scenario/script.go
+++ b/internal/trial/scenario/script.go
@@ -82,9 +82,11 @@
 	Seed     uint64   `json:"seed"`
 	Duration Duration `json:"duration"`
 	Rate     float64  `json:"rate"`
-	Engines  int      `json:"engines"`
-	Bookings int      `json:"bookings"`
-	Entries  int      `json:"entries"`
+	// Burst multiplies the rate in the middle fifth.
+	Burst    float64 `json:"burst,omitempty"`
+	Engines  int     `json:"engines"`
+	Bookings int     `json:"bookings"`
+	Entries  int     `json:"entries"`
 	// NewEngines run the version that a move goes to.
 	NewEngines int `json:"new-engines,omitempty"`
 	// Settle is how long the site is left alone after the load.
