Evidence goes to the duty's holder alone; stand-ins of the platform in one place

Cause: at 330 entries an agent would tell its evidence 330 times; and three copies of the platform's stand-ins had grown. Change: a notice says whether its sender steps the moves, and only it is told; internal/standin/platform serves fleet, capacity and tests. A slow reader is bounded and starves nobody (test).

--- a/cmd/persimmonridge/measure_capacity.go
+++ b/cmd/persimmonridge/measure_capacity.go
@@ -11,21 +11,14 @@
 
 type capacityCommand struct {
 	Page string        `help:"Write the page here."`
+	From string        `type:"existingfile" help:"Write the page from an earlier run's output instead of measuring."`
 	Idle time.Duration `default:"61s" help:"How long idle links are watched, for each of three sizes."`
 }
 
 // Run implements kong's command.
 func (c *capacityCommand) Run() error {
-	measured, err := capacity.Measure(time.Now(), c.Idle, func(part string) { fmt.Fprintln(os.Stderr, "measuring "+part) })
-	if err != nil {
-		return err
-	}
-	encoder := json.NewEncoder(os.Stdout)
-	encoder.SetIndent("", "  ")
-	if err := encoder.Encode(measured); err != nil {
-		return err
-	}
-	if c.Page == "" {
+	measured, err := c.measured()
+	if err != nil || c.Page == "" {
 		return nil
 	}
 	page, err := measured.Page()
@@ -35,3 +28,22 @@
 	const readable = 0o644
 	return os.WriteFile(c.Page, page, readable)
 }
+
+// measured measures, and prints the result as JSON, or reads an earlier one.
+func (c *capacityCommand) measured() (measured capacity.Measured, err error) {
+	if c.From != "" {
+		raw, err := os.ReadFile(c.From)
+		if err != nil {
+			return measured, err
+		}
+		err = json.Unmarshal(raw, &measured)
+		return measured, err
+	}
+	measured, err = capacity.Measure(time.Now(), c.Idle, func(part string) { fmt.Fprintln(os.Stderr, "measuring "+part) })
+	if err != nil {
+		return measured, err
+	}
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", "  ")
+	return measured, encoder.Encode(measured)
+}
--- a/internal/action/claim/owner_test.go
+++ b/internal/action/claim/owner_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -17,24 +16,22 @@
 	"github.com/persimmonridge/persimmonridge/internal/proof/bubble"
 	"github.com/persimmonridge/persimmonridge/internal/standin/kv"
 	"github.com/persimmonridge/persimmonridge/internal/standin/network"
+	"github.com/persimmonridge/persimmonridge/internal/standin/platform"
 )
 
 var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
 
-// platform starts a stand-in of the store and returns it with a client.
-func platform(t *testing.T) (*kv.Service, *store.Client) {
+// world starts the platform's stand-ins and returns them with a client.
+func world(t *testing.T) (*platform.Platform, *store.Client) {
 	net := network.New()
-	listener, err := net.Listen("127.0.0.1:0")
+	p, err := platform.New(net, 1)
 	require.NoError(t, err)
-	stand := kv.New(1, time.Now)
-	server := &http.Server{Handler: stand.Handler(), ErrorLog: slog.NewLogLogger(quiet.Handler(), slog.LevelDebug)}
-	go func() { _ = server.Serve(listener) }()
-	client := store.New([]string{"http://" + listener.Addr().String()}, time.Now, net)
+	client := store.New([]string{p.StoreURL()}, time.Now, net)
 	t.Cleanup(func() {
 		_ = client.Close()
-		_ = server.Close()
+		_ = p.Close()
 	})
-	return stand, client
+	return p, client
 }
 
 func claimAsk(key, request string) *wire.ClaimAsk {
@@ -48,7 +45,7 @@
 // grants nothing.
 func TestPausedOwnerGrantsNothing(t *testing.T) {
 	bubble.Run(t, func(t *testing.T) {
-		_, client := platform(t)
+		_, client := world(t)
 		ctx := context.Background()
 		first, err := Open(ctx, 0, client, quiet, time.Now)
 		require.NoError(t, err)
@@ -68,11 +65,11 @@
 // later owner must know all of them.
 func TestLostAnswersGrantOnce(t *testing.T) {
 	bubble.Run(t, func(t *testing.T) {
-		stand, client := platform(t)
+		p, client := world(t)
 		ctx := context.Background()
-		p, err := Open(ctx, 0, client, quiet, time.Now)
+		owner, err := Open(ctx, 0, client, quiet, time.Now)
 		require.NoError(t, err)
-		stand.SetFaults(kv.Faults{LoseAnswers: 0.5})
+		p.Store().SetFaults(kv.Faults{LoseAnswers: 0.5})
 		var mu sync.Mutex
 		grants := make(map[string]int)
 		var asking sync.WaitGroup
@@ -80,7 +77,7 @@
 			for _, try := range []string{"x", "y"} {
 				asking.Go(func() {
 					key := fmt.Sprint(i)
-					reply := p.Ask(ctx, claimAsk(key, key+try))
+					reply := owner.Ask(ctx, claimAsk(key, key+try))
 					mu.Lock()
 					defer mu.Unlock()
 					if reply.GetState() == wire.ClaimReply_STATE_GRANTED {
@@ -88,20 +85,20 @@
 					}
 				})
 			}
-			time.Sleep(5 * time.Millisecond)
+			bubble.Pass(5 * time.Millisecond)
 		}
 		asking.Wait()
 		require.Len(t, grants, 200)
 		for key, times := range grants {
 			require.Equal(t, 1, times, key)
 		}
-		stand.SetFaults(kv.Faults{})
+		p.Store().SetFaults(kv.Faults{})
 		later, err := Open(ctx, 0, client, quiet, time.Now)
 		require.NoError(t, err)
 		for key := range grants {
 			require.Equal(t, wire.ClaimReply_STATE_HELD, later.Ask(ctx, claimAsk(key, "late")).GetState())
 		}
-		require.NoError(t, p.Close())
+		require.NoError(t, owner.Close())
 		require.NoError(t, later.Close())
 	})
 }
@@ -110,20 +107,20 @@
 // is under way shares the next one.
 func TestClaimsShareCommits(t *testing.T) {
 	bubble.Run(t, func(t *testing.T) {
-		stand, client := platform(t)
+		p, client := world(t)
 		ctx := context.Background()
-		p, err := Open(ctx, 0, client, quiet, time.Now)
+		owner, err := Open(ctx, 0, client, quiet, time.Now)
 		require.NoError(t, err)
-		stand.SetFaults(kv.Faults{SlowMS: 5})
+		p.Store().SetFaults(kv.Faults{SlowMS: 5})
 		var asking sync.WaitGroup
 		for i := range 1000 {
-			asking.Go(func() { p.Ask(ctx, claimAsk(fmt.Sprint(i), fmt.Sprint("r", i))) })
-			time.Sleep(time.Millisecond)
+			asking.Go(func() { owner.Ask(ctx, claimAsk(fmt.Sprint(i), fmt.Sprint("r", i))) })
+			bubble.Pass(time.Millisecond)
 		}
 		asking.Wait()
-		commits, records := p.Commits()
+		commits, records := owner.Commits()
 		require.Equal(t, uint64(1000), records)
 		require.Less(t, commits, uint64(15), "a thousand actions in a second")
-		require.NoError(t, p.Close())
+		require.NoError(t, owner.Close())
 	})
 }
--- a/internal/config/changelog/changelog_test.go
+++ b/internal/config/changelog/changelog_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -22,30 +21,27 @@
 	"github.com/persimmonridge/persimmonridge/internal/proof/invariant"
 	"github.com/persimmonridge/persimmonridge/internal/standin/kv"
 	"github.com/persimmonridge/persimmonridge/internal/standin/network"
+	"github.com/persimmonridge/persimmonridge/internal/standin/platform"
 )
 
 var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
 
-// world is a stand-in of the store with clients of it.
+// world is the platform's stand-ins with clients of them.
 type world struct {
-	stand   *kv.Service
-	network *network.Network
-	url     string
+	platform *platform.Platform
+	network  *network.Network
 }
 
 func newWorld(t *testing.T) *world {
 	net := network.New()
-	listener, err := net.Listen("127.0.0.1:0")
+	p, err := platform.New(net, 1)
 	require.NoError(t, err)
-	stand := kv.New(1, time.Now)
-	server := &http.Server{Handler: stand.Handler(), ErrorLog: slog.NewLogLogger(quiet.Handler(), slog.LevelDebug)}
-	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(func() { _ = server.Close() })
-	return &world{stand: stand, network: net, url: "http://" + listener.Addr().String()}
+	t.Cleanup(func() { _ = p.Close() })
+	return &world{platform: p, network: net}
 }
 
 func (w *world) client(t *testing.T) *store.Client {
-	c := store.New([]string{w.url}, time.Now, w.network, store.ForOperator())
+	c := store.New([]string{w.platform.StoreURL()}, time.Now, w.network, store.ForOperator())
 	t.Cleanup(func() { _ = c.Close() })
 	return c
 }
@@ -89,7 +85,7 @@
 	bubble.Run(t, func(t *testing.T) {
 		w := newWorld(t)
 		first(t, changelog.NewSubmitter(w.client(t)))
-		w.stand.SetFaults(kv.Faults{LoseAnswers: 0.5})
+		w.platform.Store().SetFaults(kv.Faults{LoseAnswers: 0.5})
 		var mu sync.Mutex
 		accepted := make(map[string]bool)
 		var operators sync.WaitGroup
@@ -105,7 +101,7 @@
 			})
 		}
 		operators.Wait()
-		w.stand.SetFaults(kv.Faults{})
+		w.platform.Store().SetFaults(kv.Faults{})
 		trail, err := changelog.NewSubmitter(w.client(t)).Audit(context.Background(), 1)
 		require.NoError(t, err)
 		require.Len(t, trail, 40)
@@ -132,7 +128,7 @@
 		}
 		cancel()
 		require.False(t, errorx.IsOfType(err, store.Unclear), "%v", err)
-		time.Sleep(50 * time.Millisecond)
+		bubble.Pass(50 * time.Millisecond)
 	}
 }
 
@@ -156,12 +152,12 @@
 		for i := range 40 {
 			insist(t, s, 0, i)
 			if i == 20 {
-				w.stand.SetFaults(kv.Faults{Outage: true})
-				time.Sleep(30 * time.Second)
-				w.stand.SetFaults(kv.Faults{})
+				w.platform.Store().SetFaults(kv.Faults{Outage: true})
+				bubble.Pass(30 * time.Second)
+				w.platform.Store().SetFaults(kv.Faults{})
 			}
 		}
-		time.Sleep(8 * time.Second)
+		bubble.Pass(8 * time.Second)
 		for _, log := range logs {
 			require.Equal(t, uint64(41), log.Revision())
 		}
--- a/internal/fleet/control/control.go
+++ b/internal/fleet/control/control.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/persimmonridge/persimmonridge/internal/config/changelog"
@@ -56,22 +57,29 @@
 	log      *changelog.Log
 	suspects *suspect.Register
 	changed  *Signal
+	evidence *Signal
 	now      func() time.Time
-	describe func(now time.Time, notice *wire.Notice)
+	describe func(now time.Time, notice *wire.Notice, evidence bool)
 }
 
 // Option sets one of a peer's hooks.
 type Option func(*Peer)
 
-// Describe lets f add to each notice before it is sent.
-func Describe(f func(now time.Time, notice *wire.Notice)) Option {
+// Describe lets f add to each notice before it is sent; evidence tells whether
+// the other side wants the evidence on versions.
+func Describe(f func(now time.Time, notice *wire.Notice, evidence bool)) Option {
 	return func(p *Peer) { p.describe = f }
 }
 
+// Evidence is raised by whoever has new evidence. It wakes only conversations
+// whose other side wants it: with hundreds of entries, telling all of them
+// would cost an agent more than everything else together.
+func Evidence(s *Signal) Option { return func(p *Peer) { p.evidence = s } }
+
 // NewPeer returns a peer over a configuration log and a register of crashes.
 // Changed is raised by whoever changes something worth telling.
 func NewPeer(log *changelog.Log, suspects *suspect.Register, changed *Signal, now func() time.Time, options ...Option) *Peer {
-	p := &Peer{log: log, suspects: suspects, changed: changed, now: now}
+	p := &Peer{log: log, suspects: suspects, changed: changed, now: now, evidence: NewSignal()}
 	for _, option := range options {
 		option(p)
 	}
@@ -84,22 +92,27 @@
 	ctx, cancel := context.WithCancel(ctx)
 	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
 	var writing sync.WaitGroup
+	wanted := &atomic.Bool{}
 	writing.Go(func() {
 		defer cancel()
-		p.tell(ctx, stream)
+		p.tell(ctx, stream, wanted)
 	})
-	p.listen(stream, learn)
+	p.listen(stream, learn, wanted)
 	cancel()
 	writing.Wait()
 	stop()
 	_ = stream.Close()
 }
 
-func (p *Peer) tell(ctx context.Context, stream *link.Stream) {
+func (p *Peer) tell(ctx context.Context, stream *link.Stream, wanted *atomic.Bool) {
 	for {
 		changed, logChanged := p.changed.Wait(), p.log.Changed()
+		var evidence <-chan struct{}
+		if wanted.Load() {
+			evidence = p.evidence.Wait()
+		}
 		now := p.now()
-		if err := stream.Send(now.Add(sendTimeout), notice(p.notice(now))); err != nil {
+		if err := stream.Send(now.Add(sendTimeout), notice(p.notice(now, wanted.Load()))); err != nil {
 			return
 		}
 		select {
@@ -112,22 +125,23 @@
 			return
 		case <-changed:
 		case <-logChanged:
+		case <-evidence:
 		}
 	}
 }
 
-func (p *Peer) notice(now time.Time) *wire.Notice {
+func (p *Peer) notice(now time.Time, evidence bool) *wire.Notice {
 	n := &wire.Notice{Revision: p.log.Revision()}
 	for _, crash := range p.suspects.Crashes(now) {
 		n.Crashes = append(n.Crashes, &wire.Crash{Id: crash.ID(), Fingerprints: crash.Fingerprints()})
 	}
 	if p.describe != nil {
-		p.describe(now, n)
+		p.describe(now, n, evidence)
 	}
 	return n
 }
 
-func (p *Peer) listen(stream *link.Stream, learn func(time.Time, *wire.Notice)) {
+func (p *Peer) listen(stream *link.Stream, learn func(time.Time, *wire.Notice), wanted *atomic.Bool) {
 	for {
 		envelope, err := stream.Receive(p.now().Add(idleLimit))
 		if err != nil {
@@ -137,6 +151,9 @@
 		switch body := envelope.GetBody().(type) {
 		case *wire.Envelope_Notice:
 			p.take(now, body.Notice)
+			if wanted.Swap(body.Notice.GetWantsEvidence()) != body.Notice.GetWantsEvidence() {
+				p.changed.Raise()
+			}
 			if learn != nil {
 				learn(now, body.Notice)
 			}
--- a/internal/proof/bubble/bubble.go
+++ b/internal/proof/bubble/bubble.go
@@ -5,8 +5,12 @@
 	"runtime"
 	"testing"
 	"testing/synctest"
+	"time"
 )
 
+// Pass lets fake time pass in a bubble; nobody waits for it.
+func Pass(d time.Duration) { time.Sleep(d) }
+
 // Run runs f in a synctest bubble. The multiplexer keeps used timers in a
 // sync.Pool, and a timer of one bubble must not be used in another; a pool is
 // empty after two collections.
--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -60,6 +60,7 @@
 	log         *changelog.Log
 	suspects    *suspect.Register
 	changed     *control.Signal
+	evidence    *control.Signal
 	peer        *control.Peer
 	forecast    *forecast.Forecast
 
@@ -119,6 +120,7 @@
 		dialer:      &net.Dialer{Timeout: dialTimeout},
 		suspects:    suspect.New(),
 		changed:     control.NewSignal(),
+		evidence:    control.NewSignal(),
 		forecast:    forecast.New(),
 		limit:       limit.New(limit.NewTargets(s.TokenGap(), s.FirstToken()), firstLimit(s), 1, s.MaxLimit()),
 		cached:      prefixcache.New(),
@@ -139,7 +141,7 @@
 	a.engine = engine.New(s.UpstreamURL(), now, a.dialer)
 	a.log = changelog.New(a.invariants)
 	a.admission = admission.New(tiersHeld, firstLimit(s), waitingBound, a.invariants)
-	a.peer = control.NewPeer(a.log, a.suspects, a.changed, now, control.Describe(a.describe))
+	a.peer = control.NewPeer(a.log, a.suspects, a.changed, now, control.Describe(a.describe), control.Evidence(a.evidence))
 	a.server = link.Serve(listener, a.serveStream)
 	a.wg.Go(a.tick)
 	if !s.Plain() {
@@ -302,7 +304,7 @@
 		tell := a.evidenceDue(now)
 		a.mu.Unlock()
 		if tell {
-			a.changed.Raise()
+			a.evidence.Raise()
 		}
 	}
 }
@@ -352,13 +354,13 @@
 	}
 }
 
-// describe adds the load to a notice, and the evidence while this service has
-// a move under way.
-func (a *Agent) describe(now time.Time, n *wire.Notice) {
+// describe adds the load to a notice, and the evidence, where it is wanted,
+// while this service has a move under way.
+func (a *Agent) describe(now time.Time, n *wire.Notice, wanted bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	n.Load = a.load(now)
-	if _, moving := a.move(); !moving {
+	if _, moving := a.move(); !moving || !wanted {
 		return
 	}
 	version := a.settings.Version()
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -120,7 +120,7 @@
 	e.store = store.New(e.settings.StoreAddresses(), e.now, e.dialer)
 	e.pool = link.NewPool(e.dialer, e.sessionOpened)
 	e.log = changelog.New(e.invariants)
-	e.peer = control.NewPeer(e.log, e.suspects, e.changed, e.now)
+	e.peer = control.NewPeer(e.log, e.suspects, e.changed, e.now, control.Describe(e.describe))
 	e.metrics = newMetrics(e)
 	e.holder = lease.New(e.store, e.settings.Node(), leaseTerm, e.logger, e.now)
 	e.claims = newClaims(e)
--- a/internal/role/entry/moves.go
+++ b/internal/role/entry/moves.go
@@ -179,6 +179,11 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	// A notice without evidence, sent before it was wanted here, says nothing
+	// of what the same process told before.
+	if known := m.reports[u.Name()]; len(n.GetEvidence()) == 0 && known.incarnation == r.incarnation && known.board != nil {
+		r.board = known.board
+	}
 	m.reports[u.Name()] = r
 }
 
@@ -225,7 +230,11 @@
 }
 
 func (m *moves) holds(ctx context.Context) bool {
+	had := m.entry.holder.Held(m.entry.now(), dutyKey)
 	held, err := m.entry.holder.TryAcquire(ctx, dutyKey, []byte(m.entry.settings.Node()))
+	if err == nil && held && !had {
+		m.entry.changed.Raise()
+	}
 	return err == nil && held
 }
 
--- a/internal/role/entry/peers.go
+++ b/internal/role/entry/peers.go
@@ -60,6 +60,11 @@
 	}
 }
 
+// describe says whether this entry steps the moves and wants their evidence.
+func (e *Entry) describe(now time.Time, n *wire.Notice, _ bool) {
+	n.WantsEvidence = e.holder.Held(now, dutyKey)
+}
+
 // sessionOpened starts the control conversation of a new session.
 func (e *Entry) sessionOpened(address string, s *link.Session) {
 	stream, err := s.Open()
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -74,6 +74,7 @@
 	closed   bool
 	runs     map[string]int
 	crashes  int
+	tokens   int
 	reported Load
 	reportAt time.Time
 	fence    uint64
@@ -117,6 +118,13 @@
 	return e.crashes
 }
 
+// Tokens returns the number of tokens streamed so far.
+func (e *Engine) Tokens() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.tokens
+}
+
 // Runs returns how often each request id was run.
 func (e *Engine) Runs() map[string]int {
 	e.mu.Lock()
@@ -397,6 +405,9 @@
 			return err
 		}
 		flusher.Flush()
+		e.mu.Lock()
+		e.tokens++
+		e.mu.Unlock()
 	}
 	_, err := io.WriteString(w, "data: [DONE]\n\n")
 	return err
--- a/internal/trial/capacity/parts.go
+++ b/internal/trial/capacity/parts.go
@@ -7,7 +7,6 @@
 	"io"
 	"log/slog"
 	"net"
-	"net/http"
 	"os"
 	"runtime"
 	"strconv"
@@ -31,7 +30,8 @@
 	"github.com/persimmonridge/persimmonridge/internal/platform/vmlist"
 	"github.com/persimmonridge/persimmonridge/internal/proof/invariant"
 	"github.com/persimmonridge/persimmonridge/internal/role/agent"
-	"github.com/persimmonridge/persimmonridge/internal/standin/kv"
+	"github.com/persimmonridge/persimmonridge/internal/standin/platform"
+	"github.com/persimmonridge/persimmonridge/internal/trial/fleet"
 )
 
 var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
@@ -190,26 +190,11 @@
 	return n, err
 }
 
-// platform is a stand-in of the store on loopback.
-type platform struct {
-	stand  *kv.Service
-	server *http.Server
-	url    string
-}
-
-func newPlatform() (*platform, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	p := &platform{stand: kv.New(1, time.Now), url: "http://" + listener.Addr().String()}
-	p.server = &http.Server{Handler: p.stand.Handler(), ReadHeaderTimeout: time.Minute}
-	go func() { _ = p.server.Serve(listener) }()
-	return p, nil
-}
+// newPlatform starts the platform's stand-ins on loopback.
+func newPlatform() (*platform.Platform, error) { return platform.New(&fleet.OS{}, 1) }
 
-func (p *platform) client(d store.Dialer, options ...store.Option) *store.Client {
-	return store.New([]string{p.url}, time.Now, d, options...)
+func client(p *platform.Platform, d store.Dialer, options ...store.Option) *store.Client {
+	return store.New([]string{p.StoreURL()}, time.Now, d, options...)
 }
 
 // linkCost measures what idle links cost an agent: memory at both ends
@@ -286,9 +271,9 @@
 	if err != nil {
 		return 0, 0, err
 	}
-	defer func() { _ = p.server.Close() }()
+	defer func() { _ = p.Close() }()
 	ctx := context.Background()
-	operator := p.client(&net.Dialer{}, store.ForOperator())
+	operator := client(p, &net.Dialer{}, store.ForOperator())
 	submitter := changelog.NewSubmitter(operator)
 	if _, err := submitter.Submit(ctx, time.Now(), changelog.NewChange(0, "operator", "first", grown(930))); err != nil {
 		return 0, 0, err
@@ -299,10 +284,10 @@
 	for range nodes {
 		log := changelog.New(invariant.New(quiet))
 		logs = append(logs, log)
-		followers = append(followers, changelog.Follow(log, p.client(dialer), quiet))
+		followers = append(followers, changelog.Follow(log, client(p, dialer), quiet))
 	}
 	awaitRevision(logs, 1)
-	startBytes, startReads := dialer.bytes.Load(), p.stand.Counts().Reads
+	startBytes, startReads := dialer.bytes.Load(), p.Store().Counts().Reads
 	for i := range changes {
 		patch := []byte(fmt.Sprintf(`{"inventory":{"workspaces":{"w-%d":{"size":"small"}}}}`, i))
 		if _, err := submitter.Submit(ctx, time.Now(), changelog.NewChange(uint64(i+1), "operator", "one more workspace", patch)); err != nil {
@@ -310,7 +295,7 @@
 		}
 		awaitRevision(logs, uint64(i+2))
 	}
-	bytes, reads = float64(dialer.bytes.Load()-startBytes), float64(p.stand.Counts().Reads-startReads)
+	bytes, reads = float64(dialer.bytes.Load()-startBytes), float64(p.Store().Counts().Reads-startReads)
 	for _, f := range followers {
 		_ = f.Close()
 	}
@@ -344,19 +329,19 @@
 	if err != nil {
 		return 0, err
 	}
-	defer func() { _ = p.server.Close() }()
+	defer func() { _ = p.Close() }()
 	ctx := context.Background()
-	client := p.client(&net.Dialer{})
+	calls := client(p, &net.Dialer{})
 	var owned []*claim.Partition
 	for i := range partitions {
-		partition, err := claim.Open(ctx, i, client, quiet, time.Now)
+		partition, err := claim.Open(ctx, i, calls, quiet, time.Now)
 		if err != nil {
 			return 0, err
 		}
 		owned = append(owned, partition)
 	}
 	const seconds = 3
-	before := p.stand.Counts().Writes
+	before := p.Store().Counts().Writes
 	var asking sync.WaitGroup
 	for i := range rate * seconds {
 		key := fmt.Sprint("workspace/booking/payment/", i)
@@ -368,7 +353,7 @@
 		time.Sleep(time.Second / time.Duration(rate))
 	}
 	asking.Wait()
-	writes := float64(p.stand.Counts().Writes-before) / seconds
+	writes := float64(p.Store().Counts().Writes-before) / seconds
 	for _, partition := range owned {
 		_ = partition.Close()
 	}
--- a/internal/trial/fleet/fleet.go
+++ b/internal/trial/fleet/fleet.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -26,9 +25,9 @@
 	"github.com/persimmonridge/persimmonridge/internal/role/entry"
 	"github.com/persimmonridge/persimmonridge/internal/standin/engine"
 	"github.com/persimmonridge/persimmonridge/internal/standin/kv"
+	"github.com/persimmonridge/persimmonridge/internal/standin/platform"
 	"github.com/persimmonridge/persimmonridge/internal/standin/relay"
 	"github.com/persimmonridge/persimmonridge/internal/standin/service"
-	"github.com/persimmonridge/persimmonridge/internal/standin/vms"
 )
 
 var namespace = errorx.NewNamespace("fleet")
@@ -104,10 +103,7 @@
 	prefill    *engine.Ledger
 	effects    *service.Ledger
 
-	kv       *kv.Service
-	list     *vms.List
-	platform *http.Server
-	base     string
+	platform *platform.Platform
 
 	mu      sync.Mutex
 	entries []*entry.Entry
@@ -131,7 +127,7 @@
 	f := &Fleet{
 		shape: shape, logger: logger, invariants: invariants,
 		prefill: engine.NewLedger(), effects: service.NewLedger(),
-		kv: kv.New(shape.Seed, time.Now), list: vms.New(0, time.Now), places: make(map[string]*place),
+		places: make(map[string]*place),
 	}
 	if err := f.start(); err != nil {
 		_ = f.Close()
@@ -141,7 +137,8 @@
 }
 
 func (f *Fleet) start() error {
-	if err := f.startPlatform(); err != nil {
+	var err error
+	if f.platform, err = platform.New(f.shape.Network, f.shape.Seed); err != nil {
 		return err
 	}
 	if _, err := f.Apply(context.Background(), "operator", "first inventory and rules", f.shape.Inventory, f.shape.Rules); err != nil {
@@ -171,20 +168,6 @@
 	return f.AwaitReady()
 }
 
-func (f *Fleet) startPlatform() error {
-	listener, err := f.listen()
-	if err != nil {
-		return err
-	}
-	mux := http.NewServeMux()
-	mux.Handle("/v1/", f.kv.Handler())
-	mux.Handle("/vms", f.list)
-	f.platform = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute, ErrorLog: slog.NewLogLogger(f.logger.Handler(), slog.LevelDebug)}
-	f.base = "http://" + listener.Addr().String()
-	go func() { _ = f.platform.Serve(listener) }()
-	return nil
-}
-
 // Apply submits an inventory and rules as an operator would.
 func (f *Fleet) Apply(ctx context.Context, who, why string, inventoryFile, rulesFile []byte) (changelog.Record, error) {
 	if _, findings := document.Build(inventoryFile, rulesFile); len(findings) > 0 {
@@ -206,11 +189,11 @@
 
 // NewStore returns a client of the platform's store.
 func (f *Fleet) NewStore() *store.Client {
-	return store.New([]string{f.base}, time.Now, f.shape.Network)
+	return store.New([]string{f.platform.StoreURL()}, time.Now, f.shape.Network)
 }
 
 // Store returns the stand-in of the platform's store, to set its faults.
-func (f *Fleet) Store() *kv.Service { return f.kv }
+func (f *Fleet) Store() *kv.Service { return f.platform.Store() }
 
 // AddEngine starts a model upstream with its agent.
 func (f *Fleet) AddEngine(shape EngineShape) error {
@@ -298,7 +281,7 @@
 	domains := f.domains()
 	raw, err := json.Marshal(map[string]any{
 		"node": name, "failure-domain": domains[len(f.entries)%len(domains)], "caller-address": callers.Addr().String(),
-		"peer-address": peers.Addr().String(), "store-addresses": []string{f.base}, "vm-list-url": f.base + "/vms",
+		"peer-address": peers.Addr().String(), "store-addresses": []string{f.platform.StoreURL()}, "vm-list-url": f.platform.ListURL(),
 		"claim-partitions": max(f.shape.Partitions, 1),
 	})
 	if err != nil {
@@ -334,7 +317,7 @@
 	for i, e := range f.entries {
 		list = append(list, vmlist.NewEntry(fmt.Sprintf("vm-entry-%d", i), e.CallerAddr(), "any"))
 	}
-	return f.list.Set(list)
+	return f.platform.List().Set(list)
 }
 
 // AwaitReady waits until every entry has the newest configuration and has
--- a/internal/trial/fleet/session_test.go
+++ b/internal/trial/fleet/session_test.go
@@ -123,7 +123,7 @@
 		var both sync.WaitGroup
 		both.Go(func() { long = s.do(critique("long", 9)) })
 		both.Go(func() {
-			time.Sleep(time.Millisecond)
+			bubble.Pass(time.Millisecond)
 			short = s.do(critique("short", 2))
 		})
 		both.Wait()
@@ -153,6 +153,38 @@
 	})
 }
 
+// One student's browser stops reading, and the tutor is slow for everybody.
+// The caller reads the first byte of a long answer and then nothing. What the
+// system holds for it is bounded, so the engine is held back; another critique
+// over the same link is answered as ever.
+func TestSlowReaderIsBoundedAndStarvesNobody(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		shape, err := fleet.ShapeOf(examples.CairoInventory, examples.CairoRules, 1)
+		require.NoError(t, err)
+		net := network.New()
+		shape.Network, shape.Entries, shape.Engines = net, 1, shape.Engines[:1]
+		site, err := fleet.New(shape, slog.New(slog.NewTextHandler(io.Discard, nil)), invariant.New(slog.New(slog.NewTextHandler(io.Discard, nil))))
+		require.NoError(t, err)
+		s := &session{t: t, site: site, client: &http.Client{Transport: &http.Transport{DialContext: net.DialContext, DisableKeepAlives: true}}}
+		request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, site.URLs()[0]+"/v1/chat/completions", strings.NewReader(critique("slow", 60000).body))
+		require.NoError(t, err)
+		request.Header.Set("X-Workspace", "front-desk")
+		request.Header.Set("X-Deadline", "5m")
+		slow, err := s.client.Do(request)
+		require.NoError(t, err)
+		bubble.Pass(20 * time.Second)
+		held := site.Engine(shape.Engines[0].Name).Tokens()
+		started := time.Now()
+		require.Contains(t, s.do(critique("other", 20)), "other:19")
+		require.Less(t, time.Since(started), 2*time.Second)
+		// A token is about 100 bytes: two windows of 256 KB, the answer's buffer
+		// of 64 KB and the connections' own hold under a megabyte.
+		require.Less(t, held, 10000)
+		require.NoError(t, slow.Body.Close())
+		require.NoError(t, site.Close())
+	})
+}
+
 func TestSessionRefusals(t *testing.T) {
 	play(t, "refusals", func(s *session) string {
 		return s.do(call{method: http.MethodPost, path: "/booking/payments", body: "{}"}) +
