--- a/internal/trial/fleet/session_test.go
+++ b/internal/trial/fleet/session_test.go
@@ -163,6 +163,7 @@
 		require.NoError(t, err)
 		net := network.New()
 		shape.Network, shape.Entries, shape.Engines = net, 1, shape.Engines[:1]
+		shape.Engines[0].Settings.TokenGap = time.Millisecond
 		site, err := fleet.New(shape, slog.New(slog.NewTextHandler(io.Discard, nil)), invariant.New(slog.New(slog.NewTextHandler(io.Discard, nil))))
 		require.NoError(t, err)
 		s := &session{t: t, site: site, client: &http.Client{Transport: &http.Transport{DialContext: net.DialContext, DisableKeepAlives: true}}}
@@ -174,6 +175,7 @@
 		require.NoError(t, err)
 		bubble.Pass(20 * time.Second)
 		held := site.Engine(shape.Engines[0].Name).Tokens()
+		t.Logf("%d tokens held", held)
 		started := time.Now()
 		require.Contains(t, s.do(critique("other", 20)), "other:19")
 		require.Less(t, time.Since(started), 2*time.Second)
--- a/internal/trial/scenario/run.go
+++ b/internal/trial/scenario/run.go
@@ -84,6 +84,10 @@
 		return nil, err
 	}
 	plan.Rate, plan.Burst, plan.PrefixBytes = script.Rate, script.Burst, 400
+	for i := range plan.Actions {
+		plan.Actions[i].MinTokens = (plan.Actions[i].MinTokens + shorter - 1) / shorter
+		plan.Actions[i].MaxTokens /= shorter
+	}
 	site, err := fleet.New(shape, logger, invariants)
 	if err != nil {
 		return nil, err
--- a/internal/trial/scenario/script.go
+++ b/internal/trial/scenario/script.go
@@ -121,6 +121,10 @@
 	return s, nil
 }
 
+// shorter makes answers so many times shorter and engines as much slower: the
+// same load with fewer events.
+const shorter = 4
+
 // shrink cuts an example site down to the script's size.
 func (s Script) shrink(shape fleet.Shape, network fleet.Network) fleet.Shape {
 	shape.Network = network
@@ -128,8 +132,8 @@
 	shape.Engines = shape.Engines[:min(s.Engines, len(shape.Engines))]
 	shape.Bookings = shape.Bookings[:min(s.Bookings, len(shape.Bookings))]
 	for i := range shape.Engines {
-		shape.Engines[i].Settings.TokenGap = time.Duration(3+i%4) * time.Millisecond
-		shape.Engines[i].TokenGap = 15 * time.Millisecond
+		shape.Engines[i].Settings.TokenGap = time.Duration(3+i%4) * shorter * time.Millisecond
+		shape.Engines[i].TokenGap = 15 * shorter * time.Millisecond
 	}
 	return shape
 }
