--- a/cmd/persimmonridge/measure_capacity.go
+++ b/cmd/persimmonridge/measure_capacity.go
@@ -12,7 +12,7 @@
 type capacityCommand struct {
 	Page string        `help:"Write the page here."`
 	From string        `type:"existingfile" help:"Write the page from an earlier run's output instead of measuring."`
-	Idle time.Duration `default:"61s" help:"How long idle links are watched, for each of three sizes."`
+	Idle time.Duration `default:"250s" help:"How long idle links are watched; longer than their pings are apart."`
 }
 
 // Run implements kong's command.
--- a/cmd/persimmonridge/standin.go
+++ b/cmd/persimmonridge/standin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"log/slog"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 	"github.com/persimmonridge/persimmonridge/internal/platform/vmlist"
 	"github.com/persimmonridge/persimmonridge/internal/standin/engine"
 	"github.com/persimmonridge/persimmonridge/internal/standin/kv"
+	"github.com/persimmonridge/persimmonridge/internal/standin/relay"
 	"github.com/persimmonridge/persimmonridge/internal/standin/service"
 	"github.com/persimmonridge/persimmonridge/internal/standin/vms"
 )
@@ -22,6 +24,7 @@
 	VMList  standInVMList  `cmd:"" name:"vm-list" help:"The platform's lagging list of VMs."`
 	Engine  standInEngine  `cmd:"" help:"A streaming model engine."`
 	Service standInService `cmd:"" help:"A plain booking service."`
+	Relay   standInRelay   `cmd:"" help:"A relay whose connections can be made silent for good."`
 }
 
 // standInSettings are those of all stand-ins; each reads what it knows.
@@ -36,6 +39,8 @@
 	CacheTokens  int         `json:"cache-tokens"`
 	RestartMS    int         `json:"restart-ms"`
 	DelayMS      int         `json:"delay-ms"`
+	Target       string      `json:"target"`
+	Control      string      `json:"control-address"`
 	Faults       kv.Faults   `json:"store-faults"`
 	EngineFaults struct {
 		CrashOn         string  `json:"crash-on"`
@@ -129,6 +134,30 @@
 	return stand.Close()
 }
 
+type standInRelay struct {
+	Settings string `required:"" type:"existingfile" help:"Settings file, with address, target and control-address."`
+}
+
+// Run implements kong's command. PUT /silence at the control address makes all
+// present connections silent; new ones work.
+func (c *standInRelay) Run(ctx context.Context) error {
+	s, listener, err := readStandIn(c.Settings)
+	if err != nil {
+		return err
+	}
+	control, err := net.Listen("tcp", s.Control)
+	if err != nil {
+		return err
+	}
+	stand := relay.New(listener, s.Target)
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /silence", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(map[string]int{"silenced": stand.Silence()})
+	})
+	err = serveUntil(ctx, control, mux)
+	return errors.Join(err, stand.Close())
+}
+
 func serveUntil(ctx context.Context, listener net.Listener, handler http.Handler) error {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute, ErrorLog: slog.NewLogLogger(slog.NewTextHandler(os.Stderr, nil), slog.LevelDebug)}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
--- a/internal/fleet/link/pool.go
+++ b/internal/fleet/link/pool.go
@@ -16,10 +16,17 @@
 const (
 	// dialTimeout bounds a connection attempt inside one region.
 	dialTimeout = time.Second
-	// keepAlive is the interval of yamux's own pings, kept long because the
-	// requests themselves are the evidence; a ping only keeps an idle link
-	// known to whatever stands between the two ends.
-	keepAlive = 30 * time.Second
+	// keepAlive is the interval of yamux's own pings from the side that dialed,
+	// kept long because the requests themselves are the evidence; a ping only
+	// keeps an idle link known to whatever stands between the two ends. An
+	// entry of the design size has 600 links, and a ping each half minute would
+	// take a third of its control bytes.
+	keepAlive = 4 * time.Minute
+	// reapAfter is the interval of the accepting side's pings, which end the
+	// sessions of processes that are gone without a word.
+	reapAfter = 10 * time.Minute
+	// retireAfter is how long a replaced session stays for its other streams.
+	retireAfter = 30 * time.Second
 	// streamWindow bounds what one slow reader can hold on a session.
 	streamWindow = 256 << 10
 )
@@ -158,7 +165,7 @@
 		}
 		return nil, Refused.Wrap(err, "no connection to %s; choose another", address)
 	}
-	mux, err := yamux.Client(conn, Config())
+	mux, err := yamux.Client(conn, config(keepAlive))
 	if err != nil {
 		closeQuietly(conn)
 		return nil, Refused.Wrap(err, "no session with %s; choose another", address)
@@ -185,7 +192,7 @@
 	select {
 	case <-session.Done():
 	case <-p.closing:
-	case <-time.After(keepAlive):
+	case <-time.After(retireAfter):
 	}
 	closeQuietly(session.mux)
 }
@@ -225,10 +232,10 @@
 	return nil
 }
 
-// Config returns the settings of a yamux session, on both sides alike.
-func Config() *yamux.Config {
+// config returns the settings of a yamux session that pings at the interval.
+func config(ping time.Duration) *yamux.Config {
 	config := yamux.DefaultConfig()
-	config.KeepAliveInterval = keepAlive
+	config.KeepAliveInterval = ping
 	config.MaxStreamWindowSize = streamWindow
 	config.LogOutput = io.Discard
 	return config
--- a/internal/fleet/link/server.go
+++ b/internal/fleet/link/server.go
@@ -54,7 +54,7 @@
 }
 
 func (s *Server) startSession(conn net.Conn) {
-	mux, err := yamux.Server(conn, Config())
+	mux, err := yamux.Server(conn, config(reapAfter))
 	if err != nil {
 		closeQuietly(conn)
 		return
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -36,13 +36,6 @@
 // Addr returns the address to connect to.
 func (r *Relay) Addr() string { return r.listener.Addr().String() }
 
-// SetTarget changes where new connections go.
-func (r *Relay) SetTarget(target string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.target = target
-}
-
 // Silence makes all present connections silent for good; nothing is closed.
 func (r *Relay) Silence() int {
 	r.mu.Lock()
@@ -79,10 +72,7 @@
 }
 
 func (r *Relay) forward(near net.Conn) {
-	r.mu.Lock()
-	target := r.target
-	r.mu.Unlock()
-	far, err := net.Dial("tcp", target)
+	far, err := net.Dial("tcp", r.target)
 	if err != nil {
 		reset(near)
 		return
--- /dev/null
+++ b/internal/standin/relay/relay_test.go
@@ -0,0 +1,55 @@
+package relay_test
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/persimmonridge/persimmonridge/internal/standin/relay"
+)
+
+// The stand-in must do what it stands for: after Silence an old connection
+// neither answers nor ends, and a new one works.
+func TestOldConnectionsFallSilentNewOnesWork(t *testing.T) {
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() {
+		for {
+			conn, err := target.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(conn, conn) }()
+		}
+	}()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	r := relay.New(listener, target.Addr().String())
+	echo := func(conn net.Conn, within time.Duration) error {
+		if _, err := conn.Write([]byte("x")); err != nil {
+			return err
+		}
+		if err := conn.SetReadDeadline(time.Now().Add(within)); err != nil {
+			return err
+		}
+		_, err := io.ReadFull(conn, make([]byte, 1))
+		return err
+	}
+	old, err := net.Dial("tcp", r.Addr())
+	require.NoError(t, err)
+	require.NoError(t, echo(old, time.Minute))
+	require.Equal(t, 1, r.Silence())
+	var timeout net.Error
+	require.ErrorAs(t, echo(old, 100*time.Millisecond), &timeout)
+	require.True(t, timeout.Timeout())
+	fresh, err := net.Dial("tcp", r.Addr())
+	require.NoError(t, err)
+	require.NoError(t, echo(fresh, time.Minute))
+	require.NoError(t, old.Close())
+	require.NoError(t, fresh.Close())
+	require.NoError(t, r.Close())
+	require.NoError(t, target.Close())
+}
--- a/internal/trial/capacity/parts.go
+++ b/internal/trial/capacity/parts.go
@@ -198,55 +198,74 @@
 }
 
 // linkCost measures what idle links cost an agent: memory at both ends
-// together, and bytes a second over a minute.
+// together, and bytes a second, of all sizes at once.
 func linkCost(idle time.Duration) (memory, traffic Slope, err error) {
 	var held, sent []Point
+	var linked []*links
 	for _, count := range []int{10, 40, 160} {
-		kb, bps, err := idleLinks(count, idle)
+		before := heap()
+		l, err := newLinks(count)
 		if err != nil {
 			return Slope{}, Slope{}, err
 		}
-		held = append(held, Point{float64(count), kb})
-		sent = append(sent, Point{float64(count), bps})
+		defer l.close()
+		time.Sleep(time.Second)
+		held = append(held, Point{float64(count), (heap() - before) / kilobyte})
+		linked = append(linked, l)
+	}
+	for _, l := range linked {
+		l.started = l.dialer.bytes.Load()
+	}
+	time.Sleep(idle)
+	for _, l := range linked {
+		bytes := float64(l.dialer.bytes.Load() - l.started)
+		sent = append(sent, Point{float64(len(l.pools)), bytes / idle.Seconds()})
 	}
 	return Fit("a link, both ends together, with its control stream", "links", "KB", held),
 		Fit("an idle link, payload in both directions", "links", "bytes a second", sent), nil
 }
 
-func idleLinks(count int, idle time.Duration) (kb, bps float64, err error) {
+// links is one agent with so many entries linked to it.
+type links struct {
+	agent   *agent.Agent
+	dialer  *counter
+	pools   []*link.Pool
+	started int64
+}
+
+func newLinks(count int) (*links, error) {
 	s, err := settings.ParseAgent([]byte(`{"node":"a","failure-domain":"d","peer-address":"127.0.0.1:0","upstream":"u","service":"tutor","version":"v","upstream-url":"http://127.0.0.1:9","plain":true}`))
 	if err != nil {
-		return 0, 0, err
+		return nil, err
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return 0, 0, err
+		return nil, err
 	}
-	a := agent.New(s, listener, 1, quiet, time.Now)
-	defer func() { _ = a.Close() }()
-	before := heap()
-	dialer := &counter{}
-	var pools []*link.Pool
+	l := &links{agent: agent.New(s, listener, 1, quiet, time.Now), dialer: &counter{}}
 	for range count {
-		pool := link.NewPool(dialer, func(_ string, s *link.Session) {
-			if stream, err := s.Open(); err == nil {
-				_ = stream.Send(time.Now().Add(time.Second), &wire.Envelope{Body: &wire.Envelope_Hello{Hello: &wire.Hello{}}})
-			}
-		})
-		if _, err := pool.Session(context.Background(), a.Addr()); err != nil {
-			return 0, 0, err
+		pool := link.NewPool(l.dialer, sayHello)
+		l.pools = append(l.pools, pool)
+		if _, err := pool.Session(context.Background(), l.agent.Addr()); err != nil {
+			l.close()
+			return nil, err
 		}
-		pools = append(pools, pool)
 	}
-	time.Sleep(time.Second)
-	kb = (heap() - before) / kilobyte
-	started := dialer.bytes.Load()
-	time.Sleep(idle)
-	bps = float64(dialer.bytes.Load()-started) / idle.Seconds()
-	for _, pool := range pools {
+	return l, nil
+}
+
+// sayHello opens the control stream as an entry does.
+func sayHello(_ string, s *link.Session) {
+	if stream, err := s.Open(); err == nil {
+		_ = stream.Send(time.Now().Add(time.Second), &wire.Envelope{Body: &wire.Envelope_Hello{Hello: &wire.Hello{}}})
+	}
+}
+
+func (l *links) close() {
+	for _, pool := range l.pools {
 		_ = pool.Close()
 	}
-	return kb, bps, nil
+	_ = l.agent.Close()
 }
 
 // changeCost measures a configuration change: bytes and calls on the store for
--- a/internal/trial/fleet/fleet.go
+++ b/internal/trial/fleet/fleet.go
@@ -26,7 +26,6 @@
 	"github.com/persimmonridge/persimmonridge/internal/standin/engine"
 	"github.com/persimmonridge/persimmonridge/internal/standin/kv"
 	"github.com/persimmonridge/persimmonridge/internal/standin/platform"
-	"github.com/persimmonridge/persimmonridge/internal/standin/relay"
 	"github.com/persimmonridge/persimmonridge/internal/standin/service"
 )
 
@@ -52,8 +51,6 @@
 	// Engines are the model upstreams, Bookings the plain ones.
 	Engines  []EngineShape
 	Bookings []BookingShape
-	// Relays puts a relay before each agent.
-	Relays bool
 	// Partitions is the number of claim partitions.
 	Partitions int
 	Seed       uint64
@@ -116,7 +113,6 @@
 	vm       vmlist.VM
 	settings settings.Agent
 	agent    *agent.Agent
-	relay    *relay.Relay
 	engine   *engine.Engine
 	service  *service.Service
 }
@@ -235,16 +231,7 @@
 	if err := f.startAgent(p, "127.0.0.1:0"); err != nil {
 		return err
 	}
-	address := p.agent.Addr()
-	if f.shape.Relays {
-		listener, err := f.listen()
-		if err != nil {
-			return err
-		}
-		p.relay = relay.New(listener, address)
-		address = p.relay.Addr()
-	}
-	p.vm = vmlist.NewAgent(vm.Upstream(), vm.Service(), vm.Version(), address, vm.FailureDomain(), vm.Weight())
+	p.vm = vmlist.NewAgent(vm.Upstream(), vm.Service(), vm.Version(), p.agent.Addr(), vm.FailureDomain(), vm.Weight())
 	f.mu.Lock()
 	f.places[vm.Upstream()] = p
 	f.mu.Unlock()
@@ -370,9 +357,6 @@
 	return f.places[name].agent
 }
 
-// Relay returns the relay before an upstream's agent.
-func (f *Fleet) Relay(name string) *relay.Relay { return f.place(name).relay }
-
 func (f *Fleet) place(name string) *place {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -476,9 +460,6 @@
 
 func (f *Fleet) closePlace(p *place) {
 	_ = p.agent.Close()
-	if p.relay != nil {
-		_ = p.relay.Close()
-	}
 	if p.engine != nil {
 		_ = p.engine.Close()
 	}
