--- a/internal/role/entry/claims.go
+++ b/internal/role/entry/claims.go
@@ -99,10 +99,23 @@
 		e.logger.Warn("claims not taken over", "partition", partition, "error", err.Error())
 		return
 	}
+	if !c.keep(partition, p) {
+		_ = p.Close()
+		return
+	}
+	c.announce(ctx, partition, ownerJSON{Node: e.settings.Node(), Address: e.peers.Addr()})
+}
+
+// keep holds an opened partition unless this process began to stop meanwhile:
+// its caller's request may outlive the stop, and nobody would close it.
+func (c *claims) keep(partition int, p *claim.Partition) bool {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leaving {
+		return false
+	}
 	c.owned[partition] = p
-	c.mu.Unlock()
-	c.announce(ctx, partition, ownerJSON{Node: e.settings.Node(), Address: e.peers.Addr()})
+	return true
 }
 
 // announce writes the owner's key; if that fails, askers find out later.
@@ -229,6 +242,7 @@
 
 func (c *claims) close() {
 	c.mu.Lock()
+	c.leaving = true
 	owned := c.owned
 	c.owned = make(map[int]*claim.Partition)
 	c.mu.Unlock()
