The duty's holder sets the pace of evidence

Cause: docs/CAPACITY.md: 67 upstreams telling 20 routes each once a second are 80 KB/s for the holder. Change: the holder asks for evidence at a pace that keeps all of it under 1.5 KB/s, at least once a minute; agents tell it alone, at that pace. Conclusion: brakes are immediate; the duty may be slower in large fleets.

--- a/internal/fleet/control/control.go
+++ b/internal/fleet/control/control.go
@@ -92,27 +92,29 @@
 	ctx, cancel := context.WithCancel(ctx)
 	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
 	var writing sync.WaitGroup
-	wanted := &atomic.Bool{}
+	pace := &atomic.Int64{}
 	writing.Go(func() {
 		defer cancel()
-		p.tell(ctx, stream, wanted)
+		p.tell(ctx, stream, pace)
 	})
-	p.listen(stream, learn, wanted)
+	p.listen(stream, learn, pace)
 	cancel()
 	writing.Wait()
 	stop()
 	_ = stream.Close()
 }
 
-func (p *Peer) tell(ctx context.Context, stream *link.Stream, wanted *atomic.Bool) {
+func (p *Peer) tell(ctx context.Context, stream *link.Stream, pace *atomic.Int64) {
+	var told time.Time
 	for {
 		changed, logChanged := p.changed.Wait(), p.log.Changed()
-		var evidence <-chan struct{}
-		if wanted.Load() {
-			evidence = p.evidence.Wait()
-		}
+		evidence := p.evidence.Wait()
 		now := p.now()
-		if err := stream.Send(now.Add(sendTimeout), notice(p.notice(now, wanted.Load()))); err != nil {
+		wanted := pace.Load() > 0
+		if wanted {
+			told = now
+		}
+		if err := stream.Send(now.Add(sendTimeout), notice(p.notice(now, wanted))); err != nil {
 			return
 		}
 		select {
@@ -120,14 +122,40 @@
 			return
 		case <-time.After(noticeGap):
 		}
+		p.await(ctx, changed, logChanged, func() (<-chan struct{}, time.Duration) {
+			every := time.Duration(pace.Load())
+			if every == 0 {
+				return nil, 0
+			}
+			return evidence, told.Add(every).Sub(p.now())
+		})
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// await waits until something is to be told: a change at once, evidence where
+// it is wanted and not before its pace allows.
+func (p *Peer) await(ctx context.Context, changed, logChanged <-chan struct{}, wanted func() (<-chan struct{}, time.Duration)) {
+	evidence, left := wanted()
+	if left > 0 {
 		select {
 		case <-ctx.Done():
 			return
 		case <-changed:
+			return
 		case <-logChanged:
-		case <-evidence:
+			return
+		case <-time.After(left):
 		}
 	}
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-logChanged:
+	case <-evidence:
+	}
 }
 
 func (p *Peer) notice(now time.Time, evidence bool) *wire.Notice {
@@ -141,7 +169,7 @@
 	return n
 }
 
-func (p *Peer) listen(stream *link.Stream, learn func(time.Time, *wire.Notice), wanted *atomic.Bool) {
+func (p *Peer) listen(stream *link.Stream, learn func(time.Time, *wire.Notice), pace *atomic.Int64) {
 	for {
 		envelope, err := stream.Receive(p.now().Add(idleLimit))
 		if err != nil {
@@ -151,9 +179,11 @@
 		switch body := envelope.GetBody().(type) {
 		case *wire.Envelope_Notice:
 			p.take(now, body.Notice)
-			if wanted.Swap(body.Notice.GetWantsEvidence()) != body.Notice.GetWantsEvidence() {
+			every := time.Duration(body.Notice.GetEvidenceEveryMs()) * time.Millisecond
+			if first := every > 0 && pace.Swap(int64(every)) == 0; first {
 				p.changed.Raise()
 			}
+			pace.Store(int64(every))
 			if learn != nil {
 				learn(now, body.Notice)
 			}
--- a/internal/role/entry/moves.go
+++ b/internal/role/entry/moves.go
@@ -24,6 +24,14 @@
 	dutyKey = "persimmonridge/duty/moves"
 	// stepEvery is how often the duty's holder looks at each move.
 	stepEvery = time.Second
+	// evidenceBytes is about a route's evidence in a notice, and evidenceBudget
+	// the bytes a second that the duty's holder may hear of it.
+	evidenceBytes  = 60
+	evidenceBudget = 1500
+	// paceLeast and paceMost bound how often agents tell. The duty sees a fault
+	// later in a large fleet; brakes do not wait for it.
+	paceLeast = time.Second
+	paceMost  = time.Minute
 )
 
 // moves is this entry's part in version moves: which version a request may go
@@ -187,6 +195,20 @@
 	m.reports[u.Name()] = r
 }
 
+// pace is how often an agent shall tell its evidence, so that all of them
+// together stay within the holder's budget of bytes.
+func (m *moves) pace() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	bytes := 0
+	for _, r := range m.reports {
+		for _, version := range r.board.Versions() {
+			bytes += evidenceBytes * len(r.board.Routes(version))
+		}
+	}
+	return min(max(time.Duration(bytes)*time.Second/evidenceBudget, paceLeast), paceMost)
+}
+
 // run holds the duty when it can, and steps the moves while it does.
 func (m *moves) run(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/role/entry/peers.go
+++ b/internal/role/entry/peers.go
@@ -62,7 +62,9 @@
 
 // describe says whether this entry steps the moves and wants their evidence.
 func (e *Entry) describe(now time.Time, n *wire.Notice, _ bool) {
-	n.WantsEvidence = e.holder.Held(now, dutyKey)
+	if e.holder.Held(now, dutyKey) {
+		n.EvidenceEveryMs = uint32(e.moves.pace().Milliseconds())
+	}
 }
 
 // sessionOpened starts the control conversation of a new session.
