--- a/internal/config/inventory/inventory.go
+++ b/internal/config/inventory/inventory.go
@@ -39,10 +39,9 @@
 }
 
 type serviceDocument struct {
-	Kind          Kind                       `json:"kind"`
-	ChecksFencing bool                       `json:"checks-fencing"`
-	Versions      map[string]json.RawMessage `json:"versions"`
-	Actions       map[string]actionDocument  `json:"actions"`
+	Kind     Kind                       `json:"kind"`
+	Versions map[string]json.RawMessage `json:"versions"`
+	Actions  map[string]actionDocument  `json:"actions"`
 }
 
 type actionDocument struct {
@@ -141,12 +140,6 @@
 // FailureDomains returns all failure domains in order of name.
 func (i Inventory) FailureDomains() []string { return sortedKeys(i.doc.FailureDomains) }
 
-// HasFailureDomain tells whether the domain is declared.
-func (i Inventory) HasFailureDomain(name string) bool {
-	_, ok := i.doc.FailureDomains[name]
-	return ok
-}
-
 // Workspaces returns all workspaces in order of name.
 func (i Inventory) Workspaces() []string { return sortedKeys(i.doc.Workspaces) }
 
@@ -168,10 +161,6 @@
 // Kind returns how its upstreams are spoken to.
 func (s Service) Kind() Kind { return s.doc.Kind }
 
-// ChecksFencing tells whether its engines refuse orders with an old fencing
-// number, as the operators say.
-func (s Service) ChecksFencing() bool { return s.doc.ChecksFencing }
-
 // HasVersion tells whether the version is declared.
 func (s Service) HasVersion(version string) bool {
 	_, ok := s.doc.Versions[version]
--- a/internal/dispatch/budget/budget.go
+++ b/internal/dispatch/budget/budget.go
@@ -44,14 +44,6 @@
 	b.tokens = min(b.capacity, b.tokens+tokens)
 }
 
-// Tokens returns what is left at now.
-func (b *Bucket) Tokens(now time.Time) float64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.refill(now)
-	return b.tokens
-}
-
 func (b *Bucket) refill(now time.Time) {
 	if b.last.IsZero() {
 		b.last = now
--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -225,11 +225,6 @@
 	return c.put(ctx, Watches, "/v1/kv/"+key, url.Values{"acquire": {session}}, value)
 }
 
-// Release gives the key up.
-func (c *Client) Release(ctx context.Context, key, session string, value []byte) (bool, error) {
-	return c.put(ctx, Watches, "/v1/kv/"+key, url.Values{"release": {session}}, value)
-}
-
 type sessionRequest struct {
 	Name      string `json:"Name"`
 	TTL       string `json:"TTL"`
--- a/internal/role/agent/execute.go
+++ b/internal/role/agent/execute.go
@@ -69,10 +69,14 @@
 
 // observe feeds forecast and evidence; the caller holds the lock.
 func (a *Agent) observe(now time.Time, r *run, result engine.Result, outcome wire.End_Outcome) {
-	if outcome == wire.End_OUTCOME_CANCELED || outcome == wire.End_OUTCOME_PREEMPTED || r.notRun != wire.Decline_REASON_UNSPECIFIED {
+	serverError := result.Status() >= http.StatusInternalServerError
+	// An entry that goes elsewhere after a server error cancels the rest of the
+	// run; the version failed all the same.
+	canceled := outcome == wire.End_OUTCOME_CANCELED && !serverError
+	if canceled || outcome == wire.End_OUTCOME_PREEMPTED || r.notRun != wire.Decline_REASON_UNSPECIFIED {
 		return
 	}
-	failed := outcome != wire.End_OUTCOME_ANSWERED || result.Status() >= http.StatusInternalServerError
+	failed := outcome != wire.End_OUTCOME_ANSWERED || serverError
 	if !failed {
 		a.forecast.Observe(now, a.route(r), result.Tokens())
 		if r.ticket.IsSuspect() {
--- a/internal/version/move/move.go
+++ b/internal/version/move/move.go
@@ -36,9 +36,6 @@
 	missed     = 0.01
 )
 
-// Stages returns the number of stages.
-func Stages() int { return len(stages) }
-
 // Test returns the test that a step uses.
 func Test() evidence.Test { return evidence.NewTest(falseAlarm, missed) }
 
