--- /dev/null
+++ b/internal/fleet/control/control_test.go
@@ -0,0 +1,177 @@
+package control_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/persimmonridge/persimmonridge/examples"
+	"github.com/persimmonridge/persimmonridge/internal/config/changelog"
+	"github.com/persimmonridge/persimmonridge/internal/fleet/control"
+	"github.com/persimmonridge/persimmonridge/internal/fleet/link"
+	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
+	"github.com/persimmonridge/persimmonridge/internal/platform/store"
+	"github.com/persimmonridge/persimmonridge/internal/proof/bubble"
+	"github.com/persimmonridge/persimmonridge/internal/proof/invariant"
+	"github.com/persimmonridge/persimmonridge/internal/standin/network"
+	"github.com/persimmonridge/persimmonridge/internal/standin/platform"
+	"github.com/persimmonridge/persimmonridge/internal/upstream/suspect"
+)
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+// node is one side of a conversation.
+type node struct {
+	log      *changelog.Log
+	suspects *suspect.Register
+	changed  *control.Signal
+	evidence *control.Signal
+	peer     *control.Peer
+	// told counts the routes of evidence that the node was told.
+	told atomic.Int64
+}
+
+func newNode(options ...control.Option) *node {
+	n := &node{log: changelog.New(invariant.New(quiet)), suspects: suspect.New(), changed: control.NewSignal(), evidence: control.NewSignal()}
+	n.peer = control.NewPeer(n.log, n.suspects, n.changed, time.Now, append(options, control.Evidence(n.evidence))...)
+	return n
+}
+
+// converse links two nodes; the dialing one knows the other by its address.
+func converse(t *testing.T, dialing, accepting *node) (address string) {
+	net := network.New()
+	listener, err := net.Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	server := link.Serve(listener, func(ctx context.Context, s *link.Stream) { accepting.peer.Run(ctx, "", s, nil) })
+	pool := link.NewPool(net, nil)
+	stream, err := pool.Open(context.Background(), server.Addr())
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		dialing.peer.Run(ctx, server.Addr(), stream, func(_ time.Time, n *wire.Notice) { dialing.told.Add(int64(len(n.GetEvidence()))) })
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		require.NoError(t, pool.Close())
+		require.NoError(t, server.Close())
+	})
+	return server.Addr()
+}
+
+// records makes accepted changes.
+func records(t *testing.T, count int) []changelog.Record {
+	net := network.New()
+	p, err := platform.New(net, 1)
+	require.NoError(t, err)
+	client := store.New([]string{p.StoreURL()}, time.Now, net, store.ForOperator())
+	t.Cleanup(func() {
+		_ = client.Close()
+		_ = p.Close()
+	})
+	s := changelog.NewSubmitter(client)
+	first, err := json.Marshal(map[string]json.RawMessage{"inventory": examples.CairoInventory, "rules": examples.CairoRules})
+	require.NoError(t, err)
+	patch := first
+	var out []changelog.Record
+	for i := range count {
+		record, err := s.Submit(context.Background(), time.Now(), changelog.NewChange(uint64(i), "operator", "change", patch))
+		require.NoError(t, err)
+		out = append(out, record)
+		patch = []byte(fmt.Sprintf(`{"inventory":{"workspaces":{"w-%d":{}}}}`, i))
+	}
+	return out
+}
+
+// A rule was in force at the entries and not beside the upstreams.
+// The entry takes three changes from the store, two of them within a moment;
+// the idle agent must have the last within 8 s, over the link alone.
+func TestChangesReachAnIdleAgent(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		changes := records(t, 3)
+		entry, agent := newNode(), newNode()
+		converse(t, entry, agent)
+		bubble.Pass(2 * time.Second)
+		for _, record := range changes {
+			require.NoError(t, entry.log.Apply(nil, []changelog.Record{record}))
+			bubble.Pass(100 * time.Millisecond)
+		}
+		bubble.Pass(7 * time.Second)
+		require.Equal(t, uint64(3), agent.log.Revision())
+	})
+}
+
+// An entry started while the store was down and had no configuration.
+// The agent holds it; the first notice says so and the entry asks.
+func TestEntryTakesConfigurationFromAnAgent(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		entry, agent := newNode(), newNode()
+		require.NoError(t, agent.log.Apply(nil, records(t, 2)))
+		converse(t, entry, agent)
+		bubble.Pass(2 * time.Second)
+		require.Equal(t, uint64(2), entry.log.Revision())
+	})
+}
+
+// What was sent was lost on the way, and nobody noticed.
+// A later load report of the agent names its old revision, and it is sent again.
+func TestLoadReportThatIsBehindIsAnswered(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		changes := records(t, 2)
+		entry, agent := newNode(), newNode()
+		address := converse(t, entry, agent)
+		require.NoError(t, entry.log.Apply(nil, changes))
+		entry.peer.Heard(address, 0)
+		bubble.Pass(2 * time.Second)
+		require.Equal(t, uint64(2), agent.log.Revision())
+	})
+}
+
+// Evidence is told only where it is wanted, and at the pace asked for.
+func TestEvidenceIsToldAtItsPace(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		var wanted atomic.Uint32
+		entry := newNode(control.Describe(func(_ time.Time, n *wire.Notice, _ bool) { n.EvidenceEveryMs = wanted.Load() }))
+		agent := newNode(control.Describe(func(_ time.Time, n *wire.Notice, evidence bool) {
+			if evidence {
+				n.Evidence = []*wire.RouteEvidence{{Route: "w/a"}}
+			}
+		}))
+		converse(t, entry, agent)
+		count := func() int64 {
+			entry.told.Store(0)
+			for range 100 {
+				agent.evidence.Raise()
+				bubble.Pass(100 * time.Millisecond)
+			}
+			return entry.told.Load()
+		}
+		require.Zero(t, count())
+		wanted.Store(2000)
+		entry.changed.Raise()
+		bubble.Pass(time.Second)
+		require.InDelta(t, 5, count(), 1, "ten seconds, once in two")
+	})
+}
+
+// A crash seen at one node must be known at the other at once.
+func TestCrashesAreTold(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		entry, agent := newNode(), newNode()
+		converse(t, entry, agent)
+		bubble.Pass(time.Second)
+		agent.suspects.Learn(time.Now(), suspect.NewCrash(1, time.Now(), []uint64{7}))
+		agent.changed.Raise()
+		bubble.Pass(100 * time.Millisecond)
+		require.Equal(t, suspect.Suspected, entry.suspects.Standing(time.Now(), 7))
+	})
+}
--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -195,6 +195,7 @@
 		TokenGapUs:  uint32(a.limit.TokenGap().Microseconds()),
 		Version:     a.settings.Version(),
 		Prefixes:    a.cached.Told(),
+		Revision:    a.log.Revision(),
 	}
 	tiers := a.tiers()
 	for tier := range tiers {
--- a/internal/role/agent/serve.go
+++ b/internal/role/agent/serve.go
@@ -33,7 +33,7 @@
 	}
 	switch body := envelope.GetBody().(type) {
 	case *wire.Envelope_Hello:
-		a.peer.Run(ctx, stream, nil)
+		a.peer.Run(ctx, "", stream, nil)
 	case *wire.Envelope_Offer:
 		a.serveRun(ctx, stream, a.offer(body.Offer), true, 0)
 	case *wire.Envelope_Resume:
--- a/internal/role/entry/attempt.go
+++ b/internal/role/entry/attempt.go
@@ -285,15 +285,24 @@
 		}
 		a.acknowledge()
 	case *wire.Envelope_Decline:
-		a.upstream.Report(now, body.Decline.GetLoad())
+		a.report(now, body.Decline.GetLoad())
 		return a.declined(body.Decline), true, nil
 	case *wire.Envelope_End:
-		a.upstream.Report(now, body.End.GetLoad())
+		a.report(now, body.End.GetLoad())
 		return a.ended(body.End), true, nil
 	}
 	return result{}, false, nil
 }
 
+// report takes a load report that came with an outcome.
+func (a *attempt) report(now time.Time, load *wire.Load) {
+	if load == nil {
+		return
+	}
+	a.upstream.Report(now, load)
+	a.entry.peer.Heard(a.upstream.Address(), load.GetRevision())
+}
+
 func (a *attempt) acknowledge() {
 	if a.out.offset-a.acked < ackEvery {
 		return
--- a/internal/role/entry/peers.go
+++ b/internal/role/entry/peers.go
@@ -79,7 +79,7 @@
 		return
 	}
 	e.wg.Go(func() {
-		e.peer.Run(e.ctx, stream, func(now time.Time, n *wire.Notice) { e.learn(now, address, n) })
+		e.peer.Run(e.ctx, address, stream, func(now time.Time, n *wire.Notice) { e.learn(now, address, n) })
 		e.conversationEnded(address, s)
 	})
 }
@@ -141,7 +141,7 @@
 	}
 	switch body := envelope.GetBody().(type) {
 	case *wire.Envelope_Hello:
-		e.peer.Run(ctx, stream, nil)
+		e.peer.Run(ctx, "", stream, nil)
 	case *wire.Envelope_ClaimAsk:
 		reply := e.claims.serve(ctx, body.ClaimAsk)
 		answer := &wire.Envelope{Body: &wire.Envelope_ClaimReply{ClaimReply: reply}}
--- a/internal/trial/capacity/capacity.go
+++ b/internal/trial/capacity/capacity.go
@@ -99,6 +99,9 @@
 	percent     = 100
 	// offersAnswer is the offers made for one answer in trials below capacity.
 	offersAnswer = 1.2
+	// changeBytes is a change as it is handed on over a link, once to each
+	// agent, by whichever entry hears first that the agent lacks it.
+	changeBytes = 600
 	// waitingShare is the share of requests that wait a second for a slot.
 	waitingShare = 0.3
 	// linksAnEntry is the agents that an entry links to: all, since callers of
@@ -154,7 +157,7 @@
 	perEntry := d.Requests / d.Nodes
 	reports := perEntry * offersAnswer * loadBytes()
 	beats := perEntry * waitingShare * 2 * heartbeatBytes()
-	changes := d.Changes / secondsADay * m.Change.Per
+	changes := d.Changes / secondsADay * (m.Change.Per + changeBytes*d.Workers/d.Nodes)
 	list := 2 * d.Replaced / secondsADay * (d.Nodes + d.Workers) * 170
 	polls := 300.0 / 2.5
 	return reports + beats + changes + list + polls + m.Idle.Per*agentsAnEntry
@@ -165,7 +168,7 @@
 	perAgent := d.Requests / d.Workers
 	reports := perAgent * offersAnswer * loadBytes()
 	beats := perAgent * waitingShare * 2 * heartbeatBytes()
-	changes := d.Changes / secondsADay * 600
+	changes := d.Changes / secondsADay * changeBytes
 	return reports + beats + changes + m.Idle.Per*d.Nodes
 }
 
