--- a/schema/schema.go
+++ b/schema/schema.go
@@ -12,6 +12,7 @@
 	"sync"
 
 	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
 	"golang.org/x/text/language"
 	"golang.org/x/text/message"
 )
@@ -62,14 +63,14 @@
 )
 
 // Check returns every structural fault of document, in order of path.
-func Check(kind Kind, document []byte) []Finding {
+func Check(of Kind, document []byte) []Finding {
 	value, err := jsonschema.UnmarshalJSON(bytes.NewReader(document))
 	if err != nil {
 		return []Finding{NewFinding("/", "not JSON: "+err.Error(), "correct the syntax at the offset named")}
 	}
-	checker, err := compile(kind)
+	checker, err := compile(of)
 	if err != nil {
-		return []Finding{NewFinding("/", "schema "+string(kind)+" does not compile: "+err.Error(), "report this as a fault of persimmonridge")}
+		return []Finding{NewFinding("/", "schema "+string(of)+" does not compile: "+err.Error(), "report this as a fault of persimmonridge")}
 	}
 	err = checker.Validate(value)
 	if err == nil {
@@ -77,18 +78,18 @@
 	}
 	var failure *jsonschema.ValidationError
 	if !errors.As(err, &failure) {
-		return []Finding{NewFinding("/", err.Error(), "see schema/"+string(kind)+".schema.json")}
+		return []Finding{NewFinding("/", err.Error(), "see schema/"+string(of)+".schema.json")}
 	}
-	return flatten(kind, failure)
+	return flatten(of, failure)
 }
 
-func compile(kind Kind) (*jsonschema.Schema, error) {
+func compile(of Kind) (*jsonschema.Schema, error) {
 	compileMu.Lock()
 	defer compileMu.Unlock()
-	if found, ok := compiled[kind]; ok {
+	if found, ok := compiled[of]; ok {
 		return found, nil
 	}
-	name := string(kind) + ".schema.json"
+	name := string(of) + ".schema.json"
 	raw, err := files.ReadFile(name)
 	if err != nil {
 		return nil, err
@@ -106,27 +107,34 @@
 	if err != nil {
 		return nil, err
 	}
-	compiled[kind] = checker
+	compiled[of] = checker
 	return checker, nil
 }
 
 // flatten turns the tree of a validation error into its leaves.
-func flatten(kind Kind, failure *jsonschema.ValidationError) []Finding {
+func flatten(of Kind, failure *jsonschema.ValidationError) []Finding {
 	printer := message.NewPrinter(language.English)
-	remedy := "see schema/" + string(kind) + ".schema.json"
+	remedy := "see schema/" + string(of) + ".schema.json"
 	var findings []Finding
-	var walk func(*jsonschema.ValidationError)
-	walk = func(node *jsonschema.ValidationError) {
+	var walk func(node *jsonschema.ValidationError, at string)
+	walk = func(node *jsonschema.ValidationError, at string) {
+		path := "/" + strings.Join(node.InstanceLocation, "/")
+		if at != "" {
+			path = at
+		}
+		// What is wrong with a name is told without a place of its own.
+		if name, ok := node.ErrorKind.(*kind.PropertyNames); ok {
+			at = strings.TrimSuffix(path, "/") + "/" + name.Property
+		}
 		for _, cause := range node.Causes {
-			walk(cause)
+			walk(cause, at)
 		}
 		if len(node.Causes) > 0 {
 			return
 		}
-		path := "/" + strings.Join(node.InstanceLocation, "/")
 		findings = append(findings, NewFinding(path, node.ErrorKind.LocalizedString(printer), remedy))
 	}
-	walk(failure)
+	walk(failure, "")
 	sort.SliceStable(findings, func(i, j int) bool { return findings[i].path < findings[j].path })
 	return findings
 }
