VMs that vanish: a first word to every offer, and no second request into silence

Cause: a VM that loses its power swallows every request sent to it until its silence is found, 1.75 s later, for each of them anew. Ruled out: taking silence for proof of not having run.

--- a/internal/role/agent/serve.go
+++ b/internal/role/agent/serve.go
@@ -259,6 +259,11 @@
 // awaitDecision sends heartbeats until the run starts. It sends the decline
 // itself and tells whether the run started.
 func (a *Agent) awaitDecision(ctx context.Context, stream *link.Stream, r *run) bool {
+	// A first word at once lets the entry tell a link that swallows its offers
+	// from a request that takes its time.
+	if err := a.send(stream, heartbeatEnvelope(false)); err != nil {
+		return false
+	}
 	ticker := time.NewTicker(heartbeatEvery)
 	defer ticker.Stop()
 	for {
--- a/internal/role/entry/attempt.go
+++ b/internal/role/entry/attempt.go
@@ -27,6 +27,9 @@
 	// silentAfter is how long a request's stream may be without a message
 	// before its link is taken to be dead: three heartbeats and a half.
 	silentAfter = 1750 * time.Millisecond
+	// firstWordAfter is how long the agent may take to say that it has the
+	// offer, which it does at once.
+	firstWordAfter = 500 * time.Millisecond
 	// lostAfter is how long an agent may stay out of reach, over new links
 	// too, before its request is given up as lost.
 	lostAfter = 6 * time.Second
@@ -163,6 +166,9 @@
 		if over {
 			return r
 		}
+		// Until the agent speaks again no other request is sent there: a VM that
+		// vanished would swallow each of them as it swallowed this one.
+		a.upstream.Failed(a.entry.now())
 		a.entry.pool.Replace(a.upstream.Address(), a.current.Load().Session())
 		a.closeStream()
 		connected = false
@@ -207,9 +213,9 @@
 		if ctx.Err() != nil {
 			return result{ending: callerGone}, false
 		}
+		a.upstream.Failed(e.now())
 		sleep(ctx, resumePause)
 	}
-	a.upstream.Failed(e.now())
 	return result{ending: a.lostOrBroken(), detail: "the agent beside the upstream cannot be reached"}, false
 }
 
@@ -231,8 +237,9 @@
 // more use (false).
 func (a *attempt) converse(ctx context.Context) (result, bool) {
 	e := a.entry
+	allowed := firstWordAfter
 	for {
-		envelope, err := a.current.Load().Receive(e.now().Add(silentAfter))
+		envelope, err := a.current.Load().Receive(e.now().Add(allowed))
 		if ctx.Err() != nil && err != nil {
 			return result{ending: callerGone}, true
 		}
@@ -242,6 +249,7 @@
 			}
 			return result{}, false
 		}
+		allowed = silentAfter
 		if a.overdue(e.now()) {
 			a.withdraw(a.q.RepeatSafe())
 			return result{ending: a.lostOrBroken(), detail: "not finished long after its deadline"}, true
--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -9,6 +9,7 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 )
 
 // Network connects listeners and dialers. It is safe for concurrent use.
@@ -17,11 +18,12 @@
 	nextPort  int
 	listeners map[string]*listener
 	conns     map[*conn]bool
+	vanished  map[string]bool
 }
 
 // New returns a network without listeners.
 func New() *Network {
-	return &Network{nextPort: 1000, listeners: make(map[string]*listener), conns: make(map[*conn]bool)}
+	return &Network{nextPort: 1000, listeners: make(map[string]*listener), conns: make(map[*conn]bool), vanished: make(map[string]bool)}
 }
 
 // address implements net.Addr.
@@ -50,8 +52,34 @@
 	return l, nil
 }
 
+// dialTimeout is how long a connection to an address that vanished is tried.
+const dialTimeout = time.Second
+
+// Vanish takes an address away without a word, as a VM that loses its power
+// does: present connections fall silent, and new ones are tried in vain.
+func (n *Network) Vanish(to string) {
+	n.Silence(to)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.vanished[to] = true
+}
+
 // DialContext connects to a listener or is refused at once.
-func (n *Network) DialContext(_ context.Context, _, to string) (net.Conn, error) {
+func (n *Network) DialContext(ctx context.Context, _, to string) (net.Conn, error) {
+	n.mu.Lock()
+	gone := n.vanished[to]
+	n.mu.Unlock()
+	if !gone {
+		return n.connect(to)
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(dialTimeout):
+	}
+	return nil, &net.OpError{Op: "dial", Net: "tcp", Addr: address(to), Err: syscall.ETIMEDOUT}
+}
+
+func (n *Network) connect(to string) (net.Conn, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	l := n.listeners[to]
--- a/internal/trial/chaos/chaos.go
+++ b/internal/trial/chaos/chaos.go
@@ -18,6 +18,9 @@
 	randomBookings = 3
 	randomEntries  = 3
 	randomRate     = 25
+	// losable is the one VM that may vanish for good; the others can carry the
+	// load of the quiet tail.
+	losable = "tutor-04"
 	// quietTail is the time without new failures at the end, in which the site
 	// must come back to serving everything.
 	quietTail = 20 * time.Second
@@ -54,7 +57,7 @@
 	booking := fmt.Sprintf("booking-%02d", random.IntN(randomBookings))
 	either := []string{tutor, booking}[random.IntN(2)]
 	number := random.IntN(randomEntries)
-	switch random.IntN(12) {
+	switch random.IntN(13) {
 	case 0, 1:
 		return []scenario.Event{{At: at, Do: scenario.KillAgent, Target: either}}
 	case 2:
@@ -73,6 +76,8 @@
 		faults := []kv.Faults{{Outage: true}, {SlowMS: 100 + random.IntN(900)}, {LoseAnswers: 0.5}}[random.IntN(3)]
 		end := at + scenario.Duration(rand64(random, 15*time.Second))
 		return []scenario.Event{{At: at, Do: scenario.StoreFaults, Store: faults}, {At: end, Do: scenario.StoreFaults}}
+	case 11:
+		return []scenario.Event{{At: at, Do: scenario.LoseVM, Target: losable}}
 	case 10:
 		return []scenario.Event{{At: at, Do: scenario.SendCrasher, Entry: number, Times: 1 + random.IntN(4)}}
 	}
--- a/internal/trial/scenario/run.go
+++ b/internal/trial/scenario/run.go
@@ -37,6 +37,7 @@
 type Network interface {
 	fleet.Network
 	Silence(to string) int
+	Vanish(to string)
 }
 
 // Result is what a scenario left behind.
@@ -162,6 +163,8 @@
 		p.network.Silence(p.site.Agent(event.Target).Addr())
 	case SilencePeers:
 		p.withEntry(event.Entry, func(e *entry.Entry) { p.network.Silence(e.PeerAddr()) })
+	case LoseVM:
+		p.network.Vanish(p.site.Agent(event.Target).Addr())
 	case CrashEngine:
 		p.site.Engine(event.Target).Die()
 	case EngineFaults:
--- a/internal/trial/scenario/script.go
+++ b/internal/trial/scenario/script.go
@@ -31,6 +31,7 @@
 	AddEntry     Action = "add-entry"
 	Silence      Action = "silence"
 	SilencePeers Action = "silence-peers"
+	LoseVM       Action = "lose-vm"
 	CrashEngine  Action = "crash-engine"
 	EngineFaults Action = "engine-faults"
 	StoreFaults  Action = "store-faults"
