A replaced session's end is not its agent's

A session that fell silent is closed half a minute after another took its place; its end made the entry forget that the agent had spoken, and on the new session the agent, with nothing to tell, never spoke again. Seen in the log: each refusal came after the one second that is waited for an agent's first word. Change: the end of a session counts only when no other stands in its place. Conclusion: what ends late must say whose end it is.

--- a/internal/fleet/link/pool.go
+++ b/internal/fleet/link/pool.go
@@ -197,6 +197,14 @@
 	closeQuietly(session.mux)
 }
 
+// Holds tells whether there is a live session to the address.
+func (p *Pool) Holds(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	session := p.sessions[address]
+	return session != nil && !session.mux.IsClosed()
+}
+
 // Drop closes the session to an address that left.
 func (p *Pool) Drop(address string) {
 	p.mu.Lock()
--- a/internal/role/entry/peers.go
+++ b/internal/role/entry/peers.go
@@ -88,6 +88,13 @@
 // that takes its place while the platform's list still names it.
 func (e *Entry) conversationEnded(address string, s *link.Session) {
 	e.pool.Replace(address, s.Number())
+	// A session that fell silent is closed long after another took its place.
+	// Its end says nothing of the agent, which speaks on the new one and, with
+	// nothing to tell, would not speak again: forgotten now, it would be taken
+	// to be unreachable for good.
+	if e.pool.Holds(address) {
+		return
+	}
 	for _, u := range e.table.All() {
 		if u.Address() == address {
 			u.Lost()
