Measure the processor time of control

Cause: the capacity page named a budget of 4.3% of a core for control and measured only the choice. Change: slopes of a change of configuration at one node (5 to 930 workspaces) and of a notice over 10 to 160 links; lines for control of entry and agent.

--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -374,6 +374,9 @@
 	}
 }
 
+// Announce tells all linked entries the agent's present state.
+func (a *Agent) Announce() { a.changed.Raise() }
+
 // Drain is a planned stop: no offers are taken, what waits is handed back as
 // not run, and what runs is finished and delivered. It returns when nothing
 // is left or the context ends.
--- a/internal/trial/capacity/capacity.go
+++ b/internal/trial/capacity/capacity.go
@@ -48,6 +48,8 @@
 	Idle    Slope   `json:"link-idle"`
 	Change  Slope   `json:"change-bytes"`
 	Reads   Slope   `json:"change-reads"`
+	Apply   Slope   `json:"change-cpu"`
+	Notice  Slope   `json:"notice-cpu"`
 	Claims  Slope   `json:"claim-writes"`
 	Request Slope   `json:"request-cpu"`
 	Token   Slope   `json:"token-cpu"`
@@ -69,6 +71,13 @@
 		run  func() error
 	}{
 		{"configuration changes", func() error { m.Change, m.Reads, err = changeCost(); return err }},
+		{"changes and notices", func() error {
+			if m.Apply, err = applyTime(); err != nil {
+				return err
+			}
+			m.Notice, err = noticeTime()
+			return err
+		}},
 		{"claims", func() error { m.Claims, err = claimWrites(4); return err }},
 		{"requests", func() error { m.Request, err = requestCost(); return err }},
 		{"tokens", func() error { m.Token, err = tokenCost(); return err }},
@@ -118,7 +127,8 @@
 	lines := []Line{
 		budget("entry", "control bytes a second", control/kilobyte, d.KBps, "KB/s", "links open on first use; load rides on answers; long-polls; conditional list (fleet/link, fleet/control, platform/vmlist)"),
 		budget("entry", "memory", m.Process+(m.Table.At(d.Workers)+m.Link.Per/2*agentsAnEntry+m.Lengths.At(d.Workspaces*d.ActionsPerWorkspace))/kilobyte, d.Megabytes, "MB", "bounded tables and histograms (fleet/member, dispatch/forecast)"),
-		budget("entry", "processor for choosing", perEntry*offersAnswer*m.Choose.At(d.Workers)/1e6*percent, d.CoreShare, "% of a core", "rendezvous hashing without logarithms (dispatch/candidate)"),
+		budget("entry", "processor for control", m.entryCPU(d), d.CoreShare, "% of a core", "rendezvous hashing, reports that ride on answers, one check of the document a change (dispatch/candidate, fleet/control, config/changelog)"),
+		budget("agent", "processor for control", m.agentCPU(d), d.CoreShare, "% of a core", "reports that ride on answers, one check of the document a change (fleet/control, config/changelog)"),
 		budget("entry", "processor for requests, all of it", perEntry*m.Request.Per, percent, "% of a core", "net/http both sides (role/entry); not control"),
 		budget("entry", "processor for tokens, all of it", d.Tokens/d.Nodes*m.Token.Per, percent, "% of a core", "pieces joined while the caller is slow (upstream/answer); not control"),
 		budget("agent", "control bytes a second", m.agentControl(d)/kilobyte, d.KBps, "KB/s", "notices on change only (fleet/control)"),
@@ -163,6 +173,26 @@
 	return reports + beats + changes + list + polls + m.Idle.Per*agentsAnEntry
 }
 
+// entryCPU is the share of a core, in percent, that an entry spends on choosing,
+// on reports and heartbeats, and on changes.
+func (m Measured) entryCPU(d Design) float64 {
+	perEntry := d.Requests / d.Nodes
+	choosing := perEntry * offersAnswer * m.Choose.At(d.Workers) / 1e6
+	messages := perEntry * (offersAnswer + waitingShare*2) * m.Notice.Per / millisPerSecond
+	return (choosing + messages + m.changeCPU(d)) * percent
+}
+
+// agentCPU is an agent's; it chooses nothing.
+func (m Measured) agentCPU(d Design) float64 {
+	messages := d.Requests / d.Workers * (offersAnswer + waitingShare*2) * m.Notice.Per / millisPerSecond
+	return (messages + m.changeCPU(d)) * percent
+}
+
+// changeCPU is the share of a core for changes of configuration.
+func (m Measured) changeCPU(d Design) float64 {
+	return d.Changes / secondsADay * m.Apply.At(d.Workspaces) / millisPerSecond
+}
+
 // agentControl is an agent's.
 func (m Measured) agentControl(d Design) float64 {
 	perAgent := d.Requests / d.Workers
@@ -189,7 +219,7 @@
 
 // Slopes returns all slopes in the page's order.
 func (m Measured) Slopes() []Slope {
-	return []Slope{m.Choose, m.Table, m.Lengths, m.Config, m.Link, m.Idle, m.Change, m.Reads, m.Claims, m.Request, m.Token}
+	return []Slope{m.Choose, m.Table, m.Lengths, m.Config, m.Link, m.Idle, m.Change, m.Reads, m.Apply, m.Notice, m.Claims, m.Request, m.Token}
 }
 
 //go:embed page.md.tmpl
--- a/internal/trial/capacity/parts.go
+++ b/internal/trial/capacity/parts.go
@@ -36,7 +36,12 @@
 
 var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
 
-const kilobyte = 1024
+const (
+	kilobyte        = 1024
+	millisPerSecond = 1000
+	// noticeSpacing keeps notices apart, so that each is sent on its own.
+	noticeSpacing = 100 * time.Millisecond
+)
 
 // heap returns the live heap in bytes.
 func heap() float64 {
@@ -156,6 +161,73 @@
 	return raw
 }
 
+// applyTime measures what a node does with a change: patch, check, adopt.
+func applyTime() (Slope, error) {
+	const changes = 20
+	var points []Point
+	for _, count := range []int{5, 100, 300, 930} {
+		p, err := newPlatform()
+		if err != nil {
+			return Slope{}, err
+		}
+		records, err := accepted(p, count, changes)
+		_ = p.Close()
+		if err != nil {
+			return Slope{}, err
+		}
+		log := changelog.New(invariant.New(quiet))
+		if err := log.Apply(nil, records[:1]); err != nil {
+			return Slope{}, err
+		}
+		started := cpu()
+		for _, record := range records[1:] {
+			if err := log.Apply(nil, []changelog.Record{record}); err != nil {
+				return Slope{}, err
+			}
+		}
+		points = append(points, Point{float64(count), (cpu() - started).Seconds() / changes * millisPerSecond})
+	}
+	return Fit("a configuration change, at one node", "workspaces", "ms of processor", points), nil
+}
+
+// accepted makes a document with so many workspaces, and changes to it.
+func accepted(p *platform.Platform, workspaces, changes int) ([]changelog.Record, error) {
+	submitter := changelog.NewSubmitter(client(p, &net.Dialer{}, store.ForOperator()))
+	patch := grown(workspaces)
+	var records []changelog.Record
+	for i := range changes + 1 {
+		record, err := submitter.Submit(context.Background(), time.Now(), changelog.NewChange(uint64(i), "operator", "a change", patch))
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, record)
+		patch = []byte(fmt.Sprintf(`{"inventory":{"workspaces":{"w-%d":{"size":"small"}}}}`, i))
+	}
+	return records, nil
+}
+
+// noticeTime measures what telling and hearing a notice cost, both ends
+// together, over so many links.
+func noticeTime() (Slope, error) {
+	const rounds = 40
+	var points []Point
+	for _, count := range []int{10, 40, 160} {
+		l, err := newLinks(count)
+		if err != nil {
+			return Slope{}, err
+		}
+		time.Sleep(settle)
+		started := cpu()
+		for range rounds {
+			l.agent.Announce()
+			time.Sleep(noticeSpacing)
+		}
+		points = append(points, Point{float64(count), (cpu() - started).Seconds() / rounds * millisPerSecond})
+		l.close()
+	}
+	return Fit("a notice to all links, both ends together", "links", "ms of processor", points), nil
+}
+
 // counter counts the bytes of all connections dialed through it.
 type counter struct {
 	net.Dialer
