Paused processes: late deliveries in the scripts and the random failures

Change: the network in memory can freeze an address: what is under way is held back and delivered later.

--- a/internal/standin/network/conn.go
+++ b/internal/standin/network/conn.go
@@ -42,6 +42,11 @@
 	return nil
 }
 
+func (c *conn) freeze(d time.Duration) {
+	c.in.freeze(d)
+	c.out.freeze(d)
+}
+
 func (c *conn) silence() {
 	c.in.silence()
 	c.out.silence()
@@ -80,6 +85,8 @@
 	ended   bool
 	broken  bool
 	lost    bool
+	// frozen is until when nothing is delivered, though nothing is lost.
+	frozen  time.Time
 	readBy  deadline
 	writeBy deadline
 }
@@ -126,6 +133,7 @@
 			return 0, net.ErrClosed
 		case p.readBy.passed():
 			return 0, os.ErrDeadlineExceeded
+		case time.Now().Before(p.frozen):
 		case len(p.data) > 0 && !p.lost:
 			n := copy(into, p.data)
 			p.data = p.data[n:]
@@ -189,6 +197,14 @@
 	p.changed.Broadcast()
 }
 
+// freeze holds everything back for a while, then delivers it.
+func (p *pipe) freeze(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.frozen = time.Now().Add(d)
+	time.AfterFunc(d, p.wake)
+}
+
 func (p *pipe) setReadDeadline(t time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -19,11 +19,12 @@
 	listeners map[string]*listener
 	conns     map[*conn]bool
 	vanished  map[string]bool
+	frozen    map[string]time.Time
 }
 
 // New returns a network without listeners.
 func New() *Network {
-	return &Network{nextPort: 1000, listeners: make(map[string]*listener), conns: make(map[*conn]bool), vanished: make(map[string]bool)}
+	return &Network{nextPort: 1000, listeners: make(map[string]*listener), conns: make(map[*conn]bool), vanished: make(map[string]bool), frozen: make(map[string]time.Time)}
 }
 
 // address implements net.Addr.
@@ -64,17 +65,36 @@
 	n.vanished[to] = true
 }
 
+// Freeze holds back what goes to and from an address for a while, as a process
+// that is paused does: what was under way arrives late, and nothing is lost.
+func (n *Network) Freeze(to string, d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.frozen[to] = time.Now().Add(d)
+	for c := range n.conns {
+		if c.to == to {
+			c.freeze(d)
+		}
+	}
+}
+
 // DialContext connects to a listener or is refused at once.
 func (n *Network) DialContext(ctx context.Context, _, to string) (net.Conn, error) {
 	n.mu.Lock()
-	gone := n.vanished[to]
+	gone, thaw := n.vanished[to], time.Until(n.frozen[to])
 	n.mu.Unlock()
-	if !gone {
+	if !gone && thaw <= 0 {
 		return n.connect(to)
 	}
+	if gone || thaw > dialTimeout {
+		thaw = dialTimeout
+	}
 	select {
 	case <-ctx.Done():
-	case <-time.After(dialTimeout):
+	case <-time.After(thaw):
+		if !gone && thaw < dialTimeout {
+			return n.connect(to)
+		}
 	}
 	return nil, &net.OpError{Op: "dial", Net: "tcp", Addr: address(to), Err: syscall.ETIMEDOUT}
 }
--- a/internal/trial/chaos/chaos.go
+++ b/internal/trial/chaos/chaos.go
@@ -57,7 +57,7 @@
 	booking := fmt.Sprintf("booking-%02d", random.IntN(randomBookings))
 	either := []string{tutor, booking}[random.IntN(2)]
 	number := random.IntN(randomEntries)
-	switch random.IntN(13) {
+	switch random.IntN(15) {
 	case 0, 1:
 		return []scenario.Event{{At: at, Do: scenario.KillAgent, Target: either}}
 	case 2:
@@ -76,6 +76,10 @@
 		faults := []kv.Faults{{Outage: true}, {SlowMS: 100 + random.IntN(900)}, {LoseAnswers: 0.5}}[random.IntN(3)]
 		end := at + scenario.Duration(rand64(random, 15*time.Second))
 		return []scenario.Event{{At: at, Do: scenario.StoreFaults, Store: faults}, {At: end, Do: scenario.StoreFaults}}
+	case 12:
+		return []scenario.Event{{At: at, Do: scenario.Freeze, Target: either, Within: pause(random)}}
+	case 13:
+		return []scenario.Event{{At: at, Do: scenario.FreezePeers, Entry: number, Within: pause(random)}}
 	case 11:
 		return []scenario.Event{{At: at, Do: scenario.LoseVM, Target: losable}}
 	case 10:
@@ -86,6 +90,11 @@
 	return []scenario.Event{{At: at, Do: scenario.EngineFaults, Target: tutor, Engine: faults}, {At: end, Do: scenario.EngineFaults, Target: tutor}}
 }
 
+// pause is up to twelve seconds, twice what an entry waits for a lost agent.
+func pause(random *rand.Rand) scenario.Duration {
+	return scenario.Duration(rand64(random, 12*time.Second))
+}
+
 func rand64(random *rand.Rand, below time.Duration) time.Duration {
 	return time.Duration(random.Int64N(int64(max(below, 1))))
 }
--- a/internal/trial/scenario/run.go
+++ b/internal/trial/scenario/run.go
@@ -38,6 +38,7 @@
 	fleet.Network
 	Silence(to string) int
 	Vanish(to string)
+	Freeze(to string, d time.Duration)
 }
 
 // Result is what a scenario left behind.
@@ -165,6 +166,10 @@
 		p.withEntry(event.Entry, func(e *entry.Entry) { p.network.Silence(e.PeerAddr()) })
 	case LoseVM:
 		p.network.Vanish(p.site.Agent(event.Target).Addr())
+	case Freeze:
+		p.network.Freeze(p.site.Agent(event.Target).Addr(), time.Duration(event.Within))
+	case FreezePeers:
+		p.withEntry(event.Entry, func(e *entry.Entry) { p.network.Freeze(e.PeerAddr(), time.Duration(event.Within)) })
 	case CrashEngine:
 		p.site.Engine(event.Target).Die()
 	case EngineFaults:
--- a/internal/trial/scenario/script.go
+++ b/internal/trial/scenario/script.go
@@ -32,6 +32,8 @@
 	Silence      Action = "silence"
 	SilencePeers Action = "silence-peers"
 	LoseVM       Action = "lose-vm"
+	Freeze       Action = "freeze"
+	FreezePeers  Action = "freeze-peers"
 	CrashEngine  Action = "crash-engine"
 	EngineFaults Action = "engine-faults"
 	StoreFaults  Action = "store-faults"
@@ -51,7 +53,7 @@
 	Times  int           `json:"times,omitempty"`
 	Store  kv.Faults     `json:"store,omitempty"`
 	Engine engine.Faults `json:"engine,omitempty"`
-	// Within is a move's deadline after its start.
+	// Within is a move's deadline after its start, or how long a freeze lasts.
 	Within Duration `json:"within,omitempty"`
 }
 
