A heartbeat is no sign of a run

Cause: read again: an agent says 'running' while it still dials its upstream; if the dial then fails it declines, which is proof, and the entry's own check would have called that refusal untrue. Change: only an answer's head or end counts as a sign of a run. Nothing else used the heartbeat's word: a lost request is never refused as not run.

--- a/internal/role/entry/attempt.go
+++ b/internal/role/entry/attempt.go
@@ -276,10 +276,6 @@
 func (a *attempt) take(envelope *wire.Envelope) (result, bool, error) {
 	now := a.entry.now()
 	switch body := envelope.GetBody().(type) {
-	case *wire.Envelope_Heartbeat:
-		if body.Heartbeat.GetRunning() {
-			a.dispatched()
-		}
 	case *wire.Envelope_Head:
 		a.dispatched()
 		a.headSeen = true
