--- a/internal/fleet/link/stream_test.go
+++ b/internal/fleet/link/stream_test.go
@@ -19,7 +19,7 @@
 )
 
 func heartbeat() *wire.Envelope {
-	return &wire.Envelope{Body: &wire.Envelope_Heartbeat{Heartbeat: &wire.Heartbeat{Running: true}}}
+	return &wire.Envelope{Body: &wire.Envelope_Heartbeat{Heartbeat: &wire.Heartbeat{}}}
 }
 
 // echo answers each message with the same.
--- a/internal/role/agent/serve.go
+++ b/internal/role/agent/serve.go
@@ -213,7 +213,7 @@
 		cancel()
 		switch {
 		case errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil:
-			err = a.send(stream, heartbeatEnvelope(true))
+			err = a.send(stream, heartbeatEnvelope())
 		case err != nil:
 			return
 		case piece.Head() != nil:
@@ -261,7 +261,7 @@
 func (a *Agent) awaitDecision(ctx context.Context, stream *link.Stream, r *run) bool {
 	// A first word at once lets the entry tell a link that swallows its offers
 	// from a request that takes its time.
-	if err := a.send(stream, heartbeatEnvelope(false)); err != nil {
+	if err := a.send(stream, heartbeatEnvelope()); err != nil {
 		return false
 	}
 	ticker := time.NewTicker(heartbeatEvery)
@@ -280,7 +280,7 @@
 		case <-ctx.Done():
 			return false
 		case <-ticker.C:
-			if err := a.send(stream, heartbeatEnvelope(false)); err != nil {
+			if err := a.send(stream, heartbeatEnvelope()); err != nil {
 				return false
 			}
 		}
@@ -305,8 +305,8 @@
 	return &wire.Envelope{Body: &wire.Envelope_End{End: end}}
 }
 
-func heartbeatEnvelope(running bool) *wire.Envelope {
-	return &wire.Envelope{Body: &wire.Envelope_Heartbeat{Heartbeat: &wire.Heartbeat{Running: running}}}
+func heartbeatEnvelope() *wire.Envelope {
+	return &wire.Envelope{Body: &wire.Envelope_Heartbeat{Heartbeat: &wire.Heartbeat{}}}
 }
 
 func dataEnvelope(piece answer.Piece) *wire.Envelope {
--- a/internal/trial/capacity/capacity.go
+++ b/internal/trial/capacity/capacity.go
@@ -158,7 +158,7 @@
 
 // heartbeatBytes is a heartbeat as it is sent.
 func heartbeatBytes() float64 {
-	beat := &wire.Envelope{Body: &wire.Envelope_Heartbeat{Heartbeat: &wire.Heartbeat{Running: true}}}
+	beat := &wire.Envelope{Body: &wire.Envelope_Heartbeat{Heartbeat: &wire.Heartbeat{}}}
 	return float64(frameBytes + proto.Size(beat))
 }
 
