Measure the duty of stepping moves

Cause: the capacity page worked the duty out from an assumed 60 bytes a route and no processor time at all. Change: slopes of an agent's evidence by routes and of a step by upstreams.

--- a/internal/trial/capacity/capacity.go
+++ b/internal/trial/capacity/capacity.go
@@ -50,6 +50,8 @@
 	Reads   Slope   `json:"change-reads"`
 	Apply   Slope   `json:"change-cpu"`
 	Notice  Slope   `json:"notice-cpu"`
+	Told    Slope   `json:"duty-bytes"`
+	Step    Slope   `json:"duty-cpu"`
 	Claims  Slope   `json:"claim-writes"`
 	Request Slope   `json:"request-cpu"`
 	Token   Slope   `json:"token-cpu"`
@@ -66,6 +68,10 @@
 	progress("memory and choice")
 	m.Choose, m.Table, m.Lengths, m.Config = chooseTime(), tableMemory(), forecastMemory(), documentSize()
 	var err error
+	m.Told = evidenceSize()
+	if m.Step, err = dutyTime(now); err != nil {
+		return m, err
+	}
 	parts := []struct {
 		name string
 		run  func() error
@@ -134,6 +140,8 @@
 		budget("agent", "control bytes a second", m.agentControl(d)/kilobyte, d.KBps, "KB/s", "notices on change only (fleet/control)"),
 		budget("agent", "memory for links", m.Process+m.Link.Per/2*d.Nodes/kilobyte, d.Megabytes, "MB", "one session for each entry that chose it (fleet/link)"),
 		budget("agent", "processor for requests, all of it", perAgent*m.Request.Per, percent, "% of a core", "one queue for each upstream (upstream/admission); not control"),
+		budget("duty of moves", "bytes a second of evidence", m.dutyBytes(d)/kilobyte, d.KBps, "KB/s", "the holder sets the pace; agents tell it alone (role/entry/moves.go, fleet/control)"),
+		budget("duty of moves", "processor", m.Step.At(d.upstreamsOfAModel())/millisPerSecond*percent, d.CoreShare, "% of a core", "one step a second (version/move, version/evidence)"),
 		budget("store", "writes a second for claims", m.claimWrites(d), d.StoreWrites, "/s", "partitions with group commit (action/claim)"),
 		budget("store", "writes a second for changes", d.Changes*3/secondsADay, d.StoreWrites, "/s", "record, head and now and then a snapshot (config/changelog)"),
 		budget("store", "reads a second, nothing happening", (d.Nodes+0)/50, d.StoreReads, "/s", "blocking reads of 50 s by entries; agents learn from entries"),
@@ -193,6 +201,17 @@
 	return d.Changes / secondsADay * m.Apply.At(d.Workspaces) / millisPerSecond
 }
 
+// upstreamsOfAModel is the workers that one model's move concerns.
+func (d Design) upstreamsOfAModel() float64 { return d.Workers / d.Models }
+
+// dutyBytes is what the holder hears: all its agents, at the pace that it sets,
+// a minute at most.
+func (m Measured) dutyBytes(d Design) float64 {
+	const budgeted, slowest = 1500, 60
+	all := d.upstreamsOfAModel() * m.Told.At(dutyRoutes)
+	return math.Max(math.Min(all, budgeted), all/slowest)
+}
+
 // agentControl is an agent's.
 func (m Measured) agentControl(d Design) float64 {
 	perAgent := d.Requests / d.Workers
@@ -219,7 +238,7 @@
 
 // Slopes returns all slopes in the page's order.
 func (m Measured) Slopes() []Slope {
-	return []Slope{m.Choose, m.Table, m.Lengths, m.Config, m.Link, m.Idle, m.Change, m.Reads, m.Apply, m.Notice, m.Claims, m.Request, m.Token}
+	return []Slope{m.Choose, m.Table, m.Lengths, m.Config, m.Link, m.Idle, m.Change, m.Reads, m.Apply, m.Notice, m.Told, m.Step, m.Claims, m.Request, m.Token}
 }
 
 //go:embed page.md.tmpl
--- a/internal/trial/capacity/roles.go
+++ b/internal/trial/capacity/roles.go
@@ -152,7 +152,7 @@
 	}
 	defer r.close()
 	var points []Point
-	for _, rate := range []int{50, 200, 500, 1000} {
+	for _, rate := range []int{50, 200, 1000, 2000} {
 		added := r.requests(false, rate) - r.requests(true, rate)
 		points = append(points, Point{float64(rate), added.Seconds() / window.Seconds() * 100})
 	}
