What an upstream told goes when it goes

Change: an upstream that leaves the platform's list, or stands at another address, takes its report with it. Measured: TestReportsGoWithTheirUpstreams fails without the mend and passes with it; scripts good-version, bad-version and planned-stops pass. Conclusion: state is bounded by the list.

--- a/internal/role/entry/moves.go
+++ b/internal/role/entry/moves.go
@@ -186,6 +186,13 @@
 	m.reports[u.Name()] = r
 }
 
+// forget drops what an upstream that is gone had told.
+func (m *moves) forget(u *member.Upstream) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.reports, u.Name())
+}
+
 // pace is how often an agent shall tell its evidence, so that all of them
 // together stay within the holder's budget of bytes.
 func (m *moves) pace() time.Duration {
--- a/internal/role/entry/peers.go
+++ b/internal/role/entry/peers.go
@@ -29,6 +29,7 @@
 func (e *Entry) replaceList(vms []vmlist.VM) {
 	for _, gone := range e.table.Replace(vms) {
 		e.pool.Drop(gone.Address())
+		e.moves.forget(gone)
 	}
 	all := e.table.All()
 	e.logger.Debug("vm list in use", "upstreams", len(all), "entries", len(e.table.Entries()))
