Run on the platform: the thin whole path of a gateway

Cause: nothing of the product spoke the platform's protocol. Change: platform/ translates settings, store, configuration, registrations and headers; internal/edge takes a request through route, key, quota, place, one exchange on one connection, resume and answer; internal/state keeps the configuration and the upstreams by watches; each gateway chooses by itself.

--- /dev/null
+++ b/cmd/persimmonridge/gateway.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/persimmonridge/persimmonridge/internal/limit/retry"
+	"github.com/persimmonridge/persimmonridge/internal/role/gateway"
+	"github.com/persimmonridge/persimmonridge/platform"
+)
+
+// memoryShare is the part of a process's memory at which collections become
+// frequent; the rest is for buffers of the kernel that count as well.
+const memoryShare = 0.6
+
+type gatewayCommand struct{}
+
+// Run implements kong's command.
+func (c *gatewayCommand) Run(ctx context.Context) error {
+	logger := slog.New(slog.NewTextHandler(os.Stdout, nil))
+	node, err := platform.LoadNode()
+	if err != nil {
+		logger.Error("settings refused", "err", err)
+		return err
+	}
+	debug.SetMemoryLimit(int64(float64(node.MemoryBytes) * memoryShare))
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(reloads)
+	store := platform.NewStore(node.Store, gateway.Dial)
+	return gateway.New(gateway.Settings{
+		Name: node.Name, Domain: node.Domain, Callers: node.Callers, Readiness: node.Readiness,
+		Links: node.Links, Metrics: node.Metrics, Seeds: node.Seeds, Grace: node.Grace,
+		Retry:     retry.Settings{Share: node.RetryShare, Slack: node.RetrySlack, Window: node.RetryWindow},
+		ConfigKey: platform.ConfigPrefix, UpstreamPrefix: platform.UpstreamPrefix,
+	}, store, platform.Decoder{}, platform.Headers{}, platform.AnswerNames(), logger, time.Now).Run(ctx)
+}
--- /dev/null
+++ b/internal/edge/flow/flow.go
@@ -0,0 +1,485 @@
+package flow
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/joomcode/errorx"
+
+	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
+	"github.com/persimmonridge/persimmonridge/internal/state/catalog"
+)
+
+const (
+	// unconfiguredRetry is when a caller may come back to a process that knows
+	// no configuration yet; reading it takes some 10 ms once the store answers.
+	unconfiguredRetry = 500 * time.Millisecond
+	// unreachedMost bounds the upstreams that refuse a connection before a
+	// request gives up: it costs a round trip each.
+	unreachedMost = 5
+	// declinedRetry is told to callers whose request an upstream declined.
+	declinedRetry = 100 * time.Millisecond
+	// crashRetry is told to callers of a request that crashes upstreams.
+	crashRetry = time.Minute
+	// defaultLeft bounds a request when neither caller nor route name a time.
+	defaultLeft = time.Minute
+)
+
+// Parts are what a Flow works with.
+type Parts struct {
+	Translator Translator
+	Client     *exchange.Client
+	// Catalog returns the configuration in force, or nil before the first.
+	Catalog func() *catalog.Catalog
+	Picker  Picker
+	Quota   Quota
+	Retries Retries
+	Crashes Crashes
+	Metrics Metrics
+	Logger  *slog.Logger
+	Now     func() time.Time
+	// Closing tells that callers are to use another connection.
+	Closing func() bool
+}
+
+// Metrics takes counts and latencies.
+type Metrics interface {
+	// Finished counts a request by what its caller was told.
+	Finished(route string, tier int, outcome string, took time.Duration)
+	// Sent counts a send by what it came to.
+	Sent(service string, o Outcome)
+	// FirstEvent takes the time to a stream's first event.
+	FirstEvent(tier int, took time.Duration)
+}
+
+// Flow serves callers' requests. It implements http.Handler.
+type Flow struct{ Parts }
+
+// New returns a flow of the parts.
+func New(parts Parts) *Flow { return &Flow{Parts: parts} }
+
+// run is one caller's request on its way.
+type run struct {
+	*Flow
+	w       http.ResponseWriter
+	request Request
+	catalog *catalog.Catalog
+	route   *catalog.Route
+	work    *catalog.Workspace
+	tier    int
+	arrived time.Time
+	until   time.Time
+	cost    float64
+	// sends counts sends of which a byte left; mayHaveRun tells that one of
+	// them may have run.
+	sends       int
+	unreached   int
+	mayHaveRun  bool
+	exclude     []string
+	fingerprint uint64
+	stream      relay
+	logger      *slog.Logger
+}
+
+// ServeHTTP implements http.Handler.
+func (f *Flow) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	now := f.Now()
+	u := &run{Flow: f, w: w, request: f.Translator.Read(r), arrived: now}
+	u.logger = f.Logger.With("id", u.request.ID)
+	if f.Closing() {
+		w.Header().Set("Connection", "close")
+	}
+	if !u.admit() {
+		return
+	}
+	left := u.route.Timeout
+	if left <= 0 {
+		left = defaultLeft
+	}
+	if u.request.Deadline > 0 {
+		left = min(left, u.request.Deadline)
+	}
+	u.until = now.Add(left)
+	ctx, cancel := context.WithDeadline(r.Context(), u.until)
+	defer cancel()
+	if !u.readBody(r) {
+		return
+	}
+	u.fingerprint = u.fingerprintOf()
+	if f.Crashes.Blocked(now, u.fingerprint) {
+		u.refuse(http.StatusServiceUnavailable, crashRetry, "crashes upstreams")
+		return
+	}
+	if !u.takeQuota() {
+		return
+	}
+	u.try(ctx)
+}
+
+// admit decides by the configuration alone.
+func (u *run) admit() bool {
+	u.catalog = u.Catalog()
+	if u.catalog == nil {
+		u.refuse(http.StatusServiceUnavailable, unconfiguredRetry, "no configuration yet")
+		return false
+	}
+	u.route = u.catalog.Route(u.request.Host, u.request.Path)
+	if u.route == nil {
+		u.refuse(http.StatusNotFound, 0, "no route")
+		return false
+	}
+	u.work = u.catalog.Workspace(u.request.Key)
+	u.tier = u.catalog.Tier(u.route, u.work)
+	if u.work == nil && !u.route.Public && u.catalog.HasWorkspaces() {
+		u.refuse(http.StatusUnauthorized, 0, "unknown key")
+		return false
+	}
+	return true
+}
+
+func (u *run) readBody(r *http.Request) bool {
+	most := u.catalog.Limits().BodyBytes
+	if most <= 0 {
+		most = 4 << 20
+	}
+	controller := http.NewResponseController(u.w)
+	if err := controller.SetReadDeadline(u.until); err != nil {
+		u.logger.Debug("no read deadline", "err", err)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(u.w, r.Body, most))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		u.refuse(http.StatusRequestEntityTooLarge, 0, "body too large")
+		return false
+	}
+	if err != nil {
+		u.finish("left while sending", "err", err)
+		panic(http.ErrAbortHandler)
+	}
+	if err := controller.SetReadDeadline(time.Time{}); err != nil {
+		u.logger.Debug("no read deadline", "err", err)
+	}
+	u.request.Body = body
+	return true
+}
+
+// fingerprintOf recognises a request that is sent again by the same caller.
+func (u *run) fingerprintOf() uint64 {
+	var hash xxhash.Digest
+	hash.Reset()
+	for _, part := range []string{u.request.Method, "\n", u.request.Host, "\n", u.request.Target, "\n", u.request.Key, "\n"} {
+		_, _ = hash.WriteString(part) // a digest's Write never fails
+	}
+	_, _ = hash.Write(u.request.Body)
+	return hash.Sum64()
+}
+
+func (u *run) takeQuota() bool {
+	if u.work == nil || u.work.PerSecond <= 0 {
+		return true
+	}
+	u.cost = 1
+	if u.work.ByTokens {
+		u.cost = u.work.PlainTokens
+		if u.request.Counted {
+			u.cost = float64(u.request.PromptTokens + u.request.OutputTokens)
+		}
+	}
+	ok, retryAfter := u.Quota.Take(u.Now(), u.work, u.cost)
+	if !ok {
+		u.cost = 0
+		u.refuse(http.StatusTooManyRequests, retryAfter, "over quota")
+	}
+	return ok
+}
+
+// try sends the request until it is answered or nothing more may be done.
+func (u *run) try(ctx context.Context) {
+	service := u.target()
+	for {
+		now := u.Now()
+		if now.After(u.until) || ctx.Err() != nil {
+			u.expire(ctx)
+			return
+		}
+		place, err := u.Picker.Pick(ctx, now, u.ask(service))
+		if err != nil {
+			u.unplaced(ctx, err)
+			return
+		}
+		if u.sends == 0 {
+			u.Retries.Sent(now, service)
+		}
+		outcome := u.send(ctx, place)
+		place.Done(u.Now(), outcome)
+		u.Metrics.Sent(service, outcome)
+		if u.settled(ctx, outcome) {
+			return
+		}
+		u.exclude = append(u.exclude, place.Upstream().ID)
+		if outcome != Unreached && !u.Retries.Take(u.Now(), service) {
+			u.giveUp("retry budget spent")
+			return
+		}
+	}
+}
+
+// target chooses among the route's services by weight. The request's id
+// decides, so that all processes and repeats choose alike.
+func (u *run) target() string {
+	targets := u.route.Targets
+	total := 0.0
+	for _, t := range targets {
+		total += t.Weight
+	}
+	at := float64(xxhash.Sum64String(u.request.ID)>>11) / (1 << 53) * total
+	for _, t := range targets {
+		if at < t.Weight {
+			return t.Service
+		}
+		at -= t.Weight
+	}
+	return targets[len(targets)-1].Service
+}
+
+func (u *run) ask(service string) Ask {
+	a := Ask{
+		ID: u.request.ID, Service: service, Route: u.route, Tier: u.tier,
+		Arrived: u.arrived, Until: u.until, Exclude: u.exclude, Again: u.sends > 0,
+	}
+	if u.work != nil {
+		a.Workspace = u.work.Name
+	}
+	if u.request.Counted {
+		a.Prompt, a.Output, a.Parts = u.request.PromptTokens, u.request.OutputTokens, u.request.Parts
+		if u.request.LengthHint > 0 {
+			a.Output = min(a.Output, u.request.LengthHint)
+		}
+	}
+	return a
+}
+
+// send makes one send. What it returns other than Answered leaves the answer
+// to the caller open, unless part of it was delivered.
+func (u *run) send(ctx context.Context, place Place) Outcome {
+	now := u.Now()
+	up := place.Upstream()
+	workspace := ""
+	if u.work != nil {
+		workspace = u.work.Name
+	}
+	resume := u.stream.last
+	header := u.Translator.Upstream(u.request, Send{
+		UpstreamID: up.ID, Workspace: workspace, Left: u.until.Sub(now), ResumeAfter: resume,
+	})
+	answer, err := u.Client.Do(ctx, up.Address, exchange.Request{
+		Method: u.request.Method, Target: u.request.Target, Host: u.request.Host, Header: header,
+		Body: u.request.Body, ID: u.request.ID, Unsafe: !u.route.Repeatable(),
+	})
+	if err != nil {
+		return u.noAnswer(ctx, place, err)
+	}
+	u.sends++
+	if answer.Load != nil {
+		place.Load(u.Now(), *answer.Load)
+	}
+	if answer.NotRun {
+		u.logger.Info("upstream declined", "upstream", up.ID, "status", answer.Status)
+		answer.Close(false)
+		return Declined
+	}
+	u.mayHaveRun = true
+	if !answer.Sealed {
+		u.logger.Warn("answer without seal", "upstream", up.ID, "status", answer.Status)
+		answer.Close(false)
+		return Broken
+	}
+	return u.deliver(ctx, place, answer)
+}
+
+func (u *run) noAnswer(ctx context.Context, place Place, err error) Outcome {
+	up := place.Upstream()
+	if errorx.IsOfType(err, exchange.NotSent) {
+		if ctx.Err() != nil {
+			return Left
+		}
+		u.unreached++
+		u.Crashes.Down(u.Now(), up.ID)
+		u.logger.Info("upstream not reached", "upstream", up.ID, "err", err)
+		return Unreached
+	}
+	u.sends++
+	u.mayHaveRun = true
+	if ctx.Err() != nil {
+		return Left
+	}
+	u.Crashes.Broke(u.Now(), up.ID, u.fingerprint)
+	u.logger.Warn("answer lost", "upstream", up.ID, "err", err)
+	return Broken
+}
+
+// deliver passes the answer on. A failure that may be tried again elsewhere is
+// not passed on while another try is allowed.
+func (u *run) deliver(ctx context.Context, place Place, answer *exchange.Answer) Outcome {
+	success := answer.Status >= 200 && answer.Status < 300
+	if !success && answer.Status >= http.StatusInternalServerError && u.mayRepeat() {
+		answer.Close(false)
+		return Failed
+	}
+	if success && u.route.Kind == catalog.Streaming {
+		return u.deliverStream(ctx, place, answer)
+	}
+	body, err := io.ReadAll(io.LimitReader(answer, maxPlainBody))
+	if err != nil {
+		answer.Close(false)
+		if ctx.Err() != nil {
+			return Left
+		}
+		u.logger.Warn("answer broke off", "upstream", place.Upstream().ID, "err", err)
+		return Broken
+	}
+	answer.Close(true)
+	place.Started(u.Now())
+	if u.stream.opened {
+		// A stream that was resumed got a failure: nothing can be told any
+		// more but that it broke off.
+		return Failed
+	}
+	u.writePlain(answer, body)
+	if !success {
+		u.finish("upstream failure", "status", answer.Status, "upstream", place.Upstream().ID)
+		return Failed
+	}
+	u.finish("answered", "upstream", place.Upstream().ID)
+	return Answered
+}
+
+// maxPlainBody bounds an answer that is held as a whole.
+const maxPlainBody = 16 << 20
+
+func (u *run) writePlain(answer *exchange.Answer, body []byte) {
+	u.Translator.Caller(answer.Header, u.w.Header())
+	u.w.WriteHeader(answer.Status)
+	if _, err := u.w.Write(body); err != nil {
+		u.logger.Info("caller left during the answer", "err", err)
+	}
+	u.stream.answered = true
+}
+
+// mayRepeat tells whether the rules of the route allow one more send after one
+// that may have run.
+func (u *run) mayRepeat() bool {
+	return u.route.Repeatable() && u.sends < u.route.MaxAttempts && !u.stream.answered
+}
+
+// settled tells whether the request is over after a send, and writes its last
+// answer if none was written.
+func (u *run) settled(ctx context.Context, o Outcome) bool {
+	if u.stream.answered {
+		return true
+	}
+	if ctx.Err() != nil {
+		u.expire(ctx)
+		return true
+	}
+	switch o {
+	case Unreached:
+		if u.unreached >= unreachedMost {
+			u.giveUp("upstreams out of reach")
+			return true
+		}
+		return false
+	case Declined:
+		if u.sends < u.route.MaxAttempts {
+			return false
+		}
+		u.giveUp("declined by upstreams")
+		return true
+	case Failed, Broken:
+		if u.mayRepeat() {
+			return false
+		}
+		u.giveUp("may have run and may not repeat")
+		return true
+	}
+	return true
+}
+
+// unplaced ends a request for which there is no place.
+func (u *run) unplaced(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		u.expire(ctx)
+		return
+	}
+	if u.mayHaveRun || u.stream.opened {
+		u.giveUp(err.Error())
+		return
+	}
+	u.refuse(http.StatusServiceUnavailable, RetryAfter(err), err.Error())
+}
+
+// expire ends a request whose time is over or whose caller left.
+func (u *run) expire(ctx context.Context) {
+	if errors.Is(context.Cause(ctx), context.Canceled) {
+		u.returnCost()
+		u.finish("caller left")
+		panic(http.ErrAbortHandler)
+	}
+	u.giveUp("out of time")
+}
+
+// giveUp tells the caller that there will be no answer. Only a request that
+// has not run anywhere is refused as not run.
+func (u *run) giveUp(why string) {
+	if u.stream.opened {
+		u.finish("stream broken off", "why", why)
+		panic(http.ErrAbortHandler)
+	}
+	if !u.mayHaveRun {
+		u.refuse(http.StatusServiceUnavailable, declinedRetry, why)
+		return
+	}
+	status := http.StatusBadGateway
+	if !u.Now().Before(u.until) {
+		status = http.StatusGatewayTimeout
+	}
+	u.Translator.Refuse(u.request, 0, u.w.Header())
+	u.w.WriteHeader(status)
+	u.finish("gave up", "status", status, "why", why)
+}
+
+// refuse answers a request that has not run and will not.
+func (u *run) refuse(status int, retryAfter time.Duration, why string) {
+	u.returnCost()
+	u.Translator.Refuse(u.request, retryAfter, u.w.Header())
+	u.w.WriteHeader(status)
+	u.finish("refused", "status", status, "why", why, "retry-after", retryAfter)
+}
+
+func (u *run) returnCost() {
+	if u.cost > 0 && !u.mayHaveRun {
+		u.Quota.Return(u.work, u.cost)
+		u.cost = 0
+	}
+}
+
+// finish writes the line that tells what became of the request.
+func (u *run) finish(outcome string, details ...any) {
+	took := u.Now().Sub(u.arrived)
+	route := ""
+	if u.route != nil {
+		route = u.route.Name
+	}
+	u.Metrics.Finished(route, u.tier, outcome, took)
+	args := []any{"outcome", outcome, "route", route, "tier", u.tier, "took", took, "sends", u.sends}
+	if len(u.exclude) > 0 {
+		args = append(args, "tried", slices.Clone(u.exclude))
+	}
+	u.logger.Info("request", append(args, details...)...)
+}
--- /dev/null
+++ b/internal/role/gateway/gateway.go
@@ -0,0 +1,203 @@
+// Package gateway wires the process on an edge VM: callers on one side,
+// upstreams on the other, the store and its peers beside it.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
+
+	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
+	"github.com/persimmonridge/persimmonridge/internal/edge/flow"
+	"github.com/persimmonridge/persimmonridge/internal/edge/ingress"
+	"github.com/persimmonridge/persimmonridge/internal/limit/crash"
+	"github.com/persimmonridge/persimmonridge/internal/limit/quota"
+	"github.com/persimmonridge/persimmonridge/internal/limit/retry"
+	"github.com/persimmonridge/persimmonridge/internal/sched/local"
+	"github.com/persimmonridge/persimmonridge/internal/state/catalog"
+	"github.com/persimmonridge/persimmonridge/internal/state/follow"
+	"github.com/persimmonridge/persimmonridge/internal/state/kv"
+	"github.com/persimmonridge/persimmonridge/internal/state/roster"
+)
+
+const (
+	// dialTimeout bounds a connection to an upstream or the store: a packet
+	// that was lost once is sent again after a second.
+	dialTimeout = 1200 * time.Millisecond
+	// userTimeout ends a connection on which sent bytes are not acknowledged;
+	// a link that loses one packet in thirty recovers within a second.
+	userTimeout = 2500 * time.Millisecond
+	// keepAliveIdle, keepAliveEvery and keepAliveCount find a peer that is gone
+	// without a word while nothing is sent, in some 4 s.
+	keepAliveIdle  = 2 * time.Second
+	keepAliveEvery = time.Second
+	keepAliveCount = 2
+	// rosterPause is between two looks at the upstreams: their heartbeats
+	// change keys many times a second, and a leaving one must be seen within
+	// two seconds.
+	rosterPause = 400 * time.Millisecond
+	// sweepEvery is how often idle connections and lapsed upstreams are looked at.
+	sweepEvery = 250 * time.Millisecond
+	// stopMargin is kept between the end of what runs and the forced end.
+	stopMargin = 700 * time.Millisecond
+)
+
+// Decoder reads what the store holds.
+type Decoder interface {
+	Config(raw []byte) (*catalog.Catalog, error)
+	Upstream(key string, raw []byte, revision int64) (roster.Upstream, error)
+	// UpstreamID returns the id that a key names.
+	UpstreamID(key string) string
+}
+
+// Settings are what the process is told at its start.
+type Settings struct {
+	Name, Domain                       string
+	Callers, Readiness, Links, Metrics string
+	Seeds                              []string
+	Grace                              time.Duration
+	Retry                              retry.Settings
+	ConfigKey, UpstreamPrefix          string
+}
+
+// Gateway is the running process.
+type Gateway struct {
+	settings Settings
+	store    kv.Store
+	decoder  Decoder
+	logger   *slog.Logger
+	now      func() time.Time
+
+	catalog  atomic.Pointer[catalog.Catalog]
+	roster   *roster.Roster
+	pool     *exchange.Pool
+	metrics  *metrics
+	ingress  *ingress.Server
+	stopping atomic.Bool
+}
+
+// New returns a gateway; Run starts it.
+func New(s Settings, store kv.Store, decoder Decoder, translator flow.Translator, names exchange.Names, logger *slog.Logger, now func() time.Time) *Gateway {
+	g := &Gateway{settings: s, store: store, decoder: decoder, logger: logger, now: now, roster: roster.New(), metrics: newMetrics()}
+	g.pool = exchange.NewPool(Dial)
+	processes := func() int { return 5 }
+	handler := flow.New(flow.Parts{
+		Translator: translator, Client: exchange.NewClient(g.pool, names, now), Catalog: g.catalog.Load,
+		Picker: local.New(s.Domain, g.roster.Ready, processes), Quota: quota.New(),
+		Retries: retry.New(s.Retry, processes), Crashes: crash.New(nil), Metrics: g.metrics,
+		Logger: logger, Now: now, Closing: g.stopping.Load,
+	})
+	g.ingress = ingress.New(handler, g.catalog.Load)
+	return g
+}
+
+// Dial opens a connection whose silent end is noticed.
+func Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveIdle, Interval: keepAliveEvery, Count: keepAliveCount,
+	}, Control: func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		controlErr := raw.Control(func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		})
+		return errors.Join(err, controlErr)
+	}}
+	return dialer.DialContext(ctx, network, address)
+}
+
+// Run serves until the context ends, then stops in order.
+func (g *Gateway) Run(ctx context.Context) error {
+	callers, err := net.Listen("tcp", g.settings.Callers)
+	if err != nil {
+		return err
+	}
+	g.logger.Info("started", "name", g.settings.Name, "domain", g.settings.Domain)
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	group, background := errgroup.WithContext(background)
+	group.Go(func() error { return g.followConfig(background) })
+	group.Go(func() error { return g.followUpstreams(background) })
+	group.Go(func() error { return g.sweep(background) })
+	group.Go(func() error { return g.serveHTTP(background, g.settings.Readiness, http.HandlerFunc(g.ready)) })
+	group.Go(func() error { return g.serveHTTP(background, g.settings.Metrics, promhttp.Handler()) })
+	group.Go(func() error { return g.ingress.Serve(callers) })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-background.Done():
+		}
+		err := g.stop()
+		cancel()
+		return err
+	})
+	err = group.Wait()
+	g.logger.Info("stopped", "err", err)
+	return errors.Join(err, g.pool.Close())
+}
+
+func (g *Gateway) stop() error {
+	g.logger.Info("stopping", "grace", g.settings.Grace)
+	g.stopping.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), g.settings.Grace-stopMargin)
+	defer cancel()
+	return g.ingress.Stop(ctx)
+}
+
+func (g *Gateway) ready(w http.ResponseWriter, _ *http.Request) {
+	if g.stopping.Load() || g.catalog.Load() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (g *Gateway) serveHTTP(ctx context.Context, address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: dialTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func (g *Gateway) sweep(ctx context.Context) error {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			now := g.now()
+			g.pool.Sweep(now)
+			if g.roster.Expire(now) {
+				g.logger.Info("upstreams that lapsed did not come back")
+			}
+		}
+	}
+}
+
+func (g *Gateway) followConfig(ctx context.Context) error {
+	view := &configView{gateway: g}
+	return follow.New(g.store, view, follow.Options{Prefix: g.settings.ConfigKey}, g.logger, g.now).Run(ctx)
+}
+
+func (g *Gateway) followUpstreams(ctx context.Context) error {
+	view := &upstreamView{gateway: g}
+	options := follow.Options{Prefix: g.settings.UpstreamPrefix, Pause: rosterPause, Regained: g.roster.StoreReturned}
+	return follow.New(g.store, view, options, g.logger, g.now).Run(ctx)
+}
--- /dev/null
+++ b/internal/state/follow/follow.go
@@ -0,0 +1,143 @@
+// Package follow keeps a view of a key range up to date: one read of the whole
+// range, then watches, and another read whenever the history has a gap.
+package follow
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/persimmonridge/persimmonridge/internal/state/kv"
+)
+
+const (
+	// retryFirst and retryMost bound the pause after a failed call. A store
+	// that turns this process away is asked up to five times a second, so that
+	// its return is noticed within 200 ms.
+	retryFirst = 50 * time.Millisecond
+	retryMost  = 200 * time.Millisecond
+	// watchWait is how long a watch waits at the store. A watch whose
+	// connection went silent is given up that much and one call later, so it
+	// is kept short against the 2 s in which changes must be in force.
+	watchWait = 800 * time.Millisecond
+)
+
+// View takes what is read. Its methods are called by one goroutine at a time.
+type View interface {
+	// Replace takes the whole range.
+	Replace(now time.Time, s kv.Snapshot)
+	// Apply takes changes in their order.
+	Apply(now time.Time, c kv.Changes)
+}
+
+// Options are how a range is followed.
+type Options struct {
+	Prefix string
+	// Pause is waited before a watch is repeated, so that keys which change
+	// many times a second cost few calls.
+	Pause time.Duration
+	// Wait is how long a watch waits for a change; 0 takes the usual.
+	Wait time.Duration
+	// Lost and Regained are told when calls begin to fail and when the first
+	// one succeeds again. They may be nil.
+	Lost     func(now time.Time)
+	Regained func(now time.Time)
+}
+
+// Follower follows one range until its context ends.
+type Follower struct {
+	store   kv.Store
+	view    View
+	options Options
+	logger  *slog.Logger
+	now     func() time.Time
+	away    bool
+	retry   time.Duration
+}
+
+// New returns a follower; Run starts it.
+func New(store kv.Store, view View, options Options, logger *slog.Logger, now func() time.Time) *Follower {
+	if options.Wait == 0 {
+		options.Wait = watchWait
+	}
+	return &Follower{store: store, view: view, options: options, logger: logger, now: now}
+}
+
+// Run follows until the context ends.
+func (f *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		snapshot, err := f.store.Range(ctx, f.options.Prefix)
+		if err != nil {
+			f.failed(ctx, err)
+			continue
+		}
+		f.answered()
+		f.view.Replace(f.now(), snapshot)
+		f.watch(ctx, snapshot.Revision)
+	}
+	return nil
+}
+
+// watch follows the history until it has a gap.
+func (f *Follower) watch(ctx context.Context, after int64) {
+	for ctx.Err() == nil {
+		changes, err := f.store.Watch(ctx, f.options.Prefix, after, f.options.Wait)
+		if errorx.IsOfType(err, kv.Compacted) {
+			f.logger.Info("history is gone, reading the range again", "prefix", f.options.Prefix, "after", after)
+			return
+		}
+		if err != nil {
+			f.failed(ctx, err)
+			continue
+		}
+		f.answered()
+		after = max(after, changes.Revision)
+		if len(changes.Events) > 0 || changes.Revision > 0 {
+			f.view.Apply(f.now(), changes)
+		}
+		if len(changes.Events) > 0 {
+			sleep(ctx, f.options.Pause)
+		}
+	}
+}
+
+func (f *Follower) answered() {
+	f.retry = 0
+	if !f.away {
+		return
+	}
+	f.away = false
+	f.logger.Info("store regained", "prefix", f.options.Prefix)
+	if f.options.Regained != nil {
+		f.options.Regained(f.now())
+	}
+}
+
+func (f *Follower) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if !f.away {
+		f.away = true
+		f.logger.Warn("store lost", "prefix", f.options.Prefix, "err", err)
+		if f.options.Lost != nil {
+			f.options.Lost(f.now())
+		}
+	}
+	f.retry = min(max(2*f.retry, retryFirst), retryMost)
+	sleep(ctx, f.retry)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/state/roster/roster.go
@@ -0,0 +1,201 @@
+// Package roster is what is known of the upstreams: which there are, where, of
+// which version, and which of them may get new work.
+package roster
+
+import (
+	"sort"
+	"sync"
+	"time"
+)
+
+// State is what an upstream says of itself.
+type State int
+
+// The states.
+const (
+	Ready State = iota
+	Draining
+)
+
+// Upstream is one upstream as it registered itself.
+type Upstream struct {
+	ID      string
+	Service string
+	Address string
+	Domain  string
+	Version string
+	Slots   int
+	State   State
+	// Born is when the upstream started, in Unix milliseconds. An upstream that
+	// starts again under its id holds nothing of before.
+	Born int64
+	// Warming is how much longer the upstream said it stays slow.
+	Warming time.Duration
+	// Revision is the registration's last change in the store.
+	Revision int64
+}
+
+// returnGrace is how long an upstream whose registration lapsed while the store
+// was away may take to register again: the platform states about two seconds.
+const returnGrace = 2200 * time.Millisecond
+
+type record struct {
+	upstream Upstream
+	// missingUntil is set for a registration that lapsed while the store was
+	// away: it still counts until then.
+	missingUntil time.Time
+}
+
+// Roster holds the upstreams. It is safe for concurrent use.
+type Roster struct {
+	mu       sync.RWMutex
+	records  map[string]record
+	byID     map[string]Upstream
+	lists    map[string][]Upstream
+	returned time.Time
+	revision int64
+}
+
+// New returns an empty roster.
+func New() *Roster {
+	return &Roster{records: make(map[string]record), lists: make(map[string][]Upstream)}
+}
+
+// StoreReturned tells that the store answers again after it did not.
+func (r *Roster) StoreReturned(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.returned = now
+}
+
+// Replace takes the whole list as read at the revision. What is not in it any
+// more is gone, but for what may have lapsed while the store was away.
+func (r *Roster) Replace(now time.Time, revision int64, upstreams []Upstream) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if revision < r.revision {
+		return
+	}
+	seen := make(map[string]bool, len(upstreams))
+	for _, u := range upstreams {
+		seen[u.ID] = true
+		r.records[u.ID] = record{upstream: u}
+	}
+	for id := range r.records {
+		if !seen[id] {
+			r.remove(now, id)
+		}
+	}
+	r.revision = revision
+	r.index()
+}
+
+// Put takes one registration.
+func (r *Roster) Put(u Upstream) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if old, ok := r.records[u.ID]; ok && old.upstream.Revision > u.Revision {
+		return
+	}
+	r.records[u.ID] = record{upstream: u}
+	r.index()
+}
+
+// Remove takes the removal of a registration.
+func (r *Roster) Remove(now time.Time, id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.remove(now, id)
+	r.index()
+}
+
+// Advance notes the revision up to which changes were taken.
+func (r *Roster) Advance(revision int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.revision = max(r.revision, revision)
+}
+
+// Revision returns the revision up to which changes were taken.
+func (r *Roster) Revision() int64 {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.revision
+}
+
+// remove drops a registration, or keeps it for a while if it may have lapsed
+// only because the store was away: its upstream then lives and registers again.
+// One that said it drains is dropped at once.
+func (r *Roster) remove(now time.Time, id string) {
+	old, ok := r.records[id]
+	if !ok {
+		return
+	}
+	until := r.returned.Add(returnGrace)
+	if old.upstream.State == Ready && now.Before(until) {
+		old.missingUntil = until
+		r.records[id] = old
+		return
+	}
+	delete(r.records, id)
+}
+
+// Expire drops what has not come back in time. It tells whether anything was.
+func (r *Roster) Expire(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	dropped := false
+	for id, rec := range r.records {
+		if !rec.missingUntil.IsZero() && !now.Before(rec.missingUntil) {
+			delete(r.records, id)
+			dropped = true
+		}
+	}
+	if dropped {
+		r.index()
+	}
+	return dropped
+}
+
+// index rebuilds the lists that readers get; they are never changed in place.
+func (r *Roster) index() {
+	lists := make(map[string][]Upstream)
+	byID := make(map[string]Upstream, len(r.records))
+	for id, rec := range r.records {
+		byID[id] = rec.upstream
+		if rec.upstream.State == Ready {
+			lists[rec.upstream.Service] = append(lists[rec.upstream.Service], rec.upstream)
+		}
+	}
+	for _, list := range lists {
+		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	}
+	r.lists, r.byID = lists, byID
+}
+
+// Ready returns the upstreams of the service that may get new work, in the
+// order of their ids. The caller must not change the list.
+func (r *Roster) Ready(service string) []Upstream {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.lists[service]
+}
+
+// Get returns the upstream of the id.
+func (r *Roster) Get(id string) (Upstream, bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	u, ok := r.byID[id]
+	return u, ok
+}
+
+// All returns every upstream that is registered, in no order.
+func (r *Roster) All() []Upstream {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	all := make([]Upstream, 0, len(r.byID))
+	for _, u := range r.byID {
+		all = append(all, u)
+	}
+	return all
+}
