--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -83,8 +83,12 @@
 	mayHaveRun  bool
 	exclude     []string
 	fingerprint uint64
-	stream      relay
-	logger      *slog.Logger
+	// sentAt and firstEvent are of the last send.
+	sentAt     time.Time
+	firstEvent time.Duration
+	events     int
+	stream     relay
+	logger     *slog.Logger
 }
 
 // ServeHTTP implements http.Handler.
@@ -217,7 +221,7 @@
 			u.Retries.Sent(now, service)
 		}
 		outcome := u.send(ctx, place)
-		place.Done(u.Now(), outcome)
+		place.Done(u.Now(), outcome, u.streamedTokens())
 		u.Metrics.Sent(service, outcome)
 		if u.settled(ctx, outcome) {
 			return
@@ -230,6 +234,15 @@
 	}
 }
 
+// streamedTokens is what the last send's stream brought after its first event.
+func (u *run) streamedTokens() int {
+	service := u.catalog.Service(u.target())
+	if u.events < 2 || service == nil || service.Engine == nil {
+		return 0
+	}
+	return (u.events - 1) * service.Engine.EventTokens
+}
+
 // target chooses among the route's services by weight. The request's id
 // decides, so that all processes and repeats choose alike.
 func (u *run) target() string {
@@ -269,6 +282,7 @@
 // to the caller open, unless part of it was delivered.
 func (u *run) send(ctx context.Context, place Place) Outcome {
 	now := u.Now()
+	u.sentAt, u.events = now, 0
 	up := place.Upstream()
 	workspace := ""
 	if u.work != nil {
--- a/internal/edge/flow/request.go
+++ b/internal/edge/flow/request.go
@@ -143,8 +143,9 @@
 	Load(now time.Time, load exchange.Load)
 	// Started tells that the first event or answer came.
 	Started(now time.Time)
-	// Done gives the place back.
-	Done(now time.Time, o Outcome)
+	// Done gives the place back. Tokens is what a stream brought after its
+	// first event.
+	Done(now time.Time, o Outcome, tokens int)
 }
 
 // Picker chooses places. It waits while waiting is worth it, and returns a
--- a/internal/edge/flow/stream.go
+++ b/internal/edge/flow/stream.go
@@ -81,21 +81,23 @@
 // on where another broke off continues the same answer.
 func (u *run) deliverStream(ctx context.Context, place Place, answer *exchange.Answer) Outcome {
 	reader := newEventReader(answer)
-	first := true
 	for {
 		got, err := reader.next()
 		if errors.Is(err, io.EOF) {
 			answer.Close(true)
 			u.endStream(answer)
-			u.finish("answered", "upstream", place.Upstream().ID, "last-event", u.stream.last)
+			u.finish("answered", "upstream", place.Upstream().ID, "last-event", u.stream.last,
+				"prompt", u.request.PromptTokens, "output", u.request.OutputTokens, "hint", u.request.LengthHint,
+				"first-event", u.firstEvent, "load", answer.Load)
 			return Answered
 		}
 		if err != nil {
 			answer.Close(false)
 			return u.streamBroke(ctx, place, err)
 		}
-		if first {
-			first = false
+		u.events++
+		if u.events == 1 {
+			u.firstEvent = u.Now().Sub(u.sentAt)
 			place.Started(u.Now())
 		}
 		if u.seen(got) {
--- a/internal/fleet/link/stream.go
+++ b/internal/fleet/link/stream.go
@@ -60,15 +60,17 @@
 // Session returns the number of the session the stream belongs to.
 func (s *Stream) Session() uint64 { return s.session }
 
-// Send writes one envelope before the deadline.
-func (s *Stream) Send(deadline time.Time, envelope *wire.Envelope) error {
+// Send writes the envelopes before the deadline.
+func (s *Stream) Send(deadline time.Time, envelopes ...*wire.Envelope) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.conn.SetWriteDeadline(deadline); err != nil {
 		return Broken.Wrap(err, "set a write deadline; open a new stream")
 	}
-	if _, err := protodelim.MarshalTo(s.writer, envelope); err != nil {
-		return Broken.Wrap(err, "write a message; open a new stream")
+	for _, envelope := range envelopes {
+		if _, err := protodelim.MarshalTo(s.writer, envelope); err != nil {
+			return Broken.Wrap(err, "write a message; open a new stream")
+		}
 	}
 	if err := s.writer.Flush(); err != nil {
 		return Broken.Wrap(err, "write a message; open a new stream")
--- /dev/null
+++ b/internal/fleet/mesh/mesh.go
@@ -0,0 +1,381 @@
+// Package mesh links the gateways with each other. Each one gossips to every
+// other what it is and has seen; what it hears, and how long ago, decides which
+// peers live.
+package mesh
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/persimmonridge/persimmonridge/internal/fleet/link"
+	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
+)
+
+const (
+	// baseInterval is between two gossips in a fleet of up to baseFleet
+	// processes; it grows with the fleet, so that a process's cost for gossip
+	// stays the same.
+	baseInterval = 100 * time.Millisecond
+	baseFleet    = 6
+	// maxInterval bounds it; quotas and liveness are seen that late.
+	maxInterval = 400 * time.Millisecond
+	// AliveFor is how long a peer counts as living after its last gossip: four
+	// missed ones of a small fleet. Choosing a scheduler that is gone costs a
+	// request this much of its time at most.
+	AliveFor = 450 * time.Millisecond
+	// relinkAfter is the silence after which the link to a peer is made anew,
+	// because connections may go silent for good while new ones work.
+	relinkAfter = 900 * time.Millisecond
+	// forgetAfter is how long the address of a silent peer is tried.
+	forgetAfter = 2 * time.Minute
+	// writeTimeout bounds a write to a peer that does not read.
+	writeTimeout = time.Second
+	// readTimeout ends a link on which nothing comes; gossip comes far oftener.
+	readTimeout = 10 * time.Second
+	// redialPause is between two attempts to link with a peer.
+	redialPause = 250 * time.Millisecond
+	// queueLength bounds what waits for one peer. What does not fit is dropped:
+	// gossip is repeated, and asks have their own time-outs.
+	queueLength = 2048
+)
+
+// Handler takes what peers send. Its methods must not block.
+type Handler interface {
+	// Gossip fills what the process tells its peers.
+	Gossip(now time.Time, g *wire.Gossip)
+	// Heard takes a peer's gossip.
+	Heard(now time.Time, g *wire.Gossip)
+	// Receive takes any other message.
+	Receive(now time.Time, peer string, e *wire.Envelope)
+	// Down tells that a peer's process is gone or was restarted.
+	Down(now time.Time, peer string)
+}
+
+// Peer is what is known of another gateway.
+type Peer struct {
+	Node    string
+	Address string
+	Run     uint64
+	Rank    int64
+	Ready   bool
+	Heard   time.Time
+	// HearsUs tells that the peer hears this process.
+	HearsUs bool
+}
+
+type peer struct {
+	Peer
+	queue  chan *wire.Envelope
+	cancel context.CancelFunc
+	since  time.Time
+	down   bool
+	relink time.Time
+}
+
+// Mesh is one process's links.
+type Mesh struct {
+	node, address string
+	run           uint64
+	handler       Handler
+	pool          *link.Pool
+	logger        *slog.Logger
+	now           func() time.Time
+
+	mu     sync.Mutex
+	peers  map[string]*peer
+	ctx    context.Context
+	group  *errgroup.Group
+	closed bool
+}
+
+// New returns a mesh for the process; Run starts it. Seeds are addresses of
+// processes that may be up.
+func New(node, address string, run uint64, dialer link.Dialer, handler Handler, logger *slog.Logger, now func() time.Time) *Mesh {
+	return &Mesh{
+		node: node, address: address, run: run, handler: handler, logger: logger, now: now,
+		pool: link.NewPool(dialer, nil), peers: make(map[string]*peer),
+	}
+}
+
+// Run gossips until the context ends. Server must hand its streams to Serve.
+func (m *Mesh) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	m.mu.Lock()
+	m.ctx, m.group = ctx, group
+	for _, p := range m.peers {
+		m.startLocked(p)
+	}
+	m.mu.Unlock()
+	group.Go(func() error { return m.gossip(ctx) })
+	err := group.Wait()
+	m.mu.Lock()
+	m.closed = true
+	m.mu.Unlock()
+	if closeErr := m.pool.Close(); err == nil {
+		err = closeErr
+	}
+	return err
+}
+
+// Know makes the process known of, so that it is linked with.
+func (m *Mesh) Know(now time.Time, address string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if address == m.address || address == "" || m.closed {
+		return
+	}
+	p := m.peers[address]
+	if p != nil {
+		p.since = now
+		return
+	}
+	p = &peer{Peer: Peer{Address: address}, queue: make(chan *wire.Envelope, queueLength), since: now}
+	m.peers[address] = p
+	if m.group != nil {
+		m.startLocked(p)
+	}
+}
+
+func (m *Mesh) startLocked(p *peer) {
+	ctx, cancel := context.WithCancel(m.ctx)
+	p.cancel = cancel
+	m.group.Go(func() error {
+		m.send(ctx, p)
+		return nil
+	})
+}
+
+// send keeps a stream to the peer and writes what is queued for it.
+func (m *Mesh) send(ctx context.Context, p *peer) {
+	for ctx.Err() == nil {
+		stream, err := m.pool.Open(ctx, p.Address)
+		if err != nil {
+			pause(ctx, redialPause)
+			continue
+		}
+		m.write(ctx, p, stream)
+		m.pool.Replace(p.Address, stream.Session())
+		// The stream is of no use any more; its end is told by the write error.
+		_ = stream.Close()
+	}
+}
+
+func (m *Mesh) write(ctx context.Context, p *peer, stream *link.Stream) {
+	batch := make([]*wire.Envelope, 0, 64)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-p.queue:
+			if e == nil {
+				return
+			}
+			batch = append(batch[:0], e)
+		}
+		for len(batch) < cap(batch) && len(p.queue) > 0 {
+			e := <-p.queue
+			if e == nil {
+				return
+			}
+			batch = append(batch, e)
+		}
+		if err := stream.Send(m.now().Add(writeTimeout), batch...); err != nil {
+			m.logger.Info("link lost", "peer", p.Address, "err", err)
+			return
+		}
+	}
+}
+
+// Send queues a message for the node. It tells whether the node is known and
+// its queue had room.
+func (m *Mesh) Send(node string, e *wire.Envelope) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if p.Node == node {
+			return offer(p, e)
+		}
+	}
+	return false
+}
+
+func offer(p *peer, e *wire.Envelope) bool {
+	select {
+	case p.queue <- e:
+		return true
+	default:
+		return false
+	}
+}
+
+// Serve takes one stream that a peer opened.
+func (m *Mesh) Serve(ctx context.Context, stream *link.Stream) {
+	// The peer opens another stream when it needs one.
+	defer func() { _ = stream.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	defer stop()
+	from := ""
+	for {
+		envelope, err := stream.Receive(m.now().Add(readTimeout))
+		if err != nil {
+			return
+		}
+		now := m.now()
+		if g := envelope.GetGossip(); g != nil {
+			from = g.Node
+			m.heard(now, g)
+			continue
+		}
+		if from != "" {
+			m.handler.Receive(now, from, envelope)
+		}
+	}
+}
+
+func (m *Mesh) heard(now time.Time, g *wire.Gossip) {
+	m.Know(now, g.Address)
+	hearsUs := false
+	for _, h := range g.Heard {
+		if h.Node == m.node && h.Run == m.run {
+			hearsUs = true
+			continue
+		}
+		m.Know(now, h.Address)
+	}
+	m.mu.Lock()
+	p := m.peers[g.Address]
+	if p == nil {
+		m.mu.Unlock()
+		return
+	}
+	restarted := p.Run != 0 && p.Run != g.Run
+	returned := p.down || p.Run == 0
+	p.Peer = Peer{
+		Node: g.Node, Address: g.Address, Run: g.Run, Rank: g.Rank,
+		Ready: g.Ready && !g.Leaving, Heard: now, HearsUs: hearsUs,
+	}
+	p.down = false
+	m.mu.Unlock()
+	if restarted {
+		m.handler.Down(now, g.Node)
+	}
+	if restarted || returned {
+		m.logger.Info("peer heard", "peer", g.Node, "run", g.Run, "rank", g.Rank, "restarted", restarted)
+	}
+	m.handler.Heard(now, g)
+}
+
+// Peers returns what is known of the other gateways.
+func (m *Mesh) Peers() []Peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	peers := make([]Peer, 0, len(m.peers))
+	for _, p := range m.peers {
+		if p.Node != "" {
+			peers = append(peers, p.Peer)
+		}
+	}
+	return peers
+}
+
+// Alive returns the peers that were heard of late.
+func (m *Mesh) Alive(now time.Time) []Peer {
+	var alive []Peer
+	for _, p := range m.Peers() {
+		if now.Sub(p.Heard) < AliveFor {
+			alive = append(alive, p)
+		}
+	}
+	return alive
+}
+
+func (m *Mesh) gossip(ctx context.Context) error {
+	for ctx.Err() == nil {
+		now := m.now()
+		m.check(now)
+		m.tell(now)
+		pause(ctx, m.interval())
+	}
+	return nil
+}
+
+func (m *Mesh) interval() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	scaled := baseInterval * time.Duration(len(m.peers)+1) / baseFleet
+	return min(max(scaled, baseInterval), maxInterval)
+}
+
+// tell queues one gossip for every peer.
+func (m *Mesh) tell(now time.Time) {
+	g := &wire.Gossip{Node: m.node, Run: m.run, Address: m.address}
+	for _, p := range m.Alive(now) {
+		g.Heard = append(g.Heard, &wire.Heard{Node: p.Node, Address: p.Address, Run: p.Run})
+	}
+	m.handler.Gossip(now, g)
+	envelope := &wire.Envelope{Body: &wire.Envelope_Gossip{Gossip: g}}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		// A peer that does not take its messages gets no more gossip until it
+		// does; a full queue of it would be old when it is read.
+		if len(p.queue) < queueLength/2 {
+			offer(p, envelope)
+		}
+	}
+}
+
+// Farewell tells all peers at once that this process leaves.
+func (m *Mesh) Farewell() { m.tell(m.now()) }
+
+// check notices peers that went silent: they are down, their links are made
+// anew, and in the end they are forgotten.
+func (m *Mesh) check(now time.Time) {
+	var down []string
+	m.mu.Lock()
+	for address, p := range m.peers {
+		silent := now.Sub(p.Heard)
+		if p.Node != "" && !p.down && silent > AliveFor {
+			p.down = true
+			down = append(down, p.Node)
+		}
+		deaf := p.Node != "" && !p.HearsUs
+		if (silent > relinkAfter || deaf) && now.Sub(p.relink) > relinkAfter && now.Sub(p.since) > relinkAfter/2 {
+			p.relink = now
+			drain(p.queue)
+			offer(p, nil)
+		}
+		if silent > forgetAfter && now.Sub(p.since) > forgetAfter {
+			p.cancel()
+			delete(m.peers, address)
+		}
+	}
+	m.mu.Unlock()
+	for _, node := range down {
+		m.logger.Warn("peer silent", "peer", node)
+		m.handler.Down(now, node)
+	}
+}
+
+func drain(queue chan *wire.Envelope) {
+	for {
+		select {
+		case <-queue:
+		default:
+			return
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -19,10 +19,15 @@
 	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
 	"github.com/persimmonridge/persimmonridge/internal/edge/flow"
 	"github.com/persimmonridge/persimmonridge/internal/edge/ingress"
+	"github.com/persimmonridge/persimmonridge/internal/fleet/link"
+	"github.com/persimmonridge/persimmonridge/internal/fleet/mesh"
+	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
 	"github.com/persimmonridge/persimmonridge/internal/limit/crash"
 	"github.com/persimmonridge/persimmonridge/internal/limit/quota"
 	"github.com/persimmonridge/persimmonridge/internal/limit/retry"
+	"github.com/persimmonridge/persimmonridge/internal/sched/granter"
 	"github.com/persimmonridge/persimmonridge/internal/sched/local"
+	"github.com/persimmonridge/persimmonridge/internal/sched/permit"
 	"github.com/persimmonridge/persimmonridge/internal/state/catalog"
 	"github.com/persimmonridge/persimmonridge/internal/state/follow"
 	"github.com/persimmonridge/persimmonridge/internal/state/kv"
@@ -77,29 +82,67 @@
 	logger   *slog.Logger
 	now      func() time.Time
 
-	catalog  atomic.Pointer[catalog.Catalog]
-	roster   *roster.Roster
-	pool     *exchange.Pool
-	metrics  *metrics
-	ingress  *ingress.Server
-	stopping atomic.Bool
+	run           uint64
+	catalog       atomic.Pointer[catalog.Catalog]
+	rawConfig     atomic.Pointer[[]byte]
+	roster        *roster.Roster
+	upstreams     *upstreamView
+	pool          *exchange.Pool
+	quota         *quota.Keeper
+	crashRegister *crash.Register
+	peers         *peers
+	mesh          *mesh.Mesh
+	granter       *granter.Granter
+	permits       *permit.Client
+	metrics       *metrics
+	ingress       *ingress.Server
+	stopping      atomic.Bool
 }
 
 // New returns a gateway; Run starts it.
 func New(s Settings, store kv.Store, decoder Decoder, translator flow.Translator, names exchange.Names, logger *slog.Logger, now func() time.Time) *Gateway {
-	g := &Gateway{settings: s, store: store, decoder: decoder, logger: logger, now: now, roster: roster.New(), metrics: newMetrics()}
-	g.pool = exchange.NewPool(Dial)
-	processes := func() int { return 5 }
+	g := &Gateway{
+		settings: s, store: store, decoder: decoder, logger: logger, now: now,
+		// A later process on the same VM has a later start.
+		run:    uint64(now().UnixNano()),
+		roster: roster.New(), quota: quota.New(), metrics: newMetrics(), pool: exchange.NewPool(Dial),
+	}
+	g.upstreams = &upstreamView{gateway: g, items: make(map[string]kv.Item)}
+	g.peers = &peers{Gateway: g, rank: unranked, versions: make(map[string]int64)}
+	g.crashRegister = crash.New(g.peers.crashed)
+	g.mesh = mesh.New(s.Name, s.Links, g.run, dialer{}, g.peers, logger, now)
+	g.granter = granter.New(now, g.peers.deliver)
+	g.permits = permit.New(permit.Parts{
+		Node: s.Name, Domain: s.Domain, Scheduler: g.peers.scheduler, Send: g.mesh.Send,
+		Own:   func(now time.Time, e *wire.Envelope) { permit.Serve(now, g.granter, s.Name, e) },
+		Local: local.New(s.Domain, g.roster.Ready, g.peers.processes), Upstream: g.roster.Get,
+		Service: g.service, Logger: logger, Now: now,
+	})
 	handler := flow.New(flow.Parts{
 		Translator: translator, Client: exchange.NewClient(g.pool, names, now), Catalog: g.catalog.Load,
-		Picker: local.New(s.Domain, g.roster.Ready, processes), Quota: quota.New(),
-		Retries: retry.New(s.Retry, processes), Crashes: crash.New(nil), Metrics: g.metrics,
-		Logger: logger, Now: now, Closing: g.stopping.Load,
+		Picker: g.permits, Quota: g.quota, Retries: retry.New(s.Retry, g.peers.processes), Crashes: g.crashRegister,
+		Metrics: g.metrics, Logger: logger, Now: now, Closing: g.stopping.Load,
 	})
 	g.ingress = ingress.New(handler, g.catalog.Load)
 	return g
 }
 
+// dialer implements link.Dialer.
+type dialer struct{}
+
+// DialContext implements link.Dialer.
+func (dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	return Dial(ctx, network, address)
+}
+
+func (g *Gateway) service(name string) *catalog.Service {
+	c := g.catalog.Load()
+	if c == nil {
+		return nil
+	}
+	return c.Service(name)
+}
+
 // Dial opens a connection whose silent end is noticed.
 func Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
@@ -124,6 +167,18 @@
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	group, background := errgroup.WithContext(background)
+	links, err := net.Listen("tcp", g.settings.Links)
+	if err != nil {
+		return err
+	}
+	server := link.Serve(links, g.mesh.Serve)
+	for _, seed := range g.settings.Seeds {
+		g.mesh.Know(g.now(), seed)
+	}
+	group.Go(func() error { return g.mesh.Run(background) })
+	group.Go(func() error { return g.granter.Run(background) })
+	group.Go(func() error { return g.peers.register(background) })
+	group.Go(func() error { return g.peers.follow(background) })
 	group.Go(func() error { return g.followConfig(background) })
 	group.Go(func() error { return g.followUpstreams(background) })
 	group.Go(func() error { return g.sweep(background) })
@@ -141,12 +196,13 @@
 	})
 	err = group.Wait()
 	g.logger.Info("stopped", "err", err)
-	return errors.Join(err, g.pool.Close())
+	return errors.Join(err, server.Close(), g.pool.Close())
 }
 
 func (g *Gateway) stop() error {
 	g.logger.Info("stopping", "grace", g.settings.Grace)
 	g.stopping.Store(true)
+	g.mesh.Farewell()
 	ctx, cancel := context.WithTimeout(context.Background(), g.settings.Grace-stopMargin)
 	defer cancel()
 	return g.ingress.Stop(ctx)
@@ -193,11 +249,15 @@
 
 func (g *Gateway) followConfig(ctx context.Context) error {
 	view := &configView{gateway: g}
-	return follow.New(g.store, view, follow.Options{Prefix: g.settings.ConfigKey}, g.logger, g.now).Run(ctx)
+	options := follow.Options{
+		Prefix:   g.settings.ConfigKey,
+		Lost:     func(time.Time) { g.peers.storeAway(true) },
+		Regained: func(time.Time) { g.peers.storeAway(false) },
+	}
+	return follow.New(g.store, view, options, g.logger, g.now).Run(ctx)
 }
 
 func (g *Gateway) followUpstreams(ctx context.Context) error {
-	view := &upstreamView{gateway: g}
 	options := follow.Options{Prefix: g.settings.UpstreamPrefix, Pause: rosterPause, Regained: g.roster.StoreReturned}
-	return follow.New(g.store, view, options, g.logger, g.now).Run(ctx)
+	return follow.New(g.store, g.upstreams, options, g.logger, g.now).Run(ctx)
 }
--- /dev/null
+++ b/internal/role/gateway/peers.go
@@ -0,0 +1,303 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
+	"github.com/persimmonridge/persimmonridge/internal/sched/board"
+	"github.com/persimmonridge/persimmonridge/internal/sched/permit"
+	"github.com/persimmonridge/persimmonridge/internal/state/follow"
+	"github.com/persimmonridge/persimmonridge/internal/state/kv"
+)
+
+const (
+	// memberTerm is how long a gateway that stopped without a word is listed.
+	memberTerm = 10 * time.Second
+	// memberRenew leaves room for two lost renewals.
+	memberRenew = 3 * time.Second
+	// memberWait is how long a look at the other gateways waits for a change:
+	// they also tell each other of each other.
+	memberWait = 10 * time.Second
+	// unranked is the rank of a gateway that does not know its own yet.
+	unranked = math.MaxInt64
+	// rosterAskEvery is how often a gateway that the store does not answer asks
+	// a peer for the upstreams.
+	rosterAskEvery = 300 * time.Millisecond
+	// crashesTold bounds the crashes in one gossip.
+	crashesTold = 64
+)
+
+// member is what a gateway writes of itself in the store.
+type member struct {
+	Address string `json:"address"`
+	Run     uint64 `json:"run"`
+}
+
+// peers is the gateway's part towards the other gateways. It implements
+// mesh.Handler, and follow.View for the list of gateways in the store.
+type peers struct {
+	*Gateway
+
+	mu       sync.Mutex
+	rank     int64
+	askedAt  time.Time
+	crashes  []*wire.CrashSeen
+	away     bool
+	versions map[string]int64
+}
+
+// Replace implements follow.View.
+func (p *peers) Replace(now time.Time, s kv.Snapshot) {
+	for _, item := range s.Items {
+		p.member(now, item)
+	}
+}
+
+// Apply implements follow.View.
+func (p *peers) Apply(now time.Time, c kv.Changes) {
+	for _, e := range c.Events {
+		if !e.Deleted {
+			p.member(now, e.Item)
+		}
+	}
+}
+
+func (p *peers) member(now time.Time, item kv.Item) {
+	var m member
+	if err := json.Unmarshal(item.Value, &m); err != nil {
+		p.logger.Warn("member ignored", "key", item.Key, "err", err)
+		return
+	}
+	if item.Key == memberPrefix+p.settings.Name {
+		p.mu.Lock()
+		p.rank = item.Created
+		p.mu.Unlock()
+		return
+	}
+	p.mesh.Know(now, m.Address)
+}
+
+// memberPrefix is where gateways are listed in the store.
+const memberPrefix = "gateways/"
+
+// register keeps the gateway listed in the store until the context ends.
+func (p *peers) register(ctx context.Context) error {
+	value, err := json.Marshal(member{Address: p.settings.Links, Run: p.run})
+	if err != nil {
+		return err
+	}
+	lease := int64(0)
+	for ctx.Err() == nil {
+		if lease == 0 {
+			lease = p.enlist(ctx, value)
+		} else if err := p.store.Keep(ctx, lease); errorx.IsOfType(err, kv.LeaseEnded) {
+			lease = 0
+			continue
+		}
+		wait := memberRenew
+		if lease == 0 {
+			wait = memberRenew / 6
+		}
+		pause(ctx, wait)
+	}
+	if lease != 0 {
+		release, cancel := context.WithTimeout(context.Background(), releaseWithin)
+		defer cancel()
+		if err := p.store.Release(release, lease); err != nil {
+			p.logger.Info("lease not released, it lapses", "err", err)
+		}
+	}
+	return nil
+}
+
+// releaseWithin bounds the last call of a stopping process.
+const releaseWithin = 200 * time.Millisecond
+
+func (p *peers) enlist(ctx context.Context, value []byte) int64 {
+	lease, _, err := p.store.Grant(ctx, memberTerm)
+	if err != nil {
+		return 0
+	}
+	_, err = p.store.Commit(ctx, kv.Transaction{Puts: []kv.Put{{Key: memberPrefix + p.settings.Name, Value: value, Lease: lease}}})
+	if err != nil {
+		p.logger.Info("not listed yet", "err", err)
+		return 0
+	}
+	return lease
+}
+
+func (p *peers) follow(ctx context.Context) error {
+	return follow.New(p.store, p, follow.Options{Prefix: memberPrefix, Wait: memberWait}, p.logger, p.now).Run(ctx)
+}
+
+// Gossip implements mesh.Handler.
+func (p *peers) Gossip(_ time.Time, g *wire.Gossip) {
+	p.mu.Lock()
+	g.Rank = p.rank
+	g.Crashes = p.crashes
+	g.StoreAnswers = !p.away
+	p.mu.Unlock()
+	if c := p.catalog.Load(); c != nil {
+		g.ConfigVersion = c.Version()
+	}
+	g.Ready = g.ConfigVersion > 0
+	g.Leaving = p.stopping.Load()
+	g.RosterRevision = p.roster.Revision()
+	g.QuotaUsed = p.quota.Used()
+}
+
+// Heard implements mesh.Handler.
+func (p *peers) Heard(now time.Time, g *wire.Gossip) {
+	p.granter.OwnerUp(g.Node)
+	if g.Leaving {
+		p.quota.Forget(g.Node)
+	} else {
+		p.quota.Hear(now, g.Node, g.Run, g.QuotaUsed)
+	}
+	for _, c := range g.Crashes {
+		p.crashRegister.Learn(now, c.Fingerprint, c.Upstream)
+	}
+	p.askFor(now, g)
+	p.permits.Follow(now)
+}
+
+// askFor asks a peer that knows more for what the store does not tell this
+// gateway, or has not told it yet.
+func (p *peers) askFor(now time.Time, g *wire.Gossip) {
+	version := int64(0)
+	if c := p.catalog.Load(); c != nil {
+		version = c.Version()
+	}
+	ask := &wire.SnapshotAsk{Config: g.ConfigVersion > version}
+	p.mu.Lock()
+	if p.away && g.StoreAnswers && g.RosterRevision > p.roster.Revision() && now.Sub(p.askedAt) > rosterAskEvery {
+		ask.Roster = true
+		p.askedAt = now
+	}
+	if ask.Config && p.versions[g.Node] == g.ConfigVersion && !ask.Roster {
+		ask.Config = false
+	}
+	if ask.Config {
+		p.versions[g.Node] = g.ConfigVersion
+	}
+	p.mu.Unlock()
+	if ask.Config || ask.Roster {
+		p.mesh.Send(g.Node, &wire.Envelope{Body: &wire.Envelope_SnapshotAsk{SnapshotAsk: ask}})
+	}
+}
+
+// Receive implements mesh.Handler.
+func (p *peers) Receive(now time.Time, peer string, e *wire.Envelope) {
+	switch body := e.Body.(type) {
+	case *wire.Envelope_PlaceVerdict:
+		p.permits.Verdict(body.PlaceVerdict)
+	case *wire.Envelope_SnapshotAsk:
+		p.mesh.Send(peer, &wire.Envelope{Body: &wire.Envelope_Snapshot{Snapshot: p.snapshot(body.SnapshotAsk)}})
+	case *wire.Envelope_Snapshot:
+		p.take(now, peer, body.Snapshot)
+	default:
+		permit.Serve(now, p.granter, peer, e)
+	}
+}
+
+func (p *peers) snapshot(ask *wire.SnapshotAsk) *wire.Snapshot {
+	s := &wire.Snapshot{}
+	if raw := p.rawConfig.Load(); ask.Config && raw != nil {
+		s.Config = *raw
+	}
+	if ask.Roster {
+		s.RosterRevision = p.roster.Revision()
+		for _, item := range p.upstreams.snapshot() {
+			s.Roster = append(s.Roster, &wire.StoreItem{Key: item.Key, Value: item.Value, Revision: item.Revision})
+		}
+	}
+	return s
+}
+
+func (p *peers) take(now time.Time, peer string, s *wire.Snapshot) {
+	if len(s.Config) > 0 {
+		p.takeConfig(s.Config, peer)
+	}
+	if s.RosterRevision <= p.roster.Revision() {
+		return
+	}
+	snapshot := kv.Snapshot{Revision: s.RosterRevision}
+	for _, item := range s.Roster {
+		snapshot.Items = append(snapshot.Items, kv.Item{Key: item.Key, Value: item.Value, Revision: item.Revision})
+	}
+	p.upstreams.Replace(now, snapshot)
+}
+
+// Down implements mesh.Handler.
+func (p *peers) Down(now time.Time, peer string) {
+	p.granter.OwnerDown(peer)
+	p.permits.Down(peer)
+	p.permits.Follow(now)
+}
+
+// scheduler returns the gateway that schedules engines as this one sees it: the
+// ready one of lowest rank that this one hears and that hears it. Gateways that
+// see different ones put too much on an engine at worst; nothing that must not
+// be wrong depends on it.
+func (p *peers) scheduler(now time.Time) string {
+	p.mu.Lock()
+	best, rank := "", p.rank
+	p.mu.Unlock()
+	if p.catalog.Load() != nil && !p.stopping.Load() {
+		best = p.settings.Name
+	}
+	for _, other := range p.mesh.Alive(now) {
+		if !other.Ready || !other.HearsUs {
+			continue
+		}
+		if best == "" || other.Rank < rank || (other.Rank == rank && other.Node < best) {
+			best, rank = other.Node, other.Rank
+		}
+	}
+	return best
+}
+
+// deliver hands a verdict to the gateway that asked.
+func (p *peers) deliver(v board.Verdict) {
+	message := permit.VerdictMessage(v)
+	if v.Owner == p.settings.Name {
+		p.permits.Verdict(message.GetPlaceVerdict())
+		return
+	}
+	p.mesh.Send(v.Owner, message)
+}
+
+// crashed remembers a crash that this gateway saw, for its gossip.
+func (p *peers) crashed(fingerprint uint64, upstream string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.crashes = append(p.crashes, &wire.CrashSeen{Fingerprint: fingerprint, Upstream: upstream})
+	if len(p.crashes) > crashesTold {
+		p.crashes = append([]*wire.CrashSeen(nil), p.crashes[len(p.crashes)-crashesTold:]...)
+	}
+}
+
+// storeAway tells whether the store answers, for the gossip.
+func (p *peers) storeAway(away bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.away = away
+}
+
+// processes returns how many gateways share the fleet's bounds.
+func (p *peers) processes() int { return len(p.mesh.Peers()) + 1 }
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/role/gateway/views.go
+++ b/internal/role/gateway/views.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"sync"
 	"time"
 
+	"github.com/persimmonridge/persimmonridge/internal/sched/board"
 	"github.com/persimmonridge/persimmonridge/internal/state/kv"
 	"github.com/persimmonridge/persimmonridge/internal/state/roster"
 )
@@ -48,18 +50,28 @@
 		}
 		if g.catalog.CompareAndSwap(current, next) {
 			g.logger.Info("configuration in force", "version", next.Version(), "from", from)
+			g.rawConfig.Store(&raw)
+			g.upstreamsChanged()
 			return
 		}
 	}
 }
 
-// upstreamView takes the upstreams' registrations from the store.
-type upstreamView struct{ gateway *Gateway }
+// upstreamView takes the upstreams' registrations from the store, and keeps them
+// as they were written for peers that the store does not answer.
+type upstreamView struct {
+	gateway *Gateway
+
+	mu    sync.Mutex
+	items map[string]kv.Item
+}
 
 // Replace implements follow.View.
 func (v *upstreamView) Replace(now time.Time, s kv.Snapshot) {
+	items := make(map[string]kv.Item, len(s.Items))
 	var ups []roster.Upstream
 	for _, item := range s.Items {
+		items[item.Key] = item
 		u, err := v.gateway.decoder.Upstream(item.Key, item.Value, item.Revision)
 		if err != nil {
 			v.gateway.logger.Warn("registration ignored", "err", err)
@@ -67,7 +79,11 @@
 		}
 		ups = append(ups, u)
 	}
+	v.mu.Lock()
+	v.items = items
+	v.mu.Unlock()
 	v.gateway.roster.Replace(now, s.Revision, ups)
+	v.gateway.upstreamsChanged()
 	v.gateway.logger.Info("upstreams read", "count", len(ups), "revision", s.Revision)
 }
 
@@ -77,24 +93,66 @@
 		v.event(now, e)
 	}
 	v.gateway.roster.Advance(c.Revision)
+	if len(c.Events) > 0 {
+		v.gateway.upstreamsChanged()
+	}
 }
 
 func (v *upstreamView) event(now time.Time, e kv.Event) {
-	id := v.gateway.decoder.UpstreamID(e.Key)
+	g := v.gateway
+	id := g.decoder.UpstreamID(e.Key)
+	v.mu.Lock()
+	if e.Deleted {
+		delete(v.items, e.Key)
+	} else {
+		v.items[e.Key] = e.Item
+	}
+	v.mu.Unlock()
 	if e.Deleted {
-		v.gateway.logger.Info("upstream gone", "upstream", id, "revision", e.Revision)
-		v.gateway.roster.Remove(now, id)
+		g.logger.Info("upstream gone", "upstream", id, "revision", e.Revision)
+		g.roster.Remove(now, id, e.Revision)
 		return
 	}
-	u, err := v.gateway.decoder.Upstream(e.Key, e.Value, e.Revision)
+	u, err := g.decoder.Upstream(e.Key, e.Value, e.Revision)
 	if err != nil {
-		v.gateway.logger.Warn("registration ignored", "err", err)
-		v.gateway.roster.Remove(now, id)
+		g.logger.Warn("registration ignored", "err", err)
+		g.roster.Remove(now, id, e.Revision)
 		return
 	}
-	if old, ok := v.gateway.roster.Get(id); !ok || old.State != u.State || old.Born != u.Born || old.Address != u.Address {
-		v.gateway.logger.Info("upstream changed", "upstream", id, "service", u.Service, "address", u.Address,
+	if old, ok := g.roster.Get(id); !ok || old.State != u.State || old.Born != u.Born || old.Address != u.Address {
+		g.logger.Info("upstream changed", "upstream", id, "service", u.Service, "address", u.Address,
 			"state", u.State, "version", u.Version, "born", u.Born, "revision", e.Revision)
 	}
-	v.gateway.roster.Put(u)
+	g.roster.Put(u)
+}
+
+// snapshot returns the registrations as they were written.
+func (v *upstreamView) snapshot() []kv.Item {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	items := make([]kv.Item, 0, len(v.items))
+	for _, item := range v.items {
+		items = append(items, item)
+	}
+	return items
+}
+
+// upstreamsChanged tells the scheduler which engines may get work.
+func (g *Gateway) upstreamsChanged() {
+	current := g.catalog.Load()
+	if current == nil {
+		return
+	}
+	var engines []board.Upstream
+	for _, u := range g.roster.All() {
+		service := current.Service(u.Service)
+		if u.State != roster.Ready || service == nil || service.Engine == nil {
+			continue
+		}
+		engines = append(engines, board.Upstream{
+			ID: u.ID, Service: u.Service, Domain: u.Domain, Slots: u.Slots, Born: u.Born,
+			EventTokens: service.Engine.EventTokens,
+		})
+	}
+	g.granter.SetUpstreams(engines)
 }
--- /dev/null
+++ b/internal/sched/board/board.go
@@ -0,0 +1,489 @@
+// Package board decides which engine a generation goes to, which requests wait
+// and which are refused. It sees all requests of the gateways that ask it, and
+// so never gives an engine more than it has slots for. It does no I/O and asks
+// no clock.
+package board
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/persimmonridge/persimmonridge/internal/sched/profile"
+)
+
+// Upstream is an engine that may get work.
+type Upstream struct {
+	ID      string
+	Service string
+	Domain  string
+	Slots   int
+	Born    int64
+	// EventTokens is how many tokens one event of a stream holds.
+	EventTokens int
+}
+
+// Ask is a request for a place.
+type Ask struct {
+	// Owner is the gateway that has the request, ID the request.
+	Owner, ID string
+	Service   string
+	Domain    string
+	Tier      int
+	// Due is when the first event is late, Until when it is of no use.
+	Due, Until time.Time
+	Prompt     int
+	// Output is a guess of the tokens that will be generated.
+	Output  int
+	MaxGap  time.Duration
+	Exclude []string
+	// Again asks are for requests that were sent before and go first.
+	Again bool
+
+	arrived  time.Time
+	giveUpAt time.Time
+}
+
+// Verdict answers an ask. A refusal has no upstream.
+type Verdict struct {
+	Owner, ID  string
+	Upstream   string
+	RetryAfter time.Duration
+	Why        string
+}
+
+// Outcome is what a place came to.
+type Outcome int
+
+// The outcomes.
+const (
+	// Answered: a whole answer came.
+	Answered Outcome = iota
+	// Failed: the engine answered with a failure or broke off.
+	Failed
+	// Declined: the engine was full.
+	Declined
+	// Unreached: nothing listened.
+	Unreached
+	// Left: the caller left, or the ask is withdrawn.
+	Left
+)
+
+const (
+	// dueMargin is kept to the due moment for the ways between callers,
+	// gateways and engines.
+	dueMargin = 15 * time.Millisecond
+	// gapPart is the part of the longest allowed pause that is planned with;
+	// steps are estimates.
+	gapPart = 0.8
+	// untilPart is the part of the time left in which a stream should end by
+	// the guess of its length, and outputFactor covers that the guess is a
+	// median and often off by half.
+	untilPart    = 0.8
+	outputFactor = 1.6
+	// failMargin is by how much an engine's failure share must exceed the best
+	// one's for it to be left out.
+	failMargin = 0.2
+	// lateHold is how long after its arrival a request that can no longer be
+	// in time may wait for a place that nobody else needs. Callers leave a
+	// silent stream after two seconds.
+	lateHold = 1200 * time.Millisecond
+	// lateReserve is the part of an engine's slots that late requests leave
+	// free for those that can be in time.
+	lateReserve = 0.17
+	// latePart bounds the late requests that wait, as a part of all slots:
+	// what is beyond it could not be served within lateHold.
+	latePart = 0.25
+	// retryLeast and retryMost bound what refused callers are told.
+	retryLeast = 300 * time.Millisecond
+	retryMost  = 3 * time.Second
+	// scanMost bounds the waiting requests that are tried on an engine that
+	// has got room.
+	scanMost = 64
+	// Weights of the choice among engines, in parts of all slots taken.
+	// weightFirst makes long prompts go to fast engines: it is the weight of
+	// the square of the part of the time left that the first event takes.
+	weightFirst = 1.5
+	// weightDomain is what the way to another failure domain counts.
+	weightDomain = 0.12
+)
+
+// Board is the state. It is not safe for concurrent use.
+type Board struct {
+	engines map[string]*engine
+	// byService has each service's engines in the order of their ids.
+	byService map[string][]*engine
+	byRun     map[string]*engine
+	waiting   []*Ask
+	late      []*Ask
+	verdicts  []Verdict
+	spread    uint64
+}
+
+// New returns an empty board.
+func New() *Board {
+	return &Board{engines: make(map[string]*engine), byService: make(map[string][]*engine), byRun: make(map[string]*engine)}
+}
+
+// SetUpstreams takes the engines that may get work. One that started anew
+// holds nothing of before, and its speed is unknown.
+func (b *Board) SetUpstreams(now time.Time, upstreams []Upstream) {
+	next := make(map[string]*engine, len(upstreams))
+	b.byService = make(map[string][]*engine)
+	for _, u := range upstreams {
+		e := b.engines[u.ID]
+		if e == nil || e.Born != u.Born {
+			e = newEngine(now, u)
+		}
+		e.Upstream = u
+		next[u.ID] = e
+		b.byService[u.Service] = append(b.byService[u.Service], e)
+	}
+	for _, list := range b.byService {
+		slices.SortFunc(list, func(x, y *engine) int { return cmp.Compare(x.ID, y.ID) })
+	}
+	b.engines = next
+	b.Tick(now)
+}
+
+// Ask takes a request for a place.
+func (b *Board) Ask(now time.Time, a Ask) {
+	ask := &a
+	ask.arrived = now
+	ask.giveUpAt = earliest(now.Add(lateHold), ask.Until)
+	if b.place(now, ask, false) {
+		return
+	}
+	if b.canBeInTime(now, ask) {
+		b.enqueue(ask)
+		return
+	}
+	b.setLate(now, ask)
+}
+
+// enqueue keeps the order in which waiting requests are served: sent before,
+// then tier, then the moment at which the first event is due.
+func (b *Board) enqueue(ask *Ask) {
+	at, _ := slices.BinarySearchFunc(b.waiting, ask, compareAsks)
+	b.waiting = slices.Insert(b.waiting, at, ask)
+}
+
+func compareAsks(x, y *Ask) int {
+	return cmp.Or(-compareBools(x.Again, y.Again), cmp.Compare(x.Tier, y.Tier), x.Due.Compare(y.Due), cmp.Compare(x.ID, y.ID))
+}
+
+func compareBools(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case x:
+		return 1
+	}
+	return -1
+}
+
+// setLate keeps a request that cannot be in time for a place that nobody else
+// needs, or refuses the least urgent one if there are too many.
+func (b *Board) setLate(now time.Time, ask *Ask) {
+	at, _ := slices.BinarySearchFunc(b.late, ask, compareAsks)
+	b.late = slices.Insert(b.late, at, ask)
+	if len(b.late) > b.lateMost(ask.Service) {
+		last := b.late[len(b.late)-1]
+		b.late = b.late[:len(b.late)-1]
+		b.refuse(now, last, "too many wait")
+		return
+	}
+	b.place(now, ask, true)
+	b.late = slices.DeleteFunc(b.late, func(x *Ask) bool { return x == ask && b.byRun[key(ask.Owner, ask.ID)] != nil })
+}
+
+func (b *Board) lateMost(service string) int {
+	slots := 0
+	for _, e := range b.byService[service] {
+		slots += e.Slots
+	}
+	return int(latePart * float64(slots))
+}
+
+// canBeInTime tells whether some engine could still give the first event in
+// time if it were idle.
+func (b *Board) canBeInTime(now time.Time, a *Ask) bool {
+	left := a.Due.Sub(now) - dueMargin
+	for _, e := range b.byService[a.Service] {
+		own := profile.Prefill(a.Prompt, 1) + profile.StepTime(1)
+		if now.Before(e.avoid) || slices.Contains(a.Exclude, e.ID) {
+			continue
+		}
+		if profile.Fixed+fromMs(own*e.slowness) <= left {
+			return true
+		}
+	}
+	return false
+}
+
+// place grants the best engine, if there is one.
+func (b *Board) place(now time.Time, a *Ask, late bool) bool {
+	var best *engine
+	bestCost := 0.0
+	least := b.leastFailing(now, a.Service)
+	for _, e := range b.byService[a.Service] {
+		cost, ok := b.cost(now, e, a, late, least)
+		if ok && (best == nil || cost < bestCost) {
+			best, bestCost = e, cost
+		}
+	}
+	if best == nil {
+		return false
+	}
+	b.grant(now, best, a)
+	return true
+}
+
+func (b *Board) leastFailing(now time.Time, service string) float64 {
+	least := 1.0
+	for _, e := range b.byService[service] {
+		least = min(least, e.failing(now))
+	}
+	return least
+}
+
+// cost ranks an engine for a request; the lowest is chosen. It tells whether
+// the engine may get the request at all.
+func (b *Board) cost(now time.Time, e *engine, a *Ask, late bool, leastFailing float64) (float64, bool) {
+	running := e.running(now)
+	room := e.Slots
+	if late {
+		room -= int(lateReserve*float64(e.Slots)) + 1
+	}
+	if running >= room || now.Before(e.avoid) || slices.Contains(a.Exclude, e.ID) {
+		return 0, false
+	}
+	if e.failing(now) > leastFailing+failMargin || e.stalled(now) {
+		return 0, false
+	}
+	first := e.firstEvent(now, a.Prompt)
+	left := a.Due.Sub(now) - dueMargin
+	if late {
+		left = a.Until.Sub(now) / 2
+	}
+	if first > left {
+		return 0, false
+	}
+	gap := profile.Gap(max(1, e.EventTokens), running+1, e.backlog+a.Prompt) * e.slowness
+	if running > 0 && a.MaxGap > 0 && gap > gapPart*ms(a.MaxGap) {
+		return 0, false
+	}
+	decode := profile.Decode(a.Output, e.Slots) * e.slowness * outputFactor
+	if first+fromMs(decode) > time.Duration(untilPart*float64(a.Until.Sub(now))) {
+		return 0, false
+	}
+	part := ms(first) / max(1, ms(left))
+	cost := float64(running)/float64(e.Slots) + weightFirst*part*part
+	if e.Domain != a.Domain {
+		cost += weightDomain
+	}
+	return cost, true
+}
+
+func (b *Board) grant(now time.Time, e *engine, a *Ask) {
+	r := &run{owner: a.Owner, id: a.ID, prompt: a.Prompt, output: a.Output, granted: now}
+	e.grant(now, r)
+	b.byRun[key(a.Owner, a.ID)] = e
+	b.verdicts = append(b.verdicts, Verdict{Owner: a.Owner, ID: a.ID, Upstream: e.ID})
+}
+
+func (b *Board) refuse(now time.Time, a *Ask, why string) {
+	b.verdicts = append(b.verdicts, Verdict{Owner: a.Owner, ID: a.ID, RetryAfter: b.retryAfter(now, a.Service), Why: why})
+}
+
+// retryAfter tells when a place should be free: in the time in which what waits
+// is drained, spread over as long again so that callers do not return together.
+func (b *Board) retryAfter(_ time.Time, service string) time.Duration {
+	slots := max(1, 4*b.lateMost(service))
+	drain := time.Duration(float64(len(b.waiting)+len(b.late)) / float64(slots) * float64(2*time.Second))
+	base := min(max(drain, retryLeast), retryMost/2)
+	b.spread = b.spread*6364136223846793005 + 1442695040888963407
+	return base + time.Duration(float64(base)*float64(b.spread>>40)/(1<<24))
+}
+
+// Held takes a run that this board did not grant.
+func (b *Board) Held(now time.Time, owner, id, upstream string, prompt, output int, started bool) {
+	e := b.engines[upstream]
+	if e == nil || b.byRun[key(owner, id)] != nil {
+		return
+	}
+	r := &run{owner: owner, id: id, prompt: prompt, output: output, granted: now}
+	e.grant(now, r)
+	b.byRun[key(owner, id)] = e
+	if started {
+		e.start(now, r)
+	}
+}
+
+// Started notes a run's first event, and how many requests its engine said it
+// has, or -1.
+func (b *Board) Started(now time.Time, owner, id string, reported int) {
+	e := b.byRun[key(owner, id)]
+	if e == nil {
+		return
+	}
+	if r := e.runs[key(owner, id)]; r != nil {
+		e.start(now, r)
+		e.failures = 0
+		if reported >= 0 {
+			e.report(now, reported)
+		}
+	}
+	b.fill(now, e)
+}
+
+// End is what a place that is given back tells.
+type End struct {
+	Outcome Outcome
+	// Stream is the time from the first event to the last, and Tokens what was
+	// generated in it.
+	Stream time.Duration
+	Tokens int
+}
+
+// Ended takes a place back, or withdraws an ask.
+func (b *Board) Ended(now time.Time, owner, id string, end End) {
+	k := key(owner, id)
+	b.withdraw(owner, id)
+	e := b.byRun[k]
+	if e == nil {
+		return
+	}
+	delete(b.byRun, k)
+	r := e.runs[k]
+	if r == nil {
+		return
+	}
+	if end.Outcome == Answered && r.started {
+		e.learn(now, r, end.Stream, end.Tokens)
+	}
+	e.end(now, k, r)
+	switch end.Outcome {
+	case Answered:
+		e.failures = 0
+		e.outcome(now, 0)
+	case Failed:
+		e.outcome(now, 1)
+	case Declined:
+		e.report(now, e.Slots)
+	case Unreached:
+		e.unreached(now)
+	case Left:
+	}
+	b.fill(now, e)
+}
+
+func (b *Board) withdraw(owner, id string) {
+	match := func(a *Ask) bool { return a.ID == id && a.Owner == owner }
+	b.waiting = slices.DeleteFunc(b.waiting, match)
+	b.late = slices.DeleteFunc(b.late, match)
+}
+
+// fill gives an engine that has got room what waits, in order.
+func (b *Board) fill(now time.Time, e *engine) {
+	least := b.leastFailing(now, e.Service)
+	b.waiting = b.fillFrom(now, e, b.waiting, false, least)
+	if len(b.waiting) == 0 {
+		b.late = b.fillFrom(now, e, b.late, true, least)
+	}
+}
+
+func (b *Board) fillFrom(now time.Time, e *engine, queue []*Ask, late bool, least float64) []*Ask {
+	for i := 0; i < len(queue) && i < scanMost && e.running(now) < e.Slots; {
+		a := queue[i]
+		if a.Service != e.Service {
+			i++
+			continue
+		}
+		if _, ok := b.cost(now, e, a, late, least); !ok {
+			i++
+			continue
+		}
+		b.grant(now, e, a)
+		queue = slices.Delete(queue, i, i+1)
+	}
+	return queue
+}
+
+// DropOwner forgets all of a gateway that is gone: its engines drop what its
+// connections carried.
+func (b *Board) DropOwner(now time.Time, owner string) {
+	b.waiting = slices.DeleteFunc(b.waiting, func(a *Ask) bool { return a.Owner == owner })
+	b.late = slices.DeleteFunc(b.late, func(a *Ask) bool { return a.Owner == owner })
+	for _, e := range b.engines {
+		for k, r := range e.runs {
+			if r.owner == owner {
+				e.end(now, k, r)
+				delete(b.byRun, k)
+			}
+		}
+	}
+}
+
+// Tick moves requests that can no longer be in time behind those that can,
+// refuses those that waited for long enough, and tries the others again. It is
+// called every TickEvery.
+func (b *Board) Tick(now time.Time) {
+	var turned []*Ask
+	b.waiting = slices.DeleteFunc(b.waiting, func(a *Ask) bool {
+		if b.canBeInTime(now, a) {
+			return false
+		}
+		turned = append(turned, a)
+		return true
+	})
+	b.late = slices.DeleteFunc(b.late, func(a *Ask) bool {
+		if now.Before(a.giveUpAt) {
+			return false
+		}
+		b.refuse(now, a, "no place in time")
+		return true
+	})
+	for _, a := range turned {
+		b.setLate(now, a)
+	}
+	b.retryWaiting(now)
+}
+
+func (b *Board) retryWaiting(now time.Time) {
+	tried := 0
+	b.waiting = slices.DeleteFunc(b.waiting, func(a *Ask) bool {
+		tried++
+		return tried <= scanMost && b.place(now, a, false)
+	})
+	if len(b.waiting) > 0 {
+		return
+	}
+	tried = 0
+	b.late = slices.DeleteFunc(b.late, func(a *Ask) bool {
+		tried++
+		return tried <= scanMost && b.place(now, a, true)
+	})
+}
+
+// TickEvery is how often Tick is called while requests wait.
+const TickEvery = 10 * time.Millisecond
+
+// Waiting tells whether requests wait.
+func (b *Board) Waiting() bool { return len(b.waiting)+len(b.late) > 0 }
+
+// Verdicts returns what was decided since the last call.
+func (b *Board) Verdicts() []Verdict {
+	verdicts := b.verdicts
+	b.verdicts = nil
+	return verdicts
+}
+
+func key(owner, id string) string { return owner + "/" + id }
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/sched/board/engine.go
@@ -0,0 +1,211 @@
+package board
+
+import (
+	"math"
+	"time"
+
+	"github.com/persimmonridge/persimmonridge/internal/sched/profile"
+)
+
+const (
+	// learnDown and learnUp weigh one stream's evidence of an engine's
+	// slowness. Disturbances only make streams longer, so shorter ones count more.
+	learnDown = 0.4
+	learnUp   = 0.2
+	// learnTokens is the shortest stream that tells a speed: its first and
+	// last event are each off by a step or two.
+	learnTokens = 12
+	// slownessLeast and slownessMost bound what is believed of an engine.
+	slownessLeast = 0.1
+	slownessMost  = 30
+	// stalledAfter is how long a first event may be overdue before the engine
+	// counts as stalled: twice the slowest prompt that is granted.
+	stalledAfter = 300 * time.Millisecond
+	// avoidFirst and avoidMost bound how long an engine that refuses
+	// connections is left out; it doubles with each failure in a row.
+	avoidFirst = 200 * time.Millisecond
+	avoidMost  = 2 * time.Second
+	// failWeight is one outcome's weight in an engine's failure share, which
+	// halves in failHalf without new outcomes, so that it is tried again.
+	failWeight = 0.15
+	failHalf   = 3 * time.Second
+	// reportedFor is how long an engine's own count of its runs is believed.
+	reportedFor = 400 * time.Millisecond
+)
+
+// run is one request that an engine has.
+type run struct {
+	owner, id  string
+	prompt     int
+	output     int
+	granted    time.Time
+	expected   time.Time
+	started    bool
+	startedAt  time.Time
+	runsBefore float64
+	readBefore float64
+}
+
+// engine is what the board knows of one engine.
+type engine struct {
+	Upstream
+	slowness float64
+	learned  bool
+	runs     map[string]*run
+	// backlog is the number of prompt tokens granted and not yet read, and
+	// readUntil is when they should be.
+	backlog   int
+	readUntil time.Time
+	// runsArea is the integral of running requests over milliseconds, and
+	// readUnits the prefill granted in milliseconds of an ordinary engine.
+	// They tell what a stream shared its engine with.
+	runsArea  float64
+	readUnits float64
+	areaAt    time.Time
+
+	failures  int
+	avoid     time.Time
+	failShare float64
+	failAt    time.Time
+
+	// foreign is how many requests the engine said it has beyond the board's.
+	foreign   int
+	foreignAt time.Time
+}
+
+func newEngine(now time.Time, u Upstream) *engine {
+	return &engine{Upstream: u, slowness: 1, runs: make(map[string]*run), areaAt: now, readUntil: now}
+}
+
+// account advances the integral of running requests.
+func (e *engine) account(now time.Time) {
+	if elapsed := now.Sub(e.areaAt); elapsed > 0 {
+		e.runsArea += float64(len(e.runs)) * ms(elapsed)
+		e.areaAt = now
+	}
+}
+
+// running returns how many requests the engine has, those included that others
+// sent it and that it reported of late.
+func (e *engine) running(now time.Time) int {
+	if now.Sub(e.foreignAt) < reportedFor {
+		return len(e.runs) + e.foreign
+	}
+	return len(e.runs)
+}
+
+// report takes the engine's own count of what it has.
+func (e *engine) report(now time.Time, count int) {
+	e.foreign, e.foreignAt = max(0, count-len(e.runs)), now
+}
+
+// wait returns how long the prompts that are granted keep the engine reading.
+func (e *engine) wait(now time.Time) time.Duration {
+	return max(0, e.readUntil.Sub(now))
+}
+
+// firstEvent returns how long a prompt's first event takes if it is sent now.
+func (e *engine) firstEvent(now time.Time, prompt int) time.Duration {
+	running := e.running(now)
+	own := profile.Prefill(prompt, running) + profile.StepTime(running+1)
+	return profile.Fixed + e.wait(now) + fromMs(own*e.slowness)
+}
+
+// grant adds a run.
+func (e *engine) grant(now time.Time, r *run) {
+	e.account(now)
+	units := profile.Prefill(r.prompt, len(e.runs))
+	r.expected = now.Add(e.firstEvent(now, r.prompt))
+	e.readUntil = now.Add(e.wait(now) + fromMs(units*e.slowness))
+	e.readUnits += units
+	e.backlog += r.prompt
+	e.runs[r.owner+"/"+r.id] = r
+}
+
+// start notes a run's first event.
+func (e *engine) start(now time.Time, r *run) {
+	if r.started {
+		return
+	}
+	e.account(now)
+	r.started, r.startedAt = true, now
+	r.runsBefore, r.readBefore = e.runsArea, e.readUnits
+	e.read(now, r)
+}
+
+// read notes that a run's prompt is read, or is not to be read any more.
+func (e *engine) read(now time.Time, r *run) {
+	e.backlog = max(0, e.backlog-r.prompt)
+	rest := 0.0
+	for _, other := range e.runs {
+		if !other.started && other != r {
+			rest += profile.Prefill(other.prompt, len(e.runs))
+		}
+	}
+	limit := now.Add(fromMs(rest * e.slowness))
+	if limit.Before(e.readUntil) {
+		e.readUntil = limit
+	}
+}
+
+// end removes a run.
+func (e *engine) end(now time.Time, key string, r *run) {
+	e.account(now)
+	delete(e.runs, key)
+	if !r.started {
+		e.read(now, r)
+	}
+}
+
+// learn takes how long a stream's tokens took.
+func (e *engine) learn(now time.Time, r *run, took time.Duration, tokens int) {
+	lived := ms(now.Sub(r.startedAt))
+	if tokens < learnTokens || lived <= 0 || took <= 0 {
+		return
+	}
+	e.account(now)
+	beside := (e.runsArea - r.runsBefore) / lived
+	ordinary := float64(tokens)*(profile.Step+profile.StepPerRun*beside) + (e.readUnits - r.readBefore)
+	seen := min(max(ms(took)/ordinary, slownessLeast), slownessMost)
+	if !e.learned {
+		e.learned, e.slowness = true, seen
+		return
+	}
+	weight := learnDown
+	if seen > e.slowness {
+		weight = learnUp
+	}
+	e.slowness *= math.Pow(seen/e.slowness, weight)
+}
+
+// stalled tells whether a first event is long overdue.
+func (e *engine) stalled(now time.Time) bool {
+	for _, r := range e.runs {
+		if !r.started && now.Sub(r.expected) > stalledAfter {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *engine) failing(now time.Time) float64 {
+	return e.failShare * math.Exp2(-now.Sub(e.failAt).Seconds()/failHalf.Seconds())
+}
+
+func (e *engine) outcome(now time.Time, failed float64) {
+	e.failShare = (1-failWeight)*e.failing(now) + failWeight*failed
+	e.failAt = now
+}
+
+// unreached leaves the engine out for a while.
+func (e *engine) unreached(now time.Time) {
+	if now.Before(e.avoid) {
+		return
+	}
+	e.avoid = now.Add(min(avoidMost, avoidFirst<<min(e.failures, 4)))
+	e.failures++
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func fromMs(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
--- /dev/null
+++ b/internal/sched/granter/granter.go
@@ -0,0 +1,131 @@
+// Package granter runs a board: it guards it, gives it the time, and hands its
+// verdicts to those who asked.
+package granter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/persimmonridge/persimmonridge/internal/sched/board"
+)
+
+// dropAfter is how long the places of a gateway that went silent are kept: its
+// engines notice its end by their connections, and a gateway that is only out
+// of touch tells anew what it holds.
+const dropAfter = 300 * time.Millisecond
+
+// Granter is a board in use. It is safe for concurrent use.
+type Granter struct {
+	now     func() time.Time
+	deliver func(board.Verdict)
+
+	mu     sync.Mutex
+	board  *board.Board
+	wake   chan struct{}
+	owners map[string]*time.Timer
+}
+
+// New returns a granter of an empty board. Deliver gets each verdict, without
+// any lock held.
+func New(now func() time.Time, deliver func(board.Verdict)) *Granter {
+	return &Granter{now: now, deliver: deliver, board: board.New(), wake: make(chan struct{}, 1), owners: make(map[string]*time.Timer)}
+}
+
+// Run ticks the board while requests wait, until the context ends.
+func (g *Granter) Run(ctx context.Context) error {
+	ticker := time.NewTicker(board.TickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-g.wake:
+		}
+		for g.tick() {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-ticker.C:
+			}
+		}
+	}
+}
+
+func (g *Granter) tick() bool {
+	waiting := false
+	g.do(func(b *board.Board, now time.Time) {
+		b.Tick(now)
+		waiting = b.Waiting()
+	})
+	return waiting
+}
+
+// do changes the board and hands out what it decides.
+func (g *Granter) do(change func(b *board.Board, now time.Time)) {
+	g.mu.Lock()
+	change(g.board, g.now())
+	verdicts := g.board.Verdicts()
+	waiting := g.board.Waiting()
+	g.mu.Unlock()
+	if waiting {
+		select {
+		case g.wake <- struct{}{}:
+		default:
+		}
+	}
+	for _, v := range verdicts {
+		g.deliver(v)
+	}
+}
+
+// SetUpstreams takes the engines that may get work.
+func (g *Granter) SetUpstreams(upstreams []board.Upstream) {
+	g.do(func(b *board.Board, now time.Time) { b.SetUpstreams(now, upstreams) })
+}
+
+// Ask takes a request for a place.
+func (g *Granter) Ask(a board.Ask) {
+	g.do(func(b *board.Board, now time.Time) { b.Ask(now, a) })
+}
+
+// Held takes a place that this board did not grant.
+func (g *Granter) Held(owner, id, upstream string, prompt, output int, started bool) {
+	g.do(func(b *board.Board, now time.Time) { b.Held(now, owner, id, upstream, prompt, output, started) })
+}
+
+// Started notes a first event and how many requests the engine said it has, or
+// -1.
+func (g *Granter) Started(owner, id string, reported int) {
+	g.do(func(b *board.Board, now time.Time) { b.Started(now, owner, id, reported) })
+}
+
+// Ended takes a place back, or withdraws an ask.
+func (g *Granter) Ended(owner, id string, end board.End) {
+	g.do(func(b *board.Board, now time.Time) { b.Ended(now, owner, id, end) })
+}
+
+// OwnerDown forgets a gateway's places after a while, unless it is heard again.
+func (g *Granter) OwnerDown(owner string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.owners[owner] != nil {
+		return
+	}
+	g.owners[owner] = time.AfterFunc(dropAfter, func() {
+		g.mu.Lock()
+		delete(g.owners, owner)
+		g.mu.Unlock()
+		g.do(func(b *board.Board, now time.Time) { b.DropOwner(now, owner) })
+	})
+}
+
+// OwnerUp keeps the places of a gateway that is heard again.
+func (g *Granter) OwnerUp(owner string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if timer := g.owners[owner]; timer != nil {
+		timer.Stop()
+		delete(g.owners, owner)
+	}
+}
--- a/internal/sched/local/local.go
+++ b/internal/sched/local/local.go
@@ -110,6 +110,14 @@
 	return &place{chooser: c, upstream: best}, nil
 }
 
+// Hold counts a place at an upstream that somebody else chose.
+func (c *Chooser) Hold(u roster.Upstream) flow.Place {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.record(u.ID).running++
+	return &place{chooser: c, upstream: u}
+}
+
 // full bounds what this process alone has at one upstream: its even part of
 // the slots and some more, for processes get uneven parts of the callers.
 func (c *Chooser) full(r *record, u roster.Upstream) bool {
@@ -174,7 +182,7 @@
 func (p *place) Started(time.Time) {}
 
 // Done implements flow.Place.
-func (p *place) Done(now time.Time, o flow.Outcome) {
+func (p *place) Done(now time.Time, o flow.Outcome, _ int) {
 	p.chooser.mu.Lock()
 	defer p.chooser.mu.Unlock()
 	r := p.chooser.record(p.upstream.ID)
--- /dev/null
+++ b/internal/sched/permit/permit.go
@@ -0,0 +1,315 @@
+// Package permit gets places for requests from the gateway that schedules at
+// present, and chooses by itself while none can be asked.
+package permit
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
+	"github.com/persimmonridge/persimmonridge/internal/edge/flow"
+	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
+	"github.com/persimmonridge/persimmonridge/internal/sched/board"
+	"github.com/persimmonridge/persimmonridge/internal/state/catalog"
+	"github.com/persimmonridge/persimmonridge/internal/state/roster"
+)
+
+// answerSlack is how much longer than the longest wait that a scheduler plans
+// an ask is waited for. A scheduler that lives but lost the ask is not asked
+// for longer than a caller would wait.
+const answerSlack = 1500 * time.Millisecond
+
+// asksMost bounds the schedulers that one request asks, each after the one
+// before went silent.
+const asksMost = 3
+
+// Local chooses without asking anybody.
+type Local interface {
+	flow.Picker
+	// Hold counts a place at an upstream that somebody else chose.
+	Hold(u roster.Upstream) flow.Place
+}
+
+// Parts are what a Client works with.
+type Parts struct {
+	// Node is this gateway's name, Domain its failure domain.
+	Node, Domain string
+	// Scheduler returns the gateway to ask, "" if there is none.
+	Scheduler func(now time.Time) string
+	// Send queues a message for a gateway.
+	Send func(node string, e *wire.Envelope) bool
+	// Own takes messages as if a gateway had sent them, when this one schedules.
+	Own      func(now time.Time, e *wire.Envelope)
+	Local    Local
+	Upstream func(id string) (roster.Upstream, bool)
+	Service  func(name string) *catalog.Service
+	Logger   *slog.Logger
+	Now      func() time.Time
+}
+
+type verdict struct {
+	upstream   string
+	retryAfter time.Duration
+	why        string
+	// lost verdicts tell that the scheduler is gone.
+	lost bool
+}
+
+type pending struct {
+	scheduler string
+	verdicts  chan verdict
+}
+
+// Client implements flow.Picker.
+type Client struct {
+	Parts
+
+	mu      sync.Mutex
+	pending map[string]*pending
+	places  map[*place]struct{}
+	current string
+}
+
+// New returns a client of the parts.
+func New(parts Parts) *Client {
+	return &Client{Parts: parts, pending: make(map[string]*pending), places: make(map[*place]struct{})}
+}
+
+// Pick implements flow.Picker.
+func (c *Client) Pick(ctx context.Context, now time.Time, a flow.Ask) (flow.Place, error) {
+	service := c.Service(a.Service)
+	if service == nil || service.Engine == nil {
+		return c.Local.Pick(ctx, now, a)
+	}
+	for range asksMost {
+		scheduler := c.Scheduler(c.Now())
+		if scheduler == "" {
+			break
+		}
+		got, ok := c.ask(ctx, scheduler, a)
+		if ctx.Err() != nil {
+			return nil, flow.RefusePlace(0, "the caller left or its time is over")
+		}
+		if !ok || got.lost {
+			continue
+		}
+		if got.upstream == "" {
+			return nil, flow.RefusePlace(got.retryAfter, "no place: %s", got.why)
+		}
+		if u, known := c.Upstream(got.upstream); known && u.State == roster.Ready {
+			return c.hold(u, a), nil
+		}
+		// The scheduler does not know yet that the upstream leaves.
+		c.tell(ended(a.ID, board.Unreached, 0, 0))
+		a.Exclude = append(append([]string(nil), a.Exclude...), got.upstream)
+	}
+	c.Logger.Debug("no scheduler, choosing here", "id", a.ID)
+	return c.Local.Pick(ctx, c.Now(), a)
+}
+
+// ask asks one scheduler and waits for its verdict.
+func (c *Client) ask(ctx context.Context, scheduler string, a flow.Ask) (verdict, bool) {
+	p := &pending{scheduler: scheduler, verdicts: make(chan verdict, 1)}
+	c.mu.Lock()
+	c.pending[a.ID] = p
+	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		delete(c.pending, a.ID)
+		c.mu.Unlock()
+	}()
+	if !c.sendTo(scheduler, c.askMessage(a)) {
+		return verdict{}, false
+	}
+	timer := time.NewTimer(min(a.Until.Sub(c.Now()), answerSlack))
+	defer timer.Stop()
+	select {
+	case got := <-p.verdicts:
+		return got, true
+	case <-ctx.Done():
+	case <-timer.C:
+		c.Logger.Warn("no word from the scheduler", "id", a.ID, "scheduler", scheduler)
+	}
+	c.sendTo(scheduler, ended(a.ID, board.Left, 0, 0))
+	return verdict{}, false
+}
+
+func (c *Client) askMessage(a flow.Ask) *wire.Envelope {
+	now := c.Now()
+	due := a.Arrived.Add(a.Route.Objective)
+	return &wire.Envelope{Body: &wire.Envelope_PlaceAsk{PlaceAsk: &wire.PlaceAsk{
+		Id: a.ID, Service: a.Service, Tier: uint32(a.Tier), Domain: c.Domain,
+		DueMs: due.Sub(now).Milliseconds(), UntilMs: a.Until.Sub(now).Milliseconds(),
+		Prompt: uint32(a.Prompt), Output: uint32(a.Output), MaxGapMs: uint32(a.Route.MaxGap.Milliseconds()),
+		Exclude: a.Exclude, Again: a.Again,
+	}}}
+}
+
+func (c *Client) sendTo(node string, e *wire.Envelope) bool {
+	if node == c.Node {
+		c.Own(c.Now(), e)
+		return true
+	}
+	return c.Send(node, e)
+}
+
+// tell sends a message to the gateway that schedules now.
+func (c *Client) tell(e *wire.Envelope) {
+	if scheduler := c.Scheduler(c.Now()); scheduler != "" {
+		c.sendTo(scheduler, e)
+	}
+}
+
+// Verdict takes a scheduler's answer.
+func (c *Client) Verdict(v *wire.PlaceVerdict) {
+	c.mu.Lock()
+	p := c.pending[v.Id]
+	c.mu.Unlock()
+	if p == nil {
+		if v.Upstream != "" {
+			c.tell(ended(v.Id, board.Left, 0, 0))
+		}
+		return
+	}
+	select {
+	case p.verdicts <- verdict{upstream: v.Upstream, retryAfter: time.Duration(v.RetryAfterMs) * time.Millisecond, why: v.Why}:
+	default:
+	}
+}
+
+// Down tells that a gateway is gone: what was asked of it is asked elsewhere.
+func (c *Client) Down(node string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.pending {
+		if p.scheduler != node {
+			continue
+		}
+		select {
+		case p.verdicts <- verdict{lost: true}:
+		default:
+		}
+	}
+}
+
+// Follow tells a new scheduler of the places that are held. It is called often
+// and does nothing while the scheduler stays.
+func (c *Client) Follow(now time.Time) {
+	scheduler := c.Scheduler(now)
+	c.mu.Lock()
+	if scheduler == c.current {
+		c.mu.Unlock()
+		return
+	}
+	c.Logger.Info("scheduler", "node", scheduler, "before", c.current)
+	c.current = scheduler
+	var held []*wire.Envelope
+	for p := range c.places {
+		held = append(held, p.heldMessage())
+	}
+	c.mu.Unlock()
+	for _, e := range held {
+		if scheduler != "" {
+			c.sendTo(scheduler, e)
+		}
+	}
+}
+
+// Again makes the next Follow tell all places anew, because the scheduler was
+// restarted or did not hear this gateway for a while.
+func (c *Client) Again() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.current = ""
+}
+
+func (c *Client) hold(u roster.Upstream, a flow.Ask) flow.Place {
+	p := &place{client: c, local: c.Local.Hold(u), upstream: u, ask: a}
+	c.mu.Lock()
+	c.places[p] = struct{}{}
+	c.mu.Unlock()
+	return p
+}
+
+// place is a place that a scheduler granted.
+type place struct {
+	client   *Client
+	local    flow.Place
+	upstream roster.Upstream
+	ask      flow.Ask
+
+	mu      sync.Mutex
+	started time.Time
+	load    *exchange.Load
+}
+
+// Upstream implements flow.Place.
+func (p *place) Upstream() roster.Upstream { return p.upstream }
+
+// Load implements flow.Place.
+func (p *place) Load(now time.Time, load exchange.Load) {
+	p.local.Load(now, load)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.load = &load
+}
+
+// Started implements flow.Place.
+func (p *place) Started(now time.Time) {
+	message := &wire.PlaceStarted{Id: p.ask.ID}
+	p.mu.Lock()
+	p.started = now
+	if p.load != nil {
+		message.LoadKnown, message.Running, message.Waiting = true, uint32(p.load.Running), uint32(p.load.Waiting)
+	}
+	p.mu.Unlock()
+	p.local.Started(now)
+	p.client.tell(&wire.Envelope{Body: &wire.Envelope_PlaceStarted{PlaceStarted: message}})
+}
+
+// Done implements flow.Place.
+func (p *place) Done(now time.Time, o flow.Outcome, tokens int) {
+	p.local.Done(now, o, tokens)
+	p.client.mu.Lock()
+	delete(p.client.places, p)
+	p.client.mu.Unlock()
+	p.mu.Lock()
+	stream := time.Duration(0)
+	if !p.started.IsZero() {
+		stream = now.Sub(p.started)
+	}
+	p.mu.Unlock()
+	p.client.tell(ended(p.ask.ID, boardOutcome(o), stream, tokens))
+}
+
+func (p *place) heldMessage() *wire.Envelope {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return &wire.Envelope{Body: &wire.Envelope_PlaceHeld{PlaceHeld: &wire.PlaceHeld{
+		Id: p.ask.ID, Upstream: p.upstream.ID, Prompt: uint32(p.ask.Prompt), Output: uint32(p.ask.Output),
+		Started: !p.started.IsZero(),
+	}}}
+}
+
+func ended(id string, o board.Outcome, stream time.Duration, tokens int) *wire.Envelope {
+	return &wire.Envelope{Body: &wire.Envelope_PlaceEnded{PlaceEnded: &wire.PlaceEnded{
+		Id: id, Outcome: uint32(o), StreamUs: uint64(stream.Microseconds()), Tokens: uint32(tokens),
+	}}}
+}
+
+func boardOutcome(o flow.Outcome) board.Outcome {
+	switch o {
+	case flow.Answered:
+		return board.Answered
+	case flow.Declined:
+		return board.Declined
+	case flow.Unreached:
+		return board.Unreached
+	case flow.Left:
+		return board.Left
+	case flow.Failed, flow.Broken:
+	}
+	return board.Failed
+}
--- /dev/null
+++ b/internal/sched/permit/serve.go
@@ -0,0 +1,55 @@
+package permit
+
+import (
+	"time"
+
+	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
+	"github.com/persimmonridge/persimmonridge/internal/sched/board"
+	"github.com/persimmonridge/persimmonridge/internal/sched/granter"
+)
+
+// Serve hands a gateway's message to the granter of the gateway that schedules.
+// It tells whether the message was one.
+func Serve(now time.Time, g *granter.Granter, owner string, e *wire.Envelope) bool {
+	switch body := e.Body.(type) {
+	case *wire.Envelope_PlaceAsk:
+		g.Ask(readAsk(now, owner, body.PlaceAsk))
+	case *wire.Envelope_PlaceStarted:
+		reported := -1
+		if body.PlaceStarted.LoadKnown {
+			reported = int(body.PlaceStarted.Running + body.PlaceStarted.Waiting)
+		}
+		g.Started(owner, body.PlaceStarted.Id, reported)
+	case *wire.Envelope_PlaceEnded:
+		g.Ended(owner, body.PlaceEnded.Id, readEnd(body.PlaceEnded))
+	case *wire.Envelope_PlaceHeld:
+		held := body.PlaceHeld
+		g.Held(owner, held.Id, held.Upstream, int(held.Prompt), int(held.Output), held.Started)
+	default:
+		return false
+	}
+	return true
+}
+
+func readAsk(now time.Time, owner string, a *wire.PlaceAsk) board.Ask {
+	return board.Ask{
+		Owner: owner, ID: a.Id, Service: a.Service, Domain: a.Domain, Tier: int(a.Tier),
+		Due:    now.Add(time.Duration(a.DueMs) * time.Millisecond),
+		Until:  now.Add(time.Duration(a.UntilMs) * time.Millisecond),
+		Prompt: int(a.Prompt), Output: int(a.Output), MaxGap: time.Duration(a.MaxGapMs) * time.Millisecond,
+		Exclude: a.Exclude, Again: a.Again,
+	}
+}
+
+func readEnd(e *wire.PlaceEnded) board.End {
+	return board.End{
+		Outcome: board.Outcome(e.Outcome), Stream: time.Duration(e.StreamUs) * time.Microsecond, Tokens: int(e.Tokens),
+	}
+}
+
+// VerdictMessage returns the message that carries a verdict to who asked.
+func VerdictMessage(v board.Verdict) *wire.Envelope {
+	return &wire.Envelope{Body: &wire.Envelope_PlaceVerdict{PlaceVerdict: &wire.PlaceVerdict{
+		Id: v.ID, Upstream: v.Upstream, RetryAfterMs: uint32(v.RetryAfter.Milliseconds()), Why: v.Why,
+	}}}
+}
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -101,10 +101,14 @@
 	r.index()
 }
 
-// Remove takes the removal of a registration.
-func (r *Roster) Remove(now time.Time, id string) {
+// Remove takes the removal of a registration at the revision. One that is older
+// than what is known, as a watch tells again after a gap, changes nothing.
+func (r *Roster) Remove(now time.Time, id string, revision int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.records[id].upstream.Revision > revision {
+		return
+	}
 	r.remove(now, id)
 	r.index()
 }
