Stop in order: long streams are not begun shortly before the end

Change: two seconds after the wish to stop only requests are taken whose whole time fits before the end; others are told to go elsewhere at once. The configuration's watch waits 3 s instead of 0.8 s.

--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -27,6 +27,12 @@
 	declinedRetry = 100 * time.Millisecond
 	// crashRetry is told to callers of a request that crashes upstreams.
 	crashRetry = time.Minute
+	// takeAllFor is how long after the wish to stop any request is taken. Later
+	// ones are taken only if their whole time fits before the end, because a
+	// long stream would be cut by it: its caller would have half an answer.
+	takeAllFor = 2 * time.Second
+	// leavingRetry is told to those; another process takes them at once.
+	leavingRetry = 10 * time.Millisecond
 	// defaultLeft bounds a request when neither caller nor route name a time.
 	defaultLeft = time.Minute
 )
@@ -44,8 +50,8 @@
 	Metrics Metrics
 	Logger  *slog.Logger
 	Now     func() time.Time
-	// Closing tells that callers are to use another connection.
-	Closing func() bool
+	// Leaving tells whether the process stops, since when, and when it ends.
+	Leaving func() (since, until time.Time, leaving bool)
 }
 
 // Metrics takes counts and latencies.
@@ -96,12 +102,17 @@
 	now := f.Now()
 	u := &run{Flow: f, w: w, request: f.Translator.Read(r), arrived: now}
 	u.logger = f.Logger.With("id", u.request.ID)
-	if f.Closing() {
+	since, end, leaving := f.Leaving()
+	if leaving {
 		w.Header().Set("Connection", "close")
 	}
 	if !u.admit() {
 		return
 	}
+	if leaving && now.Sub(since) > takeAllFor && now.Add(u.route.Timeout).After(end) {
+		u.refuse(http.StatusServiceUnavailable, leavingRetry, "this process stops before the request could end")
+		return
+	}
 	left := u.route.Timeout
 	if left <= 0 {
 		left = defaultLeft
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -96,7 +96,21 @@
 	permits       *permit.Client
 	metrics       *metrics
 	ingress       *ingress.Server
-	stopping      atomic.Bool
+	stop          atomic.Pointer[stopTimes]
+}
+
+// stopTimes are when a stop began and when it ends.
+type stopTimes struct{ since, until time.Time }
+
+// stopping tells whether the process was told to stop.
+func (g *Gateway) stopping() bool { return g.stop.Load() != nil }
+
+func (g *Gateway) leaving() (since, until time.Time, leaving bool) {
+	t := g.stop.Load()
+	if t == nil {
+		return time.Time{}, time.Time{}, false
+	}
+	return t.since, t.until, true
 }
 
 // New returns a gateway; Run starts it.
@@ -121,7 +135,7 @@
 	handler := flow.New(flow.Parts{
 		Translator: translator, Client: exchange.NewClient(g.pool, names, now), Catalog: g.catalog.Load,
 		Picker: g.permits, Quota: g.quota, Retries: retry.New(s.Retry, g.peers.processes), Crashes: g.crashRegister,
-		Metrics: g.metrics, Logger: logger, Now: now, Closing: g.stopping.Load,
+		Metrics: g.metrics, Logger: logger, Now: now, Leaving: g.leaving,
 	})
 	g.ingress = ingress.New(handler, g.catalog.Load)
 	return g
@@ -190,7 +204,7 @@
 		case <-ctx.Done():
 		case <-background.Done():
 		}
-		err := g.stop()
+		err := g.drain()
 		cancel()
 		return err
 	})
@@ -199,9 +213,10 @@
 	return errors.Join(err, server.Close(), g.pool.Close())
 }
 
-func (g *Gateway) stop() error {
+func (g *Gateway) drain() error {
 	g.logger.Info("stopping", "grace", g.settings.Grace)
-	g.stopping.Store(true)
+	now := g.now()
+	g.stop.Store(&stopTimes{since: now, until: now.Add(g.settings.Grace - stopMargin)})
 	g.mesh.Farewell()
 	ctx, cancel := context.WithTimeout(context.Background(), g.settings.Grace-stopMargin)
 	defer cancel()
@@ -209,7 +224,7 @@
 }
 
 func (g *Gateway) ready(w http.ResponseWriter, _ *http.Request) {
-	if g.stopping.Load() || g.catalog.Load() == nil {
+	if g.stopping() || g.catalog.Load() == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -147,7 +147,7 @@
 		g.ConfigVersion = c.Version()
 	}
 	g.Ready = g.ConfigVersion > 0
-	g.Leaving = p.stopping.Load()
+	g.Leaving = p.stopping()
 	g.RosterRevision = p.roster.Revision()
 	g.QuotaUsed = p.quota.Used()
 }
@@ -249,7 +249,7 @@
 	p.mu.Lock()
 	best, rank := "", p.rank
 	p.mu.Unlock()
-	if p.catalog.Load() != nil && !p.stopping.Load() {
+	if p.catalog.Load() != nil && !p.stopping() {
 		best = p.settings.Name
 	}
 	for _, other := range p.mesh.Alive(now) {
--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -18,10 +18,11 @@
 	// its return is noticed within 200 ms.
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 200 * time.Millisecond
-	// watchWait is how long a watch waits at the store. A watch whose
-	// connection went silent is given up that much and one call later, so it
-	// is kept short against the 2 s in which changes must be in force.
-	watchWait = 800 * time.Millisecond
+	// watchWait is how long a watch waits at the store. One whose connection
+	// went silent is given up after it and the time-out of a call; keep-alive
+	// probes find a silent connection in some 4 s anyway, and peers tell what
+	// this process misses. Each call is priced, so it is not shorter.
+	watchWait = 3 * time.Second
 )
 
 // View takes what is read. Its methods are called by one goroutine at a time.
