Schedulers reconcile with what gateways hold

A gateway that scheduled for 100 ms after all were restarted kept places that were given back to another; when it scheduled again, their first events looked seconds overdue and no engine got work. Change: each gateway tells the scheduler once a second which places it holds; what it does not hold is forgotten, what another granted is taken in, and an ask ends a former place of the same request.

--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -191,6 +191,7 @@
 	}
 	group.Go(func() error { return g.mesh.Run(background) })
 	group.Go(func() error { return g.granter.Run(background) })
+	group.Go(func() error { return g.tellHeld(background) })
 	group.Go(func() error { return g.peers.register(background) })
 	group.Go(func() error { return g.peers.follow(background) })
 	group.Go(func() error { return g.followConfig(background) })
@@ -262,6 +263,14 @@
 	}
 }
 
+func (g *Gateway) tellHeld(ctx context.Context) error {
+	for ctx.Err() == nil {
+		g.permits.TellHeld(g.now())
+		pause(ctx, permit.TellEvery)
+	}
+	return nil
+}
+
 func (g *Gateway) followConfig(ctx context.Context) error {
 	view := &configView{gateway: g}
 	options := follow.Options{
--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -150,6 +150,9 @@
 func (b *Board) Ask(now time.Time, a Ask) {
 	ask := &a
 	ask.arrived = now
+	// A gateway has one place for a request. One that this board still counts
+	// was given back to another scheduler.
+	b.Ended(now, a.Owner, a.ID, End{Outcome: Left})
 	ask.giveUpAt = earliest(now.Add(lateHold), ask.Until)
 	if b.place(now, ask, false) {
 		return
@@ -306,20 +309,6 @@
 	return base + time.Duration(float64(base)*float64(b.spread>>40)/(1<<24))
 }
 
-// Held takes a run that this board did not grant.
-func (b *Board) Held(now time.Time, owner, id, upstream string, prompt, output int, started bool) {
-	e := b.engines[upstream]
-	if e == nil || b.byRun[key(owner, id)] != nil {
-		return
-	}
-	r := &run{owner: owner, id: id, prompt: prompt, output: output, granted: now}
-	e.grant(now, r)
-	b.byRun[key(owner, id)] = e
-	if started {
-		e.start(now, r)
-	}
-}
-
 // Started notes a run's first event, and how many requests its engine said it
 // has, or -1.
 func (b *Board) Started(now time.Time, owner, id string, reported int) {
--- /dev/null
+++ b/internal/sched/board/sync.go
@@ -0,0 +1,54 @@
+package board
+
+import "time"
+
+// syncAfter is the age from which a run that its gateway does not hold is
+// forgotten: a grant that is younger may still be on its way.
+const syncAfter = time.Second
+
+// Held is a place that a gateway holds.
+type Held struct {
+	ID, Upstream   string
+	Prompt, Output int
+	Started        bool
+}
+
+// Sync takes all places that a gateway holds. Schedulers change without a word
+// between them, so a place may be given back to another than granted it. It
+// would stay taken here for good, and its first event, which nobody reports any
+// more, would make its engine look stalled. What the gateway does not hold is
+// forgotten; what another scheduler granted is taken in.
+func (b *Board) Sync(now time.Time, owner string, held []Held) {
+	holds := make(map[string]bool, len(held))
+	for _, h := range held {
+		holds[key(owner, h.ID)] = true
+		b.takeIn(now, owner, h)
+	}
+	for k, e := range b.byRun {
+		r := e.runs[k]
+		if r == nil {
+			delete(b.byRun, k)
+			continue
+		}
+		if r.owner != owner || holds[k] || now.Sub(r.granted) < syncAfter {
+			continue
+		}
+		e.end(now, k, r)
+		delete(b.byRun, k)
+		b.fill(now, e)
+	}
+}
+
+func (b *Board) takeIn(now time.Time, owner string, h Held) {
+	k := key(owner, h.ID)
+	e := b.engines[h.Upstream]
+	if e == nil || b.byRun[k] != nil {
+		return
+	}
+	r := &run{owner: owner, id: h.ID, prompt: h.Prompt, output: h.Output, granted: now}
+	e.grant(now, r)
+	b.byRun[k] = e
+	if h.Started {
+		e.start(now, r)
+	}
+}
--- a/internal/sched/granter/granter.go
+++ b/internal/sched/granter/granter.go
@@ -89,9 +89,9 @@
 	g.do(func(b *board.Board, now time.Time) { b.Ask(now, a) })
 }
 
-// Held takes a place that this board did not grant.
-func (g *Granter) Held(owner, id, upstream string, prompt, output int, started bool) {
-	g.do(func(b *board.Board, now time.Time) { b.Held(now, owner, id, upstream, prompt, output, started) })
+// Held takes all places that a gateway holds.
+func (g *Granter) Held(owner string, held []board.Held) {
+	g.do(func(b *board.Board, now time.Time) { b.Sync(now, owner, held) })
 }
 
 // Started notes a first event and how many requests the engine said it has, or
--- a/internal/sched/permit/permit.go
+++ b/internal/sched/permit/permit.go
@@ -194,37 +194,40 @@
 	}
 }
 
-// Follow tells a new scheduler of the places that are held. It is called often
-// and does nothing while the scheduler stays.
+// Follow notes a new scheduler and tells it of the places that are held.
 func (c *Client) Follow(now time.Time) {
 	scheduler := c.Scheduler(now)
 	c.mu.Lock()
-	if scheduler == c.current {
-		c.mu.Unlock()
-		return
-	}
-	c.Logger.Info("scheduler", "node", scheduler, "before", c.current)
+	before := c.current
 	c.current = scheduler
-	var held []*wire.Envelope
-	for p := range c.places {
-		held = append(held, p.heldMessage())
-	}
 	c.mu.Unlock()
-	for _, e := range held {
-		if scheduler != "" {
-			c.sendTo(scheduler, e)
-		}
+	if scheduler == before {
+		return
 	}
+	c.Logger.Info("scheduler", "node", scheduler, "before", before)
+	c.TellHeld(now)
 }
 
-// Again makes the next Follow tell all places anew, because the scheduler was
-// restarted or did not hear this gateway for a while.
-func (c *Client) Again() {
+// TellHeld tells the scheduler of all places that are held. It is repeated every
+// TellEvery, because a message may be lost, and a place that another gateway
+// granted for a moment would stay taken there for good.
+func (c *Client) TellHeld(now time.Time) {
+	scheduler := c.Scheduler(now)
+	if scheduler == "" {
+		return
+	}
+	held := &wire.PlacesHeld{}
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.current = ""
+	for p := range c.places {
+		held.Places = append(held.Places, p.held())
+	}
+	c.mu.Unlock()
+	c.sendTo(scheduler, &wire.Envelope{Body: &wire.Envelope_PlacesHeld{PlacesHeld: held}})
 }
 
+// TellEvery is how often TellHeld is to be called.
+const TellEvery = time.Second
+
 func (c *Client) hold(u roster.Upstream, a flow.Ask) flow.Place {
 	p := &place{client: c, local: c.Local.Hold(u), upstream: u, ask: a}
 	c.mu.Lock()
@@ -284,13 +287,13 @@
 	p.client.tell(ended(p.ask.ID, boardOutcome(o), stream, tokens))
 }
 
-func (p *place) heldMessage() *wire.Envelope {
+func (p *place) held() *wire.PlaceHeld {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return &wire.Envelope{Body: &wire.Envelope_PlaceHeld{PlaceHeld: &wire.PlaceHeld{
+	return &wire.PlaceHeld{
 		Id: p.ask.ID, Upstream: p.upstream.ID, Prompt: uint32(p.ask.Prompt), Output: uint32(p.ask.Output),
 		Started: !p.started.IsZero(),
-	}}}
+	}
 }
 
 func ended(id string, o board.Outcome, stream time.Duration, tokens int) *wire.Envelope {
--- a/internal/sched/permit/serve.go
+++ b/internal/sched/permit/serve.go
@@ -22,9 +22,8 @@
 		g.Started(owner, body.PlaceStarted.Id, reported)
 	case *wire.Envelope_PlaceEnded:
 		g.Ended(owner, body.PlaceEnded.Id, readEnd(body.PlaceEnded))
-	case *wire.Envelope_PlaceHeld:
-		held := body.PlaceHeld
-		g.Held(owner, held.Id, held.Upstream, int(held.Prompt), int(held.Output), held.Started)
+	case *wire.Envelope_PlacesHeld:
+		g.Held(owner, readHeld(body.PlacesHeld))
 	default:
 		return false
 	}
@@ -41,6 +40,16 @@
 	}
 }
 
+func readHeld(h *wire.PlacesHeld) []board.Held {
+	held := make([]board.Held, 0, len(h.Places))
+	for _, p := range h.Places {
+		held = append(held, board.Held{
+			ID: p.Id, Upstream: p.Upstream, Prompt: int(p.Prompt), Output: int(p.Output), Started: p.Started,
+		})
+	}
+	return held
+}
+
 func readEnd(e *wire.PlaceEnded) board.End {
 	return board.End{
 		Outcome: board.Outcome(e.Outcome), Stream: time.Duration(e.StreamUs) * time.Microsecond, Tokens: int(e.Tokens),
