Rank requests by workspace tier, then by route tier

The log of placed, first event and longest gap by tier showed one tier only. Change: the workspace's tier goes first, the route's decides among equals.

--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -89,9 +89,12 @@
 	mayHaveRun  bool
 	exclude     []string
 	fingerprint uint64
-	// sentAt and firstEvent are of the last send.
+	// placed, firstEvent and longestGap are of the last send: the wait for its
+	// place, the time to its first event and the longest pause after that.
 	sentAt     time.Time
+	placed     time.Duration
 	firstEvent time.Duration
+	longestGap time.Duration
 	events     int
 	stream     relay
 	logger     *slog.Logger
@@ -224,6 +227,7 @@
 			return
 		}
 		place, err := u.Picker.Pick(ctx, now, u.ask(service))
+		u.placed = u.Now().Sub(now)
 		if err != nil {
 			u.unplaced(ctx, err)
 			return
@@ -293,7 +297,7 @@
 // to the caller open, unless part of it was delivered.
 func (u *run) send(ctx context.Context, place Place) Outcome {
 	now := u.Now()
-	u.sentAt, u.events = now, 0
+	u.sentAt, u.events, u.longestGap = now, 0, 0
 	up := place.Upstream()
 	workspace := ""
 	if u.work != nil {
--- a/internal/edge/flow/stream.go
+++ b/internal/edge/flow/stream.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
 )
@@ -81,6 +82,7 @@
 // on where another broke off continues the same answer.
 func (u *run) deliverStream(ctx context.Context, place Place, answer *exchange.Answer) Outcome {
 	reader := newEventReader(answer)
+	var eventAt time.Time
 	for {
 		got, err := reader.next()
 		if errors.Is(err, io.EOF) {
@@ -88,7 +90,7 @@
 			u.endStream(answer)
 			u.finish("answered", "upstream", place.Upstream().ID, "last-event", u.stream.last,
 				"prompt", u.request.PromptTokens, "output", u.request.OutputTokens, "hint", u.request.LengthHint,
-				"first-event", u.firstEvent, "load", answer.Load)
+				"placed", u.placed, "first-event", u.firstEvent, "longest-gap", u.longestGap, "load", answer.Load)
 			return Answered
 		}
 		if err != nil {
@@ -96,10 +98,14 @@
 			return u.streamBroke(ctx, place, err)
 		}
 		u.events++
+		now := u.Now()
 		if u.events == 1 {
-			u.firstEvent = u.Now().Sub(u.sentAt)
-			place.Started(u.Now())
+			u.firstEvent = now.Sub(u.sentAt)
+			place.Started(now)
+		} else {
+			u.longestGap = max(u.longestGap, now.Sub(eventAt))
 		}
+		eventAt = now
 		if u.seen(got) {
 			continue
 		}
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -137,7 +137,8 @@
 }
 
 // Gossip implements mesh.Handler.
-func (p *peers) Gossip(_ time.Time, g *wire.Gossip) {
+func (p *peers) Gossip(now time.Time, g *wire.Gossip) {
+	p.granter.SetReach(len(p.mesh.Alive(now))+1, p.processes())
 	p.mu.Lock()
 	g.Rank = p.rank
 	g.Crashes = p.crashes
--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -118,6 +118,8 @@
 	late      []*Ask
 	verdicts  []Verdict
 	spread    uint64
+	// others is the part of the gateways that asks other schedulers.
+	others float64
 }
 
 // New returns an empty board.
@@ -134,6 +136,7 @@
 		e := b.engines[u.ID]
 		if e == nil || e.Born != u.Born {
 			e = newEngine(now, u)
+			e.setSplit(now, b.others)
 		}
 		e.Upstream = u
 		next[u.ID] = e
@@ -146,6 +149,23 @@
 	b.Tick(now)
 }
 
+// SetReach tells how many of the known gateways this scheduler hears. The others
+// are gone, or cut off from here and not from the engines: then they use the
+// same engines by their own choice.
+func (b *Board) SetReach(now time.Time, heard, known int) {
+	others := 0.0
+	if known > 0 {
+		others = float64(known-heard) / float64(known)
+	}
+	if others == b.others {
+		return
+	}
+	b.others = others
+	for _, e := range b.engines {
+		e.setSplit(now, others)
+	}
+}
+
 // Ask takes a request for a place.
 func (b *Board) Ask(now time.Time, a Ask) {
 	ask := &a
--- a/internal/sched/board/engine.go
+++ b/internal/sched/board/engine.go
@@ -29,8 +29,15 @@
 	// halves in failHalf without new outcomes, so that it is tried again.
 	failWeight = 0.15
 	failHalf   = 3 * time.Second
-	// reportedFor is how long an engine's own count of its runs is believed.
+	// reportedFor is how long an engine's own count of its runs is believed
+	// while all gateways ask the same scheduler.
 	reportedFor = 400 * time.Millisecond
+	// foreignHalf is the time in which what others were seen to have on an
+	// engine halves while they ask other schedulers, and foreignWeight the
+	// weight of one more sight of it. Without a memory, each scheduler would
+	// fill the engine anew whenever its last sight is old.
+	foreignHalf   = 1500 * time.Millisecond
+	foreignWeight = 0.4
 )
 
 // run is one request that an engine has.
@@ -68,9 +75,11 @@
 	failShare float64
 	failAt    time.Time
 
-	// foreign is how many requests the engine said it has beyond the board's.
-	foreign   int
+	// foreign is how many requests the engine said it has beyond the board's;
+	// split tells that other schedulers use it too.
+	foreign   float64
 	foreignAt time.Time
+	split     bool
 }
 
 func newEngine(now time.Time, u Upstream) *engine {
@@ -88,15 +97,37 @@
 // running returns how many requests the engine has, those included that others
 // sent it and that it reported of late.
 func (e *engine) running(now time.Time) int {
-	if now.Sub(e.foreignAt) < reportedFor {
-		return len(e.runs) + e.foreign
+	return len(e.runs) + int(math.Round(e.others(now)))
+}
+
+// others returns how many requests the engine has beyond the board's.
+func (e *engine) others(now time.Time) float64 {
+	age := now.Sub(e.foreignAt)
+	if e.split {
+		return e.foreign * math.Exp2(-age.Seconds()/foreignHalf.Seconds())
 	}
-	return len(e.runs)
+	if age < reportedFor {
+		return e.foreign
+	}
+	return 0
 }
 
 // report takes the engine's own count of what it has.
 func (e *engine) report(now time.Time, count int) {
-	e.foreign, e.foreignAt = max(0, count-len(e.runs)), now
+	seen := float64(max(0, count-len(e.runs)))
+	if e.split {
+		seen = (1-foreignWeight)*e.others(now) + foreignWeight*seen
+	}
+	e.foreign, e.foreignAt = seen, now
+}
+
+// setSplit tells what part of the gateways asks other schedulers.
+func (e *engine) setSplit(now time.Time, others float64) {
+	split := others > 0
+	if split && !e.split {
+		e.foreign, e.foreignAt = others*float64(e.Slots), now
+	}
+	e.split = split
 }
 
 // wait returns how long the prompts that are granted keep the engine reading.
--- a/internal/sched/granter/granter.go
+++ b/internal/sched/granter/granter.go
@@ -84,6 +84,11 @@
 	g.do(func(b *board.Board, now time.Time) { b.SetUpstreams(now, upstreams) })
 }
 
+// SetReach tells how many of the known gateways this one hears.
+func (g *Granter) SetReach(heard, known int) {
+	g.do(func(b *board.Board, now time.Time) { b.SetReach(now, heard, known) })
+}
+
 // Ask takes a request for a place.
 func (g *Granter) Ask(a board.Ask) {
 	g.do(func(b *board.Board, now time.Time) { b.Ask(now, a) })
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -88,7 +88,7 @@
 type Workspace struct {
 	Name string
 	Keys []string
-	// Tier ranks its requests instead of the route's, if it is not negative.
+	// Tier ranks its requests before the route's tier does, if it is not negative.
 	Tier int
 	// PerSecond and Burst are its quota; PerSecond 0 means that it has none.
 	PerSecond float64
@@ -183,10 +183,16 @@
 // Workspace returns the workspace that holds the key, or nil.
 func (c *Catalog) Workspace(key string) *Workspace { return c.byKey[key] }
 
-// Tier returns the rank of a workspace's requests on the route.
+// tierWidth is the number of route tiers inside one tier of workspaces.
+const tierWidth = 16
+
+// Tier returns the rank of a workspace's requests on the route: the
+// workspace's own tier goes first, and among workspaces of one tier the
+// route's decides.
 func (c *Catalog) Tier(route *Route, workspace *Workspace) int {
+	first := route.Tier
 	if workspace != nil && workspace.Tier >= 0 {
-		return workspace.Tier
+		first = workspace.Tier
 	}
-	return route.Tier
+	return first*tierWidth + min(route.Tier, tierWidth-1)
 }
