--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -46,10 +46,10 @@
 	keepAliveIdle  = 2 * time.Second
 	keepAliveEvery = time.Second
 	keepAliveCount = 2
-	// rosterPause is between two looks at the upstreams: their heartbeats
-	// change keys many times a second, and a leaving one must be seen within
-	// two seconds.
-	rosterPause = 400 * time.Millisecond
+	// storePause is between two looks at the store: upstreams' heartbeats change
+	// keys many times a second, and a leaving one, like a new configuration,
+	// must be seen within two seconds.
+	storePause = 500 * time.Millisecond
 	// sweepEvery is how often idle connections and lapsed upstreams are looked at.
 	sweepEvery = 250 * time.Millisecond
 	// stopMargin is kept between the end of what runs and the forced end.
@@ -193,9 +193,7 @@
 	group.Go(func() error { return g.granter.Run(background) })
 	group.Go(func() error { return g.tellHeld(background) })
 	group.Go(func() error { return g.peers.register(background) })
-	group.Go(func() error { return g.peers.follow(background) })
-	group.Go(func() error { return g.followConfig(background) })
-	group.Go(func() error { return g.followUpstreams(background) })
+	group.Go(func() error { return g.followStore(background) })
 	group.Go(func() error { return g.sweep(background) })
 	group.Go(func() error { return g.serveHTTP(background, g.settings.Readiness, http.HandlerFunc(g.ready)) })
 	group.Go(func() error { return g.serveHTTP(background, g.settings.Metrics, promhttp.Handler()) })
@@ -271,17 +269,19 @@
 	return nil
 }
 
-func (g *Gateway) followConfig(ctx context.Context) error {
-	view := &configView{gateway: g}
-	options := follow.Options{
-		Prefix:   g.settings.ConfigKey,
-		Lost:     func(time.Time) { g.peers.storeAway(true) },
-		Regained: func(time.Time) { g.peers.storeAway(false) },
+// followStore keeps all that the process knows from the store up to date.
+func (g *Gateway) followStore(ctx context.Context) error {
+	view := follow.Split{
+		{Prefix: g.settings.ConfigKey, View: &configView{gateway: g}},
+		{Prefix: g.settings.UpstreamPrefix, View: g.upstreams},
+		{Prefix: memberPrefix, View: g.peers},
 	}
-	return follow.New(g.store, view, options, g.logger, g.now).Run(ctx)
-}
-
-func (g *Gateway) followUpstreams(ctx context.Context) error {
-	options := follow.Options{Prefix: g.settings.UpstreamPrefix, Pause: rosterPause, Regained: g.roster.StoreReturned}
-	return follow.New(g.store, g.upstreams, options, g.logger, g.now).Run(ctx)
+	return follow.New(g.store, view, follow.Options{
+		Pause: storePause,
+		Lost:  func(time.Time) { g.peers.storeAway(true) },
+		Regained: func(now time.Time) {
+			g.roster.StoreReturned(now)
+			g.peers.storeAway(false)
+		},
+	}, g.logger, g.now).Run(ctx)
 }
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -12,7 +12,6 @@
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
 	"github.com/persimmonridge/persimmonridge/internal/sched/board"
 	"github.com/persimmonridge/persimmonridge/internal/sched/permit"
-	"github.com/persimmonridge/persimmonridge/internal/state/follow"
 	"github.com/persimmonridge/persimmonridge/internal/state/kv"
 )
 
@@ -21,9 +20,6 @@
 	memberTerm = 10 * time.Second
 	// memberRenew leaves room for two lost renewals.
 	memberRenew = 3 * time.Second
-	// memberWait is how long a look at the other gateways waits for a change:
-	// they also tell each other of each other.
-	memberWait = 10 * time.Second
 	// unranked is the rank of a gateway that does not know its own yet.
 	unranked = math.MaxInt64
 	// rosterAskEvery is how often a gateway that the store does not answer asks
@@ -132,10 +128,6 @@
 	return lease
 }
 
-func (p *peers) follow(ctx context.Context) error {
-	return follow.New(p.store, p, follow.Options{Prefix: memberPrefix, Wait: memberWait}, p.logger, p.now).Run(ctx)
-}
-
 // Gossip implements mesh.Handler.
 func (p *peers) Gossip(now time.Time, g *wire.Gossip) {
 	p.granter.SetReach(len(p.mesh.Alive(now))+1, p.processes())
--- a/internal/role/gateway/views.go
+++ b/internal/role/gateway/views.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -19,11 +20,13 @@
 	}
 }
 
-// Apply implements follow.View.
+// Apply implements follow.View. Of several versions in one answer only the last
+// is decoded: a large one takes some milliseconds.
 func (v *configView) Apply(_ time.Time, c kv.Changes) {
-	for _, e := range c.Events {
-		if !e.Deleted {
+	for _, e := range slices.Backward(c.Events) {
+		if !e.Deleted && e.Key == v.gateway.settings.ConfigKey {
 			v.take(e.Item)
+			return
 		}
 	}
 }
--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -19,10 +19,9 @@
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 200 * time.Millisecond
 	// watchWait is how long a watch waits at the store. One whose connection
-	// went silent is given up after it and the time-out of a call; keep-alive
-	// probes find a silent connection in some 4 s anyway, and peers tell what
-	// this process misses. Each call is priced, so it is not shorter.
-	watchWait = 3 * time.Second
+	// went silent is given up after it and one call's time-out; changes must be
+	// in force two seconds after they were accepted.
+	watchWait = time.Second
 )
 
 // View takes what is read. Its methods are called by one goroutine at a time.
@@ -81,10 +80,16 @@
 	return nil
 }
 
-// watch follows the history until it has a gap.
+// watch follows the history until it has a gap. After a failure the store is
+// asked without waiting: a watch that was begun while the store is silent would
+// hang for its whole time after the store's return.
 func (f *Follower) watch(ctx context.Context, after int64) {
 	for ctx.Err() == nil {
-		changes, err := f.store.Watch(ctx, f.options.Prefix, after, f.options.Wait)
+		wait := f.options.Wait
+		if f.away {
+			wait = 0
+		}
+		changes, err := f.store.Watch(ctx, f.options.Prefix, after, wait)
 		if errorx.IsOfType(err, kv.Compacted) {
 			f.logger.Info("history is gone, reading the range again", "prefix", f.options.Prefix, "after", after)
 			return
--- /dev/null
+++ b/internal/state/follow/split.go
@@ -0,0 +1,45 @@
+package follow
+
+import (
+	"strings"
+	"time"
+
+	"github.com/persimmonridge/persimmonridge/internal/state/kv"
+)
+
+// Part is a view of the keys under a prefix.
+type Part struct {
+	Prefix string
+	View   View
+}
+
+// Split is a view that hands each key to the part whose prefix it has. One
+// watch of all keys costs the store a fraction of the calls of one for each
+// part, and the part that changes most shows for all that the store answers.
+type Split []Part
+
+// Replace implements View.
+func (s Split) Replace(now time.Time, all kv.Snapshot) {
+	for _, part := range s {
+		own := kv.Snapshot{Revision: all.Revision}
+		for _, item := range all.Items {
+			if strings.HasPrefix(item.Key, part.Prefix) {
+				own.Items = append(own.Items, item)
+			}
+		}
+		part.View.Replace(now, own)
+	}
+}
+
+// Apply implements View.
+func (s Split) Apply(now time.Time, all kv.Changes) {
+	for _, part := range s {
+		own := kv.Changes{Revision: all.Revision}
+		for _, e := range all.Events {
+			if strings.HasPrefix(e.Key, part.Prefix) {
+				own.Events = append(own.Events, e)
+			}
+		}
+		part.View.Apply(now, own)
+	}
+}
