Within a tier two of three free places go to the shortest; returns go behind

Change: of the requests of one tier that wait, two of three places go to the one that should take its engine the least time, the third to the one due first; a request that was refused before goes behind its tier.

--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -280,6 +280,7 @@
 	a := Ask{
 		ID: u.request.ID, Service: service, Route: u.route, Tier: u.tier,
 		Arrived: u.arrived, Until: u.until, Exclude: u.exclude, Again: u.sends > 0,
+		Fingerprint: u.fingerprint,
 	}
 	if u.work != nil {
 		a.Workspace = u.work.Name
--- a/internal/edge/flow/request.go
+++ b/internal/edge/flow/request.go
@@ -108,6 +108,8 @@
 	Parts  []Part
 	// Exclude are upstreams that were tried.
 	Exclude []string
+	// Fingerprint recognises a request that its caller sends again.
+	Fingerprint uint64
 	// Again asks are for requests that were sent before.
 	Again bool
 }
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -125,7 +125,7 @@
 	g.peers = &peers{Gateway: g, rank: unranked, versions: make(map[string]int64)}
 	g.crashRegister = crash.New(g.peers.crashed)
 	g.mesh = mesh.New(s.Name, s.Links, g.run, dialer{}, g.peers, logger, now)
-	g.granter = granter.New(now, g.peers.deliver)
+	g.granter = granter.New(now, g.peers.deliver, logger)
 	g.permits = permit.New(permit.Parts{
 		Node: s.Name, Domain: s.Domain, Scheduler: g.peers.scheduler, Send: g.mesh.Send,
 		Own:   func(now time.Time, e *wire.Envelope) { permit.Serve(now, g.granter, s.Name, e) },
--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -39,9 +39,14 @@
 	Exclude []string
 	// Again asks are for requests that were sent before and go first.
 	Again bool
+	// Fingerprint recognises a request that was refused and comes again.
+	Fingerprint uint64
 
 	arrived  time.Time
 	giveUpAt time.Time
+	// returned asks were refused before. Their answers are late already, so
+	// they go behind those of their tier that can be in time.
+	returned bool
 }
 
 // Verdict answers an ask. A refusal has no upstream.
@@ -97,9 +102,6 @@
 	// retryLeast and retryMost bound what refused callers are told.
 	retryLeast = 300 * time.Millisecond
 	retryMost  = 3 * time.Second
-	// scanMost bounds the waiting requests that are tried on an engine that
-	// has got room.
-	scanMost = 64
 	// Weights of the choice among engines, in parts of all slots taken.
 	// weightFirst makes long prompts go to fast engines: it is the weight of
 	// the square of the part of the time left that the first event takes.
@@ -119,12 +121,16 @@
 	verdicts  []Verdict
 	spread    uint64
 	// others is the part of the gateways that asks other schedulers.
-	others float64
+	others   float64
+	refusals refusals
+	tidied   time.Time
+	// turns counts the places given to requests that waited.
+	turns int
 }
 
 // New returns an empty board.
 func New() *Board {
-	return &Board{engines: make(map[string]*engine), byService: make(map[string][]*engine), byRun: make(map[string]*engine)}
+	return &Board{engines: make(map[string]*engine), byService: make(map[string][]*engine), byRun: make(map[string]*engine), refusals: make(refusals)}
 }
 
 // SetUpstreams takes the engines that may get work. One that started anew
@@ -174,6 +180,7 @@
 	// was given back to another scheduler.
 	b.Ended(now, a.Owner, a.ID, End{Outcome: Left})
 	ask.giveUpAt = earliest(now.Add(lateHold), ask.Until)
+	ask.returned = b.refusals.take(now, ask.Fingerprint)
 	if b.place(now, ask, false) {
 		return
 	}
@@ -192,7 +199,10 @@
 }
 
 func compareAsks(x, y *Ask) int {
-	return cmp.Or(-compareBools(x.Again, y.Again), cmp.Compare(x.Tier, y.Tier), x.Due.Compare(y.Due), cmp.Compare(x.ID, y.ID))
+	return cmp.Or(
+		-compareBools(x.Again, y.Again), cmp.Compare(x.Tier, y.Tier), compareBools(x.returned, y.returned),
+		x.Due.Compare(y.Due), cmp.Compare(x.ID, y.ID),
+	)
 }
 
 func compareBools(x, y bool) int {
@@ -316,6 +326,7 @@
 }
 
 func (b *Board) refuse(now time.Time, a *Ask, why string) {
+	b.refusals.add(now, a.Fingerprint)
 	b.verdicts = append(b.verdicts, Verdict{Owner: a.Owner, ID: a.ID, RetryAfter: b.retryAfter(now, a.Service), Why: why})
 }
 
@@ -393,32 +404,6 @@
 	b.late = slices.DeleteFunc(b.late, match)
 }
 
-// fill gives an engine that has got room what waits, in order.
-func (b *Board) fill(now time.Time, e *engine) {
-	least := b.leastFailing(now, e.Service)
-	b.waiting = b.fillFrom(now, e, b.waiting, false, least)
-	if len(b.waiting) == 0 {
-		b.late = b.fillFrom(now, e, b.late, true, least)
-	}
-}
-
-func (b *Board) fillFrom(now time.Time, e *engine, queue []*Ask, late bool, least float64) []*Ask {
-	for i := 0; i < len(queue) && i < scanMost && e.running(now) < e.Slots; {
-		a := queue[i]
-		if a.Service != e.Service {
-			i++
-			continue
-		}
-		if _, ok := b.cost(now, e, a, late, least); !ok {
-			i++
-			continue
-		}
-		b.grant(now, e, a)
-		queue = slices.Delete(queue, i, i+1)
-	}
-	return queue
-}
-
 // DropOwner forgets all of a gateway that is gone: its engines drop what its
 // connections carried.
 func (b *Board) DropOwner(now time.Time, owner string) {
@@ -438,6 +423,10 @@
 // refuses those that waited for long enough, and tries the others again. It is
 // called every TickEvery.
 func (b *Board) Tick(now time.Time) {
+	if now.Sub(b.tidied) > returnWithin {
+		b.tidied = now
+		b.refusals.expire(now)
+	}
 	var turned []*Ask
 	b.waiting = slices.DeleteFunc(b.waiting, func(a *Ask) bool {
 		if b.canBeInTime(now, a) {
@@ -459,20 +448,16 @@
 	b.retryWaiting(now)
 }
 
+// retryWaiting fills all engines that have room: time alone may have made one
+// fit for a request that waits.
 func (b *Board) retryWaiting(now time.Time) {
-	tried := 0
-	b.waiting = slices.DeleteFunc(b.waiting, func(a *Ask) bool {
-		tried++
-		return tried <= scanMost && b.place(now, a, false)
-	})
-	if len(b.waiting) > 0 {
-		return
+	for _, list := range b.byService {
+		for _, e := range list {
+			if e.running(now) < e.Slots {
+				b.fill(now, e)
+			}
+		}
 	}
-	tried = 0
-	b.late = slices.DeleteFunc(b.late, func(a *Ask) bool {
-		tried++
-		return tried <= scanMost && b.place(now, a, true)
-	})
 }
 
 // TickEvery is how often Tick is called while requests wait.
--- a/internal/sched/granter/granter.go
+++ b/internal/sched/granter/granter.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"time"
 
@@ -15,21 +16,27 @@
 // of touch tells anew what it holds.
 const dropAfter = 300 * time.Millisecond
 
+// logEvery is how often the board is told in the log while requests wait.
+const logEvery = time.Second
+
 // Granter is a board in use. It is safe for concurrent use.
 type Granter struct {
 	now     func() time.Time
 	deliver func(board.Verdict)
+	logger  *slog.Logger
 
 	mu     sync.Mutex
 	board  *board.Board
 	wake   chan struct{}
 	owners map[string]*time.Timer
+	// logged is when the board was last told in the log.
+	logged time.Time
 }
 
 // New returns a granter of an empty board. Deliver gets each verdict, without
 // any lock held.
-func New(now func() time.Time, deliver func(board.Verdict)) *Granter {
-	return &Granter{now: now, deliver: deliver, board: board.New(), wake: make(chan struct{}, 1), owners: make(map[string]*time.Timer)}
+func New(now func() time.Time, deliver func(board.Verdict), logger *slog.Logger) *Granter {
+	return &Granter{now: now, deliver: deliver, logger: logger, board: board.New(), wake: make(chan struct{}, 1), owners: make(map[string]*time.Timer)}
 }
 
 // Run ticks the board while requests wait, until the context ends.
@@ -54,10 +61,20 @@
 
 func (g *Granter) tick() bool {
 	waiting := false
+	var stats *board.Stats
 	g.do(func(b *board.Board, now time.Time) {
 		b.Tick(now)
 		waiting = b.Waiting()
+		if now.Sub(g.logged) >= logEvery {
+			g.logged = now
+			s := b.Stats(now)
+			stats = &s
+		}
 	})
+	if stats != nil {
+		g.logger.Info("requests wait", "waiting", stats.Waiting, "late", stats.Late,
+			"running", stats.Running, "slots", stats.Slots, "engines", stats.Engines)
+	}
 	return waiting
 }
 
--- a/internal/sched/permit/permit.go
+++ b/internal/sched/permit/permit.go
@@ -143,7 +143,7 @@
 		Id: a.ID, Service: a.Service, Tier: uint32(a.Tier), Domain: c.Domain,
 		DueMs: due.Sub(now).Milliseconds(), UntilMs: a.Until.Sub(now).Milliseconds(),
 		Prompt: uint32(a.Prompt), Output: uint32(a.Output), MaxGapMs: uint32(a.Route.MaxGap.Milliseconds()),
-		Exclude: a.Exclude, Again: a.Again,
+		Exclude: a.Exclude, Again: a.Again, Fingerprint: a.Fingerprint,
 	}}}
 }
 
--- a/internal/sched/permit/serve.go
+++ b/internal/sched/permit/serve.go
@@ -36,7 +36,7 @@
 		Due:    now.Add(time.Duration(a.DueMs) * time.Millisecond),
 		Until:  now.Add(time.Duration(a.UntilMs) * time.Millisecond),
 		Prompt: int(a.Prompt), Output: int(a.Output), MaxGap: time.Duration(a.MaxGapMs) * time.Millisecond,
-		Exclude: a.Exclude, Again: a.Again,
+		Exclude: a.Exclude, Again: a.Again, Fingerprint: a.Fingerprint,
 	}
 }
 
