Small gossip; quotas are summed by the scheduler

Change: gossip is some 40 bytes, who a process is goes into every tenth; liveness is four intervals; quota use goes to the scheduler, which answers with the sum of the others; a gateway without sums for a second falls back to its part; buckets start full when the fleet starts for the first time. The store's watch waits as long as a change may take to be in force.

--- a/cmd/persimmonridge/gateway.go
+++ b/cmd/persimmonridge/gateway.go
@@ -35,7 +35,7 @@
 	store := platform.NewStore(node.Store, gateway.Dial)
 	return gateway.New(gateway.Settings{
 		Name: node.Name, Domain: node.Domain, Callers: node.Callers, Readiness: node.Readiness,
-		Links: node.Links, Metrics: node.Metrics, Seeds: node.Seeds, Grace: node.Grace,
+		Links: node.Links, Metrics: node.Metrics, Seeds: node.Seeds, Grace: node.Grace, First: node.First, Apply: node.Apply,
 		Retry:     retry.Settings{Share: node.RetryShare, Slack: node.RetrySlack, Window: node.RetryWindow},
 		ConfigKey: platform.ConfigPrefix, UpstreamPrefix: platform.UpstreamPrefix,
 	}, store, platform.Decoder{}, platform.Headers{}, platform.AnswerNames(), logger, time.Now).Run(ctx)
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -18,18 +18,22 @@
 const (
 	// baseInterval is between two gossips in a fleet of up to baseFleet
 	// processes; it grows with the fleet, so that a process's cost for gossip
-	// stays the same.
+	// grows by less than the fleet.
 	baseInterval = 100 * time.Millisecond
-	baseFleet    = 6
-	// maxInterval bounds it; quotas and liveness are seen that late.
+	baseFleet    = 10
+	// maxInterval bounds it.
 	maxInterval = 400 * time.Millisecond
-	// AliveFor is how long a peer counts as living after its last gossip: four
-	// missed ones of a small fleet. Choosing a scheduler that is gone costs a
-	// request this much of its time at most.
-	AliveFor = 450 * time.Millisecond
+	// aliveIntervals is how many gossips a peer may miss and count as living.
+	// Asking a scheduler that is gone costs a request that time at most.
+	aliveIntervals = 4
+	// aliveSlack covers that processes share a processor and wake up late.
+	aliveSlack = 50 * time.Millisecond
 	// relinkAfter is the silence after which the link to a peer is made anew,
 	// because connections may go silent for good while new ones work.
 	relinkAfter = 900 * time.Millisecond
+	// introduceEvery is in which of its gossips a process says who it is and
+	// whom it knows; the first ones to a peer do as well.
+	introduceEvery = 10
 	// forgetAfter is how long the address of a silent peer is tried.
 	forgetAfter = 2 * time.Minute
 	// writeTimeout bounds a write to a peer that does not read.
@@ -47,8 +51,8 @@
 type Handler interface {
 	// Gossip fills what the process tells its peers.
 	Gossip(now time.Time, g *wire.Gossip)
-	// Heard takes a peer's gossip.
-	Heard(now time.Time, g *wire.Gossip)
+	// Heard takes the gossip of a peer.
+	Heard(now time.Time, peer string, g *wire.Gossip)
 	// Receive takes any other message.
 	Receive(now time.Time, peer string, e *wire.Envelope)
 	// Down tells that a peer's process is gone or was restarted.
@@ -74,6 +78,7 @@
 	since  time.Time
 	down   bool
 	relink time.Time
+	told   int
 }
 
 // Mesh is one process's links.
@@ -165,6 +170,7 @@
 }
 
 func (m *Mesh) write(ctx context.Context, p *peer, stream *link.Stream) {
+	m.introduce(p)
 	batch := make([]*wire.Envelope, 0, 64)
 	for {
 		select {
@@ -190,6 +196,15 @@
 	}
 }
 
+// introduce makes the next gossip to the peer say who this process is, since a
+// new stream does not know.
+func (m *Mesh) introduce(p *peer) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	drain(p.queue)
+	p.told = 0
+}
+
 // Send queues a message for the node. It tells whether the node is known and
 // its queue had room.
 func (m *Mesh) Send(node string, e *wire.Envelope) bool {
@@ -212,13 +227,14 @@
 	}
 }
 
-// Serve takes one stream that a peer opened.
+// Serve takes one stream that a peer opened. The first message on it says who
+// the peer is.
 func (m *Mesh) Serve(ctx context.Context, stream *link.Stream) {
 	// The peer opens another stream when it needs one.
 	defer func() { _ = stream.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
 	defer stop()
-	from := ""
+	var from sender
 	for {
 		envelope, err := stream.Receive(m.now().Add(readTimeout))
 		if err != nil {
@@ -226,28 +242,34 @@
 		}
 		now := m.now()
 		if g := envelope.GetGossip(); g != nil {
-			from = g.Node
-			m.heard(now, g)
+			from.introduce(g)
+			if from.node != "" {
+				m.heard(now, from, g)
+			}
 			continue
 		}
-		if from != "" {
-			m.handler.Receive(now, from, envelope)
+		if from.node != "" {
+			m.handler.Receive(now, from.node, envelope)
 		}
 	}
 }
 
-func (m *Mesh) heard(now time.Time, g *wire.Gossip) {
-	m.Know(now, g.Address)
-	hearsUs := false
-	for _, h := range g.Heard {
-		if h.Node == m.node && h.Run == m.run {
-			hearsUs = true
-			continue
-		}
+// sender is who opened a stream.
+type sender struct{ node, address string }
+
+func (s *sender) introduce(g *wire.Gossip) {
+	if g.Node != "" {
+		s.node, s.address = g.Node, g.Address
+	}
+}
+
+func (m *Mesh) heard(now time.Time, from sender, g *wire.Gossip) {
+	m.Know(now, from.address)
+	for _, h := range g.Known {
 		m.Know(now, h.Address)
 	}
 	m.mu.Lock()
-	p := m.peers[g.Address]
+	p := m.peers[from.address]
 	if p == nil {
 		m.mu.Unlock()
 		return
@@ -255,18 +277,18 @@
 	restarted := p.Run != 0 && p.Run != g.Run
 	returned := p.down || p.Run == 0
 	p.Peer = Peer{
-		Node: g.Node, Address: g.Address, Run: g.Run, Rank: g.Rank,
-		Ready: g.Ready && !g.Leaving, Heard: now, HearsUs: hearsUs,
+		Node: from.node, Address: from.address, Run: g.Run, Rank: g.Rank,
+		Ready: g.Ready && !g.Leaving, Heard: now, HearsUs: g.HearsYou,
 	}
 	p.down = false
 	m.mu.Unlock()
 	if restarted {
-		m.handler.Down(now, g.Node)
+		m.handler.Down(now, from.node)
 	}
 	if restarted || returned {
-		m.logger.Info("peer heard", "peer", g.Node, "run", g.Run, "rank", g.Rank, "restarted", restarted)
+		m.logger.Info("peer heard", "peer", from.node, "run", g.Run, "rank", g.Rank, "restarted", restarted)
 	}
-	m.handler.Heard(now, g)
+	m.handler.Heard(now, from.node, g)
 }
 
 // Peers returns what is known of the other gateways.
@@ -285,8 +307,9 @@
 // Alive returns the peers that were heard of late.
 func (m *Mesh) Alive(now time.Time) []Peer {
 	var alive []Peer
+	limit := m.aliveFor()
 	for _, p := range m.Peers() {
-		if now.Sub(p.Heard) < AliveFor {
+		if now.Sub(p.Heard) < limit {
 			alive = append(alive, p)
 		}
 	}
@@ -310,22 +333,37 @@
 	return min(max(scaled, baseInterval), maxInterval)
 }
 
+// aliveFor is how long a peer counts as living after its last gossip.
+func (m *Mesh) aliveFor() time.Duration { return aliveIntervals*m.interval() + aliveSlack }
+
 // tell queues one gossip for every peer.
 func (m *Mesh) tell(now time.Time) {
-	g := &wire.Gossip{Node: m.node, Run: m.run, Address: m.address}
+	var known []*wire.Heard
 	for _, p := range m.Alive(now) {
-		g.Heard = append(g.Heard, &wire.Heard{Node: p.Node, Address: p.Address, Run: p.Run})
+		known = append(known, &wire.Heard{Address: p.Address})
 	}
-	m.handler.Gossip(now, g)
-	envelope := &wire.Envelope{Body: &wire.Envelope_Gossip{Gossip: g}}
+	base := &wire.Gossip{Run: m.run}
+	m.handler.Gossip(now, base)
+	limit := m.aliveFor()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, p := range m.peers {
 		// A peer that does not take its messages gets no more gossip until it
 		// does; a full queue of it would be old when it is read.
-		if len(p.queue) < queueLength/2 {
-			offer(p, envelope)
+		if len(p.queue) >= queueLength/2 {
+			continue
+		}
+		g := &wire.Gossip{
+			Run: base.Run, Rank: base.Rank, Ready: base.Ready, Leaving: base.Leaving,
+			ConfigVersion: base.ConfigVersion, RosterRevision: base.RosterRevision,
+			StoreAnswers: base.StoreAnswers, Crashes: base.Crashes,
+			HearsYou: p.Node != "" && now.Sub(p.Heard) < limit,
+		}
+		if p.told%introduceEvery == 0 {
+			g.Node, g.Address, g.Known = m.node, m.address, known
 		}
+		p.told++
+		offer(p, &wire.Envelope{Body: &wire.Envelope_Gossip{Gossip: g}})
 	}
 }
 
@@ -336,10 +374,11 @@
 // anew, and in the end they are forgotten.
 func (m *Mesh) check(now time.Time) {
 	var down []string
+	limit := m.aliveFor()
 	m.mu.Lock()
 	for address, p := range m.peers {
 		silent := now.Sub(p.Heard)
-		if p.Node != "" && !p.down && silent > AliveFor {
+		if p.Node != "" && !p.down && silent > limit {
 			p.down = true
 			down = append(down, p.Node)
 		}
--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -1,6 +1,7 @@
-// Package quota bounds what each workspace may use over all entries. Every
-// entry holds the fleet's bucket and takes from it what its peers report, so
-// a workspace may use its whole quota at any one entry.
+// Package quota bounds what each workspace may use over all gateways. Each one
+// holds the fleet's bucket and takes from it what the others used, as the
+// gateway that schedules sums it up, so a workspace may use its whole quota at
+// any one gateway.
 package quota
 
 import (
@@ -18,12 +19,9 @@
 	// largestPart is the part of the burst that one request must find. A
 	// request over the whole burst would otherwise never be served.
 	largestPart = 0.9
-	// silentAfter is how long a peer may say nothing before it is assumed to
-	// use its even part; reports come ten times a second.
+	// silentAfter is how long sums may stay away before a gateway falls back to
+	// its even part of each quota; they come ten times a second.
 	silentAfter = time.Second
-	// forgetAfter is how long a silent peer is reckoned with: it may be cut off
-	// from here and not from callers. A machine that is replaced is gone.
-	forgetAfter = 45 * time.Second
 	// unseen is how much use of peers may not be known here yet: a report's
 	// interval and its way. While the bucket is low, an entry takes no more
 	// than its part of what is left in that time.
@@ -44,30 +42,37 @@
 	recentFrom time.Time
 }
 
-type peer struct {
-	run   uint64
-	used  map[string]float64
-	heard time.Time
-	// charged is until when the peer's even part was taken for it.
-	charged time.Time
-}
-
 // Keeper holds the buckets. It is safe for concurrent use.
 type Keeper struct {
+	// known tells how many gateways there are.
+	known func() int
+
 	mu      sync.Mutex
 	buckets map[string]*bucket
-	peers   map[string]*peer
+	// others is what the last sums said that others used, by the ledger of
+	// the run.
+	others map[string]float64
+	run    uint64
+	part   float64
+	heard  time.Time
+	// full tells that buckets start full.
+	full bool
 }
 
-// New returns a keeper that knows no workspace and no peer.
-func New() *Keeper {
-	return &Keeper{buckets: make(map[string]*bucket), peers: make(map[string]*peer)}
+// New returns a keeper that knows no workspace. Full tells that nothing was
+// used before, because the whole fleet starts for the first time.
+func New(full bool, known func() int) *Keeper {
+	return &Keeper{known: known, full: full, buckets: make(map[string]*bucket), others: make(map[string]float64)}
 }
 
 func (k *Keeper) at(now time.Time, w *catalog.Workspace) *bucket {
 	b := k.buckets[w.Name]
 	if b == nil {
-		b = &bucket{level: startLevel * w.Burst, last: now, recentFrom: now}
+		level := startLevel * w.Burst
+		if k.full {
+			level = w.Burst
+		}
+		b = &bucket{level: level, last: now, recentFrom: now}
 		k.buckets[w.Name] = b
 	}
 	if elapsed := now.Sub(b.last); elapsed > 0 {
@@ -78,22 +83,13 @@
 	return b
 }
 
-// heardPart is the part of the fleet's rate that this entry may reckon with: a
-// peer that is silent may be using its even part.
+// heardPart is the part of the fleet's rate that this gateway may reckon with:
+// those that are not heard may be using their even part.
 func (k *Keeper) heardPart(now time.Time) float64 {
-	silent := 0
-	for name, p := range k.peers {
-		age := now.Sub(p.heard)
-		if age > forgetAfter {
-			delete(k.peers, name)
-			continue
-		}
-		if age > silentAfter {
-			silent++
-		}
+	if now.Sub(k.heard) > silentAfter {
+		return 1 / float64(max(1, k.known()))
 	}
-	all := len(k.peers) + 1
-	return float64(all-silent) / float64(all)
+	return k.part
 }
 
 // Take takes the cost from the workspace's bucket, or tells when to come back.
@@ -122,7 +118,7 @@
 	if b.level > w.Burst/2 || b.recent == 0 {
 		return true
 	}
-	heard := float64(len(k.peers) + 1)
+	heard := float64(max(1, k.known()))
 	// The level already lacks what was taken here since the last reports.
 	return b.recent+cost <= 2*(b.level+b.recent)/heard+w.PerSecond*unseen.Seconds()/heard
 }
@@ -150,34 +146,17 @@
 	return used
 }
 
-// Hear takes a peer's report. Run identifies the peer's process: one that was
-// restarted counts from 0 again.
-func (k *Keeper) Hear(now time.Time, name string, run uint64, used map[string]float64) {
+// Hear takes what others used, by the ledger of the run, and the part of the
+// gateways that it covers. Another ledger counts from another moment.
+func (k *Keeper) Hear(now time.Time, run uint64, others map[string]float64, part float64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	p := k.peers[name]
-	if p == nil || p.run != run {
-		// What a new process reports first is new use, but what a process had
-		// used before this one heard of it is long refilled.
-		fresh := &peer{run: run, used: make(map[string]float64), heard: now}
-		if p == nil {
-			fresh.used = used
+	if run == k.run {
+		for workspace, count := range others {
+			if b := k.buckets[workspace]; b != nil {
+				b.level -= count - k.others[workspace]
+			}
 		}
-		k.peers[name] = fresh
-		p = fresh
 	}
-	p.heard = now
-	for workspace, total := range used {
-		if b := k.buckets[workspace]; b != nil {
-			b.level -= total - p.used[workspace]
-		}
-	}
-	p.used = used
-}
-
-// Forget drops a peer that left in good order.
-func (k *Keeper) Forget(name string) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	delete(k.peers, name)
+	k.run, k.others, k.part, k.heard = run, others, part, now
 }
--- /dev/null
+++ b/internal/limit/quota/quota_test.go
@@ -0,0 +1,153 @@
+package quota_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/persimmonridge/persimmonridge/internal/limit/quota"
+	"github.com/persimmonridge/persimmonridge/internal/state/catalog"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// fleet is gateways that report to a ledger every tenth of a second.
+type fleet struct {
+	keepers []*quota.Keeper
+	ledger  *quota.Ledger
+	cut     map[int]bool
+}
+
+func newFleet(size int, full bool) *fleet {
+	f := &fleet{ledger: quota.NewLedger(), cut: make(map[int]bool)}
+	for range size {
+		f.keepers = append(f.keepers, quota.New(full, func() int { return size }))
+	}
+	return f
+}
+
+func (f *fleet) exchange(now time.Time) {
+	for i, k := range f.keepers {
+		if !f.cut[i] {
+			f.ledger.Report(now, fmt.Sprint(i), uint64(i+1), k.Used())
+		}
+	}
+	for i, k := range f.keepers {
+		if !f.cut[i] {
+			others, part := f.ledger.Totals(now, fmt.Sprint(i), len(f.keepers))
+			k.Hear(now, 1, others, part)
+		}
+	}
+}
+
+// play offers each gateway the rate of requests of the cost for the time and
+// returns what was taken in all.
+func (f *fleet) play(from time.Time, length time.Duration, w *catalog.Workspace, perSecond float64, cost float64) float64 {
+	taken, owed := 0.0, 0.0
+	const tick = 10 * time.Millisecond
+	for at := time.Duration(0); at < length; at += tick {
+		now := from.Add(at)
+		if at%(100*time.Millisecond) == 0 {
+			f.exchange(now)
+		}
+		for owed += perSecond * tick.Seconds(); owed >= 1; owed-- {
+			for _, k := range f.keepers {
+				if ok, _ := k.Take(now, w, cost); ok {
+					taken += cost
+				}
+			}
+		}
+	}
+	return taken
+}
+
+func workspace() *catalog.Workspace {
+	return &catalog.Workspace{Name: "studio", PerSecond: 100_000, Burst: 100_000, ByTokens: true}
+}
+
+// One workspace sends seven times its quota through all five gateways at once.
+// Each of them sees only its own fifth; the quota is the fleet's. In eight
+// seconds no more may pass than eight seconds of the rate, the burst, and a
+// tenth of both.
+func TestHotWorkspaceStaysWithinTheFleetsQuota(t *testing.T) {
+	f, w := newFleet(5, true), workspace()
+	taken := f.play(start, 8*time.Second, w, 28, 5000)
+	require.LessOrEqual(t, taken, 1.1*(8*w.PerSecond+w.Burst))
+	require.GreaterOrEqual(t, taken, 0.9*(8*w.PerSecond+w.Burst), "what is below the quota is owed")
+}
+
+// Callers of one workspace meet a single gateway, because the platform spreads
+// connections by a hash. They may use the whole quota there.
+func TestOneGatewayMayUseTheWholeQuota(t *testing.T) {
+	f, w := newFleet(5, true), workspace()
+	taken := 0.0
+	for at := time.Duration(0); at < 8*time.Second; at += 10 * time.Millisecond {
+		now := start.Add(at)
+		if at%(100*time.Millisecond) == 0 {
+			f.exchange(now)
+		}
+		if ok, _ := f.keepers[0].Take(now, w, 1500); ok {
+			taken += 1500
+		}
+	}
+	require.GreaterOrEqual(t, taken, 0.9*(8*w.PerSecond+w.Burst))
+}
+
+// Two of five gateways are cut off from the others and still get requests.
+// Neither side hears what the other uses, and both together must keep to the
+// quota: each gateway that is alone falls back to its even part.
+func TestGatewaysThatAreCutOffUseTheirPart(t *testing.T) {
+	f, w := newFleet(5, true), workspace()
+	f.play(start, 4*time.Second, w, 28, 5000)
+	f.cut[3], f.cut[4] = true, true
+	later := start.Add(6 * time.Second)
+	f.play(start.Add(4*time.Second), 2*time.Second, w, 28, 5000)
+	taken := f.play(later, 8*time.Second, w, 28, 5000)
+	require.LessOrEqual(t, taken, 1.1*(8*w.PerSecond+w.Burst))
+	require.GreaterOrEqual(t, taken, 0.8*8*w.PerSecond)
+}
+
+// All gateways are killed at once while a workspace is at its quota. The new
+// processes know nothing of what was used; full buckets would hand out the
+// burst a second time within the window.
+func TestRestartOfAllDoesNotGiveTheBurstAgain(t *testing.T) {
+	w := workspace()
+	before := newFleet(5, true).play(start, 4*time.Second, w, 28, 5000)
+	after := newFleet(5, false).play(start.Add(4500*time.Millisecond), 3500*time.Millisecond, w, 28, 5000)
+	require.LessOrEqual(t, before+after, 1.1*(8*w.PerSecond+w.Burst)+140_000)
+}
+
+// A gateway is restarted and counts from zero. Its sums must not look as if a
+// workspace had given tokens back.
+func TestRestartedGatewayCountsOn(t *testing.T) {
+	l := quota.NewLedger()
+	l.Report(start, "a", 1, map[string]float64{"studio": 0})
+	l.Report(start, "a", 1, map[string]float64{"studio": 500})
+	l.Report(start, "a", 2, map[string]float64{"studio": 100})
+	others, part := l.Totals(start, "b", 2)
+	require.InDelta(t, 600, others["studio"], 0.001)
+	require.InDelta(t, 0.5, part, 0.001)
+}
+
+// A prompt that is larger than the whole burst would never find its tokens in
+// the bucket. It is let through when the bucket is nearly full and paid off.
+func TestRequestLargerThanTheBurstIsServed(t *testing.T) {
+	k, w := quota.New(true, func() int { return 1 }), workspace()
+	ok, _ := k.Take(start, w, 150_000)
+	require.True(t, ok)
+	ok, wait := k.Take(start, w, 1000)
+	require.False(t, ok)
+	require.Positive(t, wait)
+}
+
+// A refused request that has not run costs its workspace nothing.
+func TestReturnedCostIsThereAgain(t *testing.T) {
+	k, w := quota.New(true, func() int { return 1 }), workspace()
+	for range 20 {
+		ok, _ := k.Take(start, w, 50_000)
+		require.True(t, ok)
+		k.Return(w, 50_000)
+	}
+}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -72,6 +72,10 @@
 	Grace                              time.Duration
 	Retry                              retry.Settings
 	ConfigKey, UpstreamPrefix          string
+	// First tells that the whole fleet starts for the first time.
+	First bool
+	// Apply is how long a configuration may take to be in force.
+	Apply time.Duration
 }
 
 // Gateway is the running process.
@@ -89,6 +93,7 @@
 	upstreams     *upstreamView
 	pool          *exchange.Pool
 	quota         *quota.Keeper
+	ledger        *quota.Ledger
 	crashRegister *crash.Register
 	peers         *peers
 	mesh          *mesh.Mesh
@@ -119,10 +124,11 @@
 		settings: s, store: store, decoder: decoder, logger: logger, now: now,
 		// A later process on the same VM has a later start.
 		run:    uint64(now().UnixNano()),
-		roster: roster.New(), quota: quota.New(), metrics: newMetrics(), pool: exchange.NewPool(Dial),
+		roster: roster.New(), ledger: quota.NewLedger(), metrics: newMetrics(), pool: exchange.NewPool(Dial),
 	}
 	g.upstreams = &upstreamView{gateway: g, items: make(map[string]kv.Item)}
 	g.peers = &peers{Gateway: g, rank: unranked, versions: make(map[string]int64)}
+	g.quota = quota.New(s.First, g.peers.processes)
 	g.crashRegister = crash.New(g.peers.crashed)
 	g.mesh = mesh.New(s.Name, s.Links, g.run, dialer{}, g.peers, logger, now)
 	g.granter = granter.New(now, g.peers.deliver, logger)
@@ -191,6 +197,7 @@
 	}
 	group.Go(func() error { return g.mesh.Run(background) })
 	group.Go(func() error { return g.granter.Run(background) })
+	group.Go(func() error { return g.peers.reportQuota(background) })
 	group.Go(func() error { return g.tellHeld(background) })
 	group.Go(func() error { return g.peers.register(background) })
 	group.Go(func() error { return g.followStore(background) })
@@ -277,8 +284,8 @@
 		{Prefix: memberPrefix, View: g.peers},
 	}
 	return follow.New(g.store, view, follow.Options{
-		Pause: storePause,
-		Lost:  func(time.Time) { g.peers.storeAway(true) },
+		Pause: storePause, Wait: g.settings.Apply,
+		Lost: func(time.Time) { g.peers.storeAway(true) },
 		Regained: func(now time.Time) {
 			g.roster.StoreReturned(now)
 			g.peers.storeAway(false)
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -25,6 +25,9 @@
 	// rosterAskEvery is how often a gateway that the store does not answer asks
 	// a peer for the upstreams.
 	rosterAskEvery = 300 * time.Millisecond
+	// quotaEvery is how often use is told to the scheduler. What all gateways
+	// may take over a quota grows with it: a tenth of a second of the use.
+	quotaEvery = 100 * time.Millisecond
 	// crashesTold bounds the crashes in one gossip.
 	crashesTold = 64
 )
@@ -142,27 +145,21 @@
 	g.Ready = g.ConfigVersion > 0
 	g.Leaving = p.stopping()
 	g.RosterRevision = p.roster.Revision()
-	g.QuotaUsed = p.quota.Used()
 }
 
 // Heard implements mesh.Handler.
-func (p *peers) Heard(now time.Time, g *wire.Gossip) {
-	p.granter.OwnerUp(g.Node)
-	if g.Leaving {
-		p.quota.Forget(g.Node)
-	} else {
-		p.quota.Hear(now, g.Node, g.Run, g.QuotaUsed)
-	}
+func (p *peers) Heard(now time.Time, peer string, g *wire.Gossip) {
+	p.granter.OwnerUp(peer)
 	for _, c := range g.Crashes {
 		p.crashRegister.Learn(now, c.Fingerprint, c.Upstream)
 	}
-	p.askFor(now, g)
+	p.askFor(now, peer, g)
 	p.permits.Follow(now)
 }
 
 // askFor asks a peer that knows more for what the store does not tell this
 // gateway, or has not told it yet.
-func (p *peers) askFor(now time.Time, g *wire.Gossip) {
+func (p *peers) askFor(now time.Time, peer string, g *wire.Gossip) {
 	version := int64(0)
 	if c := p.catalog.Load(); c != nil {
 		version = c.Version()
@@ -173,15 +170,15 @@
 		ask.Roster = true
 		p.askedAt = now
 	}
-	if ask.Config && p.versions[g.Node] == g.ConfigVersion && !ask.Roster {
+	if ask.Config && p.versions[peer] == g.ConfigVersion && !ask.Roster {
 		ask.Config = false
 	}
 	if ask.Config {
-		p.versions[g.Node] = g.ConfigVersion
+		p.versions[peer] = g.ConfigVersion
 	}
 	p.mu.Unlock()
 	if ask.Config || ask.Roster {
-		p.mesh.Send(g.Node, &wire.Envelope{Body: &wire.Envelope_SnapshotAsk{SnapshotAsk: ask}})
+		p.mesh.Send(peer, &wire.Envelope{Body: &wire.Envelope_SnapshotAsk{SnapshotAsk: ask}})
 	}
 }
 
@@ -190,6 +187,11 @@
 	switch body := e.Body.(type) {
 	case *wire.Envelope_PlaceVerdict:
 		p.permits.Verdict(body.PlaceVerdict)
+	case *wire.Envelope_QuotaReport:
+		p.ledger.Report(now, peer, body.QuotaReport.Run, body.QuotaReport.Used)
+		p.mesh.Send(peer, p.quotaTotals(now, peer))
+	case *wire.Envelope_QuotaTotals:
+		p.quota.Hear(now, body.QuotaTotals.Run, body.QuotaTotals.Others, body.QuotaTotals.Part)
 	case *wire.Envelope_SnapshotAsk:
 		p.mesh.Send(peer, &wire.Envelope{Body: &wire.Envelope_Snapshot{Snapshot: p.snapshot(body.SnapshotAsk)}})
 	case *wire.Envelope_Snapshot:
@@ -276,6 +278,31 @@
 	}
 }
 
+// reportQuota tells the scheduler what workspaces used here; its answer is what
+// they used elsewhere.
+func (p *peers) reportQuota(ctx context.Context) error {
+	for ctx.Err() == nil {
+		now := p.now()
+		used := p.quota.Used()
+		switch scheduler := p.scheduler(now); scheduler {
+		case "":
+		case p.settings.Name:
+			p.ledger.Report(now, p.settings.Name, p.run, used)
+			totals := p.quotaTotals(now, p.settings.Name).GetQuotaTotals()
+			p.quota.Hear(now, totals.Run, totals.Others, totals.Part)
+		default:
+			p.mesh.Send(scheduler, &wire.Envelope{Body: &wire.Envelope_QuotaReport{QuotaReport: &wire.QuotaReport{Run: p.run, Used: used}}})
+		}
+		pause(ctx, quotaEvery)
+	}
+	return nil
+}
+
+func (p *peers) quotaTotals(now time.Time, node string) *wire.Envelope {
+	others, part := p.ledger.Totals(now, node, p.processes())
+	return &wire.Envelope{Body: &wire.Envelope_QuotaTotals{QuotaTotals: &wire.QuotaTotals{Run: p.run, Part: part, Others: others}}}
+}
+
 // storeAway tells whether the store answers, for the gossip.
 func (p *peers) storeAway(away bool) {
 	p.mu.Lock()
--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -18,9 +18,9 @@
 	// its return is noticed within 200 ms.
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 200 * time.Millisecond
-	// watchWait is how long a watch waits at the store. One whose connection
-	// went silent is given up after it and one call's time-out; changes must be
-	// in force two seconds after they were accepted.
+	// watchWait is how long a watch waits at the store if the options do not
+	// say. One whose connection went silent is given up after it and one call's
+	// time-out.
 	watchWait = time.Second
 )
 
