Late requests are refused at once while others wait in time

Change: after 250 ms in which requests that can be in time wait, one that cannot is refused at once, with a Retry-After as long as the overload has lasted, spread over as long again. Conclusion: kept for the callers: they hear at once and when to come back.

--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -99,9 +99,14 @@
 	// latePart bounds the late requests that wait, as a part of all slots:
 	// what is beyond it could not be served within lateHold.
 	latePart = 0.25
-	// retryLeast and retryMost bound what refused callers are told.
+	// saturatedAfter is how long requests must have waited without a break for
+	// the overload to count as more than a moment.
+	saturatedAfter = 250 * time.Millisecond
+	// retryLeast and retryMost bound what refused callers are told, before it is
+	// spread: no less than a crowded moment lasts, and no more than a caller
+	// with a deadline of some ten seconds may wait and still be served.
 	retryLeast = 300 * time.Millisecond
-	retryMost  = 3 * time.Second
+	retryMost  = 2500 * time.Millisecond
 	// Weights of the choice among engines, in parts of all slots taken.
 	// weightFirst makes long prompts go to fast engines: it is the weight of
 	// the square of the part of the time left that the first event takes.
@@ -121,9 +126,11 @@
 	verdicts  []Verdict
 	spread    uint64
 	// others is the part of the gateways that asks other schedulers.
-	others   float64
-	refusals refusals
-	tidied   time.Time
+	others float64
+	// saturatedSince is since when requests that can be in time wait.
+	saturatedSince time.Time
+	refusals       refusals
+	tidied         time.Time
 	// turns counts the places given to requests that waited.
 	turns int
 }
@@ -186,6 +193,7 @@
 	}
 	if b.canBeInTime(now, ask) {
 		b.enqueue(ask)
+		b.noteSaturation(now)
 		return
 	}
 	b.setLate(now, ask)
@@ -216,8 +224,14 @@
 }
 
 // setLate keeps a request that cannot be in time for a place that nobody else
-// needs, or refuses the least urgent one if there are too many.
+// needs, or refuses the least urgent one if there are too many. While all
+// places go to requests that can be in time, holding one that cannot would only
+// keep its caller from coming back at a better moment.
 func (b *Board) setLate(now time.Time, ask *Ask) {
+	if b.saturatedFor(now) > saturatedAfter {
+		b.refuse(now, ask, "no place in time, and others wait that can be")
+		return
+	}
 	at, _ := slices.BinarySearchFunc(b.late, ask, compareAsks)
 	b.late = slices.Insert(b.late, at, ask)
 	if len(b.late) > b.lateMost(ask.Service) {
@@ -327,19 +341,37 @@
 
 func (b *Board) refuse(now time.Time, a *Ask, why string) {
 	b.refusals.add(now, a.Fingerprint)
-	b.verdicts = append(b.verdicts, Verdict{Owner: a.Owner, ID: a.ID, RetryAfter: b.retryAfter(now, a.Service), Why: why})
+	b.verdicts = append(b.verdicts, Verdict{Owner: a.Owner, ID: a.ID, RetryAfter: b.retryAfter(now), Why: why})
 }
 
-// retryAfter tells when a place should be free: in the time in which what waits
-// is drained, spread over as long again so that callers do not return together.
-func (b *Board) retryAfter(_ time.Time, service string) time.Duration {
-	slots := max(1, 4*b.lateMost(service))
-	drain := time.Duration(float64(len(b.waiting)+len(b.late)) / float64(slots) * float64(2*time.Second))
-	base := min(max(drain, retryLeast), retryMost/2)
+// retryAfter tells when a place should be free. How long an overload goes on is
+// unknown; the best guess is as long as it has lasted. Callers are spread over
+// as long again, so that they do not return together.
+func (b *Board) retryAfter(now time.Time) time.Duration {
+	base := min(max(b.saturatedFor(now), retryLeast), retryMost)
 	b.spread = b.spread*6364136223846793005 + 1442695040888963407
 	return base + time.Duration(float64(base)*float64(b.spread>>40)/(1<<24))
 }
 
+// saturatedFor returns for how long requests that can be in time have waited
+// without a break.
+func (b *Board) saturatedFor(now time.Time) time.Duration {
+	if b.saturatedSince.IsZero() {
+		return 0
+	}
+	return now.Sub(b.saturatedSince)
+}
+
+// noteSaturation keeps the moment since which requests wait.
+func (b *Board) noteSaturation(now time.Time) {
+	switch {
+	case len(b.waiting) == 0:
+		b.saturatedSince = time.Time{}
+	case b.saturatedSince.IsZero():
+		b.saturatedSince = now
+	}
+}
+
 // Started notes a run's first event, and how many requests its engine said it
 // has, or -1.
 func (b *Board) Started(now time.Time, owner, id string, reported int) {
@@ -446,6 +478,7 @@
 		b.setLate(now, a)
 	}
 	b.retryWaiting(now)
+	b.noteSaturation(now)
 }
 
 // retryWaiting fills all engines that have room: time alone may have made one
