Quotas treat long and short requests alike

Change: all sizes need the same level, a hundredth of the burst; a gateway may run its part of the allowed slack into debt.

--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -19,6 +19,8 @@
 	// largestPart is the part of the burst that one request must find. A
 	// request over the whole burst would otherwise never be served.
 	largestPart = 0.9
+	// smallestPart is the part of the burst that must be left for any request.
+	smallestPart = 0.01
 	// silentAfter is how long sums may stay away before a gateway falls back to
 	// its even part of each quota; they come ten times a second.
 	silentAfter = time.Second
@@ -51,25 +53,35 @@
 	buckets map[string]*bucket
 	// others is what the last sums said that others used, by the ledger of
 	// the run.
-	others map[string]float64
-	run    uint64
-	part   float64
-	heard  time.Time
-	// full tells that buckets start full.
-	full bool
+	others  map[string]float64
+	run     uint64
+	part    float64
+	heard   time.Time
+	options Options
 }
 
-// New returns a keeper that knows no workspace. Full tells that nothing was
-// used before, because the whole fleet starts for the first time.
-func New(full bool, known func() int) *Keeper {
-	return &Keeper{known: known, full: full, buckets: make(map[string]*bucket), others: make(map[string]float64)}
+// Options are what the deployment says of quotas.
+type Options struct {
+	// Full tells that nothing was used before, because the whole fleet starts
+	// for the first time.
+	Full bool
+	// Slack is by how much all gateways together may exceed a quota that
+	// counts tokens. Each may run its part of it into debt, so that a large
+	// request is not refused where a small one is served.
+	Slack float64
+}
+
+// New returns a keeper that knows no workspace. Known tells how many gateways
+// there are.
+func New(options Options, known func() int) *Keeper {
+	return &Keeper{known: known, options: options, buckets: make(map[string]*bucket), others: make(map[string]float64)}
 }
 
 func (k *Keeper) at(now time.Time, w *catalog.Workspace) *bucket {
 	b := k.buckets[w.Name]
 	if b == nil {
 		level := startLevel * w.Burst
-		if k.full {
+		if k.options.Full {
 			level = w.Burst
 		}
 		b = &bucket{level: level, last: now, recentFrom: now}
@@ -97,11 +109,13 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	b := k.at(now, w)
-	need := min(cost, largestPart*w.Burst)
+	// All sizes need the same level, so that small requests do not take each
+	// token before a large one finds its number.
+	need := max(smallestPart*w.Burst, min(cost-k.debt(w), largestPart*w.Burst))
 	if now.Sub(b.recentFrom) > unseen {
 		b.recent, b.recentFrom = 0, now
 	}
-	if b.level < need || !k.withinPart(b, w, cost) {
+	if b.level < need || !k.withinPart(b, w) {
 		wait := time.Duration((need - b.level) / w.PerSecond * float64(time.Second))
 		return false, min(max(wait, retryLeast), retryMost)
 	}
@@ -111,16 +125,24 @@
 	return true, 0
 }
 
-// withinPart bounds what one entry takes between two reports: all entries
-// together must not take more than the bucket holds before they hear of each
-// other. A single request always fits.
-func (k *Keeper) withinPart(b *bucket, w *catalog.Workspace, cost float64) bool {
-	if b.level > w.Burst/2 || b.recent == 0 {
+// debt is how far below zero one request may take the bucket here.
+func (k *Keeper) debt(w *catalog.Workspace) float64 {
+	if !w.ByTokens {
+		return 0
+	}
+	return k.options.Slack / float64(max(1, k.known()))
+}
+
+// withinPart bounds what one gateway takes between two reports: all together
+// must not take more than the bucket holds before they hear of each other. A
+// single request always fits.
+func (k *Keeper) withinPart(b *bucket, w *catalog.Workspace) bool {
+	if b.level > w.Burst/2 {
 		return true
 	}
-	heard := float64(max(1, k.known()))
+	known := float64(max(1, k.known()))
 	// The level already lacks what was taken here since the last reports.
-	return b.recent+cost <= 2*(b.level+b.recent)/heard+w.PerSecond*unseen.Seconds()/heard
+	return b.recent <= 2*(b.level+b.recent)/known+w.PerSecond*unseen.Seconds()/known
 }
 
 // Return gives back what a request that has not run took.
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -72,8 +72,7 @@
 	Grace                              time.Duration
 	Retry                              retry.Settings
 	ConfigKey, UpstreamPrefix          string
-	// First tells that the whole fleet starts for the first time.
-	First bool
+	Quota                              quota.Options
 	// Apply is how long a configuration may take to be in force.
 	Apply time.Duration
 }
@@ -128,7 +127,7 @@
 	}
 	g.upstreams = &upstreamView{gateway: g, items: make(map[string]kv.Item)}
 	g.peers = &peers{Gateway: g, rank: unranked, versions: make(map[string]int64)}
-	g.quota = quota.New(s.First, g.peers.processes)
+	g.quota = quota.New(s.Quota, g.peers.processes)
 	g.crashRegister = crash.New(g.peers.crashed)
 	g.mesh = mesh.New(s.Name, s.Links, g.run, dialer{}, g.peers, logger, now)
 	g.granter = granter.New(now, g.peers.deliver, logger)
