--- /dev/null
+++ b/cmd/persimmonridge/measure_patterns.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"text/tabwriter"
+
+	"github.com/persimmonridge/persimmonridge/internal/trial/pattern"
+)
+
+// measurePatterns plays load patterns against emulated engines.
+type measurePatterns struct {
+	Seeds   int    `default:"3" help:"Number of seeds; shares are means over them."`
+	Pattern string `help:"Only this pattern."`
+}
+
+// Run implements kong's command.
+func (c *measurePatterns) Run() error {
+	policies := []struct {
+		name   string
+		policy pattern.NewPolicy
+	}{{"board", pattern.Board}, {"fewest", pattern.Fewest}}
+	var seeds []uint64
+	for i := range c.Seeds {
+		seeds = append(seeds, uint64(i+1))
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "pattern\tpolicy\tworth\tworst 2 s\tcritiques in time\tanswers in time\ttags in time\trefused\tlate\t")
+	for _, p := range pattern.Patterns {
+		if c.Pattern != "" && c.Pattern != p.Name {
+			continue
+		}
+		for _, policy := range policies {
+			r := pattern.Mean(p, seeds, policy.policy)
+			refused, late := 0, 0
+			for _, tier := range r.Tiers {
+				refused, late = refused+tier.Refused, late+tier.Late
+			}
+			fmt.Fprintf(w, "%s\t%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%d\t%d\t\n", p.Name, policy.name, r.Worth, r.Worst,
+				r.Tiers[0].InTimeShare(), r.Tiers[1].InTimeShare(), r.Tiers[2].InTimeShare(), refused, late)
+		}
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/internal/trial/pattern/load.go
@@ -0,0 +1,151 @@
+package pattern
+
+import (
+	"math"
+	"math/rand/v2"
+	"sort"
+	"strconv"
+	"time"
+)
+
+// class is one kind of request of the users' sheet.
+type class struct {
+	name      string
+	tier      int
+	perSecond float64
+	// prompt and output are medians of log-normal sizes, spread their sigmas.
+	prompt, output             float64
+	promptSpread, outputSpread float64
+	promptMost, outputMost     int
+	objective                  time.Duration
+	maxGap                     time.Duration
+	until                      time.Duration
+	worth, late                float64
+}
+
+// classes are the generations of the Atelier's sheet. The medians and spreads
+// reproduce the means that it states and the quantiles of a measured day.
+var classes = []class{
+	{"sketch-critique", 0, 39.9, 3900, 200, 1.05, 1.05, 54_600, 3840, 600 * time.Millisecond, 250 * time.Millisecond, 15 * time.Second, 7.3, 0.73},
+	{"technique-answer", 1, 52.6, 500, 155, 0.75, 1.05, 3310, 2940, 300 * time.Millisecond, 250 * time.Millisecond, 12 * time.Second, 2.2, 0.22},
+	{"lesson-tag", 2, 79.7, 1100, 11, 1.0, 1.05, 6870, 228, 400 * time.Millisecond, 250 * time.Millisecond, 3 * time.Second, 0.29, 0.029},
+}
+
+// request is one request of a pattern and what became of it.
+type request struct {
+	id         string
+	class      *class
+	arrived    time.Time
+	prompt     int
+	output     int
+	guess      int
+	first      time.Time
+	longestGap time.Duration
+	refused    bool
+	lost       bool
+}
+
+// inTime tells whether the caller got all when it was due.
+func (r *request) inTime() bool {
+	return r.served() && r.first.Sub(r.arrived) <= r.class.objective && r.longestGap <= r.class.maxGap
+}
+
+func (r *request) served() bool { return !r.first.IsZero() && !r.refused && !r.lost }
+
+// Burst multiplies the traffic of a tier, or of all with Tier -1.
+type Burst struct {
+	At, For time.Duration
+	Tier    int
+	Times   float64
+}
+
+// Crash takes a part of the engines away.
+type Crash struct {
+	At, For time.Duration
+	Share   float64
+}
+
+// Pattern is a named load.
+type Pattern struct {
+	Name string
+	// Story says which trouble of a day it stands for.
+	Story  string
+	Length time.Duration
+	// Scale multiplies the sheet's traffic.
+	Scale   float64
+	Bursts  []Burst
+	Crashes []Crash
+	// LongPrompts makes this part of the top tier's prompts ten times as long.
+	LongPrompts float64
+}
+
+// Patterns are the loads that the rules of choice are measured by.
+var Patterns = []Pattern{
+	{Name: "calm", Story: "a day of the sheet's traffic", Length: 12 * time.Second, Scale: 1},
+	{Name: "burst", Story: "an evening class begins: 1.9 times the traffic for four seconds", Length: 14 * time.Second, Scale: 1,
+		Bursts: []Burst{{At: 4 * time.Second, For: 4 * time.Second, Tier: -1, Times: 1.9}}},
+	{Name: "critique-wave", Story: "critiques alone double", Length: 14 * time.Second, Scale: 1,
+		Bursts: []Burst{{At: 4 * time.Second, For: 4 * time.Second, Tier: 0, Times: 2}}},
+	{Name: "tag-flood", Story: "tags come six times as often, and must not push critiques aside", Length: 14 * time.Second, Scale: 1,
+		Bursts: []Burst{{At: 4 * time.Second, For: 4 * time.Second, Tier: 2, Times: 6}}},
+	{Name: "quarter-lost", Story: "a quarter of the engines crashes for three seconds", Length: 14 * time.Second, Scale: 1,
+		Crashes: []Crash{{At: 4 * time.Second, For: 3 * time.Second, Share: 0.25}}},
+	{Name: "long-prompts", Story: "a tenth of the critiques is ten times as long", Length: 12 * time.Second, Scale: 0.8, LongPrompts: 0.1},
+	{Name: "overload", Story: "more than the engines can do, all the time", Length: 14 * time.Second, Scale: 1.5},
+}
+
+// draw returns the requests of a pattern in the order of their arrival.
+func (p Pattern) draw(start time.Time, random *rand.Rand) []*request {
+	var all []*request
+	for i := range classes {
+		c := &classes[i]
+		most := c.perSecond * p.Scale * p.peak(c.tier)
+		for at := time.Duration(0); at < p.Length; {
+			at += time.Duration(random.ExpFloat64() / most * float64(time.Second))
+			if at >= p.Length || random.Float64() > p.times(at, c.tier)/p.peak(c.tier) {
+				continue
+			}
+			all = append(all, p.request(start.Add(at), c, random))
+		}
+	}
+	sort.SliceStable(all, func(i, j int) bool { return all[i].arrived.Before(all[j].arrived) })
+	for i, r := range all {
+		r.id = strconv.Itoa(i)
+	}
+	return all
+}
+
+func (p Pattern) request(at time.Time, c *class, random *rand.Rand) *request {
+	r := &request{class: c, arrived: at}
+	r.prompt = size(random, c.prompt, c.promptSpread, c.promptMost)
+	if c.tier == 0 && random.Float64() < p.LongPrompts {
+		r.prompt = min(10*r.prompt, c.promptMost)
+	}
+	r.output = size(random, c.output, c.outputSpread, c.outputMost)
+	// Callers' guesses are right at the median and off by half.
+	const guessSpread = 0.5
+	r.guess = size(random, float64(r.output), guessSpread, c.outputMost)
+	return r
+}
+
+func size(random *rand.Rand, median, spread float64, most int) int {
+	return min(most, max(1, int(median*math.Exp(spread*random.NormFloat64()))))
+}
+
+func (p Pattern) times(at time.Duration, tier int) float64 {
+	times := 1.0
+	for _, b := range p.Bursts {
+		if at >= b.At && at < b.At+b.For && (b.Tier < 0 || b.Tier == tier) {
+			times *= b.Times
+		}
+	}
+	return times
+}
+
+func (p Pattern) peak(tier int) float64 {
+	peak := 1.0
+	for _, b := range p.Bursts {
+		peak = max(peak, p.times(b.At, tier))
+	}
+	return peak
+}
