--- /dev/null
+++ b/internal/edge/flow/admit.go
@@ -0,0 +1,87 @@
+package flow
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// admit decides by the configuration alone.
+func (u *run) admit() bool {
+	u.catalog = u.Catalog()
+	if u.catalog == nil {
+		u.refuse(http.StatusServiceUnavailable, unconfiguredRetry, "no configuration yet")
+		return false
+	}
+	u.route = u.catalog.Route(u.request.Host, u.request.Path)
+	if u.route == nil {
+		u.refuse(http.StatusNotFound, 0, "no route")
+		return false
+	}
+	u.work = u.catalog.Workspace(u.request.Key)
+	u.tier = u.catalog.Tier(u.route, u.work)
+	if u.work == nil && !u.route.Public && u.catalog.HasWorkspaces() {
+		u.refuse(http.StatusUnauthorized, 0, "unknown key")
+		return false
+	}
+	return true
+}
+
+func (u *run) readBody(r *http.Request) bool {
+	most := u.catalog.Limits().BodyBytes
+	if most <= 0 {
+		most = 4 << 20
+	}
+	controller := http.NewResponseController(u.w)
+	if err := controller.SetReadDeadline(u.until); err != nil {
+		u.logger.Debug("no read deadline", "err", err)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(u.w, r.Body, most))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		u.refuse(http.StatusRequestEntityTooLarge, 0, "body too large")
+		return false
+	}
+	if err != nil {
+		u.finish("left while sending", "err", err)
+		panic(http.ErrAbortHandler)
+	}
+	if err := controller.SetReadDeadline(time.Time{}); err != nil {
+		u.logger.Debug("no read deadline", "err", err)
+	}
+	u.request.Body = body
+	return true
+}
+
+// fingerprintOf recognises a request that is sent again by the same caller.
+func (u *run) fingerprintOf() uint64 {
+	var hash xxhash.Digest
+	hash.Reset()
+	for _, part := range []string{u.request.Method, "\n", u.request.Host, "\n", u.request.Target, "\n", u.request.Key, "\n"} {
+		_, _ = hash.WriteString(part) // a digest's Write never fails
+	}
+	_, _ = hash.Write(u.request.Body)
+	return hash.Sum64()
+}
+
+func (u *run) takeQuota() bool {
+	if u.work == nil || u.work.PerSecond <= 0 {
+		return true
+	}
+	u.cost = 1
+	if u.work.ByTokens {
+		u.cost = u.work.PlainTokens
+		if u.request.Counted {
+			u.cost = float64(u.request.PromptTokens + u.request.OutputTokens)
+		}
+	}
+	ok, retryAfter := u.Quota.Take(u.Now(), u.work, u.cost)
+	if !ok {
+		u.cost = 0
+		u.refuse(http.StatusTooManyRequests, retryAfter, "over quota")
+	}
+	return ok
+}
--- /dev/null
+++ b/internal/edge/flow/ending.go
@@ -0,0 +1,86 @@
+package flow
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"time"
+)
+
+// unplaced ends a request for which there is no place.
+func (u *run) unplaced(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		u.expire(ctx)
+		return
+	}
+	if u.mayHaveRun || u.stream.opened {
+		u.giveUp(err.Error())
+		return
+	}
+	u.refuse(http.StatusServiceUnavailable, RetryAfter(err), err.Error())
+}
+
+// expire ends a request whose time is over or whose caller left.
+func (u *run) expire(ctx context.Context) {
+	if errors.Is(context.Cause(ctx), context.Canceled) {
+		u.returnCost()
+		u.finish("caller left")
+		panic(http.ErrAbortHandler)
+	}
+	u.giveUp("out of time")
+}
+
+// giveUp tells the caller that there will be no answer. Only a request that
+// has not run anywhere is refused as not run.
+func (u *run) giveUp(why string) {
+	if u.stream.opened {
+		u.finish("stream broken off", "why", why)
+		panic(http.ErrAbortHandler)
+	}
+	if u.failure != nil {
+		u.passFailure()
+		return
+	}
+	if !u.mayHaveRun {
+		u.refuse(http.StatusServiceUnavailable, declinedRetry, why)
+		return
+	}
+	status := http.StatusBadGateway
+	if !u.Now().Before(u.until) {
+		status = http.StatusGatewayTimeout
+	}
+	u.Translator.Refuse(u.request, 0, u.w.Header())
+	u.w.WriteHeader(status)
+	u.finish("gave up", "status", status, "why", why)
+}
+
+// refuse answers a request that has not run and will not.
+func (u *run) refuse(status int, retryAfter time.Duration, why string) {
+	u.returnCost()
+	u.Translator.Refuse(u.request, retryAfter, u.w.Header())
+	u.w.WriteHeader(status)
+	u.finish("refused", "status", status, "why", why, "retry-after", retryAfter)
+}
+
+func (u *run) returnCost() {
+	if u.cost > 0 && !u.mayHaveRun {
+		u.Quota.Return(u.work, u.cost)
+		u.cost = 0
+	}
+}
+
+// finish writes the line that tells what became of the request.
+func (u *run) finish(outcome string, details ...any) {
+	took := u.Now().Sub(u.arrived)
+	route := ""
+	if u.route != nil {
+		route = u.route.Name
+	}
+	u.Metrics.Finished(route, u.tier, outcome, took)
+	args := []any{"outcome", outcome, "route", route, "tier", u.tier, "took", took, "sends", u.sends}
+	if len(u.exclude) > 0 {
+		args = append(args, "tried", slices.Clone(u.exclude))
+	}
+	u.logger.Info("request", append(args, details...)...)
+}
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"log/slog"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -96,8 +94,11 @@
 	firstEvent time.Duration
 	longestGap time.Duration
 	events     int
-	stream     relay
-	logger     *slog.Logger
+	// failure is an upstream's answer that is told if no other try succeeds.
+	failure     *exchange.Answer
+	failureBody []byte
+	stream      relay
+	logger      *slog.Logger
 }
 
 // ServeHTTP implements http.Handler.
@@ -140,83 +141,6 @@
 	u.try(ctx)
 }
 
-// admit decides by the configuration alone.
-func (u *run) admit() bool {
-	u.catalog = u.Catalog()
-	if u.catalog == nil {
-		u.refuse(http.StatusServiceUnavailable, unconfiguredRetry, "no configuration yet")
-		return false
-	}
-	u.route = u.catalog.Route(u.request.Host, u.request.Path)
-	if u.route == nil {
-		u.refuse(http.StatusNotFound, 0, "no route")
-		return false
-	}
-	u.work = u.catalog.Workspace(u.request.Key)
-	u.tier = u.catalog.Tier(u.route, u.work)
-	if u.work == nil && !u.route.Public && u.catalog.HasWorkspaces() {
-		u.refuse(http.StatusUnauthorized, 0, "unknown key")
-		return false
-	}
-	return true
-}
-
-func (u *run) readBody(r *http.Request) bool {
-	most := u.catalog.Limits().BodyBytes
-	if most <= 0 {
-		most = 4 << 20
-	}
-	controller := http.NewResponseController(u.w)
-	if err := controller.SetReadDeadline(u.until); err != nil {
-		u.logger.Debug("no read deadline", "err", err)
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(u.w, r.Body, most))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		u.refuse(http.StatusRequestEntityTooLarge, 0, "body too large")
-		return false
-	}
-	if err != nil {
-		u.finish("left while sending", "err", err)
-		panic(http.ErrAbortHandler)
-	}
-	if err := controller.SetReadDeadline(time.Time{}); err != nil {
-		u.logger.Debug("no read deadline", "err", err)
-	}
-	u.request.Body = body
-	return true
-}
-
-// fingerprintOf recognises a request that is sent again by the same caller.
-func (u *run) fingerprintOf() uint64 {
-	var hash xxhash.Digest
-	hash.Reset()
-	for _, part := range []string{u.request.Method, "\n", u.request.Host, "\n", u.request.Target, "\n", u.request.Key, "\n"} {
-		_, _ = hash.WriteString(part) // a digest's Write never fails
-	}
-	_, _ = hash.Write(u.request.Body)
-	return hash.Sum64()
-}
-
-func (u *run) takeQuota() bool {
-	if u.work == nil || u.work.PerSecond <= 0 {
-		return true
-	}
-	u.cost = 1
-	if u.work.ByTokens {
-		u.cost = u.work.PlainTokens
-		if u.request.Counted {
-			u.cost = float64(u.request.PromptTokens + u.request.OutputTokens)
-		}
-	}
-	ok, retryAfter := u.Quota.Take(u.Now(), u.work, u.cost)
-	if !ok {
-		u.cost = 0
-		u.refuse(http.StatusTooManyRequests, retryAfter, "over quota")
-	}
-	return ok
-}
-
 // try sends the request until it is answered or nothing more may be done.
 func (u *run) try(ctx context.Context) {
 	service := u.target()
@@ -355,13 +279,9 @@
 }
 
 // deliver passes the answer on. A failure that may be tried again elsewhere is
-// not passed on while another try is allowed.
+// held back while another try is allowed.
 func (u *run) deliver(ctx context.Context, place Place, answer *exchange.Answer) Outcome {
 	success := answer.Status >= 200 && answer.Status < 300
-	if !success && answer.Status >= http.StatusInternalServerError && u.mayRepeat() {
-		answer.Close(false)
-		return Failed
-	}
 	if success && u.route.Kind == catalog.Streaming {
 		return u.deliverStream(ctx, place, answer)
 	}
@@ -381,13 +301,22 @@
 		// more but that it broke off.
 		return Failed
 	}
-	u.writePlain(answer, body)
-	if !success {
-		u.finish("upstream failure", "status", answer.Status, "upstream", place.Upstream().ID)
-		return Failed
+	if success {
+		u.writePlain(answer, body)
+		u.finish("answered", "upstream", place.Upstream().ID)
+		return Answered
+	}
+	u.failure, u.failureBody = answer, body
+	if answer.Status < http.StatusInternalServerError || !u.mayRepeat() {
+		u.passFailure()
 	}
-	u.finish("answered", "upstream", place.Upstream().ID)
-	return Answered
+	return Failed
+}
+
+// passFailure tells the caller the last failure of an upstream as it is.
+func (u *run) passFailure() {
+	u.writePlain(u.failure, u.failureBody)
+	u.finish("upstream failure", "status", u.failure.Status)
 }
 
 // maxPlainBody bounds an answer that is held as a whole.
@@ -440,76 +369,3 @@
 	}
 	return true
 }
-
-// unplaced ends a request for which there is no place.
-func (u *run) unplaced(ctx context.Context, err error) {
-	if ctx.Err() != nil {
-		u.expire(ctx)
-		return
-	}
-	if u.mayHaveRun || u.stream.opened {
-		u.giveUp(err.Error())
-		return
-	}
-	u.refuse(http.StatusServiceUnavailable, RetryAfter(err), err.Error())
-}
-
-// expire ends a request whose time is over or whose caller left.
-func (u *run) expire(ctx context.Context) {
-	if errors.Is(context.Cause(ctx), context.Canceled) {
-		u.returnCost()
-		u.finish("caller left")
-		panic(http.ErrAbortHandler)
-	}
-	u.giveUp("out of time")
-}
-
-// giveUp tells the caller that there will be no answer. Only a request that
-// has not run anywhere is refused as not run.
-func (u *run) giveUp(why string) {
-	if u.stream.opened {
-		u.finish("stream broken off", "why", why)
-		panic(http.ErrAbortHandler)
-	}
-	if !u.mayHaveRun {
-		u.refuse(http.StatusServiceUnavailable, declinedRetry, why)
-		return
-	}
-	status := http.StatusBadGateway
-	if !u.Now().Before(u.until) {
-		status = http.StatusGatewayTimeout
-	}
-	u.Translator.Refuse(u.request, 0, u.w.Header())
-	u.w.WriteHeader(status)
-	u.finish("gave up", "status", status, "why", why)
-}
-
-// refuse answers a request that has not run and will not.
-func (u *run) refuse(status int, retryAfter time.Duration, why string) {
-	u.returnCost()
-	u.Translator.Refuse(u.request, retryAfter, u.w.Header())
-	u.w.WriteHeader(status)
-	u.finish("refused", "status", status, "why", why, "retry-after", retryAfter)
-}
-
-func (u *run) returnCost() {
-	if u.cost > 0 && !u.mayHaveRun {
-		u.Quota.Return(u.work, u.cost)
-		u.cost = 0
-	}
-}
-
-// finish writes the line that tells what became of the request.
-func (u *run) finish(outcome string, details ...any) {
-	took := u.Now().Sub(u.arrived)
-	route := ""
-	if u.route != nil {
-		route = u.route.Name
-	}
-	u.Metrics.Finished(route, u.tier, outcome, took)
-	args := []any{"outcome", outcome, "route", route, "tier", u.tier, "took", took, "sends", u.sends}
-	if len(u.exclude) > 0 {
-		args = append(args, "tried", slices.Clone(u.exclude))
-	}
-	u.logger.Info("request", append(args, details...)...)
-}
--- /dev/null
+++ b/internal/state/roster/roster_test.go
@@ -0,0 +1,76 @@
+package roster_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/persimmonridge/persimmonridge/internal/state/roster"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func upstream(id string, revision int64, state roster.State) roster.Upstream {
+	return roster.Upstream{ID: id, Service: "s", Address: "10.0.0.1:80", Slots: 4, State: state, Revision: revision}
+}
+
+func ids(r *roster.Roster) []string {
+	var all []string
+	for _, u := range r.Ready("s") {
+		all = append(all, u.ID)
+	}
+	return all
+}
+
+func TestDrainingUpstreamsGetNothingNew(t *testing.T) {
+	r := roster.New()
+	r.Put(upstream("a", 1, roster.Ready))
+	r.Put(upstream("b", 2, roster.Ready))
+	r.Put(upstream("a", 3, roster.Draining))
+	require.Equal(t, []string{"b"}, ids(r))
+	_, known := r.Get("a")
+	require.True(t, known)
+}
+
+// All registrations lapsed while the store was down, and all upstreams live.
+// They register again within two seconds; dropping them at once would leave a
+// whole service without an upstream for that time.
+func TestLapsedRegistrationsCountForAWhileAfterTheStoresReturn(t *testing.T) {
+	r := roster.New()
+	r.Replace(start, 5, []roster.Upstream{upstream("a", 1, roster.Ready), upstream("b", 2, roster.Ready), upstream("c", 3, roster.Draining)})
+	back := start.Add(10 * time.Second)
+	r.StoreReturned(back)
+	r.Replace(back, 9, nil)
+	require.Equal(t, []string{"a", "b"}, ids(r))
+	_, known := r.Get("c")
+	require.False(t, known, "one that said it leaves is gone at once")
+
+	r.Put(upstream("a", 10, roster.Ready))
+	require.False(t, r.Expire(back.Add(2*time.Second)))
+	require.True(t, r.Expire(back.Add(3*time.Second)))
+	require.Equal(t, []string{"a"}, ids(r))
+}
+
+// Without an outage a registration that goes is that of an upstream that is
+// gone: its address may soon be another service's.
+func TestRemovedUpstreamIsGoneAtOnce(t *testing.T) {
+	r := roster.New()
+	r.Put(upstream("a", 1, roster.Ready))
+	r.Remove(start, "a", 2)
+	require.Empty(t, ids(r))
+}
+
+// A watch tells again what a peer told already, and a peer may be behind. What
+// is older than what is known changes nothing.
+func TestOldNewsChangesNothing(t *testing.T) {
+	r := roster.New()
+	r.Replace(start, 10, []roster.Upstream{upstream("a", 9, roster.Draining)})
+	r.Put(upstream("a", 4, roster.Ready))
+	require.Empty(t, ids(r))
+	r.Put(upstream("a", 12, roster.Ready))
+	r.Remove(start, "a", 11)
+	require.Equal(t, []string{"a"}, ids(r))
+	r.Replace(start, 8, nil)
+	require.Equal(t, []string{"a"}, ids(r))
+}
