Whole fleet in fake time; gateways take their network from outside

Change: gateway.New takes its dialer and listeners, so that three gateways, four engines and the stand-in of the store run on a network in memory; tests of slots, overload, stops and deaths of the scheduler, outages of the store for all and for one, configuration and leaving upstreams. Found: a race on a peer's address between the goroutine that sends and the one that hears; mended, the race detector shows it without the mend in each of these tests.

--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -73,12 +73,14 @@
 
 type peer struct {
 	Peer
-	queue  chan *wire.Envelope
-	cancel context.CancelFunc
-	since  time.Time
-	down   bool
-	relink time.Time
-	told   int
+	// address never changes, so the sending goroutine needs no lock for it.
+	address string
+	queue   chan *wire.Envelope
+	cancel  context.CancelFunc
+	since   time.Time
+	down    bool
+	relink  time.Time
+	told    int
 }
 
 // Mesh is one process's links.
@@ -138,7 +140,7 @@
 		p.since = now
 		return
 	}
-	p = &peer{Peer: Peer{Address: address}, queue: make(chan *wire.Envelope, queueLength), since: now}
+	p = &peer{Peer: Peer{Address: address}, address: address, queue: make(chan *wire.Envelope, queueLength), since: now}
 	m.peers[address] = p
 	if m.group != nil {
 		m.startLocked(p)
@@ -157,13 +159,13 @@
 // send keeps a stream to the peer and writes what is queued for it.
 func (m *Mesh) send(ctx context.Context, p *peer) {
 	for ctx.Err() == nil {
-		stream, err := m.pool.Open(ctx, p.Address)
+		stream, err := m.pool.Open(ctx, p.address)
 		if err != nil {
 			pause(ctx, redialPause)
 			continue
 		}
 		m.write(ctx, p, stream)
-		m.pool.Replace(p.Address, stream.Session())
+		m.pool.Replace(p.address, stream.Session())
 		// The stream is of no use any more; its end is told by the write error.
 		_ = stream.Close()
 	}
@@ -190,7 +192,7 @@
 			batch = append(batch, e)
 		}
 		if err := stream.Send(m.now().Add(writeTimeout), batch...); err != nil {
-			m.logger.Info("link lost", "peer", p.Address, "err", err)
+			m.logger.Info("link lost", "peer", p.address, "err", err)
 			return
 		}
 	}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -9,16 +9,14 @@
 	"net"
 	"net/http"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/sys/unix"
 
 	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
 	"github.com/persimmonridge/persimmonridge/internal/edge/flow"
 	"github.com/persimmonridge/persimmonridge/internal/edge/ingress"
+	"github.com/persimmonridge/persimmonridge/internal/fleet/dial"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/link"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/mesh"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
@@ -35,17 +33,6 @@
 )
 
 const (
-	// dialTimeout bounds a connection to an upstream or the store: a packet
-	// that was lost once is sent again after a second.
-	dialTimeout = 1200 * time.Millisecond
-	// userTimeout ends a connection on which sent bytes are not acknowledged;
-	// a link that loses one packet in thirty recovers within a second.
-	userTimeout = 2500 * time.Millisecond
-	// keepAliveIdle, keepAliveEvery and keepAliveCount find a peer that is gone
-	// without a word while nothing is sent, in some 4 s.
-	keepAliveIdle  = 2 * time.Second
-	keepAliveEvery = time.Second
-	keepAliveCount = 2
 	// storePause is between two looks at the store: upstreams' heartbeats change
 	// keys many times a second, and a leaving one, like a new configuration,
 	// must be seen within two seconds.
@@ -77,11 +64,31 @@
 	Apply time.Duration
 }
 
+// Dialer opens connections to upstreams and peers.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Parts are what a gateway works with.
+type Parts struct {
+	Settings   Settings
+	Store      kv.Store
+	Decoder    Decoder
+	Translator flow.Translator
+	Names      exchange.Names
+	Dialer     Dialer
+	// Listen opens a listener.
+	Listen func(network, address string) (net.Listener, error)
+	Logger *slog.Logger
+	Now    func() time.Time
+}
+
 // Gateway is the running process.
 type Gateway struct {
 	settings Settings
 	store    kv.Store
 	decoder  Decoder
+	listen   func(network, address string) (net.Listener, error)
 	logger   *slog.Logger
 	now      func() time.Time
 
@@ -118,18 +125,20 @@
 }
 
 // New returns a gateway; Run starts it.
-func New(s Settings, store kv.Store, decoder Decoder, translator flow.Translator, names exchange.Names, logger *slog.Logger, now func() time.Time) *Gateway {
+func New(parts Parts) *Gateway {
+	s, now, logger := parts.Settings, parts.Now, parts.Logger
 	g := &Gateway{
-		settings: s, store: store, decoder: decoder, logger: logger, now: now,
+		settings: s, store: parts.Store, decoder: parts.Decoder, listen: parts.Listen, logger: logger, now: now,
 		// A later process on the same VM has a later start.
 		run:    uint64(now().UnixNano()),
-		roster: roster.New(), ledger: quota.NewLedger(), metrics: newMetrics(), pool: exchange.NewPool(Dial),
+		roster: roster.New(), ledger: quota.NewLedger(), metrics: newMetrics(),
+		pool: exchange.NewPool(parts.Dialer.DialContext),
 	}
 	g.upstreams = &upstreamView{gateway: g, items: make(map[string]kv.Item)}
 	g.peers = &peers{Gateway: g, rank: unranked, versions: make(map[string]int64)}
 	g.quota = quota.New(s.Quota, g.peers.processes)
 	g.crashRegister = crash.New(g.peers.crashed)
-	g.mesh = mesh.New(s.Name, s.Links, g.run, dialer{}, g.peers, logger, now)
+	g.mesh = mesh.New(s.Name, s.Links, g.run, parts.Dialer, g.peers, logger, now)
 	g.granter = granter.New(now, g.peers.deliver, logger)
 	g.permits = permit.New(permit.Parts{
 		Node: s.Name, Domain: s.Domain, Scheduler: g.peers.scheduler, Send: g.mesh.Send,
@@ -137,23 +146,14 @@
 		Local: local.New(s.Domain, g.roster.Ready, g.peers.processes), Upstream: g.roster.Get,
 		Service: g.service, Logger: logger, Now: now,
 	})
-	handler := flow.New(flow.Parts{
-		Translator: translator, Client: exchange.NewClient(g.pool, names, now), Catalog: g.catalog.Load,
+	g.ingress = ingress.New(flow.New(flow.Parts{
+		Translator: parts.Translator, Client: exchange.NewClient(g.pool, parts.Names, now), Catalog: g.catalog.Load,
 		Picker: g.permits, Quota: g.quota, Retries: retry.New(s.Retry, g.peers.processes), Crashes: g.crashRegister,
 		Metrics: g.metrics, Logger: logger, Now: now, Leaving: g.leaving,
-	})
-	g.ingress = ingress.New(handler, g.catalog.Load)
+	}), g.catalog.Load)
 	return g
 }
 
-// dialer implements link.Dialer.
-type dialer struct{}
-
-// DialContext implements link.Dialer.
-func (dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	return Dial(ctx, network, address)
-}
-
 func (g *Gateway) service(name string) *catalog.Service {
 	c := g.catalog.Load()
 	if c == nil {
@@ -162,23 +162,9 @@
 	return c.Service(name)
 }
 
-// Dial opens a connection whose silent end is noticed.
-func Dial(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: keepAliveIdle, Interval: keepAliveEvery, Count: keepAliveCount,
-	}, Control: func(_, _ string, raw syscall.RawConn) error {
-		var err error
-		controlErr := raw.Control(func(fd uintptr) {
-			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-		})
-		return errors.Join(err, controlErr)
-	}}
-	return dialer.DialContext(ctx, network, address)
-}
-
 // Run serves until the context ends, then stops in order.
 func (g *Gateway) Run(ctx context.Context) error {
-	callers, err := net.Listen("tcp", g.settings.Callers)
+	callers, err := g.listen("tcp", g.settings.Callers)
 	if err != nil {
 		return err
 	}
@@ -186,7 +172,7 @@
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	group, background := errgroup.WithContext(background)
-	links, err := net.Listen("tcp", g.settings.Links)
+	links, err := g.listen("tcp", g.settings.Links)
 	if err != nil {
 		return err
 	}
@@ -202,7 +188,7 @@
 	group.Go(func() error { return g.followStore(background) })
 	group.Go(func() error { return g.sweep(background) })
 	group.Go(func() error { return g.serveHTTP(background, g.settings.Readiness, http.HandlerFunc(g.ready)) })
-	group.Go(func() error { return g.serveHTTP(background, g.settings.Metrics, promhttp.Handler()) })
+	group.Go(func() error { return g.serveHTTP(background, g.settings.Metrics, g.metrics.handler()) })
 	group.Go(func() error { return g.ingress.Serve(callers) })
 	group.Go(func() error {
 		select {
@@ -237,11 +223,11 @@
 }
 
 func (g *Gateway) serveHTTP(ctx context.Context, address string, handler http.Handler) error {
-	listener, err := net.Listen("tcp", address)
+	listener, err := g.listen("tcp", address)
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: dialTimeout}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: dial.Timeout}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- /dev/null
+++ b/internal/role/gateway/gateway_test.go
@@ -0,0 +1,321 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/persimmonridge/persimmonridge/internal/limit/quota"
+	"github.com/persimmonridge/persimmonridge/internal/limit/retry"
+	"github.com/persimmonridge/persimmonridge/internal/proof/bubble"
+	"github.com/persimmonridge/persimmonridge/internal/role/gateway"
+	"github.com/persimmonridge/persimmonridge/internal/standin/network"
+	"github.com/persimmonridge/persimmonridge/platform"
+	"github.com/persimmonridge/persimmonridge/platform/standin"
+)
+
+const (
+	id       = "X-Persimmonridge-Attempt-Id"
+	seal     = "X-Persimmonridge-Response-Seal"
+	gateways = 3
+	engines  = 4
+	slots    = 2
+)
+
+// fleet is gateways, engines and a store on a network in memory.
+type fleet struct {
+	t       *testing.T
+	network *network.Network
+	store   *standin.Store
+	cancel  []context.CancelFunc
+	done    []chan error
+	servers []*http.Server
+
+	mu   sync.Mutex
+	most map[string]int
+	load map[string]int
+}
+
+// storeAt is one gateway's way to the store, so that it can be cut alone.
+func storeAt(i int) string   { return fmt.Sprintf("10.0.9.%d:80", i+1) }
+func callersAt(i int) string { return fmt.Sprintf("10.0.0.%d:80", i+1) }
+func linksAt(i int) string   { return fmt.Sprintf("10.0.0.%d:81", i+1) }
+func engineAt(i int) string  { return fmt.Sprintf("10.0.1.%d:80", i+1) }
+
+// play runs the script on a fleet in fake time.
+func play(t *testing.T, script func(f *fleet)) {
+	bubble.Run(t, func(t *testing.T) {
+		f := &fleet{t: t, network: network.New(), store: standin.NewStore(), most: map[string]int{}, load: map[string]int{}}
+		for i := range gateways {
+			f.serve(storeAt(i), f.store)
+		}
+		for i := range engines {
+			f.serve(engineAt(i), f.engine(engineAt(i)))
+			f.store.Put("servers/engine-"+strconv.Itoa(i), fmt.Sprintf(
+				`{"service":"tutor","address":%q,"zone":"a","version":"v1","slots":%d,"state":"ready"}`, engineAt(i), slots))
+		}
+		f.configure(1, "/old/")
+		for i := range gateways {
+			f.start(i)
+		}
+		bubble.Pass(2 * time.Second)
+		script(f)
+		for i := range gateways {
+			f.stop(i)
+		}
+		for _, server := range f.servers {
+			require.NoError(t, server.Close())
+		}
+	})
+}
+
+func (f *fleet) serve(at string, handler http.Handler) {
+	listener, err := f.network.Listen(at)
+	require.NoError(f.t, err)
+	server := &http.Server{Handler: handler}
+	f.servers = append(f.servers, server)
+	go func() { _ = server.Serve(listener) }()
+}
+
+// engine streams three events, half a second apart, and counts what it runs.
+func (f *fleet) engine(name string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.mu.Lock()
+		f.load[name]++
+		f.most[name] = max(f.most[name], f.load[name])
+		f.mu.Unlock()
+		defer func() {
+			f.mu.Lock()
+			f.load[name]--
+			f.mu.Unlock()
+		}()
+		w.Header().Set(id, r.Header.Get(id))
+		w.Header().Set(seal, "s")
+		for i := range 3 {
+			bubble.Pass(100 * time.Millisecond)
+			if _, err := fmt.Fprintf(w, "id: %d\ndata: x\n\n", i+1); err != nil {
+				return
+			}
+			_ = http.NewResponseController(w).Flush()
+		}
+	})
+}
+
+func (f *fleet) configure(version int, prefix string) {
+	f.store.Put("op/config", fmt.Sprintf(`{"version":%d,
+		"routes":[{"name":"r","hostname":"h","prefix":%q,"kind":"streaming","timeoutMs":15000,"targetLatencyMs":600,
+			"service":"tutor","maxAttempts":2,"streamResume":true,"gapAimMs":250}],
+		"services":[{"name":"tutor","engine":{"slots":%d,"stride":6}}],
+		"limits":{"maxBodyBytes":4194304,"idleTimeoutMs":15000},
+		"tenants":[{"name":"studio","apiKeys":["key"]}]}`, version, prefix, slots))
+}
+
+func (f *fleet) start(i int) {
+	ctx, cancel := context.WithCancel(f.t.Context())
+	f.cancel = append(f.cancel, cancel)
+	f.done = append(f.done, make(chan error, 1))
+	settings := gateway.Settings{
+		Name: "gateway-" + strconv.Itoa(i), Domain: "a", Callers: callersAt(i), Links: linksAt(i),
+		Readiness: fmt.Sprintf("10.0.0.%d:82", i+1), Metrics: fmt.Sprintf("10.0.0.%d:83", i+1),
+		Grace: 8 * time.Second, Apply: 2 * time.Second, Quota: quota.Options{Full: true},
+		Retry:     retry.Settings{Share: 0.2, Slack: 50, Window: 10 * time.Second},
+		ConfigKey: platform.ConfigPrefix, UpstreamPrefix: platform.UpstreamPrefix,
+	}
+	g := gateway.New(gateway.Parts{
+		Settings: settings, Store: platform.NewStore(storeAt(i), f.network.DialContext), Decoder: platform.Decoder{},
+		Translator: platform.Headers{}, Names: platform.AnswerNames(), Dialer: f.network,
+		Listen: func(_, at string) (net.Listener, error) { return f.network.Listen(at) },
+		Logger: slog.New(slog.DiscardHandler), Now: time.Now,
+	})
+	go func() { f.done[i] <- g.Run(ctx) }()
+}
+
+func (f *fleet) stop(i int) {
+	if f.cancel[i] == nil {
+		return
+	}
+	f.cancel[i]()
+	require.NoError(f.t, <-f.done[i])
+	f.cancel[i] = nil
+}
+
+// outcome is what a caller saw.
+type outcome struct {
+	status int
+	body   string
+	err    error
+	took   time.Duration
+}
+
+func (f *fleet) call(i int, path, request string) outcome {
+	client := &http.Client{Transport: &http.Transport{DialContext: f.network.DialContext, DisableKeepAlives: true}}
+	r, err := http.NewRequest(http.MethodPost, "http://"+callersAt(i)+path, strings.NewReader("body"))
+	require.NoError(f.t, err)
+	r.Host = "h"
+	for name, value := range map[string]string{
+		id: request, "Api-Key": "key", "X-Persimmonridge-Deadline-Ms": "15000",
+		"X-Persimmonridge-Token-Counts": "1000,100", "X-Persimmonridge-Length-Hint": "18",
+	} {
+		r.Header.Set(name, value)
+	}
+	begun := time.Now()
+	response, err := client.Do(r)
+	if err != nil {
+		return outcome{err: err}
+	}
+	body, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	return outcome{status: response.StatusCode, body: string(body), err: err, took: time.Since(begun)}
+}
+
+// calls makes calls at once, spread over the gateways, and returns them.
+func (f *fleet) calls(count int, path string) []outcome {
+	outcomes := make([]outcome, count)
+	var wg sync.WaitGroup
+	for i := range count {
+		wg.Go(func() { outcomes[i] = f.call(i%gateways, path, fmt.Sprintf("r%d-%d", time.Now().UnixNano(), i)) })
+	}
+	wg.Wait()
+	return outcomes
+}
+
+func served(outcomes []outcome) int {
+	n := 0
+	for _, o := range outcomes {
+		if o.status == http.StatusOK && o.err == nil {
+			n++
+		}
+	}
+	return n
+}
+
+// Callers of three gateways fill all engines at once. Each gateway sees a third
+// of them; without one place that counts, engines get more than their slots,
+// and some stay idle.
+func TestEnginesGetNoMoreThanTheirSlots(t *testing.T) {
+	play(t, func(f *fleet) {
+		require.Equal(t, engines*slots, served(f.calls(engines*slots, "/old/x")))
+		for i := range engines {
+			require.Equal(t, slots, f.most[engineAt(i)], "engine %d", i)
+		}
+	})
+}
+
+// What comes above the slots waits while it can be in time and is refused as
+// not run after that; nobody is left without an answer.
+func TestEveryCallerGetsAnAnswerInAnOverload(t *testing.T) {
+	play(t, func(f *fleet) {
+		outcomes := f.calls(6*engines*slots, "/old/x")
+		require.GreaterOrEqual(t, served(outcomes), 2*engines*slots)
+		for _, o := range outcomes {
+			require.NoError(t, o.err)
+			require.Contains(t, []int{http.StatusOK, http.StatusServiceUnavailable}, o.status)
+			require.Less(t, o.took, 3*time.Second)
+		}
+		for i := range engines {
+			require.LessOrEqual(t, f.most[engineAt(i)], slots)
+		}
+	})
+}
+
+// The gateway that schedules stops, in order, while callers go on. The next one
+// takes over, and no request is cut or waits for long.
+func TestStopOfTheSchedulerIsNotNoticed(t *testing.T) {
+	play(t, func(f *fleet) {
+		go f.stop(0)
+		for range 20 {
+			for _, o := range []outcome{f.call(1, "/old/x", "a"+time.Now().String()), f.call(2, "/old/x", "b"+time.Now().String())} {
+				require.NoError(t, o.err)
+				require.Equal(t, http.StatusOK, o.status)
+				require.Less(t, o.took, time.Second)
+			}
+		}
+		bubble.Pass(10 * time.Second)
+	})
+}
+
+// A new configuration adds a route and drops another. Two seconds after the
+// store accepted it, every gateway goes by it.
+func TestConfigurationIsInForceEverywhereWithinItsTime(t *testing.T) {
+	play(t, func(f *fleet) {
+		bubble.Pass(5 * time.Second)
+		f.configure(2, "/new/")
+		bubble.Pass(2 * time.Second)
+		for i := range gateways {
+			require.Equal(t, http.StatusOK, f.call(i, "/new/x", fmt.Sprint("new", i)).status)
+			require.Equal(t, http.StatusNotFound, f.call(i, "/old/x", fmt.Sprint("old", i)).status)
+		}
+	})
+}
+
+// The store is silent for ten seconds; gateways go on with what they know. A
+// change that was accepted at its return is in force two seconds later.
+func TestStoreOutageIsSurvived(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.store.SetFault(standin.Silent)
+		for range 10 {
+			bubble.Pass(time.Second)
+			require.Equal(t, gateways, served(f.calls(gateways, "/old/x")))
+		}
+		f.store.SetFault(standin.None)
+		f.configure(2, "/new/")
+		bubble.Pass(2 * time.Second)
+		require.Equal(t, gateways, served(f.calls(gateways, "/new/x")))
+	})
+}
+
+// An upstream says that it leaves. Two seconds later it gets nothing new.
+func TestLeavingUpstreamGetsNothingNew(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.store.Put("servers/engine-0", fmt.Sprintf(
+			`{"service":"tutor","address":%q,"zone":"a","version":"v1","slots":%d,"state":"draining"}`, engineAt(0), slots))
+		bubble.Pass(2 * time.Second)
+		f.most[engineAt(0)] = 0
+		require.Equal(t, (engines-1)*slots, served(f.calls((engines-1)*slots, "/old/x")))
+		require.Zero(t, f.most[engineAt(0)])
+	})
+}
+
+// The store turns one gateway away and serves the others. A new configuration,
+// and the leaving of an upstream, reach it through its peers.
+func TestGatewayThatTheStoreTurnsAwayIsToldByItsPeers(t *testing.T) {
+	play(t, func(f *fleet) {
+		const cut = 1
+		f.network.Vanish(storeAt(cut))
+		bubble.Pass(5 * time.Second)
+		f.configure(2, "/new/")
+		f.store.Put("servers/engine-0", fmt.Sprintf(
+			`{"service":"tutor","address":%q,"zone":"a","version":"v1","slots":%d,"state":"draining"}`, engineAt(0), slots))
+		bubble.Pass(2 * time.Second)
+		f.most[engineAt(0)] = 0
+		require.Equal(t, http.StatusOK, f.call(cut, "/new/x", "a").status)
+		require.Equal(t, http.StatusNotFound, f.call(cut, "/old/x", "b").status)
+		require.Zero(t, f.most[engineAt(0)])
+	})
+}
+
+// The gateway that schedules loses its power while requests wait for its word.
+// They are asked of the next one, and served.
+func TestDeathOfTheSchedulerLosesNoWaitingRequest(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.network.Vanish(linksAt(0))
+		f.network.Vanish(callersAt(0))
+		for i := range 10 {
+			for _, at := range []int{1, 2} {
+				o := f.call(at, "/old/x", fmt.Sprint("r", i, at))
+				require.Equal(t, http.StatusOK, o.status)
+				require.Less(t, o.took, 2*time.Second)
+			}
+		}
+	})
+}
