Bounded logs that never block, explain, reload of settings

Cause: a reader of the output that hangs would hang requests; every request wrote a line; an unasked SIGHUP ends a Go program, and silent edits of the settings were not seen. Change: observe/logs queues lines and counts what it leaves out; lines of requests that went well are of the lowest level and sampled beyond 100 a second; explain ID FILE... tells a request's story and what was believed; settings are read again on SIGHUP and every two seconds.

--- a/cmd/persimmonridge/main.go
+++ b/cmd/persimmonridge/main.go
@@ -15,6 +15,7 @@
 // cli lists the commands.
 type cli struct {
 	Gateway gatewayCommand `cmd:"" help:"Run a gateway: the process on an edge VM of the platform."`
+	Explain explainCommand `cmd:"" help:"Tell from logs what became of a request."`
 	Entry   entryCommand   `cmd:"" help:"Run an entry: the process that faces callers."`
 	Agent   agentCommand   `cmd:"" help:"Run an agent: the process beside one upstream."`
 	Check   checkCommand   `cmd:"" help:"Check inventory and rules files; list every finding."`
--- a/internal/edge/flow/ending.go
+++ b/internal/edge/flow/ending.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net/http"
 	"slices"
 	"time"
+
+	"github.com/persimmonridge/persimmonridge/internal/state/catalog"
 )
 
 // unplaced ends a request for which there is no place.
@@ -70,7 +73,9 @@
 	}
 }
 
-// finish writes the line that tells what became of the request.
+// finish writes the line that tells what became of the request. Lines of
+// requests that went well are of the lowest level, so that a bound on the log's
+// volume meets them first.
 func (u *run) finish(outcome string, details ...any) {
 	took := u.Now().Sub(u.arrived)
 	route := ""
@@ -82,5 +87,20 @@
 	if len(u.exclude) > 0 {
 		args = append(args, "tried", slices.Clone(u.exclude))
 	}
-	u.logger.Info("request", append(args, details...)...)
+	level := slog.LevelWarn
+	if outcome == outcomeAnswered && u.sends <= 1 && !u.late(took) {
+		level = slog.LevelDebug
+	}
+	u.logger.Log(context.Background(), level, "request", append(args, details...)...)
+}
+
+// outcomeAnswered is the outcome of a request that got an upstream's success.
+const outcomeAnswered = "answered"
+
+// late tells whether the answer came after its objective.
+func (u *run) late(took time.Duration) bool {
+	if u.route.Kind != catalog.Streaming {
+		return took > u.route.Objective
+	}
+	return u.placed+u.firstEvent > u.route.Objective || (u.route.MaxGap > 0 && u.longestGap > u.route.MaxGap)
 }
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -303,7 +303,7 @@
 	}
 	if success {
 		u.writePlain(answer, body)
-		u.finish("answered", "upstream", place.Upstream().ID)
+		u.finish(outcomeAnswered, "upstream", place.Upstream().ID)
 		return Answered
 	}
 	u.failure, u.failureBody = answer, body
--- a/internal/edge/flow/stream.go
+++ b/internal/edge/flow/stream.go
@@ -88,7 +88,7 @@
 		if errors.Is(err, io.EOF) {
 			answer.Close(true)
 			u.endStream(answer)
-			u.finish("answered", "upstream", place.Upstream().ID, "last-event", u.stream.last,
+			u.finish(outcomeAnswered, "upstream", place.Upstream().ID, "last-event", u.stream.last,
 				"prompt", u.request.PromptTokens, "output", u.request.OutputTokens, "hint", u.request.LengthHint,
 				"placed", u.placed, "first-event", u.firstEvent, "longest-gap", u.longestGap, "load", answer.Load)
 			return Answered
--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -77,6 +77,13 @@
 	return &Keeper{known: known, options: options, buckets: make(map[string]*bucket), others: make(map[string]float64)}
 }
 
+// SetOptions changes what the deployment says of quotas.
+func (k *Keeper) SetOptions(options Options) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.options = options
+}
+
 func (k *Keeper) at(now time.Time, w *catalog.Workspace) *bucket {
 	b := k.buckets[w.Name]
 	if b == nil {
--- a/internal/limit/retry/retry.go
+++ b/internal/limit/retry/retry.go
@@ -39,6 +39,13 @@
 	return &Budget{settings: s, processes: processes, services: make(map[string]*account)}
 }
 
+// SetSettings changes the bound.
+func (b *Budget) SetSettings(s Settings) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.settings = s
+}
+
 // most is what an idle process may save: its part of the slack.
 func (b *Budget) most() float64 {
 	return safety * b.settings.Slack / float64(max(1, b.processes()))
--- /dev/null
+++ b/internal/observe/explain/explain_test.go
@@ -0,0 +1,50 @@
+package explain_test
+
+import (
+	"bytes"
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/persimmonridge/persimmonridge/internal/observe/explain"
+)
+
+// A caller's stream broke off. In the morning there is its id and the logs: the
+// story names the upstream that broke off, why it was not resumed, and which
+// configuration and scheduler were in force, not those of later.
+func TestStoryOfABrokenStream(t *testing.T) {
+	file, err := os.Open("testdata/edge-1.log")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, file.Close()) }()
+	log, err := explain.Read("edge-1", file)
+	require.NoError(t, err)
+	var got bytes.Buffer
+	found, err := explain.Story(&got, "r1", log)
+	require.NoError(t, err)
+	require.True(t, found)
+	want, err := os.ReadFile("testdata/story.golden")
+	require.NoError(t, err)
+	require.Equal(t, string(want), got.String())
+
+	found, err = explain.Story(&got, "r2", log)
+	require.NoError(t, err)
+	require.True(t, found, "a collector's words before a line are skipped")
+	found, err = explain.Story(&got, "r3", log)
+	require.NoError(t, err)
+	require.False(t, found)
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(`time=2026-06-20T12:15:33.000Z msg="a \" b" id=x`)
+	f.Add(`time=`)
+	f.Fuzz(func(t *testing.T, text string) {
+		log, err := explain.Read("x", bytes.NewReader([]byte(text)))
+		if err != nil {
+			return
+		}
+		var out bytes.Buffer
+		_, err = explain.Story(&out, "x", log)
+		require.NoError(t, err)
+	})
+}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -80,17 +80,23 @@
 	// Listen opens a listener.
 	Listen func(network, address string) (net.Listener, error)
 	Logger *slog.Logger
-	Now    func() time.Time
+	// LeftOut tells how many lines the log left out; it may be nil.
+	LeftOut func() (sampled, dropped int64)
+	Now     func() time.Time
 }
 
 // Gateway is the running process.
 type Gateway struct {
 	settings Settings
-	store    kv.Store
-	decoder  Decoder
-	listen   func(network, address string) (net.Listener, error)
-	logger   *slog.Logger
-	now      func() time.Time
+	// grace is the time to stop, which may change while the process runs.
+	grace   atomic.Int64
+	store   kv.Store
+	decoder Decoder
+	leftOut func() (sampled, dropped int64)
+	retries *retry.Budget
+	listen  func(network, address string) (net.Listener, error)
+	logger  *slog.Logger
+	now     func() time.Time
 
 	run           uint64
 	catalog       atomic.Pointer[catalog.Catalog]
@@ -108,6 +114,10 @@
 	metrics       *metrics
 	ingress       *ingress.Server
 	stop          atomic.Pointer[stopTimes]
+
+	// leftOutTold and the counts are those of the last line about the log.
+	leftOutTold              time.Time
+	sampledTold, droppedTold int64
 }
 
 // stopTimes are when a stop began and when it ends.
@@ -134,6 +144,9 @@
 		roster: roster.New(), ledger: quota.NewLedger(), metrics: newMetrics(),
 		pool: exchange.NewPool(parts.Dialer.DialContext),
 	}
+	g.grace.Store(int64(s.Grace))
+	g.leftOut = parts.LeftOut
+	g.retries = retry.New(s.Retry, func() int { return g.peers.processes() })
 	g.upstreams = &upstreamView{gateway: g, items: make(map[string]kv.Item)}
 	g.peers = &peers{Gateway: g, rank: unranked, versions: make(map[string]int64)}
 	g.quota = quota.New(s.Quota, g.peers.processes)
@@ -148,7 +161,7 @@
 	})
 	g.ingress = ingress.New(flow.New(flow.Parts{
 		Translator: parts.Translator, Client: exchange.NewClient(g.pool, parts.Names, now), Catalog: g.catalog.Load,
-		Picker: g.permits, Quota: g.quota, Retries: retry.New(s.Retry, g.peers.processes), Crashes: g.crashRegister,
+		Picker: g.permits, Quota: g.quota, Retries: g.retries, Crashes: g.crashRegister,
 		Metrics: g.metrics, Logger: logger, Now: now, Leaving: g.leaving,
 	}), g.catalog.Load)
 	return g
@@ -205,11 +218,12 @@
 }
 
 func (g *Gateway) drain() error {
-	g.logger.Info("stopping", "grace", g.settings.Grace)
+	grace := time.Duration(g.grace.Load())
+	g.logger.Info("stopping", "grace", grace)
 	now := g.now()
-	g.stop.Store(&stopTimes{since: now, until: now.Add(g.settings.Grace - stopMargin)})
+	g.stop.Store(&stopTimes{since: now, until: now.Add(grace - stopMargin)})
 	g.mesh.Farewell()
-	ctx, cancel := context.WithTimeout(context.Background(), g.settings.Grace-stopMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), grace-stopMargin)
 	defer cancel()
 	return g.ingress.Stop(ctx)
 }
@@ -246,6 +260,7 @@
 		case <-ticker.C:
 			now := g.now()
 			g.pool.Sweep(now)
+			g.tellLeftOut(now)
 			if g.roster.Expire(now) {
 				g.logger.Info("upstreams that lapsed did not come back")
 			}
