A scheduler's first word must come within 40 ms

Change: the scheduler says at once whether an ask waits; without any word in 40 ms a gateway chooses by itself and tells the scheduler of the place.

--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -55,6 +55,8 @@
 	Upstream   string
 	RetryAfter time.Duration
 	Why        string
+	// Waiting tells that the ask waits; another verdict follows.
+	Waiting bool
 }
 
 // Outcome is what a place came to.
@@ -194,6 +196,7 @@
 	if b.canBeInTime(now, ask) {
 		b.enqueue(ask)
 		b.noteSaturation(now)
+		b.verdicts = append(b.verdicts, Verdict{Owner: ask.Owner, ID: ask.ID, Waiting: true})
 		return
 	}
 	b.setLate(now, ask)
@@ -240,8 +243,11 @@
 		b.refuse(now, last, "too many wait")
 		return
 	}
-	b.place(now, ask, true)
-	b.late = slices.DeleteFunc(b.late, func(x *Ask) bool { return x == ask && b.byRun[key(ask.Owner, ask.ID)] != nil })
+	if b.place(now, ask, true) {
+		b.late = slices.DeleteFunc(b.late, func(x *Ask) bool { return x == ask })
+		return
+	}
+	b.verdicts = append(b.verdicts, Verdict{Owner: ask.Owner, ID: ask.ID, Waiting: true})
 }
 
 func (b *Board) lateMost(service string) int {
--- a/internal/sched/permit/permit.go
+++ b/internal/sched/permit/permit.go
@@ -21,6 +21,12 @@
 // for longer than a caller would wait.
 const answerSlack = 1500 * time.Millisecond
 
+// wordWithin is how long a scheduler's first word may take: whether it grants,
+// refuses or lets wait. It comes within some 4 ms across failure domains; over
+// a link that loses packets, or from a VM that has become slow, waiting for it
+// costs more of a caller's few hundred milliseconds than choosing here.
+const wordWithin = 40 * time.Millisecond
+
 // asksMost bounds the schedulers that one request asks, each after the one
 // before went silent.
 const asksMost = 3
@@ -55,6 +61,10 @@
 	why        string
 	// lost verdicts tell that the scheduler is gone.
 	lost bool
+	// waiting verdicts tell that the ask is heard.
+	waiting bool
+	// mute verdicts tell that no word came in time.
+	mute bool
 }
 
 type pending struct {
@@ -92,6 +102,9 @@
 		if ctx.Err() != nil {
 			return nil, flow.RefusePlace(0, "the caller left or its time is over")
 		}
+		if got.mute {
+			break
+		}
 		if !ok || got.lost {
 			continue
 		}
@@ -105,13 +118,23 @@
 		c.tell(ended(a.ID, board.Unreached, 0, 0))
 		a.Exclude = append(append([]string(nil), a.Exclude...), got.upstream)
 	}
-	c.Logger.Debug("no scheduler, choosing here", "id", a.ID)
-	return c.Local.Pick(ctx, c.Now(), a)
+	return c.pickHere(ctx, a)
+}
+
+// pickHere chooses without a scheduler. The place is counted like one that was
+// granted, so that the scheduler hears of it.
+func (c *Client) pickHere(ctx context.Context, a flow.Ask) (flow.Place, error) {
+	c.Logger.Debug("choosing without the scheduler", "id", a.ID)
+	chosen, err := c.Local.Pick(ctx, c.Now(), a)
+	if err != nil {
+		return nil, err
+	}
+	return c.keep(chosen, a), nil
 }
 
 // ask asks one scheduler and waits for its verdict.
 func (c *Client) ask(ctx context.Context, scheduler string, a flow.Ask) (verdict, bool) {
-	p := &pending{scheduler: scheduler, verdicts: make(chan verdict, 1)}
+	p := &pending{scheduler: scheduler, verdicts: make(chan verdict, 2)}
 	c.mu.Lock()
 	c.pending[a.ID] = p
 	c.mu.Unlock()
@@ -123,17 +146,36 @@
 	if !c.sendTo(scheduler, c.askMessage(a)) {
 		return verdict{}, false
 	}
-	timer := time.NewTimer(min(a.Until.Sub(c.Now()), answerSlack))
-	defer timer.Stop()
-	select {
-	case got := <-p.verdicts:
-		return got, true
-	case <-ctx.Done():
-	case <-timer.C:
-		c.Logger.Warn("no word from the scheduler", "id", a.ID, "scheduler", scheduler)
+	got, ok := c.await(ctx, p, a)
+	if !ok || got.mute {
+		c.sendTo(scheduler, ended(a.ID, board.Left, 0, 0))
+	}
+	return got, ok
+}
+
+// await waits for the first word, and then for the verdict.
+func (c *Client) await(ctx context.Context, p *pending, a flow.Ask) (verdict, bool) {
+	word := time.NewTimer(wordWithin)
+	defer word.Stop()
+	last := time.NewTimer(min(a.Until.Sub(c.Now()), answerSlack))
+	defer last.Stop()
+	for {
+		select {
+		case got := <-p.verdicts:
+			if got.waiting {
+				word.Stop()
+				continue
+			}
+			return got, true
+		case <-word.C:
+			return verdict{mute: true}, true
+		case <-ctx.Done():
+			return verdict{}, false
+		case <-last.C:
+			c.Logger.Warn("no verdict from the scheduler", "id", a.ID, "scheduler", p.scheduler)
+			return verdict{}, false
+		}
 	}
-	c.sendTo(scheduler, ended(a.ID, board.Left, 0, 0))
-	return verdict{}, false
 }
 
 func (c *Client) askMessage(a flow.Ask) *wire.Envelope {
@@ -174,7 +216,7 @@
 		return
 	}
 	select {
-	case p.verdicts <- verdict{upstream: v.Upstream, retryAfter: time.Duration(v.RetryAfterMs) * time.Millisecond, why: v.Why}:
+	case p.verdicts <- verdict{upstream: v.Upstream, retryAfter: time.Duration(v.RetryAfterMs) * time.Millisecond, why: v.Why, waiting: v.Waiting}:
 	default:
 	}
 }
@@ -229,14 +271,18 @@
 const TellEvery = time.Second
 
 func (c *Client) hold(u roster.Upstream, a flow.Ask) flow.Place {
-	p := &place{client: c, local: c.Local.Hold(u), upstream: u, ask: a}
+	return c.keep(c.Local.Hold(u), a)
+}
+
+func (c *Client) keep(local flow.Place, a flow.Ask) flow.Place {
+	p := &place{client: c, local: local, upstream: local.Upstream(), ask: a}
 	c.mu.Lock()
 	c.places[p] = struct{}{}
 	c.mu.Unlock()
 	return p
 }
 
-// place is a place that a scheduler granted.
+// place is a place on an engine.
 type place struct {
 	client   *Client
 	local    flow.Place
--- a/internal/sched/permit/serve.go
+++ b/internal/sched/permit/serve.go
@@ -59,6 +59,6 @@
 // VerdictMessage returns the message that carries a verdict to who asked.
 func VerdictMessage(v board.Verdict) *wire.Envelope {
 	return &wire.Envelope{Body: &wire.Envelope_PlaceVerdict{PlaceVerdict: &wire.PlaceVerdict{
-		Id: v.ID, Upstream: v.Upstream, RetryAfterMs: uint32(v.RetryAfter.Milliseconds()), Why: v.Why,
+		Id: v.ID, Upstream: v.Upstream, RetryAfterMs: uint32(v.RetryAfter.Milliseconds()), Why: v.Why, Waiting: v.Waiting,
 	}}}
 }
--- a/internal/trial/pattern/policy.go
+++ b/internal/trial/pattern/policy.go
@@ -46,6 +46,9 @@
 	for verdicts := b.board.Verdicts(); len(verdicts) > 0; verdicts = b.board.Verdicts() {
 		for _, v := range verdicts {
 			r := b.requests[v.ID]
+			if v.Waiting {
+				continue
+			}
 			if v.Upstream == "" {
 				r.refused = true
 				continue
