Versions are moved in small shares and taken back on evidence

Cause: orders to move a service to another version were not read. Change: version/rollout decides by pure steps from the evidence of all gateways (the project's sequential tests and watches); a request's side follows from its id; the gateway that schedules holds the duty and writes state and status in one conditional transaction; peers are told at once. Figures: tests play good, failing, later failing and slow versions against the exposure and take-back bounds; a fleet in fake time completes a move whose holder dies.

--- a/cmd/persimmonridge/gateway.go
+++ b/cmd/persimmonridge/gateway.go
@@ -98,6 +98,6 @@
 		Links: node.Links, Metrics: node.Metrics, Seeds: node.Seeds, Grace: node.Grace, Apply: node.Apply,
 		Retry:     retry.Settings{Share: node.RetryShare, Slack: node.RetrySlack, Window: node.RetryWindow},
 		Quota:     quota.Options{Full: node.First, Slack: node.QuotaSlack},
-		ConfigKey: platform.ConfigPrefix, UpstreamPrefix: platform.UpstreamPrefix,
+		ConfigKey: platform.ConfigPrefix, UpstreamPrefix: platform.UpstreamPrefix, OrderPrefix: platform.RolloutPrefix,
 	}
 }
--- a/internal/edge/flow/request.go
+++ b/internal/edge/flow/request.go
@@ -110,10 +110,17 @@
 	Exclude []string
 	// Fingerprint recognises a request that its caller sends again.
 	Fingerprint uint64
+	// Only and Not bound the versions of the upstream; empty bounds nothing.
+	Only, Not string
 	// Again asks are for requests that were sent before.
 	Again bool
 }
 
+// Allows tells whether an upstream of the version may get the request.
+func (a *Ask) Allows(version string) bool {
+	return (a.Only == "" || a.Only == version) && (a.Not == "" || a.Not != version)
+}
+
 // Outcome is what a send came to.
 type Outcome int
 
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"github.com/persimmonridge/persimmonridge/internal/state/follow"
 	"github.com/persimmonridge/persimmonridge/internal/state/kv"
 	"github.com/persimmonridge/persimmonridge/internal/state/roster"
+	"github.com/persimmonridge/persimmonridge/internal/version/rollout"
 )
 
 const (
@@ -49,6 +50,10 @@
 	Upstream(key string, raw []byte, revision int64) (roster.Upstream, error)
 	// UpstreamID returns the id that a key names.
 	UpstreamID(key string) string
+	// Order decodes an order to move a service to another version.
+	Order(key string, raw []byte, revision int64) (rollout.Order, error)
+	// Status encodes what operators are told of a move.
+	Status(service string, s rollout.State) (key string, value []byte, err error)
 }
 
 // Settings are what the process is told at its start.
@@ -59,6 +64,7 @@
 	Grace                              time.Duration
 	Retry                              retry.Settings
 	ConfigKey, UpstreamPrefix          string
+	OrderPrefix                        string
 	Quota                              quota.Options
 	// Apply is how long a configuration may take to be in force.
 	Apply time.Duration
@@ -111,6 +117,8 @@
 	mesh          *mesh.Mesh
 	granter       *granter.Granter
 	permits       *permit.Client
+	rollouts      *rollout.Picker
+	moves         *moves
 	metrics       *metrics
 	ingress       *ingress.Server
 	stop          atomic.Pointer[stopTimes]
@@ -159,9 +167,11 @@
 		Local: local.New(s.Domain, g.roster.Ready, g.peers.processes), Upstream: g.roster.Get,
 		Service: g.service, Logger: logger, Now: now,
 	})
+	g.rollouts = rollout.NewPicker(g.permits)
+	g.moves = newMoves(g)
 	g.ingress = ingress.New(flow.New(flow.Parts{
 		Translator: parts.Translator, Client: exchange.NewClient(g.pool, parts.Names, now), Catalog: g.catalog.Load,
-		Picker: g.permits, Quota: g.quota, Retries: g.retries, Crashes: g.crashRegister,
+		Picker: g.rollouts, Quota: g.quota, Retries: g.retries, Crashes: g.crashRegister,
 		Metrics: g.metrics, Logger: logger, Now: now, Leaving: g.leaving,
 	}), g.catalog.Load)
 	return g
@@ -196,6 +206,7 @@
 	group.Go(func() error { return g.mesh.Run(background) })
 	group.Go(func() error { return g.granter.Run(background) })
 	group.Go(func() error { return g.peers.reportQuota(background) })
+	group.Go(func() error { return g.moves.run(background) })
 	group.Go(func() error { return g.tellHeld(background) })
 	group.Go(func() error { return g.peers.register(background) })
 	group.Go(func() error { return g.followStore(background) })
@@ -282,6 +293,8 @@
 		{Prefix: g.settings.ConfigKey, View: &configView{gateway: g}},
 		{Prefix: g.settings.UpstreamPrefix, View: g.upstreams},
 		{Prefix: memberPrefix, View: g.peers},
+		{Prefix: g.settings.OrderPrefix, View: orderView{g.moves}},
+		{Prefix: movePrefix, View: stateView{g.moves}},
 	}
 	return follow.New(g.store, view, follow.Options{
 		Pause: storePause, Wait: g.settings.Apply,
--- a/internal/role/gateway/gateway_test.go
+++ b/internal/role/gateway/gateway_test.go
@@ -129,7 +129,7 @@
 		Readiness: fmt.Sprintf("10.0.0.%d:82", i+1), Metrics: fmt.Sprintf("10.0.0.%d:83", i+1),
 		Grace: 8 * time.Second, Apply: 2 * time.Second, Quota: quota.Options{Full: true},
 		Retry:     retry.Settings{Share: 0.2, Slack: 50, Window: 10 * time.Second},
-		ConfigKey: platform.ConfigPrefix, UpstreamPrefix: platform.UpstreamPrefix,
+		ConfigKey: platform.ConfigPrefix, UpstreamPrefix: platform.UpstreamPrefix, OrderPrefix: platform.RolloutPrefix,
 	}
 	g := gateway.New(gateway.Parts{
 		Settings: settings, Store: platform.NewStore(storeAt(i), f.network.DialContext), Decoder: platform.Decoder{},
@@ -319,3 +319,29 @@
 		}
 	})
 }
+
+// Operators order another version while its upstreams start beside the old
+// ones. The gateway that schedules, and so steps the move, loses its power half
+// way. Another one carries on from what is in the store: the move is completed
+// before its deadline, and told once.
+func TestMoveIsCompletedThoughItsHolderDies(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.store.Put("op/rollout/tutor", `{"service":"tutor","target":"v2","durationS":20}`)
+		f.serve(engineAt(8), f.engine(engineAt(8)))
+		f.store.Put("servers/engine-8", fmt.Sprintf(
+			`{"service":"tutor","address":%q,"zone":"a","version":"v2","slots":%d,"state":"ready"}`, engineAt(8), slots))
+		bubble.Pass(2 * time.Second)
+		require.JSONEq(t, `{"state":"running","target":"v2"}`, f.store.Value("status/rollout/tutor"))
+		for i := range 8 {
+			require.Equal(t, http.StatusOK, f.call(1+i%2, "/old/x", fmt.Sprint("before", i)).status)
+		}
+		f.network.Vanish(linksAt(0))
+		f.network.Vanish(callersAt(0))
+		f.network.Vanish(storeAt(0))
+		bubble.Pass(16 * time.Second)
+		require.JSONEq(t, `{"state":"complete","target":"v2"}`, f.store.Value("status/rollout/tutor"))
+		f.most[engineAt(8)] = 0
+		require.Equal(t, http.StatusOK, f.call(1, "/old/x", "after").status)
+		require.Positive(t, f.most[engineAt(8)], "after the move only the new version serves")
+	})
+}
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -187,6 +187,10 @@
 	switch body := e.Body.(type) {
 	case *wire.Envelope_PlaceVerdict:
 		p.permits.Verdict(body.PlaceVerdict)
+	case *wire.Envelope_MoveReport:
+		p.moves.heardReport(peer, body.MoveReport)
+	case *wire.Envelope_MoveState:
+		p.moves.takeState(body.MoveState.Service, body.MoveState.State, body.MoveState.Revision, peer)
 	case *wire.Envelope_QuotaReport:
 		p.ledger.Report(now, peer, body.QuotaReport.Run, body.QuotaReport.Used)
 		p.mesh.Send(peer, p.quotaTotals(now, peer))
--- a/internal/role/gateway/views.go
+++ b/internal/role/gateway/views.go
@@ -153,7 +153,7 @@
 			continue
 		}
 		engines = append(engines, board.Upstream{
-			ID: u.ID, Service: u.Service, Domain: u.Domain, Slots: u.Slots, Born: u.Born,
+			ID: u.ID, Service: u.Service, Domain: u.Domain, Version: u.Version, Slots: u.Slots, Born: u.Born,
 			EventTokens: service.Engine.EventTokens,
 		})
 	}
--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -17,6 +17,7 @@
 	ID      string
 	Service string
 	Domain  string
+	Version string
 	Slots   int
 	Born    int64
 	// EventTokens is how many tokens one event of a stream holds.
@@ -37,6 +38,8 @@
 	Output  int
 	MaxGap  time.Duration
 	Exclude []string
+	// Only and Not bound the versions of the engine; empty bounds nothing.
+	Only, Not string
 	// Again asks are for requests that were sent before and go first.
 	Again bool
 	// Fingerprint recognises a request that was refused and comes again.
@@ -202,6 +205,14 @@
 	b.setLate(now, ask)
 }
 
+// allows tells whether the engine may get the request at all.
+func (a *Ask) allows(e *engine) bool {
+	if (a.Only != "" && a.Only != e.Version) || (a.Not != "" && a.Not == e.Version) {
+		return false
+	}
+	return !slices.Contains(a.Exclude, e.ID)
+}
+
 // enqueue keeps the order in which waiting requests are served: sent before,
 // then tier, then the moment at which the first event is due.
 func (b *Board) enqueue(ask *Ask) {
@@ -264,7 +275,7 @@
 	left := a.Due.Sub(now) - dueMargin
 	for _, e := range b.byService[a.Service] {
 		own := profile.Prefill(a.Prompt, 1) + profile.StepTime(1)
-		if now.Before(e.avoid) || slices.Contains(a.Exclude, e.ID) {
+		if now.Before(e.avoid) || !a.allows(e) {
 			continue
 		}
 		if profile.Fixed+fromMs(own*e.slowness) <= left {
@@ -308,7 +319,7 @@
 	if late {
 		room -= int(lateReserve*float64(e.Slots)) + 1
 	}
-	if running >= room || now.Before(e.avoid) || slices.Contains(a.Exclude, e.ID) {
+	if running >= room || now.Before(e.avoid) || !a.allows(e) {
 		return 0, false
 	}
 	if e.failing(now) > leastFailing+failMargin || e.stalled(now) {
--- a/internal/sched/local/local.go
+++ b/internal/sched/local/local.go
@@ -137,7 +137,7 @@
 	for i := range ups {
 		u := ups[(uint64(i)+c.turn)%uint64(len(ups))]
 		r := c.record(u.ID)
-		if slices.Contains(a.Exclude, u.ID) || (!avoided && (now.Before(r.avoid) || r.failing(now) > least+failMargin)) {
+		if !a.Allows(u.Version) || slices.Contains(a.Exclude, u.ID) || (!avoided && (now.Before(r.avoid) || r.failing(now) > least+failMargin)) {
 			continue
 		}
 		cost := c.cost(now, r, u)
--- a/internal/sched/permit/permit.go
+++ b/internal/sched/permit/permit.go
@@ -186,6 +186,7 @@
 		DueMs: due.Sub(now).Milliseconds(), UntilMs: a.Until.Sub(now).Milliseconds(),
 		Prompt: uint32(a.Prompt), Output: uint32(a.Output), MaxGapMs: uint32(a.Route.MaxGap.Milliseconds()),
 		Exclude: a.Exclude, Again: a.Again, Fingerprint: a.Fingerprint,
+		OnlyVersion: a.Only, NotVersion: a.Not,
 	}}}
 }
 
--- a/internal/sched/permit/serve.go
+++ b/internal/sched/permit/serve.go
@@ -37,6 +37,7 @@
 		Until:  now.Add(time.Duration(a.UntilMs) * time.Millisecond),
 		Prompt: int(a.Prompt), Output: int(a.Output), MaxGap: time.Duration(a.MaxGapMs) * time.Millisecond,
 		Exclude: a.Exclude, Again: a.Again, Fingerprint: a.Fingerprint,
+		Only: a.OnlyVersion, Not: a.NotVersion,
 	}
 }
 
