--- a/internal/edge/exchange/exchange.go
+++ b/internal/edge/exchange/exchange.go
@@ -38,7 +38,7 @@
 	keptIdleUnsafe = time.Second
 )
 
-// Names are the header names by which an upstream's answer is recognised.
+// Names are the header names by which an upstream's answer is recognized.
 type Names struct {
 	// ID is echoed from the request.
 	ID string
@@ -143,6 +143,7 @@
 	} else {
 		go func() { written <- r.write(counting) }()
 	}
+	//nolint:bodyclose // The body is the Answer's; its Close ends or keeps the connection.
 	response, err := c.readAnswer(conn, request, r.ID)
 	finished := false
 	select {
--- a/internal/edge/flow/admit.go
+++ b/internal/edge/flow/admit.go
@@ -56,7 +56,7 @@
 	return true
 }
 
-// fingerprintOf recognises a request that is sent again by the same caller.
+// fingerprintOf recognizes a request that is sent again by the same caller.
 func (u *run) fingerprintOf() uint64 {
 	var hash xxhash.Digest
 	hash.Reset()
--- a/internal/edge/flow/request.go
+++ b/internal/edge/flow/request.go
@@ -108,7 +108,7 @@
 	Parts  []Part
 	// Exclude are upstreams that were tried.
 	Exclude []string
-	// Fingerprint recognises a request that its caller sends again.
+	// Fingerprint recognizes a request that its caller sends again.
 	Fingerprint uint64
 	// Only and Not bound the versions of the upstream; empty bounds nothing.
 	Only, Not string
@@ -179,7 +179,7 @@
 	Take(now time.Time, service string) bool
 }
 
-// Crashes recognises requests that crash what runs them.
+// Crashes recognizes requests that crash what runs them.
 type Crashes interface {
 	// Blocked tells whether requests of the fingerprint are refused.
 	Blocked(now time.Time, fingerprint uint64) bool
--- a/internal/limit/crash/crash.go
+++ b/internal/limit/crash/crash.go
@@ -1,4 +1,4 @@
-// Package crash recognises requests that crash what runs them: the same
+// Package crash recognizes requests that crash what runs them: the same
 // fingerprint was being run each time an upstream died.
 package crash
 
--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -24,61 +24,6 @@
 	EventTokens int
 }
 
-// Ask is a request for a place.
-type Ask struct {
-	// Owner is the gateway that has the request, ID the request.
-	Owner, ID string
-	Service   string
-	Domain    string
-	Tier      int
-	// Due is when the first event is late, Until when it is of no use.
-	Due, Until time.Time
-	Prompt     int
-	// Output is a guess of the tokens that will be generated.
-	Output  int
-	MaxGap  time.Duration
-	Exclude []string
-	// Only and Not bound the versions of the engine; empty bounds nothing.
-	Only, Not string
-	// Again asks are for requests that were sent before and go first.
-	Again bool
-	// Fingerprint recognises a request that was refused and comes again.
-	Fingerprint uint64
-
-	arrived  time.Time
-	giveUpAt time.Time
-	// returned asks were refused before. Their answers are late already, so
-	// they go behind those of their tier that can be in time.
-	returned bool
-}
-
-// Verdict answers an ask. A refusal has no upstream.
-type Verdict struct {
-	Owner, ID  string
-	Upstream   string
-	RetryAfter time.Duration
-	Why        string
-	// Waiting tells that the ask waits; another verdict follows.
-	Waiting bool
-}
-
-// Outcome is what a place came to.
-type Outcome int
-
-// The outcomes.
-const (
-	// Answered: a whole answer came.
-	Answered Outcome = iota
-	// Failed: the engine answered with a failure or broke off.
-	Failed
-	// Declined: the engine was full.
-	Declined
-	// Unreached: nothing listened.
-	Unreached
-	// Left: the caller left, or the ask is withdrawn.
-	Left
-)
-
 const (
 	// dueMargin is kept to the due moment for the ways between callers,
 	// gateways and engines.
@@ -205,38 +150,6 @@
 	b.setLate(now, ask)
 }
 
-// allows tells whether the engine may get the request at all.
-func (a *Ask) allows(e *engine) bool {
-	if (a.Only != "" && a.Only != e.Version) || (a.Not != "" && a.Not == e.Version) {
-		return false
-	}
-	return !slices.Contains(a.Exclude, e.ID)
-}
-
-// enqueue keeps the order in which waiting requests are served: sent before,
-// then tier, then the moment at which the first event is due.
-func (b *Board) enqueue(ask *Ask) {
-	at, _ := slices.BinarySearchFunc(b.waiting, ask, compareAsks)
-	b.waiting = slices.Insert(b.waiting, at, ask)
-}
-
-func compareAsks(x, y *Ask) int {
-	return cmp.Or(
-		-compareBools(x.Again, y.Again), cmp.Compare(x.Tier, y.Tier), compareBools(x.returned, y.returned),
-		x.Due.Compare(y.Due), cmp.Compare(x.ID, y.ID),
-	)
-}
-
-func compareBools(x, y bool) int {
-	switch {
-	case x == y:
-		return 0
-	case x:
-		return 1
-	}
-	return -1
-}
-
 // setLate keeps a request that cannot be in time for a place that nobody else
 // needs, or refuses the least urgent one if there are too many. While all
 // places go to requests that can be in time, holding one that cannot would only
@@ -356,39 +269,6 @@
 	b.verdicts = append(b.verdicts, Verdict{Owner: a.Owner, ID: a.ID, Upstream: e.ID})
 }
 
-func (b *Board) refuse(now time.Time, a *Ask, why string) {
-	b.refusals.add(now, a.Fingerprint)
-	b.verdicts = append(b.verdicts, Verdict{Owner: a.Owner, ID: a.ID, RetryAfter: b.retryAfter(now), Why: why})
-}
-
-// retryAfter tells when a place should be free. How long an overload goes on is
-// unknown; the best guess is as long as it has lasted. Callers are spread over
-// as long again, so that they do not return together.
-func (b *Board) retryAfter(now time.Time) time.Duration {
-	base := min(max(b.saturatedFor(now), retryLeast), retryMost)
-	b.spread = b.spread*6364136223846793005 + 1442695040888963407
-	return base + time.Duration(float64(base)*float64(b.spread>>40)/(1<<24))
-}
-
-// saturatedFor returns for how long requests that can be in time have waited
-// without a break.
-func (b *Board) saturatedFor(now time.Time) time.Duration {
-	if b.saturatedSince.IsZero() {
-		return 0
-	}
-	return now.Sub(b.saturatedSince)
-}
-
-// noteSaturation keeps the moment since which requests wait.
-func (b *Board) noteSaturation(now time.Time) {
-	switch {
-	case len(b.waiting) == 0:
-		b.saturatedSince = time.Time{}
-	case b.saturatedSince.IsZero():
-		b.saturatedSince = now
-	}
-}
-
 // Started notes a run's first event, and how many requests its engine said it
 // has, or -1.
 func (b *Board) Started(now time.Time, owner, id string, reported int) {
@@ -406,15 +286,6 @@
 	b.fill(now, e)
 }
 
-// End is what a place that is given back tells.
-type End struct {
-	Outcome Outcome
-	// Stream is the time from the first event to the last, and Tokens what was
-	// generated in it.
-	Stream time.Duration
-	Tokens int
-}
-
 // Ended takes a place back, or withdraws an ask.
 func (b *Board) Ended(now time.Time, owner, id string, end End) {
 	k := key(owner, id)
--- a/internal/sched/board/refusals.go
+++ b/internal/sched/board/refusals.go
@@ -34,3 +34,36 @@
 		}
 	}
 }
+
+func (b *Board) refuse(now time.Time, a *Ask, why string) {
+	b.refusals.add(now, a.Fingerprint)
+	b.verdicts = append(b.verdicts, Verdict{Owner: a.Owner, ID: a.ID, RetryAfter: b.retryAfter(now), Why: why})
+}
+
+// retryAfter tells when a place should be free. How long an overload goes on is
+// unknown; the best guess is as long as it has lasted. Callers are spread over
+// as long again, so that they do not return together.
+func (b *Board) retryAfter(now time.Time) time.Duration {
+	base := min(max(b.saturatedFor(now), retryLeast), retryMost)
+	b.spread = b.spread*6364136223846793005 + 1442695040888963407
+	return base + time.Duration(float64(base)*float64(b.spread>>40)/(1<<24))
+}
+
+// saturatedFor returns for how long requests that can be in time have waited
+// without a break.
+func (b *Board) saturatedFor(now time.Time) time.Duration {
+	if b.saturatedSince.IsZero() {
+		return 0
+	}
+	return now.Sub(b.saturatedSince)
+}
+
+// noteSaturation keeps the moment since which requests wait.
+func (b *Board) noteSaturation(now time.Time) {
+	switch {
+	case len(b.waiting) == 0:
+		b.saturatedSince = time.Time{}
+	case b.saturatedSince.IsZero():
+		b.saturatedSince = now
+	}
+}
