--- a/internal/sched/board/engine.go
+++ b/internal/sched/board/engine.go
@@ -70,6 +70,9 @@
 	readUnits float64
 	areaAt    time.Time
 
+	// lastStart is when a first event came last.
+	lastStart time.Time
+
 	failures  int
 	avoid     time.Time
 	failShare float64
@@ -160,6 +163,7 @@
 	}
 	e.account(now)
 	r.started, r.startedAt = true, now
+	e.lastStart = now
 	r.runsBefore, r.readBefore = e.runsArea, e.readUnits
 	e.read(now, r)
 }
@@ -209,10 +213,12 @@
 	e.slowness *= math.Pow(seen/e.slowness, weight)
 }
 
-// stalled tells whether a first event is long overdue.
+// stalled tells whether the engine seems dead: a first event is long overdue,
+// and nothing else has started since it was due. An engine that keeps a part of
+// its requests without an answer goes on serving the others.
 func (e *engine) stalled(now time.Time) bool {
 	for _, r := range e.runs {
-		if !r.started && now.Sub(r.expected) > stalledAfter {
+		if !r.started && now.Sub(r.expected) > stalledAfter && e.lastStart.Before(r.expected) {
 			return true
 		}
 	}
