A peer is asked again for what it knows more

Cause: found in reading: a gateway that the store turns away asked a peer for a configuration version once; if the answer was lost with its link, never again of that peer. Change: what a peer knows more is asked for every 300 ms until it is there.

--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -156,7 +156,7 @@
 	g.leftOut = parts.LeftOut
 	g.retries = retry.New(s.Retry, func() int { return g.peers.processes() })
 	g.upstreams = &upstreamView{gateway: g, items: make(map[string]kv.Item)}
-	g.peers = &peers{Gateway: g, rank: unranked, versions: make(map[string]int64)}
+	g.peers = &peers{Gateway: g, rank: unranked}
 	g.quota = quota.New(s.Quota, g.peers.processes)
 	g.crashRegister = crash.New(g.peers.crashed)
 	g.mesh = mesh.New(s.Name, s.Links, g.run, parts.Dialer, g.peers, logger, now)
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -22,9 +22,9 @@
 	memberRenew = 3 * time.Second
 	// unranked is the rank of a gateway that does not know its own yet.
 	unranked = math.MaxInt64
-	// rosterAskEvery is how often a gateway that the store does not answer asks
-	// a peer for the upstreams.
-	rosterAskEvery = 300 * time.Millisecond
+	// askEvery is how often peers are asked for one thing: well within the two
+	// seconds in which a change must be in force.
+	askEvery = 300 * time.Millisecond
 	// quotaEvery is how often use is told to the scheduler. What all gateways
 	// may take over a quota grows with it: a tenth of a second of the use.
 	quotaEvery = 100 * time.Millisecond
@@ -43,12 +43,12 @@
 type peers struct {
 	*Gateway
 
-	mu       sync.Mutex
-	rank     int64
-	askedAt  time.Time
-	crashes  []*wire.CrashSeen
-	away     bool
-	versions map[string]int64
+	mu   sync.Mutex
+	rank int64
+	// askedConfig and askedRoster are when a peer was last asked.
+	askedConfig, askedRoster time.Time
+	crashes                  []*wire.CrashSeen
+	away                     bool
 }
 
 // Replace implements follow.View.
@@ -158,23 +158,20 @@
 }
 
 // askFor asks a peer that knows more for what the store does not tell this
-// gateway, or has not told it yet.
+// gateway, or has not told it yet. It asks again after a while: an answer may be
+// lost with the link that carries it.
 func (p *peers) askFor(now time.Time, peer string, g *wire.Gossip) {
 	version := int64(0)
 	if c := p.catalog.Load(); c != nil {
 		version = c.Version()
 	}
-	ask := &wire.SnapshotAsk{Config: g.ConfigVersion > version}
+	ask := &wire.SnapshotAsk{}
 	p.mu.Lock()
-	if p.away && g.StoreAnswers && g.RosterRevision > p.roster.Revision() && now.Sub(p.askedAt) > rosterAskEvery {
-		ask.Roster = true
-		p.askedAt = now
+	if g.ConfigVersion > version && now.Sub(p.askedConfig) > askEvery {
+		ask.Config, p.askedConfig = true, now
 	}
-	if ask.Config && p.versions[peer] == g.ConfigVersion && !ask.Roster {
-		ask.Config = false
-	}
-	if ask.Config {
-		p.versions[peer] = g.ConfigVersion
+	if p.away && g.StoreAnswers && g.RosterRevision > p.roster.Revision() && now.Sub(p.askedRoster) > askEvery {
+		ask.Roster, p.askedRoster = true, now
 	}
 	p.mu.Unlock()
 	if ask.Config || ask.Roster {
