--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -306,6 +306,13 @@
 	return peers
 }
 
+// Known returns how many other gateways there are, heard or not.
+func (m *Mesh) Known() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.peers)
+}
+
 // Alive returns the peers that were heard of late.
 func (m *Mesh) Alive(now time.Time) []Peer {
 	var alive []Peer
--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -12,9 +12,10 @@
 )
 
 const (
-	// startLevel is the part of the burst that a new process believes to be
-	// left. It does not know what was used before it started; a full bucket at
-	// each process after a restart of all would give the burst twice.
+	// startLevel is the part of the burst that new processes together believe
+	// to be left. They do not know what was used before they started, nor hear
+	// each other yet; a full bucket at each after a restart of all would give
+	// the burst once more for each of them.
 	startLevel = 0.4
 	// largestPart is the part of the burst that one request must find. A
 	// request over the whole burst would otherwise never be served.
@@ -87,7 +88,7 @@
 func (k *Keeper) at(now time.Time, w *catalog.Workspace) *bucket {
 	b := k.buckets[w.Name]
 	if b == nil {
-		level := startLevel * w.Burst
+		level := startLevel * w.Burst / float64(max(1, k.known()))
 		if k.options.Full {
 			level = w.Burst
 		}
--- a/internal/limit/quota/quota_test.go
+++ b/internal/limit/quota/quota_test.go
@@ -178,3 +178,26 @@
 	}
 	require.Greater(t, 2*served[20_000], served[1000])
 }
+
+// All of 25 gateways were killed at once, and one workspace sends many times
+// its quota. Each new process schedules for itself until it hears the others;
+// taken to be alone, each would hand out the whole fleet's part, 25 times in
+// all, before the first sums come.
+func TestRestartOfManyDoesNotGiveTheStartingPartToEach(t *testing.T) {
+	const size = 25
+	w := workspace()
+	taken := 0.0
+	for i := range size {
+		k, own := quota.New(quota.Options{}, func() int { return size }), quota.NewLedger()
+		for at := time.Duration(0); at < 300*time.Millisecond; at += 10 * time.Millisecond {
+			now := start.Add(at)
+			own.Report(now, fmt.Sprint(i), 1, k.Used())
+			others, part := own.Totals(now, fmt.Sprint(i), size)
+			k.Hear(now, 1, others, part)
+			if ok, _ := k.Take(now, w, 1000); ok {
+				taken += 1000
+			}
+		}
+	}
+	require.LessOrEqual(t, taken, w.Burst+0.3*w.PerSecond)
+}
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -311,8 +311,10 @@
 	p.away = away
 }
 
-// processes returns how many gateways share the fleet's bounds.
-func (p *peers) processes() int { return len(p.mesh.Peers()) + 1 }
+// processes returns how many gateways share the fleet's bounds. Those that are
+// listed but not heard yet count: after a restart of all nobody is heard, and
+// each gateway would take the whole for itself.
+func (p *peers) processes() int { return p.mesh.Known() + 1 }
 
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
