--- a/internal/edge/exchange/pool.go
+++ b/internal/edge/exchange/pool.go
@@ -122,16 +122,6 @@
 	}
 }
 
-// Drop closes the idle connections to an address whose upstream is gone.
-func (p *Pool) Drop(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.idle[address] {
-		closeQuietly(c)
-	}
-	delete(p.idle, address)
-}
-
 // Close closes all idle connections and keeps none from now on.
 func (p *Pool) Close() error {
 	p.mu.Lock()
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -13,6 +13,7 @@
 
 	"github.com/persimmonridge/persimmonridge/internal/fleet/link"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
+	"github.com/persimmonridge/persimmonridge/internal/state/wait"
 )
 
 const (
@@ -161,7 +162,7 @@
 	for ctx.Err() == nil {
 		stream, err := m.pool.Open(ctx, p.address)
 		if err != nil {
-			pause(ctx, redialPause)
+			wait.For(ctx, redialPause)
 			continue
 		}
 		m.write(ctx, p, stream)
@@ -330,7 +331,7 @@
 		now := m.now()
 		m.check(now)
 		m.tell(now)
-		pause(ctx, m.interval())
+		wait.For(ctx, m.interval())
 	}
 	return nil
 }
@@ -418,12 +419,3 @@
 		}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"github.com/persimmonridge/persimmonridge/internal/state/follow"
 	"github.com/persimmonridge/persimmonridge/internal/state/kv"
 	"github.com/persimmonridge/persimmonridge/internal/state/roster"
+	"github.com/persimmonridge/persimmonridge/internal/state/wait"
 	"github.com/persimmonridge/persimmonridge/internal/version/rollout"
 )
 
@@ -282,7 +283,7 @@
 func (g *Gateway) tellHeld(ctx context.Context) error {
 	for ctx.Err() == nil {
 		g.permits.TellHeld(g.now())
-		pause(ctx, permit.TellEvery)
+		wait.For(ctx, permit.TellEvery)
 	}
 	return nil
 }
--- a/internal/role/gateway/moves.go
+++ b/internal/role/gateway/moves.go
@@ -9,6 +9,7 @@
 
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
 	"github.com/persimmonridge/persimmonridge/internal/state/kv"
+	"github.com/persimmonridge/persimmonridge/internal/state/wait"
 	"github.com/persimmonridge/persimmonridge/internal/version/rollout"
 )
 
@@ -131,7 +132,7 @@
 		if holder == m.settings.Name {
 			m.step(ctx, now)
 		}
-		pause(ctx, moveEvery)
+		wait.For(ctx, moveEvery)
 	}
 	return nil
 }
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -13,6 +13,7 @@
 	"github.com/persimmonridge/persimmonridge/internal/sched/board"
 	"github.com/persimmonridge/persimmonridge/internal/sched/permit"
 	"github.com/persimmonridge/persimmonridge/internal/state/kv"
+	"github.com/persimmonridge/persimmonridge/internal/state/wait"
 )
 
 const (
@@ -99,11 +100,11 @@
 			lease = 0
 			continue
 		}
-		wait := memberRenew
+		renew := memberRenew
 		if lease == 0 {
-			wait = memberRenew / 6
+			renew = memberRenew / 6
 		}
-		pause(ctx, wait)
+		wait.For(ctx, renew)
 	}
 	if lease != 0 {
 		release, cancel := context.WithTimeout(context.Background(), releaseWithin)
@@ -294,7 +295,7 @@
 		default:
 			p.mesh.Send(scheduler, &wire.Envelope{Body: &wire.Envelope_QuotaReport{QuotaReport: &wire.QuotaReport{Run: p.run, Used: used}}})
 		}
-		pause(ctx, quotaEvery)
+		wait.For(ctx, quotaEvery)
 	}
 	return nil
 }
@@ -315,12 +316,3 @@
 // listed but not heard yet count: after a restart of all nobody is heard, and
 // each gateway would take the whole for itself.
 func (p *peers) processes() int { return p.mesh.Known() + 1 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -10,6 +10,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/persimmonridge/persimmonridge/internal/state/kv"
+	"github.com/persimmonridge/persimmonridge/internal/state/wait"
 )
 
 const (
@@ -85,11 +86,11 @@
 // hang for its whole time after the store's return.
 func (f *Follower) watch(ctx context.Context, after int64) {
 	for ctx.Err() == nil {
-		wait := f.options.Wait
+		longest := f.options.Wait
 		if f.away {
-			wait = 0
+			longest = 0
 		}
-		changes, err := f.store.Watch(ctx, f.options.Prefix, after, wait)
+		changes, err := f.store.Watch(ctx, f.options.Prefix, after, longest)
 		if errorx.IsOfType(err, kv.Compacted) {
 			f.logger.Info("history is gone, reading the range again", "prefix", f.options.Prefix, "after", after)
 			return
@@ -104,7 +105,7 @@
 			f.view.Apply(f.now(), changes)
 		}
 		if len(changes.Events) > 0 {
-			sleep(ctx, f.options.Pause)
+			wait.For(ctx, f.options.Pause)
 		}
 	}
 }
@@ -133,17 +134,5 @@
 		}
 	}
 	f.retry = min(max(2*f.retry, retryFirst), retryMost)
-	sleep(ctx, f.retry)
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	wait.For(ctx, f.retry)
 }
