A resumed stream is due a second after it broke, not before it began

The scheduler measured them by the moment at which their first event had been due, long past, and refused them as late in an overload. Change: an ask tells when the next sign is late. For a request that was sent before it is 1.2 s from now: callers leave a silent stream after two seconds.

--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -31,6 +31,10 @@
 	takeAllFor = 2 * time.Second
 	// leavingRetry is told to those; another process takes them at once.
 	leavingRetry = 10 * time.Millisecond
+	// againWithin is how soon a request that was sent before must go on. Callers
+	// leave a stream that is silent for two seconds; the rest is for noticing
+	// that the first upstream broke off.
+	againWithin = 1200 * time.Millisecond
 	// defaultLeft bounds a request when neither caller nor route name a time.
 	defaultLeft = time.Minute
 )
@@ -150,7 +154,7 @@
 			u.expire(ctx)
 			return
 		}
-		place, err := u.Picker.Pick(ctx, now, u.ask(service))
+		place, err := u.Picker.Pick(ctx, now, u.ask(now, service))
 		u.placed = u.Now().Sub(now)
 		if err != nil {
 			u.unplaced(ctx, err)
@@ -200,10 +204,25 @@
 	return targets[len(targets)-1].Service
 }
 
-func (u *run) ask(service string) Ask {
+// due returns when the answer's next sign is late. For a request that was sent
+// before, the first moment has mostly passed. Measured by that one alone, a
+// stream whose engine crashed would be refused in the middle as too late, beside
+// callers who have nothing yet, while its own caller still waits for the rest.
+func (u *run) due(now time.Time) time.Time {
+	due := u.arrived.Add(u.route.Objective)
+	if u.sends == 0 {
+		return due
+	}
+	if again := now.Add(againWithin); again.After(due) {
+		return again
+	}
+	return due
+}
+
+func (u *run) ask(now time.Time, service string) Ask {
 	a := Ask{
 		ID: u.request.ID, Service: service, Route: u.route, Tier: u.tier,
-		Arrived: u.arrived, Until: u.until, Exclude: u.exclude, Again: u.sends > 0,
+		Due: u.due(now), Until: u.until, Exclude: u.exclude, Again: u.sends > 0,
 		Fingerprint: u.fingerprint,
 	}
 	if u.work != nil {
--- a/internal/edge/flow/flow_test.go
+++ b/internal/edge/flow/flow_test.go
@@ -36,6 +36,7 @@
 
 	mu       sync.Mutex
 	runs     []string
+	asks     []flow.Ask
 	outcomes []flow.Outcome
 	returned float64
 	leaving  time.Time
@@ -146,6 +147,7 @@
 
 // Pick implements flow.Picker: the upstreams in their order.
 func (s *site) Pick(_ context.Context, _ time.Time, a flow.Ask) (flow.Place, error) {
+	s.asks = append(s.asks, a)
 	if len(a.Exclude) >= len(s.ups) {
 		return nil, flow.RefusePlace(1500*time.Millisecond, "none left")
 	}
@@ -291,6 +293,21 @@
 	require.Contains(t, s.runs[1], "two after 1 ")
 }
 
+// Sixteen engines crashed in a burst. Streams that could go on elsewhere were
+// broken off with "no place in time": their first event had been due seconds
+// before, so the scheduler took them for requests that are late anyway.
+func TestResumedStreamIsNotLateBeforeItIsAskedFor(t *testing.T) {
+	s := newSite(t)
+	s.content.Routes[2].Objective = 10 * time.Millisecond
+	s.upstream("one", torn)
+	s.upstream("two", streamHead+"id: 2\ndata: b\n\n")
+	_, _, err := s.call("/long/x")
+	require.NoError(t, err)
+	require.Len(t, s.asks, 2)
+	require.True(t, s.asks[1].Again)
+	require.GreaterOrEqual(t, s.asks[1].Due.Sub(s.asks[0].Due), time.Second)
+}
+
 // A stream that may not be resumed breaks off. What the caller has must not
 // look complete, and the other upstream is not asked.
 func TestStreamThatMayNotBeResumedBreaksOff(t *testing.T) {
--- a/internal/edge/flow/request.go
+++ b/internal/edge/flow/request.go
@@ -99,9 +99,10 @@
 	Route     *catalog.Route
 	Workspace string
 	Tier      int
-	// Arrived is when the request came, Until when its answer is of no use.
-	Arrived time.Time
-	Until   time.Time
+	// Due is when its first event, or that with which it goes on, is late, Until
+	// when its answer is of no use.
+	Due   time.Time
+	Until time.Time
 	// Prompt, Output and Parts describe a generation; 0 for other requests.
 	Prompt int
 	Output int
--- a/internal/sched/permit/permit.go
+++ b/internal/sched/permit/permit.go
@@ -180,10 +180,9 @@
 
 func (c *Client) askMessage(a flow.Ask) *wire.Envelope {
 	now := c.Now()
-	due := a.Arrived.Add(a.Route.Objective)
 	return &wire.Envelope{Body: &wire.Envelope_PlaceAsk{PlaceAsk: &wire.PlaceAsk{
 		Id: a.ID, Service: a.Service, Tier: uint32(a.Tier), Domain: c.Domain,
-		DueMs: due.Sub(now).Milliseconds(), UntilMs: a.Until.Sub(now).Milliseconds(),
+		DueMs: a.Due.Sub(now).Milliseconds(), UntilMs: a.Until.Sub(now).Milliseconds(),
 		Prompt: uint32(a.Prompt), Output: uint32(a.Output), MaxGapMs: uint32(a.Route.MaxGap.Milliseconds()),
 		Exclude: a.Exclude, Again: a.Again, Fingerprint: a.Fingerprint,
 		OnlyVersion: a.Only, NotVersion: a.Not,
