Learned speeds of engines outlive the gateway that learned them

Change: the gateway that schedules writes the speeds to the store when they differ by a quarter, at most every 5 s; all gateways read them with the watch that they have anyway, and a new scheduler starts from them.

--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -120,6 +120,7 @@
 	permits       *permit.Client
 	rollouts      *rollout.Picker
 	moves         *moves
+	speeds        *speeds
 	metrics       *metrics
 	ingress       *ingress.Server
 	stop          atomic.Pointer[stopTimes]
@@ -170,6 +171,7 @@
 	})
 	g.rollouts = rollout.NewPicker(g.permits)
 	g.moves = newMoves(g)
+	g.speeds = &speeds{Gateway: g}
 	g.ingress = ingress.New(flow.New(flow.Parts{
 		Translator: parts.Translator, Client: exchange.NewClient(g.pool, parts.Names, now), Catalog: g.catalog.Load,
 		Picker: g.rollouts, Quota: g.quota, Retries: g.retries, Crashes: g.crashRegister,
@@ -208,6 +210,7 @@
 	group.Go(func() error { return g.granter.Run(background) })
 	group.Go(func() error { return g.peers.reportQuota(background) })
 	group.Go(func() error { return g.moves.run(background) })
+	group.Go(func() error { return g.speeds.run(background) })
 	group.Go(func() error { return g.tellHeld(background) })
 	group.Go(func() error { return g.peers.register(background) })
 	group.Go(func() error { return g.followStore(background) })
@@ -296,6 +299,7 @@
 		{Prefix: memberPrefix, View: g.peers},
 		{Prefix: g.settings.OrderPrefix, View: orderView{g.moves}},
 		{Prefix: movePrefix, View: stateView{g.moves}},
+		{Prefix: speedsKey, View: g.speeds},
 	}
 	return follow.New(g.store, view, follow.Options{
 		Pause: storePause, Wait: g.settings.Apply,
--- a/internal/role/gateway/gateway_test.go
+++ b/internal/role/gateway/gateway_test.go
@@ -320,6 +320,22 @@
 	})
 }
 
+// All gateways lose their power at once. What the engines' speeds are was known
+// to the one that scheduled; it is in the store, so that whoever schedules next
+// need not learn it from streams that slow engines cannot end in time.
+func TestSpeedsOfEnginesAreKeptInTheStore(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.calls(engines*slots, "/old/x")
+		bubble.Pass(2 * time.Second)
+		for i := range engines {
+			require.Contains(t, f.store.Value("engine-speeds"), fmt.Sprintf(`"id":"engine-%d"`, i))
+		}
+		written := f.store.Value("engine-speeds")
+		bubble.Pass(20 * time.Second)
+		require.Equal(t, written, f.store.Value("engine-speeds"), "nothing new is learned, nothing is written")
+	})
+}
+
 // Operators order another version while its upstreams start beside the old
 // ones. The gateway that schedules, and so steps the move, loses its power half
 // way. Another one carries on from what is in the store: the move is completed
--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -81,9 +81,11 @@
 	// saturatedSince is since when requests that can be in time wait.
 	saturatedSince time.Time
 	refusals       refusals
+	// recalled are speeds that another scheduler learned.
+	recalled map[string]Speed
 	// paces tell how often waiting requests of a rank got a place.
-	paces map[rank]*pace
-	tidied         time.Time
+	paces  map[rank]*pace
+	tidied time.Time
 	// turns counts the places given to requests that waited.
 	turns int
 }
@@ -103,6 +105,7 @@
 		if e == nil || e.Born != u.Born {
 			e = newEngine(now, u)
 			e.setSplit(now, b.others)
+			b.remember(e)
 		}
 		e.Upstream = u
 		next[u.ID] = e
--- /dev/null
+++ b/internal/sched/board/speeds.go
@@ -0,0 +1,49 @@
+package board
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Speed is what is known of one engine. An engine that started anew has another
+// Born, and may run on other hardware.
+type Speed struct {
+	ID       string
+	Born     int64
+	Slowness float64
+}
+
+// Speeds returns what was learned of the engines, in the order of their ids.
+func (b *Board) Speeds() []Speed {
+	var all []Speed
+	for _, e := range b.engines {
+		if e.learned {
+			all = append(all, Speed{ID: e.ID, Born: e.Born, Slowness: e.slowness})
+		}
+	}
+	slices.SortFunc(all, func(x, y Speed) int { return cmp.Compare(x.ID, y.ID) })
+	return all
+}
+
+// Recall takes what another scheduler learned. A scheduler that knows no speeds
+// takes all engines for ordinary ones, and gives those that are a third as fast
+// streams that they cannot end before the caller's deadline: of the streams
+// begun in the first two seconds of a heavy day, one in thirteen was cut so.
+// What this board learned itself counts more.
+func (b *Board) Recall(speeds []Speed) {
+	b.recalled = make(map[string]Speed, len(speeds))
+	for _, s := range speeds {
+		b.recalled[s.ID] = s
+	}
+	for _, e := range b.engines {
+		b.remember(e)
+	}
+}
+
+func (b *Board) remember(e *engine) {
+	s, ok := b.recalled[e.ID]
+	if !ok || s.Born != e.Born || e.learned || s.Slowness < slownessLeast || s.Slowness > slownessMost {
+		return
+	}
+	e.learned, e.slowness = true, s.Slowness
+}
--- a/internal/trial/pattern/policy.go
+++ b/internal/trial/pattern/policy.go
@@ -39,7 +39,7 @@
 	b.board.Ask(now, board.Ask{
 		Owner: owner, ID: r.id, Service: "tutor", Tier: r.class.tier, Due: now.Add(r.class.objective),
 		Fingerprint: r.fingerprint(),
-		Until: r.arrived.Add(r.class.until), Prompt: r.prompt, Output: r.guess, MaxGap: r.class.maxGap,
+		Until:       r.arrived.Add(r.class.until), Prompt: r.prompt, Output: r.guess, MaxGap: r.class.maxGap,
 	})
 	b.carryOut(now)
 }
--- a/internal/trial/pattern/result.go
+++ b/internal/trial/pattern/result.go
@@ -9,7 +9,7 @@
 type Tier struct {
 	Asked, InTime, Late, Refused, Lost int
 	// Held is how long refused requests waited in vain, in all.
-	Held         time.Duration
+	Held time.Duration
 	// LongAsked and LongServed are of the largest tenth by work.
 	LongAsked, LongServed int
 }
