Few look at the store, and tell the others

Change: the pause between two looks grows with the fleet, to 1.2 s at 25. Gossip carries the revision of the last change that matters, and whoever has not read it yet looks at once. A gateway that hears nobody still keeps two seconds.

--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -35,10 +35,16 @@
 )
 
 const (
-	// storePause is between two looks at the store: upstreams' heartbeats change
-	// keys many times a second, and a leaving one, like a new configuration,
-	// must be seen within two seconds.
-	storePause = 500 * time.Millisecond
+	// storePauseLeast, storePausePerPeer and storePauseMost bound the time between
+	// two looks at the store. Upstreams' heartbeats change keys many times a
+	// second, and a leaving one, like a new configuration, must be seen within
+	// two seconds, also by a gateway that hears no peer. The more gateways look,
+	// the sooner one of them sees a change, and its gossip wakes the others: 25
+	// that look every 1.2 s make 21 calls a second in place of 50, and the first
+	// of them sees a change after 50 ms.
+	storePauseLeast   = 500 * time.Millisecond
+	storePausePerPeer = 30 * time.Millisecond
+	storePauseMost    = 1200 * time.Millisecond
 	// sweepEvery is how often idle connections and lapsed upstreams are looked at.
 	sweepEvery = 250 * time.Millisecond
 	// stopMargin is kept between the end of what runs and the forced end.
@@ -121,9 +127,12 @@
 	rollouts      *rollout.Picker
 	moves         *moves
 	speeds        *speeds
-	metrics       *metrics
-	ingress       *ingress.Server
-	stop          atomic.Pointer[stopTimes]
+	follower      *follow.Follower
+	// changed is the revision of the last change in the store that was acted on.
+	changed atomic.Int64
+	metrics *metrics
+	ingress *ingress.Server
+	stop    atomic.Pointer[stopTimes]
 
 	// leftOutTold and the counts are those of the last line about the log.
 	leftOutTold              time.Time
@@ -172,6 +181,7 @@
 	g.rollouts = rollout.NewPicker(g.permits)
 	g.moves = newMoves(g)
 	g.speeds = &speeds{Gateway: g}
+	g.follower = g.newFollower()
 	g.ingress = ingress.New(flow.New(flow.Parts{
 		Translator: parts.Translator, Client: exchange.NewClient(g.pool, parts.Names, now), Catalog: g.catalog.Load,
 		Picker: g.rollouts, Quota: g.quota, Retries: g.retries, Crashes: g.crashRegister,
@@ -213,7 +223,7 @@
 	group.Go(func() error { return g.speeds.run(background) })
 	group.Go(func() error { return g.tellHeld(background) })
 	group.Go(func() error { return g.peers.register(background) })
-	group.Go(func() error { return g.followStore(background) })
+	group.Go(func() error { return g.follower.Run(background) })
 	group.Go(func() error { return g.sweep(background) })
 	group.Go(func() error { return g.serveHTTP(background, g.settings.Readiness, http.HandlerFunc(g.ready)) })
 	group.Go(func() error { return g.serveHTTP(background, g.settings.Metrics, g.metrics.handler()) })
@@ -291,8 +301,14 @@
 	return nil
 }
 
-// followStore keeps all that the process knows from the store up to date.
-func (g *Gateway) followStore(ctx context.Context) error {
+// storePause is how long the next look at the store may wait.
+func (g *Gateway) storePause() time.Duration {
+	return min(storePauseLeast+time.Duration(g.mesh.Known())*storePausePerPeer, storePauseMost)
+}
+
+// newFollower returns what keeps all that the process knows from the store up to
+// date.
+func (g *Gateway) newFollower() *follow.Follower {
 	view := follow.Split{
 		{Prefix: g.settings.ConfigKey, View: &configView{gateway: g}},
 		{Prefix: g.settings.UpstreamPrefix, View: g.upstreams},
@@ -302,11 +318,21 @@
 		{Prefix: speedsKey, View: g.speeds},
 	}
 	return follow.New(g.store, view, follow.Options{
-		Pause: storePause, Wait: g.settings.Apply,
+		Pause: g.storePause, Wait: g.settings.Apply,
 		Lost: func(time.Time) { g.peers.storeAway(true) },
 		Regained: func(now time.Time) {
 			g.roster.StoreReturned(now)
 			g.peers.storeAway(false)
 		},
-	}, g.logger, g.now).Run(ctx)
+	}, g.logger, g.now)
+}
+
+// noteChange keeps the revision of a change that was acted on.
+func (g *Gateway) noteChange(revision int64) {
+	for {
+		known := g.changed.Load()
+		if revision <= known || g.changed.CompareAndSwap(known, revision) {
+			return
+		}
+	}
 }
--- a/internal/role/gateway/moves.go
+++ b/internal/role/gateway/moves.go
@@ -52,6 +52,7 @@
 	for _, e := range c.Events {
 		if !e.Deleted {
 			v.takeOrder(e.Item)
+			v.noteChange(e.Revision)
 		}
 	}
 }
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -146,6 +146,7 @@
 	g.Ready = g.ConfigVersion > 0
 	g.Leaving = p.stopping()
 	g.RosterRevision = p.roster.Revision()
+	g.ChangeRevision = p.changed.Load()
 }
 
 // Heard implements mesh.Handler.
@@ -154,6 +155,7 @@
 	for _, c := range g.Crashes {
 		p.crashRegister.Learn(now, c.Fingerprint, c.Upstream)
 	}
+	p.follower.Wake(g.ChangeRevision)
 	p.askFor(now, peer, g)
 	p.permits.Follow(now)
 }
--- a/internal/role/gateway/views.go
+++ b/internal/role/gateway/views.go
@@ -26,6 +26,7 @@
 	for _, e := range slices.Backward(c.Events) {
 		if !e.Deleted && e.Key == v.gateway.settings.ConfigKey {
 			v.take(e.Item)
+			v.gateway.noteChange(e.Revision)
 			return
 		}
 	}
@@ -113,6 +114,7 @@
 	v.mu.Unlock()
 	if e.Deleted {
 		g.logger.Info("upstream gone", "upstream", id, "revision", e.Revision)
+		g.noteChange(e.Revision)
 		g.roster.Remove(now, id, e.Revision)
 		return
 	}
@@ -125,6 +127,7 @@
 	if old, ok := g.roster.Get(id); !ok || old.State != u.State || old.Born != u.Born || old.Address != u.Address {
 		g.logger.Info("upstream changed", "upstream", id, "service", u.Service, "address", u.Address,
 			"state", u.State, "version", u.Version, "born", u.Born, "revision", e.Revision)
+		g.noteChange(e.Revision)
 	}
 	g.roster.Put(u)
 }
--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -36,9 +37,10 @@
 // Options are how a range is followed.
 type Options struct {
 	Prefix string
-	// Pause is waited before a watch is repeated, so that keys which change
-	// many times a second cost few calls.
-	Pause time.Duration
+	// Pause returns how long is waited before a watch is repeated, so that keys
+	// which change many times a second cost few calls. A change of which Wake
+	// tells ends the pause.
+	Pause func() time.Duration
 	// Wait is how long a watch waits for a change; 0 takes the usual.
 	Wait time.Duration
 	// Lost and Regained are told when calls begin to fail and when the first
@@ -56,6 +58,10 @@
 	now     func() time.Time
 	away    bool
 	retry   time.Duration
+
+	// read is the revision up to which the view knows the range.
+	read atomic.Int64
+	wake chan struct{}
 }
 
 // New returns a follower; Run starts it.
@@ -63,7 +69,19 @@
 	if options.Wait == 0 {
 		options.Wait = watchWait
 	}
-	return &Follower{store: store, view: view, options: options, logger: logger, now: now}
+	return &Follower{store: store, view: view, options: options, logger: logger, now: now, wake: make(chan struct{}, 1)}
+}
+
+// Wake tells of a change at the revision that somebody else has read. If it is
+// not read here yet, the present pause ends.
+func (f *Follower) Wake(revision int64) {
+	if revision <= f.read.Load() {
+		return
+	}
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
 }
 
 // Run follows until the context ends.
@@ -75,6 +93,7 @@
 			continue
 		}
 		f.answered()
+		f.read.Store(snapshot.Revision)
 		f.view.Replace(f.now(), snapshot)
 		f.watch(ctx, snapshot.Revision)
 	}
@@ -101,15 +120,27 @@
 		}
 		f.answered()
 		after = max(after, changes.Revision)
+		f.read.Store(after)
 		if len(changes.Events) > 0 || changes.Revision > 0 {
 			f.view.Apply(f.now(), changes)
 		}
 		if len(changes.Events) > 0 {
-			wait.For(ctx, f.options.Pause)
+			f.pause(ctx)
 		}
 	}
 }
 
+// pause waits before the next watch, unless it is woken.
+func (f *Follower) pause(ctx context.Context) {
+	timer := time.NewTimer(f.options.Pause())
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-f.wake:
+	}
+}
+
 func (f *Follower) answered() {
 	f.retry = 0
 	if !f.away {
--- a/internal/state/follow/follow_test.go
+++ b/internal/state/follow/follow_test.go
@@ -155,16 +155,19 @@
 	return v.seen[key]
 }
 
+// pause is between two watches of the follower under test.
+const pause = 500 * time.Millisecond
+
 // play runs a follower in fake time while the script acts.
-func play(t *testing.T, script func(s *store, v *view)) {
+func play(t *testing.T, script func(s *store, v *view, f *follow.Follower)) {
 	synctest.Test(t, func(t *testing.T) {
 		s, v := newStore(), &view{seen: make(map[string]time.Time)}
 		ctx, cancel := context.WithCancel(t.Context())
-		options := follow.Options{Wait: 2 * time.Second, Pause: 500 * time.Millisecond}
+		options := follow.Options{Wait: 2 * time.Second, Pause: func() time.Duration { return pause }}
 		f := follow.New(s, v, options, slog.New(slog.DiscardHandler), time.Now)
 		done := make(chan error, 1)
 		go func() { done <- f.Run(ctx) }()
-		script(s, v)
+		script(s, v, f)
 		cancel()
 		require.NoError(t, <-done)
 	})
@@ -175,7 +178,7 @@
 
 // A change must be in force within two seconds of its acceptance.
 func TestChangeIsSeenWithinThePause(t *testing.T) {
-	play(t, func(s *store, v *view) {
+	play(t, func(s *store, v *view, _ *follow.Follower) {
 		pass(10 * time.Second)
 		s.put("first")
 		pass(100 * time.Millisecond)
@@ -190,7 +193,7 @@
 // back. The store had been silent; a watch that was begun in its silence hung
 // for its whole time although the store answered new calls at once.
 func TestReturnOfASilentStoreIsNoticedWithinASecond(t *testing.T) {
-	play(t, func(s *store, v *view) {
+	play(t, func(s *store, v *view, _ *follow.Follower) {
 		pass(time.Second)
 		s.set(func() { s.silent = true })
 		pass(7300 * time.Millisecond)
@@ -205,7 +208,7 @@
 // The store forgets its history. What vanished meanwhile must not be kept, so
 // the whole range is read again.
 func TestLostHistoryIsReadAnew(t *testing.T) {
-	play(t, func(s *store, v *view) {
+	play(t, func(s *store, v *view, _ *follow.Follower) {
 		pass(time.Second)
 		require.Equal(t, 1, v.ranges())
 		s.set(func() { s.rev, s.gone = 100, 100 })
@@ -217,7 +220,7 @@
 // Every call is priced. Keys that change many times a second must cost two
 // calls a second at most, and none that changes one call in the waiting time.
 func TestCallsAreFew(t *testing.T) {
-	play(t, func(s *store, _ *view) {
+	play(t, func(s *store, _ *view, _ *follow.Follower) {
 		for range 100 {
 			s.put("heartbeat")
 			pass(100 * time.Millisecond)
@@ -227,3 +230,22 @@
 		require.LessOrEqual(t, s.spent(), 11)
 	})
 }
+
+// A gateway among 25 looks at the store every 1.2 seconds only. A route was added
+// and the gateway beside it answered 404 for as long, though others knew it: what
+// a peer has read already must end the pause, and what is known must not.
+func TestChangeThatAPeerHasReadEndsThePause(t *testing.T) {
+	play(t, func(s *store, v *view, f *follow.Follower) {
+		s.put("first")
+		pass(100 * time.Millisecond)
+		s.put("second")
+		f.Wake(s.rev)
+		at := time.Now()
+		pass(time.Second)
+		require.Equal(t, at, v.at("second"))
+		s.put("third")
+		pass(10 * time.Millisecond)
+		f.Wake(s.rev)
+		require.LessOrEqual(t, s.spent(), 5)
+	})
+}
