--- a/internal/limit/retry/retry.go
+++ b/internal/limit/retry/retry.go
@@ -57,10 +57,10 @@
 // advance moves to the half in which the time lies.
 func (r *recent) advance(now time.Time, window time.Duration) {
 	half := now.UnixNano() / max(1, int64(window/2))
-	switch {
-	case half == r.half:
+	switch half {
+	case r.half:
 		return
-	case half == r.half+1:
+	case r.half + 1:
 		r.before, r.since = r.since, 0
 	default:
 		r.before, r.since = 0, 0
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -1,11 +1,12 @@
-// Package relay stands between two processes in tests and trials and loses
-// track of their connections: old ones fall silent for good while new ones
-// work, as a device on the way may do.
+// Package relay stands between two processes in tests and trials and harms
+// their connections as a network may do: old ones fall silent for good while new
+// ones work, one direction is cut, all are delayed or reset.
 package relay
 
 import (
 	"net"
 	"sync"
+	"time"
 )
 
 // Relay forwards connections to a target.
@@ -16,7 +17,11 @@
 	mu     sync.Mutex
 	conns  map[*pair]bool
 	closed bool
-	wg     sync.WaitGroup
+	// delay holds back what is forwarded, and mute swallows what the target
+	// answers, of present and new connections.
+	delay time.Duration
+	mute  bool
+	wg    sync.WaitGroup
 }
 
 // pair is one forwarded connection.
@@ -48,6 +53,42 @@
 	return len(r.conns)
 }
 
+// Reset ends all present connections as if an end had lost track of them.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p := range r.conns {
+		reset(p.near)
+		reset(p.far)
+	}
+}
+
+// SetDelay holds back each piece that is forwarded, in both directions.
+func (r *Relay) SetDelay(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = d
+}
+
+// SetMute cuts the way back: the target gets all, and its answers are lost.
+// What was swallowed is gone, so connections that lived through it are reset
+// when the cut ends.
+func (r *Relay) SetMute(mute bool) {
+	r.mu.Lock()
+	ended := r.mute && !mute
+	r.mute = mute
+	r.mu.Unlock()
+	if ended {
+		r.Reset()
+	}
+}
+
+func (r *Relay) harm() (delay time.Duration, mute bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.delay, r.mute
+}
+
 // Close ends all connections and waits.
 func (r *Relay) Close() error {
 	err := r.listener.Close()
@@ -85,8 +126,8 @@
 	r.conns[p] = true
 	r.mu.Unlock()
 	var both sync.WaitGroup
-	both.Go(func() { p.copy(far, near) })
-	both.Go(func() { p.copy(near, far) })
+	both.Go(func() { r.copy(p, far, near, false) })
+	both.Go(func() { r.copy(p, near, far, true) })
 	both.Wait()
 	p.close()
 	r.mu.Lock()
@@ -103,13 +144,18 @@
 }
 
 // copy forwards until either end closes. A silent pair swallows what it reads.
-func (p *pair) copy(to, from net.Conn) {
+func (r *Relay) copy(p *pair, to, from net.Conn, back bool) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
 		p.mu.Lock()
 		silent := p.silent
 		p.mu.Unlock()
+		delay, mute := r.harm()
+		silent = silent || (mute && back)
+		if delay > 0 && err == nil {
+			<-time.After(delay)
+		}
 		if silent && err == nil {
 			continue
 		}
--- a/internal/standin/relay/relay_test.go
+++ b/internal/standin/relay/relay_test.go
@@ -53,3 +53,44 @@
 	require.NoError(t, r.Close())
 	require.NoError(t, target.Close())
 }
+
+// The stand-in must do what it stands for: while the way back is cut the target
+// gets what is sent and its answers are lost; after it new connections work and
+// those that lived through it end.
+func TestWayBackIsCut(t *testing.T) {
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	got := make(chan byte, 1)
+	go func() {
+		conn, err := target.Accept()
+		if err != nil {
+			return
+		}
+		piece := make([]byte, 1)
+		if _, err := io.ReadFull(conn, piece); err == nil {
+			got <- piece[0]
+			_, _ = conn.Write(piece)
+		}
+	}()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	r := relay.New(listener, target.Addr().String())
+	r.SetMute(true)
+	conn, err := net.Dial("tcp", r.Addr())
+	require.NoError(t, err)
+	_, err = conn.Write([]byte("x"))
+	require.NoError(t, err)
+	require.Equal(t, byte('x'), <-got)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(100*time.Millisecond)))
+	_, err = conn.Read(make([]byte, 1))
+	var timeout net.Error
+	require.ErrorAs(t, err, &timeout, "the answer is lost")
+	require.True(t, timeout.Timeout())
+	r.SetMute(false)
+	require.NoError(t, conn.SetReadDeadline(time.Time{}))
+	_, err = conn.Read(make([]byte, 1))
+	require.Error(t, err, "the connection ends with the cut")
+	require.NoError(t, conn.Close())
+	require.NoError(t, r.Close())
+	require.NoError(t, target.Close())
+}
