The last line of a request tells where it was; metrics of places, store and beliefs

Two callers who left a stream after ten seconds had a line without the engine that held it; in four the process with the request was killed, and explain only said that nothing was found. Every line with an error carried its stack, some 600 bytes. Refusals did not name what decided them. Places, calls to the store and beliefs were not counted. Change: the last line names the last send's engine, waits and lengths; refusals name queue, slots and quota; errors are written as their message; explain tells which processes were started anew; counters and gauges for places, the store's calls, configuration, gateways, scheduler and left-out lines.

--- a/cmd/persimmonridge/explain.go
+++ b/cmd/persimmonridge/explain.go
@@ -28,10 +28,16 @@
 	if err != nil {
 		return err
 	}
-	if !found {
-		return fmt.Errorf("no line of request %s in %d files; a request that went well may be left out in a burst", c.ID, len(c.Files))
+	if found {
+		return nil
 	}
-	return nil
+	for _, restart := range explain.Restarts(logs...) {
+		if _, err := fmt.Println(restart); err != nil {
+			return err
+		}
+	}
+	return fmt.Errorf("no line of request %s in %d files: it never reached these processes, or one was killed that had it, "+
+		"or it went well and was left out in a burst", c.ID, len(c.Files))
 }
 
 func readLog(name string) (log *explain.Log, err error) {
--- a/internal/config/changelog/follow.go
+++ b/internal/config/changelog/follow.go
@@ -9,6 +9,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/persimmonridge/persimmonridge/internal/platform/store"
+	"github.com/persimmonridge/persimmonridge/internal/state/wait"
 )
 
 const (
@@ -50,18 +51,18 @@
 	var after uint64
 	for failures := 0; ctx.Err() == nil; {
 		index, err := f.step(ctx, after)
-		wait := rand.N(rewatchJitter)
+		delay := rand.N(rewatchJitter)
 		switch {
 		case err != nil && ctx.Err() == nil:
-			wait = store.Backoff(failures, followMost)
+			delay = store.Backoff(failures, followMost)
 			failures++
 			f.logger.Debug("config not read", "error", errorx.Cast(errorx.Decorate(err, "head")).Message())
 		case index == after:
-			failures, wait = 0, 0
+			failures, delay = 0, 0
 		default:
 			failures, after = 0, index
 		}
-		sleep(ctx, wait)
+		wait.For(ctx, delay)
 	}
 }
 
@@ -72,7 +73,7 @@
 		return after, err
 	}
 	if !entry.Exists() {
-		sleep(ctx, rewatchJitter)
+		wait.For(ctx, rewatchJitter)
 		return after, nil
 	}
 	known, err := parseHead(entry)
@@ -112,13 +113,3 @@
 	}
 	return err
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/edge/flow/admit.go
+++ b/internal/edge/flow/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -71,17 +72,19 @@
 	if u.work == nil || u.work.PerSecond <= 0 {
 		return true
 	}
-	u.cost = 1
+	cost := 1.0
 	if u.work.ByTokens {
-		u.cost = u.work.PlainTokens
+		cost = u.work.PlainTokens
 		if u.request.Counted {
-			u.cost = float64(u.request.PromptTokens + u.request.OutputTokens)
+			cost = float64(u.request.PromptTokens + u.request.OutputTokens)
 		}
 	}
-	ok, retryAfter := u.Quota.Take(u.Now(), u.work, u.cost)
+	ok, retryAfter := u.Quota.Take(u.Now(), u.work, cost)
 	if !ok {
-		u.cost = 0
-		u.refuse(http.StatusTooManyRequests, retryAfter, "over quota")
+		u.refuse(http.StatusTooManyRequests, retryAfter, fmt.Sprintf("over the quota of %s: %.0f a second, burst %.0f, this request costs %.0f",
+			u.work.Name, u.work.PerSecond, u.work.Burst, cost))
+		return false
 	}
-	return ok
+	u.cost = cost
+	return true
 }
--- a/internal/edge/flow/ending.go
+++ b/internal/edge/flow/ending.go
@@ -28,7 +28,7 @@
 func (u *run) expire(ctx context.Context) {
 	if errors.Is(context.Cause(ctx), context.Canceled) {
 		u.returnCost()
-		u.finish("caller left")
+		u.finish(outcomeLeft, u.lastSend()...)
 		panic(http.ErrAbortHandler)
 	}
 	u.giveUp("out of time")
@@ -38,7 +38,7 @@
 // has not run anywhere is refused as not run.
 func (u *run) giveUp(why string) {
 	if u.stream.opened {
-		u.finish("stream broken off", "why", why)
+		u.finish("stream broken off", append(u.lastSend(), "why", why)...)
 		panic(http.ErrAbortHandler)
 	}
 	if u.failure != nil {
@@ -55,7 +55,7 @@
 	}
 	u.Translator.Refuse(u.request, 0, u.w.Header())
 	u.w.WriteHeader(status)
-	u.finish("gave up", "status", status, "why", why)
+	u.finish("gave up", append(u.lastSend(), "status", status, "why", why)...)
 }
 
 // refuse answers a request that has not run and will not.
@@ -94,8 +94,28 @@
 	u.logger.Log(context.Background(), level, "request", append(args, details...)...)
 }
 
-// outcomeAnswered is the outcome of a request that got an upstream's success.
-const outcomeAnswered = "answered"
+// outcomeAnswered is the outcome of a request that got an upstream's success,
+// outcomeLeft that of one whose caller did not wait for its end.
+const (
+	outcomeAnswered = "answered"
+	outcomeLeft     = "caller left"
+)
+
+// lastSend is what a request's last line tells of its last send, if there was
+// one: where it went, how far it got, its lengths and what it waited for. Without
+// it, a caller who left a stream after ten seconds left no sign of the slow
+// engine that had it.
+func (u *run) lastSend() []any {
+	if u.upstream == "" {
+		return nil
+	}
+	details := []any{"upstream", u.upstream, "placed", u.placed, "first-event", u.firstEvent}
+	if u.route.Kind != catalog.Streaming {
+		return details
+	}
+	return append(details, "last-event", u.stream.last, "longest-gap", u.longestGap,
+		"prompt", u.request.PromptTokens, "output", u.request.OutputTokens, "hint", u.request.LengthHint)
+}
 
 // late tells whether the answer came after its objective.
 func (u *run) late(took time.Duration) bool {
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -91,8 +91,10 @@
 	mayHaveRun  bool
 	exclude     []string
 	fingerprint uint64
-	// placed, firstEvent and longestGap are of the last send: the wait for its
-	// place, the time to its first event and the longest pause after that.
+	// upstream, placed, firstEvent and longestGap are of the last send: where it
+	// went, the wait for its place, the time to its first event and the longest
+	// pause after that.
+	upstream   string
 	sentAt     time.Time
 	placed     time.Duration
 	firstEvent time.Duration
@@ -243,6 +245,7 @@
 	now := u.Now()
 	u.sentAt, u.events, u.longestGap = now, 0, 0
 	up := place.Upstream()
+	u.upstream, u.firstEvent = up.ID, 0
 	workspace := ""
 	if u.work != nil {
 		workspace = u.work.Name
--- a/internal/edge/flow/stream.go
+++ b/internal/edge/flow/stream.go
@@ -88,9 +88,7 @@
 		if errors.Is(err, io.EOF) {
 			answer.Close(true)
 			u.endStream(answer)
-			u.finish(outcomeAnswered, "upstream", place.Upstream().ID, "last-event", u.stream.last,
-				"prompt", u.request.PromptTokens, "output", u.request.OutputTokens, "hint", u.request.LengthHint,
-				"placed", u.placed, "first-event", u.firstEvent, "longest-gap", u.longestGap, "load", answer.Load)
+			u.finish(outcomeAnswered, append(u.lastSend(), "load", answer.Load)...)
 			return Answered
 		}
 		if err != nil {
@@ -112,7 +110,7 @@
 		if err := u.pass(answer, got); err != nil {
 			answer.Close(false)
 			u.stream.answered = true
-			u.finish("caller left", "err", err)
+			u.finish(outcomeLeft, append(u.lastSend(), "err", err)...)
 			return Left
 		}
 	}
--- a/internal/observe/explain/explain.go
+++ b/internal/observe/explain/explain.go
@@ -31,6 +31,7 @@
 	"store regained":         "",
 	"requests wait":          "",
 	"stopping":               "",
+	"speeds of engines read": "",
 	"upstream changed":       "upstream",
 	"upstream gone":          "upstream",
 	"peer silent":            "peer",
@@ -131,6 +132,25 @@
 	return true, err
 }
 
+// Restarts returns, for the log of a process that was started anew, when: what it
+// had in hand before left no last line if it was killed.
+func Restarts(logs ...*Log) []string {
+	var all []string
+	for _, log := range logs {
+		started := 0
+		for _, l := range log.lines {
+			if l.fields["msg"] != "started" {
+				continue
+			}
+			started++
+			if started > 1 {
+				all = append(all, fmt.Sprintf("%s started anew at %s", log.source, l.at.Format("15:04:05.000")))
+			}
+		}
+	}
+	return all
+}
+
 func (l *Log) of(id string) []line {
 	var own []line
 	for _, line := range l.lines {
--- a/internal/observe/explain/explain_test.go
+++ b/internal/observe/explain/explain_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"os"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -35,6 +36,17 @@
 	require.False(t, found)
 }
 
+// A caller's connection ended without an answer, and no log has a line of it: the
+// process that had the request was killed. What can be told is when that was.
+func TestRestartsAreToldOfRequestsWithoutALine(t *testing.T) {
+	text := `time=2026-06-20T12:15:33.000Z level=INFO msg=started name=edge-1
+time=2026-06-20T12:15:40.250Z level=INFO msg=started name=edge-1
+`
+	log, err := explain.Read("edge-1", strings.NewReader(text))
+	require.NoError(t, err)
+	require.Equal(t, []string{"edge-1 started anew at 12:15:40.250"}, explain.Restarts(log))
+}
+
 func FuzzRead(f *testing.F) {
 	f.Add(`time=2026-06-20T12:15:33.000Z msg="a \" b" id=x`)
 	f.Add(`time=`)
--- a/internal/observe/logs/logs.go
+++ b/internal/observe/logs/logs.go
@@ -53,7 +53,17 @@
 func New(output io.Writer, now func() time.Time) *Handler {
 	s := &sink{now: now, lines: make(chan []byte, queueLines), done: make(chan struct{})}
 	go s.write(output)
-	return &Handler{sink: s, text: slog.NewTextHandler(s, &slog.HandlerOptions{Level: slog.LevelDebug})}
+	return &Handler{sink: s, text: slog.NewTextHandler(s, &slog.HandlerOptions{Level: slog.LevelDebug, ReplaceAttr: message})}
+}
+
+// message writes errors as what they say. Left to itself, the text handler writes
+// the stack of each error of the kinds that carry one: some 600 bytes a line, in
+// which a failure of many requests at once drowned what they had in common.
+func message(_ []string, a slog.Attr) slog.Attr {
+	if err, ok := a.Value.Any().(error); ok {
+		a.Value = slog.StringValue(err.Error())
+	}
+	return a
 }
 
 // write is the only one that waits for the output.
--- a/internal/observe/logs/logs_test.go
+++ b/internal/observe/logs/logs_test.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"log/slog"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/stretchr/testify/require"
 
 	"github.com/persimmonridge/persimmonridge/internal/observe/logs"
@@ -42,6 +44,18 @@
 	require.EqualValues(t, 20_000, int64(strings.Count(output.text.String(), "\n"))+dropped)
 }
 
+// An engine crashed and 140 streams broke off. Each line carried the stack of the
+// error, with paths of the machine it was built on, in place of its cause alone.
+func TestErrorsAreWrittenAsTheirMessage(t *testing.T) {
+	var output bytes.Buffer
+	handler := logs.New(&output, time.Now)
+	kind := errorx.NewNamespace("test").NewType("lost")
+	slog.New(handler).Warn("answer lost", "err", kind.Wrap(io.ErrUnexpectedEOF, "no answer"))
+	require.NoError(t, handler.Close(context.Background()))
+	require.Contains(t, output.String(), `err="test.lost: no answer, cause: unexpected EOF"`)
+	require.NotContains(t, output.String(), "logs_test.go")
+}
+
 // A burst of good requests is sampled; every bad one is kept.
 func TestBurstIsSampledAndBadRequestsAreKept(t *testing.T) {
 	var output bytes.Buffer
--- a/internal/role/entry/attempt.go
+++ b/internal/role/entry/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/persimmonridge/persimmonridge/internal/fleet/member"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
 	"github.com/persimmonridge/persimmonridge/internal/role/agent"
+	"github.com/persimmonridge/persimmonridge/internal/state/wait"
 	"github.com/persimmonridge/persimmonridge/internal/upstream/suspect"
 )
 
@@ -214,7 +215,7 @@
 			return result{ending: callerGone}, false
 		}
 		a.upstream.Failed(e.now())
-		sleep(ctx, resumePause)
+		wait.For(ctx, resumePause)
 	}
 	return result{ending: a.lostOrBroken(), detail: "the agent beside the upstream cannot be reached"}, false
 }
@@ -347,10 +348,3 @@
 	}
 	return r
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/role/entry/claims.go
+++ b/internal/role/entry/claims.go
@@ -11,6 +11,7 @@
 	"github.com/persimmonridge/persimmonridge/internal/action/claim"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
 	"github.com/persimmonridge/persimmonridge/internal/platform/store"
+	"github.com/persimmonridge/persimmonridge/internal/state/wait"
 )
 
 const (
@@ -169,7 +170,7 @@
 		if reply.GetState() != wire.ClaimReply_STATE_NOT_OWNER {
 			return reply
 		}
-		sleep(ctx, askAgain+rand.N(askAgain))
+		wait.For(ctx, askAgain+rand.N(askAgain))
 		c.findOwner(ctx, partition)
 	}
 	return &wire.ClaimReply{State: wire.ClaimReply_STATE_UNAVAILABLE, Detail: "the claims of this key have no owner for the moment"}
--- a/internal/role/entry/keyed.go
+++ b/internal/role/entry/keyed.go
@@ -6,6 +6,7 @@
 
 	"github.com/persimmonridge/persimmonridge/internal/caller/refusal"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
+	"github.com/persimmonridge/persimmonridge/internal/state/wait"
 )
 
 const (
@@ -36,7 +37,7 @@
 		if k.unreachable > unreachableRounds || c.entry.now().After(c.q.Deadline()) || ctx.Err() != nil {
 			return unfinished()
 		}
-		sleep(ctx, attachPause)
+		wait.For(ctx, attachPause)
 	}
 }
 
@@ -170,7 +171,7 @@
 			if e.claims.ask(ctx, ask).GetState() != wire.ClaimReply_STATE_UNAVAILABLE {
 				return
 			}
-			sleep(ctx, claimRetry)
+			wait.For(ctx, claimRetry)
 		}
 	})
 }
--- a/internal/role/entry/moves.go
+++ b/internal/role/entry/moves.go
@@ -15,6 +15,7 @@
 	"github.com/persimmonridge/persimmonridge/internal/fleet/member"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
 	"github.com/persimmonridge/persimmonridge/internal/proof/invariant"
+	"github.com/persimmonridge/persimmonridge/internal/state/wait"
 	"github.com/persimmonridge/persimmonridge/internal/version/evidence"
 	"github.com/persimmonridge/persimmonridge/internal/version/move"
 )
@@ -214,7 +215,7 @@
 		if !m.takeBackStopped(ctx, doc, revision) && m.anyOpen(doc) && m.holds(ctx) {
 			m.stepAll(ctx, doc, revision)
 		}
-		sleep(ctx, stepEvery)
+		wait.For(ctx, stepEvery)
 	}
 }
 
--- a/internal/role/entry/peers.go
+++ b/internal/role/entry/peers.go
@@ -8,6 +8,7 @@
 	"github.com/persimmonridge/persimmonridge/internal/fleet/member"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
 	"github.com/persimmonridge/persimmonridge/internal/platform/vmlist"
+	"github.com/persimmonridge/persimmonridge/internal/state/wait"
 	"github.com/persimmonridge/persimmonridge/internal/upstream/suspect"
 )
 
@@ -111,7 +112,7 @@
 			return
 		}
 		e.contact(e.ctx, u)
-		sleep(e.ctx, reconnectPause)
+		wait.For(e.ctx, reconnectPause)
 	}
 }
 
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/persimmonridge/persimmonridge/internal/limit/crash"
 	"github.com/persimmonridge/persimmonridge/internal/limit/quota"
 	"github.com/persimmonridge/persimmonridge/internal/limit/retry"
+	"github.com/persimmonridge/persimmonridge/internal/observe/meter"
 	"github.com/persimmonridge/persimmonridge/internal/sched/granter"
 	"github.com/persimmonridge/persimmonridge/internal/sched/local"
 	"github.com/persimmonridge/persimmonridge/internal/sched/permit"
@@ -157,13 +158,14 @@
 func New(parts Parts) *Gateway {
 	s, now, logger := parts.Settings, parts.Now, parts.Logger
 	g := &Gateway{
-		settings: s, store: parts.Store, decoder: parts.Decoder, listen: parts.Listen, logger: logger, now: now,
+		settings: s, decoder: parts.Decoder, listen: parts.Listen, logger: logger, now: now,
 		// A later process on the same VM has a later start.
 		run:    uint64(now().UnixNano()),
 		roster: roster.New(), ledger: quota.NewLedger(), metrics: newMetrics(),
 		pool: exchange.NewPool(parts.Dialer.DialContext),
 	}
 	g.grace.Store(int64(s.Grace))
+	g.store = meter.New(parts.Store, g.metrics.StoreCall)
 	g.leftOut = parts.LeftOut
 	g.retries = retry.New(s.Retry, func() int { return g.peers.processes() })
 	g.upstreams = &upstreamView{gateway: g, items: make(map[string]kv.Item)}
@@ -176,12 +178,13 @@
 		Node: s.Name, Domain: s.Domain, Scheduler: g.peers.scheduler, Send: g.mesh.Send,
 		Own:   func(now time.Time, e *wire.Envelope) { permit.Serve(now, g.granter, s.Name, e) },
 		Local: local.New(s.Domain, g.roster.Ready, g.peers.processes), Upstream: g.roster.Get,
-		Service: g.service, Logger: logger, Now: now,
+		Service: g.service, Metrics: g.metrics, Logger: logger, Now: now,
 	})
 	g.rollouts = rollout.NewPicker(g.permits)
 	g.moves = newMoves(g)
 	g.speeds = &speeds{Gateway: g}
 	g.follower = g.newFollower()
+	g.metrics.watch(g)
 	g.ingress = ingress.New(flow.New(flow.Parts{
 		Translator: parts.Translator, Client: exchange.NewClient(g.pool, parts.Names, now), Catalog: g.catalog.Load,
 		Picker: g.rollouts, Quota: g.quota, Retries: g.retries, Crashes: g.crashRegister,
--- a/internal/role/gateway/gateway_test.go
+++ b/internal/role/gateway/gateway_test.go
@@ -361,3 +361,24 @@
 		require.Positive(t, f.most[engineAt(8)], "after the move only the new version serves")
 	})
 }
+
+// On call, somebody looks whether a gateway hears its peers, which configuration
+// it goes by, what became of asks for places and what the store answers.
+func TestMetricsTellWhatTheGatewayBelieves(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.calls(engines*slots, "/old/x")
+		client := &http.Client{Transport: &http.Transport{DialContext: f.network.DialContext, DisableKeepAlives: true}}
+		response, err := client.Get("http://10.0.0.1:83/metrics")
+		require.NoError(t, err)
+		text, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		for _, want := range []string{
+			"persimmonridge_configuration_version 1", "persimmonridge_gateways_heard 3", "persimmonridge_upstreams 4",
+			`persimmonridge_places_total{result="granted"}`, `persimmonridge_store_calls_total{call="watch",result="ok"}`,
+			`persimmonridge_requests_total{outcome="answered",tier="0"}`,
+		} {
+			require.Contains(t, string(text), want)
+		}
+	})
+}
--- a/internal/role/gateway/metrics.go
+++ b/internal/role/gateway/metrics.go
@@ -23,9 +23,49 @@
 	sends      *prometheus.CounterVec
 	latency    *prometheus.HistogramVec
 	firstEvent *prometheus.HistogramVec
+	places     *prometheus.CounterVec
+	placeWait  *prometheus.HistogramVec
+	storeCalls *prometheus.CounterVec
 	registry   *prometheus.Registry
 }
 
+// watch adds what is read from the gateway when the metrics are fetched.
+func (m *metrics) watch(g *Gateway) {
+	auto := promauto.With(m.registry)
+	gauge := func(name, help string, read func() float64) {
+		auto.NewGaugeFunc(prometheus.GaugeOpts{Name: "persimmonridge_" + name, Help: help}, read)
+	}
+	gauge("configuration_version", "Version of the configuration in force, 0 before the first.", func() float64 {
+		if c := g.catalog.Load(); c != nil {
+			return float64(c.Version())
+		}
+		return 0
+	})
+	gauge("gateways_known", "Gateways that are known, this one included.", func() float64 { return float64(g.peers.processes()) })
+	gauge("gateways_heard", "Gateways that are heard, this one included.", func() float64 { return float64(len(g.mesh.Alive(g.now())) + 1) })
+	gauge("schedules", "1 while this gateway gives out the places on engines.", func() float64 {
+		if g.peers.scheduler(g.now()) == g.settings.Name {
+			return 1
+		}
+		return 0
+	})
+	gauge("upstreams", "Upstreams that are registered.", func() float64 { return float64(len(g.roster.All())) })
+	gauge("log_lines_sampled", "Log lines beyond the bound of a second, since the start.", func() float64 { return float64(g.linesLeftOut(true)) })
+	gauge("log_lines_dropped", "Log lines that a slow reader of the output left no room for, since the start.", func() float64 { return float64(g.linesLeftOut(false)) })
+}
+
+// linesLeftOut returns the log lines that were left out since the start.
+func (g *Gateway) linesLeftOut(sampled bool) int64 {
+	if g.leftOut == nil {
+		return 0
+	}
+	bySample, byDrop := g.leftOut()
+	if sampled {
+		return bySample
+	}
+	return byDrop
+}
+
 // handler serves the metrics as text.
 func (m *metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
@@ -46,6 +86,15 @@
 		latency: auto.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "persimmonridge_request_seconds", Help: "Time from a request's arrival to its end.", Buckets: latencyBuckets,
 		}, []string{"tier"}),
+		places: auto.NewCounterVec(prometheus.CounterOpts{
+			Name: "persimmonridge_places_total", Help: "Asks for a place on an engine by what came of them.",
+		}, []string{"result"}),
+		placeWait: auto.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "persimmonridge_place_wait_seconds", Help: "Time from an ask for a place to its verdict.", Buckets: latencyBuckets,
+		}, []string{"result"}),
+		storeCalls: auto.NewCounterVec(prometheus.CounterOpts{
+			Name: "persimmonridge_store_calls_total", Help: "Calls to the key-value service by kind and result.",
+		}, []string{"call", "result"}),
 		firstEvent: auto.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "persimmonridge_first_event_seconds", Help: "Time from a request's arrival to its stream's first event.", Buckets: latencyBuckets,
 		}, []string{"tier"}),
@@ -64,6 +113,15 @@
 	m.sends.WithLabelValues(service, o.String()).Inc()
 }
 
+// Placed implements permit.Metrics.
+func (m *metrics) Placed(result string, waited time.Duration) {
+	m.places.WithLabelValues(result).Inc()
+	m.placeWait.WithLabelValues(result).Observe(waited.Seconds())
+}
+
+// StoreCall counts a call to the key-value service.
+func (m *metrics) StoreCall(call, result string) { m.storeCalls.WithLabelValues(call, result).Inc() }
+
 // FirstEvent implements flow.Metrics.
 func (m *metrics) FirstEvent(tier int, took time.Duration) {
 	m.firstEvent.WithLabelValues(strconv.Itoa(tier)).Observe(took.Seconds())
--- a/internal/sched/board/refusals.go
+++ b/internal/sched/board/refusals.go
@@ -1,6 +1,9 @@
 package board
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // returnWithin is how long a refused request is remembered: callers come back
 // within a third of the time they have left, five seconds at most.
@@ -37,6 +40,8 @@
 
 func (b *Board) refuse(now time.Time, a *Ask, why string) {
 	b.refusals.add(now, a.Fingerprint)
+	why = fmt.Sprintf("%s (%d wait, %d late, for %d slots, for %s so far)",
+		why, len(b.waiting), len(b.late), b.slots(a.Service), b.saturatedFor(now).Round(time.Millisecond))
 	b.verdicts = append(b.verdicts, Verdict{Owner: a.Owner, ID: a.ID, RetryAfter: b.retryAfter(now), Why: why})
 }
 
--- a/internal/sched/permit/permit.go
+++ b/internal/sched/permit/permit.go
@@ -51,10 +51,18 @@
 	Local    Local
 	Upstream func(id string) (roster.Upstream, bool)
 	Service  func(name string) *catalog.Service
+	Metrics  Metrics
 	Logger   *slog.Logger
 	Now      func() time.Time
 }
 
+// Metrics takes what came of asks for a place.
+type Metrics interface {
+	// Placed counts an ask by its result, one of a few words, and how long it
+	// took.
+	Placed(result string, waited time.Duration)
+}
+
 type verdict struct {
 	upstream   string
 	retryAfter time.Duration
@@ -67,6 +75,22 @@
 	mute bool
 }
 
+// result names a verdict for the metrics; without one the caller left or the
+// scheduler said no more in time.
+func (v verdict) result(ok bool) string {
+	switch {
+	case !ok:
+		return "none"
+	case v.mute:
+		return "mute"
+	case v.lost:
+		return "lost"
+	case v.upstream == "":
+		return "refused"
+	}
+	return "granted"
+}
+
 type pending struct {
 	scheduler string
 	verdicts  chan verdict
@@ -146,7 +170,9 @@
 	if !c.sendTo(scheduler, c.askMessage(a)) {
 		return verdict{}, false
 	}
+	asked := c.Now()
 	got, ok := c.await(ctx, p, a)
+	c.Metrics.Placed(got.result(ok), c.Now().Sub(asked))
 	if !ok || got.mute {
 		c.sendTo(scheduler, ended(a.ID, board.Left, 0, 0))
 	}
