After a restart of all, gateways share what the quota has left

Each new gateway began with a fifth of 0.4 of the burst and kept that as its view of the fleet's bucket after it had heard the others. Once all known gateways are heard and all are fresh, each takes the fleet's rest as its level, less what the others used.

--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -12,11 +12,13 @@
 )
 
 const (
-	// startLevel is the part of the burst that new processes together believe
-	// to be left. They do not know what was used before they started, nor hear
-	// each other yet; a full bucket at each after a restart of all would give
-	// the burst once more for each of them.
-	startLevel = 0.4
+	// restartPause is the least time in which nothing is used when all processes
+	// are restarted; half a second and more was seen. startPart is the part of
+	// what may be exceeded that one restart of all may use up: two may come in
+	// one window, and the rest is for what gateways take before they hear of
+	// each other.
+	restartPause = 500 * time.Millisecond
+	startPart    = 1.0 / 3
 	// largestPart is the part of the burst that one request must find. A
 	// request over the whole burst would otherwise never be served.
 	largestPart = 0.9
@@ -35,14 +37,17 @@
 )
 
 type bucket struct {
-	level float64
-	last  time.Time
+	workspace *catalog.Workspace
+	level     float64
+	last      time.Time
 	// used is all that was taken here, for the reports to peers.
 	used float64
 	// recent is what was taken here since recentFrom, to hold back while the
 	// bucket is low.
 	recent     float64
 	recentFrom time.Time
+	// charged is what others used that the level lacks already.
+	charged float64
 }
 
 // Keeper holds the buckets. It is safe for concurrent use.
@@ -54,8 +59,10 @@
 	buckets map[string]*bucket
 	// others is what the last sums said that others used, by the ledger of
 	// the run.
-	others  map[string]float64
-	run     uint64
+	others map[string]float64
+	run    uint64
+	// shared tells that the buckets are the fleet's, not an even part of it.
+	shared  bool
 	part    float64
 	heard   time.Time
 	options Options
@@ -70,6 +77,21 @@
 	// counts tokens. Each may run its part of it into debt, so that a large
 	// request is not refused where a small one is served.
 	Slack float64
+	// Over is the part of what a workspace may use in a Window by which all
+	// gateways together may exceed it.
+	Over   float64
+	Window time.Duration
+}
+
+// start is the part of a workspace's burst that new processes together believe
+// to be left. They do not know what was used before they started. What passes is
+// never more than what was refilled while nothing ran and what may be exceeded.
+// A fixed part of 0.4 refused some hundred callers in the second after a restart
+// of all, of a day's 12,000, below their quotas.
+func (o Options) start(w *catalog.Workspace) float64 {
+	refilled := w.PerSecond * restartPause.Seconds()
+	exceeded := o.Over * (w.PerSecond*o.Window.Seconds() + w.Burst)
+	return min(w.Burst, refilled+startPart*exceeded)
 }
 
 // New returns a keeper that knows no workspace. Known tells how many gateways
@@ -88,11 +110,7 @@
 func (k *Keeper) at(now time.Time, w *catalog.Workspace) *bucket {
 	b := k.buckets[w.Name]
 	if b == nil {
-		level := startLevel * w.Burst / float64(max(1, k.known()))
-		if k.options.Full {
-			level = w.Burst
-		}
-		b = &bucket{level: level, last: now, recentFrom: now}
+		b = &bucket{level: k.firstLevel(w), last: now, recentFrom: now, workspace: w}
 		k.buckets[w.Name] = b
 	}
 	if elapsed := now.Sub(b.last); elapsed > 0 {
@@ -103,6 +121,31 @@
 	return b
 }
 
+// firstLevel is the level of a bucket that was not used here before: an even part
+// until all gateways that were restarted are known to share it.
+func (k *Keeper) firstLevel(w *catalog.Workspace) float64 {
+	start := k.options.start(w)
+	switch {
+	case k.options.Full:
+		return w.Burst
+	case k.shared:
+		return max(0, start-k.others[w.Name])
+	}
+	return start / float64(max(1, k.known()))
+}
+
+// share makes the bucket of each workspace the fleet's. After a restart of all,
+// each gateway began with its even part; now the others' use is known in full, so
+// what they did not use of theirs may be used here.
+func (k *Keeper) share(others map[string]float64) {
+	k.shared = true
+	for name, b := range k.buckets {
+		start := k.options.start(b.workspace)
+		rest := start*(1-1/float64(max(1, k.known()))) - (others[name] - b.charged)
+		b.level += max(0, rest)
+	}
+}
+
 // heardPart is the part of the fleet's rate that this gateway may reckon with:
 // those that are not heard may be using their even part.
 func (k *Keeper) heardPart(now time.Time) float64 {
@@ -176,17 +219,20 @@
 	return used
 }
 
-// Hear takes what others used, by the ledger of the run, and the part of the
-// gateways that it covers. Another ledger counts from another moment.
-func (k *Keeper) Hear(now time.Time, run uint64, others map[string]float64, part float64) {
+// Hear takes what a ledger tells.
+func (k *Keeper) Hear(now time.Time, t Totals) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if run == k.run {
-		for workspace, count := range others {
+	if t.Run == k.run {
+		for workspace, count := range t.Others {
 			if b := k.buckets[workspace]; b != nil {
 				b.level -= count - k.others[workspace]
+				b.charged += count - k.others[workspace]
 			}
 		}
 	}
-	k.run, k.others, k.part, k.heard = run, others, part, now
+	if t.Fresh && !k.shared && !k.options.Full {
+		k.share(t.Others)
+	}
+	k.run, k.others, k.part, k.heard = t.Run, t.Others, t.Part, now
 }
--- a/internal/limit/quota/quota_test.go
+++ b/internal/limit/quota/quota_test.go
@@ -16,17 +16,26 @@
 // slack is what the platform allows over a quota of tokens, over all gateways.
 const slack = 140_000
 
+// over is what it allows in a window beyond the rate and the burst.
+const (
+	over   = 0.1
+	window = 8 * time.Second
+)
+
 // fleet is gateways that report to a ledger every tenth of a second.
 type fleet struct {
 	keepers []*quota.Keeper
 	ledger  *quota.Ledger
 	cut     map[int]bool
+	// began is when the gateways' processes started.
+	began time.Time
 }
 
-func newFleet(size int, full bool) *fleet {
-	f := &fleet{ledger: quota.NewLedger(), cut: make(map[int]bool)}
+func newFleet(began time.Time, size int, full bool) *fleet {
+	f := &fleet{ledger: quota.NewLedger(), cut: make(map[int]bool), began: began}
+	options := quota.Options{Full: full, Slack: slack, Over: over, Window: window}
 	for range size {
-		f.keepers = append(f.keepers, quota.New(quota.Options{Full: full, Slack: slack}, func() int { return size }))
+		f.keepers = append(f.keepers, quota.New(options, func() int { return size }))
 	}
 	return f
 }
@@ -34,13 +43,12 @@
 func (f *fleet) exchange(now time.Time) {
 	for i, k := range f.keepers {
 		if !f.cut[i] {
-			f.ledger.Report(now, fmt.Sprint(i), uint64(i+1), k.Used())
+			f.ledger.Report(now, fmt.Sprint(i), quota.Report{Run: uint64(i + 1), Age: now.Sub(f.began), Used: k.Used()})
 		}
 	}
 	for i, k := range f.keepers {
 		if !f.cut[i] {
-			others, part := f.ledger.Totals(now, fmt.Sprint(i), len(f.keepers))
-			k.Hear(now, 1, others, part)
+			k.Hear(now, f.ledger.Totals(now, fmt.Sprint(i), 1, len(f.keepers)))
 		}
 	}
 }
@@ -75,7 +83,7 @@
 // seconds no more may pass than eight seconds of the rate, the burst, and a
 // tenth of both, and what may be owed for large requests.
 func TestHotWorkspaceStaysWithinTheFleetsQuota(t *testing.T) {
-	f, w := newFleet(5, true), workspace()
+	f, w := newFleet(start, 5, true), workspace()
 	taken := f.play(start, 8*time.Second, w, 28, 5000)
 	require.LessOrEqual(t, taken, 1.1*(8*w.PerSecond+w.Burst)+slack)
 	require.GreaterOrEqual(t, taken, 0.9*(8*w.PerSecond+w.Burst), "what is below the quota is owed")
@@ -84,7 +92,7 @@
 // Callers of one workspace meet a single gateway, because the platform spreads
 // connections by a hash. They may use the whole quota there.
 func TestOneGatewayMayUseTheWholeQuota(t *testing.T) {
-	f, w := newFleet(5, true), workspace()
+	f, w := newFleet(start, 5, true), workspace()
 	taken := 0.0
 	for at := time.Duration(0); at < 8*time.Second; at += 10 * time.Millisecond {
 		now := start.Add(at)
@@ -102,7 +110,7 @@
 // Neither side hears what the other uses, and both together must keep to the
 // quota: each gateway that is alone falls back to its even part.
 func TestGatewaysThatAreCutOffUseTheirPart(t *testing.T) {
-	f, w := newFleet(5, true), workspace()
+	f, w := newFleet(start, 5, true), workspace()
 	f.play(start, 4*time.Second, w, 28, 5000)
 	f.cut[3], f.cut[4] = true, true
 	later := start.Add(6 * time.Second)
@@ -117,8 +125,8 @@
 // burst a second time within the window.
 func TestRestartOfAllDoesNotGiveTheBurstAgain(t *testing.T) {
 	w := workspace()
-	before := newFleet(5, true).play(start, 4*time.Second, w, 28, 5000)
-	after := newFleet(5, false).play(start.Add(4500*time.Millisecond), 3500*time.Millisecond, w, 28, 5000)
+	before := newFleet(start, 5, true).play(start, 4*time.Second, w, 28, 5000)
+	after := newFleet(start.Add(4500*time.Millisecond), 5, false).play(start.Add(4500*time.Millisecond), 3500*time.Millisecond, w, 28, 5000)
 	require.LessOrEqual(t, before+after, 1.1*(8*w.PerSecond+w.Burst)+slack)
 }
 
@@ -126,12 +134,12 @@
 // workspace had given tokens back.
 func TestRestartedGatewayCountsOn(t *testing.T) {
 	l := quota.NewLedger()
-	l.Report(start, "a", 1, map[string]float64{"studio": 0})
-	l.Report(start, "a", 1, map[string]float64{"studio": 500})
-	l.Report(start, "a", 2, map[string]float64{"studio": 100})
-	others, part := l.Totals(start, "b", 2)
-	require.InDelta(t, 600, others["studio"], 0.001)
-	require.InDelta(t, 0.5, part, 0.001)
+	l.Report(start, "a", quota.Report{Run: 1, Age: time.Minute, Used: map[string]float64{"studio": 0}})
+	l.Report(start, "a", quota.Report{Run: 1, Age: time.Minute, Used: map[string]float64{"studio": 500}})
+	l.Report(start, "a", quota.Report{Run: 2, Used: map[string]float64{"studio": 100}})
+	totals := l.Totals(start, "b", 1, 2)
+	require.InDelta(t, 600, totals.Others["studio"], 0.001)
+	require.InDelta(t, 0.5, totals.Part, 0.001)
 }
 
 // A prompt that is larger than the whole burst would never find its tokens in
@@ -160,7 +168,7 @@
 // with long prompts were refused several times as often. A gateway may run its
 // part of the allowed slack into debt, which makes the shares alike.
 func TestLongPromptsAreNotRefusedForShortOnes(t *testing.T) {
-	f, w := newFleet(5, true), workspace()
+	f, w := newFleet(start, 5, true), workspace()
 	served := map[float64]int{}
 	const offered = 400
 	turn := 0
@@ -188,12 +196,11 @@
 	w := workspace()
 	taken := 0.0
 	for i := range size {
-		k, own := quota.New(quota.Options{}, func() int { return size }), quota.NewLedger()
+		k, own := quota.New(quota.Options{Over: over, Window: window}, func() int { return size }), quota.NewLedger()
 		for at := time.Duration(0); at < 300*time.Millisecond; at += 10 * time.Millisecond {
 			now := start.Add(at)
-			own.Report(now, fmt.Sprint(i), 1, k.Used())
-			others, part := own.Totals(now, fmt.Sprint(i), size)
-			k.Hear(now, 1, others, part)
+			own.Report(now, fmt.Sprint(i), quota.Report{Run: 1, Age: now.Sub(start), Used: k.Used()})
+			k.Hear(now, own.Totals(now, fmt.Sprint(i), 1, size))
 			if ok, _ := k.Take(now, w, 1000); ok {
 				taken += 1000
 			}
@@ -201,3 +208,34 @@
 	}
 	require.LessOrEqual(t, taken, w.Burst+0.3*w.PerSecond)
 }
+
+// All gateways lose their power for two seconds. At their return the callers of
+// two seconds come at once, and the quota has room for them: the burst was
+// refilled meanwhile. Most were refused as over quota, since each gateway began
+// with a small part and went on with it after it had heard the others.
+func TestRestartOfAllServesWhatWasRefilledMeanwhile(t *testing.T) {
+	w := workspace()
+	f := newFleet(start, 5, false)
+	for i := range f.keepers {
+		f.cut[i] = true
+	}
+	const cost, perGateway = 2000, 25
+	taken := f.play(start, 500*time.Millisecond, w, perGateway, cost)
+	f.cut = make(map[int]bool)
+	taken += f.play(start.Add(500*time.Millisecond), 500*time.Millisecond, w, perGateway, cost)
+	require.GreaterOrEqual(t, taken, 0.8*(w.Burst+w.PerSecond))
+	require.LessOrEqual(t, taken, w.Burst+w.PerSecond)
+}
+
+// All gateways are killed twice within a window while a workspace sends seven
+// times its quota. Both restarts give something that was used before; together
+// they must stay within what may be exceeded.
+func TestTwoRestartsOfAllStayWithinWhatMayBeExceeded(t *testing.T) {
+	w := workspace()
+	taken := newFleet(start, 5, true).play(start, 3*time.Second, w, 28, 5000)
+	for _, at := range []time.Duration{3500 * time.Millisecond, 6 * time.Second} {
+		again := start.Add(at)
+		taken += newFleet(again, 5, false).play(again, 2*time.Second, w, 28, 5000)
+	}
+	require.LessOrEqual(t, taken, (1+over)*(8*w.PerSecond+w.Burst)+slack)
+}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -113,6 +113,7 @@
 	now     func() time.Time
 
 	run           uint64
+	began         time.Time
 	catalog       atomic.Pointer[catalog.Catalog]
 	rawConfig     atomic.Pointer[[]byte]
 	roster        *roster.Roster
@@ -160,7 +161,7 @@
 	g := &Gateway{
 		settings: s, decoder: parts.Decoder, listen: parts.Listen, logger: logger, now: now,
 		// A later process on the same VM has a later start.
-		run:    uint64(now().UnixNano()),
+		run: uint64(now().UnixNano()), began: now(),
 		roster: roster.New(), ledger: quota.NewLedger(), metrics: newMetrics(),
 		pool: exchange.NewPool(parts.Dialer.DialContext),
 	}
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -10,6 +10,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
+	"github.com/persimmonridge/persimmonridge/internal/limit/quota"
 	"github.com/persimmonridge/persimmonridge/internal/sched/board"
 	"github.com/persimmonridge/persimmonridge/internal/sched/permit"
 	"github.com/persimmonridge/persimmonridge/internal/state/kv"
@@ -192,10 +193,14 @@
 	case *wire.Envelope_MoveState:
 		p.moves.takeState(body.MoveState.Service, body.MoveState.State, body.MoveState.Revision, peer)
 	case *wire.Envelope_QuotaReport:
-		p.ledger.Report(now, peer, body.QuotaReport.Run, body.QuotaReport.Used)
-		p.mesh.Send(peer, p.quotaTotals(now, peer))
+		p.ledger.Report(now, peer, quota.Report{
+			Run: body.QuotaReport.Run, Age: time.Duration(body.QuotaReport.AgeMs) * time.Millisecond, Used: body.QuotaReport.Used,
+		})
+		p.mesh.Send(peer, quotaMessage(p.quotaTotals(now, peer)))
 	case *wire.Envelope_QuotaTotals:
-		p.quota.Hear(now, body.QuotaTotals.Run, body.QuotaTotals.Others, body.QuotaTotals.Part)
+		p.quota.Hear(now, quota.Totals{
+			Run: body.QuotaTotals.Run, Others: body.QuotaTotals.Others, Part: body.QuotaTotals.Part, Fresh: body.QuotaTotals.Fresh,
+		})
 	case *wire.Envelope_SnapshotAsk:
 		p.mesh.Send(peer, &wire.Envelope{Body: &wire.Envelope_Snapshot{Snapshot: p.snapshot(body.SnapshotAsk)}})
 	case *wire.Envelope_Snapshot:
@@ -287,24 +292,30 @@
 func (p *peers) reportQuota(ctx context.Context) error {
 	for ctx.Err() == nil {
 		now := p.now()
-		used := p.quota.Used()
+		report := quota.Report{Run: p.run, Age: now.Sub(p.began), Used: p.quota.Used()}
 		switch scheduler := p.scheduler(now); scheduler {
 		case "":
 		case p.settings.Name:
-			p.ledger.Report(now, p.settings.Name, p.run, used)
-			totals := p.quotaTotals(now, p.settings.Name).GetQuotaTotals()
-			p.quota.Hear(now, totals.Run, totals.Others, totals.Part)
+			p.ledger.Report(now, p.settings.Name, report)
+			p.quota.Hear(now, p.quotaTotals(now, p.settings.Name))
 		default:
-			p.mesh.Send(scheduler, &wire.Envelope{Body: &wire.Envelope_QuotaReport{QuotaReport: &wire.QuotaReport{Run: p.run, Used: used}}})
+			p.mesh.Send(scheduler, &wire.Envelope{Body: &wire.Envelope_QuotaReport{QuotaReport: &wire.QuotaReport{
+				Run: report.Run, AgeMs: uint32(report.Age.Milliseconds()), Used: report.Used,
+			}}})
 		}
 		wait.For(ctx, quotaEvery)
 	}
 	return nil
 }
 
-func (p *peers) quotaTotals(now time.Time, node string) *wire.Envelope {
-	others, part := p.ledger.Totals(now, node, p.processes())
-	return &wire.Envelope{Body: &wire.Envelope_QuotaTotals{QuotaTotals: &wire.QuotaTotals{Run: p.run, Part: part, Others: others}}}
+func (p *peers) quotaTotals(now time.Time, node string) quota.Totals {
+	return p.ledger.Totals(now, node, p.run, p.processes())
+}
+
+func quotaMessage(t quota.Totals) *wire.Envelope {
+	return &wire.Envelope{Body: &wire.Envelope_QuotaTotals{QuotaTotals: &wire.QuotaTotals{
+		Run: t.Run, Part: t.Part, Others: t.Others, Fresh: t.Fresh,
+	}}}
 }
 
 // storeAway tells whether the store answers, for the gossip.
