--- a/internal/fleet/link/pool.go
+++ b/internal/fleet/link/pool.go
@@ -40,6 +40,8 @@
 type Pool struct {
 	dialer Dialer
 	opened func(address string, s *Session)
+	// dialWithin bounds one connection attempt.
+	dialWithin time.Duration
 
 	next     atomic.Uint64
 	mu       sync.Mutex
@@ -87,10 +89,23 @@
 
 // NewPool returns an empty pool. Opened is called, without any lock held,
 // for each new session, so that its control stream can be opened.
-func NewPool(dialer Dialer, opened func(address string, s *Session)) *Pool {
-	return &Pool{dialer: dialer, opened: opened, sessions: make(map[string]*Session), dialing: make(map[string]*dialAttempt), closing: make(chan struct{})}
+func NewPool(dialer Dialer, opened func(address string, s *Session), options ...Option) *Pool {
+	p := &Pool{
+		dialer: dialer, opened: opened, dialWithin: dialTimeout,
+		sessions: make(map[string]*Session), dialing: make(map[string]*dialAttempt), closing: make(chan struct{}),
+	}
+	for _, option := range options {
+		option(p)
+	}
+	return p
 }
 
+// Option changes a pool.
+type Option func(*Pool)
+
+// DialWithin bounds one connection attempt, for callers that try again at once.
+func DialWithin(d time.Duration) Option { return func(p *Pool) { p.dialWithin = d } }
+
 // Open opens a stream to the address, on a new session if there is none. A
 // Refused error proves that nothing was delivered.
 func (p *Pool) Open(ctx context.Context, address string) (*Stream, error) {
@@ -137,7 +152,7 @@
 }
 
 func (p *Pool) dial(address string, attempt *dialAttempt) {
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), p.dialWithin)
 	defer cancel()
 	session, err := p.connect(ctx, address)
 	p.mu.Lock()
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -41,8 +41,13 @@
 	writeTimeout = time.Second
 	// readTimeout ends a link on which nothing comes; gossip comes far oftener.
 	readTimeout = 10 * time.Second
-	// redialPause is between two attempts to link with a peer.
-	redialPause = 250 * time.Millisecond
+	// dialWithin bounds one attempt to link with a peer, and redialPause is
+	// between two. The first packet to a VM without power is lost and sent again
+	// after a second; an attempt that is begun anew reaches it a third of a
+	// second after its return. Gateways that all come back at once agree on
+	// their scheduler and share their quotas so much sooner.
+	dialWithin  = 250 * time.Millisecond
+	redialPause = 100 * time.Millisecond
 	// queueLength bounds what waits for one peer. What does not fit is dropped:
 	// gossip is repeated, and asks have their own time-outs.
 	queueLength = 2048
@@ -105,7 +110,7 @@
 func New(node, address string, run uint64, dialer link.Dialer, handler Handler, logger *slog.Logger, now func() time.Time) *Mesh {
 	return &Mesh{
 		node: node, address: address, run: run, handler: handler, logger: logger, now: now,
-		pool: link.NewPool(dialer, nil), peers: make(map[string]*peer),
+		pool: link.NewPool(dialer, nil, link.DialWithin(dialWithin)), peers: make(map[string]*peer),
 	}
 }
 
@@ -366,7 +371,7 @@
 		g := &wire.Gossip{
 			Run: base.Run, Rank: base.Rank, Ready: base.Ready, Leaving: base.Leaving,
 			ConfigVersion: base.ConfigVersion, RosterRevision: base.RosterRevision,
-			StoreAnswers: base.StoreAnswers, Crashes: base.Crashes,
+			StoreAnswers: base.StoreAnswers, ChangeRevision: base.ChangeRevision, Crashes: base.Crashes,
 			HearsYou: p.Node != "" && now.Sub(p.Heard) < limit,
 		}
 		if p.told%introduceEvery == 0 {
--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -65,6 +65,14 @@
 	n.vanished[to] = true
 }
 
+// Return ends what Vanish began, for new connections. An attempt that was begun
+// before still fails in its time, as one whose first packet was lost.
+func (n *Network) Return(to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.vanished, to)
+}
+
 // Freeze holds back what goes to and from an address for a while, as a process
 // that is paused does: what was under way arrives late, and nothing is lost.
 func (n *Network) Freeze(to string, d time.Duration) {
