--- a/internal/limit/retry/retry.go
+++ b/internal/limit/retry/retry.go
@@ -50,22 +50,23 @@
 // recent counts sends in halves of a window. The two last halves hold what was
 // sent in between a half and a whole window, never more than that.
 type recent struct {
-	half          int64
+	// from is when the present half began.
+	from          time.Time
 	before, since float64
 }
 
 // advance moves to the half in which the time lies.
 func (r *recent) advance(now time.Time, window time.Duration) {
-	half := now.UnixNano() / max(1, int64(window/2))
-	switch half {
-	case r.half:
-		return
-	case r.half + 1:
+	half := window / 2
+	switch elapsed := now.Sub(r.from); {
+	case elapsed < half:
+	case elapsed < 2*half:
 		r.before, r.since = r.since, 0
+		r.from = r.from.Add(half)
 	default:
 		r.before, r.since = 0, 0
+		r.from = now
 	}
-	r.half = half
 }
 
 func (r *recent) count() float64 { return r.before + r.since }
--- a/internal/sched/board/fill.go
+++ b/internal/sched/board/fill.go
@@ -52,7 +52,7 @@
 		if best >= 0 && !sameRank(queue[best], a) {
 			return best
 		}
-		if a.Service != e.Service || (best >= 0 && work(a) >= work(queue[best])) {
+		if a.Service != e.Service || (best >= 0 && a.work >= queue[best].work) {
 			continue
 		}
 		if _, ok := b.cost(now, e, a, late, least); !ok {
--- a/internal/sched/board/pace.go
+++ b/internal/sched/board/pace.go
@@ -82,9 +82,9 @@
 
 // before counts the waiting requests of the same rank that take less work.
 func (b *Board) before(a *Ask) int {
-	count, own := 0, work(a)
+	count := 0
 	for _, other := range b.waiting {
-		if !other.Again && rankOf(other) == rankOf(a) && work(other) <= own {
+		if !other.Again && rankOf(other) == rankOf(a) && other.work <= a.work {
 			count++
 		}
 	}
