--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -122,16 +122,18 @@
 }
 
 // firstLevel is the level of a bucket that was not used here before: an even part
-// until all gateways that were restarted are known to share it.
+// or, shortly after a restart of all that share it, what the others left. Later on
+// the others' use is long since refilled, and says nothing of what is left.
 func (k *Keeper) firstLevel(w *catalog.Workspace) float64 {
-	start := k.options.start(w)
-	switch {
-	case k.options.Full:
+	if k.options.Full {
 		return w.Burst
-	case k.shared:
-		return max(0, start-k.others[w.Name])
 	}
-	return start / float64(max(1, k.known()))
+	start := k.options.start(w)
+	part := start / float64(max(1, k.known()))
+	if !k.shared {
+		return part
+	}
+	return max(part, start-k.others[w.Name])
 }
 
 // share makes the bucket of each workspace the fleet's. After a restart of all,
--- a/internal/limit/quota/quota_test.go
+++ b/internal/limit/quota/quota_test.go
@@ -239,3 +239,20 @@
 	}
 	require.LessOrEqual(t, taken, (1+over)*(8*w.PerSecond+w.Burst)+slack)
 }
+
+// A workspace's callers met a gateway for the first time, a minute after a restart
+// of all. The first of them was refused as over quota, although the workspace used
+// a tenth of it: all that the others had used since the restart was charged.
+func TestFirstCallersOfAWorkspaceLongAfterARestartAreServed(t *testing.T) {
+	f, w := newFleet(start, 5, false), workspace()
+	f.exchange(start)
+	const cost = 1000
+	for at := time.Duration(0); at < time.Minute; at += 100 * time.Millisecond {
+		now := start.Add(at)
+		ok, _ := f.keepers[0].Take(now, w, cost)
+		require.True(t, ok)
+		f.exchange(now)
+	}
+	ok, _ := f.keepers[1].Take(start.Add(time.Minute), w, cost)
+	require.True(t, ok)
+}
