Runs of the soak side by side take different addresses

Change: a world claims a block of loopback addresses by a listener and takes another one if it is taken; a step that fails ends the start.

--- a/internal/trial/soak/world_test.go
+++ b/internal/trial/soak/world_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -49,6 +50,8 @@
 // world is one seed's processes, stand-ins and what was seen of them.
 type world struct {
 	seed      uint64
+	block     uint64
+	claim     net.Listener
 	binary    string
 	folder    string
 	store     *standin.Store
@@ -82,12 +85,39 @@
 	}
 	w.store.Put("op/config", configuration(1))
 	w.versions = append(w.versions, versionAt{1, time.Now()})
-	return w, errors.Join(w.startStore(), w.startUpstreams(), w.startGateways())
+	for _, start := range []func() error{w.claimBlock, w.startStore, w.startUpstreams, w.startGateways} {
+		if err := start(); err != nil {
+			return nil, err
+		}
+	}
+	return w, nil
 }
 
-// address returns an address of the seed's own, so that seeds run side by side.
+const (
+	// blocks is how many blocks of loopback addresses there are, and blockPort
+	// the port whose listener shows that a block is taken.
+	blocks    = 200 * 250
+	blockPort = 7999
+)
+
+// claimBlock takes a block of loopback addresses that no other world has, also
+// not one of another run of the tests on the same machine.
+func (w *world) claimBlock() error {
+	var err error
+	for i := range uint64(100) {
+		w.block = (w.seed + i*blocks/100) % blocks
+		w.claim, err = net.Listen("tcp", net.JoinHostPort(w.address(1), strconv.Itoa(blockPort)))
+		if err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+// address returns an address of the world's own block, so that seeds run side by
+// side.
 func (w *world) address(host int) string {
-	return fmt.Sprintf("127.%d.%d.%d", 20+w.seed%200, 1+w.seed/200%250, host)
+	return fmt.Sprintf("127.%d.%d.%d", 20+w.block%200, 1+w.block/200, host)
 }
 
 func (w *world) startStore() error {
@@ -323,7 +353,7 @@
 	for _, s := range w.servers {
 		err = errors.Join(err, s.Close())
 	}
-	return err
+	return errors.Join(err, w.claim.Close())
 }
 
 // keepOrRemove removes the logs of a seed without findings.
