One failure share for the scheduler and for a gateway's own choice

Cause: reading the change: the share of failures, its halving and the count of connections that break together stood twice, in board and in local. Change: sched/failure has the one; weights and half-lives stay with their users. Behaviour and tests are as they were.

--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -237,7 +237,7 @@
 func (b *Board) leastFailing(now time.Time, service string) float64 {
 	least := 1.0
 	for _, e := range b.byService[service] {
-		least = min(least, e.failing(now))
+		least = min(least, e.failShare.At(now))
 	}
 	return least
 }
@@ -253,7 +253,7 @@
 	if running >= room || now.Before(e.avoid) || !a.allows(e) {
 		return 0, false
 	}
-	if e.failing(now) > leastFailing+failMargin || e.stalled(now) {
+	if e.failShare.At(now) > leastFailing+failMargin || e.stalled(now) {
 		return 0, false
 	}
 	first := e.firstEvent(now, a.Prompt)
@@ -324,11 +324,11 @@
 	switch end.Outcome {
 	case Answered:
 		e.failures = 0
-		e.outcome(now, 0)
+		e.failShare.Succeeded(now)
 	case Failed:
-		e.outcome(now, 1)
+		e.failShare.Failed(now)
 	case Broken:
-		e.broke(now)
+		e.failShare.Broke(now)
 	case Declined:
 		e.report(now, e.Slots)
 	case Unreached:
--- a/internal/sched/board/engine.go
+++ b/internal/sched/board/engine.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/persimmonridge/persimmonridge/internal/sched/failure"
 	"github.com/persimmonridge/persimmonridge/internal/sched/profile"
 )
 
@@ -29,11 +30,6 @@
 	// halves in failHalf without new outcomes, so that it is tried again.
 	failWeight = 0.15
 	failHalf   = 3 * time.Second
-	// brokenApart is the span in which connections that break count as one
-	// failure. A network that resets what is open, like an engine that starts
-	// anew, ends some ten streams in one millisecond. Taken one by one, they left
-	// seven of 18 sound engines idle for two seconds while callers were refused.
-	brokenApart = 150 * time.Millisecond
 	// reportedFor is how long an engine's own count of its runs is believed
 	// while all gateways ask the same scheduler.
 	reportedFor = 400 * time.Millisecond
@@ -80,10 +76,7 @@
 
 	failures  int
 	avoid     time.Time
-	failShare float64
-	failAt    time.Time
-	// brokeAt is when a broken connection was last counted.
-	brokeAt time.Time
+	failShare failure.Share
 
 	// foreign is how many requests the engine said it has beyond the board's;
 	// split tells that other schedulers use it too.
@@ -93,7 +86,10 @@
 }
 
 func newEngine(now time.Time, u Upstream) *engine {
-	return &engine{Upstream: u, slowness: 1, runs: make(map[string]*run), areaAt: now, readUntil: now}
+	return &engine{
+		Upstream: u, slowness: 1, runs: make(map[string]*run), areaAt: now, readUntil: now,
+		failShare: failure.New(failWeight, failHalf),
+	}
 }
 
 // account advances the integral of running requests.
@@ -232,25 +228,6 @@
 	return false
 }
 
-func (e *engine) failing(now time.Time) float64 {
-	return e.failShare * math.Exp2(-now.Sub(e.failAt).Seconds()/failHalf.Seconds())
-}
-
-func (e *engine) outcome(now time.Time, failed float64) {
-	e.failShare = (1-failWeight)*e.failing(now) + failWeight*failed
-	e.failAt = now
-}
-
-// broke counts a connection that ended before its answer, unless others of the
-// same moment were counted.
-func (e *engine) broke(now time.Time) {
-	if now.Sub(e.brokeAt) < brokenApart {
-		return
-	}
-	e.brokeAt = now
-	e.outcome(now, 1)
-}
-
 // unreached leaves the engine out for a while.
 func (e *engine) unreached(now time.Time) {
 	if now.Before(e.avoid) {
--- a/internal/sched/board/stats.go
+++ b/internal/sched/board/stats.go
@@ -45,7 +45,7 @@
 	if e.stalled(now) {
 		text += "!stalled"
 	}
-	if failing := e.failing(now); failing > failMargin {
+	if failing := e.failShare.At(now); failing > failMargin {
 		text += fmt.Sprintf("!failing%.2f", failing)
 	}
 	return text
--- a/internal/sched/local/local.go
+++ b/internal/sched/local/local.go
@@ -5,13 +5,13 @@
 
 import (
 	"context"
-	"math"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
 	"github.com/persimmonridge/persimmonridge/internal/edge/flow"
+	"github.com/persimmonridge/persimmonridge/internal/sched/failure"
 	"github.com/persimmonridge/persimmonridge/internal/state/roster"
 )
 
@@ -29,10 +29,6 @@
 	// best one's for it to be left: services fail some of their requests by
 	// themselves.
 	failMargin = 0.2
-	// brokenApart is the span in which connections that break count as one
-	// failure: a network that resets what is open breaks many in one moment, and
-	// they say no more of the upstream than one of them.
-	brokenApart = 150 * time.Millisecond
 	// failHalf is the time in which a failure share halves without new outcomes.
 	failHalf = 2 * time.Second
 	// otherDomain is what the way to another failure domain counts, in parts
@@ -54,31 +50,7 @@
 	ownAtLoad int
 	failures  int
 	avoid     time.Time
-	failShare float64
-	failAt    time.Time
-	// brokeAt is when a broken connection was last counted.
-	brokeAt time.Time
-}
-
-// failing returns the failure share. It halves with time, so that an upstream
-// that was left is tried again.
-func (r *record) failing(now time.Time) float64 {
-	return r.failShare * math.Exp2(-now.Sub(r.failAt).Seconds()/failHalf.Seconds())
-}
-
-func (r *record) outcome(now time.Time, failed float64) {
-	r.failShare = (1-failWeight)*r.failing(now) + failWeight*failed
-	r.failAt = now
-}
-
-// broke counts a connection that ended before its answer, unless others of the
-// same moment were counted.
-func (r *record) broke(now time.Time) {
-	if now.Sub(r.brokeAt) < brokenApart {
-		return
-	}
-	r.brokeAt = now
-	r.outcome(now, 1)
+	failShare failure.Share
 }
 
 // Chooser implements flow.Picker.
@@ -100,7 +72,7 @@
 func (c *Chooser) record(id string) *record {
 	r := c.records[id]
 	if r == nil {
-		r = &record{}
+		r = &record{failShare: failure.New(failWeight, failHalf)}
 		c.records[id] = r
 	}
 	return r
@@ -145,7 +117,7 @@
 	c.turn++
 	least := 1.0
 	for _, u := range ups {
-		least = min(least, c.record(u.ID).failing(now))
+		least = min(least, c.record(u.ID).failShare.At(now))
 	}
 	var best roster.Upstream
 	var bestCost float64
@@ -153,7 +125,7 @@
 	for i := range ups {
 		u := ups[(uint64(i)+c.turn)%uint64(len(ups))]
 		r := c.record(u.ID)
-		if !a.Allows(u.Version) || slices.Contains(a.Exclude, u.ID) || (!avoided && (now.Before(r.avoid) || r.failing(now) > least+failMargin)) {
+		if !a.Allows(u.Version) || slices.Contains(a.Exclude, u.ID) || (!avoided && (now.Before(r.avoid) || r.failShare.At(now) > least+failMargin)) {
 			continue
 		}
 		cost := c.cost(now, r, u)
@@ -206,14 +178,14 @@
 	switch o {
 	case flow.Answered:
 		r.failures = 0
-		r.outcome(now, 0)
+		r.failShare.Succeeded(now)
 	case flow.Failed:
 		r.failures = 0
-		r.outcome(now, 1)
+		r.failShare.Failed(now)
 	case flow.Broken:
-		r.broke(now)
+		r.failShare.Broke(now)
 	case flow.Declined:
-		r.outcome(now, 1)
+		r.failShare.Failed(now)
 	case flow.Unreached:
 		r.failures++
 		r.avoid = now.Add(min(avoidMost, avoidFirst<<min(r.failures-1, 4)))
