Stops that overlap: streams are taken by when they surely end, a stopping scheduler is kept

Change: a stopping gateway tells the scheduler that the stream is cut at its end. In its first two seconds the stream should end by then, later it must, by the worst overrun of guesses seen so far (board/overrun.go). What no engine would end is refused at once, to be taken by another gateway. A stopping gateway schedules while none is ready; one that ends says so (gossip "gone"), and is no longer reckoned among those that may use the engines unseen.

--- a/internal/edge/flow/ending.go
+++ b/internal/edge/flow/ending.go
@@ -28,7 +28,7 @@
 func (u *run) expire(ctx context.Context) {
 	if errors.Is(context.Cause(ctx), context.Canceled) {
 		u.returnCost()
-		u.finish(outcomeLeft, u.lastSend()...)
+		u.finish(u.leftOutcome(), u.lastSend()...)
 		panic(http.ErrAbortHandler)
 	}
 	u.giveUp("out of time")
@@ -99,8 +99,18 @@
 const (
 	outcomeAnswered = "answered"
 	outcomeLeft     = "caller left"
+	outcomeCut      = "cut by the stop"
 )
 
+// leftOutcome names why the connection ended: a process that stops closes those
+// that are still open at its end.
+func (u *run) leftOutcome() string {
+	if _, end, leaving := u.Leaving(); leaving && !u.Now().Before(end) {
+		return outcomeCut
+	}
+	return outcomeLeft
+}
+
 // lastSend is what a request's last line tells of its last send, if there was
 // one: where it went, how far it got, its lengths and what it waited for. Without
 // it, a caller who left a stream after ten seconds left no sign of the slow
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -25,12 +25,6 @@
 	declinedRetry = 100 * time.Millisecond
 	// crashRetry is told to callers of a request that crashes upstreams.
 	crashRetry = time.Minute
-	// takeAllFor is how long after the wish to stop any request is taken. Later
-	// ones are taken only if their whole time fits before the end, because a
-	// long stream would be cut by it: its caller would have half an answer.
-	takeAllFor = 2 * time.Second
-	// leavingRetry is told to those; another process takes them at once.
-	leavingRetry = 10 * time.Millisecond
 	// againWithin is how soon a request that was sent before must go on. Callers
 	// leave a stream that is silent for two seconds; the rest is for noticing
 	// that the first upstream broke off.
@@ -83,6 +77,7 @@
 	tier    int
 	arrived time.Time
 	until   time.Time
+	stop    stopping
 	cost    float64
 	// sends counts sends of which a byte left; mayHaveRun tells that one of
 	// them may have run.
@@ -115,14 +110,11 @@
 	since, end, leaving := f.Leaving()
 	if leaving {
 		w.Header().Set("Connection", "close")
+		u.stop = stopping{since: since, end: end}
 	}
 	if !u.admit() {
 		return
 	}
-	if leaving && now.Sub(since) > takeAllFor && now.Add(u.route.Timeout).After(end) {
-		u.refuse(http.StatusServiceUnavailable, leavingRetry, "this process stops before the request could end")
-		return
-	}
 	left := u.route.Timeout
 	if left <= 0 {
 		left = defaultLeft
@@ -131,6 +123,10 @@
 		left = min(left, u.request.Deadline)
 	}
 	u.until = now.Add(left)
+	if !u.fits() {
+		u.refuse(http.StatusServiceUnavailable, leavingRetry, "this process stops before the request could end")
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), u.until)
 	defer cancel()
 	if !u.readBody(r) {
@@ -236,6 +232,7 @@
 			a.Output = min(a.Output, u.request.LengthHint)
 		}
 	}
+	u.planEnd(&a)
 	return a
 }
 
--- a/internal/edge/flow/request.go
+++ b/internal/edge/flow/request.go
@@ -107,6 +107,8 @@
 	Prompt int
 	Output int
 	Parts  []Part
+	// Ending tells whether Until is the end of this process.
+	Ending Ending
 	// Exclude are upstreams that were tried.
 	Exclude []string
 	// Fingerprint recognizes a request that its caller sends again.
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -48,6 +48,8 @@
 	// their scheduler and share their quotas so much sooner.
 	dialWithin  = 250 * time.Millisecond
 	redialPause = 100 * time.Millisecond
+	// lastWord is how long the last gossip may take to leave this VM.
+	lastWord = 20 * time.Millisecond
 	// queueLength bounds what waits for one peer. What does not fit is dropped:
 	// gossip is repeated, and asks have their own time-outs.
 	queueLength = 2048
@@ -71,8 +73,9 @@
 	Address string
 	Run     uint64
 	Rank    int64
-	Ready   bool
-	Heard   time.Time
+	// Ready peers know a configuration; Leaving ones were told to stop.
+	Ready, Leaving bool
+	Heard          time.Time
 	// HearsUs tells that the peer hears this process.
 	HearsUs bool
 }
@@ -85,8 +88,10 @@
 	cancel  context.CancelFunc
 	since   time.Time
 	down    bool
-	relink  time.Time
-	told    int
+	// gone peers said that their process ends.
+	gone   bool
+	relink time.Time
+	told   int
 }
 
 // Mesh is one process's links.
@@ -103,6 +108,8 @@
 	ctx    context.Context
 	group  *errgroup.Group
 	closed bool
+	// gone is told in the last gossip.
+	gone bool
 }
 
 // New returns a mesh for the process; Run starts it. Seeds are addresses of
@@ -286,10 +293,21 @@
 	returned := p.down || p.Run == 0
 	p.Peer = Peer{
 		Node: from.node, Address: from.address, Run: g.Run, Rank: g.Rank,
-		Ready: g.Ready && !g.Leaving, Heard: now, HearsUs: g.HearsYou,
+		Ready: g.Ready, Leaving: g.Leaving, Heard: now, HearsUs: g.HearsYou,
+	}
+	known := p.gone && !restarted
+	p.down, p.gone = false, g.Gone
+	if g.Gone {
+		p.down, p.Heard = true, time.Time{}
 	}
-	p.down = false
 	m.mu.Unlock()
+	if g.Gone {
+		if !known {
+			m.logger.Info("peer gone", "peer", from.node, "run", g.Run)
+			m.handler.Down(now, from.node)
+		}
+		return
+	}
 	if restarted {
 		m.handler.Down(now, from.node)
 	}
@@ -319,6 +337,20 @@
 	return len(m.peers)
 }
 
+// Expected returns how many other gateways may be at work, heard or not: all
+// that are known but those that said that they end.
+func (m *Mesh) Expected() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	count := 0
+	for _, p := range m.peers {
+		if !p.gone {
+			count++
+		}
+	}
+	return count
+}
+
 // Alive returns the peers that were heard of late.
 func (m *Mesh) Alive(now time.Time) []Peer {
 	var alive []Peer
@@ -372,7 +404,7 @@
 			Run: base.Run, Rank: base.Rank, Ready: base.Ready, Leaving: base.Leaving,
 			ConfigVersion: base.ConfigVersion, RosterRevision: base.RosterRevision,
 			StoreAnswers: base.StoreAnswers, ChangeRevision: base.ChangeRevision, Crashes: base.Crashes,
-			HearsYou: p.Node != "" && now.Sub(p.Heard) < limit,
+			HearsYou: p.Node != "" && now.Sub(p.Heard) < limit, Gone: m.gone,
 		}
 		if p.told%introduceEvery == 0 {
 			g.Node, g.Address, g.Known = m.node, m.address, known
@@ -382,9 +414,20 @@
 	}
 }
 
-// Farewell tells all peers at once that this process leaves.
+// Farewell tells all peers at once that this process was told to stop.
 func (m *Mesh) Farewell() { m.tell(m.now()) }
 
+// Gone tells all peers that the process ends now, and gives the word time to
+// leave. Peers that only noticed its silence would ask it for places, and wait,
+// for half a second more.
+func (m *Mesh) Gone() {
+	m.mu.Lock()
+	m.gone = true
+	m.mu.Unlock()
+	m.tell(m.now())
+	time.Sleep(lastWord)
+}
+
 // check notices peers that went silent: they are down, their links are made
 // anew, and in the end they are forgotten.
 func (m *Mesh) check(now time.Time) {
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -254,7 +254,9 @@
 	g.mesh.Farewell()
 	ctx, cancel := context.WithTimeout(context.Background(), grace-stopMargin)
 	defer cancel()
-	return g.ingress.Stop(ctx)
+	err := g.ingress.Stop(ctx)
+	g.mesh.Gone()
+	return err
 }
 
 func (g *Gateway) ready(w http.ResponseWriter, _ *http.Request) {
--- a/internal/role/gateway/gateway_test.go
+++ b/internal/role/gateway/gateway_test.go
@@ -155,16 +155,24 @@
 	body   string
 	err    error
 	took   time.Duration
+	// retryAfter is the header as sent.
+	retryAfter string
 }
 
 func (f *fleet) call(i int, path, request string) outcome {
+	return f.callFor(i, path, request, "1000,100", "18")
+}
+
+// callFor calls a gateway for a generation of the given tokens and guessed
+// length.
+func (f *fleet) callFor(i int, path, request, tokens, hint string) outcome {
 	client := &http.Client{Transport: &http.Transport{DialContext: f.network.DialContext, DisableKeepAlives: true}}
 	r, err := http.NewRequest(http.MethodPost, "http://"+callersAt(i)+path, strings.NewReader("body"))
 	require.NoError(f.t, err)
 	r.Host = "h"
 	for name, value := range map[string]string{
 		id: request, "Api-Key": "key", "X-Persimmonridge-Deadline-Ms": "15000",
-		"X-Persimmonridge-Token-Counts": "1000,100", "X-Persimmonridge-Length-Hint": "18",
+		"X-Persimmonridge-Token-Counts": tokens, "X-Persimmonridge-Length-Hint": hint,
 	} {
 		r.Header.Set(name, value)
 	}
@@ -175,7 +183,10 @@
 	}
 	body, err := io.ReadAll(response.Body)
 	_ = response.Body.Close()
-	return outcome{status: response.StatusCode, body: string(body), err: err, took: time.Since(begun)}
+	return outcome{
+		status: response.StatusCode, body: string(body), err: err, took: time.Since(begun),
+		retryAfter: response.Header.Get("Retry-After"),
+	}
 }
 
 // calls makes calls at once, spread over the gateways, and returns them.
@@ -189,6 +200,13 @@
 	return outcomes
 }
 
+// warmUp lets the scheduler learn how fast the engines are.
+func (f *fleet) warmUp() {
+	for range 4 {
+		require.Equal(f.t, engines*slots, served(f.calls(engines*slots, "/old/x")))
+	}
+}
+
 func served(outcomes []outcome) int {
 	n := 0
 	for _, o := range outcomes {
@@ -244,6 +262,44 @@
 	})
 }
 
+// All gateways are told to stop, one shortly after each other, beside idle
+// engines. Callers of the ones that were told first were refused for seconds,
+// since a stream was measured by its route's 15 seconds and not by the half
+// second that it takes; and nobody scheduled once the last one was told.
+func TestStopsThatOverlapRefuseNobody(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.warmUp()
+		for i := range gateways {
+			go f.stop(i)
+			bubble.Pass(750 * time.Millisecond)
+		}
+		for i := range gateways {
+			o := f.call(i, "/old/x", "after"+strconv.Itoa(i))
+			require.NoError(t, o.err)
+			require.Equal(t, http.StatusOK, o.status, "gateway %d", i)
+		}
+		bubble.Pass(10 * time.Second)
+	})
+}
+
+// A gateway that stops gets a request whose length outruns what is left of its
+// time. The caller is told at once, and to come back at once: another gateway
+// has the time. Begun here, it would be cut in the middle.
+func TestStoppingGatewayLeavesLongStreamsToOthers(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.warmUp()
+		go f.stop(0)
+		bubble.Pass(3 * time.Second)
+		o := f.callFor(0, "/old/x", "long", "1000,9000", "300")
+		require.NoError(t, o.err)
+		require.Equal(t, http.StatusServiceUnavailable, o.status)
+		require.Less(t, o.took, 50*time.Millisecond)
+		require.Equal(t, "0.010", o.retryAfter)
+		require.Equal(t, http.StatusOK, f.callFor(1, "/old/x", "again", "1000,9000", "300").status)
+		bubble.Pass(10 * time.Second)
+	})
+}
+
 // A new configuration adds a route and drops another. Two seconds after the
 // store accepted it, every gateway goes by it.
 func TestConfigurationIsInForceEverywhereWithinItsTime(t *testing.T) {
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math"
@@ -135,7 +136,7 @@
 
 // Gossip implements mesh.Handler.
 func (p *peers) Gossip(now time.Time, g *wire.Gossip) {
-	p.granter.SetReach(len(p.mesh.Alive(now))+1, p.processes())
+	p.granter.SetReach(len(p.mesh.Alive(now))+1, p.mesh.Expected()+1)
 	p.mu.Lock()
 	g.Rank = p.rank
 	g.Crashes = p.crashes
@@ -245,26 +246,44 @@
 	p.permits.Follow(now)
 }
 
-// scheduler returns the gateway that schedules engines as this one sees it: the
-// ready one of lowest rank that this one hears and that hears it. Gateways that
-// see different ones put too much on an engine at worst; nothing that must not
-// be wrong depends on it.
+// scheduler returns the gateway that schedules engines as this one sees it: of
+// those that know a configuration, that this one hears and that hear it, the one
+// of lowest rank. One that stops is taken only while no other is left: gateways
+// that are told to stop within a few seconds of each other would otherwise each
+// choose by themselves, and give engines more than they have places for.
+// Gateways that see different schedulers put too much on an engine at worst;
+// nothing that must not be wrong depends on it.
 func (p *peers) scheduler(now time.Time) string {
-	p.mu.Lock()
-	best, rank := "", p.rank
-	p.mu.Unlock()
-	if p.catalog.Load() != nil && !p.stopping() {
-		best = p.settings.Name
+	var best candidate
+	if p.catalog.Load() != nil {
+		p.mu.Lock()
+		best = candidate{node: p.settings.Name, rank: p.rank, leaving: p.stopping()}
+		p.mu.Unlock()
 	}
 	for _, other := range p.mesh.Alive(now) {
 		if !other.Ready || !other.HearsUs {
 			continue
 		}
-		if best == "" || other.Rank < rank || (other.Rank == rank && other.Node < best) {
-			best, rank = other.Node, other.Rank
+		next := candidate{node: other.Node, rank: other.Rank, leaving: other.Leaving}
+		if next.before(best) {
+			best = next
 		}
 	}
-	return best
+	return best.node
+}
+
+// candidate is a gateway that may schedule; without a node it is none.
+type candidate struct {
+	node    string
+	rank    int64
+	leaving bool
+}
+
+func (c candidate) before(other candidate) bool {
+	if other.node == "" || c.leaving != other.leaving {
+		return other.node == "" || other.leaving
+	}
+	return cmp.Or(cmp.Compare(c.rank, other.rank), cmp.Compare(c.node, other.node)) < 0
 }
 
 // deliver hands a verdict to the gateway that asked.
--- a/internal/sched/board/ask.go
+++ b/internal/sched/board/ask.go
@@ -17,7 +17,9 @@
 	Due, Until time.Time
 	Prompt     int
 	// Output is a guess of the tokens that will be generated.
-	Output  int
+	Output int
+	// Ending tells whether the stream is cut at Until.
+	Ending  Ending
 	MaxGap  time.Duration
 	Exclude []string
 	// Only and Not bound the versions of the engine; empty bounds nothing.
--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -58,6 +58,8 @@
 	// with a deadline of some ten seconds may wait and still be served.
 	retryLeast = 300 * time.Millisecond
 	retryMost  = 2500 * time.Millisecond
+	// elsewhereRetry is told to callers whom another gateway can serve at once.
+	elsewhereRetry = 10 * time.Millisecond
 	// Weights of the choice among engines, in parts of all slots taken.
 	// weightFirst makes long prompts go to fast engines: it is the weight of
 	// the square of the part of the time left that the first event takes.
@@ -84,15 +86,17 @@
 	// recalled are speeds that another scheduler learned.
 	recalled map[string]Speed
 	// paces tell how often waiting requests of a rank got a place.
-	paces  map[rank]*pace
-	tidied time.Time
+	paces map[rank]*pace
+	// overruns tell how far streams of a service outran their plan.
+	overruns map[string]*overrun
+	tidied   time.Time
 	// turns counts the places given to requests that waited.
 	turns int
 }
 
 // New returns an empty board.
 func New() *Board {
-	return &Board{engines: make(map[string]*engine), byService: make(map[string][]*engine), byRun: make(map[string]*engine), refusals: make(refusals), paces: make(map[rank]*pace)}
+	return &Board{engines: make(map[string]*engine), byService: make(map[string][]*engine), byRun: make(map[string]*engine), refusals: make(refusals), paces: make(map[rank]*pace), overruns: make(map[string]*overrun)}
 }
 
 // SetUpstreams takes the engines that may get work. One that started anew
@@ -147,6 +151,12 @@
 	if b.place(now, ask, false) {
 		return
 	}
+	if !b.canEnd(now, ask) {
+		b.verdicts = append(b.verdicts, Verdict{
+			Owner: ask.Owner, ID: ask.ID, RetryAfter: elsewhereRetry, Why: "its gateway stops before an engine could end it",
+		})
+		return
+	}
 	if b.canBeInTime(now, ask) {
 		if b.hopeless(now, ask) {
 			b.refuse(now, ask, "more wait before it than get a place in time")
@@ -205,13 +215,12 @@
 // quickest returns how long the first event takes on the fastest engine that is
 // in use, if it is idle.
 func (b *Board) quickest(now time.Time, a *Ask) time.Duration {
-	own := profile.Prefill(a.Prompt, 1) + profile.StepTime(1)
 	best := time.Duration(math.MaxInt64)
 	for _, e := range b.byService[a.Service] {
 		if now.Before(e.avoid) || !a.allows(e) {
 			continue
 		}
-		best = min(best, profile.Fixed+fromMs(own*e.slowness))
+		best = min(best, e.alone(a.Prompt))
 	}
 	return best
 }
@@ -268,8 +277,7 @@
 	if running > 0 && a.MaxGap > 0 && gap > gapPart*ms(a.MaxGap) {
 		return 0, false
 	}
-	decode := profile.Decode(a.Output, e.Slots) * e.slowness * outputFactor
-	if first+fromMs(decode) > time.Duration(untilPart*float64(a.Until.Sub(now))) {
+	if !b.endsInTime(now, e, a, first) {
 		return 0, false
 	}
 	part := ms(first) / max(1, ms(left))
@@ -318,6 +326,7 @@
 		return
 	}
 	if end.Outcome == Answered && r.started {
+		b.noteOverrun(e, r, end.Stream)
 		e.learn(now, r, end.Stream, end.Tokens)
 	}
 	e.end(now, k, r)
--- a/internal/sched/board/engine.go
+++ b/internal/sched/board/engine.go
@@ -148,6 +148,17 @@
 	return profile.Fixed + e.wait(now) + fromMs(own*e.slowness)
 }
 
+// alone returns how long a prompt's first event takes if the engine is idle.
+func (e *engine) alone(prompt int) time.Duration {
+	own := profile.Prefill(prompt, 1) + profile.StepTime(1)
+	return profile.Fixed + fromMs(own*e.slowness)
+}
+
+// decode returns how long the full engine takes to generate the tokens.
+func (e *engine) decode(tokens float64) time.Duration {
+	return fromMs(tokens * profile.StepTime(e.Slots) * e.slowness)
+}
+
 // grant adds a run.
 func (e *engine) grant(now time.Time, r *run) {
 	e.account(now)
--- /dev/null
+++ b/internal/sched/board/overrun.go
@@ -0,0 +1,119 @@
+package board
+
+import (
+	"math"
+	"time"
+)
+
+// Ending tells what the end of a stream may depend on.
+type Ending int
+
+// The endings.
+const (
+	// EndOpen streams go on as long as their callers wait.
+	EndOpen Ending = iota
+	// EndLikely streams are cut at Until, and should be over by then.
+	EndLikely
+	// EndSure streams are cut at Until, and must be over by then.
+	EndSure
+)
+
+const (
+	// overrunFirst is believed of a service before any of its streams ended.
+	overrunFirst = 4.0
+	// overrunLeast and overrunMost bound what is believed.
+	overrunLeast = 1.5
+	overrunMost  = 12.0
+	// overrunFall is by how much the logarithm of the estimate falls with each
+	// stream that kept to it. It settles where about one stream in 700 does not.
+	overrunFall = 0.0003
+	// overrunMargin is kept beyond it: the next long one may be longer.
+	overrunMargin = 1.2
+	// besides is what a stream of any length may lose to long prompts that its
+	// engine reads meanwhile.
+	besides = 250 * time.Millisecond
+	// unknownSlowness is planned with on an engine whose speed nobody knows, if
+	// a stream must be over in time.
+	unknownSlowness = 3.0
+)
+
+// overrun keeps how far streams outran what was planned for their guessed
+// length. Guesses are right at the median and off by factors, prompts read
+// beside a stream hold it up, and the engine's speed is itself an estimate; the
+// ratio holds all of them.
+type overrun struct {
+	log   float64
+	known bool
+}
+
+// see takes a whole stream's time and what was planned for it.
+func (o *overrun) see(took, planned time.Duration) {
+	if took <= 0 || planned <= 0 {
+		return
+	}
+	at := math.Log(o.ratio())
+	seen := math.Log(float64(took) / float64(planned))
+	o.log = min(max(seen, at-overrunFall, math.Log(overrunLeast)), math.Log(overrunMost))
+	o.known = true
+}
+
+func (o *overrun) ratio() float64 {
+	if !o.known {
+		return overrunFirst
+	}
+	return math.Exp(o.log)
+}
+
+// noteOverrun takes the time of a stream that ended well.
+func (b *Board) noteOverrun(e *engine, r *run, took time.Duration) {
+	if !e.learned {
+		return
+	}
+	o := b.overruns[e.Service]
+	if o == nil {
+		o = &overrun{}
+		b.overruns[e.Service] = o
+	}
+	o.see(took, e.planned(r.output))
+}
+
+// longest returns how long a stream takes on the engine at the most, from its
+// first event on.
+func (b *Board) longest(e *engine, output int) time.Duration {
+	ratio := overrunFirst
+	if o := b.overruns[e.Service]; o != nil {
+		ratio = o.ratio()
+	}
+	planned := e.planned(output)
+	if !e.learned && e.slowness < unknownSlowness {
+		planned = time.Duration(float64(planned) * unknownSlowness / e.slowness)
+	}
+	return time.Duration(ratio * overrunMargin * float64(planned))
+}
+
+// planned is how long the full engine takes for a stream of the guessed length.
+func (e *engine) planned(output int) time.Duration { return e.decode(float64(output)) + besides }
+
+// endsInTime tells whether a stream whose first event takes so long ends before
+// it is of no use, at the pace of a full engine.
+func (b *Board) endsInTime(now time.Time, e *engine, a *Ask, first time.Duration) bool {
+	left := a.Until.Sub(now)
+	if a.Ending == EndSure {
+		return first+b.longest(e, a.Output) <= left
+	}
+	return first+e.decode(outputFactor*float64(a.Output)) <= time.Duration(untilPart*float64(left))
+}
+
+// canEnd tells whether some engine would end in time, if it were idle, a stream
+// that is cut at Until. Nothing is gained by waiting for a place if none does.
+func (b *Board) canEnd(now time.Time, a *Ask) bool {
+	if a.Ending == EndOpen {
+		return true
+	}
+	for _, e := range b.byService[a.Service] {
+		if a.allows(e) && b.endsInTime(now, e, a, e.alone(a.Prompt)) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/sched/permit/permit.go
+++ b/internal/sched/permit/permit.go
@@ -12,6 +12,7 @@
 	"github.com/persimmonridge/persimmonridge/internal/edge/flow"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
 	"github.com/persimmonridge/persimmonridge/internal/sched/board"
+	"github.com/persimmonridge/persimmonridge/internal/sched/profile"
 	"github.com/persimmonridge/persimmonridge/internal/state/catalog"
 	"github.com/persimmonridge/persimmonridge/internal/state/roster"
 )
@@ -31,6 +32,17 @@
 // before went silent.
 const asksMost = 3
 
+const (
+	// slowEngine and fullBatch are the slowness and the requests at once that a
+	// stream is planned with on an engine that nobody here knows, and longStream
+	// by how much it may outrun the guess of its length.
+	slowEngine = 3
+	fullBatch  = 16
+	longStream = 6
+	// elsewhereRetry is told to callers whom another gateway can serve at once.
+	elsewhereRetry = 10 * time.Millisecond
+)
+
 // Local chooses without asking anybody.
 type Local interface {
 	flow.Picker
@@ -149,13 +161,24 @@
 // granted, so that the scheduler hears of it.
 func (c *Client) pickHere(ctx context.Context, a flow.Ask) (flow.Place, error) {
 	c.Logger.Debug("choosing without the scheduler", "id", a.ID)
-	chosen, err := c.Local.Pick(ctx, c.Now(), a)
+	now := c.Now()
+	if a.Ending == flow.EndSure && !endsInTime(now, a) {
+		return nil, flow.RefusePlace(elsewhereRetry, "this process stops before the request could end")
+	}
+	chosen, err := c.Local.Pick(ctx, now, a)
 	if err != nil {
 		return nil, err
 	}
 	return c.keep(chosen, a), nil
 }
 
+// endsInTime tells whether a generation that is cut at its end would be over by
+// then even on a slow engine: which one it gets is not known here.
+func endsInTime(now time.Time, a flow.Ask) bool {
+	took := profile.Prefill(a.Prompt, fullBatch) + longStream*profile.Decode(a.Output, fullBatch)
+	return profile.Fixed+time.Duration(slowEngine*took*float64(time.Millisecond)) <= a.Until.Sub(now)
+}
+
 // ask asks one scheduler and waits for its verdict.
 func (c *Client) ask(ctx context.Context, scheduler string, a flow.Ask) (verdict, bool) {
 	p := &pending{scheduler: scheduler, verdicts: make(chan verdict, 2)}
@@ -211,7 +234,7 @@
 		DueMs: a.Due.Sub(now).Milliseconds(), UntilMs: a.Until.Sub(now).Milliseconds(),
 		Prompt: uint32(a.Prompt), Output: uint32(a.Output), MaxGapMs: uint32(a.Route.MaxGap.Milliseconds()),
 		Exclude: a.Exclude, Again: a.Again, Fingerprint: a.Fingerprint,
-		OnlyVersion: a.Only, NotVersion: a.Not,
+		OnlyVersion: a.Only, NotVersion: a.Not, End: endMessage(a.Ending),
 	}}}
 }
 
--- a/internal/sched/permit/serve.go
+++ b/internal/sched/permit/serve.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/persimmonridge/persimmonridge/internal/edge/flow"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
 	"github.com/persimmonridge/persimmonridge/internal/sched/board"
 	"github.com/persimmonridge/persimmonridge/internal/sched/granter"
@@ -35,12 +36,33 @@
 		Owner: owner, ID: a.Id, Service: a.Service, Domain: a.Domain, Tier: int(a.Tier),
 		Due:    now.Add(time.Duration(a.DueMs) * time.Millisecond),
 		Until:  now.Add(time.Duration(a.UntilMs) * time.Millisecond),
-		Prompt: int(a.Prompt), Output: int(a.Output), MaxGap: time.Duration(a.MaxGapMs) * time.Millisecond,
+		Prompt: int(a.Prompt), Output: int(a.Output), Ending: readEnding(a.End), MaxGap: time.Duration(a.MaxGapMs) * time.Millisecond,
 		Exclude: a.Exclude, Again: a.Again, Fingerprint: a.Fingerprint,
 		Only: a.OnlyVersion, Not: a.NotVersion,
 	}
 }
 
+func readEnding(e wire.PlaceAsk_End) board.Ending {
+	switch e {
+	case wire.PlaceAsk_LIKELY:
+		return board.EndLikely
+	case wire.PlaceAsk_SURE:
+		return board.EndSure
+	}
+	return board.EndOpen
+}
+
+func endMessage(e flow.Ending) wire.PlaceAsk_End {
+	switch e {
+	case flow.EndLikely:
+		return wire.PlaceAsk_LIKELY
+	case flow.EndSure:
+		return wire.PlaceAsk_SURE
+	case flow.EndOpen:
+	}
+	return wire.PlaceAsk_OPEN
+}
+
 func readHeld(h *wire.PlacesHeld) []board.Held {
 	held := make([]board.Held, 0, len(h.Places))
 	for _, p := range h.Places {
