Places of another scheduler tell no speed of their engines

The gateway that had just taken over believed its engine at 0.28 where 0.5 was true: the prompts of all places that it took in counted as read from then on, and each stream beside them seemed to have shared its engine with them.

Ruled out: the guess of the length (966 tokens for 472, within the overrun that is planned).

--- a/internal/sched/board/engine.go
+++ b/internal/sched/board/engine.go
@@ -52,6 +52,9 @@
 	startedAt  time.Time
 	runsBefore float64
 	readBefore float64
+	// adopted runs were granted by another scheduler. What shared the engine
+	// with them is not known, so they tell no speed.
+	adopted bool
 }
 
 // engine is what the board knows of one engine.
@@ -170,6 +173,15 @@
 	e.runs[r.owner+"/"+r.id] = r
 }
 
+// adopt takes in a run of another scheduler whose prompt is read. Counted as if
+// it were still to be read, it would make the streams beside it look as if they
+// shared their engine with more than they did, and the engine twice as fast.
+func (e *engine) adopt(now time.Time, r *run) {
+	e.account(now)
+	r.expected, r.started, r.startedAt = now, true, now
+	e.runs[r.owner+"/"+r.id] = r
+}
+
 // start notes a run's first event.
 func (e *engine) start(now time.Time, r *run) {
 	if r.started {
@@ -209,7 +221,7 @@
 // learn takes how long a stream's tokens took.
 func (e *engine) learn(now time.Time, r *run, took time.Duration, tokens int) {
 	lived := ms(now.Sub(r.startedAt))
-	if tokens < learnTokens || lived <= 0 || took <= 0 {
+	if r.adopted || tokens < learnTokens || lived <= 0 || took <= 0 {
 		return
 	}
 	e.account(now)
--- a/internal/sched/board/overrun.go
+++ b/internal/sched/board/overrun.go
@@ -66,7 +66,7 @@
 
 // noteOverrun takes the time of a stream that ended well.
 func (b *Board) noteOverrun(e *engine, r *run, took time.Duration) {
-	if !e.learned {
+	if !e.learned || r.adopted {
 		return
 	}
 	o := b.overruns[e.Service]
--- a/internal/sched/board/speeds_test.go
+++ b/internal/sched/board/speeds_test.go
@@ -1,6 +1,7 @@
 package board_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -53,3 +54,31 @@
 	b.Ended(start.Add(100*time.Millisecond+took), a.Owner, a.ID, board.End{Outcome: board.Answered, Stream: took, Tokens: tokens})
 	b.Verdicts()
 }
+
+// A gateway took over as scheduler while engines were full. Prompts that had
+// been read long before were counted as read beside the streams that ended next,
+// the engine seemed twice as fast as it is, and a stream that was to be over
+// before its gateway's end was cut.
+func TestPlacesOfAnotherSchedulerTellNoSpeed(t *testing.T) {
+	b := board.New()
+	b.SetUpstreams(start, engines(1, 12))
+	b.Recall([]board.Speed{{ID: "e0", Slowness: 0.5}})
+	stream := ask(start, "gateway", "stream")
+	b.Ask(start, stream)
+	b.Started(start.Add(100*time.Millisecond), stream.Owner, stream.ID, -1)
+
+	var held []board.Held
+	for i := range 8 {
+		held = append(held, board.Held{ID: "held" + strconv.Itoa(i), Upstream: "e0", Prompt: 6600, Output: 300, Started: true})
+	}
+	b.Sync(start.Add(200*time.Millisecond), "other", held)
+	const tokens, step = 100, 3.27 + 0.0823*9
+	took := time.Duration(tokens * step * 0.5 * float64(time.Millisecond))
+	end := start.Add(100*time.Millisecond + took)
+	b.Ended(end, stream.Owner, stream.ID, board.End{Outcome: board.Answered, Stream: took, Tokens: tokens})
+	for _, h := range held {
+		b.Ended(end, "other", h.ID, board.End{Outcome: board.Answered, Stream: took, Tokens: tokens})
+	}
+
+	require.InDelta(t, 0.5, b.Speeds()[0].Slowness, 0.05)
+}
--- a/internal/sched/board/sync.go
+++ b/internal/sched/board/sync.go
@@ -45,10 +45,11 @@
 	if e == nil || b.byRun[k] != nil {
 		return
 	}
-	r := &run{owner: owner, id: h.ID, prompt: h.Prompt, output: h.Output, granted: now}
-	e.grant(now, r)
+	r := &run{owner: owner, id: h.ID, prompt: h.Prompt, output: h.Output, granted: now, adopted: true}
 	b.byRun[k] = e
 	if h.Started {
-		e.start(now, r)
+		e.adopt(now, r)
+		return
 	}
+	e.grant(now, r)
 }
