--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -77,8 +77,12 @@
 		return
 	}
 	if item.Key == memberPrefix+p.settings.Name {
+		// A gateway that the store turns away for longer than its lease is
+		// listed anew when it is back. By the new listing's rank it would stop
+		// scheduling just then, and the next one would begin without its
+		// knowledge; the process lives, so it keeps the rank that it had.
 		p.mu.Lock()
-		p.rank = item.Created
+		p.rank = min(p.rank, item.Created)
 		p.mu.Unlock()
 		return
 	}
