Speeds of engines from gathered evidence; streams planned by their guess alone

Hypotheses: (1) an engine's speed, learned from single streams, jumped by 11 to 15 in 100 from second to second (0.24 to 0.59 of one that runs at 0.5), because a short stream beside prompts tells next to nothing and counted like a long one; (2) the room kept for streams that outrun their guess leaves the longest to the fastest engines alone, and they are refused in time beside free slower ones.

Change: streams count by their length and by the part of the time that they decoded, the first ones most; the lower and the higher evidence alike. A stream whose end nothing cuts is planned by its guess.

--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -32,11 +32,6 @@
 	// gapPart is the part of the longest allowed pause that is planned with;
 	// steps are estimates.
 	gapPart = 0.8
-	// untilPart is the part of the time left in which a stream should end by
-	// the guess of its length, and outputFactor covers that the guess is a
-	// median and often off by half.
-	untilPart    = 0.8
-	outputFactor = 1.6
 	// failMargin is by how much an engine's failure share must exceed the best
 	// one's for it to be left out.
 	failMargin = 0.2
--- a/internal/sched/board/engine.go
+++ b/internal/sched/board/engine.go
@@ -9,13 +9,16 @@
 )
 
 const (
-	// learnDown and learnUp weigh one stream's evidence of an engine's
-	// slowness. Disturbances only make streams longer, so shorter ones count more.
-	learnDown = 0.4
-	learnUp   = 0.2
+	// evidenceMost bounds what is remembered of an engine's speed, in very long
+	// streams that shared it with no prompts.
+	evidenceMost = 2.0
 	// learnTokens is the shortest stream that tells a speed: its first and
 	// last event are each off by a step or two.
 	learnTokens = 12
+	// learnLong is the length at which a stream counts half of what a very long
+	// one does: the shorter it is, the more the prompts that happen to be read
+	// beside it, and their place in time, decide how long it takes.
+	learnLong = 60
 	// slownessLeast and slownessMost bound what is believed of an engine.
 	slownessLeast = 0.1
 	slownessMost  = 30
@@ -62,6 +65,8 @@
 	Upstream
 	slowness float64
 	learned  bool
+	// evidence is the weight of the streams that slowness was learned from.
+	evidence float64
 	runs     map[string]*run
 	// backlog is the number of prompt tokens granted and not yet read, and
 	// readUntil is when they should be.
@@ -226,17 +231,13 @@
 	}
 	e.account(now)
 	beside := (e.runsArea - r.runsBefore) / lived
-	ordinary := float64(tokens)*(profile.Step+profile.StepPerRun*beside) + (e.readUnits - r.readBefore)
+	decoded := float64(tokens) * (profile.Step + profile.StepPerRun*beside)
+	ordinary := decoded + (e.readUnits - r.readBefore)
 	seen := min(max(ms(took)/ordinary, slownessLeast), slownessMost)
-	if !e.learned {
-		e.learned, e.slowness = true, seen
-		return
-	}
-	weight := learnDown
-	if seen > e.slowness {
-		weight = learnUp
-	}
-	e.slowness *= math.Pow(seen/e.slowness, weight)
+	weight := decoded / ordinary * float64(tokens) / float64(tokens+learnLong)
+	e.evidence = min(e.evidence+weight, evidenceMost)
+	e.learned = true
+	e.slowness *= math.Pow(seen/e.slowness, weight/e.evidence)
 }
 
 // stalled tells whether the engine seems dead: a first event is long overdue,
--- a/internal/sched/board/overrun.go
+++ b/internal/sched/board/overrun.go
@@ -29,6 +29,9 @@
 	overrunFall = 0.0003
 	// overrunMargin is kept beyond it: the next long one may be longer.
 	overrunMargin = 1.2
+	// likelyOverrun is planned with where a stream should end in time and need
+	// not: the guess of its length is a median and often off by half.
+	likelyOverrun = 1.6
 	// besides is what a stream of any length may lose to long prompts that its
 	// engine reads meanwhile.
 	besides = 250 * time.Millisecond
@@ -95,13 +98,20 @@
 func (e *engine) planned(output int) time.Duration { return e.decode(float64(output)) + besides }
 
 // endsInTime tells whether a stream whose first event takes so long ends before
-// it is of no use, at the pace of a full engine.
+// it is of no use, at the pace of a full engine. One that goes on as long as its
+// caller waits is measured by the guess of its length alone: with room for longer
+// ones, the longest could go to the fastest engines only, and were refused in
+// time beside free ones.
 func (b *Board) endsInTime(now time.Time, e *engine, a *Ask, first time.Duration) bool {
 	left := a.Until.Sub(now)
-	if a.Ending == EndSure {
+	switch a.Ending {
+	case EndSure:
 		return first+b.longest(e, a.Output) <= left
+	case EndLikely:
+		return first+e.decode(likelyOverrun*float64(a.Output)) <= left
+	case EndOpen:
 	}
-	return first+e.decode(outputFactor*float64(a.Output)) <= time.Duration(untilPart*float64(left))
+	return first+e.decode(float64(a.Output)) <= left
 }
 
 // canEnd tells whether some engine would end in time, if it were idle, a stream
--- a/internal/sched/board/overrun_test.go
+++ b/internal/sched/board/overrun_test.go
@@ -75,3 +75,39 @@
 	stream("outran", 4*time.Second)
 	require.Zero(t, places())
 }
+
+// Callers of long answers were refused beside free engines: with room for a
+// guess that is too short, the answer fitted on the fastest engines only, and
+// those were full. An engine that ends it in time by its guess takes it.
+func TestLongAnswerTakesAFreeSlowerEngine(t *testing.T) {
+	b := board.New()
+	b.SetUpstreams(start, engines(1, 12))
+	learn(b, "e0", 2)
+	now := start.Add(time.Second)
+	long := ask(now, "gateway", "long")
+	long.Output = 1300
+	b.Ask(now, long)
+	require.Equal(t, "e0", b.Verdicts()[0].Upstream)
+}
+
+// One short stream that ends beside the reading of long prompts tells little of
+// an engine's speed. Taken for what it seemed, the next streams would go to an
+// engine that is no faster than the others.
+func TestShortStreamsBesidePromptsTellLittle(t *testing.T) {
+	b := board.New()
+	b.SetUpstreams(start, engines(1, 12))
+	for range 10 {
+		learn(b, "e0", 1)
+	}
+	short := ask(start, "gateway", "short")
+	b.Ask(start, short)
+	b.Started(start.Add(100*time.Millisecond), short.Owner, short.ID, -1)
+	for i := range 4 {
+		reads := ask(start, "gateway", "reads"+strconv.Itoa(i))
+		reads.Prompt, reads.MaxGap = 6000, 0
+		b.Ask(start.Add(110*time.Millisecond), reads)
+	}
+	const took = 60 * time.Millisecond
+	b.Ended(start.Add(160*time.Millisecond), short.Owner, short.ID, board.End{Outcome: board.Answered, Stream: took, Tokens: 18})
+	require.InDelta(t, 1, b.Speeds()[0].Slowness, 0.1)
+}
--- a/internal/sched/board/speeds.go
+++ b/internal/sched/board/speeds.go
@@ -45,5 +45,5 @@
 	if !ok || s.Born != e.Born || e.learned || s.Slowness < slownessLeast || s.Slowness > slownessMost {
 		return
 	}
-	e.learned, e.slowness = true, s.Slowness
+	e.learned, e.slowness, e.evidence = true, s.Slowness, evidenceMost
 }
--- a/internal/trial/pattern/load.go
+++ b/internal/trial/pattern/load.go
@@ -135,6 +135,9 @@
 	Crashes []Crash
 	// LongPrompts makes this part of the top tier's prompts ten times as long.
 	LongPrompts float64
+	// LongAnswers makes this part of the top tier's answers of the greatest
+	// length, by their guess too.
+	LongAnswers float64
 }
 
 // Patterns are the loads that the rules of choice are measured by.
@@ -149,6 +152,7 @@
 	{Name: "quarter-lost", Story: "a quarter of the engines crashes for three seconds", Length: 14 * time.Second, Scale: 1,
 		Crashes: []Crash{{At: 4 * time.Second, For: 3 * time.Second, Share: 0.25}}},
 	{Name: "long-prompts", Story: "a tenth of the critiques is ten times as long", Length: 12 * time.Second, Scale: 0.8, LongPrompts: 0.1},
+	{Name: "long-answers", Story: "a twentieth of the critiques is of the greatest length, which slow engines cannot end in time", Length: 14 * time.Second, Scale: 0.8, LongAnswers: 0.05},
 	{Name: "long-burst", Story: "a class of the whole school: twice the traffic for ten seconds, and calm after it", Length: 20 * time.Second, Scale: 1,
 		Bursts: []Burst{{At: 2 * time.Second, For: 10 * time.Second, Tier: -1, Times: 2}}},
 	{Name: "overload", Story: "more than the engines can do, all the time", Length: 14 * time.Second, Scale: 1.5},
@@ -185,6 +189,9 @@
 	// Callers' guesses are right at the median and off by half.
 	const guessSpread = 0.5
 	r.guess = size(random, float64(r.output), guessSpread, c.outputMost)
+	if p.LongAnswers > 0 && c.tier == 0 && random.Float64() < p.LongAnswers {
+		r.output, r.guess = c.outputMost, c.outputMost
+	}
 	return r
 }
 
--- a/internal/trial/pattern/pattern_test.go
+++ b/internal/trial/pattern/pattern_test.go
@@ -78,6 +78,16 @@
 	require.GreaterOrEqual(t, got.Tiers[0].InTimeShare(), base.Tiers[0].InTimeShare()+0.05)
 }
 
+// A twentieth of the critiques asks for the longest answer there is. With room
+// for a guess that is too short they would fit on no engine but the fastest, and
+// be refused while others stand half empty; all but a few have a place in time.
+func TestLongAnswers(t *testing.T) {
+	got := mean(t, "long-answers", pattern.Board)
+	require.LessOrEqual(t, got.Tiers[0].Refused, got.Tiers[0].Asked/200)
+	require.GreaterOrEqual(t, got.Tiers[0].InTimeShare(), 0.96)
+	requireTierOrder(t, got)
+}
+
 // A whole school begins its classes at once: twice the traffic for ten seconds.
 // What cannot get a place in time is told so at once. Callers of the lowest tier
 // used to wait 320 ms of their 400 before they were refused, twice each: 35 minutes
