First events are learned for all engines of a service

Hypothesis: the board plans by two sites' engines; a make that reads prompts half as fast as its decoding tells, or takes longer to a first event, gets places that cannot be in time.

Change: a service's engines share an estimate of by how much they read slower than they decode, and of the fixed part of a first event; the first hundred count most, one odd event little (board/learned.go).

--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -84,6 +84,8 @@
 	paces map[rank]*pace
 	// overruns tell how far streams of a service outran their plan.
 	overruns map[string]*overrun
+	// families are what the engines of a service have in common.
+	families map[string]*family
 	tidied   time.Time
 	// turns counts the places given to requests that waited.
 	turns int
@@ -91,7 +93,7 @@
 
 // New returns an empty board.
 func New() *Board {
-	return &Board{engines: make(map[string]*engine), byService: make(map[string][]*engine), byRun: make(map[string]*engine), refusals: make(refusals), paces: make(map[rank]*pace), overruns: make(map[string]*overrun)}
+	return &Board{engines: make(map[string]*engine), byService: make(map[string][]*engine), byRun: make(map[string]*engine), refusals: make(refusals), paces: make(map[rank]*pace), overruns: make(map[string]*overrun), families: make(map[string]*family)}
 }
 
 // SetUpstreams takes the engines that may get work. One that started anew
@@ -102,7 +104,7 @@
 	for _, u := range upstreams {
 		e := b.engines[u.ID]
 		if e == nil || e.Born != u.Born {
-			e = newEngine(now, u)
+			e = newEngine(now, u, b.family(u.Service))
 			e.setSplit(now, b.others)
 			b.remember(e)
 		}
@@ -117,6 +119,15 @@
 	b.Tick(now)
 }
 
+func (b *Board) family(service string) *family {
+	f := b.families[service]
+	if f == nil {
+		f = newFamily()
+		b.families[service] = f
+	}
+	return f
+}
+
 // SetReach tells how many of the known gateways this scheduler hears. The others
 // are gone, or cut off from here and not from the engines: then they use the
 // same engines by their own choice.
@@ -268,7 +279,7 @@
 	if first > left {
 		return 0, false
 	}
-	gap := profile.Gap(max(1, e.EventTokens), running+1, e.backlog+a.Prompt) * e.slowness
+	gap := profile.Gap(max(1, e.EventTokens), running+1, e.backlog+a.Prompt, e.kind.reading) * e.slowness.factor
 	if running > 0 && a.MaxGap > 0 && gap > gapPart*ms(a.MaxGap) {
 		return 0, false
 	}
@@ -322,7 +333,7 @@
 	}
 	if end.Outcome == Answered && r.started {
 		b.noteOverrun(e, r, end.Stream)
-		e.learn(now, r, end.Stream, end.Tokens)
+		e.learnStream(now, r, end.Stream, end.Tokens)
 	}
 	e.end(now, k, r)
 	switch end.Outcome {
--- a/internal/sched/board/engine.go
+++ b/internal/sched/board/engine.go
@@ -9,19 +9,6 @@
 )
 
 const (
-	// evidenceMost bounds what is remembered of an engine's speed, in very long
-	// streams that shared it with no prompts.
-	evidenceMost = 2.0
-	// learnTokens is the shortest stream that tells a speed: its first and
-	// last event are each off by a step or two.
-	learnTokens = 12
-	// learnLong is the length at which a stream counts half of what a very long
-	// one does: the shorter it is, the more the prompts that happen to be read
-	// beside it, and their place in time, decide how long it takes.
-	learnLong = 60
-	// slownessLeast and slownessMost bound what is believed of an engine.
-	slownessLeast = 0.1
-	slownessMost  = 30
 	// stalledAfter is how long a first event may be overdue before the engine
 	// counts as stalled: twice the slowest prompt that is granted.
 	stalledAfter = 300 * time.Millisecond
@@ -55,6 +42,12 @@
 	startedAt  time.Time
 	runsBefore float64
 	readBefore float64
+	// units is the reading of the prompt in milliseconds of an ordinary engine;
+	// alone tells that nothing else was to be read when the run was granted, as
+	// the engine's grant of that number.
+	units float64
+	alone bool
+	grant int
 	// adopted runs were granted by another scheduler. What shared the engine
 	// with them is not known, so they tell no speed.
 	adopted bool
@@ -63,11 +56,13 @@
 // engine is what the board knows of one engine.
 type engine struct {
 	Upstream
-	slowness float64
-	learned  bool
-	// evidence is the weight of the streams that slowness was learned from.
-	evidence float64
+	// slowness scales the times of an ordinary engine, and reading those of
+	// prompts besides.
+	slowness estimate
+	kind     *family
 	runs     map[string]*run
+	// grants counts the places given.
+	grants int
 	// backlog is the number of prompt tokens granted and not yet read, and
 	// readUntil is when they should be.
 	backlog   int
@@ -93,11 +88,12 @@
 	split     bool
 }
 
-func newEngine(now time.Time, u Upstream) *engine {
-	return &engine{
-		Upstream: u, slowness: 1, runs: make(map[string]*run), areaAt: now, readUntil: now,
+func newEngine(now time.Time, u Upstream, kind *family) *engine {
+	e := &engine{
+		Upstream: u, slowness: estimate{factor: 1}, kind: kind, runs: make(map[string]*run), areaAt: now, readUntil: now,
 		failShare: failure.New(failWeight, failHalf),
 	}
+	return e
 }
 
 // account advances the integral of running requests.
@@ -152,28 +148,29 @@
 // firstEvent returns how long a prompt's first event takes if it is sent now.
 func (e *engine) firstEvent(now time.Time, prompt int) time.Duration {
 	running := e.running(now)
-	own := profile.Prefill(prompt, running) + profile.StepTime(running+1)
-	return profile.Fixed + e.wait(now) + fromMs(own*e.slowness)
+	step := fromMs(profile.StepTime(running+1) * e.slowness.factor)
+	return e.kind.fixed + e.wait(now) + e.readTime(profile.Prefill(prompt, running)) + step
 }
 
 // alone returns how long a prompt's first event takes if the engine is idle.
 func (e *engine) alone(prompt int) time.Duration {
-	own := profile.Prefill(prompt, 1) + profile.StepTime(1)
-	return profile.Fixed + fromMs(own*e.slowness)
+	step := fromMs(profile.StepTime(1) * e.slowness.factor)
+	return e.kind.fixed + e.readTime(profile.Prefill(prompt, 1)) + step
 }
 
 // decode returns how long the full engine takes to generate the tokens.
 func (e *engine) decode(tokens float64) time.Duration {
-	return fromMs(tokens * profile.StepTime(e.Slots) * e.slowness)
+	return fromMs(tokens * profile.StepTime(e.Slots) * e.slowness.factor)
 }
 
 // grant adds a run.
 func (e *engine) grant(now time.Time, r *run) {
 	e.account(now)
-	units := profile.Prefill(r.prompt, len(e.runs))
+	e.grants++
+	r.units, r.alone, r.grant = profile.Prefill(r.prompt, len(e.runs)), e.wait(now) == 0, e.grants
 	r.expected = now.Add(e.firstEvent(now, r.prompt))
-	e.readUntil = now.Add(e.wait(now) + fromMs(units*e.slowness))
-	e.readUnits += units
+	e.readUntil = now.Add(e.wait(now) + e.readTime(r.units))
+	e.readUnits += r.units
 	e.backlog += r.prompt
 	e.runs[r.owner+"/"+r.id] = r
 }
@@ -193,6 +190,7 @@
 		return
 	}
 	e.account(now)
+	e.learnFirst(now, r)
 	r.started, r.startedAt = true, now
 	e.lastStart = now
 	r.runsBefore, r.readBefore = e.runsArea, e.readUnits
@@ -208,7 +206,7 @@
 			rest += profile.Prefill(other.prompt, len(e.runs))
 		}
 	}
-	limit := now.Add(fromMs(rest * e.slowness))
+	limit := now.Add(e.readTime(rest))
 	if limit.Before(e.readUntil) {
 		e.readUntil = limit
 	}
@@ -223,23 +221,6 @@
 	}
 }
 
-// learn takes how long a stream's tokens took.
-func (e *engine) learn(now time.Time, r *run, took time.Duration, tokens int) {
-	lived := ms(now.Sub(r.startedAt))
-	if r.adopted || tokens < learnTokens || lived <= 0 || took <= 0 {
-		return
-	}
-	e.account(now)
-	beside := (e.runsArea - r.runsBefore) / lived
-	decoded := float64(tokens) * (profile.Step + profile.StepPerRun*beside)
-	ordinary := decoded + (e.readUnits - r.readBefore)
-	seen := min(max(ms(took)/ordinary, slownessLeast), slownessMost)
-	weight := decoded / ordinary * float64(tokens) / float64(tokens+learnLong)
-	e.evidence = min(e.evidence+weight, evidenceMost)
-	e.learned = true
-	e.slowness *= math.Pow(seen/e.slowness, weight/e.evidence)
-}
-
 // stalled tells whether the engine seems dead: a first event is long overdue,
 // and nothing else has started since it was due. An engine that keeps a part of
 // its requests without an answer goes on serving the others.
--- a/internal/sched/board/overrun.go
+++ b/internal/sched/board/overrun.go
@@ -69,7 +69,7 @@
 
 // noteOverrun takes the time of a stream that ended well.
 func (b *Board) noteOverrun(e *engine, r *run, took time.Duration) {
-	if !e.learned || r.adopted {
+	if !e.slowness.known() || r.adopted {
 		return
 	}
 	o := b.overruns[e.Service]
@@ -88,8 +88,8 @@
 		ratio = o.ratio()
 	}
 	planned := e.planned(output)
-	if !e.learned && e.slowness < unknownSlowness {
-		planned = time.Duration(float64(planned) * unknownSlowness / e.slowness)
+	if !e.slowness.known() && e.slowness.factor < unknownSlowness {
+		planned = time.Duration(float64(planned) * unknownSlowness / e.slowness.factor)
 	}
 	return time.Duration(ratio * overrunMargin * float64(planned))
 }
--- a/internal/sched/board/speeds.go
+++ b/internal/sched/board/speeds.go
@@ -17,8 +17,8 @@
 func (b *Board) Speeds() []Speed {
 	var all []Speed
 	for _, e := range b.engines {
-		if e.learned {
-			all = append(all, Speed{ID: e.ID, Born: e.Born, Slowness: e.slowness})
+		if e.slowness.known() {
+			all = append(all, Speed{ID: e.ID, Born: e.Born, Slowness: e.slowness.factor})
 		}
 	}
 	slices.SortFunc(all, func(x, y Speed) int { return cmp.Compare(x.ID, y.ID) })
@@ -42,8 +42,8 @@
 
 func (b *Board) remember(e *engine) {
 	s, ok := b.recalled[e.ID]
-	if !ok || s.Born != e.Born || e.learned || s.Slowness < slownessLeast || s.Slowness > slownessMost {
+	if !ok || s.Born != e.Born || e.slowness.known() || s.Slowness < slownessLeast || s.Slowness > slownessMost {
 		return
 	}
-	e.learned, e.slowness, e.evidence = true, s.Slowness, evidenceMost
+	e.slowness = estimate{factor: s.Slowness, evidence: evidenceMost}
 }
--- a/internal/sched/board/stats.go
+++ b/internal/sched/board/stats.go
@@ -15,6 +15,9 @@
 	// Engines tells of each engine its running requests and slots, its
 	// slowness, and why it gets nothing if it does not.
 	Engines string
+	// Services tells of each service by how much its engines read slower than
+	// they decode, and its time to a first event that is no engine's work.
+	Services string
 }
 
 // Stats returns the board at the moment.
@@ -28,11 +31,17 @@
 	}
 	slices.Sort(engines)
 	s.Engines = strings.Join(engines, " ")
+	var services []string
+	for name, f := range b.families {
+		services = append(services, fmt.Sprintf("%s:%.2f+%dms", name, f.reading, f.fixed.Milliseconds()))
+	}
+	slices.Sort(services)
+	s.Services = strings.Join(services, " ")
 	return s
 }
 
 func (e *engine) describe(now time.Time) string {
-	text := fmt.Sprintf("%s:%d/%d*%.2f", e.ID, len(e.runs), e.Slots, e.slowness)
+	text := fmt.Sprintf("%s:%d/%d*%.2f", e.ID, len(e.runs), e.Slots, e.slowness.factor)
 	if others := e.others(now); others >= 1 {
 		text += fmt.Sprintf("+%.0f", others)
 	}
--- a/internal/sched/profile/profile.go
+++ b/internal/sched/profile/profile.go
@@ -38,10 +38,11 @@
 }
 
 // Gap returns the milliseconds between two events of the given number of tokens
-// while so many prompt tokens wait to be read: each step reads one chunk.
-func Gap(eventTokens, running, backlog int) float64 {
+// while so many prompt tokens wait to be read: each step reads one chunk. Reading
+// is by how much the engine is slower at it than at decoding.
+func Gap(eventTokens, running, backlog int, reading float64) float64 {
 	read := min(backlog, eventTokens*Chunk)
-	return float64(eventTokens)*StepTime(running) + float64(read)/PromptPerMs
+	return float64(eventTokens)*StepTime(running) + reading*float64(read)/PromptPerMs
 }
 
 // Decode returns the milliseconds in which the tokens are generated.
--- a/internal/trial/pattern/engine.go
+++ b/internal/trial/pattern/engine.go
@@ -28,9 +28,12 @@
 	id       string
 	slots    int
 	slowness float64
-	running  []*job
-	queue    []*job
-	down     bool
+	// reading and fixed are those of the engine's make.
+	reading float64
+	fixed   time.Duration
+	running []*job
+	queue   []*job
+	down    bool
 	// busy tells that a step is under way.
 	busy bool
 }
@@ -61,7 +64,7 @@
 		j.unread -= part
 		done := float64(j.request.prompt-j.unread) / 1000
 		before := float64(j.request.prompt-j.unread-part) / 1000
-		length += (float64(part)/profile.PromptPerMs + profile.Quadratic*(done*done-before*before)) * e.slowness
+		length += (float64(part)/profile.PromptPerMs + profile.Quadratic*(done*done-before*before)) * e.slowness * e.reading
 	}
 	took := time.Duration(length * float64(time.Millisecond))
 	return took, e.decode(now.Add(took))
@@ -78,7 +81,7 @@
 		}
 		j.made++
 		if j.made == 1 || j.made%eventTokens == 0 {
-			j.event(at)
+			j.event(at, e.fixed)
 		}
 		if j.made >= j.request.output {
 			ended = append(ended, j)
@@ -95,11 +98,11 @@
 }
 
 // event notes that an event reaches the caller.
-func (j *job) event(at time.Time) {
+func (j *job) event(at time.Time, fixed time.Duration) {
 	r := j.request
 	j.events++
 	if j.events == 1 {
-		r.first = at.Add(profile.Fixed)
+		r.first = at.Add(fixed)
 		j.eventAt = r.first
 		return
 	}
--- a/internal/trial/pattern/load.go
+++ b/internal/trial/pattern/load.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/persimmonridge/persimmonridge/internal/sched/profile"
 )
 
 // class is one kind of request of the users' sheet.
@@ -138,6 +140,27 @@
 	// LongAnswers makes this part of the top tier's answers of the greatest
 	// length, by their guess too.
 	LongAnswers float64
+	// Make is the engines' make; the zero value is the Atelier's.
+	Make Make
+}
+
+// Make is what a make of engines has that others have not.
+type Make struct {
+	// Engines is their number, Slots what each runs at once.
+	Engines, Slots int
+	// Reading is by how much they are slower at reading prompts than their
+	// decoding tells.
+	Reading float64
+	// Fixed is the time to a first event that is no engine's work.
+	Fixed time.Duration
+}
+
+// make returns the pattern's make of engines.
+func (p Pattern) make() Make {
+	if p.Make.Engines > 0 {
+		return p.Make
+	}
+	return Make{Engines: engineCount, Slots: slotCount, Reading: 1, Fixed: profile.Fixed}
 }
 
 // Patterns are the loads that the rules of choice are measured by.
@@ -153,6 +176,8 @@
 		Crashes: []Crash{{At: 4 * time.Second, For: 3 * time.Second, Share: 0.25}}},
 	{Name: "long-prompts", Story: "a tenth of the critiques is ten times as long", Length: 12 * time.Second, Scale: 0.8, LongPrompts: 0.1},
 	{Name: "long-answers", Story: "a twentieth of the critiques is of the greatest length, which slow engines cannot end in time", Length: 14 * time.Second, Scale: 0.8, LongAnswers: 0.05},
+	{Name: "other-engines", Story: "six engines with four times the slots, which read prompts half as fast and take longer to a first event", Length: 14 * time.Second, Scale: 0.5,
+		Make: Make{Engines: 6, Slots: 48, Reading: 2, Fixed: 140 * time.Millisecond}},
 	{Name: "long-burst", Story: "a class of the whole school: twice the traffic for ten seconds, and calm after it", Length: 20 * time.Second, Scale: 1,
 		Bursts: []Burst{{At: 2 * time.Second, For: 10 * time.Second, Tier: -1, Times: 2}}},
 	{Name: "overload", Story: "more than the engines can do, all the time", Length: 14 * time.Second, Scale: 1.5},
--- a/internal/trial/pattern/pattern_test.go
+++ b/internal/trial/pattern/pattern_test.go
@@ -88,6 +88,16 @@
 	requireTierOrder(t, got)
 }
 
+// Engines of another make: six with four times the slots, which read prompts
+// half as fast as their decoding tells and take twice as long to a first event.
+// Planned by what an ordinary engine does, their scheduler is no better than one
+// that plans nothing; what first events tell must make it better.
+func TestOtherEngines(t *testing.T) {
+	got, base := mean(t, "other-engines", pattern.Board), mean(t, "other-engines", pattern.Fewest)
+	require.GreaterOrEqual(t, got.Worst, base.Worst)
+	require.GreaterOrEqual(t, got.Worth, base.Worth+0.05)
+}
+
 // A whole school begins its classes at once: twice the traffic for ten seconds.
 // What cannot get a place in time is told so at once. Callers of the lowest tier
 // used to wait 320 ms of their 400 before they were refused, twice each: 35 minutes
--- a/internal/trial/pattern/play.go
+++ b/internal/trial/pattern/play.go
@@ -75,9 +75,11 @@
 func Play(p Pattern, seed uint64, policy NewPolicy) Result {
 	random := rand.New(rand.NewPCG(seed, seedStream))
 	world := &play{pattern: p}
-	for i := range engineCount {
+	kind := p.make()
+	for i := range kind.Engines {
 		world.engines = append(world.engines, &engine{
-			id: "engine-" + strconv.Itoa(i), slots: slotCount, slowness: slownesses[i%len(slownesses)],
+			id: "engine-" + strconv.Itoa(i), slots: kind.Slots, slowness: slownesses[i%len(slownesses)],
+			reading: kind.Reading, fixed: kind.Fixed,
 		})
 	}
 	world.policy = policy(world)
@@ -155,12 +157,21 @@
 	p.at(now.Add(took), func(now time.Time) {
 		for _, j := range before {
 			if j.events > 0 {
-				p.policy.started(now, e, j.request)
+				p.at(j.request.first, func(now time.Time) { p.policy.started(now, e, j.request) })
 			}
 		}
 		for _, j := range ended {
-			p.policy.ended(now, e, j.request)
+			p.at(later(now, j.request.first), func(now time.Time) { p.policy.ended(now, e, j.request) })
 		}
 		p.step(now, e)
 	})
 }
+
+// later keeps a stream's end behind its first event, which is on its way to the
+// gateway for longer than a short stream takes.
+func later(x, y time.Time) time.Time {
+	if x.Before(y) {
+		return y
+	}
+	return x
+}
