--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -148,7 +148,7 @@
 // Ask takes a request for a place.
 func (b *Board) Ask(now time.Time, a Ask) {
 	ask := &a
-	ask.arrived, ask.work = now, work(ask)
+	ask.arrived, ask.work = now, b.work(ask)
 	// A gateway has one place for a request. One that this board still counts
 	// was given back to another scheduler.
 	b.Ended(now, a.Owner, a.ID, End{Outcome: Left})
--- a/internal/sched/board/fill.go
+++ b/internal/sched/board/fill.go
@@ -72,8 +72,9 @@
 	return x.Again == y.Again && x.Tier == y.Tier && x.returned == y.returned
 }
 
-// work is the time that a request takes of an ordinary engine that is full.
-func work(a *Ask) float64 {
-	const full = 12
-	return profile.Prefill(a.Prompt, full) + profile.Decode(a.Output, full)/full
+// work is the time that a request takes of an ordinary engine of its service
+// that is full.
+func (b *Board) work(a *Ask) float64 {
+	full := max(1, b.slots(a.Service)/max(1, len(b.byService[a.Service])))
+	return profile.Prefill(a.Prompt, full) + profile.Decode(a.Output, full)/float64(full)
 }
