The board looks no further than it must

A failure share of nothing and requests of others that are none cost no exponential, the search for the least failing engine ends at one that fails nothing, and whether an engine stalls is asked last.

--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -253,6 +253,9 @@
 	least := 1.0
 	for _, e := range b.byService[service] {
 		least = min(least, e.failShare.At(now))
+		if least == 0 {
+			break
+		}
 	}
 	return least
 }
@@ -268,7 +271,7 @@
 	if running >= room || now.Before(e.avoid) || !a.allows(e) {
 		return 0, false
 	}
-	if e.failShare.At(now) > leastFailing+failMargin || e.stalled(now) {
+	if e.failShare.At(now) > leastFailing+failMargin {
 		return 0, false
 	}
 	first := e.firstEvent(now, a.Prompt)
@@ -283,7 +286,7 @@
 	if running > 0 && a.MaxGap > 0 && gap > gapPart*ms(a.MaxGap) {
 		return 0, false
 	}
-	if !b.endsInTime(now, e, a, first) {
+	if !b.endsInTime(now, e, a, first) || e.stalled(now) {
 		return 0, false
 	}
 	part := ms(first) / max(1, ms(left))
--- a/internal/sched/board/engine.go
+++ b/internal/sched/board/engine.go
@@ -112,6 +112,9 @@
 
 // others returns how many requests the engine has beyond the board's.
 func (e *engine) others(now time.Time) float64 {
+	if e.foreign == 0 {
+		return 0
+	}
 	age := now.Sub(e.foreignAt)
 	if e.split {
 		return e.foreign * math.Exp2(-age.Seconds()/foreignHalf.Seconds())
--- a/internal/sched/failure/failure.go
+++ b/internal/sched/failure/failure.go
@@ -32,6 +32,9 @@
 
 // At returns the share at the moment.
 func (s *Share) At(now time.Time) float64 {
+	if s.value == 0 {
+		return 0
+	}
 	return s.value * math.Exp2(-now.Sub(s.at).Seconds()/s.half.Seconds())
 }
 
