The gateways that would schedule next know what the scheduler learned

Cause: speeds reached the next scheduler through the store alone, at most every five seconds and not while the store was away, and what it had learned itself long ago counted more; by how much streams outrun their plan, and what a service's engines have in common, reached nobody. A new scheduler plans streams that must be over in time with the room of one that has seen none end.

The test fails without it: the store is away, the scheduler stops, and the next one knows every engine.

--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -225,6 +225,7 @@
 	group.Go(func() error { return g.peers.reportQuota(background) })
 	group.Go(func() error { return g.moves.run(background) })
 	group.Go(func() error { return g.speeds.run(background) })
+	group.Go(func() error { return (&standby{Gateway: g}).run(background) })
 	group.Go(func() error { return g.tellHeld(background) })
 	group.Go(func() error { return g.peers.register(background) })
 	group.Go(func() error { return g.follower.Run(background) })
--- a/internal/role/gateway/gateway_test.go
+++ b/internal/role/gateway/gateway_test.go
@@ -200,6 +200,27 @@
 	return outcomes
 }
 
+func (f *fleet) metrics(i int) string {
+	client := &http.Client{Transport: &http.Transport{DialContext: f.network.DialContext, DisableKeepAlives: true}}
+	response, err := client.Get(fmt.Sprintf("http://10.0.0.%d:83/metrics", i+1))
+	require.NoError(f.t, err)
+	text, err := io.ReadAll(response.Body)
+	require.NoError(f.t, err)
+	require.NoError(f.t, response.Body.Close())
+	return string(text)
+}
+
+// scheduler returns the gateway that gives out places.
+func (f *fleet) scheduler() int {
+	for i := range gateways {
+		if strings.Contains(f.metrics(i), "persimmonridge_schedules 1") {
+			return i
+		}
+	}
+	require.Fail(f.t, "nobody schedules")
+	return 0
+}
+
 // warmUp lets the scheduler learn how fast the engines are.
 func (f *fleet) warmUp() {
 	for range 4 {
@@ -392,6 +413,24 @@
 	})
 }
 
+// The store is away while engines show how fast they are, and the gateway that
+// schedules dies before it is back. The next one took all engines for ordinary
+// ones, though it had heard of each stream's place; it knows what was learned,
+// and it is what the store is told at its return.
+func TestNextSchedulerKnowsSpeedsThatTheStoreDoesNot(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.store.SetFault(standin.Silent)
+		f.warmUp()
+		bubble.Pass(3 * time.Second)
+		f.stop(f.scheduler())
+		f.store.SetFault(standin.None)
+		bubble.Pass(8 * time.Second)
+		for i := range engines {
+			require.Contains(t, f.store.Value("engine-speeds"), "engine-"+strconv.Itoa(i))
+		}
+	})
+}
+
 // Operators order another version while its upstreams start beside the old
 // ones. The gateway that schedules, and so steps the move, loses its power half
 // way. Another one carries on from what is in the store: the move is completed
@@ -423,18 +462,13 @@
 func TestMetricsTellWhatTheGatewayBelieves(t *testing.T) {
 	play(t, func(f *fleet) {
 		f.calls(engines*slots, "/old/x")
-		client := &http.Client{Transport: &http.Transport{DialContext: f.network.DialContext, DisableKeepAlives: true}}
-		response, err := client.Get("http://10.0.0.1:83/metrics")
-		require.NoError(t, err)
-		text, err := io.ReadAll(response.Body)
-		require.NoError(t, err)
-		require.NoError(t, response.Body.Close())
+		text := f.metrics(0)
 		for _, want := range []string{
 			"persimmonridge_configuration_version 1", "persimmonridge_gateways_heard 3", "persimmonridge_upstreams 4",
 			`persimmonridge_places_total{result="granted"}`, `persimmonridge_store_calls_total{call="watch",result="ok"}`,
 			`persimmonridge_requests_total{outcome="answered",tier="0"}`,
 		} {
-			require.Contains(t, string(text), want)
+			require.Contains(t, text, want)
 		}
 	})
 }
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -208,6 +208,8 @@
 		})
 	case *wire.Envelope_SnapshotAsk:
 		p.mesh.Send(peer, &wire.Envelope{Body: &wire.Envelope_Snapshot{Snapshot: p.snapshot(body.SnapshotAsk)}})
+	case *wire.Envelope_SchedulerMemory:
+		p.takeMemory(now, peer, body.SchedulerMemory)
 	case *wire.Envelope_Snapshot:
 		p.take(now, peer, body.Snapshot)
 	default:
--- a/internal/sched/board/speeds.go
+++ b/internal/sched/board/speeds.go
@@ -13,6 +13,9 @@
 	Slowness float64
 }
 
+// believable tells whether the speed is one that an engine can have.
+func (s Speed) believable() bool { return s.Slowness >= slownessLeast && s.Slowness <= slownessMost }
+
 // Speeds returns what was learned of the engines, in the order of their ids.
 func (b *Board) Speeds() []Speed {
 	var all []Speed
@@ -42,7 +45,7 @@
 
 func (b *Board) remember(e *engine) {
 	s, ok := b.recalled[e.ID]
-	if !ok || s.Born != e.Born || e.slowness.known() || s.Slowness < slownessLeast || s.Slowness > slownessMost {
+	if !ok || s.Born != e.Born || e.slowness.known() || !s.believable() {
 		return
 	}
 	e.slowness = estimate{factor: s.Slowness, evidence: evidenceMost}
--- a/internal/sched/granter/granter.go
+++ b/internal/sched/granter/granter.go
@@ -120,6 +120,20 @@
 	g.board.Recall(speeds)
 }
 
+// Memory returns what was learned.
+func (g *Granter) Memory() board.Memory {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.board.Memory()
+}
+
+// Take believes what the scheduler tells.
+func (g *Granter) Take(m board.Memory) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.board.Take(m)
+}
+
 // Ask takes a request for a place.
 func (g *Granter) Ask(a board.Ask) {
 	g.do(func(b *board.Board, now time.Time) { b.Ask(now, a) })
