--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -6,11 +6,8 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
-
-	"github.com/persimmonridge/persimmonridge/internal/sched/profile"
 )
 
 // Upstream is an engine that may get work.
@@ -25,44 +22,6 @@
 	EventTokens int
 }
 
-const (
-	// dueMargin is kept to the due moment for the ways between callers,
-	// gateways and engines.
-	dueMargin = 15 * time.Millisecond
-	// gapPart is the part of the longest allowed pause that is planned with;
-	// steps are estimates.
-	gapPart = 0.8
-	// failMargin is by how much an engine's failure share must exceed the best
-	// one's for it to be left out.
-	failMargin = 0.2
-	// lateHold is how long after its arrival a request that can no longer be
-	// in time may wait for a place that nobody else needs. Callers leave a
-	// silent stream after two seconds.
-	lateHold = 1200 * time.Millisecond
-	// lateReserve is the part of an engine's slots that late requests leave
-	// free for those that can be in time.
-	lateReserve = 0.17
-	// latePart bounds the late requests that wait, as a part of all slots:
-	// what is beyond it could not be served within lateHold.
-	latePart = 0.25
-	// saturatedAfter is how long requests must have waited without a break for
-	// the overload to count as more than a moment.
-	saturatedAfter = 250 * time.Millisecond
-	// retryLeast and retryMost bound what refused callers are told, before it is
-	// spread: no less than a crowded moment lasts, and no more than a caller
-	// with a deadline of some ten seconds may wait and still be served.
-	retryLeast = 300 * time.Millisecond
-	retryMost  = 2500 * time.Millisecond
-	// elsewhereRetry is told to callers whom another gateway can serve at once.
-	elsewhereRetry = 10 * time.Millisecond
-	// Weights of the choice among engines, in parts of all slots taken.
-	// weightFirst makes long prompts go to fast engines: it is the weight of
-	// the square of the part of the time left that the first event takes.
-	weightFirst = 1.5
-	// weightDomain is what the way to another failure domain counts.
-	weightDomain = 0.12
-)
-
 // Board is the state. It is not safe for concurrent use.
 type Board struct {
 	engines map[string]*engine
@@ -176,34 +135,6 @@
 	b.setLate(now, ask)
 }
 
-// setLate keeps a request that cannot be in time for a place that nobody else
-// needs, or refuses the least urgent one if there are too many. While all
-// places go to requests that can be in time, holding one that cannot would only
-// keep its caller from coming back at a better moment.
-func (b *Board) setLate(now time.Time, ask *Ask) {
-	if b.saturatedFor(now) > saturatedAfter {
-		b.refuse(now, ask, "no place in time, and others wait that can be")
-		return
-	}
-	at, _ := slices.BinarySearchFunc(b.late, ask, compareAsks)
-	b.late = slices.Insert(b.late, at, ask)
-	if len(b.late) > b.lateMost(ask.Service) {
-		last := b.late[len(b.late)-1]
-		b.late = b.late[:len(b.late)-1]
-		b.refuse(now, last, "too many wait")
-		return
-	}
-	if b.place(now, ask, true) {
-		b.late = slices.DeleteFunc(b.late, func(x *Ask) bool { return x == ask })
-		return
-	}
-	b.verdicts = append(b.verdicts, Verdict{Owner: ask.Owner, ID: ask.ID, Waiting: true})
-}
-
-func (b *Board) lateMost(service string) int {
-	return int(latePart * float64(b.slots(service)))
-}
-
 func (b *Board) slots(service string) int {
 	slots := 0
 	for _, e := range b.byService[service] {
@@ -212,98 +143,6 @@
 	return slots
 }
 
-// canBeInTime tells whether some engine could still give the first event in
-// time if it were idle.
-func (b *Board) canBeInTime(now time.Time, a *Ask) bool {
-	return b.quickest(now, a) <= a.Due.Sub(now)-dueMargin
-}
-
-// quickest returns how long the first event takes on the fastest engine that is
-// in use, if it is idle.
-func (b *Board) quickest(now time.Time, a *Ask) time.Duration {
-	best := time.Duration(math.MaxInt64)
-	for _, e := range b.byService[a.Service] {
-		if now.Before(e.avoid) || !a.allows(e) {
-			continue
-		}
-		best = min(best, e.alone(a.Prompt))
-	}
-	return best
-}
-
-// place grants the best engine, if there is one.
-func (b *Board) place(now time.Time, a *Ask, late bool) bool {
-	var best *engine
-	bestCost := 0.0
-	least := b.leastFailing(now, a.Service)
-	for _, e := range b.byService[a.Service] {
-		cost, ok := b.cost(now, e, a, late, least)
-		if ok && (best == nil || cost < bestCost) {
-			best, bestCost = e, cost
-		}
-	}
-	if best == nil {
-		return false
-	}
-	b.grant(now, best, a)
-	return true
-}
-
-func (b *Board) leastFailing(now time.Time, service string) float64 {
-	least := 1.0
-	for _, e := range b.byService[service] {
-		least = min(least, e.failShare.At(now))
-		if least == 0 {
-			break
-		}
-	}
-	return least
-}
-
-// cost ranks an engine for a request; the lowest is chosen. It tells whether
-// the engine may get the request at all.
-func (b *Board) cost(now time.Time, e *engine, a *Ask, late bool, leastFailing float64) (float64, bool) {
-	running := e.running(now)
-	room := e.Slots
-	if late {
-		room -= int(lateReserve*float64(e.Slots)) + 1
-	}
-	if running >= room || now.Before(e.avoid) || !a.allows(e) {
-		return 0, false
-	}
-	if e.failShare.At(now) > leastFailing+failMargin {
-		return 0, false
-	}
-	first := e.firstEvent(now, a.Prompt)
-	left := a.Due.Sub(now) - dueMargin
-	if late {
-		left = a.Until.Sub(now) / 2
-	}
-	if first > left {
-		return 0, false
-	}
-	gap := profile.Gap(max(1, e.EventTokens), running+1, e.backlog+a.Prompt, e.kind.reading) * e.slowness.factor
-	if running > 0 && a.MaxGap > 0 && gap > gapPart*ms(a.MaxGap) {
-		return 0, false
-	}
-	if !b.endsInTime(now, e, a, first) || e.stalled(now) {
-		return 0, false
-	}
-	part := ms(first) / max(1, ms(left))
-	cost := float64(running)/float64(e.Slots) + weightFirst*part*part
-	if e.Domain != a.Domain {
-		cost += weightDomain
-	}
-	return cost, true
-}
-
-func (b *Board) grant(now time.Time, e *engine, a *Ask) {
-	r := &run{owner: a.Owner, id: a.ID, prompt: a.Prompt, output: a.Output, granted: now}
-	e.grant(now, r)
-	b.byRun[key(a.Owner, a.ID)] = e
-	b.verdicts = append(b.verdicts, Verdict{Owner: a.Owner, ID: a.ID, Upstream: e.ID})
-}
-
 // Started notes a run's first event, and how many requests its engine said it
 // has, or -1.
 func (b *Board) Started(now time.Time, owner, id string, reported int) {
--- a/internal/sched/board/refusals.go
+++ b/internal/sched/board/refusals.go
@@ -5,6 +5,19 @@
 	"time"
 )
 
+const (
+	// saturatedAfter is how long requests must have waited without a break for
+	// the overload to count as more than a moment.
+	saturatedAfter = 250 * time.Millisecond
+	// retryLeast and retryMost bound what refused callers are told, before it is
+	// spread: no less than a crowded moment lasts, and no more than a caller
+	// with a deadline of some ten seconds may wait and still be served.
+	retryLeast = 300 * time.Millisecond
+	retryMost  = 2500 * time.Millisecond
+	// elsewhereRetry is told to callers whom another gateway can serve at once.
+	elsewhereRetry = 10 * time.Millisecond
+)
+
 // returnWithin is how long a refused request is remembered: callers come back
 // within a third of the time they have left, five seconds at most.
 const returnWithin = 8 * time.Second
--- a/internal/trial/soak/fault_test.go
+++ b/internal/trial/soak/fault_test.go
@@ -41,7 +41,7 @@
 
 // themes are groups of makers; a seed draws some of them.
 var themes = [][]maker{
-	{{"kill", kill}, {"stop", stop}, {"freeze", freeze}, {"settings", settings}, {"herd", herd}},
+	{{"kill", kill}, {"stop", stop}, {"stop-series", stopSeries}, {"freeze", freeze}, {"settings", settings}, {"herd", herd}},
 	{{"store", storeFault}, {"store-link", storeLink}},
 	{{"crash", crash}, {"leave", leave}, {"sick", sick}, {"upstream-link", upstreamLink}},
 	{{"config", configure}},
@@ -66,6 +66,18 @@
 	<-time.After(between(r, 100*time.Millisecond, grace))
 }
 
+// stopSeries tells all gateways to stop, one shortly after the other, so that for
+// some seconds none is ready.
+func stopSeries(w *world, r *rand.Rand) {
+	defer w.fault("stop", all, false, false)()
+	gap := between(r, 10*time.Millisecond, 1500*time.Millisecond)
+	for _, i := range r.Perm(gateways) {
+		w.processes[i].signal(syscall.SIGTERM)
+		<-time.After(gap)
+	}
+	<-time.After(grace)
+}
+
 func freeze(w *world, r *rand.Rand) {
 	i := r.IntN(gateways)
 	defer w.fault("freeze", i, false, false)()
