--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -85,9 +85,9 @@
 
 // start is the part of a workspace's burst that new processes together believe
 // to be left. They do not know what was used before they started. What passes is
-// never more than what was refilled while nothing ran and what may be exceeded.
-// A fixed part of 0.4 refused some hundred callers in the second after a restart
-// of all, of a day's 12,000, below their quotas.
+// never more than what was refilled while nothing ran and what may be exceeded;
+// with less, callers below their quotas are refused in the second after a restart
+// of all.
 func (o Options) start(w *catalog.Workspace) float64 {
 	refilled := w.PerSecond * restartPause.Seconds()
 	exceeded := o.Over * (w.PerSecond*o.Window.Seconds() + w.Burst)
--- a/internal/sched/board/pace.go
+++ b/internal/sched/board/pace.go
@@ -62,8 +62,7 @@
 // hopeless tells whether a request would wait in vain: at the pace at which its
 // rank gets places, those that go before it take longer than it can wait. To
 // tell its caller at once spares a wait of three quarters of its objective, and
-// it may come back so much earlier. Measured on a day of which half is
-// overloaded: refused callers of the lowest tier had waited 320 ms of 400.
+// it may come back so much earlier.
 func (b *Board) hopeless(now time.Time, a *Ask) bool {
 	if a.Again || b.saturatedFor(now) < saturatedAfter {
 		return false
--- a/internal/sched/board/speeds.go
+++ b/internal/sched/board/speeds.go
@@ -30,9 +30,8 @@
 
 // Recall takes what another scheduler learned. A scheduler that knows no speeds
 // takes all engines for ordinary ones, and gives those that are a third as fast
-// streams that they cannot end before the caller's deadline: of the streams
-// begun in the first two seconds of a heavy day, one in thirteen was cut so.
-// What this board learned itself counts more.
+// streams that they cannot end before the caller's deadline. What this board
+// learned itself counts more.
 func (b *Board) Recall(speeds []Speed) {
 	b.recalled = make(map[string]Speed, len(speeds))
 	for _, s := range speeds {
--- a/internal/sched/failure/failure.go
+++ b/internal/sched/failure/failure.go
@@ -10,8 +10,8 @@
 // brokenApart is the span in which connections that break count as one failure.
 // A network that resets what is open, like an engine that starts anew, ends some
 // ten streams in one millisecond, and they say no more of the upstream than one
-// of them. Taken one by one, they left seven of 18 sound engines idle for two
-// seconds while callers were refused.
+// of them. Taken one by one, they would leave sound engines idle while callers
+// are refused.
 const brokenApart = 150 * time.Millisecond
 
 // Share is a failure share. It halves with time, so that an upstream that was
--- a/internal/sched/profile/profile.go
+++ b/internal/sched/profile/profile.go
@@ -5,9 +5,8 @@
 
 import "time"
 
-// Figures of an engine of ordinary speed. Step, StepPerRun and PromptPerMs are
-// stated by the users' sheet. Fixed, Chunk and Quadratic were fitted to 550
-// first events on idle engines of three speeds: the residual is 1 to 4 ms.
+// Figures of an engine of ordinary speed. What engines of another make do
+// otherwise, a scheduler learns.
 const (
 	// Step is a decoding step of an idle batch, in milliseconds, and
 	// StepPerRun what each running request adds.
