--- a/internal/sched/board/ask.go
+++ b/internal/sched/board/ask.go
@@ -31,8 +31,6 @@
 
 	arrived  time.Time
 	giveUpAt time.Time
-	// work is the time that the request takes of an ordinary engine that is full.
-	work float64
 	// returned asks were refused before. Their answers are late already, so
 	// they go behind those of their tier that can be in time.
 	returned bool
--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -46,8 +46,6 @@
 	// families are what the engines of a service have in common.
 	families map[string]*family
 	tidied   time.Time
-	// turns counts the places given to requests that waited.
-	turns int
 }
 
 // New returns an empty board.
@@ -107,7 +105,7 @@
 // Ask takes a request for a place.
 func (b *Board) Ask(now time.Time, a Ask) {
 	ask := &a
-	ask.arrived, ask.work = now, b.work(ask)
+	ask.arrived = now
 	// A gateway has one place for a request. One that this board still counts
 	// was given back to another scheduler.
 	b.Ended(now, a.Owner, a.ID, End{Outcome: Left})
--- a/internal/sched/board/pace.go
+++ b/internal/sched/board/pace.go
@@ -11,8 +11,8 @@
 	// shows within it.
 	paceHalf = 400 * time.Millisecond
 	// patience is by how much the wait that is to be expected may exceed the
-	// time that is left. Shorter requests overtake longer ones and places come
-	// free unevenly, so the expectation is off by half either way.
+	// time that is left. Places come free unevenly, so the expectation is off by
+	// half either way.
 	patience = 1.5
 	// alwaysWait is the part of a service's slots for which requests of a rank
 	// may wait whatever the pace. Places that come free all at once, when a burst
@@ -79,11 +79,11 @@
 	return float64(before) > patience*perSecond*left.Seconds()
 }
 
-// before counts the waiting requests of the same rank that take less work.
+// before counts the waiting requests of the same rank that are due no later.
 func (b *Board) before(a *Ask) int {
 	count := 0
 	for _, other := range b.waiting {
-		if !other.Again && rankOf(other) == rankOf(a) && other.work <= a.work {
+		if !other.Again && rankOf(other) == rankOf(a) && !other.Due.After(a.Due) {
 			count++
 		}
 	}
