--- a/internal/role/gateway/peers_internal_test.go
+++ b/internal/role/gateway/peers_internal_test.go
@@ -3,12 +3,14 @@
 import (
 	"log/slog"
 	"net"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
+	"github.com/persimmonridge/persimmonridge/internal/sched/board"
 	"github.com/persimmonridge/persimmonridge/internal/state/kv"
 )
 
@@ -39,3 +41,33 @@
 	}
 	require.Equal(t, int64(2), g.peers.rank)
 }
+
+// A fleet has more engines than one message to the next scheduler holds. None of
+// them may be left out for good.
+func TestStandbyIsToldOfAllEnginesInTurn(t *testing.T) {
+	var memory board.Memory
+	for i := range 3*standbyEngines - 5 {
+		memory.Speeds = append(memory.Speeds, board.Speed{ID: strconv.Itoa(i), Slowness: 1})
+	}
+	s := &standby{}
+	told := make(map[string]bool)
+	for range 3 {
+		part := s.part(memory)
+		require.LessOrEqual(t, len(part.Speeds), standbyEngines)
+		for _, speed := range part.Speeds {
+			told[speed.ID] = true
+		}
+	}
+	require.Len(t, told, len(memory.Speeds))
+}
+
+// Gateways that are told to stop within a moment of each other must agree on who
+// schedules: a ready one before one that stops, then the one of lowest rank.
+func TestReadyGatewaySchedulesBeforeOneThatStops(t *testing.T) {
+	stopping, ready, none := candidate{"a", 1, true}, candidate{"b", 9, false}, candidate{}
+	require.True(t, ready.before(stopping))
+	require.False(t, stopping.before(ready))
+	require.True(t, stopping.before(none))
+	require.True(t, candidate{"a", 1, true}.before(candidate{"b", 2, true}))
+	require.True(t, candidate{"a", 1, true}.before(candidate{"b", 1, true}))
+}
--- a/internal/sched/board/engine.go
+++ b/internal/sched/board/engine.go
@@ -59,7 +59,7 @@
 	// slowness scales the times of an ordinary engine, and reading those of
 	// prompts besides.
 	slowness estimate
-	kind     *family
+	family   *family
 	runs     map[string]*run
 	// grants counts the places given.
 	grants int
@@ -88,9 +88,9 @@
 	split     bool
 }
 
-func newEngine(now time.Time, u Upstream, kind *family) *engine {
+func newEngine(now time.Time, u Upstream, family *family) *engine {
 	e := &engine{
-		Upstream: u, slowness: estimate{factor: 1}, kind: kind, runs: make(map[string]*run), areaAt: now, readUntil: now,
+		Upstream: u, slowness: estimate{factor: 1}, family: family, runs: make(map[string]*run), areaAt: now, readUntil: now,
 		failShare: failure.New(failWeight, failHalf),
 	}
 	return e
@@ -152,13 +152,13 @@
 func (e *engine) firstEvent(now time.Time, prompt int) time.Duration {
 	running := e.running(now)
 	step := fromMs(profile.StepTime(running+1) * e.slowness.factor)
-	return e.kind.fixed + e.wait(now) + e.readTime(profile.Prefill(prompt, running)) + step
+	return e.family.fixed + e.wait(now) + e.readTime(profile.Prefill(prompt, running)) + step
 }
 
 // alone returns how long a prompt's first event takes if the engine is idle.
 func (e *engine) alone(prompt int) time.Duration {
 	step := fromMs(profile.StepTime(1) * e.slowness.factor)
-	return e.kind.fixed + e.readTime(profile.Prefill(prompt, 1)) + step
+	return e.family.fixed + e.readTime(profile.Prefill(prompt, 1)) + step
 }
 
 // decode returns how long the full engine takes to generate the tokens.
--- a/internal/sched/board/learned.go
+++ b/internal/sched/board/learned.go
@@ -72,13 +72,13 @@
 
 // see takes by how much a first event was later than expected. The heavier the
 // prompt, the more of it is put down to the reading.
-func (m *family) see(off, read time.Duration, heavy float64) {
-	m.seen++
-	weight := min(max(1/float64(m.seen), firstLeast), firstMost)
-	m.reading *= 1 + weight*heavy*bounded(ms(off)/max(1, ms(read)), readOff)
-	m.reading = min(max(m.reading, readingLeast), readingMost)
-	m.fixed += fromMs(weight * (1 - heavy) * bounded(ms(off), fixedOff))
-	m.fixed = min(max(0, m.fixed), fixedMost)
+func (f *family) see(off, read time.Duration, heavy float64) {
+	f.seen++
+	weight := min(max(1/float64(f.seen), firstLeast), firstMost)
+	f.reading *= 1 + weight*heavy*bounded(ms(off)/max(1, ms(read)), readOff)
+	f.reading = min(max(f.reading, readingLeast), readingMost)
+	f.fixed += fromMs(weight * (1 - heavy) * bounded(ms(off), fixedOff))
+	f.fixed = min(max(0, f.fixed), fixedMost)
 }
 
 // learnStream takes how long a stream's tokens took.
@@ -90,7 +90,7 @@
 	e.account(now)
 	beside := (e.runsArea - r.runsBefore) / lived
 	decoded := float64(tokens) * (profile.Step + profile.StepPerRun*beside)
-	ordinary := decoded + (e.readUnits-r.readBefore)*e.kind.reading
+	ordinary := decoded + (e.readUnits-r.readBefore)*e.family.reading
 	weight := decoded / ordinary * float64(tokens) / float64(tokens+learnLong)
 	e.slowness.see(ms(took)/ordinary, weight)
 }
@@ -105,8 +105,8 @@
 	}
 	read := e.readTime(r.units)
 	step := fromMs(profile.StepTime(len(e.runs)) * e.slowness.factor)
-	off := now.Sub(r.granted) - e.kind.fixed - step - read
-	e.kind.see(off, read, r.units/(r.units+learnRead))
+	off := now.Sub(r.granted) - e.family.fixed - step - read
+	e.family.see(off, read, r.units/(r.units+learnRead))
 }
 
 // bounded keeps one odd first event from moving an estimate by more than many
@@ -116,5 +116,5 @@
 // readTime is how long the engine reads what an ordinary one reads in so many
 // milliseconds.
 func (e *engine) readTime(units float64) time.Duration {
-	return fromMs(units * e.slowness.factor * e.kind.reading)
+	return fromMs(units * e.slowness.factor * e.family.reading)
 }
--- a/internal/sched/board/place.go
+++ b/internal/sched/board/place.go
@@ -95,7 +95,7 @@
 	if first > left {
 		return 0, false
 	}
-	gap := profile.Gap(max(1, e.EventTokens), running+1, e.backlog+a.Prompt, e.kind.reading) * e.slowness.factor
+	gap := profile.Gap(max(1, e.EventTokens), running+1, e.backlog+a.Prompt, e.family.reading) * e.slowness.factor
 	if running > 0 && a.MaxGap > 0 && gap > gapPart*ms(a.MaxGap) {
 		return 0, false
 	}
