Gateways that hear no sums keep to their part of each quota

Cause: nine of 21 gateways are cut off from all others while a workspace sends seven times its usual. For a second each went on without holding back, and then used up all that it believed the fleet had left.

Change: sums that are overdue for two reports make a gateway hold back to its part; after four (400 ms, before a second) what is left is divided.

--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -26,7 +26,7 @@
 	smallestPart = 0.01
 	// silentAfter is how long sums may stay away before a gateway falls back to
 	// its even part of each quota; they come ten times a second.
-	silentAfter = time.Second
+	silentAfter = 400 * time.Millisecond
 	// unseen is how much use of peers may not be known here yet: a report's
 	// interval and its way. While the bucket is low, an entry takes no more
 	// than its part of what is left in that time.
@@ -48,6 +48,8 @@
 	recentFrom time.Time
 	// charged is what others used that the level lacks already.
 	charged float64
+	// alone tells that the level is this gateway's part, because it hears no sums.
+	alone bool
 }
 
 // Keeper holds the buckets. It is safe for concurrent use.
@@ -118,9 +120,21 @@
 		b.last = now
 	}
 	b.level = min(b.level, w.Burst)
+	k.leaveOthersTheirPart(now, b)
 	return b
 }
 
+// leaveOthersTheirPart keeps a gateway that hears no sums to its part of what was
+// left when it heard the last. Those that are cut off from each other would each
+// use up all of it, and the workspace get it as often as there are such gateways.
+func (k *Keeper) leaveOthersTheirPart(now time.Time, b *bucket) {
+	silent := !k.heard.IsZero() && now.Sub(k.heard) > silentAfter
+	if silent && !b.alone {
+		b.level = min(b.level, b.level/float64(max(1, k.known())))
+	}
+	b.alone = silent
+}
+
 // firstLevel is the level of a bucket that was not used here before: an even part
 // or, shortly after a restart of all that share it, what the others left. Later on
 // the others' use is long since refilled, and says nothing of what is left.
@@ -168,7 +182,7 @@
 	if now.Sub(b.recentFrom) > unseen {
 		b.recent, b.recentFrom = 0, now
 	}
-	if b.level < need || !k.withinPart(b, w) {
+	if b.level < need || !k.withinPart(now, b, w) {
 		wait := time.Duration((need - b.level) / w.PerSecond * float64(time.Second))
 		return false, min(max(wait, retryLeast), retryMost)
 	}
@@ -189,13 +203,18 @@
 // withinPart bounds what one gateway takes between two reports: all together
 // must not take more than the bucket holds before they hear of each other. A
 // single request always fits.
-func (k *Keeper) withinPart(b *bucket, w *catalog.Workspace) bool {
-	if b.level > w.Burst/2 {
+func (k *Keeper) withinPart(now time.Time, b *bucket, w *catalog.Workspace) bool {
+	overdue := !k.heard.IsZero() && now.Sub(k.heard) > unseen
+	if b.level > w.Burst/2 && !overdue {
 		return true
 	}
 	known := float64(max(1, k.known()))
 	// The level already lacks what was taken here since the last reports.
-	return b.recent <= 2*(b.level+b.recent)/known+w.PerSecond*unseen.Seconds()/known
+	part := (b.level + b.recent) / known
+	if !overdue {
+		part *= 2
+	}
+	return b.recent <= part+w.PerSecond*unseen.Seconds()/known
 }
 
 // Return gives back what a request that has not run took.
--- a/internal/limit/quota/quota_test.go
+++ b/internal/limit/quota/quota_test.go
@@ -256,3 +256,25 @@
 	ok, _ := f.keepers[1].Take(start.Add(time.Minute), w, cost)
 	require.True(t, ok)
 }
+
+// One workspace sends many times its quota when nine of 21 gateways are cut off
+// from all others. Each of the nine went on to use up what it believed the whole
+// fleet had left, and the workspace got more than the platform allows.
+func TestGatewaysThatAreCutOffUseTheirPartOnly(t *testing.T) {
+	const size, cutOff, cost = 21, 9, 4000.0
+	w := &catalog.Workspace{Name: "hot", PerSecond: 640_000, Burst: 640_000, ByTokens: true}
+	allowed := (w.PerSecond*window.Seconds()+w.Burst)*(1+over) + slack
+	for _, before := range []time.Duration{0, 200 * time.Millisecond, 400 * time.Millisecond, 2 * time.Second} {
+		f := newFleet(start, size, true)
+		calm := 0.6 * w.PerSecond / cost / size
+		f.play(start, 4*time.Second, w, calm, cost)
+		pressed := 7 * calm
+		from := start.Add(4 * time.Second)
+		taken := f.play(from, before, w, pressed, cost)
+		for i := range cutOff {
+			f.cut[i] = true
+		}
+		taken += f.play(from.Add(before), window-before, w, pressed, cost)
+		require.LessOrEqual(t, taken, allowed, "pressed for %s before the cut", before)
+	}
+}
