--- a/internal/role/gateway/gateway_test.go
+++ b/internal/role/gateway/gateway_test.go
@@ -38,6 +38,7 @@
 	network *network.Network
 	store   *standin.Store
 	cancel  []context.CancelFunc
+	stopped []*sync.Once
 	done    []chan error
 	servers []*http.Server
 
@@ -123,6 +124,7 @@
 func (f *fleet) start(i int) {
 	ctx, cancel := context.WithCancel(f.t.Context())
 	f.cancel = append(f.cancel, cancel)
+	f.stopped = append(f.stopped, &sync.Once{})
 	f.done = append(f.done, make(chan error, 1))
 	settings := gateway.Settings{
 		Name: "gateway-" + strconv.Itoa(i), Domain: "a", Callers: callersAt(i), Links: linksAt(i),
@@ -140,13 +142,13 @@
 	go func() { f.done[i] <- g.Run(ctx) }()
 }
 
+// stop ends a gateway in order and waits for its end; a test may have begun it
+// beside itself.
 func (f *fleet) stop(i int) {
-	if f.cancel[i] == nil {
-		return
-	}
-	f.cancel[i]()
-	require.NoError(f.t, <-f.done[i])
-	f.cancel[i] = nil
+	f.stopped[i].Do(func() {
+		f.cancel[i]()
+		require.NoError(f.t, <-f.done[i])
+	})
 }
 
 // outcome is what a caller saw.
