One copy of each: what is known of a service, who may schedule, when to come back

Read again as a whole, no change of behaviour: - what was learned of a service stands in one place (family holds the overrun), and planning a stream's end needs no board any more; - the time that a request can spare is worked out once a decision, not twice over all engines; without an engine in use it cannot run over (a test); - "another gateway takes it at once" has one constant, in flow, where three were; - the scheduler and its standbys are chosen from one list by one order; - a peer's last word is noted by a function of its own, a believed speed as well; - granter.Speeds stood beside Memory; the quota's two questions after overdue sums are one; Pattern.make hid a builtin.

--- a/internal/edge/flow/ending.go
+++ b/internal/edge/flow/ending.go
@@ -21,7 +21,11 @@
 		u.giveUp(err.Error())
 		return
 	}
-	u.refuse(http.StatusServiceUnavailable, RetryAfter(err), err.Error())
+	retryAfter := RetryAfter(err)
+	if retryAfter == 0 && u.stop.underWay() {
+		retryAfter = leavingRetry
+	}
+	u.refuse(http.StatusServiceUnavailable, retryAfter, err.Error())
 }
 
 // expire ends a request whose time is over or whose caller left.
@@ -95,7 +99,8 @@
 }
 
 // outcomeAnswered is the outcome of a request that got an upstream's success,
-// outcomeLeft that of one whose caller did not wait for its end.
+// outcomeLeft that of one whose caller did not wait for its end, and outcomeCut
+// that of one which this process's end cut.
 const (
 	outcomeAnswered = "answered"
 	outcomeLeft     = "caller left"
--- a/internal/edge/flow/stopping.go
+++ b/internal/edge/flow/stopping.go
@@ -11,7 +11,8 @@
 	// new callers here. What comes later is refused if it may outlast the
 	// process: its caller would have half an answer.
 	takeAllFor = 2 * time.Second
-	// leavingRetry is told to those; another process takes them at once.
+	// leavingRetry is told to those, and to callers of streams that no engine
+	// would end before the process does; another process takes them at once.
 	leavingRetry = 10 * time.Millisecond
 )
 
@@ -36,12 +37,15 @@
 // knows the engines. To measure it by its route's time instead would refuse
 // nearly every stream beside free engines, since that is some ten times as long.
 func (u *run) fits() bool {
-	if u.stop.end.IsZero() || u.measured() {
+	if !u.stop.underWay() || u.measured() {
 		return true
 	}
 	return u.stop.early(u.arrived) || !u.until.After(u.stop.end)
 }
 
+func (s stopping) underWay() bool { return !s.end.IsZero() }
+
+// early tells whether the balancer may not have noticed the stop yet.
 func (s stopping) early(arrived time.Time) bool { return arrived.Sub(s.since) <= takeAllFor }
 
 // measured tells whether the length of the generation is known well enough to
@@ -52,7 +56,7 @@
 
 // planEnd makes the ask say that the process ends before the caller's time does.
 func (u *run) planEnd(a *Ask) {
-	if u.stop.end.IsZero() || !u.measured() || !u.stop.end.Before(a.Until) {
+	if !u.stop.underWay() || !u.measured() || !u.stop.end.Before(a.Until) {
 		return
 	}
 	a.Until, a.Ending = u.stop.end, EndSure
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -289,25 +289,23 @@
 		m.mu.Unlock()
 		return
 	}
+	if g.Gone {
+		first := p.ended(from, g.Run)
+		m.mu.Unlock()
+		if first {
+			m.logger.Info("peer gone", "peer", from.node, "run", g.Run)
+			m.handler.Down(now, from.node)
+		}
+		return
+	}
 	restarted := p.Run != 0 && p.Run != g.Run
 	returned := p.down || p.Run == 0
 	p.Peer = Peer{
 		Node: from.node, Address: from.address, Run: g.Run, Rank: g.Rank,
 		Ready: g.Ready, Leaving: g.Leaving, Heard: now, HearsUs: g.HearsYou,
 	}
-	known := p.gone && !restarted
-	p.down, p.gone = false, g.Gone
-	if g.Gone {
-		p.down, p.Heard = true, time.Time{}
-	}
+	p.down, p.gone = false, false
 	m.mu.Unlock()
-	if g.Gone {
-		if !known {
-			m.logger.Info("peer gone", "peer", from.node, "run", g.Run)
-			m.handler.Down(now, from.node)
-		}
-		return
-	}
 	if restarted {
 		m.handler.Down(now, from.node)
 	}
@@ -317,6 +315,15 @@
 	m.handler.Heard(now, from.node, g)
 }
 
+// ended notes that the peer said that its process ends. It tells whether that is
+// new, since the last word may come several times.
+func (p *peer) ended(from sender, run uint64) bool {
+	first := !p.gone || p.Run != run
+	p.Peer = Peer{Node: from.node, Address: from.address, Run: run}
+	p.down, p.gone = true, true
+	return first
+}
+
 // Peers returns what is known of the other gateways.
 func (m *Mesh) Peers() []Peer {
 	m.mu.Lock()
--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -128,13 +128,18 @@
 // left when it heard the last. Those that are cut off from each other would each
 // use up all of it, and the workspace get it as often as there are such gateways.
 func (k *Keeper) leaveOthersTheirPart(now time.Time, b *bucket) {
-	silent := !k.heard.IsZero() && now.Sub(k.heard) > silentAfter
+	silent := k.missed(now, silentAfter)
 	if silent && !b.alone {
 		b.level = min(b.level, b.level/float64(max(1, k.known())))
 	}
 	b.alone = silent
 }
 
+// missed tells whether the last sums are longer ago, if there ever were any.
+func (k *Keeper) missed(now time.Time, after time.Duration) bool {
+	return !k.heard.IsZero() && now.Sub(k.heard) > after
+}
+
 // firstLevel is the level of a bucket that was not used here before: an even part
 // or, shortly after a restart of all that share it, what the others left. Later on
 // the others' use is long since refilled, and says nothing of what is left.
@@ -204,7 +209,7 @@
 // must not take more than the bucket holds before they hear of each other. A
 // single request always fits.
 func (k *Keeper) withinPart(now time.Time, b *bucket, w *catalog.Workspace) bool {
-	overdue := !k.heard.IsZero() && now.Sub(k.heard) > unseen
+	overdue := k.missed(now, unseen)
 	if b.level > w.Burst/2 && !overdue {
 		return true
 	}
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -266,18 +266,25 @@
 		best = candidate{node: p.settings.Name, rank: p.rank, leaving: p.stopping()}
 		p.mu.Unlock()
 	}
-	for _, other := range p.mesh.Alive(now) {
-		if !other.Ready || !other.HearsUs {
-			continue
-		}
-		next := candidate{node: other.Node, rank: other.Rank, leaving: other.Leaving}
-		if next.before(best) {
-			best = next
+	for _, other := range p.candidates(now) {
+		if other.before(best) {
+			best = other
 		}
 	}
 	return best.node
 }
 
+// candidates returns the other gateways that may schedule.
+func (p *peers) candidates(now time.Time) []candidate {
+	var all []candidate
+	for _, other := range p.mesh.Alive(now) {
+		if other.Ready && other.HearsUs {
+			all = append(all, candidate{node: other.Node, rank: other.Rank, leaving: other.Leaving})
+		}
+	}
+	return all
+}
+
 // candidate is a gateway that may schedule; without a node it is none.
 type candidate struct {
 	node    string
@@ -285,11 +292,17 @@
 	leaving bool
 }
 
-func (c candidate) before(other candidate) bool {
-	if other.node == "" || c.leaving != other.leaving {
-		return other.node == "" || other.leaving
+// before tells whether the gateway schedules rather than the other.
+func (c candidate) before(other candidate) bool { return other.node == "" || c.compare(other) < 0 }
+
+func (c candidate) compare(other candidate) int {
+	if c.leaving != other.leaving {
+		if other.leaving {
+			return -1
+		}
+		return 1
 	}
-	return cmp.Or(cmp.Compare(c.rank, other.rank), cmp.Compare(c.node, other.node)) < 0
+	return cmp.Or(cmp.Compare(c.rank, other.rank), cmp.Compare(c.node, other.node))
 }
 
 // deliver hands a verdict to the gateway that asked.
--- a/internal/role/gateway/speeds.go
+++ b/internal/role/gateway/speeds.go
@@ -101,7 +101,7 @@
 // gateways that both take themselves to schedule may write by turns: each wrote
 // what it measured, and either is better than nothing.
 func (s *speeds) write(ctx context.Context) bool {
-	learned := s.granter.Speeds()
+	learned := s.granter.Memory().Speeds
 	s.mu.Lock()
 	worth := worthWriting(s.stored, learned)
 	s.mu.Unlock()
--- a/internal/role/gateway/standby.go
+++ b/internal/role/gateway/standby.go
@@ -67,18 +67,8 @@
 // successors returns the gateways that would schedule next, the first of them
 // first.
 func (p *peers) successors(now time.Time) []string {
-	var next []candidate
-	for _, other := range p.mesh.Alive(now) {
-		if other.Ready && other.HearsUs {
-			next = append(next, candidate{node: other.Node, rank: other.Rank, leaving: other.Leaving})
-		}
-	}
-	slices.SortFunc(next, func(x, y candidate) int {
-		if x.before(y) {
-			return -1
-		}
-		return 1
-	})
+	next := p.candidates(now)
+	slices.SortFunc(next, candidate.compare)
 	nodes := make([]string, 0, standbys)
 	for _, c := range next[:min(standbys, len(next))] {
 		nodes = append(nodes, c.node)
--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -41,8 +41,6 @@
 	recalled map[string]Speed
 	// paces tell how often waiting requests of a rank got a place.
 	paces map[rank]*pace
-	// overruns tell how far streams of a service outran their plan.
-	overruns map[string]*overrun
 	// families are what the engines of a service have in common.
 	families map[string]*family
 	tidied   time.Time
@@ -50,7 +48,10 @@
 
 // New returns an empty board.
 func New() *Board {
-	return &Board{engines: make(map[string]*engine), byService: make(map[string][]*engine), byRun: make(map[string]*engine), refusals: make(refusals), paces: make(map[rank]*pace), overruns: make(map[string]*overrun), families: make(map[string]*family)}
+	return &Board{
+		engines: make(map[string]*engine), byService: make(map[string][]*engine), byRun: make(map[string]*engine),
+		refusals: make(refusals), recalled: make(map[string]Speed), paces: make(map[rank]*pace), families: make(map[string]*family),
+	}
 }
 
 // SetUpstreams takes the engines that may get work. One that started anew
@@ -116,12 +117,12 @@
 	}
 	if !b.canEnd(now, ask) {
 		b.verdicts = append(b.verdicts, Verdict{
-			Owner: ask.Owner, ID: ask.ID, RetryAfter: elsewhereRetry, Why: "its gateway stops before an engine could end it",
+			Owner: ask.Owner, ID: ask.ID, Why: "its gateway stops before an engine could end it",
 		})
 		return
 	}
-	if b.canBeInTime(now, ask) {
-		if b.hopeless(now, ask) {
+	if spare := b.spare(now, ask); spare >= 0 {
+		if b.hopeless(now, ask, spare) {
 			b.refuse(now, ask, "more wait before it than get a place in time")
 			return
 		}
@@ -172,7 +173,7 @@
 		return
 	}
 	if end.Outcome == Answered && r.started {
-		b.noteOverrun(e, r, end.Stream)
+		e.learnOverrun(r, end.Stream)
 		e.learnStream(now, r, end.Stream, end.Tokens)
 	}
 	e.end(now, k, r)
@@ -224,7 +225,7 @@
 	}
 	var turned []*Ask
 	b.waiting = slices.DeleteFunc(b.waiting, func(a *Ask) bool {
-		if b.canBeInTime(now, a) {
+		if b.spare(now, a) >= 0 {
 			return false
 		}
 		turned = append(turned, a)
--- a/internal/sched/board/engine.go
+++ b/internal/sched/board/engine.go
@@ -89,11 +89,10 @@
 }
 
 func newEngine(now time.Time, u Upstream, family *family) *engine {
-	e := &engine{
+	return &engine{
 		Upstream: u, slowness: estimate{factor: 1}, family: family, runs: make(map[string]*run), areaAt: now, readUntil: now,
 		failShare: failure.New(failWeight, failHalf),
 	}
-	return e
 }
 
 // account advances the integral of running requests.
--- a/internal/sched/board/learned.go
+++ b/internal/sched/board/learned.go
@@ -60,12 +60,14 @@
 }
 
 // family is what the engines of a service have in common, whatever their speed: by
-// how much reading is slower than decoding tells, and the time to a first event
-// that is no engine's work.
+// how much reading is slower than decoding tells, the time to a first event that
+// is no engine's work, and how far streams outrun their plan.
 type family struct {
 	reading float64
 	fixed   time.Duration
+	// seen counts the first events that these two were learned from.
 	seen    int
+	overrun overrun
 }
 
 func newFamily() *family { return &family{reading: 1, fixed: profile.Fixed} }
--- a/internal/sched/board/memory.go
+++ b/internal/sched/board/memory.go
@@ -29,8 +29,8 @@
 	m := Memory{Speeds: b.Speeds()}
 	for name, f := range b.families {
 		s := ServiceMemory{Name: name, Reading: f.reading, Fixed: f.fixed}
-		if o := b.overruns[name]; o != nil {
-			s.Overrun = o.ratio()
+		if f.overrun.known {
+			s.Overrun = f.overrun.ratio()
 		}
 		m.Services = append(m.Services, s)
 	}
@@ -42,13 +42,10 @@
 // Without it the next scheduler plans streams that must end in time with the
 // room of one that has seen none end, and with speeds of when it scheduled last.
 func (b *Board) Take(m Memory) {
-	if b.recalled == nil {
-		b.recalled = make(map[string]Speed)
-	}
 	for _, s := range m.Speeds {
 		b.recalled[s.ID] = s
-		if e := b.engines[s.ID]; e != nil && e.Born == s.Born && s.believable() {
-			e.slowness = estimate{factor: s.Slowness, evidence: evidenceMost}
+		if e := b.engines[s.ID]; e != nil {
+			e.believe(s)
 		}
 	}
 	for _, s := range m.Services {
@@ -57,7 +54,7 @@
 		f.fixed = min(max(s.Fixed, 0), fixedMost)
 		f.seen = max(f.seen, takenAs)
 		if s.Overrun >= overrunLeast {
-			b.overruns[s.Name] = &overrun{log: math.Log(min(s.Overrun, overrunMost)), known: true}
+			f.overrun = overrun{log: math.Log(min(s.Overrun, overrunMost)), known: true}
 		}
 	}
 }
--- a/internal/sched/board/overrun.go
+++ b/internal/sched/board/overrun.go
@@ -67,31 +67,21 @@
 	return math.Exp(o.log)
 }
 
-// noteOverrun takes the time of a stream that ended well.
-func (b *Board) noteOverrun(e *engine, r *run, took time.Duration) {
-	if !e.slowness.known() || r.adopted {
-		return
-	}
-	o := b.overruns[e.Service]
-	if o == nil {
-		o = &overrun{}
-		b.overruns[e.Service] = o
+// learnOverrun takes the time of a stream that ended well.
+func (e *engine) learnOverrun(r *run, took time.Duration) {
+	if e.slowness.known() && !r.adopted {
+		e.family.overrun.see(took, e.planned(r.output))
 	}
-	o.see(took, e.planned(r.output))
 }
 
 // longest returns how long a stream takes on the engine at the most, from its
 // first event on.
-func (b *Board) longest(e *engine, output int) time.Duration {
-	ratio := overrunFirst
-	if o := b.overruns[e.Service]; o != nil {
-		ratio = o.ratio()
-	}
+func (e *engine) longest(output int) time.Duration {
 	planned := e.planned(output)
 	if !e.slowness.known() && e.slowness.factor < unknownSlowness {
 		planned = time.Duration(float64(planned) * unknownSlowness / e.slowness.factor)
 	}
-	return time.Duration(ratio * overrunMargin * float64(planned))
+	return time.Duration(e.family.overrun.ratio() * overrunMargin * float64(planned))
 }
 
 // planned is how long the full engine takes for a stream of the guessed length.
@@ -102,11 +92,11 @@
 // caller waits is measured by the guess of its length alone: with room for longer
 // ones, the longest could go to the fastest engines only, and were refused in
 // time beside free ones.
-func (b *Board) endsInTime(now time.Time, e *engine, a *Ask, first time.Duration) bool {
+func (e *engine) endsInTime(now time.Time, a *Ask, first time.Duration) bool {
 	left := a.Until.Sub(now)
 	switch a.Ending {
 	case EndSure:
-		return first+b.longest(e, a.Output) <= left
+		return first+e.longest(a.Output) <= left
 	case EndLikely:
 		return first+e.decode(likelyOverrun*float64(a.Output)) <= left
 	case EndOpen:
@@ -121,7 +111,7 @@
 		return true
 	}
 	for _, e := range b.byService[a.Service] {
-		if a.allows(e) && b.endsInTime(now, e, a, e.alone(a.Prompt)) {
+		if a.allows(e) && e.endsInTime(now, a, e.alone(a.Prompt)) {
 			return true
 		}
 	}
--- a/internal/sched/board/pace.go
+++ b/internal/sched/board/pace.go
@@ -62,8 +62,8 @@
 // hopeless tells whether a request would wait in vain: at the pace at which its
 // rank gets places, those that go before it take longer than it can wait. To
 // tell its caller at once spares a wait of three quarters of its objective, and
-// it may come back so much earlier.
-func (b *Board) hopeless(now time.Time, a *Ask) bool {
+// it may come back so much earlier. Spare is how long it can wait.
+func (b *Board) hopeless(now time.Time, a *Ask, spare time.Duration) bool {
 	if a.Again || b.saturatedFor(now) < saturatedAfter {
 		return false
 	}
@@ -75,8 +75,7 @@
 	if p := b.paces[rankOf(a)]; p != nil {
 		perSecond = p.perSecond(now)
 	}
-	left := a.Due.Sub(now) - dueMargin - b.quickest(now, a)
-	return float64(before) > patience*perSecond*left.Seconds()
+	return float64(before) > patience*perSecond*spare.Seconds()
 }
 
 // before counts the waiting requests of the same rank that are due no later.
--- a/internal/sched/board/place.go
+++ b/internal/sched/board/place.go
@@ -25,23 +25,22 @@
 	weightDomain = 0.12
 )
 
-// canBeInTime tells whether some engine could still give the first event in
-// time if it were idle.
-func (b *Board) canBeInTime(now time.Time, a *Ask) bool {
-	return b.quickest(now, a) <= a.Due.Sub(now)-dueMargin
-}
+// never is how long a first event takes where no engine is in use; half of what
+// fits, so that sums with it do.
+const never = time.Duration(math.MaxInt64 / 2)
 
-// quickest returns how long the first event takes on the fastest engine that is
-// in use, if it is idle.
-func (b *Board) quickest(now time.Time, a *Ask) time.Duration {
-	best := time.Duration(math.MaxInt64)
+// spare returns how much longer the request may wait and still have its first
+// event in time on the fastest engine that is in use, if that is idle. It is
+// negative if no engine can be in time any more.
+func (b *Board) spare(now time.Time, a *Ask) time.Duration {
+	quickest := never
 	for _, e := range b.byService[a.Service] {
 		if now.Before(e.avoid) || !a.allows(e) {
 			continue
 		}
-		best = min(best, e.alone(a.Prompt))
+		quickest = min(quickest, e.alone(a.Prompt))
 	}
-	return best
+	return a.Due.Sub(now) - dueMargin - quickest
 }
 
 // place grants the best engine, if there is one.
@@ -99,7 +98,7 @@
 	if running > 0 && a.MaxGap > 0 && gap > gapPart*ms(a.MaxGap) {
 		return 0, false
 	}
-	if !b.endsInTime(now, e, a, first) || e.stalled(now) {
+	if !e.endsInTime(now, a, first) || e.stalled(now) {
 		return 0, false
 	}
 	part := ms(first) / max(1, ms(left))
--- a/internal/sched/board/refusals.go
+++ b/internal/sched/board/refusals.go
@@ -14,8 +14,6 @@
 	// with a deadline of some ten seconds may wait and still be served.
 	retryLeast = 300 * time.Millisecond
 	retryMost  = 2500 * time.Millisecond
-	// elsewhereRetry is told to callers whom another gateway can serve at once.
-	elsewhereRetry = 10 * time.Millisecond
 )
 
 // returnWithin is how long a refused request is remembered: callers come back
--- a/internal/sched/board/speeds.go
+++ b/internal/sched/board/speeds.go
@@ -42,10 +42,16 @@
 	}
 }
 
+// remember gives an engine of unknown speed the one that is recalled.
 func (b *Board) remember(e *engine) {
-	s, ok := b.recalled[e.ID]
-	if !ok || s.Born != e.Born || e.slowness.known() || !s.believable() {
-		return
+	if s, ok := b.recalled[e.ID]; ok && !e.slowness.known() {
+		e.believe(s)
+	}
+}
+
+// believe takes a speed that another scheduler learned, if it is this engine's.
+func (e *engine) believe(s Speed) {
+	if s.Born == e.Born && s.believable() {
+		e.slowness = estimate{factor: s.Slowness, evidence: evidenceMost}
 	}
-	e.slowness = estimate{factor: s.Slowness, evidence: evidenceMost}
 }
--- a/internal/sched/board/stalled_test.go
+++ b/internal/sched/board/stalled_test.go
@@ -41,3 +41,13 @@
 		require.NotEqual(t, dark, v.Upstream)
 	}
 }
+
+// No engine of the service is in use when a request's due moment has passed. It
+// waits for one as late requests do, and is not taken for one that can be in time.
+func TestRequestIsLateWhereNoEngineIsInUse(t *testing.T) {
+	b := board.New()
+	a := ask(start, "gateway", "a")
+	a.Due = start.Add(-time.Second)
+	b.Ask(start, a)
+	require.Zero(t, b.Stats(start).Waiting)
+}
--- a/internal/sched/granter/granter.go
+++ b/internal/sched/granter/granter.go
@@ -106,13 +106,6 @@
 	g.do(func(b *board.Board, now time.Time) { b.SetReach(now, heard, known) })
 }
 
-// Speeds returns what was learned of the engines.
-func (g *Granter) Speeds() []board.Speed {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.board.Speeds()
-}
-
 // Recall takes what another scheduler learned.
 func (g *Granter) Recall(speeds []board.Speed) {
 	g.mu.Lock()
--- a/internal/sched/permit/permit.go
+++ b/internal/sched/permit/permit.go
@@ -39,8 +39,6 @@
 	slowEngine = 3
 	fullBatch  = 16
 	longStream = 6
-	// elsewhereRetry is told to callers whom another gateway can serve at once.
-	elsewhereRetry = 10 * time.Millisecond
 )
 
 // Local chooses without asking anybody.
@@ -163,7 +161,7 @@
 	c.Logger.Debug("choosing without the scheduler", "id", a.ID)
 	now := c.Now()
 	if a.Ending == flow.EndSure && !endsInTime(now, a) {
-		return nil, flow.RefusePlace(elsewhereRetry, "this process stops before the request could end")
+		return nil, flow.RefusePlace(0, "this process stops before the request could end")
 	}
 	chosen, err := c.Local.Pick(ctx, now, a)
 	if err != nil {
--- a/internal/trial/pattern/load.go
+++ b/internal/trial/pattern/load.go
@@ -155,8 +155,8 @@
 	Fixed time.Duration
 }
 
-// make returns the pattern's make of engines.
-func (p Pattern) make() Make {
+// engineMake returns the pattern's make of engines.
+func (p Pattern) engineMake() Make {
 	if p.Make.Engines > 0 {
 		return p.Make
 	}
--- a/internal/trial/pattern/play.go
+++ b/internal/trial/pattern/play.go
@@ -75,7 +75,7 @@
 func Play(p Pattern, seed uint64, policy NewPolicy) Result {
 	random := rand.New(rand.NewPCG(seed, seedStream))
 	world := &play{pattern: p}
-	kind := p.make()
+	kind := p.engineMake()
 	for i := range kind.Engines {
 		world.engines = append(world.engines, &engine{
 			id: "engine-" + strconv.Itoa(i), slots: kind.Slots, slowness: slownesses[i%len(slownesses)],
