A request without an answer tells who closed its connection, and how long that was idle

The incident's hypotheses all ended in the line outcome="caller left": a connection that this process closed as idle, one that the caller left, one that was reset. A request's last line now has closed-by and rested, outcome "connection closed" where this process did it; a counter has each connection closed by reason and whether a request was in hand; a configuration's line has bytes, time to decode and idle limit; panics of a handler go to the log; the runtime's scheduler metrics tell how long goroutines wait. No change of logic.

--- a/internal/edge/flow/admit.go
+++ b/internal/edge/flow/admit.go
@@ -47,7 +47,7 @@
 		return false
 	}
 	if err != nil {
-		u.finish("left while sending", "err", err)
+		u.finishLeft("left while sending", "err", err)
 		panic(http.ErrAbortHandler)
 	}
 	if err := controller.SetReadDeadline(time.Time{}); err != nil {
--- a/internal/edge/flow/ending.go
+++ b/internal/edge/flow/ending.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/persimmonridge/persimmonridge/internal/edge/ingress"
 	"github.com/persimmonridge/persimmonridge/internal/state/catalog"
 )
 
@@ -32,7 +33,7 @@
 func (u *run) expire(ctx context.Context) {
 	if errors.Is(context.Cause(ctx), context.Canceled) {
 		u.returnCost()
-		u.finish(u.leftOutcome(), u.lastSend()...)
+		u.finishLeft(u.leftOutcome(), u.lastSend()...)
 		panic(http.ErrAbortHandler)
 	}
 	u.giveUp("out of time")
@@ -105,6 +106,8 @@
 	outcomeAnswered = "answered"
 	outcomeLeft     = "caller left"
 	outcomeCut      = "cut by the stop"
+	// outcomeClosed is that of a request whose connection this process closed.
+	outcomeClosed = "connection closed"
 )
 
 // leftOutcome names why the connection ended: a process that stops closes those
@@ -113,9 +116,22 @@
 	if _, end, leaving := u.Leaving(); leaving && !u.Now().Before(end) {
 		return outcomeCut
 	}
+	if u.conn != nil && u.conn.ClosedBy() != ingress.CloseNone {
+		return outcomeClosed
+	}
 	return outcomeLeft
 }
 
+// finishLeft writes the line of a request whose connection ended before its
+// answer: why this process closed the connection, if it did, and how long it had
+// been idle before the request.
+func (u *run) finishLeft(outcome string, details ...any) {
+	if u.conn != nil {
+		details = append(details, "closed-by", string(u.conn.ClosedBy()), "rested", u.conn.Rested())
+	}
+	u.finish(outcome, details...)
+}
+
 // lastSend is what a request's last line tells of its last send, if there was
 // one: where it went, how far it got, its lengths and what it waited for. Without
 // it, a caller who left a stream after ten seconds left no sign of the slow
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -11,6 +11,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
+	"github.com/persimmonridge/persimmonridge/internal/edge/ingress"
 	"github.com/persimmonridge/persimmonridge/internal/state/catalog"
 )
 
@@ -69,7 +70,9 @@
 // run is one caller's request on its way.
 type run struct {
 	*Flow
-	w       http.ResponseWriter
+	w http.ResponseWriter
+	// conn is the caller's connection; it may be nil.
+	conn    *ingress.Conn
 	request Request
 	catalog *catalog.Catalog
 	route   *catalog.Route
@@ -105,7 +108,7 @@
 // ServeHTTP implements http.Handler.
 func (f *Flow) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := f.Now()
-	u := &run{Flow: f, w: w, request: f.Translator.Read(r), arrived: now}
+	u := &run{Flow: f, w: w, request: f.Translator.Read(r), arrived: now, conn: ingress.ConnOf(r.Context())}
 	u.logger = f.Logger.With("id", u.request.ID)
 	since, end, leaving := f.Leaving()
 	if leaving {
--- a/internal/edge/flow/stream.go
+++ b/internal/edge/flow/stream.go
@@ -110,7 +110,7 @@
 		if err := u.pass(answer, got); err != nil {
 			answer.Close(false)
 			u.stream.answered = true
-			u.finish(u.leftOutcome(), append(u.lastSend(), "err", err)...)
+			u.finishLeft(u.leftOutcome(), append(u.lastSend(), "err", err)...)
 			return Left
 		}
 	}
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -31,10 +32,27 @@
 	settleBeforeEnd = 100 * time.Millisecond
 )
 
+// Metrics counts what becomes of callers' connections.
+type Metrics interface {
+	// ConnectionClosed counts a connection that this process closed, and whether
+	// a request was in hand on it.
+	ConnectionClosed(reason CloseReason, inHand bool)
+}
+
+// Parts are what a Server works with.
+type Parts struct {
+	Handler http.Handler
+	// Catalog returns the configuration in force, or nil before the first.
+	Catalog func() *catalog.Catalog
+	Metrics Metrics
+	Logger  *slog.Logger
+	Now     func() time.Time
+}
+
 // Server serves callers.
 type Server struct {
-	http    *http.Server
-	catalog func() *catalog.Catalog
+	Parts
+	http *http.Server
 
 	closing atomic.Bool
 	active  atomic.Int64
@@ -44,18 +62,19 @@
 }
 
 // New returns a server that hands requests to the handler. Serve starts it.
-func New(handler http.Handler, current func() *catalog.Catalog) *Server {
-	s := &Server{catalog: current, idle: make(map[net.Conn]*time.Timer)}
+func New(parts Parts) *Server {
+	s := &Server{Parts: parts, idle: make(map[net.Conn]*time.Timer)}
 	s.http = &http.Server{
-		Handler: s.count(handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes,
-		ConnState: s.state, DisableGeneralOptionsHandler: true,
+		Handler: s.count(parts.Handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes,
+		ConnState: s.state, ConnContext: withConn, DisableGeneralOptionsHandler: true,
+		ErrorLog: slog.NewLogLogger(parts.Logger.Handler(), slog.LevelWarn),
 	}
 	return s
 }
 
 // Serve accepts connections until the server is stopped.
-func (s *Server) Serve(listener net.Listener) error {
-	err := s.http.Serve(listener)
+func (s *Server) Serve(l net.Listener) error {
+	err := s.http.Serve(listener{l})
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -75,7 +94,8 @@
 
 // state arms a timer for each idle connection. The configured limit may change
 // while the process runs, which http.Server's own time-out may not.
-func (s *Server) state(conn net.Conn, state http.ConnState) {
+func (s *Server) state(raw net.Conn, state http.ConnState) {
+	conn := raw.(*Conn)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if timer := s.idle[conn]; timer != nil {
@@ -83,14 +103,17 @@
 		delete(s.idle, conn)
 	}
 	if state != http.StateIdle {
+		conn.endIdle(s.Now())
 		return
 	}
+	conn.beginIdle(s.Now())
 	limit := idleTimeout
-	if c := s.catalog(); c != nil && c.Limits().IdleTimeout > 0 {
+	if c := s.Catalog(); c != nil && c.Limits().IdleTimeout > 0 {
 		limit = c.Limits().IdleTimeout
 	}
-	// The connection is given up; a failed close changes nothing.
-	s.idle[conn] = time.AfterFunc(limit, func() { _ = conn.Close() })
+	s.idle[conn] = time.AfterFunc(limit, func() {
+		s.Metrics.ConnectionClosed(CloseIdle, conn.closeAs(CloseIdle))
+	})
 }
 
 // Stop ends the server in order: answers carry the wish to close, open
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -186,11 +186,14 @@
 	g.speeds = &speeds{Gateway: g}
 	g.follower = g.newFollower()
 	g.metrics.watch(g)
-	g.ingress = ingress.New(flow.New(flow.Parts{
+	requests := flow.New(flow.Parts{
 		Translator: parts.Translator, Client: exchange.NewClient(g.pool, parts.Names, now), Catalog: g.catalog.Load,
 		Picker: g.rollouts, Quota: g.quota, Retries: g.retries, Crashes: g.crashRegister,
 		Metrics: g.metrics, Logger: logger, Now: now, Leaving: g.leaving,
-	}), g.catalog.Load)
+	})
+	g.ingress = ingress.New(ingress.Parts{
+		Handler: requests, Catalog: g.catalog.Load, Metrics: g.metrics, Logger: logger, Now: now,
+	})
 	return g
 }
 
--- a/internal/role/gateway/metrics.go
+++ b/internal/role/gateway/metrics.go
@@ -11,12 +11,13 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/persimmonridge/persimmonridge/internal/edge/flow"
+	"github.com/persimmonridge/persimmonridge/internal/edge/ingress"
 )
 
 // latencyBuckets span a refusal in 2 ms and a stream of 15 s.
 var latencyBuckets = prometheus.ExponentialBuckets(0.002, 2, 13)
 
-// metrics implements flow.Metrics. Labels are bounded
+// metrics implements flow.Metrics and ingress.Metrics. Labels are bounded
 // by the configuration's routes and services.
 type metrics struct {
 	requests   *prometheus.CounterVec
@@ -26,6 +27,7 @@
 	places     *prometheus.CounterVec
 	placeWait  *prometheus.HistogramVec
 	storeCalls *prometheus.CounterVec
+	closed     *prometheus.CounterVec
 	registry   *prometheus.Registry
 }
 
@@ -73,7 +75,9 @@
 
 func newMetrics() *metrics {
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	// The scheduler's metrics tell how long what is ready to run has waited.
+	runtime := collectors.NewGoCollector(collectors.WithGoCollectorRuntimeMetrics(collectors.MetricsScheduler))
+	registry.MustRegister(runtime, collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	auto := promauto.With(registry)
 	return &metrics{
 		registry: registry,
@@ -95,6 +99,10 @@
 		storeCalls: auto.NewCounterVec(prometheus.CounterOpts{
 			Name: "persimmonridge_store_calls_total", Help: "Calls to the key-value service by kind and result.",
 		}, []string{"call", "result"}),
+		closed: auto.NewCounterVec(prometheus.CounterOpts{
+			Name: "persimmonridge_caller_connections_closed_total",
+			Help: "Callers' connections that this process closed, by reason and whether a request was in hand.",
+		}, []string{"reason", "in_hand"}),
 		firstEvent: auto.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "persimmonridge_first_event_seconds", Help: "Time from a request's arrival to its stream's first event.", Buckets: latencyBuckets,
 		}, []string{"tier"}),
@@ -122,6 +130,11 @@
 // StoreCall counts a call to the key-value service.
 func (m *metrics) StoreCall(call, result string) { m.storeCalls.WithLabelValues(call, result).Inc() }
 
+// ConnectionClosed implements ingress.Metrics.
+func (m *metrics) ConnectionClosed(reason ingress.CloseReason, inHand bool) {
+	m.closed.WithLabelValues(string(reason), strconv.FormatBool(inHand)).Inc()
+}
+
 // FirstEvent implements flow.Metrics.
 func (m *metrics) FirstEvent(tier int, took time.Duration) {
 	m.firstEvent.WithLabelValues(strconv.Itoa(tier)).Observe(took.Seconds())
--- a/internal/role/gateway/views.go
+++ b/internal/role/gateway/views.go
@@ -42,7 +42,9 @@
 // takeConfig puts a configuration in force unless a newer one is. A read that
 // is behind, and a peer that is, must never take the process back.
 func (g *Gateway) takeConfig(raw []byte, from string) {
+	begun := g.now()
 	next, err := g.decoder.Config(raw)
+	decoded := g.now().Sub(begun)
 	if err != nil {
 		g.logger.Error("configuration not taken", "from", from, "err", err)
 		return
@@ -53,7 +55,8 @@
 			return
 		}
 		if g.catalog.CompareAndSwap(current, next) {
-			g.logger.Info("configuration in force", "version", next.Version(), "from", from)
+			g.logger.Info("configuration in force", "version", next.Version(), "from", from,
+				"bytes", len(raw), "decode", decoded, "idle-limit", next.Limits().IdleTimeout)
 			g.rawConfig.Store(&raw)
 			g.upstreamsChanged()
 			return
