A request that meets the idle limit of its connection is cut: failing test

What callers see: a request on a kept connection gets neither an answer nor a refusal. The timer of an idle connection closes it from a goroutine of its own; a request whose bytes were read as the timer fired is handed on all the same, and ends as if its caller had left.

The same at the end of a stop passes: net/http hands nothing on once Shutdown has begun.

--- /dev/null
+++ b/internal/edge/ingress/ingress_test.go
@@ -0,0 +1,209 @@
+package ingress_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/persimmonridge/persimmonridge/internal/edge/ingress"
+	"github.com/persimmonridge/persimmonridge/internal/proof/bubble"
+	"github.com/persimmonridge/persimmonridge/internal/standin/network"
+	"github.com/persimmonridge/persimmonridge/internal/state/catalog"
+)
+
+const (
+	at        = "10.0.0.1:80"
+	idleLimit = 5 * time.Second
+)
+
+// noMetrics drops what is counted.
+type noMetrics struct{}
+
+func (noMetrics) ConnectionClosed(ingress.CloseReason, bool) {}
+
+// site is a server on a network in memory, with a handler that takes a while.
+type site struct {
+	t       *testing.T
+	network *network.Network
+	server  *ingress.Server
+	catalog atomic.Pointer[catalog.Catalog]
+	done    chan error
+	stopped sync.Once
+
+	mu      sync.Mutex
+	handled map[string]bool
+}
+
+// handlerTime is what a request takes.
+const handlerTime = 20 * time.Millisecond
+
+// play runs the script on a site in fake time. The listener may be wrapped.
+func play(t *testing.T, wrap func(net.Listener) net.Listener, script func(s *site)) {
+	bubble.Run(t, func(t *testing.T) {
+		s := &site{t: t, network: network.New(), handled: make(map[string]bool), done: make(chan error, 1)}
+		s.limit(idleLimit)
+		s.server = ingress.New(ingress.Parts{
+			Handler: http.HandlerFunc(s.serve), Catalog: s.catalog.Load, Metrics: noMetrics{},
+			Logger: slog.New(slog.DiscardHandler), Now: time.Now,
+		})
+		listener, err := s.network.Listen(at)
+		require.NoError(t, err)
+		if wrap != nil {
+			listener = wrap(listener)
+		}
+		go func() { s.done <- s.server.Serve(listener) }()
+		defer s.stop()
+		script(s)
+	})
+}
+
+// stop ends the server once.
+func (s *site) stop() {
+	s.stopped.Do(func() {
+		require.NoError(s.t, s.server.Stop(s.t.Context()))
+		require.NoError(s.t, <-s.done)
+	})
+}
+
+// limit puts a configuration with the idle limit in force.
+func (s *site) limit(d time.Duration) {
+	s.catalog.Store(catalog.New(catalog.Content{Limits: catalog.Limits{IdleTimeout: d}}))
+}
+
+// serve answers after a while, unless the request's context ends.
+func (s *site) serve(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.handled[r.URL.Path] = true
+	s.mu.Unlock()
+	select {
+	case <-r.Context().Done():
+		panic(http.ErrAbortHandler)
+	case <-time.After(handlerTime):
+	}
+	_, _ = io.WriteString(w, "whole")
+}
+
+func (s *site) wasHandled(path string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.handled[path]
+}
+
+// caller has one connection to the site.
+type caller struct {
+	site   *site
+	conn   net.Conn
+	reader *bufio.Reader
+	sent   int
+}
+
+func (s *site) dial() *caller {
+	conn, err := s.network.DialContext(s.t.Context(), "tcp", at)
+	require.NoError(s.t, err)
+	return &caller{site: s, conn: conn, reader: bufio.NewReader(conn)}
+}
+
+// call sends a request and returns its path, and an error if it got no answer.
+func (c *caller) call() (path string, err error) {
+	c.sent++
+	path = fmt.Sprintf("/%p/%d", c, c.sent)
+	if _, err := fmt.Fprintf(c.conn, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path); err != nil {
+		return path, err
+	}
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return path, err
+	}
+	body, err := io.ReadAll(response.Body)
+	if err == nil && string(body) != "whole" {
+		err = errors.New("another body")
+	}
+	return path, errors.Join(err, response.Body.Close())
+}
+
+// requireKept fails if a request was handed on and got no answer.
+func (c *caller) requireKept(path string, err error) {
+	if err != nil {
+		// The handler may begin after the caller saw the end.
+		bubble.Pass(time.Second)
+		require.False(c.site.t, c.site.wasHandled(path), "request %s was handed on, and its caller got: %v", path, err)
+	}
+}
+
+// lateReads is a listener whose connections hand on late what they have read, as
+// by a goroutine that waits for the processor.
+type lateReads struct{ net.Listener }
+
+// lateBy is how late it is.
+const lateBy = 10 * time.Millisecond
+
+// Accept implements net.Listener.
+func (l lateReads) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return lateRead{conn}, nil
+}
+
+type lateRead struct{ net.Conn }
+
+// Read implements net.Conn.
+func (c lateRead) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		time.Sleep(lateBy)
+	}
+	return n, err
+}
+
+func late(l net.Listener) net.Listener { return lateReads{l} }
+
+// Guards against a request that is handed on while the idle limit closes its
+// connection: it was cut without an answer.
+func TestRequestThatMeetsTheIdleLimitIsNotCut(t *testing.T) {
+	play(t, late, func(s *site) {
+		for offset := -5 * time.Millisecond; offset <= 15*time.Millisecond; offset += time.Millisecond {
+			c := s.dial()
+			_, err := c.call()
+			require.NoError(t, err)
+			bubble.Pass(idleLimit + offset)
+			c.requireKept(c.call())
+		}
+	})
+}
+
+// Guards against a request that is handed on while a stop closes its idle
+// connection: it was cut without an answer.
+func TestRequestThatMeetsTheEndOfAStopIsNotCut(t *testing.T) {
+	const first, apart = ingress.LingerAfterStop + 100*time.Millisecond, time.Millisecond
+	play(t, late, func(s *site) {
+		s.limit(time.Minute)
+		// All are answered before the stop, so none is told to leave.
+		callers := make([]*caller, 100)
+		for i := range callers {
+			callers[i] = s.dial()
+			_, err := callers[i].call()
+			require.NoError(t, err)
+		}
+		var wg sync.WaitGroup
+		for i, c := range callers {
+			wg.Go(func() {
+				bubble.Pass(first + time.Duration(i)*apart)
+				c.requireKept(c.call())
+			})
+		}
+		s.stop()
+		wg.Wait()
+	})
+}
