One read decides whether an idle connection ends or its request begins

What callers saw: a request on a kept connection was cut without an answer or a refusal, as its connection's idle limit passed. Cause: a timer closed the connection from its own goroutine; timer.Stop does not stop one that has fired, so the close also came when the request had been read and handed on. Its context ended with the connection, and the send to the upstream was given up as if the caller had left. Class: a decision taken while a thing is idle, carried out when it no longer is, since check and act are not one step.

Change: the limit bounds the connection's own Read, and nothing else closes it. A read that brings bytes begins a request, one that runs out of time ends the connection; there is no third way. When the limit has passed, the connection is read once more for a millisecond: a request that arrived while the process was late is served. A Conn tells of a request that this process closes in hand, which now only the end of a stop does; counter and lines follow.

--- a/internal/edge/flow/ending.go
+++ b/internal/edge/flow/ending.go
@@ -8,7 +8,6 @@
 	"slices"
 	"time"
 
-	"github.com/persimmonridge/persimmonridge/internal/edge/ingress"
 	"github.com/persimmonridge/persimmonridge/internal/state/catalog"
 )
 
@@ -116,18 +115,17 @@
 	if _, end, leaving := u.Leaving(); leaving && !u.Now().Before(end) {
 		return outcomeCut
 	}
-	if u.conn != nil && u.conn.ClosedBy() != ingress.CloseNone {
+	if u.conn != nil && u.conn.ClosedInHand() {
 		return outcomeClosed
 	}
 	return outcomeLeft
 }
 
 // finishLeft writes the line of a request whose connection ended before its
-// answer: why this process closed the connection, if it did, and how long it had
-// been idle before the request.
+// answer, with how long it had been idle before the request.
 func (u *run) finishLeft(outcome string, details ...any) {
 	if u.conn != nil {
-		details = append(details, "closed-by", string(u.conn.ClosedBy()), "rested", u.conn.Rested())
+		details = append(details, "rested", u.conn.Rested())
 	}
 	u.finish(outcome, details...)
 }
--- a/internal/edge/ingress/conn.go
+++ b/internal/edge/ingress/conn.go
@@ -2,39 +2,91 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"time"
 )
 
-// CloseReason names why this process closed a caller's connection.
-type CloseReason string
+// lastLook is how long an idle connection is read once more after its limit has
+// passed. A request that arrived while the process was late is served.
+const lastLook = time.Millisecond
 
-// The reasons.
-const (
-	// CloseNone: this process did not close it.
-	CloseNone CloseReason = ""
-	// CloseIdle: no request came within the idle limit.
-	CloseIdle CloseReason = "idle limit"
-)
-
-// Conn is a caller's connection.
+// Conn is a caller's connection. Whether its next request is read or it ends as
+// idle is decided by a single Read: closed from another goroutine, a request
+// that was read at the same time would be handed on without its connection.
 type Conn struct {
 	net.Conn
+	server *Server
 
-	mu       sync.Mutex
-	closedBy CloseReason
-	// idleSince is when the last request ended, zero while one is in hand.
+	mu sync.Mutex
+	// idleSince is when the last request ended, zero while one is awaited for
+	// the first time or in hand.
 	idleSince time.Time
-	// rested is how long the connection was idle before the request in hand.
+	idleLimit time.Duration
+	// rested is how long the connection was idle before the last request.
 	rested time.Duration
+	// serving tells that the handler has a request of the connection, and
+	// closedInHand that this process closed the connection meanwhile.
+	serving, closedInHand bool
+}
+
+// Read implements net.Conn. While the connection is idle, it waits for as long
+// as the idle limit allows that was in force when it began to be idle.
+func (c *Conn) Read(p []byte) (int, error) {
+	for {
+		last, err := c.beginRead(c.server.Now())
+		if err != nil {
+			return 0, err
+		}
+		n, err := c.Conn.Read(p)
+		if n > 0 {
+			return n, errors.Join(err, c.endIdle(c.server.Now()))
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.idle() {
+			return n, err
+		}
+		if last {
+			c.server.Metrics.ConnectionClosed(CloseIdle)
+			return n, err
+		}
+	}
+}
+
+// beginRead bounds a read of an idle connection, and tells whether it is the
+// last one.
+func (c *Conn) beginRead(now time.Time) (last bool, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idleSince.IsZero() {
+		return false, nil
+	}
+	due := c.idleSince.Add(c.idleLimit)
+	if last = !now.Before(due); last {
+		due = now.Add(lastLook)
+	}
+	return last, c.SetReadDeadline(due)
 }
 
-// ClosedBy tells why this process closed the connection, or CloseNone.
-func (c *Conn) ClosedBy() CloseReason {
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.mu.Lock()
+	inHand := c.serving && !c.closedInHand
+	c.closedInHand = c.closedInHand || inHand
+	c.mu.Unlock()
+	if inHand {
+		c.server.Metrics.ConnectionClosed(CloseInHand)
+	}
+	return c.Conn.Close()
+}
+
+// ClosedInHand tells whether this process closed the connection while a request
+// of it was in hand.
+func (c *Conn) ClosedInHand() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.closedBy
+	return c.closedInHand
 }
 
 // Rested is how long the connection was idle before the request in hand.
@@ -44,34 +96,40 @@
 	return c.rested
 }
 
+func (c *Conn) idle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.idleSince.IsZero()
+}
+
 func (c *Conn) beginIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idleSince = now
+	c.idleSince, c.idleLimit = now, c.server.idleLimit()
 }
 
-func (c *Conn) endIdle(now time.Time) {
+// endIdle notes that a request begins, and lifts the bound of an idle read.
+func (c *Conn) endIdle(now time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idleSince.IsZero() {
-		return
+		return nil
 	}
 	c.rested, c.idleSince = now.Sub(c.idleSince), time.Time{}
+	return c.SetReadDeadline(time.Time{})
 }
 
-// closeAs closes the connection and tells whether a request was in hand.
-func (c *Conn) closeAs(reason CloseReason) (inHand bool) {
+func (c *Conn) serve(serving bool) {
 	c.mu.Lock()
-	c.closedBy = reason
-	inHand = c.idleSince.IsZero()
-	c.mu.Unlock()
-	// The connection is given up; a failed close changes nothing.
-	_ = c.Close()
-	return inHand
+	defer c.mu.Unlock()
+	c.serving = serving
 }
 
 // listener hands out callers' connections as Conn.
-type listener struct{ net.Listener }
+type listener struct {
+	net.Listener
+	server *Server
+}
 
 // Accept implements net.Listener.
 func (l listener) Accept() (net.Conn, error) {
@@ -79,7 +137,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{Conn: raw}, nil
+	return &Conn{Conn: raw, server: l.server}, nil
 }
 
 type contextKey struct{}
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -8,7 +8,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -32,11 +31,21 @@
 	settleBeforeEnd = 100 * time.Millisecond
 )
 
+// CloseReason names why this process closed a caller's connection.
+type CloseReason string
+
+// The reasons.
+const (
+	// CloseIdle: no request came within the idle limit.
+	CloseIdle CloseReason = "idle"
+	// CloseInHand: a request was in hand when the process ended.
+	CloseInHand CloseReason = "in-hand"
+)
+
 // Metrics counts what becomes of callers' connections.
 type Metrics interface {
-	// ConnectionClosed counts a connection that this process closed, and whether
-	// a request was in hand on it.
-	ConnectionClosed(reason CloseReason, inHand bool)
+	// ConnectionClosed counts a connection that this process closed.
+	ConnectionClosed(reason CloseReason)
 }
 
 // Parts are what a Server works with.
@@ -56,14 +65,11 @@
 
 	closing atomic.Bool
 	active  atomic.Int64
-
-	mu   sync.Mutex
-	idle map[net.Conn]*time.Timer
 }
 
 // New returns a server that hands requests to the handler. Serve starts it.
 func New(parts Parts) *Server {
-	s := &Server{Parts: parts, idle: make(map[net.Conn]*time.Timer)}
+	s := &Server{Parts: parts}
 	s.http = &http.Server{
 		Handler: s.count(parts.Handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes,
 		ConnState: s.state, ConnContext: withConn, DisableGeneralOptionsHandler: true,
@@ -74,7 +80,7 @@
 
 // Serve accepts connections until the server is stopped.
 func (s *Server) Serve(l net.Listener) error {
-	err := s.http.Serve(listener{l})
+	err := s.http.Serve(listener{Listener: l, server: s})
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -88,32 +94,27 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.active.Add(1)
 		defer s.active.Add(-1)
+		conn := ConnOf(r.Context())
+		conn.serve(true)
+		defer conn.serve(false)
 		next.ServeHTTP(w, r)
 	})
 }
 
-// state arms a timer for each idle connection. The configured limit may change
-// while the process runs, which http.Server's own time-out may not.
-func (s *Server) state(raw net.Conn, state http.ConnState) {
-	conn := raw.(*Conn)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if timer := s.idle[conn]; timer != nil {
-		timer.Stop()
-		delete(s.idle, conn)
+// state tells a connection when its last request has ended.
+func (s *Server) state(conn net.Conn, state http.ConnState) {
+	if state == http.StateIdle {
+		conn.(*Conn).beginIdle(s.Now())
 	}
-	if state != http.StateIdle {
-		conn.endIdle(s.Now())
-		return
-	}
-	conn.beginIdle(s.Now())
-	limit := idleTimeout
+}
+
+// idleLimit is how long a connection may be idle. It may change while the process
+// runs, which http.Server's own time-out may not.
+func (s *Server) idleLimit() time.Duration {
 	if c := s.Catalog(); c != nil && c.Limits().IdleTimeout > 0 {
-		limit = c.Limits().IdleTimeout
+		return c.Limits().IdleTimeout
 	}
-	s.idle[conn] = time.AfterFunc(limit, func() {
-		s.Metrics.ConnectionClosed(CloseIdle, conn.closeAs(CloseIdle))
-	})
+	return idleTimeout
 }
 
 // Stop ends the server in order: answers carry the wish to close, open
--- a/internal/edge/ingress/ingress_test.go
+++ b/internal/edge/ingress/ingress_test.go
@@ -2,15 +2,20 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -26,10 +31,18 @@
 	idleLimit = 5 * time.Second
 )
 
-// noMetrics drops what is counted.
-type noMetrics struct{}
+// counts counts the connections that the server closed by reason.
+type counts struct{ idle, inHand atomic.Int64 }
 
-func (noMetrics) ConnectionClosed(ingress.CloseReason, bool) {}
+// ConnectionClosed implements ingress.Metrics.
+func (c *counts) ConnectionClosed(reason ingress.CloseReason) {
+	switch reason {
+	case ingress.CloseIdle:
+		c.idle.Add(1)
+	case ingress.CloseInHand:
+		c.inHand.Add(1)
+	}
+}
 
 // site is a server on a network in memory, with a handler that takes a while.
 type site struct {
@@ -39,6 +52,7 @@
 	catalog atomic.Pointer[catalog.Catalog]
 	done    chan error
 	stopped sync.Once
+	closed  counts
 
 	mu      sync.Mutex
 	handled map[string]bool
@@ -53,7 +67,7 @@
 		s := &site{t: t, network: network.New(), handled: make(map[string]bool), done: make(chan error, 1)}
 		s.limit(idleLimit)
 		s.server = ingress.New(ingress.Parts{
-			Handler: http.HandlerFunc(s.serve), Catalog: s.catalog.Load, Metrics: noMetrics{},
+			Handler: http.HandlerFunc(s.serve), Catalog: s.catalog.Load, Metrics: &s.closed,
 			Logger: slog.New(slog.DiscardHandler), Now: time.Now,
 		})
 		listener, err := s.network.Listen(at)
@@ -180,6 +194,7 @@
 			bubble.Pass(idleLimit + offset)
 			c.requireKept(c.call())
 		}
+		require.Zero(t, s.closed.inHand.Load())
 	})
 }
 
@@ -205,5 +220,70 @@
 		}
 		s.stop()
 		wg.Wait()
+		require.Zero(t, s.closed.inHand.Load())
+	})
+}
+
+// Guards against idle connections that are closed too soon, or beside a request.
+func TestIdleLimits(t *testing.T) {
+	scripts, err := filepath.Glob("testdata/*.txt")
+	require.NoError(t, err)
+	require.NotEmpty(t, scripts)
+	for _, script := range scripts {
+		t.Run(strings.TrimSuffix(filepath.Base(script), ".txt"), func(t *testing.T) {
+			text, err := os.ReadFile(script)
+			require.NoError(t, err)
+			play(t, nil, func(s *site) {
+				c := s.dial()
+				for line := range strings.Lines(string(text)) {
+					c.step(strings.TrimSpace(line))
+				}
+			})
+		})
+	}
+}
+
+// step takes one line of a script: limit TIME, rest TIME, call served, call
+// closed, or a comment.
+func (c *caller) step(line string) {
+	t := c.site.t
+	verb, argument, _ := strings.Cut(line, " ")
+	switch verb {
+	case "#", "":
+	case "limit", "rest":
+		d, err := time.ParseDuration(argument)
+		require.NoError(t, err, line)
+		if verb == "limit" {
+			c.site.limit(d)
+			return
+		}
+		bubble.Pass(d)
+	case "call":
+		_, err := c.call()
+		// The server is idle again before the next step.
+		synctest.Wait()
+		require.Equal(t, argument == "served", err == nil, "%s: %v", line, err)
+	default:
+		require.Fail(t, "unknown step", line)
+	}
+}
+
+// Guards against a connection that is closed beside a request without a sign of
+// who closed it.
+func TestRequestThatTheStopCutsIsCounted(t *testing.T) {
+	play(t, nil, func(s *site) {
+		c := s.dial()
+		ctx, cancel := context.WithCancel(s.t.Context())
+		cancel()
+		cut := make(chan error, 1)
+		go func() {
+			_, err := c.call()
+			cut <- err
+		}()
+		bubble.Pass(handlerTime / 2)
+		s.stopped.Do(func() { require.NoError(t, s.server.Stop(ctx)) })
+		require.Error(t, <-cut)
+		require.NoError(t, <-s.done)
+		require.Equal(t, int64(1), s.closed.inHand.Load())
 	})
 }
--- a/internal/role/gateway/metrics.go
+++ b/internal/role/gateway/metrics.go
@@ -101,8 +101,8 @@
 		}, []string{"call", "result"}),
 		closed: auto.NewCounterVec(prometheus.CounterOpts{
 			Name: "persimmonridge_caller_connections_closed_total",
-			Help: "Callers' connections that this process closed, by reason and whether a request was in hand.",
-		}, []string{"reason", "in_hand"}),
+			Help: "Callers' connections that this process closed as idle, or with a request in hand.",
+		}, []string{"reason"}),
 		firstEvent: auto.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "persimmonridge_first_event_seconds", Help: "Time from a request's arrival to its stream's first event.", Buckets: latencyBuckets,
 		}, []string{"tier"}),
@@ -131,8 +131,8 @@
 func (m *metrics) StoreCall(call, result string) { m.storeCalls.WithLabelValues(call, result).Inc() }
 
 // ConnectionClosed implements ingress.Metrics.
-func (m *metrics) ConnectionClosed(reason ingress.CloseReason, inHand bool) {
-	m.closed.WithLabelValues(string(reason), strconv.FormatBool(inHand)).Inc()
+func (m *metrics) ConnectionClosed(reason ingress.CloseReason) {
+	m.closed.WithLabelValues(string(reason)).Inc()
 }
 
 // FirstEvent implements flow.Metrics.
