The idle limit bounds neither a request's header nor one that came with another

A second request in one write is in http.Server's buffer already, so no read ended the idle time and the next one, in the background of that request, took the idle limit as its bound: a request that took longer was cut. And a first byte lifted the bound for good, since http.Server bounds a header from its fourth byte on: such a connection stayed open for ever. The idle time now also ends as a request begins, and a header's first bytes are bounded by the time that a header may take.

--- a/internal/edge/ingress/conn.go
+++ b/internal/edge/ingress/conn.go
@@ -40,8 +40,12 @@
 			return 0, err
 		}
 		n, err := c.Conn.Read(p)
+		if now := c.server.Now(); n > 0 && c.endIdle(now) {
+			// http.Server bounds a header only from its fourth byte on.
+			err = errors.Join(err, c.SetReadDeadline(now.Add(headerTimeout)))
+		}
 		if n > 0 {
-			return n, errors.Join(err, c.endIdle(c.server.Now()))
+			return n, err
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.idle() {
 			return n, err
@@ -107,15 +111,15 @@
 	c.idleSince = now
 }
 
-// endIdle notes that a request begins, and lifts the bound of an idle read.
-func (c *Conn) endIdle(now time.Time) error {
+// endIdle notes that a request begins, and tells whether the connection was idle.
+func (c *Conn) endIdle(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idleSince.IsZero() {
-		return nil
+		return false
 	}
 	c.rested, c.idleSince = now.Sub(c.idleSince), time.Time{}
-	return c.SetReadDeadline(time.Time{})
+	return true
 }
 
 func (c *Conn) serve(serving bool) {
--- a/internal/edge/ingress/export_test.go
+++ b/internal/edge/ingress/export_test.go
@@ -2,5 +2,9 @@
 
 import "time"
 
-// LingerAfterStop is how long callers may still send after a stop began.
-const LingerAfterStop time.Duration = lingerAfterStop
+const (
+	// LingerAfterStop is how long callers may still send after a stop began.
+	LingerAfterStop time.Duration = lingerAfterStop
+	// HeaderTimeout is how long a request's header may take.
+	HeaderTimeout time.Duration = headerTimeout
+)
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -101,10 +101,14 @@
 	})
 }
 
-// state tells a connection when its last request has ended.
+// state tells a connection when a request has ended, and when one begins of which
+// all bytes came with the one before.
 func (s *Server) state(conn net.Conn, state http.ConnState) {
-	if state == http.StateIdle {
+	switch state {
+	case http.StateIdle:
 		conn.(*Conn).beginIdle(s.Now())
+	case http.StateActive:
+		conn.(*Conn).endIdle(s.Now())
 	}
 }
 
--- a/internal/edge/ingress/ingress_test.go
+++ b/internal/edge/ingress/ingress_test.go
@@ -58,8 +58,11 @@
 	handled map[string]bool
 }
 
-// handlerTime is what a request takes.
-const handlerTime = 20 * time.Millisecond
+const (
+	// handlerTime is what a request takes.
+	handlerTime = 20 * time.Millisecond
+	slow        = "/slow"
+)
 
 // play runs the script on a site in fake time. The listener may be wrapped.
 func play(t *testing.T, wrap func(net.Listener) net.Listener, script func(s *site)) {
@@ -94,15 +97,20 @@
 	s.catalog.Store(catalog.New(catalog.Content{Limits: catalog.Limits{IdleTimeout: d}}))
 }
 
-// serve answers after a while, unless the request's context ends.
+// serve answers after a while, a request for slow after more than the idle limit,
+// unless the request's context ends.
 func (s *site) serve(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.handled[r.URL.Path] = true
 	s.mu.Unlock()
+	takes := handlerTime
+	if r.URL.Path == slow {
+		takes = 2 * idleLimit
+	}
 	select {
 	case <-r.Context().Done():
 		panic(http.ErrAbortHandler)
-	case <-time.After(handlerTime):
+	case <-time.After(takes):
 	}
 	_, _ = io.WriteString(w, "whole")
 }
@@ -131,18 +139,30 @@
 func (c *caller) call() (path string, err error) {
 	c.sent++
 	path = fmt.Sprintf("/%p/%d", c, c.sent)
-	if _, err := fmt.Fprintf(c.conn, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path); err != nil {
+	if err := c.write(request(path)); err != nil {
 		return path, err
 	}
+	return path, c.read()
+}
+
+func request(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n" }
+
+func (c *caller) write(text string) error {
+	_, err := io.WriteString(c.conn, text)
+	return err
+}
+
+// read reads a whole answer.
+func (c *caller) read() error {
 	response, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
-		return path, err
+		return err
 	}
 	body, err := io.ReadAll(response.Body)
 	if err == nil && string(body) != "whole" {
 		err = errors.New("another body")
 	}
-	return path, errors.Join(err, response.Body.Close())
+	return errors.Join(err, response.Body.Close())
 }
 
 // requireKept fails if a request was handed on and got no answer.
@@ -288,3 +308,34 @@
 		require.Equal(t, int64(1), s.closed.inHand.Load())
 	})
 }
+
+// Guards against the idle limit as a bound of a request that came in one write
+// with the one before it: it was cut when it took longer.
+func TestSecondRequestOfOneWriteIsNotCut(t *testing.T) {
+	play(t, nil, func(s *site) {
+		c := s.dial()
+		require.NoError(t, c.write(request("/first")+request(slow)))
+		require.NoError(t, c.read())
+		require.NoError(t, c.read())
+	})
+}
+
+// Guards against a connection that a piece of a request keeps open for ever.
+func TestPieceOfARequestDoesNotKeepItsConnection(t *testing.T) {
+	for _, piece := range []string{"G", "GET ", "GET / HTTP/1.1\r\nHo"} {
+		t.Run(piece, func(t *testing.T) {
+			play(t, nil, func(s *site) {
+				c := s.dial()
+				_, err := c.call()
+				require.NoError(t, err)
+				bubble.Pass(time.Second)
+				require.NoError(t, c.write(piece))
+				begun := time.Now()
+				require.NoError(t, c.conn.SetReadDeadline(begun.Add(time.Hour)))
+				_, err = io.ReadAll(c.reader)
+				require.NoError(t, err)
+				require.LessOrEqual(t, time.Since(begun), ingress.HeaderTimeout)
+			})
+		})
+	}
+}
