Answers to what is too large reach their callers to the end

What callers saw: the answer 431 to a large header ended in a reset of the connection, half a second late. Found in review.

--- a/internal/edge/ingress/conn.go
+++ b/internal/edge/ingress/conn.go
@@ -84,6 +84,15 @@
 	return c.Conn.Close()
 }
 
+// CloseWrite tells the caller that no more will come, so that it reads an answer
+// to its end before the connection is closed.
+func (c *Conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
 // ClosedInHand tells whether this process closed the connection while a request
 // of it was in hand.
 func (c *Conn) ClosedInHand() bool {
--- a/internal/edge/ingress/ingress_test.go
+++ b/internal/edge/ingress/ingress_test.go
@@ -339,3 +339,30 @@
 		})
 	}
 }
+
+// Guards against an answer to a header that is too large whose end is lost in a
+// reset of the connection.
+func TestTooLargeHeaderIsAnsweredToItsEnd(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := ingress.New(ingress.Parts{
+		Handler: http.NotFoundHandler(), Catalog: func() *catalog.Catalog { return nil }, Metrics: &counts{},
+		Logger: slog.New(slog.DiscardHandler), Now: time.Now,
+	})
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(listener) }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\nX: "+strings.Repeat("a", 80<<10)+"\r\n\r\n")
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, response.StatusCode)
+	_, err = io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.NoError(t, conn.Close())
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.NoError(t, server.Stop(ctx))
+	require.NoError(t, <-done)
+}
