A stop ends connections by their own reads, and a closed request in flight is counted

What callers saw: a request that was read while the process was late, as a stop closed idle connections, got no answer, up to 390 ms after it was sent. Now a stop interrupts the reads that await a request, each of which reads once more and decides, and waits for the other connections to end; http.Server.Close is for what still runs at the end of the time to stop.

The tests now ask more: what was read must be answered, not only what was handed on; what is sent before the idle limit must be served.

--- a/internal/edge/flow/ending.go
+++ b/internal/edge/flow/ending.go
@@ -115,7 +115,7 @@
 	if _, end, leaving := u.Leaving(); leaving && !u.Now().Before(end) {
 		return outcomeCut
 	}
-	if u.conn != nil && u.conn.ClosedInHand() {
+	if u.conn != nil && u.conn.ClosedInFlight() {
 		return outcomeClosed
 	}
 	return outcomeLeft
@@ -125,7 +125,7 @@
 // answer, with how long it had been idle before the request.
 func (u *run) finishLeft(outcome string, details ...any) {
 	if u.conn != nil {
-		details = append(details, "rested", u.conn.Rested())
+		details = append(details, "idle", u.conn.IdleTime())
 	}
 	u.finish(outcome, details...)
 }
--- a/internal/edge/ingress/conn.go
+++ b/internal/edge/ingress/conn.go
@@ -9,81 +9,104 @@
 	"time"
 )
 
-// lastLook is how long an idle connection is read once more after its limit has
-// passed. A request that arrived while the process was late is served.
-const lastLook = time.Millisecond
-
-// Conn is a caller's connection. Whether its next request is read or it ends as
-// idle is decided by a single Read: closed from another goroutine, a request
-// that was read at the same time would be handed on without its connection.
+// finalReadTimeout bounds one more read of a connection that is to end as idle,
+// for a request that arrived while the process was not scheduled.
+const finalReadTimeout = time.Millisecond
+
+// Conn is a caller's connection. It enforces the idle limit, and the end of a
+// stop, by the deadline of the read that awaits the next request: closed from
+// another goroutine, the connection would be lost to a request that was read at
+// the same time.
 type Conn struct {
 	net.Conn
 	server *Server
 
 	mu sync.Mutex
-	// idleSince is when the last request ended, zero while one is awaited for
-	// the first time or in hand.
+	// idleSince is when the connection began to await a request, zero while one
+	// is in flight.
 	idleSince time.Time
-	// rested is how long the connection was idle before the last request.
-	rested time.Duration
-	// serving tells that the handler has a request of the connection, and
-	// closedInHand that this process closed the connection meanwhile.
-	serving, closedInHand bool
+	// idleTime is how long it awaited the last request.
+	idleTime time.Duration
+	// inFlight tells that the handler has a request, and closedInFlight that this
+	// process closed the connection before it had answered.
+	inFlight, closed, closedInFlight bool
 }
 
-// Read implements net.Conn. While the connection is idle, it waits for as long
-// as the idle limit in force allows; a limit that grows meanwhile holds too.
+// Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	for {
-		last, err := c.beginRead(c.server.Now())
+		final, err := c.setIdleDeadline(c.server.Now())
 		if err != nil {
 			return 0, err
 		}
 		n, err := c.Conn.Read(p)
 		if now := c.server.Now(); n > 0 && c.endIdle(now) {
 			// http.Server bounds a header only from its fourth byte on.
-			err = errors.Join(err, c.SetReadDeadline(now.Add(headerTimeout)))
-		}
-		if n > 0 {
-			return n, err
+			if deadlineErr := c.SetReadDeadline(now.Add(headerTimeout)); err == nil {
+				err = deadlineErr
+			}
 		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.idle() {
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.idle() {
 			return n, err
 		}
-		if last {
+		if final {
 			c.server.Metrics.ConnectionClosed(CloseIdle)
 			return n, err
 		}
 	}
 }
 
-// beginRead bounds a read of an idle connection, and tells whether it is the
-// last one.
-func (c *Conn) beginRead(now time.Time) (last bool, err error) {
+// setIdleDeadline bounds a read that awaits a request, and tells whether it is
+// the final one.
+func (c *Conn) setIdleDeadline(now time.Time) (final bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idleSince.IsZero() {
 		return false, nil
 	}
-	due := c.idleSince.Add(c.server.idleLimit())
-	if last = !now.Before(due); last {
-		due = now.Add(lastLook)
+	deadline := c.idleSince.Add(c.server.idleLimit())
+	if final = !now.Before(deadline); final {
+		deadline = now.Add(finalReadTimeout)
+	}
+	return final, c.SetReadDeadline(deadline)
+}
+
+// interrupt makes a read that awaits a request look at the idle limit again.
+func (c *Conn) interrupt(now time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idleSince.IsZero() {
+		return nil
 	}
-	return last, c.SetReadDeadline(due)
+	return c.SetReadDeadline(now)
 }
 
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.mu.Lock()
-	inHand := c.serving && !c.closedInHand
-	c.closedInHand = c.closedInHand || inHand
+	c.closed = true
+	c.noteInFlight()
 	c.mu.Unlock()
-	if inHand {
-		c.server.Metrics.ConnectionClosed(CloseInHand)
-	}
+	c.server.forget(c)
 	return c.Conn.Close()
 }
 
+// setInFlight notes that the handler has a request, or has none any more.
+func (c *Conn) setInFlight(inFlight bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inFlight = inFlight
+	c.noteInFlight()
+}
+
+// noteInFlight counts a closed connection with a request, once.
+func (c *Conn) noteInFlight() {
+	if c.closed && c.inFlight && !c.closedInFlight {
+		c.closedInFlight = true
+		c.server.Metrics.ConnectionClosed(CloseInFlight)
+	}
+}
+
 // CloseWrite tells the caller that no more will come, so that it reads an answer
 // to its end before the connection is closed.
 func (c *Conn) CloseWrite() error {
@@ -93,19 +116,19 @@
 	return errors.ErrUnsupported
 }
 
-// ClosedInHand tells whether this process closed the connection while a request
-// of it was in hand.
-func (c *Conn) ClosedInHand() bool {
+// ClosedInFlight tells whether this process closed the connection while a request
+// of it was in flight.
+func (c *Conn) ClosedInFlight() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.closedInHand
+	return c.closedInFlight
 }
 
-// Rested is how long the connection was idle before the request in hand.
-func (c *Conn) Rested() time.Duration {
+// IdleTime is how long the connection was idle before the last request.
+func (c *Conn) IdleTime() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.rested
+	return c.idleTime
 }
 
 func (c *Conn) idle() bool {
@@ -127,31 +150,35 @@
 	if c.idleSince.IsZero() {
 		return false
 	}
-	c.rested, c.idleSince = now.Sub(c.idleSince), time.Time{}
+	c.idleTime, c.idleSince = now.Sub(c.idleSince), time.Time{}
 	return true
 }
 
-func (c *Conn) serve(serving bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.serving = serving
-}
-
-// listener hands out callers' connections as Conn.
+// listener hands out callers' connections as Conn. It may be closed twice.
 type listener struct {
 	net.Listener
 	server *Server
+	close  func() error
+}
+
+func newListener(l net.Listener, s *Server) *listener {
+	return &listener{Listener: l, server: s, close: sync.OnceValue(l.Close)}
 }
 
 // Accept implements net.Listener.
-func (l listener) Accept() (net.Conn, error) {
+func (l *listener) Accept() (net.Conn, error) {
 	raw, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{Conn: raw, server: l.server}, nil
+	c := &Conn{Conn: raw, server: l.server, idleSince: l.server.Now()}
+	l.server.remember(c)
+	return c, nil
 }
 
+// Close implements net.Listener.
+func (l *listener) Close() error { return l.close() }
+
 type contextKey struct{}
 
 // withConn keeps the connection in the contexts of its requests.
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -6,8 +6,11 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -36,10 +39,10 @@
 
 // The reasons.
 const (
-	// CloseIdle: no request came within the idle limit.
+	// CloseIdle: no request came within the idle limit, or before a stop ended.
 	CloseIdle CloseReason = "idle"
-	// CloseInHand: a request was in hand when the process ended.
-	CloseInHand CloseReason = "in-hand"
+	// CloseInFlight: a request was in flight, and its caller still there.
+	CloseInFlight CloseReason = "in-flight"
 )
 
 // Metrics counts what becomes of callers' connections.
@@ -64,12 +67,18 @@
 	http *http.Server
 
 	closing atomic.Bool
-	active  atomic.Int64
+	// draining tells that connections end as soon as they are idle.
+	draining atomic.Bool
+	active   atomic.Int64
+
+	mu       sync.Mutex
+	listener *listener
+	conns    map[*Conn]struct{}
 }
 
 // New returns a server that hands requests to the handler. Serve starts it.
 func New(parts Parts) *Server {
-	s := &Server{Parts: parts}
+	s := &Server{Parts: parts, conns: make(map[*Conn]struct{})}
 	s.http = &http.Server{
 		Handler: s.count(parts.Handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes,
 		ConnState: s.state, ConnContext: withConn, DisableGeneralOptionsHandler: true,
@@ -80,8 +89,12 @@
 
 // Serve accepts connections until the server is stopped.
 func (s *Server) Serve(l net.Listener) error {
-	err := s.http.Serve(listener{Listener: l, server: s})
-	if errors.Is(err, http.ErrServerClosed) {
+	conns := newListener(l, s)
+	s.mu.Lock()
+	s.listener = conns
+	s.mu.Unlock()
+	err := s.http.Serve(conns)
+	if errors.Is(err, http.ErrServerClosed) || s.draining.Load() {
 		return nil
 	}
 	return err
@@ -95,26 +108,57 @@
 		s.active.Add(1)
 		defer s.active.Add(-1)
 		conn := ConnOf(r.Context())
-		conn.serve(true)
-		defer conn.serve(false)
+		conn.setInFlight(true)
+		answered := false
+		defer func() {
+			// What is closed after a handler's panic was in flight, unless the
+			// caller left.
+			if answered || r.Context().Err() != nil {
+				conn.setInFlight(false)
+			}
+		}()
 		next.ServeHTTP(w, r)
+		answered = true
 	})
 }
 
-// state tells a connection when a request has ended, and when one begins of which
-// all bytes came with the one before.
+// state tells a connection when a request begins and when it has ended. One that
+// came with the request before it is in http.Server's buffer and needs no read.
 func (s *Server) state(conn net.Conn, state http.ConnState) {
+	c := conn.(*Conn)
 	switch state {
-	case http.StateIdle:
-		conn.(*Conn).beginIdle(s.Now())
 	case http.StateActive:
-		conn.(*Conn).endIdle(s.Now())
+		c.endIdle(s.Now())
+	case http.StateIdle:
+		c.beginIdle(s.Now())
 	}
 }
 
+func (s *Server) remember(c *Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = struct{}{}
+}
+
+func (s *Server) forget(c *Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+// open returns the connections that are open.
+func (s *Server) open() []*Conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.conns))
+}
+
 // idleLimit is how long a connection may be idle. It may change while the process
 // runs, which http.Server's own time-out may not.
 func (s *Server) idleLimit() time.Duration {
+	if s.draining.Load() {
+		return 0
+	}
 	if c := s.Catalog(); c != nil && c.Limits().IdleTimeout > 0 {
 		return c.Limits().IdleTimeout
 	}
@@ -126,7 +170,7 @@
 // is finished. What still runs when the context ends is cut.
 func (s *Server) Stop(ctx context.Context) error {
 	s.closing.Store(true)
-	quietFrom := time.Now().Add(lingerAfterStop)
+	quietFrom := s.Now().Add(lingerAfterStop)
 	ticker := time.NewTicker(idleCheck)
 	defer ticker.Stop()
 	for {
@@ -135,16 +179,36 @@
 			return s.http.Close()
 		case now := <-ticker.C:
 			if now.After(quietFrom) && s.active.Load() == 0 {
-				return s.shutdown(ctx)
+				return s.drain(ctx)
 			}
 		}
 	}
 }
 
-func (s *Server) shutdown(ctx context.Context) error {
+// drain ends idle connections and waits for the others. http.Server's Shutdown
+// closes a connection as idle until the next request's header is parsed, and
+// drops a request that was read meanwhile.
+func (s *Server) drain(ctx context.Context) error {
 	time.Sleep(settleBeforeEnd)
-	if err := s.http.Shutdown(ctx); err != nil {
-		return s.http.Close()
+	s.draining.Store(true)
+	s.mu.Lock()
+	l := s.listener
+	s.mu.Unlock()
+	var err error
+	if l != nil {
+		err = l.Close()
+	}
+	for _, c := range s.open() {
+		// A connection that cannot be interrupted is closed already.
+		_ = c.interrupt(s.Now())
+	}
+	ticker := time.NewTicker(idleCheck)
+	defer ticker.Stop()
+	for len(s.open()) > 0 && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
 	}
-	return nil
+	return errors.Join(err, s.http.Close())
 }
--- a/internal/edge/ingress/ingress_test.go
+++ b/internal/edge/ingress/ingress_test.go
@@ -32,15 +32,15 @@
 )
 
 // counts counts the connections that the server closed by reason.
-type counts struct{ idle, inHand atomic.Int64 }
+type counts struct{ idle, inFlight atomic.Int64 }
 
 // ConnectionClosed implements ingress.Metrics.
 func (c *counts) ConnectionClosed(reason ingress.CloseReason) {
 	switch reason {
 	case ingress.CloseIdle:
 		c.idle.Add(1)
-	case ingress.CloseInHand:
-		c.inHand.Add(1)
+	case ingress.CloseInFlight:
+		c.inFlight.Add(1)
 	}
 }
 
@@ -54,20 +54,25 @@
 	stopped sync.Once
 	closed  counts
 
-	mu      sync.Mutex
-	handled map[string]bool
+	// late is how late a connection hands on what it has read, as one whose
+	// goroutine waits for the processor.
+	late time.Duration
+
+	mu   sync.Mutex
+	seen map[string]bool
 }
 
 const (
 	// handlerTime is what a request takes.
 	handlerTime = 20 * time.Millisecond
 	slow        = "/slow"
+	broken      = "/broken"
 )
 
-// play runs the script on a site in fake time. The listener may be wrapped.
-func play(t *testing.T, wrap func(net.Listener) net.Listener, script func(s *site)) {
+// play runs the script on a site in fake time.
+func play(t *testing.T, late time.Duration, script func(s *site)) {
 	bubble.Run(t, func(t *testing.T) {
-		s := &site{t: t, network: network.New(), handled: make(map[string]bool), done: make(chan error, 1)}
+		s := &site{t: t, network: network.New(), seen: make(map[string]bool), done: make(chan error, 1), late: late}
 		s.limit(idleLimit)
 		s.server = ingress.New(ingress.Parts{
 			Handler: http.HandlerFunc(s.serve), Catalog: s.catalog.Load, Metrics: &s.closed,
@@ -75,10 +80,7 @@
 		})
 		listener, err := s.network.Listen(at)
 		require.NoError(t, err)
-		if wrap != nil {
-			listener = wrap(listener)
-		}
-		go func() { s.done <- s.server.Serve(listener) }()
+		go func() { s.done <- s.server.Serve(lateListener{Listener: listener, site: s}) }()
 		defer s.stop()
 		script(s)
 	})
@@ -100,12 +102,12 @@
 // serve answers after a while, a request for slow after more than the idle limit,
 // unless the request's context ends.
 func (s *site) serve(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	s.handled[r.URL.Path] = true
-	s.mu.Unlock()
 	takes := handlerTime
-	if r.URL.Path == slow {
+	switch r.URL.Path {
+	case slow:
 		takes = 2 * idleLimit
+	case broken:
+		panic(http.ErrAbortHandler)
 	}
 	select {
 	case <-r.Context().Done():
@@ -115,10 +117,53 @@
 	_, _ = io.WriteString(w, "whole")
 }
 
-func (s *site) wasHandled(path string) bool {
+// lateListener notes the requests that its connections read, and hands them on
+// late.
+type lateListener struct {
+	net.Listener
+	site *site
+}
+
+// Accept implements net.Listener.
+func (l lateListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return lateConn{Conn: conn, site: l.site}, nil
+}
+
+type lateConn struct {
+	net.Conn
+	site *site
+}
+
+// Read implements net.Conn.
+func (c lateConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.site.sawRead(string(p[:n]))
+		time.Sleep(c.site.late)
+	}
+	return n, err
+}
+
+// sawRead notes the paths of whole requests.
+func (s *site) sawRead(text string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.handled[path]
+	for _, header := range strings.SplitAfter(text, "\r\n\r\n") {
+		fields := strings.Fields(header)
+		if strings.HasSuffix(header, "\r\n\r\n") && len(fields) > 1 {
+			s.seen[fields[1]] = true
+		}
+	}
+}
+
+func (s *site) wasRead(path string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen[path]
 }
 
 // caller has one connection to the site.
@@ -165,83 +210,59 @@
 	return errors.Join(err, response.Body.Close())
 }
 
-// requireKept fails if a request was handed on and got no answer.
-func (c *caller) requireKept(path string, err error) {
-	if err != nil {
-		// The handler may begin after the caller saw the end.
-		bubble.Pass(time.Second)
-		require.False(c.site.t, c.site.wasHandled(path), "request %s was handed on, and its caller got: %v", path, err)
-	}
-}
-
-// lateReads is a listener whose connections hand on late what they have read, as
-// by a goroutine that waits for the processor.
-type lateReads struct{ net.Listener }
-
-// lateBy is how late it is.
-const lateBy = 10 * time.Millisecond
+// lost tells whether a request was read and got no answer.
+func (c *caller) lost(path string, err error) bool { return err != nil && c.site.wasRead(path) }
 
-// Accept implements net.Listener.
-func (l lateReads) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return lateRead{conn}, nil
-}
-
-type lateRead struct{ net.Conn }
-
-// Read implements net.Conn.
-func (c lateRead) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		time.Sleep(lateBy)
-	}
-	return n, err
-}
-
-func late(l net.Listener) net.Listener { return lateReads{l} }
-
-// Guards against a request that is handed on while the idle limit closes its
-// connection: it was cut without an answer.
+// Guards against a request that is read while the idle limit closes its
+// connection, and gets no answer.
 func TestRequestThatMeetsTheIdleLimitIsNotCut(t *testing.T) {
-	play(t, late, func(s *site) {
+	play(t, 10*time.Millisecond, func(s *site) {
 		for offset := -5 * time.Millisecond; offset <= 15*time.Millisecond; offset += time.Millisecond {
 			c := s.dial()
 			_, err := c.call()
 			require.NoError(t, err)
 			bubble.Pass(idleLimit + offset)
-			c.requireKept(c.call())
+			path, err := c.call()
+			require.False(t, c.lost(path, err), "sent %v after the limit: %v", offset, err)
+			if offset < 0 {
+				require.NoError(t, err, "sent %v before the limit", -offset)
+			}
 		}
-		require.Zero(t, s.closed.inHand.Load())
+		require.Zero(t, s.closed.inFlight.Load())
 	})
 }
 
-// Guards against a request that is handed on while a stop closes its idle
-// connection: it was cut without an answer.
-func TestRequestThatMeetsTheEndOfAStopIsNotCut(t *testing.T) {
-	const first, apart = ingress.LingerAfterStop + 100*time.Millisecond, time.Millisecond
-	play(t, late, func(s *site) {
-		s.limit(time.Minute)
-		// All are answered before the stop, so none is told to leave.
-		callers := make([]*caller, 100)
-		for i := range callers {
-			callers[i] = s.dial()
-			_, err := callers[i].call()
-			require.NoError(t, err)
-		}
-		var wg sync.WaitGroup
-		for i, c := range callers {
-			wg.Go(func() {
-				bubble.Pass(first + time.Duration(i)*apart)
-				c.requireKept(c.call())
+// Guards against a request that is dropped or cut while a stop closes its idle
+// connection.
+func TestRequestThatMeetsTheEndOfAStopIsServed(t *testing.T) {
+	for _, late := range []time.Duration{0, 10 * time.Millisecond, 400 * time.Millisecond} {
+		t.Run(late.String(), func(t *testing.T) {
+			play(t, late, func(s *site) {
+				s.limit(time.Minute)
+				// All are answered before the stop, so none is told to leave.
+				callers := make([]*caller, 100)
+				for i := range callers {
+					callers[i] = s.dial()
+					_, err := callers[i].call()
+					require.NoError(t, err)
+				}
+				var wg sync.WaitGroup
+				var lost atomic.Int64
+				for i, c := range callers {
+					wg.Go(func() {
+						bubble.Pass(ingress.LingerAfterStop - 300*time.Millisecond + time.Duration(i)*5*time.Millisecond)
+						if c.lost(c.call()) {
+							lost.Add(1)
+						}
+					})
+				}
+				s.stop()
+				wg.Wait()
+				require.Zero(t, lost.Load(), "requests that were read and got no answer")
+				require.Zero(t, s.closed.inFlight.Load())
 			})
-		}
-		s.stop()
-		wg.Wait()
-		require.Zero(t, s.closed.inHand.Load())
-	})
+		})
+	}
 }
 
 // Guards against a limit that is read once: idle connections kept the one of
@@ -254,7 +275,7 @@
 		t.Run(strings.TrimSuffix(filepath.Base(script), ".txt"), func(t *testing.T) {
 			text, err := os.ReadFile(script)
 			require.NoError(t, err)
-			play(t, nil, func(s *site) {
+			play(t, 0, func(s *site) {
 				c := s.dial()
 				for line := range strings.Lines(string(text)) {
 					c.step(strings.TrimSpace(line))
@@ -292,7 +313,7 @@
 // Guards against a connection that is closed beside a request without a sign of
 // who closed it.
 func TestRequestThatTheStopCutsIsCounted(t *testing.T) {
-	play(t, nil, func(s *site) {
+	play(t, 0, func(s *site) {
 		c := s.dial()
 		ctx, cancel := context.WithCancel(s.t.Context())
 		cancel()
@@ -305,41 +326,55 @@
 		s.stopped.Do(func() { require.NoError(t, s.server.Stop(ctx)) })
 		require.Error(t, <-cut)
 		require.NoError(t, <-s.done)
-		require.Equal(t, int64(1), s.closed.inHand.Load())
+		require.Equal(t, int64(1), s.closed.inFlight.Load())
 	})
 }
 
-// Guards against the idle limit as a bound of a request that came in one write
-// with the one before it: it was cut when it took longer.
-func TestSecondRequestOfOneWriteIsNotCut(t *testing.T) {
-	play(t, nil, func(s *site) {
+// Guards against a handler that breaks off an answer without a sign of it.
+func TestRequestThatTheHandlerBreaksOffIsCounted(t *testing.T) {
+	play(t, 0, func(s *site) {
 		c := s.dial()
-		require.NoError(t, c.write(request("/first")+request(slow)))
-		require.NoError(t, c.read())
-		require.NoError(t, c.read())
+		require.NoError(t, c.write(request(broken)))
+		require.Error(t, c.read())
+		synctest.Wait()
+		require.Equal(t, int64(1), s.closed.inFlight.Load())
 	})
 }
 
-// Guards against a connection that a piece of a request keeps open for ever.
-func TestPieceOfARequestDoesNotKeepItsConnection(t *testing.T) {
-	for _, piece := range []string{"G", "GET ", "GET / HTTP/1.1\r\nHo"} {
-		t.Run(piece, func(t *testing.T) {
-			play(t, nil, func(s *site) {
+// Guards against the idle limit as a bound of requests that came in one write
+// with the one before them: they were cut, or answered late.
+func TestRequestsOfOneWriteAreServed(t *testing.T) {
+	for _, last := range []string{"/last", slow} {
+		t.Run(last, func(t *testing.T) {
+			play(t, 0, func(s *site) {
 				c := s.dial()
-				_, err := c.call()
-				require.NoError(t, err)
-				bubble.Pass(time.Second)
-				require.NoError(t, c.write(piece))
 				begun := time.Now()
-				require.NoError(t, c.conn.SetReadDeadline(begun.Add(time.Hour)))
-				_, err = io.ReadAll(c.reader)
-				require.NoError(t, err)
-				require.LessOrEqual(t, time.Since(begun), ingress.HeaderTimeout)
+				require.NoError(t, c.write(request("/first")+request("/second")+request(last)))
+				require.NoError(t, c.read())
+				require.NoError(t, c.read())
+				require.Equal(t, 2*handlerTime, time.Since(begun))
+				require.NoError(t, c.read())
+				require.Zero(t, s.closed.idle.Load())
 			})
 		})
 	}
 }
 
+// Guards against a stop that waits for the idle limit of a connection on which
+// two requests came in one write.
+func TestStopAfterRequestsOfOneWriteEnds(t *testing.T) {
+	play(t, 0, func(s *site) {
+		s.limit(time.Minute)
+		c := s.dial()
+		require.NoError(t, c.write(request("/first")+request("/second")))
+		require.NoError(t, c.read())
+		require.NoError(t, c.read())
+		begun := time.Now()
+		s.stop()
+		require.Less(t, time.Since(begun), ingress.LingerAfterStop+time.Second)
+	})
+}
+
 // Guards against an answer to a header that is too large whose end is lost in a
 // reset of the connection.
 func TestTooLargeHeaderIsAnsweredToItsEnd(t *testing.T) {
@@ -366,3 +401,23 @@
 	require.NoError(t, server.Stop(ctx))
 	require.NoError(t, <-done)
 }
+
+// Guards against a connection that a piece of a request keeps open for ever.
+func TestPieceOfARequestDoesNotKeepItsConnection(t *testing.T) {
+	for _, piece := range []string{"G", "GET ", "GET / HTTP/1.1\r\nHo"} {
+		t.Run(piece, func(t *testing.T) {
+			play(t, 0, func(s *site) {
+				c := s.dial()
+				_, err := c.call()
+				require.NoError(t, err)
+				bubble.Pass(time.Second)
+				require.NoError(t, c.write(piece))
+				begun := time.Now()
+				require.NoError(t, c.conn.SetReadDeadline(begun.Add(time.Hour)))
+				_, err = io.ReadAll(c.reader)
+				require.NoError(t, err)
+				require.LessOrEqual(t, time.Since(begun), ingress.HeaderTimeout)
+			})
+		})
+	}
+}
--- a/internal/role/gateway/metrics.go
+++ b/internal/role/gateway/metrics.go
@@ -101,7 +101,7 @@
 		}, []string{"call", "result"}),
 		closed: auto.NewCounterVec(prometheus.CounterOpts{
 			Name: "persimmonridge_caller_connections_closed_total",
-			Help: "Callers' connections that this process closed as idle, or with a request in hand.",
+			Help: "Callers' connections that this process closed as idle, or with a request in flight.",
 		}, []string{"reason"}),
 		firstEvent: auto.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "persimmonridge_first_event_seconds", Help: "Time from a request's arrival to its stream's first event.", Buckets: latencyBuckets,
