An engine that is back after its registration lapsed keeps its places

What callers saw: first events that came late, or one more try after an engine declined, because an engine was given its slots a second time while it ran what it had.

Cause: the board forgot an engine that was not listed, and its places with it, though its streams went on. The decision was taken on the listing; the places were in use. On its return an empty engine took its place, and what the gateways told each second was not taken in, since the board still found the runs on the forgotten one. A lapse counts once a gateway has seen it, so it spans two looks at the store, which are 0.5 to 1.2 s apart.

Why the fix works: the board goes on keeping the runs of an engine that is not listed, as it did for their ends, and gives the engine back with them when it returns as the same process (its start is the same). One that started anew begins empty as before. A gateway that is gone is now dropped from all runs, not only from those on listed engines: a place of it would otherwise come back with the engine and stay taken for good; a test of its own guards that.

--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -55,12 +55,22 @@
 }
 
 // SetUpstreams takes the engines that may get work. One that started anew
-// holds nothing of before, and its speed is unknown.
+// holds nothing of before, and its speed is unknown. One that was not listed for
+// a while runs on, and its places count when it is back.
 func (b *Board) SetUpstreams(now time.Time, upstreams []Upstream) {
 	next := make(map[string]*engine, len(upstreams))
 	b.byService = make(map[string][]*engine)
+	var unlisted map[string]*engine
 	for _, u := range upstreams {
 		e := b.engines[u.ID]
+		if e == nil {
+			if unlisted == nil {
+				unlisted = b.unlisted()
+			}
+			if e = unlisted[u.ID]; e != nil {
+				e.setSplit(now, b.others)
+			}
+		}
 		if e == nil || e.Born != u.Born {
 			e = newEngine(now, u, b.family(u.Service))
 			e.setSplit(now, b.others)
@@ -77,6 +87,18 @@
 	b.Tick(now)
 }
 
+// unlisted returns the engines that may get no work and still have runs.
+func (b *Board) unlisted() map[string]*engine {
+	unlisted := make(map[string]*engine)
+	for _, e := range b.byRun {
+		// Of two processes under one id the later one counts.
+		if other := unlisted[e.ID]; b.engines[e.ID] == nil && (other == nil || other.Born < e.Born) {
+			unlisted[e.ID] = e
+		}
+	}
+	return unlisted
+}
+
 func (b *Board) family(service string) *family {
 	f := b.families[service]
 	if f == nil {
@@ -205,12 +227,10 @@
 func (b *Board) DropOwner(now time.Time, owner string) {
 	b.waiting = slices.DeleteFunc(b.waiting, func(a *Ask) bool { return a.Owner == owner })
 	b.late = slices.DeleteFunc(b.late, func(a *Ask) bool { return a.Owner == owner })
-	for _, e := range b.engines {
-		for k, r := range e.runs {
-			if r.owner == owner {
-				e.end(now, k, r)
-				delete(b.byRun, k)
-			}
+	for k, e := range b.byRun {
+		if r := e.runs[k]; r != nil && r.owner == owner {
+			e.end(now, k, r)
+			delete(b.byRun, k)
 		}
 	}
 }
--- a/internal/sched/board/return_test.go
+++ b/internal/sched/board/return_test.go
@@ -34,3 +34,18 @@
 	b.Ended(later, "gateway", "old0", board.End{Outcome: board.Answered})
 	require.Equal(t, 1, granted(b.Verdicts()))
 }
+
+// Guards against places that stay taken for good: their gateway was gone while
+// the registration of their engine had lapsed.
+func TestPlacesOfAGatewayThatIsGoneEndOnAnEngineThatReturns(t *testing.T) {
+	b := board.New()
+	b.SetUpstreams(start, engines(1, 1))
+	b.Ask(start, ask(start, "gone", "old"))
+	b.SetUpstreams(start, nil)
+	b.DropOwner(start, "gone")
+	b.SetUpstreams(start, engines(1, 1))
+	b.Verdicts()
+
+	b.Ask(start, ask(start, "gateway", "new"))
+	require.Equal(t, 1, granted(b.Verdicts()))
+}
