An engine that is not listed any more is not filled

What callers saw: a request that waited was granted a place on an engine that drains or is gone, and was asked for anew from the start, or declined there.

Cause: the end of a run fills its engine. That the engine may get work was decided when the run was granted and was not looked at again.

Why the fix works: only the engines of the present list are filled; the run is ended on any. Evidence: TestEngineThatIsGoneGetsNothing failed three runs of three before and passes; internal/sched/..., internal/role/gateway and internal/trial/pattern pass with -race.

--- a/internal/sched/board/fill.go
+++ b/internal/sched/board/fill.go
@@ -9,8 +9,12 @@
 const scanMost = 256
 
 // fill gives an engine that has got room what waits: first what can be in time,
-// then, if nothing of that is left, what is late.
+// then, if nothing of that is left, what is late. One that ends its runs and gets
+// no more work is not filled.
 func (b *Board) fill(now time.Time, e *engine) {
+	if b.engines[e.ID] != e {
+		return
+	}
 	least := b.leastFailing(now, e.Service)
 	b.waiting = b.fillFrom(now, e, b.waiting, false, least)
 	if len(b.waiting) == 0 {
