Places of a gateway that is heard again stay

What callers saw: a waiting request without a verdict for 1.5 s, and engines with more than they have slots for, for up to a second.

Cause: the timer that drops a silent gateway's places decides that the gateway is gone in one step and drops them in another; that the gateway is heard between the two, or as the timer fires, undid only the first.

Why the fix works: the timer looks whether it still stands for the gateway and drops in one step under the lock; a gateway that is heard takes the timer off under the same lock.

--- a/internal/sched/granter/granter.go
+++ b/internal/sched/granter/granter.go
@@ -155,12 +155,18 @@
 	if g.owners[owner] != nil {
 		return
 	}
-	g.owners[owner] = time.AfterFunc(dropAfter, func() {
-		g.mu.Lock()
-		delete(g.owners, owner)
-		g.mu.Unlock()
-		g.do(func(b *board.Board, now time.Time) { b.DropOwner(now, owner) })
+	var timer *time.Timer
+	timer = time.AfterFunc(dropAfter, func() {
+		g.do(func(b *board.Board, now time.Time) {
+			// A timer that has fired cannot be stopped.
+			if g.owners[owner] != timer {
+				return
+			}
+			delete(g.owners, owner)
+			b.DropOwner(now, owner)
+		})
 	})
+	g.owners[owner] = timer
 }
 
 // OwnerUp keeps the places of a gateway that is heard again.
