What becomes of a peer is told in the order in which it was decided

What callers saw: a second ask for a place after a peer's pause, and, where gossip is rarer than 300 ms, places of a living gateway that are given away.

Cause: that a peer is silent was decided under the mesh's lock and told without it, after a line to the log; a gossip in between was told before.

Why the fix works: one lock is held from the decision until the handler was told, for silence, for a peer's last word and for what is heard. Lines to the log are written outside of it, so a slow log holds up no peer. Handlers do not block and call nothing that takes this lock.

--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -103,6 +103,10 @@
 	logger        *slog.Logger
 	now           func() time.Time
 
+	// telling is held from a decision on a peer until the handler was told of it,
+	// so that it is told in the order of the decisions. It is taken before mu.
+	telling sync.Mutex
+
 	mu     sync.Mutex
 	peers  map[string]*peer
 	ctx    context.Context
@@ -283,23 +287,45 @@
 	for _, h := range g.Known {
 		m.Know(now, h.Address)
 	}
-	m.mu.Lock()
-	p := m.peers[from.address]
-	if p == nil {
-		m.mu.Unlock()
-		return
-	}
 	if g.Gone {
-		first := p.ended(from, g.Run)
-		m.mu.Unlock()
-		if first {
+		if m.tellGone(now, from, g) {
 			m.logger.Info("peer gone", "peer", from.node, "run", g.Run)
-			m.handler.Down(now, from.node)
 		}
 		return
 	}
-	restarted := p.Run != 0 && p.Run != g.Run
-	returned := p.down || p.Run == 0
+	if returned, restarted := m.tellHeard(now, from, g); returned || restarted {
+		m.logger.Info("peer heard", "peer", from.node, "run", g.Run, "rank", g.Rank, "restarted", restarted)
+	}
+}
+
+// tellGone notes that a peer said that its process ends, and tells whether that
+// is new.
+func (m *Mesh) tellGone(now time.Time, from sender, g *wire.Gossip) bool {
+	m.telling.Lock()
+	defer m.telling.Unlock()
+	m.mu.Lock()
+	p := m.peers[from.address]
+	first := p != nil && p.ended(from, g.Run)
+	m.mu.Unlock()
+	if first {
+		m.handler.Down(now, from.node)
+	}
+	return first
+}
+
+// tellHeard notes what a peer is, and tells whether it is back, by the same or
+// another process.
+func (m *Mesh) tellHeard(now time.Time, from sender, g *wire.Gossip) (returned, restarted bool) {
+	m.telling.Lock()
+	defer m.telling.Unlock()
+	m.mu.Lock()
+	p := m.peers[from.address]
+	if p == nil {
+		m.mu.Unlock()
+		return false, false
+	}
+	restarted = p.Run != 0 && p.Run != g.Run
+	returned = p.down || p.Run == 0
 	p.Peer = Peer{
 		Node: from.node, Address: from.address, Run: g.Run, Rank: g.Rank,
 		Ready: g.Ready, Leaving: g.Leaving, Heard: now, HearsUs: g.HearsYou,
@@ -309,10 +335,8 @@
 	if restarted {
 		m.handler.Down(now, from.node)
 	}
-	if restarted || returned {
-		m.logger.Info("peer heard", "peer", from.node, "run", g.Run, "rank", g.Rank, "restarted", restarted)
-	}
 	m.handler.Heard(now, from.node, g)
+	return returned, restarted
 }
 
 // ended notes that the peer said that its process ends. It tells whether that is
@@ -438,8 +462,18 @@
 // check notices peers that went silent: they are down, their links are made
 // anew, and in the end they are forgotten.
 func (m *Mesh) check(now time.Time) {
+	for _, node := range m.tellSilent(now) {
+		m.logger.Warn("peer silent", "peer", node)
+	}
+}
+
+// tellSilent tells of the peers that have become silent, and returns them. The
+// log is told later, since a line may take a while.
+func (m *Mesh) tellSilent(now time.Time) []string {
 	var down []string
 	limit := m.aliveFor()
+	m.telling.Lock()
+	defer m.telling.Unlock()
 	m.mu.Lock()
 	for address, p := range m.peers {
 		silent := now.Sub(p.Heard)
@@ -460,9 +494,9 @@
 	}
 	m.mu.Unlock()
 	for _, node := range down {
-		m.logger.Warn("peer silent", "peer", node)
 		m.handler.Down(now, node)
 	}
+	return down
 }
 
 func drain(queue chan *wire.Envelope) {
