What a former process of a peer said late does not end the present one

What callers saw: for up to one gossip after a quick restart of a gateway, places asked of another scheduler or asked for twice.

Cause: a peer's last word, and its gossip, counted whichever of its processes said it.

Why the fix works: runs rise with each process of a VM; while a later one is heard, what an earlier one said is left aside.

--- a/internal/fleet/mesh/former_test.go
+++ b/internal/fleet/mesh/former_test.go
@@ -52,3 +52,21 @@
 		require.Equal(t, uint64(3), alive[0].Run)
 	})
 }
+
+// Guards against a peer that is never heard again: its clock was put back, so its
+// present process looks earlier than the one that crashed.
+func TestPeerWhoseClockWasPutBackIsHeard(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		n := network.New()
+		a := start(t, n, "a:1", 1, &wire.Gossip{Ready: true}, "b:1")
+		b := start(t, n, "b:1", 5, &wire.Gossip{Rank: 5}, "a:1")
+		bubble.Pass(time.Second)
+		b.stop()
+		b = start(t, n, "b:1", 4, &wire.Gossip{Rank: 4}, "a:1")
+		bubble.Pass(time.Second)
+		got, _ := a.handler.from("b:1")
+		a.stop()
+		b.stop()
+		require.Equal(t, int64(4), got.Rank)
+	})
+}
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -303,9 +303,10 @@
 func (m *Mesh) tellGone(now time.Time, from sender, g *wire.Gossip) bool {
 	m.telling.Lock()
 	defer m.telling.Unlock()
+	limit := m.aliveFor()
 	m.mu.Lock()
 	p := m.peers[from.address]
-	first := p != nil && p.ended(from, g.Run)
+	first := p != nil && !p.replaced(now, g.Run, limit) && p.ended(from, g.Run)
 	m.mu.Unlock()
 	if first {
 		m.handler.Down(now, from.node)
@@ -318,9 +319,10 @@
 func (m *Mesh) tellHeard(now time.Time, from sender, g *wire.Gossip) (returned, restarted bool) {
 	m.telling.Lock()
 	defer m.telling.Unlock()
+	limit := m.aliveFor()
 	m.mu.Lock()
 	p := m.peers[from.address]
-	if p == nil {
+	if p == nil || p.replaced(now, g.Run, limit) {
 		m.mu.Unlock()
 		return false, false
 	}
@@ -339,6 +341,13 @@
 	return returned, restarted
 }
 
+// replaced tells whether a later process than that of the run lives: what the
+// former one said may arrive late, on a link of its own. A clock that was put
+// back makes the present process look like the former one, until that is silent.
+func (p *peer) replaced(now time.Time, run uint64, limit time.Duration) bool {
+	return run < p.Run && !p.down && now.Sub(p.Heard) < limit
+}
+
 // ended notes that the peer said that its process ends. It tells whether that is
 // new, since the last word may come several times.
 func (p *peer) ended(from sender, run uint64) bool {
