A gateway's listing survives a write that is carried out late

What callers saw: nothing at once; gateways that started later did not find this one in the store and shared quotas without it.

Cause: a write without an answer was repeated under a new lease. Carried out after the repetition, it put the listing under the first lease, which lapsed while the gateway renewed the second.

Why the fix works: the write is repeated under the lease it was tried with until it is answered, so a late one changes nothing. A new lease is taken when that one has ended, and then the store refuses what is under it.

--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -98,16 +98,16 @@
 	if err != nil {
 		return err
 	}
-	lease := int64(0)
+	lease, listed := int64(0), false
 	for ctx.Err() == nil {
-		if lease == 0 {
-			lease = p.enlist(ctx, value)
+		if !listed {
+			lease, listed = p.enlist(ctx, lease, value)
 		} else if err := p.store.Keep(ctx, lease); errorx.IsOfType(err, kv.LeaseEnded) {
-			lease = 0
+			lease, listed = 0, false
 			continue
 		}
 		renew := memberRenew
-		if lease == 0 {
+		if !listed {
 			renew = memberRenew / 6
 		}
 		wait.For(ctx, renew)
@@ -125,17 +125,26 @@
 // releaseWithin bounds the last call of a stopping process.
 const releaseWithin = 200 * time.Millisecond
 
-func (p *peers) enlist(ctx context.Context, value []byte) int64 {
-	lease, _, err := p.store.Grant(ctx, memberTerm)
-	if err != nil {
-		return 0
+// enlist lists the gateway under the lease, or under a new one if that is 0. It
+// returns the lease and whether the gateway is listed. A write without an answer
+// may still be carried out, also after a later one; it is repeated under the same
+// lease, so that all of them say the same.
+func (p *peers) enlist(ctx context.Context, lease int64, value []byte) (int64, bool) {
+	if lease == 0 {
+		var err error
+		if lease, _, err = p.store.Grant(ctx, memberTerm); err != nil {
+			return 0, false
+		}
 	}
-	_, err = p.store.Commit(ctx, kv.Transaction{Puts: []kv.Put{{Key: memberPrefix + p.settings.Name, Value: value, Lease: lease}}})
-	if err != nil {
-		p.logger.Info("not listed yet", "err", err)
-		return 0
+	_, err := p.store.Commit(ctx, kv.Transaction{Puts: []kv.Put{{Key: memberPrefix + p.settings.Name, Value: value, Lease: lease}}})
+	if err == nil {
+		return lease, true
+	}
+	p.logger.Info("not listed yet", "err", err)
+	if errorx.IsOfType(err, kv.LeaseEnded) {
+		return 0, false
 	}
-	return lease
+	return lease, false
 }
 
 // Gossip implements mesh.Handler.
