The end of a whole answer is lost 30 s after its last piece: failing test

What callers of the earlier path see: an answer that breaks off, though the upstream ended it. A caller has 30 s to accept each piece of an answer; the deadline is set with the piece and stays on the connection. A service that ends its answer later than that after the last piece, as one that works on behind an answer of unknown length, has its end written under a deadline that is over.

--- /dev/null
+++ b/internal/role/entry/output_test.go
@@ -0,0 +1,42 @@
+package entry
+
+import (
+	"io"
+	"log/slog"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
+	"github.com/persimmonridge/persimmonridge/internal/proof/bubble"
+	"github.com/persimmonridge/persimmonridge/internal/proof/invariant"
+	"github.com/persimmonridge/persimmonridge/internal/standin/network"
+)
+
+// Guards against a whole answer whose end is lost: the time that its caller had
+// to accept the last piece was over before the upstream ended it.
+func TestAnswerThatEndsLongAfterItsLastPieceIsWhole(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		n := network.New()
+		listener, err := n.Listen("a:1")
+		require.NoError(t, err)
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			o := newOutput("id", w, invariant.New(slog.New(slog.DiscardHandler)), time.Now)
+			_ = o.write(&wire.Data{Bytes: []byte("whole")})
+			bubble.Pass(callerTimeout + time.Second)
+			o.begin()
+		})}
+		go func() { _ = server.Serve(listener) }()
+		client := &http.Client{Transport: &http.Transport{DialContext: n.DialContext, DisableKeepAlives: true}}
+		response, err := client.Get("http://a:1/")
+		require.NoError(t, err)
+		body, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		closeErr := server.Close()
+		require.NoError(t, err)
+		require.NoError(t, closeErr)
+		require.Equal(t, "whole", string(body))
+	})
+}
