The end of an answer has the time that a piece of it has

What callers of the earlier path saw: a whole answer that broke off when it ended more than 30 s after its last piece.

Cause: the write deadline of the last piece was still on the connection.

Why the fix works: the deadline is set at the beginning of each step, the end included, and not only with pieces.

Evidence: TestAnswerThatEndsLongAfterItsLastPieceIsWhole failed three runs of three before; three runs of internal/role/entry with -race pass, as do internal/trial/scenario and internal/trial/fleet.

--- a/internal/role/entry/output.go
+++ b/internal/role/entry/output.go
@@ -69,7 +69,6 @@
 	if o.recorder != nil {
 		o.recorder.add(data.GetBytes())
 	}
-	_ = o.control.SetWriteDeadline(o.now().Add(callerTimeout))
 	if _, err := o.writer.Write(data.GetBytes()); err != nil {
 		return errCallerGone
 	}
@@ -90,8 +89,10 @@
 	return int(o.offset / bytesPerToken)
 }
 
-// begin writes the head, once.
+// begin writes the head, once. It is called before each piece and before the
+// answer's end, and gives the caller its time for what follows.
 func (o *output) begin() {
+	_ = o.control.SetWriteDeadline(o.now().Add(callerTimeout))
 	if o.started {
 		return
 	}
