Peers become known only while the mesh runs

What callers saw: nothing; a gateway that stopped could end with a panic, and its listing lapsed.

Cause: goroutines were added to the mesh's group before it had its first and after it had its last, because the mesh was closed only after the wait for the group.

Why the fix works: the goroutine of the gossip is the group's first, begun under the lock under which the group becomes known, and it closes the mesh before it ends. So others are added only while it is counted.

--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -130,21 +130,30 @@
 	group, ctx := errgroup.WithContext(ctx)
 	m.mu.Lock()
 	m.ctx, m.group = ctx, group
+	// Peers become known at any time. This goroutine is the first and the last of
+	// those to which theirs are added.
+	group.Go(func() error {
+		defer m.close()
+		return m.gossip(ctx)
+	})
 	for _, p := range m.peers {
 		m.startLocked(p)
 	}
 	m.mu.Unlock()
-	group.Go(func() error { return m.gossip(ctx) })
 	err := group.Wait()
-	m.mu.Lock()
-	m.closed = true
-	m.mu.Unlock()
 	if closeErr := m.pool.Close(); err == nil {
 		err = closeErr
 	}
 	return err
 }
 
+// close lets no more peers become known.
+func (m *Mesh) close() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.closed = true
+}
+
 // Know makes the process known of, so that it is linked with.
 func (m *Mesh) Know(now time.Time, address string) {
 	m.mu.Lock()
