The later of two states of a move stays

What callers saw: one gateway went on with a share of a move that others had left, until another move or a restart.

Cause: whether a state, or an order, is the latest was decided under the lock, and it was put in force without it.

Why the fix works: both are one step under the lock; the picker's own lock is taken inside of it and never the other way round.

Evidence: TestLaterOfTwoStatesThatComeAtOnceStays failed five runs of five before, after some thousand revisions; it passes five runs, and internal/role/gateway and internal/version/... pass three times with -race.

--- a/internal/role/gateway/moves.go
+++ b/internal/role/gateway/moves.go
@@ -25,6 +25,7 @@
 type moves struct {
 	*Gateway
 
+	// mu is held while a state is put in force, so that none replaces a later one.
 	mu        sync.Mutex
 	orders    map[string]rollout.Order
 	revisions map[string]int64
@@ -69,16 +70,15 @@
 	if newer {
 		m.orders[order.Service] = order
 		m.judges[order.Service] = rollout.NewJudge(order.Revision)
+		if state, ok := m.rollouts.State(order.Service); !ok || state.Order < order.Revision {
+			// Until the move has begun, its target gets nothing: its upstreams may
+			// be there before the first share is decided.
+			m.rollouts.SetState(order.Service, rollout.State{Order: order.Revision, Target: order.Target, Phase: rollout.Running})
+		}
 	}
 	m.mu.Unlock()
-	if !newer {
-		return
-	}
-	m.logger.Info("move ordered", "service", order.Service, "target", order.Target, "duration", order.Duration, "revision", order.Revision)
-	if state, ok := m.rollouts.State(order.Service); !ok || state.Order < order.Revision {
-		// Until the move has begun, its target gets nothing: its upstreams may
-		// be there before the first share is decided.
-		m.rollouts.SetState(order.Service, rollout.State{Order: order.Revision, Target: order.Target, Phase: rollout.Running})
+	if newer {
+		m.logger.Info("move ordered", "service", order.Service, "target", order.Target, "duration", order.Duration, "revision", order.Revision)
 	}
 }
 
@@ -112,12 +112,14 @@
 	if newer {
 		m.revisions[service] = revision
 	}
-	stale := state.Order < m.orders[service].Revision
+	inForce := newer && state.Order >= m.orders[service].Revision
+	if inForce {
+		m.rollouts.SetState(service, state)
+	}
 	m.mu.Unlock()
-	if !newer || stale {
+	if !inForce {
 		return
 	}
-	m.rollouts.SetState(service, state)
 	m.logger.Info("move", "service", service, "target", state.Target, "phase", state.Phase, "share", state.Share,
 		"why", state.Why, "revision", revision, "from", from)
 }
