An older list of upstreams undoes changes: failing test

What callers see: requests that are sent to an upstream that leaves or is gone, and tried again elsewhere, each after up to the 1.2 s of a connection attempt. A gateway that the store turns away takes the list from a peer. If the store answers again just then, its changes are taken one by one in another goroutine, and the list, older than some of them, passes between: its age is compared with the revision up to which all changes were taken, which is noted only at their end. What a change removed is back and nobody removes it again.

--- a/internal/state/roster/roster_test.go
+++ b/internal/state/roster/roster_test.go
@@ -74,3 +74,19 @@
 	r.Replace(start, 8, nil)
 	require.Equal(t, []string{"a"}, ids(r))
 }
+
+// Guards against upstreams that leave and get work, that are gone and come back
+// for good, or that are new and forgotten: a peer's list, read before, was taken
+// between changes that the store told.
+func TestListThatIsOlderThanAChangeDoesNotUndoIt(t *testing.T) {
+	r := roster.New()
+	r.Replace(start, 99, []roster.Upstream{upstream("leaving", 90, roster.Ready), upstream("gone", 91, roster.Ready)})
+	// The store tells of changes up to 106, one by one.
+	r.Put(upstream("leaving", 103, roster.Draining))
+	r.Remove(start, "gone", 104)
+	r.Put(upstream("new", 105, roster.Ready))
+	r.Replace(start, 102, []roster.Upstream{upstream("leaving", 90, roster.Ready), upstream("gone", 91, roster.Ready)})
+	r.Advance(106)
+
+	require.Equal(t, []string{"new"}, ids(r))
+}
