An older list of upstreams undoes no change

What callers saw: requests sent to upstreams that leave or are gone, and tried again.

Cause: the revision up to which changes were taken was noted after all of them, so an older list passed between them.

Why the fix works: each change notes its revision as it is taken, in one step; a list that is older is then left aside whole, as it is after the last change. Changes come in the order of their revisions, and those of one transaction share one, which a list of that revision holds.

--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -90,10 +90,11 @@
 	r.index()
 }
 
-// Put takes one registration.
+// Put takes one registration. A list that is older is of no use from then on.
 func (r *Roster) Put(u Upstream) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.revision = max(r.revision, u.Revision)
 	if old, ok := r.records[u.ID]; ok && old.upstream.Revision > u.Revision {
 		return
 	}
