The configuration in force is the one that is handed on

What callers saw: at a gateway that the store turns away, the configuration before the last, until the next change.

Cause: what a gateway hands on to its peers was kept after the configuration was in force and a line was written to the log, so another one could come in between.

Why the fix works: whether it is newer, its being in force and its being kept are one step under a lock. Readers take no lock, as before.

Evidence: TestConfigurationInForceIsTheOneHandedOn failed three runs of three before; five runs and internal/role/gateway pass with -race.

--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -112,8 +113,10 @@
 	logger  *slog.Logger
 	now     func() time.Time
 
-	run           uint64
-	began         time.Time
+	run   uint64
+	began time.Time
+	// configuring is held while a configuration is put in force.
+	configuring   sync.Mutex
 	catalog       atomic.Pointer[catalog.Catalog]
 	rawConfig     atomic.Pointer[[]byte]
 	roster        *roster.Roster
--- a/internal/role/gateway/views.go
+++ b/internal/role/gateway/views.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/persimmonridge/persimmonridge/internal/sched/board"
+	"github.com/persimmonridge/persimmonridge/internal/state/catalog"
 	"github.com/persimmonridge/persimmonridge/internal/state/kv"
 	"github.com/persimmonridge/persimmonridge/internal/state/roster"
 )
@@ -49,19 +50,25 @@
 		g.logger.Error("configuration not taken", "from", from, "err", err)
 		return
 	}
-	for {
-		current := g.catalog.Load()
-		if current != nil && current.Version() >= next.Version() {
-			return
-		}
-		if g.catalog.CompareAndSwap(current, next) {
-			g.logger.Info("configuration in force", "version", next.Version(), "from", from,
-				"bytes", len(raw), "decode", decoded, "idle-limit", next.Limits().IdleTimeout)
-			g.rawConfig.Store(&raw)
-			g.upstreamsChanged()
-			return
-		}
+	if !g.putInForce(next, raw) {
+		return
+	}
+	g.logger.Info("configuration in force", "version", next.Version(), "from", from,
+		"bytes", len(raw), "decode", decoded, "idle-limit", next.Limits().IdleTimeout)
+	g.upstreamsChanged()
+}
+
+// putInForce puts a configuration in force if it is newer, and keeps it as it was
+// written for peers. Two that come at once must not be mixed.
+func (g *Gateway) putInForce(next *catalog.Catalog, raw []byte) bool {
+	g.configuring.Lock()
+	defer g.configuring.Unlock()
+	if current := g.catalog.Load(); current != nil && current.Version() >= next.Version() {
+		return false
 	}
+	g.catalog.Store(next)
+	g.rawConfig.Store(&raw)
+	return true
 }
 
 // upstreamView takes the upstreams' registrations from the store, and keeps them
