The scheduler goes by the list of engines before last: failing test

What callers see: a request that is given a place on an engine that leaves, and asks again, or one that is refused beside an engine that is new, until the next change of any registration. The list is read from the roster and handed to the board in two steps, and is handed over by the goroutine that follows the store and by those that take a configuration or a list from a peer. Of two at once the older list may be handed over last.

--- a/internal/role/gateway/views_internal_test.go
+++ b/internal/role/gateway/views_internal_test.go
@@ -11,7 +11,10 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
+	"github.com/persimmonridge/persimmonridge/internal/sched/board"
+	"github.com/persimmonridge/persimmonridge/internal/sched/granter"
 	"github.com/persimmonridge/persimmonridge/internal/state/catalog"
+	"github.com/persimmonridge/persimmonridge/internal/state/roster"
 )
 
 // versions decodes a configuration that is nothing but its version.
@@ -37,3 +40,26 @@
 		require.Equal(t, strconv.FormatInt(g.catalog.Load().Version(), 10), string(handed.Config))
 	}
 }
+
+// Guards against an engine that gets work after it said that it leaves: two
+// changes came at once, and the scheduler took the list of before last.
+func TestSchedulerTakesTheLastListOfEngines(t *testing.T) {
+	g := New(Parts{Settings: Settings{Name: "me"}, Dialer: &net.Dialer{}, Logger: slog.New(slog.DiscardHandler), Now: time.Now})
+	granted := false
+	g.granter = granter.New(time.Now, func(v board.Verdict) { granted = granted || v.Upstream != "" }, g.logger)
+	g.catalog.Store(catalog.New(catalog.Content{Version: 1, Services: []catalog.Service{{Name: "tutor", Engine: &catalog.Engine{Slots: 1}}}}))
+	change := func(state roster.State, revision int64) {
+		g.roster.Put(roster.Upstream{ID: "engine", Service: "tutor", Slots: 1, State: state, Revision: revision})
+		g.upstreamsChanged()
+	}
+	for revision := int64(1); revision < 20_000; revision += 2 {
+		var wg sync.WaitGroup
+		wg.Go(func() { change(roster.Ready, revision) })
+		wg.Go(func() { change(roster.Draining, revision+1) })
+		wg.Wait()
+		now := time.Now()
+		g.granter.Ask(board.Ask{Owner: "me", ID: "a", Service: "tutor", Due: now.Add(time.Second), Until: now.Add(time.Minute), Prompt: 100, Output: 10})
+		require.False(t, granted, "revision %d", revision)
+		g.granter.Ended("me", "a", board.End{Outcome: board.Left})
+	}
+}
