The scheduler goes by the last list of engines

What callers saw: a place on an engine that leaves, or a refusal beside one that is new, until the next change.

Cause: the list of engines was read in one step and told in another, by several goroutines.

Why the fix works: both are one step under a lock, so who tells last has read last. Nothing that is called under it comes back to it.

Evidence: TestSchedulerTakesTheLastListOfEngines failed three runs of three before; five runs and internal/role/gateway pass with -race.

--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -116,7 +116,9 @@
 	run   uint64
 	began time.Time
 	// configuring is held while a configuration is put in force.
-	configuring   sync.Mutex
+	configuring sync.Mutex
+	// listing is held while the list of engines is read and told.
+	listing       sync.Mutex
 	catalog       atomic.Pointer[catalog.Catalog]
 	rawConfig     atomic.Pointer[[]byte]
 	roster        *roster.Roster
--- a/internal/role/gateway/views.go
+++ b/internal/role/gateway/views.go
@@ -153,8 +153,11 @@
 	return items
 }
 
-// upstreamsChanged tells the scheduler which engines may get work.
+// upstreamsChanged tells the scheduler which engines may get work. Of several
+// calls at once, the last to tell has read last.
 func (g *Gateway) upstreamsChanged() {
+	g.listing.Lock()
+	defer g.listing.Unlock()
 	current := g.catalog.Load()
 	if current == nil {
 		return
