An older list of upstreams is handed on: failing test

What callers see: a gateway that the store turns away sends requests to an upstream that is gone, and tries them elsewhere. A list that a peer sends is compared with what is known before it is taken; the store's changes, taken meanwhile by another goroutine, make it old. The roster leaves it aside, but the registrations as they were written, which are handed on to peers that the store turns away, are replaced by it, and a removal is not told again.

--- a/internal/role/gateway/views_internal_test.go
+++ b/internal/role/gateway/views_internal_test.go
@@ -14,6 +14,7 @@
 	"github.com/persimmonridge/persimmonridge/internal/sched/board"
 	"github.com/persimmonridge/persimmonridge/internal/sched/granter"
 	"github.com/persimmonridge/persimmonridge/internal/state/catalog"
+	"github.com/persimmonridge/persimmonridge/internal/state/kv"
 	"github.com/persimmonridge/persimmonridge/internal/state/roster"
 )
 
@@ -63,3 +64,26 @@
 		g.granter.Ended("me", "a", board.End{Outcome: board.Left})
 	}
 }
+
+// registrations decodes upstreams that are nothing but their ids.
+type registrations struct{ Decoder }
+
+// Upstream implements Decoder.
+func (registrations) Upstream(key string, _ []byte, revision int64) (roster.Upstream, error) {
+	return roster.Upstream{ID: key, Service: "tutor", Revision: revision}, nil
+}
+
+// UpstreamID implements Decoder.
+func (registrations) UpstreamID(key string) string { return key }
+
+// Guards against an upstream that is gone and is handed on to peers for good: a
+// peer's list, read before, was taken after the change that removed it.
+func TestOlderListIsNotHandedOn(t *testing.T) {
+	g := New(Parts{Decoder: registrations{}, Dialer: &net.Dialer{}, Logger: slog.New(slog.DiscardHandler), Now: time.Now})
+	now := time.Unix(1_000_000, 0)
+	older := kv.Snapshot{Items: []kv.Item{{Key: "gone", Revision: 91}}, Revision: 102}
+	g.upstreams.Replace(now, kv.Snapshot{Items: older.Items, Revision: 99})
+	g.upstreams.Apply(now, kv.Changes{Events: []kv.Event{{Item: kv.Item{Key: "gone", Revision: 104}, Deleted: true}}, Revision: 104})
+	g.upstreams.Replace(now, older)
+	require.Empty(t, g.peers.snapshot(&wire.SnapshotAsk{Roster: true}).Roster)
+}
