What is handed on to peers is what the roster holds

What callers saw: requests of a gateway that the store turns away, sent to an upstream that is gone and tried elsewhere.

Cause: the registrations as they were written were replaced by an older list that the roster left aside.

Why the fix works: both take a list, or a change, in one step under a lock, and a list that the roster leaves aside changes neither. Lines to the log are written outside of it.

--- a/internal/role/gateway/views.go
+++ b/internal/role/gateway/views.go
@@ -76,6 +76,7 @@
 type upstreamView struct {
 	gateway *Gateway
 
+	// mu is held while the roster takes what items take, so that both are alike.
 	mu    sync.Mutex
 	items map[string]kv.Item
 }
@@ -94,9 +95,14 @@
 		ups = append(ups, u)
 	}
 	v.mu.Lock()
-	v.items = items
+	taken := v.gateway.roster.Replace(now, s.Revision, ups)
+	if taken {
+		v.items = items
+	}
 	v.mu.Unlock()
-	v.gateway.roster.Replace(now, s.Revision, ups)
+	if !taken {
+		return
+	}
 	v.gateway.upstreamsChanged()
 	v.gateway.logger.Info("upstreams read", "count", len(ups), "revision", s.Revision)
 }
@@ -115,30 +121,30 @@
 func (v *upstreamView) event(now time.Time, e kv.Event) {
 	g := v.gateway
 	id := g.decoder.UpstreamID(e.Key)
-	v.mu.Lock()
-	if e.Deleted {
-		delete(v.items, e.Key)
-	} else {
-		v.items[e.Key] = e.Item
-	}
-	v.mu.Unlock()
 	if e.Deleted {
 		g.logger.Info("upstream gone", "upstream", id, "revision", e.Revision)
 		g.noteChange(e.Revision)
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		delete(v.items, e.Key)
 		g.roster.Remove(now, id, e.Revision)
 		return
 	}
 	u, err := g.decoder.Upstream(e.Key, e.Value, e.Revision)
 	if err != nil {
 		g.logger.Warn("registration ignored", "err", err)
-		g.roster.Remove(now, id, e.Revision)
-		return
-	}
-	if old, ok := g.roster.Get(id); !ok || old.State != u.State || old.Born != u.Born || old.Address != u.Address {
+	} else if old, ok := g.roster.Get(id); !ok || old.State != u.State || old.Born != u.Born || old.Address != u.Address {
 		g.logger.Info("upstream changed", "upstream", id, "service", u.Service, "address", u.Address,
 			"state", u.State, "version", u.Version, "born", u.Born, "revision", e.Revision)
 		g.noteChange(e.Revision)
 	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.items[e.Key] = e.Item
+	if err != nil {
+		g.roster.Remove(now, id, e.Revision)
+		return
+	}
 	g.roster.Put(u)
 }
 
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -69,12 +69,13 @@
 }
 
 // Replace takes the whole list as read at the revision. What is not in it any
-// more is gone, but for what may have lapsed while the store was away.
-func (r *Roster) Replace(now time.Time, revision int64, upstreams []Upstream) {
+// more is gone, but for what may have lapsed while the store was away. It tells
+// whether the list was taken: one that is older than what is known is not.
+func (r *Roster) Replace(now time.Time, revision int64, upstreams []Upstream) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if revision < r.revision {
-		return
+		return false
 	}
 	seen := make(map[string]bool, len(upstreams))
 	for _, u := range upstreams {
@@ -88,6 +89,7 @@
 	}
 	r.revision = revision
 	r.index()
+	return true
 }
 
 // Put takes one registration. A list that is older is of no use from then on.
