--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -112,8 +113,12 @@
 	logger  *slog.Logger
 	now     func() time.Time
 
-	run           uint64
-	began         time.Time
+	run   uint64
+	began time.Time
+	// configuring is held while a configuration is put in force.
+	configuring sync.Mutex
+	// listing is held while the list of engines is read and told.
+	listing       sync.Mutex
 	catalog       atomic.Pointer[catalog.Catalog]
 	rawConfig     atomic.Pointer[[]byte]
 	roster        *roster.Roster
--- a/internal/role/gateway/views.go
+++ b/internal/role/gateway/views.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/persimmonridge/persimmonridge/internal/sched/board"
+	"github.com/persimmonridge/persimmonridge/internal/state/catalog"
 	"github.com/persimmonridge/persimmonridge/internal/state/kv"
 	"github.com/persimmonridge/persimmonridge/internal/state/roster"
 )
@@ -49,19 +50,25 @@
 		g.logger.Error("configuration not taken", "from", from, "err", err)
 		return
 	}
-	for {
-		current := g.catalog.Load()
-		if current != nil && current.Version() >= next.Version() {
-			return
-		}
-		if g.catalog.CompareAndSwap(current, next) {
-			g.logger.Info("configuration in force", "version", next.Version(), "from", from,
-				"bytes", len(raw), "decode", decoded, "idle-limit", next.Limits().IdleTimeout)
-			g.rawConfig.Store(&raw)
-			g.upstreamsChanged()
-			return
-		}
+	if !g.putInForce(next, raw) {
+		return
 	}
+	g.logger.Info("configuration in force", "version", next.Version(), "from", from,
+		"bytes", len(raw), "decode", decoded, "idle-limit", next.Limits().IdleTimeout)
+	g.upstreamsChanged()
+}
+
+// putInForce puts a configuration in force if it is newer, and keeps it as it was
+// written for peers. Two that come at once must not be mixed.
+func (g *Gateway) putInForce(next *catalog.Catalog, raw []byte) bool {
+	g.configuring.Lock()
+	defer g.configuring.Unlock()
+	if current := g.catalog.Load(); current != nil && current.Version() >= next.Version() {
+		return false
+	}
+	g.catalog.Store(next)
+	g.rawConfig.Store(&raw)
+	return true
 }
 
 // upstreamView takes the upstreams' registrations from the store, and keeps them
@@ -69,6 +76,7 @@
 type upstreamView struct {
 	gateway *Gateway
 
+	// mu is held while the roster takes what items take, so that both are alike.
 	mu    sync.Mutex
 	items map[string]kv.Item
 }
@@ -87,9 +95,14 @@
 		ups = append(ups, u)
 	}
 	v.mu.Lock()
-	v.items = items
+	taken := v.gateway.roster.Replace(now, s.Revision, ups)
+	if taken {
+		v.items = items
+	}
 	v.mu.Unlock()
-	v.gateway.roster.Replace(now, s.Revision, ups)
+	if !taken {
+		return
+	}
 	v.gateway.upstreamsChanged()
 	v.gateway.logger.Info("upstreams read", "count", len(ups), "revision", s.Revision)
 }
@@ -108,30 +121,30 @@
 func (v *upstreamView) event(now time.Time, e kv.Event) {
 	g := v.gateway
 	id := g.decoder.UpstreamID(e.Key)
-	v.mu.Lock()
-	if e.Deleted {
-		delete(v.items, e.Key)
-	} else {
-		v.items[e.Key] = e.Item
-	}
-	v.mu.Unlock()
 	if e.Deleted {
 		g.logger.Info("upstream gone", "upstream", id, "revision", e.Revision)
 		g.noteChange(e.Revision)
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		delete(v.items, e.Key)
 		g.roster.Remove(now, id, e.Revision)
 		return
 	}
 	u, err := g.decoder.Upstream(e.Key, e.Value, e.Revision)
 	if err != nil {
 		g.logger.Warn("registration ignored", "err", err)
-		g.roster.Remove(now, id, e.Revision)
-		return
-	}
-	if old, ok := g.roster.Get(id); !ok || old.State != u.State || old.Born != u.Born || old.Address != u.Address {
+	} else if old, ok := g.roster.Get(id); !ok || old.State != u.State || old.Born != u.Born || old.Address != u.Address {
 		g.logger.Info("upstream changed", "upstream", id, "service", u.Service, "address", u.Address,
 			"state", u.State, "version", u.Version, "born", u.Born, "revision", e.Revision)
 		g.noteChange(e.Revision)
 	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.items[e.Key] = e.Item
+	if err != nil {
+		g.roster.Remove(now, id, e.Revision)
+		return
+	}
 	g.roster.Put(u)
 }
 
@@ -146,8 +159,11 @@
 	return items
 }
 
-// upstreamsChanged tells the scheduler which engines may get work.
+// upstreamsChanged tells the scheduler which engines may get work. Of several
+// calls at once, the last to tell has read last.
 func (g *Gateway) upstreamsChanged() {
+	g.listing.Lock()
+	defer g.listing.Unlock()
 	current := g.catalog.Load()
 	if current == nil {
 		return
