--- a/internal/role/gateway/gateway_test.go
+++ b/internal/role/gateway/gateway_test.go
@@ -30,6 +30,9 @@
 	gateways = 3
 	engines  = 4
 	slots    = 2
+	// longPath is called for a stream that is much longer than the others.
+	longPath   = "/old/long"
+	longEvents = 60
 )
 
 // fleet is gateways, engines and a store on a network in memory.
@@ -88,7 +91,8 @@
 	go func() { _ = server.Serve(listener) }()
 }
 
-// engine streams three events, half a second apart, and counts what it runs.
+// engine streams three events a tenth of a second apart, or more of them, and
+// counts what it runs.
 func (f *fleet) engine(name string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.mu.Lock()
@@ -102,7 +106,11 @@
 		}()
 		w.Header().Set(id, r.Header.Get(id))
 		w.Header().Set(seal, "s")
-		for i := range 3 {
+		events := 3
+		if r.URL.Path == longPath {
+			events = longEvents
+		}
+		for i := range events {
 			bubble.Pass(100 * time.Millisecond)
 			if _, err := fmt.Fprintf(w, "id: %d\ndata: x\n\n", i+1); err != nil {
 				return
@@ -323,6 +331,27 @@
 	})
 }
 
+// Guards against a stream that is taken late in a stop, outruns the guess of its
+// length and is cut: the caller gets all of it, or is told at once that it has
+// not run.
+func TestStreamThatOutrunsItsGuessIsNotCutByAStop(t *testing.T) {
+	var o outcome
+	play(t, func(f *fleet) {
+		f.warmUp()
+		go f.stop(0)
+		bubble.Pass(3200 * time.Millisecond)
+		o = f.callFor(0, longPath, "outruns", "1000,2940", "18")
+		bubble.Pass(10 * time.Second)
+	})
+	require.NoError(t, o.err)
+	if o.status == http.StatusOK {
+		require.Equal(t, longEvents, strings.Count(o.body, "data:"))
+		return
+	}
+	require.Equal(t, http.StatusServiceUnavailable, o.status)
+	require.Less(t, o.took, 50*time.Millisecond)
+}
+
 // A new configuration adds a route and drops another. Two seconds after the
 // store accepted it, every gateway goes by it.
 func TestConfigurationIsInForceEverywhereWithinItsTime(t *testing.T) {
--- /dev/null
+++ b/internal/sched/permit/permit_test.go
@@ -0,0 +1,67 @@
+package permit_test
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
+	"github.com/persimmonridge/persimmonridge/internal/edge/flow"
+	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
+	"github.com/persimmonridge/persimmonridge/internal/proof/bubble"
+	"github.com/persimmonridge/persimmonridge/internal/sched/permit"
+	"github.com/persimmonridge/persimmonridge/internal/state/catalog"
+	"github.com/persimmonridge/persimmonridge/internal/state/roster"
+)
+
+// noMetrics drops what is counted.
+type noMetrics struct{}
+
+func (noMetrics) Placed(string, time.Duration) {}
+
+// anyEngine has a place for everybody.
+type anyEngine struct{}
+
+func (anyEngine) Pick(context.Context, time.Time, flow.Ask) (flow.Place, error) {
+	return enginePlace{}, nil
+}
+func (anyEngine) Hold(roster.Upstream) flow.Place { return enginePlace{} }
+
+type enginePlace struct{}
+
+func (enginePlace) Upstream() roster.Upstream           { return roster.Upstream{ID: "e0"} }
+func (enginePlace) Load(time.Time, exchange.Load)       {}
+func (enginePlace) Started(time.Time)                   {}
+func (enginePlace) Done(time.Time, flow.Outcome, int)   {}
+func mute(string, *wire.Envelope) bool                  { return true }
+func noUpstream(string) (u roster.Upstream, known bool) { return u, false }
+func other(time.Time) string                            { return "other" }
+func engineService(name string) *catalog.Service {
+	return &catalog.Service{Name: name, Engine: &catalog.Engine{}}
+}
+
+// Guards against a stream that a stopping gateway takes late and sends to a full
+// engine, where it waits until it is cut: which engines are full, only the
+// scheduler knows.
+func TestStreamThatMustEndIsRefusedWithoutAScheduler(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		c := permit.New(permit.Parts{
+			Node: "gateway", Domain: "a", Scheduler: other, Send: mute, Local: anyEngine{}, Upstream: noUpstream,
+			Service: engineService, Metrics: noMetrics{}, Logger: slog.New(slog.DiscardHandler), Now: time.Now,
+		})
+		pick := func(id string, e flow.Ending) error {
+			now := time.Now()
+			_, err := c.Pick(t.Context(), now, flow.Ask{
+				ID: id, Service: "s", Route: &catalog.Route{}, Prompt: 1292, Output: 8,
+				Due: now.Add(400 * time.Millisecond), Until: now.Add(1100 * time.Millisecond), Ending: e,
+			})
+			return err
+		}
+		require.NoError(t, pick("open", flow.EndOpen))
+		require.NoError(t, pick("likely", flow.EndLikely))
+		require.Error(t, pick("sure", flow.EndSure))
+	})
+}
