A stream that must end before its gateway does gets no place without a scheduler

Cause: a gateway that has no word of the scheduler within 40 ms chooses an engine by what it knows alone. For a stream that must end by the stop it only asked whether a slow engine would end it, not whether one is free.

The plan with a slow engine goes, and with it three constants.

--- a/internal/sched/permit/permit.go
+++ b/internal/sched/permit/permit.go
@@ -12,7 +12,6 @@
 	"github.com/persimmonridge/persimmonridge/internal/edge/flow"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
 	"github.com/persimmonridge/persimmonridge/internal/sched/board"
-	"github.com/persimmonridge/persimmonridge/internal/sched/profile"
 	"github.com/persimmonridge/persimmonridge/internal/state/catalog"
 	"github.com/persimmonridge/persimmonridge/internal/state/roster"
 )
@@ -32,15 +31,6 @@
 // before went silent.
 const asksMost = 3
 
-const (
-	// slowEngine and fullBatch are the slowness and the requests at once that a
-	// stream is planned with on an engine that nobody here knows, and longStream
-	// by how much it may outrun the guess of its length.
-	slowEngine = 3
-	fullBatch  = 16
-	longStream = 6
-)
-
 // Local chooses without asking anybody.
 type Local interface {
 	flow.Picker
@@ -156,11 +146,13 @@
 }
 
 // pickHere chooses without a scheduler. The place is counted like one that was
-// granted, so that the scheduler hears of it.
+// granted, so that the scheduler hears of it. A stream that must end in time gets
+// none: a full engine would keep it in its own queue, and which ones are full is
+// not known here.
 func (c *Client) pickHere(ctx context.Context, a flow.Ask) (flow.Place, error) {
 	c.Logger.Debug("choosing without the scheduler", "id", a.ID)
 	now := c.Now()
-	if a.Ending == flow.EndSure && !endsInTime(now, a) {
+	if a.Ending == flow.EndSure {
 		return nil, flow.RefusePlace(0, "this process stops before the request could end")
 	}
 	chosen, err := c.Local.Pick(ctx, now, a)
@@ -170,13 +162,6 @@
 	return c.keep(chosen, a), nil
 }
 
-// endsInTime tells whether a generation that is cut at its end would be over by
-// then even on a slow engine: which one it gets is not known here.
-func endsInTime(now time.Time, a flow.Ask) bool {
-	took := profile.Prefill(a.Prompt, fullBatch) + longStream*profile.Decode(a.Output, fullBatch)
-	return profile.Fixed+time.Duration(slowEngine*took*float64(time.Millisecond)) <= a.Until.Sub(now)
-}
-
 // ask asks one scheduler and waits for its verdict.
 func (c *Client) ask(ctx context.Context, scheduler string, a flow.Ask) (verdict, bool) {
 	p := &pending{scheduler: scheduler, verdicts: make(chan verdict, 2)}
