All streams taken after two seconds of a stop are planned with two guesses

The bound of 2.9 s followed what a rule leaves out, not what a caller gets: a stream that is cut at the end of the stop is as lost when it was taken after 2.5 s. From two seconds on, when the balancer has noticed the stop, a stream must end in time, and is planned so.

--- a/internal/edge/flow/flow_test.go
+++ b/internal/edge/flow/flow_test.go
@@ -405,7 +405,7 @@
 		planned     int
 	}{
 		{time.Second, "1000,100", "20", flow.EndLikely, 20},
-		{2500 * time.Millisecond, "1000,100", "20", flow.EndSure, 20},
+		{2500 * time.Millisecond, "1000,100", "20", flow.EndSure, 40},
 		{3 * time.Second, "1000,100", "20", flow.EndSure, 40},
 		{3 * time.Second, "1000,30", "20", flow.EndSure, 30},
 	} {
--- a/internal/edge/flow/stopping.go
+++ b/internal/edge/flow/stopping.go
@@ -11,11 +11,9 @@
 	// new callers here. What comes later is refused if it may outlast the
 	// process: its caller would have half an answer.
 	takeAllFor = 2 * time.Second
-	// guessFor is how long after it a stream's end is planned by the guess of its
-	// length. One that comes later must not be cut, and is planned with lateRoom
-	// guesses: the room that a scheduler leaves for those that outrun theirs is
-	// outrun by one in some thousand.
-	guessFor = 2900 * time.Millisecond
+	// lateRoom is how many times the guess of its length a stream that comes later
+	// is planned with. The room that a scheduler leaves for those that outrun their
+	// guess is learned from short streams too, and too small for long ones.
 	lateRoom = 2
 	// leavingRetry is told to those, and to callers of streams that no engine
 	// would end before the process does; another process takes them at once.
@@ -65,11 +63,10 @@
 	if !u.stop.underWay() || !u.measured() || !u.stop.end.Before(a.Until) {
 		return
 	}
-	a.Until, a.Ending = u.stop.end, EndSure
+	a.Until = u.stop.end
 	if u.stop.early(u.arrived) {
 		a.Ending = EndLikely
+		return
 	}
-	if u.arrived.Sub(u.stop.since) > guessFor {
-		a.Output = min(u.request.OutputTokens, lateRoom*a.Output)
-	}
+	a.Ending, a.Output = EndSure, min(u.request.OutputTokens, lateRoom*a.Output)
 }
