The soak rests on open connections around the idle limit

Cause: a request that was passed on was closed without an answer as the idle limit of its connection passed. The soak could not see it: no caller rested, the limit was 15 s in each version, and a call without an answer was excused by any fault near it. Change: groups of callers rest until just before or after the limit in force, then send on the same connection. New check: a request that an upstream saw does not end with a closed connection and no answer, unless its gateway was killed, or paused in its stop, or that upstream broke off or fell silent at that time. A pause alone excuses nothing. A call counts as crossing only if no upstream saw it, where before it was enough that none ran it. Versions reach the store one by one, in order.

--- a/internal/trial/soak/backend_test.go
+++ b/internal/trial/soak/backend_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -43,12 +44,17 @@
 	dark
 )
 
-// ledger is what all upstreams ran, by request.
+// ledger is what reached the upstreams and what they ran, by request.
 type ledger struct {
 	mu   sync.Mutex
+	seen map[string][]*upstream
 	runs map[string][]ran
 }
 
+func newLedger() *ledger {
+	return &ledger{seen: make(map[string][]*upstream), runs: make(map[string][]ran)}
+}
+
 // ran is one run of a request.
 type ran struct {
 	at       time.Time
@@ -57,6 +63,18 @@
 	path     string
 }
 
+func (l *ledger) see(id string, u *upstream) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.seen[id] = append(l.seen[id], u)
+}
+
+func (l *ledger) seenBy(id string) []*upstream {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.seen[id])
+}
+
 func (l *ledger) add(id string, r ran) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -76,6 +94,8 @@
 	server  *http.Server
 	relay   *relay.Relay
 	store   registrar
+	// harms are when it was made to break off.
+	harms harms
 
 	mu       sync.Mutex
 	id       string
@@ -172,13 +192,14 @@
 
 // ServeHTTP implements http.Handler.
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	attempt := r.Header.Get(attemptHeader)
+	u.ledger.see(attempt, u)
 	id, up := u.identity()
 	body, err := io.ReadAll(r.Body)
 	if err != nil || !up {
 		panic(http.ErrAbortHandler)
 	}
 	names := platform.AnswerNames()
-	attempt := r.Header.Get(attemptHeader)
 	w.Header().Set(names.ID, attempt)
 	w.Header().Set(names.Load, fmt.Sprintf("%d,0,%d", u.running.Load(), slots))
 	if r.Header.Get(instanceHeader) != id {
--- a/internal/trial/soak/caller_test.go
+++ b/internal/trial/soak/caller_test.go
@@ -43,6 +43,8 @@
 	body    string
 	// err is why there is no whole answer.
 	err error
+	// rested is how long the connection was not used before.
+	rested time.Duration
 	// unsent calls never reached a process: nothing listened.
 	unsent bool
 }
@@ -57,6 +59,8 @@
 	conn    net.Conn
 	reader  *bufio.Reader
 	sent    int
+	// usedUntil is the end of the last call.
+	usedUntil time.Time
 }
 
 func newCaller(w *world, number int) *caller {
@@ -88,8 +92,12 @@
 func (c *caller) call(k kind, path string) call {
 	c.sent++
 	made := call{id: fmt.Sprintf("%016x", c.world.seed<<40|uint64(c.number)<<24|uint64(c.sent)), kind: k, path: path, gateway: c.gateway, sent: time.Now()}
+	if c.conn != nil {
+		made.rested = made.sent.Sub(c.usedUntil)
+	}
 	made.err = c.exchange(&made)
 	made.ended = time.Now()
+	c.usedUntil = made.ended
 	if made.err != nil {
 		c.drop()
 	}
--- a/internal/trial/soak/fault_test.go
+++ b/internal/trial/soak/fault_test.go
@@ -1,7 +1,6 @@
 package soak_test
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"syscall"
 	"time"
@@ -39,14 +38,16 @@
 	make func(w *world, r *rand.Rand)
 }
 
-// themes are groups of makers; a seed draws some of them.
+// themes are groups of makers; a seed draws some of them, and always those of
+// configurations, which change all day.
 var themes = [][]maker{
 	{{"kill", kill}, {"stop", stop}, {"stop-series", stopSeries}, {"freeze", freeze}, {"settings", settings}, {"herd", herd}},
 	{{"store", storeFault}, {"store-link", storeLink}},
 	{{"crash", crash}, {"leave", leave}, {"sick", sick}, {"upstream-link", upstreamLink}},
-	{{"config", configure}},
 }
 
+var configurations = []maker{{"config", configure}, {"config-series", configureSeries}, {"config-amid", configureAmid}}
+
 func between(r *rand.Rand, least, most time.Duration) time.Duration {
 	return least + time.Duration(r.Int64N(int64(most-least)))
 }
@@ -115,12 +116,13 @@
 func storeLink(w *world, r *rand.Rand) {
 	i := r.IntN(gateways)
 	defer w.fault("store-link", i, false, false)()
-	harm(r, w.storeLinks[i])
+	harm(r, w.storeLinks[i], new(harms))
 }
 
 func upstreamLink(w *world, r *rand.Rand) {
 	defer w.fault("upstream-link", all, false, true)()
-	harm(r, w.upstreams[r.IntN(len(w.upstreams))].relay)
+	u := w.upstreams[r.IntN(len(w.upstreams))]
+	harm(r, u.relay, &u.harms)
 }
 
 // harmed is a link that can be harmed.
@@ -131,18 +133,22 @@
 	SetMute(mute bool)
 }
 
-func harm(r *rand.Rand, link harmed) {
+// harm harms the link and notes it if answers are lost by it.
+func harm(r *rand.Rand, link harmed, h *harms) {
 	span := between(r, 200*time.Millisecond, 2*time.Second)
 	switch r.IntN(4) {
 	case 0:
+		defer h.begin()()
 		link.Silence()
 	case 1:
+		defer h.begin()()
 		link.Reset()
 	case 2:
 		link.SetDelay(between(r, time.Millisecond, 80*time.Millisecond))
 		<-time.After(span)
 		link.SetDelay(0)
 	case 3:
+		defer h.begin()()
 		link.SetMute(true)
 		<-time.After(span)
 		link.SetMute(false)
@@ -155,6 +161,7 @@
 	if _, up := u.identity(); !up {
 		return
 	}
+	defer u.harms.begin()()
 	u.crash()
 	<-time.After(between(r, 100*time.Millisecond, 2*time.Second))
 	u.restart(w.nextUpstream(u.service))
@@ -168,6 +175,7 @@
 	}
 	u.leave()
 	<-time.After(leaveAfter)
+	defer u.harms.begin()()
 	u.crash()
 	u.restart(w.nextUpstream(u.service))
 }
@@ -175,32 +183,11 @@
 func sick(w *world, r *rand.Rand) {
 	defer w.fault("sick", all, false, true)()
 	u := w.upstreams[r.IntN(len(w.upstreams))]
-	u.sick.Store(1 + r.Int32N(int32(dark)))
+	s := 1 + r.Int32N(int32(dark))
+	if sickness(s) != failing {
+		defer u.harms.begin()()
+	}
+	u.sick.Store(s)
 	<-time.After(between(r, 200*time.Millisecond, 3*time.Second))
 	u.sick.Store(int32(well))
 }
-
-// configure puts a version in force that adds a route and drops the last one,
-// and notes it for the judge when the store has it.
-func configure(w *world, _ *rand.Rand) {
-	w.mu.Lock()
-	w.version++
-	version := w.version
-	w.mu.Unlock()
-	w.store.Put("op/config", configuration(version))
-	w.mu.Lock()
-	w.versions = append(w.versions, versionAt{version, time.Now()})
-	w.mu.Unlock()
-}
-
-func configuration(version int) string {
-	route := `{"name":%q,"hostname":"h","prefix":%q,"kind":%q,"timeoutMs":3000,"targetLatencyMs":500,"service":%q,"maxAttempts":2,"streamResume":%t,"gapAimMs":250}`
-	routes := fmt.Sprintf(route+","+route+","+route+","+route+","+route,
-		"book", "/book/", "non_idempotent", "desk", false, "read", "/read/", "idempotent", "desk", false,
-		"stream", "/stream/", "streaming", "tutor", true, "once", "/once/", "streaming", "tutor", false,
-		"version", versionPath(version), "idempotent", "desk", false)
-	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"tutor","engine":{"slots":%d,"stride":6}},{"name":"desk"}],
-		"limits":{"maxBodyBytes":4194304,"idleTimeoutMs":15000},"tenants":[{"name":"studio","apiKeys":["key"]}]}`, version, routes, slots)
-}
-
-func versionPath(version int) string { return fmt.Sprintf("/version-%d/", version) }
--- a/internal/trial/soak/judge_test.go
+++ b/internal/trial/soak/judge_test.go
@@ -18,10 +18,12 @@
 	for _, c := range w.calls {
 		w.judgeRuns(c)
 		w.judgeAnswer(c)
+		w.judgePassedOn(c)
 		w.judgeEnd(c)
 		w.judgeDepartures(c)
 	}
 	for _, p := range w.probes {
+		w.judgePassedOn(p)
 		w.judgeVersion(p)
 	}
 }
@@ -71,11 +73,36 @@
 	if c.err == nil || c.unsent || w.troubled(c, true) {
 		return
 	}
-	runs := w.ledger.of(c.id)
-	if !c.left() && c.status == 0 && len(runs) == 0 {
-		return // It crossed the end of its connection and was not passed on.
+	if w.crossed(c) {
+		return
+	}
+	w.accuse(c, "got no answer (%v) although nothing befell its gateway but planned work; status %d, runs %v", c.err, c.status, w.ledger.of(c.id))
+}
+
+// crossed tells whether a call met the end of its connection and was not passed
+// on.
+func (w *world) crossed(c call) bool {
+	return c.err != nil && !c.unsent && c.status == 0 && !c.left() && len(w.ledger.seenBy(c.id)) == 0
+}
+
+// judgePassedOn: a request that an upstream saw does not end with a closed
+// connection and no answer, not even in trouble: a gateway that gets no answer
+// says so. Only what was done to its gateway or that upstream itself excuses it.
+func (w *world) judgePassedOn(c call) {
+	seen := w.ledger.seenBy(c.id)
+	if c.err == nil || c.status != 0 || c.left() || len(seen) == 0 {
+		return
+	}
+	if w.processes[c.gateway].harms.meet(c.sent, c.ended) {
+		return
+	}
+	for _, u := range seen {
+		if u.harms.meet(c.sent, c.ended) {
+			return
+		}
 	}
-	w.accuse(c, "got no answer (%v) although nothing befell its gateway but planned work; status %d, runs %v", c.err, c.status, runs)
+	w.accuse(c, "was passed on %d times, and its connection, %s at rest before, was closed after %s without an answer: %v",
+		len(seen), c.rested, c.ended.Sub(c.sent), c.err)
 }
 
 // judgeDepartures: an upstream that said it leaves gets nothing new.
@@ -98,7 +125,7 @@
 // judgeVersion: a version is in force within its time, and the one before not.
 func (w *world) judgeVersion(p call) {
 	for i, v := range w.versions {
-		if p.sent.Before(v.at.Add(applyWithin+judgeSlack)) || (i+1 < len(w.versions) && p.ended.After(w.versions[i+1].at)) {
+		if p.sent.Before(v.at.Add(applyWithin+judgeSlack)) || (i+1 < len(w.versions) && p.ended.After(w.versions[i+1].from)) {
 			continue
 		}
 		span := p
--- a/internal/trial/soak/process_test.go
+++ b/internal/trial/soak/process_test.go
@@ -37,10 +37,16 @@
 	// frozen tells that the process was paused since its start, so that its
 	// stop may take longer than its grace.
 	frozen bool
+	paused bool
 	slack  int
 	termAt time.Time
 	ended  bool
 	done   chan struct{}
+
+	// harms are from when it was killed, or paused in its stop so that its grace
+	// ran out, until it had ended.
+	harms  harms
+	mended func()
 }
 
 func newGatewayProcess(w *world, i int, storeAt string) (*gatewayProcess, error) {
@@ -52,6 +58,7 @@
 	g := &gatewayProcess{
 		name: name, address: w.address(1 + i), binary: w.binary, storeAt: storeAt, log: log, report: w.report,
 		settingsPath: filepath.Join(w.folder, name+".json"), done: make(chan struct{}), slack: 50,
+		mended: func() {},
 	}
 	for j := range gateways {
 		g.seeds = append(g.seeds, w.address(1+j)+":8229")
@@ -105,7 +112,7 @@
 	g.cmd = exec.Command(g.binary, "gateway") //nolint:gosec // The binary was built by the test itself.
 	g.cmd.Env = append(os.Environ(), "PERSIMMONRIDGE_NODE_FILE="+g.settingsPath)
 	g.cmd.Stdout, g.cmd.Stderr = g.log, g.log
-	g.expected, g.stopped, g.frozen = false, false, false
+	g.expected, g.stopped, g.frozen, g.paused = false, false, false, false
 	if err := g.cmd.Start(); err != nil {
 		g.report(fmt.Sprintf("%s cannot be started: %v", g.name, err))
 		return false
@@ -131,6 +138,7 @@
 		g.report(fmt.Sprintf("%s was told to stop and ended with %v", g.name, err))
 	}
 	g.cmd = nil
+	g.mended()
 	return g.ended
 }
 
@@ -146,15 +154,27 @@
 	switch s {
 	case syscall.SIGKILL:
 		g.expected = true
+		g.harm()
 	case syscall.SIGTERM:
 		g.expected, g.stopped, g.termAt = true, true, time.Now()
 		g.killAfterGrace(g.cmd)
 	case syscall.SIGSTOP:
-		g.frozen = true
+		g.frozen, g.paused = true, true
+	case syscall.SIGCONT:
+		g.paused = false
+	}
+	if g.stopped && g.paused {
+		g.harm()
 	}
 	g.send(s)
 }
 
+// harm notes that a harm begins which lasts until the process has ended.
+func (g *gatewayProcess) harm() {
+	g.mended()
+	g.mended = g.harms.begin()
+}
+
 func (g *gatewayProcess) send(s syscall.Signal) {
 	if err := g.cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		g.report(fmt.Sprintf("%s: signal %s: %v", g.name, s, err))
@@ -167,6 +187,7 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		if g.cmd == cmd {
+			g.harm()
 			g.send(syscall.SIGKILL)
 		}
 	})
--- a/internal/trial/soak/soak_test.go
+++ b/internal/trial/soak/soak_test.go
@@ -64,17 +64,21 @@
 	w.play()
 	require.NoError(t, w.close())
 	w.judge()
-	served := 0
+	served, crossed := 0, 0
 	for _, c := range w.calls {
 		if c.err == nil && c.status == 200 {
 			served++
 		}
+		if w.crossed(c) {
+			crossed++
+		}
 	}
 	names := make([]string, 0, len(w.faults))
 	for _, f := range w.faults {
 		names = append(names, fmt.Sprintf("%s@%.1f", f.name, f.from.Sub(w.begun).Seconds()))
 	}
-	t.Logf("%d calls, %d served; %s; logs %s", len(w.calls), served, strings.Join(names, " "), folder)
+	t.Logf("%d calls, %d served, %d crossed the end of their connection; %d versions; %s; logs %s",
+		len(w.calls), served, crossed, len(w.versions), strings.Join(names, " "), folder)
 	w.keepOrRemove()
 	require.Empty(t, w.findings, "logs are in %s", folder)
 }
--- a/internal/trial/soak/world_test.go
+++ b/internal/trial/soak/world_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -35,10 +36,13 @@
 	settle = 6 * time.Second
 )
 
-// versionAt is when the store had a version of the configuration.
+// versionAt is when the store had a version of the configuration, and the idle
+// limit of callers' connections in it.
 type versionAt struct {
 	version int
-	at      time.Time
+	// from is before the store was given it, at is after.
+	from, at  time.Time
+	idleLimit time.Duration
 }
 
 // departure is when an upstream said that it leaves.
@@ -72,19 +76,21 @@
 	versions   []versionAt
 	departures []departure
 	findings   []string
-	version    int
 	born       int
-	closing    bool
+	// closing ends when callers are to end.
+	closing chan struct{}
+
+	// configuring is held while the store is given a version.
+	configuring sync.Mutex
 }
 
 // newWorld starts the stand-ins and the gateways of a seed.
 func newWorld(seed uint64, binary, folder string, length time.Duration) (*world, error) {
 	w := &world{
-		seed: seed, binary: binary, folder: folder, store: standin.NewStore(), ledger: &ledger{runs: make(map[string][]ran)},
-		begun: time.Now(), end: time.Now().Add(length), version: 1,
+		seed: seed, binary: binary, folder: folder, store: standin.NewStore(), ledger: newLedger(),
+		begun: time.Now(), end: time.Now().Add(length), closing: make(chan struct{}),
 	}
-	w.store.Put("op/config", configuration(1))
-	w.versions = append(w.versions, versionAt{1, time.Now()})
+	configure(w, rand.New(rand.NewPCG(seed, 0x69646c65)))
 	for _, start := range []func() error{w.claimBlock, w.startStore, w.startUpstreams, w.startGateways} {
 		if err := start(); err != nil {
 			return nil, err
@@ -185,9 +191,12 @@
 }
 
 func (w *world) over() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.closing
+	select {
+	case <-w.closing:
+		return true
+	default:
+		return false
+	}
 }
 
 // fault notes the beginning of a fault and returns what notes its end.
@@ -236,12 +245,13 @@
 	for i := range callers {
 		work.Go(newCaller(w, i).run)
 	}
+	for i := range restingGroups {
+		work.Go(newRestingGroup(w, i).run)
+	}
 	w.injectFaults()
 	w.heal()
 	<-time.After(settle)
-	w.mu.Lock()
-	w.closing = true
-	w.mu.Unlock()
+	close(w.closing)
 	work.Wait()
 	w.lastRound()
 }
@@ -283,15 +293,12 @@
 // over. They begin independently of each other, so they overlap.
 func (w *world) injectFaults() {
 	random := rand.New(rand.NewPCG(w.seed, 0x736f616b))
-	var makers []maker
+	makers := slices.Clone(configurations)
 	for _, theme := range themes {
 		if random.IntN(10) < 6 {
 			makers = append(makers, theme...)
 		}
 	}
-	if len(makers) == 0 {
-		makers = themes[0]
-	}
 	var running sync.WaitGroup
 	for time.Now().Before(w.end) {
 		<-time.After(time.Duration(random.ExpFloat64() * float64(faultPause)))
