A gateway asks for SIGHUP first; the soak knows a process that a signal met before it began

SIGHUP was asked for only after the settings were read; it is now the first thing that the gateway does. Before a program's runtime begins no signal can be asked for: the soak excuses a process that SIGTERM or SIGHUP ended before its first line, which has taken no request, and nothing else.

--- a/cmd/persimmonridge/gateway.go
+++ b/cmd/persimmonridge/gateway.go
@@ -35,15 +35,19 @@
 
 // Run implements kong's command.
 func (c *gatewayCommand) Run(ctx context.Context) error {
+	// The signal also ends a process that does not ask for it.
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(reloads)
 	handler := logs.New(os.Stdout, time.Now)
 	logger := slog.New(handler)
-	err := c.serve(ctx, handler, logger)
+	err := c.serve(ctx, handler, logger, reloads)
 	flush, cancel := context.WithTimeout(context.Background(), flushWithin)
 	defer cancel()
 	return errors.Join(err, handler.Close(flush))
 }
 
-func (c *gatewayCommand) serve(ctx context.Context, handler *logs.Handler, logger *slog.Logger) error {
+func (c *gatewayCommand) serve(ctx context.Context, handler *logs.Handler, logger *slog.Logger, reloads <-chan os.Signal) error {
 	node, err := platform.LoadNode()
 	if err != nil {
 		logger.Error("settings refused", "err", err)
@@ -57,10 +61,6 @@
 	})
 	watching, stop := context.WithCancel(ctx)
 	defer stop()
-	// The signal also ends a process that does not ask for it.
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
-	defer signal.Stop(reloads)
 	go watchSettings(watching, reloads, node, g, logger)
 	return g.Run(ctx)
 }
--- a/internal/trial/soak/process_test.go
+++ b/internal/trial/soak/process_test.go
@@ -39,6 +39,8 @@
 	frozen bool
 	paused bool
 	slack  int
+	// logAt is where the log of this process begins.
+	logAt  int64
 	termAt time.Time
 	ended  bool
 	done   chan struct{}
@@ -113,6 +115,7 @@
 	g.cmd.Env = append(os.Environ(), "PERSIMMONRIDGE_NODE_FILE="+g.settingsPath)
 	g.cmd.Stdout, g.cmd.Stderr = g.log, g.log
 	g.expected, g.stopped, g.frozen, g.paused = false, false, false, false
+	g.logAt = g.logEnd()
 	if err := g.cmd.Start(); err != nil {
 		g.report(fmt.Sprintf("%s cannot be started: %v", g.name, err))
 		return false
@@ -128,6 +131,10 @@
 	if err != nil && !errors.As(err, &exit) {
 		g.report(fmt.Sprintf("%s: %v", g.name, err))
 	}
+	if g.endedBeforeMain(exit) {
+		exit, err = nil, nil
+		g.expected = true
+	}
 	late := g.stopped && time.Since(g.termAt) > grace+graceSlack
 	switch {
 	case !g.expected:
@@ -142,6 +149,25 @@
 	return g.ended
 }
 
+// endedBeforeMain tells whether a signal ended a process that had not come to ask
+// for signals: no program can before its runtime begins, and it took no request.
+func (g *gatewayProcess) endedBeforeMain(exit *exec.ExitError) bool {
+	if exit == nil || g.logEnd() != g.logAt {
+		return false
+	}
+	status, ok := exit.Sys().(syscall.WaitStatus)
+	return ok && status.Signaled() && (status.Signal() == syscall.SIGTERM || status.Signal() == syscall.SIGHUP)
+}
+
+func (g *gatewayProcess) logEnd() int64 {
+	info, err := g.log.Stat()
+	if err != nil {
+		g.report(fmt.Sprintf("%s: log: %v", g.name, err))
+		return 0
+	}
+	return info.Size()
+}
+
 // signal sends a signal to the process, if it runs. One that was told to end is
 // not told again, but may be paused and go on.
 func (g *gatewayProcess) signal(s syscall.Signal) {
