--- a/internal/edge/ingress/conn.go
+++ b/internal/edge/ingress/conn.go
@@ -91,7 +91,7 @@
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	c.closed = true
-	c.countClosedInFlight()
+	c.countClosedInFlightLocked()
 	c.mu.Unlock()
 	c.server.untrack(c)
 	return c.Conn.Close()
@@ -102,11 +102,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inFlight = inFlight
-	c.countClosedInFlight()
+	c.countClosedInFlightLocked()
 }
 
-// countClosedInFlight counts a closed connection with a request, once.
-func (c *Conn) countClosedInFlight() {
+// countClosedInFlightLocked counts a closed connection with a request, once.
+func (c *Conn) countClosedInFlightLocked() {
 	if c.closed && c.inFlight && !c.closedInFlight {
 		c.closedInFlight = true
 		c.server.Metrics.ConnectionClosed(CloseInFlight)
@@ -154,7 +154,7 @@
 func (c *Conn) beginHeader(now time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.endIdle(now) {
+	if !c.endIdleLocked(now) {
 		return nil
 	}
 	c.header = true
@@ -169,13 +169,13 @@
 func (c *Conn) endHeader(now time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.endIdle(now)
+	c.endIdleLocked(now)
 	c.header = false
 	return c.SetReadDeadline(time.Time{})
 }
 
-// endIdle tells whether the connection was idle until now. It needs mu.
-func (c *Conn) endIdle(now time.Time) bool {
+// endIdleLocked tells whether the connection was idle until now.
+func (c *Conn) endIdleLocked(now time.Time) bool {
 	if c.idleSince.IsZero() {
 		return false
 	}
