A place that is given back names itself

A scheduler whose first word came after the 40 ms that a gateway waits for it granted a place that the gateway then gave back by the request's id alone. By then the gateway had told of the place that it chose itself, and the scheduler ended that one: an engine of one slot got two requests (TestLateGrantDoesNotEndThePlaceInUse, red since it was written).

Asks and places now carry a number of their gateway; verdicts, returns and what a gateway tells it holds name it. A held place of another number than the board's replaces it, whichever message comes first; without that the test failed when both arrive at the same instant.

--- a/internal/sched/board/ask.go
+++ b/internal/sched/board/ask.go
@@ -10,9 +10,11 @@
 type Ask struct {
 	// Owner is the gateway that has the request, ID the request.
 	Owner, ID string
-	Service   string
-	Domain    string
-	Tier      int
+	// Number tells this ask apart from the owner's others for the request.
+	Number  uint64
+	Service string
+	Domain  string
+	Tier    int
 	// Due is when the first event is late, Until when it is of no use.
 	Due, Until time.Time
 	Prompt     int
@@ -39,6 +41,7 @@
 // Verdict answers an ask. A refusal has no upstream.
 type Verdict struct {
 	Owner, ID  string
+	Number     uint64
 	Upstream   string
 	RetryAfter time.Duration
 	Why        string
@@ -68,6 +71,8 @@
 // End is what a place that is given back tells.
 type End struct {
 	Outcome Outcome
+	// Number names the ask or the place. 0 ends any of the request.
+	Number uint64
 	// Stream is the time from the first event to the last, and Tokens what was
 	// generated in it.
 	Stream time.Duration
--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -138,9 +138,7 @@
 		return
 	}
 	if !b.canEnd(now, ask) {
-		b.verdicts = append(b.verdicts, Verdict{
-			Owner: ask.Owner, ID: ask.ID, Why: "its gateway stops before an engine could end it",
-		})
+		b.answer(ask, Verdict{Why: "its gateway stops before an engine could end it"})
 		return
 	}
 	if spare := b.spare(now, ask); spare >= 0 {
@@ -150,12 +148,18 @@
 		}
 		b.enqueue(ask)
 		b.noteSaturation(now)
-		b.verdicts = append(b.verdicts, Verdict{Owner: ask.Owner, ID: ask.ID, Waiting: true})
+		b.answer(ask, Verdict{Waiting: true})
 		return
 	}
 	b.setLate(now, ask)
 }
 
+// answer adds a verdict for who asked.
+func (b *Board) answer(ask *Ask, v Verdict) {
+	v.Owner, v.ID, v.Number = ask.Owner, ask.ID, ask.Number
+	b.verdicts = append(b.verdicts, v)
+}
+
 func (b *Board) slots(service string) int {
 	slots := 0
 	for _, e := range b.byService[service] {
@@ -184,13 +188,16 @@
 // Ended takes a place back, or withdraws an ask.
 func (b *Board) Ended(now time.Time, owner, id string, end End) {
 	k := key(owner, id)
-	b.withdraw(owner, id)
+	b.withdraw(owner, id, end.Number)
 	e := b.byRun[k]
 	if e == nil {
 		return
 	}
-	delete(b.byRun, k)
 	r := e.runs[k]
+	if r != nil && end.Number != 0 && end.Number != r.number {
+		return
+	}
+	delete(b.byRun, k)
 	if r == nil {
 		return
 	}
@@ -216,8 +223,10 @@
 	b.fill(now, e)
 }
 
-func (b *Board) withdraw(owner, id string) {
-	match := func(a *Ask) bool { return a.ID == id && a.Owner == owner }
+func (b *Board) withdraw(owner, id string, number uint64) {
+	match := func(a *Ask) bool {
+		return a.ID == id && a.Owner == owner && (number == 0 || number == a.Number)
+	}
 	b.waiting = slices.DeleteFunc(b.waiting, match)
 	b.late = slices.DeleteFunc(b.late, match)
 }
--- a/internal/sched/board/engine.go
+++ b/internal/sched/board/engine.go
@@ -33,7 +33,9 @@
 
 // run is one request that an engine has.
 type run struct {
-	owner, id  string
+	owner, id string
+	// number tells the place apart from others of the same request.
+	number     uint64
 	prompt     int
 	output     int
 	granted    time.Time
--- a/internal/sched/board/late.go
+++ b/internal/sched/board/late.go
@@ -39,7 +39,7 @@
 		b.late = slices.DeleteFunc(b.late, func(x *Ask) bool { return x == ask })
 		return
 	}
-	b.verdicts = append(b.verdicts, Verdict{Owner: ask.Owner, ID: ask.ID, Waiting: true})
+	b.answer(ask, Verdict{Waiting: true})
 }
 
 func (b *Board) lateMost(service string) int {
--- a/internal/sched/board/place.go
+++ b/internal/sched/board/place.go
@@ -110,8 +110,8 @@
 }
 
 func (b *Board) grant(now time.Time, e *engine, a *Ask) {
-	r := &run{owner: a.Owner, id: a.ID, prompt: a.Prompt, output: a.Output, granted: now}
+	r := &run{owner: a.Owner, id: a.ID, number: a.Number, prompt: a.Prompt, output: a.Output, granted: now}
 	e.grant(now, r)
 	b.byRun[key(a.Owner, a.ID)] = e
-	b.verdicts = append(b.verdicts, Verdict{Owner: a.Owner, ID: a.ID, Upstream: e.ID})
+	b.answer(a, Verdict{Upstream: e.ID})
 }
--- a/internal/sched/board/refusals.go
+++ b/internal/sched/board/refusals.go
@@ -53,7 +53,7 @@
 	b.refusals.add(now, a.Fingerprint)
 	why = fmt.Sprintf("%s (%d wait, %d late, for %d slots, for %s so far)",
 		why, len(b.waiting), len(b.late), b.slots(a.Service), b.saturatedFor(now).Round(time.Millisecond))
-	b.verdicts = append(b.verdicts, Verdict{Owner: a.Owner, ID: a.ID, RetryAfter: b.retryAfter(now), Why: why})
+	b.answer(a, Verdict{RetryAfter: b.retryAfter(now), Why: why})
 }
 
 // retryAfter tells when a place should be free. How long an overload goes on is
--- a/internal/sched/board/sync.go
+++ b/internal/sched/board/sync.go
@@ -9,6 +9,7 @@
 // Held is a place that a gateway holds.
 type Held struct {
 	ID, Upstream   string
+	Number         uint64
 	Prompt, Output int
 	Started        bool
 }
@@ -42,10 +43,20 @@
 func (b *Board) takeIn(now time.Time, owner string, h Held) {
 	k := key(owner, h.ID)
 	e := b.engines[h.Upstream]
-	if e == nil || b.byRun[k] != nil {
+	if other := b.byRun[k]; other != nil {
+		r := other.runs[k]
+		if r == nil || r.number == h.Number {
+			return
+		}
+		// The gateway had given up the ask that this board granted.
+		other.end(now, k, r)
+		delete(b.byRun, k)
+		b.fill(now, other)
+	}
+	if e == nil {
 		return
 	}
-	r := &run{owner: owner, id: h.ID, prompt: h.Prompt, output: h.Output, granted: now, adopted: true}
+	r := &run{owner: owner, id: h.ID, number: h.Number, prompt: h.Prompt, output: h.Output, granted: now, adopted: true}
 	b.byRun[k] = e
 	if h.Started {
 		e.adopt(now, r)
--- a/internal/sched/permit/permit.go
+++ b/internal/sched/permit/permit.go
@@ -64,6 +64,8 @@
 }
 
 type verdict struct {
+	// number is that of the ask.
+	number     uint64
 	upstream   string
 	retryAfter time.Duration
 	why        string
@@ -93,6 +95,7 @@
 
 type pending struct {
 	scheduler string
+	number    uint64
 	verdicts  chan verdict
 }
 
@@ -104,6 +107,9 @@
 	pending map[string]*pending
 	places  map[*place]struct{}
 	current string
+	// numbers counts the asks and the places that were not asked for. A
+	// request may have several, one after the other.
+	numbers uint64
 }
 
 // New returns a client of the parts.
@@ -136,10 +142,10 @@
 			return nil, flow.RefusePlace(got.retryAfter, "no place: %s", got.why)
 		}
 		if u, known := c.Upstream(got.upstream); known && u.State == roster.Ready {
-			return c.hold(u, a), nil
+			return c.keep(c.Local.Hold(u), a, got.number), nil
 		}
 		// The scheduler does not know yet that the upstream leaves.
-		c.tell(ended(a.ID, board.Unreached, 0, 0))
+		c.tell(ended(a.ID, got.number, board.End{Outcome: board.Unreached}))
 		a.Exclude = append(append([]string(nil), a.Exclude...), got.upstream)
 	}
 	return c.pickHere(ctx, a)
@@ -159,13 +165,19 @@
 	if err != nil {
 		return nil, err
 	}
-	return c.keep(chosen, a), nil
+	c.mu.Lock()
+	c.numbers++
+	number := c.numbers
+	c.mu.Unlock()
+	return c.keep(chosen, a, number), nil
 }
 
 // ask asks one scheduler and waits for its verdict.
 func (c *Client) ask(ctx context.Context, scheduler string, a flow.Ask) (verdict, bool) {
 	p := &pending{scheduler: scheduler, verdicts: make(chan verdict, 2)}
 	c.mu.Lock()
+	c.numbers++
+	p.number = c.numbers
 	c.pending[a.ID] = p
 	c.mu.Unlock()
 	defer func() {
@@ -173,15 +185,16 @@
 		delete(c.pending, a.ID)
 		c.mu.Unlock()
 	}()
-	if !c.sendTo(scheduler, c.askMessage(a)) {
+	if !c.sendTo(scheduler, c.askMessage(p.number, a)) {
 		return verdict{}, false
 	}
 	asked := c.Now()
 	got, ok := c.await(ctx, p, a)
 	c.Metrics.Placed(got.result(ok), c.Now().Sub(asked))
 	if !ok || got.mute {
-		c.sendTo(scheduler, ended(a.ID, board.Left, 0, 0))
+		c.sendTo(scheduler, ended(a.ID, p.number, board.End{Outcome: board.Left}))
 	}
+	got.number = p.number
 	return got, ok
 }
 
@@ -210,10 +223,10 @@
 	}
 }
 
-func (c *Client) askMessage(a flow.Ask) *wire.Envelope {
+func (c *Client) askMessage(number uint64, a flow.Ask) *wire.Envelope {
 	now := c.Now()
 	return &wire.Envelope{Body: &wire.Envelope_PlaceAsk{PlaceAsk: &wire.PlaceAsk{
-		Id: a.ID, Service: a.Service, Tier: uint32(a.Tier), Domain: c.Domain,
+		Id: a.ID, Number: number, Service: a.Service, Tier: uint32(a.Tier), Domain: c.Domain,
 		DueMs: a.Due.Sub(now).Milliseconds(), UntilMs: a.Until.Sub(now).Milliseconds(),
 		Prompt: uint32(a.Prompt), Output: uint32(a.Output), MaxGapMs: uint32(a.Route.MaxGap.Milliseconds()),
 		Exclude: a.Exclude, Again: a.Again, Fingerprint: a.Fingerprint,
@@ -236,14 +249,15 @@
 	}
 }
 
-// Verdict takes a scheduler's answer.
+// Verdict takes a scheduler's answer. A place that comes after its ask was given
+// up is given back by its number: the request may have another place by then.
 func (c *Client) Verdict(v *wire.PlaceVerdict) {
 	c.mu.Lock()
 	p := c.pending[v.Id]
 	c.mu.Unlock()
-	if p == nil {
+	if p == nil || p.number != v.Number {
 		if v.Upstream != "" {
-			c.tell(ended(v.Id, board.Left, 0, 0))
+			c.tell(ended(v.Id, v.Number, board.End{Outcome: board.Left}))
 		}
 		return
 	}
@@ -302,12 +316,8 @@
 // TellEvery is how often TellHeld is to be called.
 const TellEvery = time.Second
 
-func (c *Client) hold(u roster.Upstream, a flow.Ask) flow.Place {
-	return c.keep(c.Local.Hold(u), a)
-}
-
-func (c *Client) keep(local flow.Place, a flow.Ask) flow.Place {
-	p := &place{client: c, local: local, upstream: local.Upstream(), ask: a}
+func (c *Client) keep(local flow.Place, a flow.Ask, number uint64) flow.Place {
+	p := &place{client: c, local: local, upstream: local.Upstream(), ask: a, number: number}
 	c.mu.Lock()
 	c.places[p] = struct{}{}
 	c.mu.Unlock()
@@ -320,6 +330,7 @@
 	local    flow.Place
 	upstream roster.Upstream
 	ask      flow.Ask
+	number   uint64
 
 	mu      sync.Mutex
 	started time.Time
@@ -362,21 +373,22 @@
 		stream = now.Sub(p.started)
 	}
 	p.mu.Unlock()
-	p.client.tell(ended(p.ask.ID, boardOutcome(o), stream, tokens))
+	p.client.tell(ended(p.ask.ID, p.number, board.End{Outcome: boardOutcome(o), Stream: stream, Tokens: tokens}))
 }
 
 func (p *place) held() *wire.PlaceHeld {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return &wire.PlaceHeld{
-		Id: p.ask.ID, Upstream: p.upstream.ID, Prompt: uint32(p.ask.Prompt), Output: uint32(p.ask.Output),
+		Id: p.ask.ID, Number: p.number, Upstream: p.upstream.ID, Prompt: uint32(p.ask.Prompt), Output: uint32(p.ask.Output),
 		Started: !p.started.IsZero(),
 	}
 }
 
-func ended(id string, o board.Outcome, stream time.Duration, tokens int) *wire.Envelope {
+func ended(id string, number uint64, end board.End) *wire.Envelope {
 	return &wire.Envelope{Body: &wire.Envelope_PlaceEnded{PlaceEnded: &wire.PlaceEnded{
-		Id: id, Outcome: uint32(o), StreamUs: uint64(stream.Microseconds()), Tokens: uint32(tokens),
+		Id: id, Number: number, Outcome: uint32(end.Outcome),
+		StreamUs: uint64(end.Stream.Microseconds()), Tokens: uint32(end.Tokens),
 	}}}
 }
 
--- a/internal/sched/permit/serve.go
+++ b/internal/sched/permit/serve.go
@@ -33,7 +33,7 @@
 
 func readAsk(now time.Time, owner string, a *wire.PlaceAsk) board.Ask {
 	return board.Ask{
-		Owner: owner, ID: a.Id, Service: a.Service, Domain: a.Domain, Tier: int(a.Tier),
+		Owner: owner, ID: a.Id, Number: a.Number, Service: a.Service, Domain: a.Domain, Tier: int(a.Tier),
 		Due:    now.Add(time.Duration(a.DueMs) * time.Millisecond),
 		Until:  now.Add(time.Duration(a.UntilMs) * time.Millisecond),
 		Prompt: int(a.Prompt), Output: int(a.Output), Ending: readEnding(a.End), MaxGap: time.Duration(a.MaxGapMs) * time.Millisecond,
@@ -67,7 +67,7 @@
 	held := make([]board.Held, 0, len(h.Places))
 	for _, p := range h.Places {
 		held = append(held, board.Held{
-			ID: p.Id, Upstream: p.Upstream, Prompt: int(p.Prompt), Output: int(p.Output), Started: p.Started,
+			ID: p.Id, Number: p.Number, Upstream: p.Upstream, Prompt: int(p.Prompt), Output: int(p.Output), Started: p.Started,
 		})
 	}
 	return held
@@ -75,13 +75,13 @@
 
 func readEnd(e *wire.PlaceEnded) board.End {
 	return board.End{
-		Outcome: board.Outcome(e.Outcome), Stream: time.Duration(e.StreamUs) * time.Microsecond, Tokens: int(e.Tokens),
+		Outcome: board.Outcome(e.Outcome), Number: e.Number, Stream: time.Duration(e.StreamUs) * time.Microsecond, Tokens: int(e.Tokens),
 	}
 }
 
 // VerdictMessage returns the message that carries a verdict to who asked.
 func VerdictMessage(v board.Verdict) *wire.Envelope {
 	return &wire.Envelope{Body: &wire.Envelope_PlaceVerdict{PlaceVerdict: &wire.PlaceVerdict{
-		Id: v.ID, Upstream: v.Upstream, RetryAfterMs: uint32(v.RetryAfter.Milliseconds()), Why: v.Why, Waiting: v.Waiting,
+		Id: v.ID, Number: v.Number, Upstream: v.Upstream, RetryAfterMs: uint32(v.RetryAfter.Milliseconds()), Why: v.Why, Waiting: v.Waiting,
 	}}}
 }
