Streams that must end before a stop are planned with the most they may generate

Two guesses are no bound. The request states one: the most that it may generate.

TestLateStreamIsPlannedWithMoreThanItsGuess asserted the two guesses, 40 tokens of 100; it is replaced by one that asserts all 100, which is stricter.

--- a/internal/edge/flow/flow_test.go
+++ b/internal/edge/flow/flow_test.go
@@ -393,9 +393,8 @@
 }
 
 // Guards against a stream that is taken late in a stop, outruns the guess of its
-// length and is cut: late ones are planned with more than the guess, though never
-// with more than they may generate.
-func TestLateStreamIsPlannedWithMoreThanItsGuess(t *testing.T) {
+// length and is cut: late ones are planned with the most that they may generate.
+func TestLateStreamIsPlannedWithAllThatItMayGenerate(t *testing.T) {
 	s := newSite(t)
 	s.upstream("one", streamHead)
 	for _, c := range []struct {
@@ -405,8 +404,8 @@
 		planned     int
 	}{
 		{time.Second, "1000,100", "20", flow.EndLikely, 20},
-		{2500 * time.Millisecond, "1000,100", "20", flow.EndSure, 40},
-		{3 * time.Second, "1000,100", "20", flow.EndSure, 40},
+		{2500 * time.Millisecond, "1000,100", "20", flow.EndSure, 100},
+		{3 * time.Second, "1000,100", "20", flow.EndSure, 100},
 		{3 * time.Second, "1000,30", "20", flow.EndSure, 30},
 	} {
 		s.leaving = time.Now().Add(-c.since)
