--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -49,6 +49,9 @@
 	Now     func() time.Time
 	// Leaving tells whether the process stops, since when, and when it ends.
 	Leaving func() (since, until time.Time, leaving bool)
+	// Elsewhere tells whether another process takes requests that this one
+	// refuses; nil tells that none does.
+	Elsewhere func() bool
 }
 
 // Metrics takes counts and latencies.
--- a/internal/edge/flow/stopping.go
+++ b/internal/edge/flow/stopping.go
@@ -11,6 +11,11 @@
 	// new callers here. What comes later is refused if it may outlast the
 	// process: its caller would have half an answer.
 	takeAllFor = 2 * time.Second
+	// lateRoom is how many times the guess of its length a stream that comes later
+	// is planned with if no other process takes it. The room that a scheduler leaves
+	// for those that outrun their guess is learned from short streams too, and too
+	// small for long ones.
+	lateRoom = 2
 	// leavingRetry is told to those, and to callers of streams that no engine
 	// would end before the process does; another process takes them at once.
 	leavingRetry = 10 * time.Millisecond
@@ -64,7 +69,11 @@
 		a.Ending = EndLikely
 		return
 	}
-	// A guess of the length is no bound, however padded; what the request may
-	// generate at the most is.
-	a.Ending, a.Output = EndSure, u.request.OutputTokens
+	a.Ending = EndSure
+	if u.Elsewhere != nil && u.Elsewhere() {
+		// No guess of a length is a bound, however padded.
+		a.Output = u.request.OutputTokens
+		return
+	}
+	a.Output = min(u.request.OutputTokens, lateRoom*a.Output)
 }
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -195,6 +195,7 @@
 		Translator: parts.Translator, Client: exchange.NewClient(g.pool, parts.Names, now), Catalog: g.catalog.Load,
 		Picker: g.rollouts, Quota: g.quota, Retries: g.retries, Crashes: g.crashRegister,
 		Metrics: g.metrics, Logger: logger, Now: now, Leaving: g.leaving,
+		Elsewhere: func() bool { return g.peers.othersTake(now()) },
 	})
 	g.ingress = ingress.New(ingress.Parts{
 		Handler: requests, Catalog: g.catalog.Load, Metrics: g.metrics, Logger: logger, Now: now,
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -5,11 +5,13 @@
 	"context"
 	"encoding/json"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/joomcode/errorx"
 
+	"github.com/persimmonridge/persimmonridge/internal/fleet/mesh"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
 	"github.com/persimmonridge/persimmonridge/internal/limit/quota"
 	"github.com/persimmonridge/persimmonridge/internal/sched/board"
@@ -294,6 +296,11 @@
 	return all
 }
 
+// othersTake tells whether another gateway is ready and not told to stop.
+func (p *peers) othersTake(now time.Time) bool {
+	return slices.ContainsFunc(p.mesh.Alive(now), func(other mesh.Peer) bool { return other.Ready && !other.Leaving })
+}
+
 // candidate is a gateway that may schedule; without a node it is none.
 type candidate struct {
 	node    string
--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -202,7 +202,7 @@
 		return
 	}
 	if end.Outcome == Answered && r.started {
-		e.learnOverrun(r, end.Stream, end.Tokens)
+		e.learnOverrun(r, end.Stream)
 		e.learnStream(now, r, end.Stream, end.Tokens)
 	}
 	e.end(now, k, r)
--- a/internal/sched/board/overrun.go
+++ b/internal/sched/board/overrun.go
@@ -20,7 +20,7 @@
 
 const (
 	// overrunFirst is believed of a service before any of its streams ended.
-	overrunFirst = 2.0
+	overrunFirst = 4.0
 	// overrunLeast and overrunMost bound what is believed.
 	overrunLeast = 1.5
 	overrunMost  = 12.0
@@ -40,10 +40,10 @@
 	unknownSlowness = 3.0
 )
 
-// overrun keeps how far streams outran what was planned for their real length:
-// prompts read beside a stream hold it up, and the engine's speed is an
-// estimate. How far lengths are off their guesses is no part of it, because
-// streams that must end are planned with the most they may generate.
+// overrun keeps how far streams outran what was planned for their guessed
+// length. Guesses are right at the median and off by factors, prompts read
+// beside a stream hold it up, and the engine's speed is itself an estimate; the
+// ratio holds all of them.
 type overrun struct {
 	log   float64
 	known bool
@@ -67,15 +67,15 @@
 	return math.Exp(o.log)
 }
 
-// learnOverrun takes the time of a stream that ended well, and its length.
-func (e *engine) learnOverrun(r *run, took time.Duration, tokens int) {
+// learnOverrun takes the time of a stream that ended well.
+func (e *engine) learnOverrun(r *run, took time.Duration) {
 	if e.slowness.known() && !r.adopted {
-		e.family.overrun.see(took, e.planned(tokens))
+		e.family.overrun.see(took, e.planned(r.output))
 	}
 }
 
-// longest returns how long a stream of the length takes on the engine at the
-// most, from its first event on.
+// longest returns how long a stream takes on the engine at the most, from its
+// first event on.
 func (e *engine) longest(output int) time.Duration {
 	planned := e.planned(output)
 	if !e.slowness.known() && e.slowness.factor < unknownSlowness {
@@ -84,7 +84,7 @@
 	return time.Duration(e.family.overrun.ratio() * overrunMargin * float64(planned))
 }
 
-// planned is how long the full engine takes for a stream of the length.
+// planned is how long the full engine takes for a stream of the guessed length.
 func (e *engine) planned(output int) time.Duration { return e.decode(float64(output)) + besides }
 
 // endsInTime tells whether a stream whose first event takes so long ends before
