--- a/internal/fleet/mesh/heard.go
+++ b/internal/fleet/mesh/heard.go
@@ -26,7 +26,9 @@
 		}
 		return
 	}
-	if returned, restarted := m.tellHeard(now, from, g); returned || restarted {
+	p, returned, restarted := m.tellHeard(now, from, g)
+	if returned || restarted {
+		m.tellOne(p)
 		m.logger.Info("peer heard", "peer", from.node, "run", g.Run, "rank", g.Rank, "restarted", restarted)
 	}
 }
@@ -49,15 +51,15 @@
 
 // tellHeard notes what a peer is, and tells whether it is back, by the same or
 // another process.
-func (m *Mesh) tellHeard(now time.Time, from sender, g *wire.Gossip) (returned, restarted bool) {
+func (m *Mesh) tellHeard(now time.Time, from sender, g *wire.Gossip) (p *peer, returned, restarted bool) {
 	m.telling.Lock()
 	defer m.telling.Unlock()
 	limit := m.aliveFor()
 	m.mu.Lock()
-	p := m.peers[from.address]
+	p = m.peers[from.address]
 	if p == nil || p.replaced(now, g.Run, limit) {
 		m.mu.Unlock()
-		return false, false
+		return nil, false, false
 	}
 	restarted = p.Run != 0 && p.Run != g.Run
 	returned = p.down || p.Run == 0
@@ -71,7 +73,7 @@
 		m.handler.Down(now, from.node)
 	}
 	m.handler.Heard(now, from.node, g)
-	return returned, restarted
+	return p, returned, restarted
 }
 
 // replaced tells whether a later process than that of the run lives: what the
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -199,6 +199,7 @@
 
 func (m *Mesh) write(ctx context.Context, p *peer, stream *link.Stream) {
 	m.introduce(p)
+	m.tellOne(p)
 	batch := make([]*wire.Envelope, 0, 64)
 	for {
 		select {
@@ -350,33 +351,58 @@
 
 // tell queues one gossip for every peer.
 func (m *Mesh) tell(now time.Time) {
+	known, base := m.known(now), m.base(now)
+	limit := m.aliveFor()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		m.tellLocked(now, p, base, known, limit)
+	}
+}
+
+// tellOne queues a gossip for one peer out of turn, because one of the two does
+// not know the other's process yet.
+func (m *Mesh) tellOne(p *peer) {
+	now := m.now()
+	known, base := m.known(now), m.base(now)
+	limit := m.aliveFor()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.tellLocked(now, p, base, known, limit)
+}
+
+func (m *Mesh) known(now time.Time) []*wire.Heard {
 	var known []*wire.Heard
 	for _, p := range m.Alive(now) {
 		known = append(known, &wire.Heard{Address: p.Address})
 	}
+	return known
+}
+
+// base returns what all peers are told alike.
+func (m *Mesh) base(now time.Time) *wire.Gossip {
 	base := &wire.Gossip{Run: m.run}
 	m.handler.Gossip(now, base)
-	limit := m.aliveFor()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, p := range m.peers {
-		// A peer that does not take its messages gets no more gossip until it
-		// does; a full queue of it would be old when it is read.
-		if len(p.queue) >= queueLength/2 {
-			continue
-		}
-		g := &wire.Gossip{
-			Run: base.Run, Rank: base.Rank, Ready: base.Ready, Leaving: base.Leaving,
-			ConfigVersion: base.ConfigVersion, RosterRevision: base.RosterRevision,
-			StoreAnswers: base.StoreAnswers, ChangeRevision: base.ChangeRevision, Crashes: base.Crashes,
-			HearsYou: p.Node != "" && now.Sub(p.Heard) < limit, Gone: m.gone,
-		}
-		if p.told%introduceEvery == 0 {
-			g.Node, g.Address, g.Known = m.node, m.address, known
-		}
-		p.told++
-		offer(p, &wire.Envelope{Body: &wire.Envelope_Gossip{Gossip: g}})
+	return base
+}
+
+func (m *Mesh) tellLocked(now time.Time, p *peer, base *wire.Gossip, known []*wire.Heard, limit time.Duration) {
+	// A peer that does not take its messages gets no more gossip until it does;
+	// a full queue of it would be old when it is read.
+	if len(p.queue) >= queueLength/2 {
+		return
+	}
+	g := &wire.Gossip{
+		Run: base.Run, Rank: base.Rank, Ready: base.Ready, Leaving: base.Leaving,
+		ConfigVersion: base.ConfigVersion, RosterRevision: base.RosterRevision,
+		StoreAnswers: base.StoreAnswers, ChangeRevision: base.ChangeRevision, Crashes: base.Crashes,
+		HearsYou: p.Node != "" && now.Sub(p.Heard) < limit, Gone: m.gone,
+	}
+	if p.told%introduceEvery == 0 {
+		g.Node, g.Address, g.Known = m.node, m.address, known
 	}
+	p.told++
+	offer(p, &wire.Envelope{Body: &wire.Envelope_Gossip{Gossip: g}})
 }
 
 // Farewell tells all peers at once that this process was told to stop.
