--- a/internal/edge/flow/admit.go
+++ b/internal/edge/flow/admit.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -8,6 +9,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/persimmonridge/persimmonridge/internal/state/wait"
 )
 
 // admit decides by the configuration alone.
@@ -68,7 +71,7 @@
 	return hash.Sum64()
 }
 
-func (u *run) takeQuota() bool {
+func (u *run) takeQuota(ctx context.Context) bool {
 	if u.work == nil || u.work.PerSecond <= 0 {
 		return true
 	}
@@ -80,6 +83,14 @@
 		}
 	}
 	ok, retryAfter := u.Quota.Take(u.Now(), u.work, cost)
+	for !ok && u.Quota.Settles(u.Now()) {
+		wait.For(ctx, settleEvery)
+		if ctx.Err() != nil {
+			u.expire(ctx)
+			return false
+		}
+		ok, retryAfter = u.Quota.Take(u.Now(), u.work, cost)
+	}
 	if !ok {
 		u.refuse(http.StatusTooManyRequests, retryAfter, fmt.Sprintf("over the quota of %s: %.0f a second, burst %.0f, this request costs %.0f",
 			u.work.Name, u.work.PerSecond, u.work.Burst, cost))
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -30,6 +30,9 @@
 	// leave a stream that is silent for two seconds; the rest is for noticing
 	// that the first upstream broke off.
 	againWithin = 1200 * time.Millisecond
+	// settleEvery is how often a request is tried again that a new process holds
+	// until it hears what is left of the quotas.
+	settleEvery = 10 * time.Millisecond
 	// defaultLeft bounds a request when neither caller nor route name a time.
 	defaultLeft = time.Minute
 )
@@ -143,7 +146,7 @@
 		u.refuse(http.StatusServiceUnavailable, crashRetry, "crashes upstreams")
 		return
 	}
-	if !u.takeQuota() {
+	if !u.takeQuota(ctx) {
 		return
 	}
 	u.try(ctx)
--- a/internal/edge/flow/flow_test.go
+++ b/internal/edge/flow/flow_test.go
@@ -43,8 +43,10 @@
 	leaving  time.Time
 	// elsewhere tells that another process takes requests.
 	elsewhere bool
-	budget    int
-	blocked   bool
+	// settles is how often a request asks for its quota until it is known.
+	settles int
+	budget  int
+	blocked bool
 }
 
 func newSite(t *testing.T) *site {
@@ -159,7 +161,12 @@
 }
 
 func (s *site) Take(time.Time, *catalog.Workspace, float64) (bool, time.Duration) {
-	return s.returned >= 0, time.Second
+	return s.returned >= 0 && s.settles <= 0, time.Second
+}
+
+func (s *site) Settles(time.Time) bool {
+	s.settles--
+	return s.settles >= 0
 }
 
 func (s *site) Return(_ *catalog.Workspace, cost float64) { s.returned += cost }
@@ -457,6 +464,18 @@
 	require.Empty(t, s.runs)
 }
 
+// Guards against callers below their quota who are refused by a process that has
+// just started and does not know what is left of it.
+func TestRequestIsHeldUntilItsQuotaIsKnown(t *testing.T) {
+	s := newSite(t)
+	s.upstream("one", okAnswer)
+	s.content.Workspaces[0].PerSecond, s.settles = 1, 3
+	response, _, err := s.call("/read/x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Zero(t, s.settles)
+}
+
 // A request beyond the quota is refused as not run; one that is refused for
 // want of a place costs its workspace nothing.
 func TestQuotaIsTakenAndGivenBack(t *testing.T) {
--- a/internal/edge/flow/request.go
+++ b/internal/edge/flow/request.go
@@ -170,6 +170,9 @@
 type Quota interface {
 	// Take takes the cost, or tells when to come back.
 	Take(now time.Time, w *catalog.Workspace, cost float64) (ok bool, retryAfter time.Duration)
+	// Settles tells whether what is left may not be known here yet, and will be in
+	// a moment.
+	Settles(now time.Time) bool
 	// Return gives back what a request that has not run took.
 	Return(w *catalog.Workspace, cost float64)
 }
--- a/internal/limit/quota/ledger.go
+++ b/internal/limit/quota/ledger.go
@@ -48,8 +48,8 @@
 	// of the known gateways that it covers.
 	Others map[string]float64
 	Part   float64
-	// Fresh tells that all of them started a moment ago, and that Others holds
-	// all that they used.
+	// Fresh tells that all that it covers started a moment ago, and that Others
+	// holds all that they used.
 	Fresh bool
 }
 
@@ -100,5 +100,5 @@
 		others[workspace] = count - own
 	}
 	part := min(1, float64(reporting)/float64(max(1, known)))
-	return Totals{Run: run, Others: others, Part: part, Fresh: fresh && part == 1}
+	return Totals{Run: run, Others: others, Part: part, Fresh: fresh && reporting > 0}
 }
--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -27,6 +27,11 @@
 	// silentAfter is how long sums may stay away before a gateway falls back to
 	// its even part of each quota; they come ten times a second.
 	silentAfter = 400 * time.Millisecond
+	// settleWithin is how long a new process may wait to hear what is left of the
+	// quotas before it refuses by its own part; it hears in a tenth of a second
+	// mostly. settledPart is the part of the gateways that must have been summed.
+	settleWithin = 300 * time.Millisecond
+	settledPart  = 0.9
 	// unseen is how much use of peers may not be known here yet: a report's
 	// interval and its way. While the bucket is low, an entry takes no more
 	// than its part of what is left in that time.
@@ -48,6 +53,9 @@
 	recentFrom time.Time
 	// charged is what others used that the level lacks already.
 	charged float64
+	// began is when the bucket was made, and refilled what came back since.
+	began    time.Time
+	refilled float64
 	// alone tells that the level is this gateway's part, because it hears no sums.
 	alone bool
 }
@@ -63,8 +71,11 @@
 	// the run.
 	others map[string]float64
 	run    uint64
-	// shared tells that the buckets are the fleet's, not an even part of it.
-	shared  bool
+	// sharedPart is the part of the gateways after a restart of all whose starting
+	// parts the buckets hold, 0 while they hold the own one alone.
+	sharedPart float64
+	// asked is when a cost was first asked for.
+	asked   time.Time
 	part    float64
 	heard   time.Time
 	options Options
@@ -109,14 +120,29 @@
 	k.options = options
 }
 
+// Know makes buckets for the workspaces that have a quota. One that is made when a
+// workspace is first met here lacks what the others refilled and used before.
+func (k *Keeper) Know(now time.Time, workspaces []catalog.Workspace) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for i := range workspaces {
+		if w := &workspaces[i]; w.PerSecond > 0 {
+			k.at(now, w)
+		}
+	}
+}
+
 func (k *Keeper) at(now time.Time, w *catalog.Workspace) *bucket {
 	b := k.buckets[w.Name]
 	if b == nil {
-		b = &bucket{level: k.firstLevel(w), last: now, recentFrom: now, workspace: w}
+		b = &bucket{level: k.firstLevel(w), last: now, began: now, recentFrom: now, charged: k.others[w.Name]}
 		k.buckets[w.Name] = b
 	}
+	b.workspace = w
 	if elapsed := now.Sub(b.last); elapsed > 0 {
-		b.level += w.PerSecond * elapsed.Seconds() * k.heardPart(now)
+		refilled := w.PerSecond * elapsed.Seconds() * k.heardPart(now)
+		b.level += refilled
+		b.refilled += refilled
 		b.last = now
 	}
 	b.level = min(b.level, w.Burst)
@@ -149,22 +175,37 @@
 	}
 	start := k.options.start(w)
 	part := start / float64(max(1, k.known()))
-	if !k.shared {
-		return part
-	}
-	return max(part, start-k.others[w.Name])
+	return max(part, start*k.sharedPart-k.others[w.Name])
 }
 
-// share makes the bucket of each workspace the fleet's. After a restart of all,
-// each gateway began with its even part; now the others' use is known in full, so
-// what they did not use of theirs may be used here.
-func (k *Keeper) share(others map[string]float64) {
-	k.shared = true
+// share makes the bucket of each workspace that of all gateways which the totals
+// cover. After a restart of all, each began with its even part and was refilled by
+// as much; what the others did not use of theirs may be used here.
+func (k *Keeper) share(now time.Time, t Totals) {
 	for name, b := range k.buckets {
-		start := k.options.start(b.workspace)
-		rest := start*(1-1/float64(max(1, k.known()))) - (others[name] - b.charged)
-		b.level += max(0, rest)
+		used := max(0, t.Others[name]-b.charged)
+		b.level -= used
+		b.charged += used
+		own := k.sharedPart
+		if own == 0 {
+			own = 1 / float64(max(1, k.known()))
+		}
+		b.level += k.options.start(b.workspace) * max(0, t.Part-own)
+		refilled := max(0, b.workspace.PerSecond*now.Sub(b.began).Seconds()*t.Part-b.refilled)
+		b.level += refilled
+		b.refilled += refilled
 	}
+	k.sharedPart = max(k.sharedPart, t.Part)
+}
+
+// Settles tells whether the process is new and has not heard yet what is left of
+// the quotas. A request that is over its part is better held for that moment than
+// refused.
+func (k *Keeper) Settles(now time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	heard := !k.heard.IsZero() && k.part >= settledPart
+	return !k.options.Full && !heard && now.Sub(k.asked) < settleWithin
 }
 
 // heardPart is the part of the fleet's rate that this gateway may reckon with:
@@ -180,6 +221,9 @@
 func (k *Keeper) Take(now time.Time, w *catalog.Workspace, cost float64) (bool, time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.asked.IsZero() {
+		k.asked = now
+	}
 	b := k.at(now, w)
 	// All sizes need the same level, so that small requests do not take each
 	// token before a large one finds its number.
@@ -249,7 +293,10 @@
 func (k *Keeper) Hear(now time.Time, t Totals) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if t.Run == k.run {
+	switch {
+	case t.Fresh && !k.options.Full:
+		k.share(now, t)
+	case t.Run == k.run:
 		for workspace, count := range t.Others {
 			if b := k.buckets[workspace]; b != nil {
 				b.level -= count - k.others[workspace]
@@ -257,8 +304,5 @@
 			}
 		}
 	}
-	if t.Fresh && !k.shared && !k.options.Full {
-		k.share(t.Others)
-	}
 	k.run, k.others, k.part, k.heard = t.Run, t.Others, t.Part, now
 }
--- a/internal/limit/quota/quota_test.go
+++ b/internal/limit/quota/quota_test.go
@@ -40,7 +40,10 @@
 	return f
 }
 
-func (f *fleet) exchange(now time.Time) {
+func (f *fleet) exchange(now time.Time) { f.exchangeAmong(now, len(f.keepers)) }
+
+// exchangeAmong exchanges reports in a fleet of which known gateways are known.
+func (f *fleet) exchangeAmong(now time.Time, known int) {
 	for i, k := range f.keepers {
 		if !f.cut[i] {
 			f.ledger.Report(now, fmt.Sprint(i), quota.Report{Run: uint64(i + 1), Age: now.Sub(f.began), Used: k.Used()})
@@ -48,7 +51,7 @@
 	}
 	for i, k := range f.keepers {
 		if !f.cut[i] {
-			k.Hear(now, f.ledger.Totals(now, fmt.Sprint(i), 1, len(f.keepers)))
+			k.Hear(now, f.ledger.Totals(now, fmt.Sprint(i), 1, known))
 		}
 	}
 }
--- a/internal/role/gateway/views.go
+++ b/internal/role/gateway/views.go
@@ -66,6 +66,7 @@
 	if current := g.catalog.Load(); current != nil && current.Version() >= next.Version() {
 		return false
 	}
+	g.quota.Know(g.now(), next.Workspaces())
 	g.catalog.Store(next)
 	g.rawConfig.Store(&raw)
 	return true
