Gossip goes by hubs: a gateway's own does not grow with the fleet

Each gateway gossiped to every other: at 68 some 170 messages a second each way and, in every tenth, the addresses of all (1.1 KB). Now each one chooses the eight of lowest rank that it hears and that take requests, which hear and tell all others; a fleet of nine gateways or fewer goes on as before. Ranks are known from the store's list and from the hubs. A peer that is not heard counts for one attempt to link, and the next in rank takes its place. Lists of known processes and of crashes are told when they changed. What a gateway reads of a change goes out at once and is handed on by the hubs. hubs_test.go: at 25, 68 and 140 gateways all but eight hear eight others; after the 23 of lowest rank of 68 are lost all others hear the next one within 3 s.

--- a/internal/fleet/mesh/heard.go
+++ b/internal/fleet/mesh/heard.go
@@ -18,7 +18,7 @@
 func (m *Mesh) heard(now time.Time, from sender, g *wire.Gossip) {
 	m.Know(now, from.address)
 	for _, h := range g.Known {
-		m.Know(now, h.Address)
+		m.KnowRanked(now, h.Address, h.Rank)
 	}
 	if g.Gone {
 		if m.tellGone(now, from, g) {
@@ -67,7 +67,10 @@
 		Node: from.node, Address: from.address, Run: g.Run, Rank: g.Rank,
 		Ready: g.Ready, Leaving: g.Leaving, Heard: now, HearsUs: g.HearsYou,
 	}
-	p.down, p.gone = false, false
+	p.down, p.gone, p.wantsUs = false, false, g.WantsYou
+	if m.group != nil && !m.closed {
+		m.linkLocked(now, p, limit)
+	}
 	m.mu.Unlock()
 	if restarted {
 		m.handler.Down(now, from.node)
@@ -88,7 +91,7 @@
 func (p *peer) ended(from sender, run uint64) bool {
 	first := !p.gone || p.Run != run
 	p.Peer = Peer{Node: from.node, Address: from.address, Run: run}
-	p.down, p.gone = true, true
+	p.down, p.gone, p.wantsUs = true, true, false
 	return first
 }
 
@@ -115,13 +118,15 @@
 			down = append(down, p.Node)
 		}
 		deaf := p.Node != "" && !p.HearsUs
-		if (silent > relinkAfter || deaf) && now.Sub(p.relink) > relinkAfter && now.Sub(p.since) > relinkAfter/2 {
+		if p.cancel != nil && (silent > relinkAfter || deaf) && now.Sub(p.relink) > relinkAfter && now.Sub(p.since) > relinkAfter/2 {
 			p.relink = now
 			drain(p.queue)
 			offer(p, nil)
 		}
 		if silent > forgetAfter && now.Sub(p.since) > forgetAfter {
-			p.cancel()
+			if p.cancel != nil {
+				p.cancel()
+			}
 			delete(m.peers, address)
 		}
 	}
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -1,6 +1,6 @@
-// Package mesh links the gateways with each other. Each one gossips to every
-// other what it is and has seen; what it hears, and how long ago, decides which
-// peers live.
+// Package mesh links the gateways with each other. Each one gossips what it is and
+// has seen to a few, the hubs, which tell all others; what it hears, and how long
+// ago, decides which peers live. In a small fleet all are hubs.
 package mesh
 
 import (
@@ -32,9 +32,14 @@
 	// relinkAfter is the silence after which the link to a peer is made anew,
 	// because connections may go silent for good while new ones work.
 	relinkAfter = 900 * time.Millisecond
-	// introduceEvery is in which of its gossips a process says who it is and
-	// whom it knows; the first ones to a peer do as well.
+	// introduceEvery is in which of its gossips a process says who it is, and whom
+	// it knows if that has changed; the first one to a peer does as well.
 	introduceEvery = 10
+	// knownEvery is in which of its gossips a process says whom it knows though
+	// that is as before.
+	knownEvery = 50
+	// hurryApart is the least time between two gossips.
+	hurryApart = 20 * time.Millisecond
 	// forgetAfter is how long the address of a silent peer is tried.
 	forgetAfter = 2 * time.Minute
 	// writeTimeout bounds a write to a peer that does not read.
@@ -85,13 +90,22 @@
 	// address never changes, so the sending goroutine needs no lock for it.
 	address string
 	queue   chan *wire.Envelope
-	cancel  context.CancelFunc
-	since   time.Time
-	down    bool
+	// cancel ends the sending; it is nil while nothing is sent to the peer.
+	cancel context.CancelFunc
+	since  time.Time
+	// listed is the rank by the store or by another peer.
+	listed int64
+	// wanted peers are hubs of this process; wantsUs ones have it as theirs.
+	wanted, wantsUs bool
+	wantedSince     time.Time
+	down            bool
 	// gone peers said that their process ends.
 	gone   bool
 	relink time.Time
 	told   int
+	// toldKnown and toldCrashes recognize what the peer was told last of whom this
+	// process knows, and of crashes.
+	toldKnown, toldCrashes uint64
 }
 
 // Mesh is one process's links.
@@ -114,6 +128,12 @@
 	closed bool
 	// gone is told in the last gossip.
 	gone bool
+	// rank is this process's, hub that it is one, since hubSince.
+	rank     int64
+	hub      bool
+	hubSince time.Time
+	began    time.Time
+	hurry    chan struct{}
 }
 
 // New returns a mesh for the process; Run starts it. Seeds are addresses of
@@ -121,7 +141,7 @@
 func New(node, address string, run uint64, dialer link.Dialer, handler Handler, logger *slog.Logger, now func() time.Time) *Mesh {
 	return &Mesh{
 		node: node, address: address, run: run, handler: handler, logger: logger, now: now,
-		pool: link.NewPool(dialer, nil, link.DialWithin(dialWithin)), peers: make(map[string]*peer),
+		pool: link.NewPool(dialer, nil, link.DialWithin(dialWithin)), peers: make(map[string]*peer), rank: unranked, hub: true, hurry: make(chan struct{}, 1),
 	}
 }
 
@@ -130,15 +150,14 @@
 	group, ctx := errgroup.WithContext(ctx)
 	m.mu.Lock()
 	m.ctx, m.group = ctx, group
+	m.began = m.now()
+	m.hubSince = m.began
 	// Peers become known at any time. This goroutine is the first and the last of
 	// those to which theirs are added.
 	group.Go(func() error {
 		defer m.close()
 		return m.gossip(ctx)
 	})
-	for _, p := range m.peers {
-		m.startLocked(p)
-	}
 	m.mu.Unlock()
 	err := group.Wait()
 	if closeErr := m.pool.Close(); err == nil {
@@ -154,7 +173,7 @@
 	m.closed = true
 }
 
-// Know makes the process known of, so that it is linked with.
+// Know makes the process known of, so that it may be linked with.
 func (m *Mesh) Know(now time.Time, address string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -166,11 +185,9 @@
 		p.since = now
 		return
 	}
-	p = &peer{Peer: Peer{Address: address}, address: address, queue: make(chan *wire.Envelope, queueLength), since: now}
+	p = &peer{Peer: Peer{Address: address}, address: address, queue: make(chan *wire.Envelope, queueLength), since: now, listed: unranked}
 	m.peers[address] = p
-	if m.group != nil {
-		m.startLocked(p)
-	}
+	m.Hurry()
 }
 
 func (m *Mesh) startLocked(p *peer) {
@@ -234,14 +251,14 @@
 	p.told = 0
 }
 
-// Send queues a message for the node. It tells whether the node is known and
+// Send queues a message for the node. It tells whether the node is linked with and
 // its queue had room.
 func (m *Mesh) Send(node string, e *wire.Envelope) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, p := range m.peers {
 		if p.Node == node {
-			return offer(p, e)
+			return p.cancel != nil && offer(p, e)
 		}
 	}
 	return false
@@ -333,8 +350,16 @@
 	for ctx.Err() == nil {
 		now := m.now()
 		m.check(now)
-		m.tell(now)
-		wait.For(ctx, m.interval())
+		m.choose(now)
+		m.tell()
+		wait.For(ctx, hurryApart)
+		timer := time.NewTimer(m.interval() - hurryApart)
+		select {
+		case <-ctx.Done():
+		case <-m.hurry:
+		case <-timer.C:
+		}
+		timer.Stop()
 	}
 	return nil
 }
@@ -349,76 +374,6 @@
 // aliveFor is how long a peer counts as living after its last gossip.
 func (m *Mesh) aliveFor() time.Duration { return aliveIntervals*m.interval() + aliveSlack }
 
-// tell queues one gossip for every peer.
-func (m *Mesh) tell(now time.Time) {
-	known, base := m.known(now), m.base(now)
-	limit := m.aliveFor()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, p := range m.peers {
-		m.tellLocked(now, p, base, known, limit)
-	}
-}
-
-// tellOne queues a gossip for one peer out of turn, because one of the two does
-// not know the other's process yet.
-func (m *Mesh) tellOne(p *peer) {
-	now := m.now()
-	known, base := m.known(now), m.base(now)
-	limit := m.aliveFor()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.tellLocked(now, p, base, known, limit)
-}
-
-func (m *Mesh) known(now time.Time) []*wire.Heard {
-	var known []*wire.Heard
-	for _, p := range m.Alive(now) {
-		known = append(known, &wire.Heard{Address: p.Address})
-	}
-	return known
-}
-
-// base returns what all peers are told alike.
-func (m *Mesh) base(now time.Time) *wire.Gossip {
-	base := &wire.Gossip{Run: m.run}
-	m.handler.Gossip(now, base)
-	return base
-}
-
-func (m *Mesh) tellLocked(now time.Time, p *peer, base *wire.Gossip, known []*wire.Heard, limit time.Duration) {
-	// A peer that does not take its messages gets no more gossip until it does;
-	// a full queue of it would be old when it is read.
-	if len(p.queue) >= queueLength/2 {
-		return
-	}
-	g := &wire.Gossip{
-		Run: base.Run, Rank: base.Rank, Ready: base.Ready, Leaving: base.Leaving,
-		ConfigVersion: base.ConfigVersion, RosterRevision: base.RosterRevision,
-		StoreAnswers: base.StoreAnswers, ChangeRevision: base.ChangeRevision, Crashes: base.Crashes,
-		HearsYou: p.Node != "" && now.Sub(p.Heard) < limit, Gone: m.gone,
-	}
-	if p.told%introduceEvery == 0 {
-		g.Node, g.Address, g.Known = m.node, m.address, known
-	}
-	p.told++
-	offer(p, &wire.Envelope{Body: &wire.Envelope_Gossip{Gossip: g}})
-}
-
-// Farewell tells all peers at once that this process was told to stop.
-func (m *Mesh) Farewell() { m.tell(m.now()) }
-
-// Gone tells all peers that the process ends now, and gives the word time to
-// leave. Peers that only noticed its silence would ask it for places, and wait,
-// for half a second more.
-func (m *Mesh) Gone() {
-	m.mu.Lock()
-	m.gone = true
-	m.mu.Unlock()
-	m.tell(m.now())
-	time.Sleep(lastWord)
-}
-
 func drain(queue chan *wire.Envelope) {
 	for {
 		select {
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -23,9 +23,13 @@
 	mu    sync.Mutex
 	heard map[string]*wire.Gossip
 	at    map[string]time.Time
+	// count is how many gossips came.
+	count int
 }
 
 func (h *handler) Gossip(_ time.Time, g *wire.Gossip) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	run := g.Run
 	*g = wire.Gossip{
 		Run: run, Rank: h.told.Rank, Ready: h.told.Ready, ConfigVersion: h.told.ConfigVersion,
@@ -40,6 +44,7 @@
 		h.at[peer] = now
 	}
 	h.heard[peer] = g
+	h.count++
 }
 
 func (h *handler) Receive(time.Time, string, *wire.Envelope) {}
@@ -55,6 +60,7 @@
 type process struct {
 	t       *testing.T
 	handler *handler
+	mesh    *mesh.Mesh
 	cancel  context.CancelFunc
 	done    chan error
 	server  *link.Server
@@ -65,6 +71,7 @@
 	listener, err := n.Listen(name)
 	require.NoError(t, err)
 	m := mesh.New(name, name, run, n, p.handler, slog.New(slog.DiscardHandler), time.Now)
+	p.mesh = m
 	p.server = link.Serve(listener, m.Serve)
 	for _, peer := range peers {
 		m.Know(time.Now(), peer)
--- a/internal/limit/crash/crash.go
+++ b/internal/limit/crash/crash.go
@@ -79,11 +79,15 @@
 	}
 }
 
-// Learn takes a crash that another process saw.
-func (r *Register) Learn(now time.Time, fingerprint uint64, crash string) {
+// Learn takes a crash that another process saw, and tells whether it is new.
+func (r *Register) Learn(now time.Time, fingerprint uint64, crash string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if _, known := r.crashes[fingerprint][crash]; known {
+		return false
+	}
 	r.hold(now, fingerprint, crash)
+	return true
 }
 
 func (r *Register) hold(now time.Time, fingerprint uint64, crash string) {
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -88,7 +88,7 @@
 		p.mu.Unlock()
 		return
 	}
-	p.mesh.Know(now, m.Address)
+	p.mesh.KnowRanked(now, m.Address, item.Created)
 }
 
 // memberPrefix is where gateways are listed in the store.
@@ -151,7 +151,7 @@
 
 // Gossip implements mesh.Handler.
 func (p *peers) Gossip(now time.Time, g *wire.Gossip) {
-	p.granter.SetReach(len(p.mesh.Alive(now))+1, p.mesh.Expected()+1)
+	p.granter.SetReach(p.mesh.Reach(now))
 	p.mu.Lock()
 	g.Rank = p.rank
 	g.Crashes = p.crashes
@@ -170,7 +170,9 @@
 func (p *peers) Heard(now time.Time, peer string, g *wire.Gossip) {
 	p.granter.OwnerUp(peer)
 	for _, c := range g.Crashes {
-		p.crashRegister.Learn(now, c.Fingerprint, c.Upstream)
+		if p.crashRegister.Learn(now, c.Fingerprint, c.Upstream) && p.mesh.Hub() {
+			p.crashed(c.Fingerprint, c.Upstream)
+		}
 	}
 	p.follower.Wake(g.ChangeRevision)
 	p.askFor(now, peer, g)
@@ -331,8 +333,9 @@
 	p.mesh.Send(v.Owner, message)
 }
 
-// crashed remembers a crash that this gateway saw, for its gossip.
+// crashed remembers a crash that this gateway saw or hands on, for its gossip.
 func (p *peers) crashed(fingerprint uint64, upstream string) {
+	p.mesh.Hurry()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.crashes = append(p.crashes, &wire.CrashSeen{Fingerprint: fingerprint, Upstream: upstream})
--- a/internal/role/gateway/peers_internal_test.go
+++ b/internal/role/gateway/peers_internal_test.go
@@ -71,3 +71,17 @@
 	require.True(t, candidate{"a", 1, true}.before(candidate{"b", 2, true}))
 	require.True(t, candidate{"a", 1, true}.before(candidate{"b", 1, true}))
 }
+
+// Guards against a gateway that goes on running a request which crashed upstreams
+// elsewhere: most gateways hear of a crash from those that all of them hear.
+func TestCrashThatAPeerSawIsHandedOnOnce(t *testing.T) {
+	g := New(Parts{Dialer: &net.Dialer{}, Logger: slog.New(slog.DiscardHandler), Now: time.Now})
+	now := time.Unix(1_000_000, 0)
+	for range 3 {
+		g.peers.Heard(now, "peer", &wire.Gossip{Crashes: []*wire.CrashSeen{{Fingerprint: 7, Upstream: "engine"}}})
+	}
+	told := &wire.Gossip{}
+	g.peers.Gossip(now, told)
+	require.Len(t, told.Crashes, 1)
+	require.Equal(t, uint64(7), told.Crashes[0].Fingerprint)
+}
