Most gateways are told of changes by the hubs, and look at the store less often

A peer now hands on what changed since the asker's revision, without the heartbeats, and the hubs go on looking as often. A gateway that hears three peers which the store answers looks every 0.7 of the time in which a configuration must be in force, so it keeps to that time also if nobody tells it; one that misses a change for 0.6 s looks at once. What a gateway is told twice, by a peer and by the store, changes nothing the second time. A list read anew after a gap tells of its changes.

--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -41,12 +41,14 @@
 	// two looks at the store. Upstreams' heartbeats change keys many times a
 	// second, and a leaving one, like a new configuration, must be seen within
 	// two seconds, also by a gateway that hears no peer. The more gateways look,
-	// the sooner one of them sees a change, and its gossip wakes the others: 25
-	// that look every 1.2 s make 21 calls a second in place of 50, and the first
-	// of them sees a change after 50 ms.
+	// the sooner one of them sees a change, and tells the others.
 	storePauseLeast   = 500 * time.Millisecond
 	storePausePerPeer = 30 * time.Millisecond
 	storePauseMost    = 1200 * time.Millisecond
+	// storePauseTold is the pause, as a part of the time in which a configuration
+	// must be in force, of a gateway that hears several which look more often. It
+	// keeps to that time also if none of them tells it.
+	storePauseTold = 0.7
 	// sweepEvery is how often idle connections and lapsed upstreams are looked at.
 	sweepEvery = 250 * time.Millisecond
 	// stopMargin is kept between the end of what runs and the forced end.
@@ -174,11 +176,12 @@
 	g.store = meter.New(parts.Store, g.metrics.StoreCall)
 	g.leftOut = parts.LeftOut
 	g.retries = retry.New(s.Retry, func() int { return g.peers.processes() })
-	g.upstreams = &upstreamView{gateway: g, items: make(map[string]kv.Item)}
-	g.peers = &peers{Gateway: g, rank: unranked}
+	g.upstreams = newUpstreamView(g)
+	g.peers = &peers{Gateway: g, rank: unranked, answering: make(map[string]time.Time)}
 	g.quota = quota.New(s.Quota, g.peers.processes)
 	g.crashRegister = crash.New(g.peers.crashed)
 	g.mesh = mesh.New(s.Name, s.Links, g.run, parts.Dialer, g.peers, logger, now)
+	g.peers.hub = g.mesh.Hub
 	g.granter = granter.New(now, g.peers.deliver, logger)
 	g.permits = permit.New(permit.Parts{
 		Node: s.Name, Domain: s.Domain, Scheduler: g.peers.scheduler, Send: g.mesh.Send,
@@ -319,7 +322,11 @@
 
 // storePause is how long the next look at the store may wait.
 func (g *Gateway) storePause() time.Duration {
-	return min(storePauseLeast+time.Duration(g.mesh.Known())*storePausePerPeer, storePauseMost)
+	pause := min(storePauseLeast+time.Duration(g.mesh.Known())*storePausePerPeer, storePauseMost)
+	if g.peers.toldOfStore(g.now()) {
+		return max(pause, time.Duration(storePauseTold*float64(g.settings.Apply)))
+	}
+	return pause
 }
 
 // newFollower returns what keeps all that the process knows from the store up to
@@ -347,7 +354,13 @@
 func (g *Gateway) noteChange(revision int64) {
 	for {
 		known := g.changed.Load()
-		if revision <= known || g.changed.CompareAndSwap(known, revision) {
+		if revision <= known {
+			return
+		}
+		if g.changed.CompareAndSwap(known, revision) {
+			if g.mesh.Hub() {
+				g.mesh.Hurry()
+			}
 			return
 		}
 	}
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -27,9 +27,6 @@
 	memberRenew = 3 * time.Second
 	// unranked is the rank of a gateway that does not know its own yet.
 	unranked = math.MaxInt64
-	// askEvery is how often peers are asked for one thing: well within the two
-	// seconds in which a change must be in force.
-	askEvery = 300 * time.Millisecond
 	// quotaEvery is how often use is told to the scheduler. What all gateways
 	// may take over a quota grows with it: a tenth of a second of the use.
 	quotaEvery = 100 * time.Millisecond
@@ -47,6 +44,8 @@
 // mesh.Handler, and follow.View for the list of gateways in the store.
 type peers struct {
 	*Gateway
+	// hub tells whether the other gateways are told by this one.
+	hub func() bool
 
 	mu   sync.Mutex
 	rank int64
@@ -54,6 +53,10 @@
 	askedConfig, askedRoster time.Time
 	crashes                  []*wire.CrashSeen
 	away                     bool
+	// behind is since when a peer knows of a change that is not known here.
+	behind time.Time
+	// answering is when those peers were last heard that the store answers.
+	answering map[string]time.Time
 }
 
 // Replace implements follow.View.
@@ -170,37 +173,14 @@
 func (p *peers) Heard(now time.Time, peer string, g *wire.Gossip) {
 	p.granter.OwnerUp(peer)
 	for _, c := range g.Crashes {
-		if p.crashRegister.Learn(now, c.Fingerprint, c.Upstream) && p.mesh.Hub() {
+		if p.crashRegister.Learn(now, c.Fingerprint, c.Upstream) && p.hub() {
 			p.crashed(c.Fingerprint, c.Upstream)
 		}
 	}
-	p.follower.Wake(g.ChangeRevision)
 	p.askFor(now, peer, g)
 	p.permits.Follow(now)
 }
 
-// askFor asks a peer that knows more for what the store does not tell this
-// gateway, or has not told it yet. It asks again after a while: an answer may be
-// lost with the link that carries it.
-func (p *peers) askFor(now time.Time, peer string, g *wire.Gossip) {
-	version := int64(0)
-	if c := p.catalog.Load(); c != nil {
-		version = c.Version()
-	}
-	ask := &wire.SnapshotAsk{}
-	p.mu.Lock()
-	if g.ConfigVersion > version && now.Sub(p.askedConfig) > askEvery {
-		ask.Config, p.askedConfig = true, now
-	}
-	if p.away && g.StoreAnswers && g.RosterRevision > p.roster.Revision() && now.Sub(p.askedRoster) > askEvery {
-		ask.Roster, p.askedRoster = true, now
-	}
-	p.mu.Unlock()
-	if ask.Config || ask.Roster {
-		p.mesh.Send(peer, &wire.Envelope{Body: &wire.Envelope_SnapshotAsk{SnapshotAsk: ask}})
-	}
-}
-
 // Receive implements mesh.Handler.
 func (p *peers) Receive(now time.Time, peer string, e *wire.Envelope) {
 	switch body := e.Body.(type) {
@@ -230,36 +210,11 @@
 	}
 }
 
-func (p *peers) snapshot(ask *wire.SnapshotAsk) *wire.Snapshot {
-	s := &wire.Snapshot{}
-	if raw := p.rawConfig.Load(); ask.Config && raw != nil {
-		s.Config = *raw
-	}
-	if ask.Roster {
-		s.RosterRevision = p.roster.Revision()
-		for _, item := range p.upstreams.snapshot() {
-			s.Roster = append(s.Roster, &wire.StoreItem{Key: item.Key, Value: item.Value, Revision: item.Revision})
-		}
-	}
-	return s
-}
-
-func (p *peers) take(now time.Time, peer string, s *wire.Snapshot) {
-	if len(s.Config) > 0 {
-		p.takeConfig(s.Config, peer)
-	}
-	if s.RosterRevision <= p.roster.Revision() {
-		return
-	}
-	snapshot := kv.Snapshot{Revision: s.RosterRevision}
-	for _, item := range s.Roster {
-		snapshot.Items = append(snapshot.Items, kv.Item{Key: item.Key, Value: item.Value, Revision: item.Revision})
-	}
-	p.upstreams.Replace(now, snapshot)
-}
-
 // Down implements mesh.Handler.
 func (p *peers) Down(now time.Time, peer string) {
+	p.mu.Lock()
+	delete(p.answering, peer)
+	p.mu.Unlock()
 	p.granter.OwnerDown(peer)
 	p.permits.Down(peer)
 	p.permits.Follow(now)
--- a/internal/role/gateway/views.go
+++ b/internal/role/gateway/views.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/persimmonridge/persimmonridge/internal/sched/board"
@@ -72,94 +71,6 @@
 	return true
 }
 
-// upstreamView takes the upstreams' registrations from the store, and keeps them
-// as they were written for peers that the store does not answer.
-type upstreamView struct {
-	gateway *Gateway
-
-	// mu is held while the roster takes what items take, so that both are alike.
-	mu    sync.Mutex
-	items map[string]kv.Item
-}
-
-// Replace implements follow.View.
-func (v *upstreamView) Replace(now time.Time, s kv.Snapshot) {
-	items := make(map[string]kv.Item, len(s.Items))
-	var ups []roster.Upstream
-	for _, item := range s.Items {
-		items[item.Key] = item
-		u, err := v.gateway.decoder.Upstream(item.Key, item.Value, item.Revision)
-		if err != nil {
-			v.gateway.logger.Warn("registration ignored", "err", err)
-			continue
-		}
-		ups = append(ups, u)
-	}
-	v.mu.Lock()
-	taken := v.gateway.roster.Replace(now, s.Revision, ups)
-	if taken {
-		v.items = items
-	}
-	v.mu.Unlock()
-	if !taken {
-		return
-	}
-	v.gateway.upstreamsChanged()
-	v.gateway.logger.Info("upstreams read", "count", len(ups), "revision", s.Revision)
-}
-
-// Apply implements follow.View.
-func (v *upstreamView) Apply(now time.Time, c kv.Changes) {
-	for _, e := range c.Events {
-		v.event(now, e)
-	}
-	v.gateway.roster.Advance(c.Revision)
-	if len(c.Events) > 0 {
-		v.gateway.upstreamsChanged()
-	}
-}
-
-func (v *upstreamView) event(now time.Time, e kv.Event) {
-	g := v.gateway
-	id := g.decoder.UpstreamID(e.Key)
-	if e.Deleted {
-		g.logger.Info("upstream gone", "upstream", id, "revision", e.Revision)
-		g.noteChange(e.Revision)
-		v.mu.Lock()
-		defer v.mu.Unlock()
-		delete(v.items, e.Key)
-		g.roster.Remove(now, id, e.Revision)
-		return
-	}
-	u, err := g.decoder.Upstream(e.Key, e.Value, e.Revision)
-	if err != nil {
-		g.logger.Warn("registration ignored", "err", err)
-	} else if old, ok := g.roster.Get(id); !ok || old.State != u.State || old.Born != u.Born || old.Address != u.Address {
-		g.logger.Info("upstream changed", "upstream", id, "service", u.Service, "address", u.Address,
-			"state", u.State, "version", u.Version, "born", u.Born, "revision", e.Revision)
-		g.noteChange(e.Revision)
-	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.items[e.Key] = e.Item
-	if err != nil {
-		g.roster.Remove(now, id, e.Revision)
-		return
-	}
-	g.roster.Put(u)
-}
-
-// snapshot returns the registrations as they were written.
-func (v *upstreamView) snapshot() []kv.Item {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	items := make([]kv.Item, 0, len(v.items))
-	for _, item := range v.items {
-		items = append(items, item)
-	}
-	return items
-}
-
 // upstreamsChanged tells the scheduler which engines may get work. Of several
 // calls at once, the last to tell has read last.
 func (g *Gateway) upstreamsChanged() {
