--- a/internal/fleet/mesh/heard.go
+++ b/internal/fleet/mesh/heard.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"slices"
 	"time"
 
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
@@ -103,10 +104,11 @@
 	}
 }
 
-// tellSilent tells of the peers that have become silent, and returns them. The
-// log is told later, since a line may take a while.
+// tellSilent tells of the peers that have become silent, and returns those that
+// should not have. The log is told later, since a line may take a while.
 func (m *Mesh) tellSilent(now time.Time) []string {
 	var down []string
+	parted := make(map[string]bool)
 	limit := m.aliveFor()
 	m.telling.Lock()
 	defer m.telling.Unlock()
@@ -116,6 +118,9 @@
 		if p.Node != "" && !p.down && silent > limit {
 			p.down = true
 			down = append(down, p.Node)
+			if !p.wanted && !p.wantsUs {
+				parted[p.Node] = true
+			}
 		}
 		deaf := p.Node != "" && !p.HearsUs
 		if p.cancel != nil && (silent > relinkAfter || deaf) && now.Sub(p.relink) > relinkAfter && now.Sub(p.since) > relinkAfter/2 {
@@ -134,5 +139,5 @@
 	for _, node := range down {
 		m.handler.Down(now, node)
 	}
-	return down
+	return slices.DeleteFunc(down, func(node string) bool { return parted[node] })
 }
--- a/internal/fleet/mesh/hubs.go
+++ b/internal/fleet/mesh/hubs.go
@@ -13,6 +13,9 @@
 	// same ones, so what one of these is told reaches all. With a third of the
 	// fleet gone, one time in 5,000 none of them is left.
 	hubs = 8
+	// unrankedMost is how many peers of unknown rank are wanted: as many as there
+	// are addresses in the settings, until they tell of the others.
+	unrankedMost = 3
 	// trialFor is how long a peer that is not heard counts as one of them: one
 	// attempt to link with it, and its first word.
 	trialFor = dialWithin + 50*time.Millisecond
@@ -44,8 +47,9 @@
 }
 
 // choose decides with which peers the process exchanges gossip.
-func (m *Mesh) choose(now time.Time) {
-	limit := m.aliveFor()
+func (m *Mesh) choose() {
+	n := m.news()
+	now, limit := n.at, n.limit
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.group == nil || m.closed {
@@ -53,6 +57,9 @@
 	}
 	m.wantLocked(now, limit)
 	for _, p := range m.peers {
+		if p.cancel != nil && !p.needed(now, limit) {
+			m.tellLocked(p, n)
+		}
 		m.linkLocked(now, p, limit)
 	}
 }
@@ -64,9 +71,13 @@
 		peers = append(peers, p)
 	}
 	slices.SortFunc(peers, (*peer).order)
-	counted, before := 0, 0
+	counted, unknown, before := 0, 0, 0
 	for _, p := range peers {
 		wanted := counted < hubs
+		if p.knownRank() == unranked {
+			unknown++
+			wanted = wanted && unknown <= unrankedMost
+		}
 		if wanted && !p.wanted {
 			p.wantedSince = now
 		}
@@ -96,9 +107,9 @@
 	case needed && p.cancel == nil:
 		m.startLocked(p)
 	case !needed && p.cancel != nil:
-		p.cancel()
+		// The last gossip told the peer that it is not wanted.
+		time.AfterFunc(lastWord, p.cancel)
 		p.cancel = nil
-		drain(p.queue)
 	}
 }
 
@@ -111,12 +122,12 @@
 }
 
 // Reach returns how many processes this one hears, itself included, and how many
-// it should. One that is no hub, or has just become one, hears few of those that
-// live; it is taken to hear all.
+// it should. One that is no hub, has just become one or has just started hears few
+// of those that live; it is taken to hear all.
 func (m *Mesh) Reach(now time.Time) (heard, expected int) {
 	limit := m.aliveFor()
 	m.mu.Lock()
-	settled := m.hub && (m.hubSince.Equal(m.began) || now.Sub(m.hubSince) > limit)
+	settled := m.hub && now.Sub(m.hubSince) > limit
 	m.mu.Unlock()
 	if !settled {
 		return 1, 1
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -132,7 +132,6 @@
 	rank     int64
 	hub      bool
 	hubSince time.Time
-	began    time.Time
 	hurry    chan struct{}
 }
 
@@ -150,8 +149,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	m.mu.Lock()
 	m.ctx, m.group = ctx, group
-	m.began = m.now()
-	m.hubSince = m.began
+	m.hubSince = m.now()
 	// Peers become known at any time. This goroutine is the first and the last of
 	// those to which theirs are added.
 	group.Go(func() error {
@@ -348,9 +346,8 @@
 
 func (m *Mesh) gossip(ctx context.Context) error {
 	for ctx.Err() == nil {
-		now := m.now()
-		m.check(now)
-		m.choose(now)
+		m.check(m.now())
+		m.choose()
 		m.tell()
 		wait.For(ctx, hurryApart)
 		timer := time.NewTimer(m.interval() - hurryApart)
--- a/internal/role/gateway/gateway_test.go
+++ b/internal/role/gateway/gateway_test.go
@@ -193,3 +193,27 @@
 		}
 	})
 }
+
+// Guards against engines that are taken to be full of others' requests by a gateway
+// that has just started and has not had the time to hear the others.
+func TestGatewayThatHasHeardNobodyYetUsesItsEngines(t *testing.T) {
+	play(t, func(f *fleet) {
+		for i := range gateways {
+			f.stop(i)
+		}
+		for i := range 20 {
+			f.store.Put("gateways/away-"+strconv.Itoa(i), fmt.Sprintf(`{"address":"10.9.0.%d:81","run":1}`, i+1))
+		}
+		const late = gateways
+		f.serve(storeAt(late), f.store)
+		f.start(late)
+		bubble.Pass(50 * time.Millisecond)
+		for i := range 2 * slots {
+			o := f.call(late, "/old/x", "first"+strconv.Itoa(i))
+			require.NoError(t, o.err)
+			require.Equal(t, http.StatusOK, o.status)
+			require.Less(t, o.took, 350*time.Millisecond)
+		}
+		f.stop(late)
+	})
+}
