A large configuration is read from the store and not from hubs

A hub that told of a new configuration would hand its 400 KB (1,400 routes) to every gateway that asked, some 24 MB at 68 gateways over a link of 20 Mbit/s, while leaving upstreams wait.

--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -53,8 +53,9 @@
 	askedConfig, askedRoster time.Time
 	crashes                  []*wire.CrashSeen
 	away                     bool
-	// behind is since when a peer knows of a change that is not known here.
-	behind time.Time
+	// config and change are what peers know of configurations and upstreams and
+	// this gateway does not.
+	config, change overdue
 	// answering is when those peers were last heard that the store answers.
 	answering map[string]time.Time
 }
--- a/internal/role/gateway/relay.go
+++ b/internal/role/gateway/relay.go
@@ -36,35 +36,49 @@
 	} else {
 		delete(p.answering, peer)
 	}
-	if g.ConfigVersion > version && now.Sub(p.askedConfig) > askEvery {
+	// A large configuration is read from the store if that answers: peers that hand
+	// it to a whole fleet would have time for nothing else.
+	older, olderBy := p.config.see(now, version, g.ConfigVersion)
+	if older && (p.away || olderBy > askEvery) && now.Sub(p.askedConfig) > askEvery {
 		ask.Config, p.askedConfig = true, now
 	}
-	late := p.lateLocked(now, known, g)
+	// The first list is the store's to tell.
+	late, lateBy := p.change.see(now, known, g.ChangeRevision)
+	late = late && known > 0
 	more := p.away && g.StoreAnswers && g.RosterRevision > known
 	if (late || more) && now.Sub(p.askedRoster) > askEvery {
 		ask.Roster, p.askedRoster = true, now
 	}
-	overdue := late && now.Sub(p.behind) > behindFor
 	p.mu.Unlock()
 	if ask.Config || ask.Roster {
 		p.mesh.Send(peer, &wire.Envelope{Body: &wire.Envelope_SnapshotAsk{SnapshotAsk: ask}})
 	}
-	if overdue {
+	if older || (late && lateBy > behindFor) {
 		p.follower.Wake(g.ChangeRevision)
 	}
 }
 
-// lateLocked tells whether the peer knows of a change that is not known here, and
-// notes since when that is so. The first list is the store's to tell.
-func (p *peers) lateLocked(now time.Time, known int64, g *wire.Gossip) bool {
-	if known == 0 || g.ChangeRevision <= known {
-		p.behind = time.Time{}
-		return false
+// overdue is a revision that peers know of and this gateway does not, and since
+// when.
+type overdue struct {
+	revision int64
+	since    time.Time
+}
+
+// see notes what a peer knows and what is known here. It tells whether the peer
+// knows more, and for how long this gateway has lacked what any peer knows.
+func (o *overdue) see(now time.Time, known, peer int64) (late bool, by time.Duration) {
+	if o.revision <= known {
+		o.since = time.Time{}
+	}
+	o.revision = max(o.revision, peer)
+	if peer <= known {
+		return false, 0
 	}
-	if p.behind.IsZero() {
-		p.behind = now
+	if o.since.IsZero() {
+		o.since = now
 	}
-	return true
+	return true, now.Sub(o.since)
 }
 
 // toldOfStore tells whether enough peers look at the store for this gateway.
--- a/internal/role/gateway/relay_internal_test.go
+++ b/internal/role/gateway/relay_internal_test.go
@@ -155,3 +155,21 @@
 	g.peers.storeAway(true)
 	require.False(t, g.peers.toldOfStore(now))
 }
+
+// Guards against a hub that hands a large configuration to a whole fleet and has no
+// time for what is urgent: while the store answers, each gateway reads it there.
+func TestConfigurationIsAskedOfAPeerOnlyIfTheStoreIsLate(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	g := newRelayer("spoke")
+	later := &wire.Gossip{ConfigVersion: 7, ChangeRevision: 99}
+	g.peers.askFor(now, "a", later)
+	require.Zero(t, g.peers.askedConfig)
+	g.peers.askFor(now.Add(askEvery/2), "b", &wire.Gossip{ConfigVersion: 6})
+	g.peers.askFor(now.Add(askEvery+time.Millisecond), "a", later)
+	require.NotZero(t, g.peers.askedConfig)
+
+	away := newRelayer("spoke")
+	away.peers.storeAway(true)
+	away.peers.askFor(now, "a", later)
+	require.Equal(t, now, away.peers.askedConfig)
+}
