--- a/internal/sched/board/board_bench_test.go
+++ b/internal/sched/board/board_bench_test.go
@@ -1,6 +1,7 @@
 package board_test
 
 import (
+	"fmt"
 	"strconv"
 	"testing"
 	"time"
@@ -8,10 +9,20 @@
 	"github.com/persimmonridge/persimmonridge/internal/sched/board"
 )
 
-// BenchmarkDecision places and ends requests on a full fleet of 600 engines of
-// eight slots, with 500 waiting; each end gives its place to one that waits.
+// BenchmarkDecision places and ends requests on full fleets of engines of eight
+// slots, while others wait; each end gives its place to one of these.
 func BenchmarkDecision(b *testing.B) {
-	const count, slots, waiting = 600, 8, 500
+	for _, size := range []struct{ engines, waiting int }{
+		{93, 200}, {93, 2000}, {186, 200}, {186, 2000}, {600, 200}, {600, 500}, {600, 2000},
+	} {
+		b.Run(fmt.Sprintf("%d engines %d waiting", size.engines, size.waiting), func(b *testing.B) {
+			benchmarkDecision(b, size.engines, size.waiting)
+		})
+	}
+}
+
+func benchmarkDecision(b *testing.B, count, waiting int) {
+	const slots = 8
 	board := full(count, slots, waiting)
 	now := start.Add(time.Second)
 	for i := 0; b.Loop(); i++ {
