--- a/cmd/persimmonridge/measure.go
+++ b/cmd/persimmonridge/measure.go
@@ -11,7 +11,6 @@
 )
 
 type measureCommand struct {
-	Capacity capacityCommand `cmd:"" help:"Measure what the roles cost; renew docs/CAPACITY.md."`
 	Moves    movesCommand    `cmd:"" help:"Play many seeded version moves, good and bad."`
 	Index    indexCommand    `cmd:"" help:"Compare the index's policies on the same seeded arrivals."`
 	Patterns measurePatterns `cmd:"" help:"Play load patterns against emulated engines, by policy."`
