What waits is measured by the fastest engine alone, found once a tick

A hundred times a second each waiting request was measured against each engine for whether it can still be in time. How soon an engine answers follows from its speed, so the fastest one in use decides. Decisions are the same.

--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -253,8 +253,12 @@
 		b.refusals.expire(now)
 	}
 	var turned []*Ask
+	fastest := make(map[string]*engine, len(b.byService))
+	for service := range b.byService {
+		fastest[service] = b.fastest(now, service)
+	}
 	b.waiting = slices.DeleteFunc(b.waiting, func(a *Ask) bool {
-		if b.spare(now, a) >= 0 {
+		if b.spareBy(now, a, fastest[a.Service]) >= 0 {
 			return false
 		}
 		turned = append(turned, a)
--- a/internal/sched/board/board_bench_test.go
+++ b/internal/sched/board/board_bench_test.go
@@ -52,3 +52,16 @@
 	}
 	return filled
 }
+
+// BenchmarkTick looks at what waits for a full fleet, as the scheduler does a
+// hundred times a second.
+func BenchmarkTick(b *testing.B) {
+	for _, size := range []struct{ engines, waiting int }{{93, 200}, {600, 500}} {
+		b.Run(fmt.Sprintf("%d engines %d waiting", size.engines, size.waiting), func(b *testing.B) {
+			board := full(size.engines, 8, size.waiting)
+			for b.Loop() {
+				board.Tick(start.Add(time.Second))
+			}
+		})
+	}
+}
--- a/internal/sched/board/place.go
+++ b/internal/sched/board/place.go
@@ -33,16 +33,42 @@
 // event in time on the fastest engine that is in use, if that is idle. It is
 // negative if no engine can be in time any more.
 func (b *Board) spare(now time.Time, a *Ask) time.Duration {
-	quickest := never
-	for _, e := range b.byService[a.Service] {
-		if now.Before(e.avoid) || !a.allows(e) {
-			continue
+	return b.spareBy(now, a, b.fastest(now, a.Service))
+}
+
+// spareBy is spare for those who know the fastest engine of the service. It is
+// that of the request too unless the request may not go there.
+func (b *Board) spareBy(now time.Time, a *Ask, fastest *engine) time.Duration {
+	if fastest != nil && !a.allows(fastest) {
+		fastest = nil
+		for _, e := range b.byService[a.Service] {
+			if !now.Before(e.avoid) && a.allows(e) && e.faster(fastest) {
+				fastest = e
+			}
 		}
-		quickest = min(quickest, e.alone(a.Prompt))
+	}
+	quickest := never
+	if fastest != nil {
+		quickest = fastest.alone(a.Prompt)
 	}
 	return a.Due.Sub(now) - dueMargin - quickest
 }
 
+// fastest returns the fastest engine of the service that is in use, or nil.
+func (b *Board) fastest(now time.Time, service string) *engine {
+	var fastest *engine
+	for _, e := range b.byService[service] {
+		if !now.Before(e.avoid) && e.faster(fastest) {
+			fastest = e
+		}
+	}
+	return fastest
+}
+
+func (e *engine) faster(other *engine) bool {
+	return other == nil || e.slowness.factor < other.slowness.factor
+}
+
 // place grants the best engine, if there is one.
 func (b *Board) place(now time.Time, a *Ask, late bool) bool {
 	var best *engine
