Engines that fail no more often than most are not left beside waiting requests

An engine is left when its failure share exceeds that of the best one by 0.2. The share that a quarter of the engines does not exceed is the measure now, for plain services too; in a fleet of up to three it is the best one's, as before.

--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -43,7 +43,9 @@
 	paces map[rank]*pace
 	// families are what the engines of a service have in common.
 	families map[string]*family
-	tidied   time.Time
+	// usual are the failure shares by which engines are measured.
+	usual  map[string]usualShare
+	tidied time.Time
 }
 
 // New returns an empty board.
@@ -51,6 +53,7 @@
 	return &Board{
 		engines: make(map[string]*engine), byService: make(map[string][]*engine), byRun: make(map[string]*engine),
 		refusals: make(refusals), recalled: make(map[string]Speed), paces: make(map[rank]*pace), families: make(map[string]*family),
+		usual: make(map[string]usualShare),
 	}
 }
 
--- a/internal/sched/board/fill.go
+++ b/internal/sched/board/fill.go
@@ -15,16 +15,16 @@
 	if b.engines[e.ID] != e {
 		return
 	}
-	least := b.leastFailing(now, e.Service)
-	b.waiting = b.fillFrom(now, e, b.waiting, false, least)
+	usual := b.usualFailing(now, e.Service)
+	b.waiting = b.fillFrom(now, e, b.waiting, false, usual)
 	if len(b.waiting) == 0 {
-		b.late = b.fillFrom(now, e, b.late, true, least)
+		b.late = b.fillFrom(now, e, b.late, true, usual)
 	}
 }
 
-func (b *Board) fillFrom(now time.Time, e *engine, queue []*Ask, late bool, least float64) []*Ask {
+func (b *Board) fillFrom(now time.Time, e *engine, queue []*Ask, late bool, usual float64) []*Ask {
 	for e.running(now) < e.Slots {
-		at := b.next(now, e, queue, late, least)
+		at := b.next(now, e, queue, late, usual)
 		if at < 0 {
 			return queue
 		}
@@ -40,12 +40,12 @@
 // next returns the request of a queue that the engine gets, or -1: the first in
 // its order that the engine suits. A request of a lower tier is chosen only if
 // the engine suits none of a higher one.
-func (b *Board) next(now time.Time, e *engine, queue []*Ask, late bool, least float64) int {
+func (b *Board) next(now time.Time, e *engine, queue []*Ask, late bool, usual float64) int {
 	for i, a := range queue[:min(len(queue), scanMost)] {
 		if a.Service != e.Service {
 			continue
 		}
-		if _, ok := b.cost(now, e, a, late, least); ok {
+		if _, ok := b.cost(now, e, a, late, usual); ok {
 			return i
 		}
 	}
--- a/internal/sched/board/place.go
+++ b/internal/sched/board/place.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/persimmonridge/persimmonridge/internal/sched/failure"
 	"github.com/persimmonridge/persimmonridge/internal/sched/profile"
 )
 
@@ -14,8 +15,8 @@
 	// gapPart is the part of the longest allowed pause that is planned with;
 	// steps are estimates.
 	gapPart = 0.8
-	// failMargin is by how much an engine's failure share must exceed the best
-	// one's for it to be left out.
+	// failMargin is by how much an engine's failure share must exceed the usual
+	// one for it to be left out.
 	failMargin = 0.2
 	// Weights of the choice among engines, in parts of all slots taken.
 	// weightFirst makes long prompts go to fast engines: it is the weight of
@@ -73,9 +74,9 @@
 func (b *Board) place(now time.Time, a *Ask, late bool) bool {
 	var best *engine
 	bestCost := 0.0
-	least := b.leastFailing(now, a.Service)
+	usual := b.usualFailing(now, a.Service)
 	for _, e := range b.byService[a.Service] {
-		cost, ok := b.cost(now, e, a, late, least)
+		cost, ok := b.cost(now, e, a, late, usual)
 		if ok && (best == nil || cost < bestCost) {
 			best, bestCost = e, cost
 		}
@@ -87,20 +88,34 @@
 	return true
 }
 
-func (b *Board) leastFailing(now time.Time, service string) float64 {
-	least := 1.0
-	for _, e := range b.byService[service] {
-		least = min(least, e.failShare.At(now))
-		if least == 0 {
-			break
-		}
+// usualFailing returns the failure share by which a service's engines are measured.
+func (b *Board) usualFailing(now time.Time, service string) float64 {
+	usual := b.usual[service]
+	if age := now.Sub(usual.at); !usual.at.IsZero() && age >= 0 && age < usualFor {
+		return usual.share
+	}
+	engines := b.byService[service]
+	shares := make([]float64, 0, len(engines))
+	for _, e := range engines {
+		shares = append(shares, e.failShare.At(now))
 	}
-	return least
+	usual = usualShare{share: failure.Usual(shares), at: now}
+	b.usual[service] = usual
+	return usual.share
 }
 
+// usualShare is a failure share and when it was taken.
+type usualShare struct {
+	share float64
+	at    time.Time
+}
+
+// usualFor is how long it is used: shares move by a few hundredths in it.
+const usualFor = 20 * time.Millisecond
+
 // cost ranks an engine for a request; the lowest is chosen. It tells whether
 // the engine may get the request at all.
-func (b *Board) cost(now time.Time, e *engine, a *Ask, late bool, leastFailing float64) (float64, bool) {
+func (b *Board) cost(now time.Time, e *engine, a *Ask, late bool, usualFailing float64) (float64, bool) {
 	running := e.running(now)
 	room := e.Slots
 	if late {
@@ -109,7 +124,7 @@
 	if running >= room || now.Before(e.avoid) || !a.allows(e) {
 		return 0, false
 	}
-	if e.failShare.At(now) > leastFailing+failMargin {
+	if e.failShare.At(now) > usualFailing+failMargin {
 		return 0, false
 	}
 	first := e.firstEvent(now, a.Prompt)
--- a/internal/sched/failure/failure.go
+++ b/internal/sched/failure/failure.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -58,3 +59,18 @@
 	s.value = (1-s.weight)*s.At(now) + s.weight*failed
 	s.at = now
 }
+
+// Usual returns the share that a quarter of the upstreams does not exceed. Of many
+// that fail alike, the least share is far below the others by luck; measured by
+// that, most would be left.
+func Usual(shares []float64) float64 {
+	if len(shares) == 0 {
+		return 0
+	}
+	slices.Sort(shares)
+	return shares[len(shares)/usualPart]
+}
+
+// usualPart is the part of the upstreams by which the others are measured, as its
+// inverse.
+const usualPart = 4
--- a/internal/sched/local/local.go
+++ b/internal/sched/local/local.go
@@ -26,7 +26,7 @@
 	// failWeight is the weight of one outcome in an upstream's failure share.
 	failWeight = 0.1
 	// failMargin is by how much an upstream's failure share must exceed the
-	// best one's for it to be left: services fail some of their requests by
+	// usual one for it to be left: services fail some of their requests by
 	// themselves.
 	failMargin = 0.2
 	// failHalf is the time in which a failure share halves without new outcomes.
@@ -115,17 +115,18 @@
 
 func (c *Chooser) best(now time.Time, ups []roster.Upstream, a flow.Ask, avoided bool) (roster.Upstream, bool) {
 	c.turn++
-	least := 1.0
+	shares := make([]float64, 0, len(ups))
 	for _, u := range ups {
-		least = min(least, c.record(u.ID).failShare.At(now))
+		shares = append(shares, c.record(u.ID).failShare.At(now))
 	}
+	usual := failure.Usual(shares)
 	var best roster.Upstream
 	var bestCost float64
 	found := false
 	for i := range ups {
 		u := ups[(uint64(i)+c.turn)%uint64(len(ups))]
 		r := c.record(u.ID)
-		if !a.Allows(u.Version) || slices.Contains(a.Exclude, u.ID) || (!avoided && (now.Before(r.avoid) || r.failShare.At(now) > least+failMargin)) {
+		if !a.Allows(u.Version) || slices.Contains(a.Exclude, u.ID) || (!avoided && (now.Before(r.avoid) || r.failShare.At(now) > usual+failMargin)) {
 			continue
 		}
 		cost := c.cost(now, r, u)
--- a/internal/trial/pattern/load.go
+++ b/internal/trial/pattern/load.go
@@ -1,6 +1,7 @@
 package pattern
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"sort"
@@ -125,6 +126,15 @@
 	Share   float64
 }
 
+// Failing makes all engines answer a part of the requests with a failure.
+type Failing struct {
+	At, For time.Duration
+	Share   float64
+}
+
+// failAfter is how long an engine takes to answer with a failure.
+const failAfter = 60 * time.Millisecond
+
 // Pattern is a named load.
 type Pattern struct {
 	Name string
@@ -135,6 +145,7 @@
 	Scale   float64
 	Bursts  []Burst
 	Crashes []Crash
+	Failing []Failing
 	// LongPrompts makes this part of the top tier's prompts ten times as long.
 	LongPrompts float64
 	// LongAnswers makes this part of the top tier's answers of the greatest
@@ -180,9 +191,33 @@
 		Make: Make{Engines: 6, Slots: 48, Reading: 2, Fixed: 140 * time.Millisecond}},
 	{Name: "long-burst", Story: "a class of the whole school: twice the traffic for ten seconds, and calm after it", Length: 20 * time.Second, Scale: 1,
 		Bursts: []Burst{{At: 2 * time.Second, For: 10 * time.Second, Tier: -1, Times: 2}}},
+	failAlike(5, 1.1, 4*time.Second), failAlike(93, 1.1, 4*time.Second), failAlike(600, 1.0, 2500*time.Millisecond),
 	{Name: "overload", Story: "more than the engines can do, all the time", Length: 14 * time.Second, Scale: 1.5},
 }
 
+// failAlike returns the pattern for so many engines of eight slots, under a part of
+// the traffic that the Atelier's engines have for each slot.
+func failAlike(engines int, part float64, span time.Duration) Pattern {
+	const slots, before = 8, 1500 * time.Millisecond
+	return Pattern{
+		Name:   fmt.Sprintf("fail-alike-%d", engines),
+		Story:  "all engines fail 45 in 100 requests for some seconds",
+		Length: before + span + time.Second, Scale: part * float64(engines*slots) / (engineCount * slotCount),
+		Failing: []Failing{{At: before, For: span, Share: 0.45}},
+		Make:    Make{Engines: engines, Slots: slots, Reading: 1, Fixed: profile.Fixed},
+	}
+}
+
+// failing is the part of the requests that fail at the moment.
+func (p Pattern) failing(at time.Duration) float64 {
+	for _, f := range p.Failing {
+		if at >= f.At && at < f.At+f.For {
+			return f.Share
+		}
+	}
+	return 0
+}
+
 // draw returns the requests of a pattern in the order of their arrival.
 func (p Pattern) draw(start time.Time, random *rand.Rand) []*request {
 	var all []*request
--- a/internal/trial/pattern/pattern_test.go
+++ b/internal/trial/pattern/pattern_test.go
@@ -113,6 +113,37 @@
 	requireTierOrder(t, got)
 }
 
+// Guards against engines that are left beside waiting requests because they fail
+// no more often than most: of many that fail alike, the luckiest looks far better.
+func TestFailAlike(t *testing.T) {
+	for _, name := range []string{"fail-alike-5", "fail-alike-93"} {
+		got := mean(t, name, pattern.Board)
+		for i, tier := range got.Tiers {
+			requireRestInTime(t, tier, "%s, tier %d", name, i)
+		}
+	}
+}
+
+// The same at the size to design for, with one seed.
+func TestFailAlikeAtLargeSize(t *testing.T) {
+	for _, p := range pattern.Patterns {
+		if p.Name != "fail-alike-600" {
+			continue
+		}
+		for i, tier := range pattern.Play(p, seeds[0], pattern.Board).Tiers {
+			requireRestInTime(t, tier, "tier %d", i)
+		}
+	}
+}
+
+// requireRestInTime demands that nearly all requests that engines did not fail are
+// answered in time.
+func requireRestInTime(t *testing.T, tier pattern.Tier, message string, args ...any) {
+	t.Helper()
+	rest := float64(tier.Asked - tier.Lost)
+	require.GreaterOrEqual(t, float64(tier.InTime), 0.95*rest, append([]any{message}, args...)...)
+}
+
 // More comes than the engines can do, for the whole play. The lowest tier is
 // refused first. Inside a tier the shortest go first, but the largest tenth
 // must not be served less than half as often as all.
--- a/internal/trial/pattern/play.go
+++ b/internal/trial/pattern/play.go
@@ -18,6 +18,8 @@
 	slotCount   = 12
 	// seedStream tells the random numbers of patterns from others'.
 	seedStream = 0x70617474
+	// failStream is that of which requests fail.
+	failStream = 0x6661696c
 )
 
 // slownesses are the Atelier's engines: a third each.
@@ -31,6 +33,7 @@
 	started(now time.Time, e *engine, r *request)
 	ended(now time.Time, e *engine, r *request)
 	lost(now time.Time, e *engine, r *request)
+	failed(now time.Time, e *engine, r *request)
 	tick(now time.Time)
 }
 
@@ -66,6 +69,7 @@
 	engines []*engine
 	policy  Policy
 	now     time.Time
+	random  *rand.Rand
 }
 
 // NewPolicy returns a policy for the engines of a play.
@@ -74,7 +78,7 @@
 // Play plays the pattern and returns what became of its requests.
 func Play(p Pattern, seed uint64, policy NewPolicy) Result {
 	random := rand.New(rand.NewPCG(seed, seedStream))
-	world := &play{pattern: p}
+	world := &play{pattern: p, random: rand.New(rand.NewPCG(seed, failStream))}
 	kind := p.engineMake()
 	for i := range kind.Engines {
 		world.engines = append(world.engines, &engine{
@@ -134,6 +138,13 @@
 	if e.down {
 		return false
 	}
+	if share := p.pattern.failing(now.Sub(start)); share > 0 && p.random.Float64() < share {
+		p.at(now.Add(failAfter), func(now time.Time) {
+			r.lost = true
+			p.policy.failed(now, e, r)
+		})
+		return true
+	}
 	e.add(r)
 	if !e.busy {
 		e.busy = true
--- a/internal/trial/pattern/policy.go
+++ b/internal/trial/pattern/policy.go
@@ -89,6 +89,11 @@
 	b.carryOut(now)
 }
 
+func (b *boardPolicy) failed(now time.Time, _ *engine, r *request) {
+	b.board.Ended(now, owner, r.id, board.End{Outcome: board.Failed})
+	b.carryOut(now)
+}
+
 func (b *boardPolicy) tick(now time.Time) {
 	b.board.Tick(now)
 	b.carryOut(now)
@@ -125,4 +130,5 @@
 func (f *fewest) started(time.Time, *engine, *request) {}
 func (f *fewest) ended(time.Time, *engine, *request)   {}
 func (f *fewest) lost(time.Time, *engine, *request)    {}
+func (f *fewest) failed(time.Time, *engine, *request)  {}
 func (f *fewest) tick(time.Time)                       {}
