--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -307,6 +307,7 @@
 			g.tellLeftOut(now)
 			if g.roster.Expire(now) {
 				g.logger.Info("upstreams that lapsed did not come back")
+				g.upstreamsChanged()
 			}
 		}
 	}
--- a/internal/role/gateway/upstreams.go
+++ b/internal/role/gateway/upstreams.go
@@ -75,7 +75,7 @@
 	}
 	last := int64(0)
 	for _, u := range ups {
-		if old, ok := v.gateway.roster.Get(u.ID); !ok || !alike(old, u) {
+		if old, ok := v.gateway.roster.Get(u.ID); !ok || !old.Alike(u) {
 			last = max(last, u.Revision)
 		}
 	}
@@ -84,18 +84,20 @@
 
 // Apply implements follow.View.
 func (v *upstreamView) Apply(now time.Time, c kv.Changes) {
+	changed := false
 	for _, e := range c.Events {
-		v.event(now, e)
+		changed = v.event(now, e) || changed
 	}
 	v.gateway.roster.Advance(c.Revision)
-	if len(c.Events) > 0 {
+	if changed {
 		v.gateway.upstreamsChanged()
 	}
 }
 
-func (v *upstreamView) event(now time.Time, e kv.Event) {
+// event takes one event and tells whether it is more than a heartbeat.
+func (v *upstreamView) event(now time.Time, e kv.Event) (changed bool) {
 	if !v.isNews(e) {
-		return
+		return false
 	}
 	g := v.gateway
 	id := g.decoder.UpstreamID(e.Key)
@@ -108,14 +110,13 @@
 		delete(v.changed, e.Key)
 		v.noteRemoved(e.Key, e.Revision)
 		g.roster.Remove(now, id, e.Revision)
-		return
+		return true
 	}
 	u, err := g.decoder.Upstream(e.Key, e.Value, e.Revision)
-	changed := false
 	if err != nil {
 		g.logger.Warn("registration ignored", "err", err)
 		changed = true
-	} else if old, ok := g.roster.Get(id); !ok || !alike(old, u) {
+	} else if old, ok := g.roster.Get(id); !ok || !old.Alike(u) {
 		changed = true
 		g.logger.Info("upstream changed", "upstream", id, "service", u.Service, "address", u.Address,
 			"state", u.State, "version", u.Version, "born", u.Born, "revision", e.Revision)
@@ -130,9 +131,10 @@
 	}
 	if err != nil {
 		g.roster.Remove(now, id, e.Revision)
-		return
+		return true
 	}
 	g.roster.Put(u)
+	return changed
 }
 
 // isNews tells whether an event is later than what is known of its key: what a
@@ -143,12 +145,6 @@
 	return e.Revision > max(v.items[e.Key].Revision, v.removed[e.Key])
 }
 
-// alike tells whether two registrations differ by a heartbeat only.
-func alike(x, y roster.Upstream) bool {
-	x.Revision, x.Warming = y.Revision, y.Warming
-	return x == y
-}
-
 func (v *upstreamView) noteRemoved(key string, revision int64) {
 	if len(v.removed) >= removedMost {
 		for _, at := range v.removed {
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -35,6 +35,12 @@
 	Revision int64
 }
 
+// Alike tells whether two registrations differ by a heartbeat only.
+func (u Upstream) Alike(other Upstream) bool {
+	u.Revision, u.Warming = other.Revision, other.Warming
+	return u == other
+}
+
 // returnGrace is how long an upstream whose registration lapsed while the store
 // was away may take to register again: the platform states about two seconds.
 const returnGrace = 2200 * time.Millisecond
@@ -97,11 +103,16 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.revision = max(r.revision, u.Revision)
-	if old, ok := r.records[u.ID]; ok && old.upstream.Revision > u.Revision {
+	old, ok := r.records[u.ID]
+	if ok && old.upstream.Revision > u.Revision {
 		return
 	}
 	r.records[u.ID] = record{upstream: u}
-	r.index()
+	// Each upstream's heartbeat comes every second or so, and the lists of a large
+	// fleet take a millisecond to rebuild.
+	if !ok || !old.upstream.Alike(u) {
+		r.index()
+	}
 }
 
 // Remove takes the removal of a registration at the revision. One that is older
--- a/internal/state/roster/roster_test.go
+++ b/internal/state/roster/roster_test.go
@@ -1,6 +1,7 @@
 package roster_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -90,3 +91,34 @@
 
 	require.Equal(t, []string{"new"}, ids(r))
 }
+
+// Guards against a process that does nothing but rebuild its lists, because the
+// heartbeats of some thousand upstreams come in each second.
+func TestHeartbeatRebuildsNoList(t *testing.T) {
+	r := roster.New()
+	r.Put(upstream("a", 1, roster.Ready))
+	before := r.Ready("s")
+	r.Put(upstream("a", 2, roster.Ready))
+	require.Same(t, &before[0], &r.Ready("s")[0])
+	require.Equal(t, int64(2), r.Revision())
+	r.Remove(start, "a", 1)
+	require.Equal(t, []string{"a"}, ids(r), "the removal is older than the heartbeat")
+	r.Put(upstream("a", 3, roster.Draining))
+	require.Empty(t, ids(r))
+}
+
+// BenchmarkHeartbeat takes one heartbeat of 3,000 upstreams.
+func BenchmarkHeartbeat(b *testing.B) {
+	const count = 3000
+	r := roster.New()
+	list := make([]roster.Upstream, count)
+	for i := range list {
+		list[i] = upstream(strconv.Itoa(i), 1, roster.Ready)
+	}
+	r.Replace(start, 1, list)
+	for i := 0; b.Loop(); i++ {
+		u := list[i%count]
+		u.Revision = int64(i + 2)
+		r.Put(u)
+	}
+}
