Decisions for large fleets of engines

A request is compared on 128 engines, another part each time, and on the rest only if none of these suits; up to 128 engines nothing changes. What a gateway holds is found by the gateway: a scheduler went through all 24,000 runs of 3,000 engines for each of 300 gateways once a second.

--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -28,10 +28,14 @@
 	// byService has each service's engines in the order of their ids.
 	byService map[string][]*engine
 	byRun     map[string]*engine
-	waiting   []*Ask
-	late      []*Ask
-	verdicts  []Verdict
-	spread    uint64
+	// byOwner has the keys of each gateway's runs.
+	byOwner map[string]map[string]struct{}
+	// scanned is the engine with which the next search begins.
+	scanned  int
+	waiting  []*Ask
+	late     []*Ask
+	verdicts []Verdict
+	spread   uint64
 	// others is the part of the gateways that asks other schedulers.
 	others float64
 	// saturatedSince is since when requests that can be in time wait.
@@ -52,6 +56,7 @@
 func New() *Board {
 	return &Board{
 		engines: make(map[string]*engine), byService: make(map[string][]*engine), byRun: make(map[string]*engine),
+		byOwner:  make(map[string]map[string]struct{}),
 		refusals: make(refusals), recalled: make(map[string]Speed), paces: make(map[rank]*pace), families: make(map[string]*family),
 		usual: make(map[string]usualShare),
 	}
@@ -200,7 +205,7 @@
 	if r != nil && end.Number != 0 && end.Number != r.number {
 		return
 	}
-	delete(b.byRun, k)
+	b.dropRun(owner, k)
 	if r == nil {
 		return
 	}
@@ -239,11 +244,28 @@
 func (b *Board) DropOwner(now time.Time, owner string) {
 	b.waiting = slices.DeleteFunc(b.waiting, func(a *Ask) bool { return a.Owner == owner })
 	b.late = slices.DeleteFunc(b.late, func(a *Ask) bool { return a.Owner == owner })
-	for k, e := range b.byRun {
-		if r := e.runs[k]; r != nil && r.owner == owner {
+	for k := range b.byOwner[owner] {
+		e := b.byRun[k]
+		if r := e.runs[k]; r != nil {
 			e.end(now, k, r)
-			delete(b.byRun, k)
 		}
+		b.dropRun(owner, k)
+	}
+}
+
+func (b *Board) addRun(owner, k string, e *engine) {
+	b.byRun[k] = e
+	if b.byOwner[owner] == nil {
+		b.byOwner[owner] = make(map[string]struct{})
+	}
+	b.byOwner[owner][k] = struct{}{}
+}
+
+func (b *Board) dropRun(owner, k string) {
+	delete(b.byRun, k)
+	delete(b.byOwner[owner], k)
+	if len(b.byOwner[owner]) == 0 {
+		delete(b.byOwner, owner)
 	}
 }
 
--- a/internal/sched/board/place.go
+++ b/internal/sched/board/place.go
@@ -22,6 +22,8 @@
 	// weightFirst makes long prompts go to fast engines: it is the weight of
 	// the square of the part of the time left that the first event takes.
 	weightFirst = 1.5
+	// compareMost is how many engines a request's are chosen among.
+	compareMost = 128
 	// weightDomain is what the way to another failure domain counts.
 	weightDomain = 0.12
 )
@@ -75,7 +77,19 @@
 	var best *engine
 	bestCost := 0.0
 	usual := b.usualFailing(now, a.Service)
-	for _, e := range b.byService[a.Service] {
+	engines := b.byService[a.Service]
+	first := 0
+	if len(engines) > compareMost {
+		first = b.scanned
+	}
+	for i := range engines {
+		// Of a large fleet a part is compared, another one each time; the rest is
+		// looked at only if none of these suits.
+		if i >= compareMost && best != nil {
+			break
+		}
+		b.scanned = (first + i + 1) % len(engines)
+		e := engines[(first+i)%len(engines)]
 		cost, ok := b.cost(now, e, a, late, usual)
 		if ok && (best == nil || cost < bestCost) {
 			best, bestCost = e, cost
@@ -153,6 +167,6 @@
 func (b *Board) grant(now time.Time, e *engine, a *Ask) {
 	r := &run{owner: a.Owner, id: a.ID, number: a.Number, prompt: a.Prompt, output: a.Output, granted: now}
 	e.grant(now, r)
-	b.byRun[key(a.Owner, a.ID)] = e
+	b.addRun(a.Owner, key(a.Owner, a.ID), e)
 	b.answer(a, Verdict{Upstream: e.ID})
 }
--- a/internal/sched/board/sync.go
+++ b/internal/sched/board/sync.go
@@ -25,17 +25,18 @@
 		holds[key(owner, h.ID)] = true
 		b.takeIn(now, owner, h)
 	}
-	for k, e := range b.byRun {
+	for k := range b.byOwner[owner] {
+		e := b.byRun[k]
 		r := e.runs[k]
 		if r == nil {
-			delete(b.byRun, k)
+			b.dropRun(owner, k)
 			continue
 		}
-		if r.owner != owner || holds[k] || now.Sub(r.granted) < syncAfter {
+		if holds[k] || now.Sub(r.granted) < syncAfter {
 			continue
 		}
 		e.end(now, k, r)
-		delete(b.byRun, k)
+		b.dropRun(owner, k)
 		b.fill(now, e)
 	}
 }
@@ -50,14 +51,14 @@
 		}
 		// The gateway had given up the ask that this board granted.
 		other.end(now, k, r)
-		delete(b.byRun, k)
+		b.dropRun(owner, k)
 		b.fill(now, other)
 	}
 	if e == nil {
 		return
 	}
 	r := &run{owner: owner, id: h.ID, number: h.Number, prompt: h.Prompt, output: h.Output, granted: now, adopted: true}
-	b.byRun[k] = e
+	b.addRun(owner, k, e)
 	if h.Started {
 		e.adopt(now, r)
 		return
