Gateways on VMs with more processor schedule and are hubs first

Ranks went by who came first, so a VM with a seventh of a core and 20 Mbit/s could schedule for 93 engines and be a hub of 68 gateways, beside fifteen with 0.8 cores and 200 Mbit/s. A gateway lists how often one core is halved to its part, and ranks by that before its coming; where all VMs are alike nothing changes.

--- a/cmd/persimmonridge/gateway.go
+++ b/cmd/persimmonridge/gateway.go
@@ -96,6 +96,7 @@
 	return gateway.Settings{
 		Name: node.Name, Domain: node.Domain, Callers: node.Callers, Readiness: node.Readiness,
 		Links: node.Links, Metrics: node.Metrics, Seeds: node.Seeds, Grace: node.Grace, Apply: node.Apply,
+		Processor: node.Processor,
 		Retry:     retry.Settings{Share: node.RetryShare, Slack: node.RetrySlack, Window: node.RetryWindow},
 		Quota:     quota.Options{Full: node.First, Slack: node.QuotaSlack, Over: node.QuotaOver, Window: node.QuotaWindow},
 		ConfigKey: platform.ConfigPrefix, UpstreamPrefix: platform.UpstreamPrefix, OrderPrefix: platform.RolloutPrefix,
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -73,10 +73,12 @@
 	Callers, Readiness, Links, Metrics string
 	Seeds                              []string
 	Grace                              time.Duration
-	Retry                              retry.Settings
-	ConfigKey, UpstreamPrefix          string
-	OrderPrefix                        string
-	Quota                              quota.Options
+	// Processor is what the process may use of one core; 0 tells nothing.
+	Processor                 float64
+	Retry                     retry.Settings
+	ConfigKey, UpstreamPrefix string
+	OrderPrefix               string
+	Quota                     quota.Options
 	// Apply is how long a configuration may take to be in force.
 	Apply time.Duration
 }
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -38,6 +38,30 @@
 type member struct {
 	Address string `json:"address"`
 	Run     uint64 `json:"run"`
+	// Halvings is how often one core is halved to what the gateway may use.
+	Halvings int64 `json:"halvings,omitempty"`
+}
+
+const (
+	// halvingsMost bounds a member's halvings, and halvingsShift puts them before
+	// any revision.
+	halvingsMost  = 8
+	halvingsShift = 48
+)
+
+// halvings returns how often one core is halved to the processor's part.
+func halvings(processor float64) int64 {
+	if processor <= 0 {
+		return 0
+	}
+	return int64(min(max(math.Round(-math.Log2(processor)), 0), halvingsMost))
+}
+
+// rank returns the rank of a member whose key was created at the revision. What
+// schedules, and what all others hear, costs a VM many times what serving callers
+// does, so those with more processor come first, and then those that came first.
+func (m member) rank(created int64) int64 {
+	return min(max(m.Halvings, 0), halvingsMost)<<halvingsShift | created
 }
 
 // peers is the gateway's part towards the other gateways. It implements
@@ -88,11 +112,11 @@
 		// scheduling just then, and the next one would begin without its
 		// knowledge; the process lives, so it keeps the rank that it had.
 		p.mu.Lock()
-		p.rank = min(p.rank, item.Created)
+		p.rank = min(p.rank, m.rank(item.Created))
 		p.mu.Unlock()
 		return
 	}
-	p.mesh.KnowRanked(now, m.Address, item.Created)
+	p.mesh.KnowRanked(now, m.Address, m.rank(item.Created))
 }
 
 // memberPrefix is where gateways are listed in the store.
@@ -100,7 +124,7 @@
 
 // register keeps the gateway listed in the store until the context ends.
 func (p *peers) register(ctx context.Context) error {
-	value, err := json.Marshal(member{Address: p.settings.Links, Run: p.run})
+	value, err := json.Marshal(member{Address: p.settings.Links, Run: p.run, Halvings: halvings(p.settings.Processor)})
 	if err != nil {
 		return err
 	}
--- a/internal/role/gateway/peers_internal_test.go
+++ b/internal/role/gateway/peers_internal_test.go
@@ -85,3 +85,14 @@
 	require.Len(t, told.Crashes, 1)
 	require.Equal(t, uint64(7), told.Crashes[0].Fingerprint)
 }
+
+// Guards against a scheduler, and gateways that all others hear, on the thinnest
+// VMs of a fleet, where its messages wait for the processor.
+func TestGatewaysOnLargerVMsRankFirst(t *testing.T) {
+	large, small := member{Halvings: halvings(0.8)}, member{Halvings: halvings(0.144)}
+	require.Less(t, large.rank(900), small.rank(2))
+	require.Less(t, small.rank(2), small.rank(3))
+	require.Equal(t, int64(7), member{Halvings: halvings(0)}.rank(7))
+	require.Equal(t, member{Halvings: halvingsMost}.rank(7), member{Halvings: 1 << 40}.rank(7))
+	require.Equal(t, int64(7), member{Halvings: -1}.rank(7))
+}
