--- a/internal/role/gateway/metrics.go
+++ b/internal/role/gateway/metrics.go
@@ -45,6 +45,12 @@
 	})
 	gauge("gateways_known", "Gateways that are known, this one included.", func() float64 { return float64(g.peers.processes()) })
 	gauge("gateways_heard", "Gateways that are heard, this one included.", func() float64 { return float64(len(g.mesh.Alive(g.now())) + 1) })
+	gauge("hub", "1 while this gateway is one of those that all others hear.", func() float64 {
+		if g.mesh.Hub() {
+			return 1
+		}
+		return 0
+	})
 	gauge("schedules", "1 while this gateway gives out the places on engines.", func() float64 {
 		if g.peers.scheduler(g.now()) == g.settings.Name {
 			return 1
