--- a/internal/fleet/mesh/hubs.go
+++ b/internal/fleet/mesh/hubs.go
@@ -90,7 +90,7 @@
 		if usable || now.Sub(p.wantedSince) < trialFor {
 			counted++
 		}
-		if usable && m.after(p) {
+		if usable && m.ranksBehind(p) {
 			before++
 		}
 	}
@@ -99,8 +99,8 @@
 	}
 }
 
-// after tells whether the peer goes before this process.
-func (m *Mesh) after(p *peer) bool {
+// ranksBehind tells whether this process comes after the peer in rank.
+func (m *Mesh) ranksBehind(p *peer) bool {
 	return cmp.Or(cmp.Compare(p.knownRank(), m.rank), cmp.Compare(p.address, m.address)) < 0
 }
 
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -82,7 +82,7 @@
 	away                     bool
 	// config and change are what peers know of configurations and upstreams and
 	// this gateway does not.
-	config, change overdue
+	config, change lag
 	// chosen is who scheduled at chosenAt.
 	chosen   string
 	chosenAt time.Time
--- a/internal/role/gateway/relay.go
+++ b/internal/role/gateway/relay.go
@@ -11,10 +11,10 @@
 	// askEvery is how often peers are asked for one thing: well within the two
 	// seconds in which a change must be in force.
 	askEvery = 300 * time.Millisecond
-	// configOverdue is the part of the time in which a configuration must be in
+	// configPatience is the part of the time in which a configuration must be in
 	// force after which a peer is asked for it although the store answers: over a
 	// link of 10 Mbit/s one of 4,000 routes takes more than a second from either.
-	configOverdue = 0.6
+	configPatience = 0.6
 	// behindFor is how long a change that a peer knows of may stay away before it
 	// is looked for in the store.
 	behindFor = 2 * askEvery
@@ -43,8 +43,8 @@
 	// A large configuration is read from the store if that answers: peers that hand
 	// it to a whole fleet would have time for nothing else.
 	older, olderBy := p.config.see(now, version, g.ConfigVersion)
-	overdue := max(askEvery, time.Duration(configOverdue*float64(p.settings.Apply)))
-	if older && (p.away || olderBy > overdue) && now.Sub(p.askedConfig) > askEvery {
+	patience := max(askEvery, time.Duration(configPatience*float64(p.settings.Apply)))
+	if older && (p.away || olderBy > patience) && now.Sub(p.askedConfig) > askEvery {
 		ask.Config, p.askedConfig = true, now
 	}
 	// The first list is the store's to tell.
@@ -63,27 +63,26 @@
 	}
 }
 
-// overdue is a revision that peers know of and this gateway does not, and since
-// when.
-type overdue struct {
+// lag is a revision that peers know of and this gateway does not, and since when.
+type lag struct {
 	revision int64
 	since    time.Time
 }
 
 // see notes what a peer knows and what is known here. It tells whether the peer
 // knows more, and for how long this gateway has lacked what any peer knows.
-func (o *overdue) see(now time.Time, known, peer int64) (late bool, by time.Duration) {
-	if o.revision <= known {
-		o.since = time.Time{}
+func (l *lag) see(now time.Time, known, peer int64) (late bool, by time.Duration) {
+	if l.revision <= known {
+		l.since = time.Time{}
 	}
-	o.revision = max(o.revision, peer)
+	l.revision = max(l.revision, peer)
 	if peer <= known {
 		return false, 0
 	}
-	if o.since.IsZero() {
-		o.since = now
+	if l.since.IsZero() {
+		l.since = now
 	}
-	return true, now.Sub(o.since)
+	return true, now.Sub(l.since)
 }
 
 // toldOfStore tells whether enough peers look at the store for this gateway.
