An offer is not the first message on a link that has been quiet

What callers saw: a critique or a schedule lookup ended as may have run, lost, after 7.1 s, up to 19 s after the loss of a VM and beside VMs that were free.

Cause: an entry learns that a link is dead from requests alone. Where none ran on a VM when it was lost, its link stayed open, its last report stood, and the first requests that were sent there later were swallowed. What was sent may have run, so it cannot go elsewhere: 0.5 s for a first word and six attempts of 1.1 s to reach the agent again are the 7.1 s.

Evidence: "link silent" now tells the entry, the session and when the agent was last heard. Ruled out: a lost VM taken as back (no new session was made).

Change: where nothing came from an agent for two heartbeats, an entry pings it before an offer. A ping that is not answered within the time of a first word proves that nothing was sent, and the request goes to the next upstream.

The gateway has the same limit already for what may not run twice (a connection idle for over a second is not used); a test holds it to that.

--- a/internal/edge/exchange/exchange_test.go
+++ b/internal/edge/exchange/exchange_test.go
@@ -132,6 +132,39 @@
 	require.Len(t, u.connections, 1)
 }
 
+// A request that may not run twice was lost with the first bytes on a connection
+// whose upstream had been gone for seconds: one that was idle for over a second is
+// not trusted with it.
+func TestRequestThatMayNotRepeatIsNotSentOnALongIdleConnection(t *testing.T) {
+	for _, c := range []struct {
+		unsafe bool
+		idle   time.Duration
+		dials  int
+	}{
+		{unsafe: true, idle: 900 * time.Millisecond, dials: 1},
+		{unsafe: true, idle: 1100 * time.Millisecond, dials: 2},
+		{unsafe: false, idle: 1100 * time.Millisecond, dials: 1},
+	} {
+		u := serve(t, func(conn net.Conn, _ int) bool { return write(conn, whole) })
+		var dialer net.Dialer
+		pool := exchange.NewPool(dialer.DialContext)
+		now := time.Unix(1000, 0)
+		client := exchange.NewClient(pool, names, func() time.Time { return now })
+		for range 2 {
+			sent := request("one")
+			sent.Unsafe = c.unsafe
+			answer, err := client.Do(t.Context(), u.address, sent)
+			require.NoError(t, err)
+			_, err = io.ReadAll(answer)
+			require.NoError(t, err)
+			answer.Close(true)
+			now = now.Add(c.idle)
+		}
+		require.Len(t, u.connections, c.dials, "%+v", c)
+		require.NoError(t, pool.Close())
+	}
+}
+
 // A caller got another caller's answer: the upstream was late with one and sent
 // it where the next was due. The id tells the two apart, and the connection is
 // not used again.
--- a/internal/fleet/link/pool.go
+++ b/internal/fleet/link/pool.go
@@ -188,6 +188,36 @@
 	return &Session{address: address, number: p.next.Add(1), mux: mux}, nil
 }
 
+// Ping asks the peer at the address for a sign of life, and returns nil once it
+// came. A session that gives none before the context ends is replaced.
+func (p *Pool) Ping(ctx context.Context, address string) error {
+	session, err := p.Session(ctx, address)
+	if err != nil {
+		return err
+	}
+	answer := make(chan error, 1)
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return Refused.New("this process is closing; ask another entry")
+	}
+	p.wg.Go(func() {
+		_, err := session.mux.Ping()
+		answer <- err
+	})
+	p.mu.Unlock()
+	select {
+	case err = <-answer:
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	if err != nil {
+		p.Replace(address, session.number)
+		return Silent.Wrap(err, "%s gives no sign of life; choose another", address)
+	}
+	return nil
+}
+
 // Replace forgets a session that was found silent or broken, so that the next
 // Open dials anew. The streams on it are left to their own deadlines: what
 // looks silent to one may still deliver to another.
--- a/internal/fleet/link/stream_test.go
+++ b/internal/fleet/link/stream_test.go
@@ -88,3 +88,31 @@
 		}
 	})
 }
+
+// A request was lost with the first message on a link whose other end had been
+// gone for seconds.
+func TestPingFindsALinkThatLeadsNowhere(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		net := network.New()
+		listener, err := net.Listen("127.0.0.1:0")
+		require.NoError(t, err)
+		server := link.Serve(listener, echo)
+		pool := link.NewPool(net, nil)
+		ping := func() error {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			return pool.Ping(ctx, server.Addr())
+		}
+		require.NoError(t, ping())
+		net.Silence(server.Addr())
+		require.True(t, errorx.IsOfType(ping(), link.Silent))
+		require.False(t, pool.Holds(server.Addr()))
+		require.NoError(t, ping(), "a new session is made")
+		net.Vanish(server.Addr())
+		require.True(t, errorx.IsOfType(ping(), link.Silent))
+		require.True(t, errorx.IsOfType(ping(), link.Refused))
+		require.NoError(t, pool.Close())
+		require.NoError(t, server.Close())
+		require.True(t, errorx.IsOfType(ping(), link.Refused))
+	})
+}
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -37,6 +37,7 @@
 	listed      vmlist.State
 	load        *wire.Load
 	loadAt      time.Time
+	heardAt     time.Time
 	known       chan struct{}
 	lost        bool
 	sent        []sentWork
@@ -84,11 +85,32 @@
 	if u.load == nil || u.lost {
 		close(u.known)
 	}
-	u.load, u.loadAt, u.lost = load, now, false
+	u.load, u.loadAt, u.heardAt, u.lost = load, now, now, false
 	u.sent = u.sent[:0]
 	u.failures, u.failedUntil = 0, time.Time{}
 }
 
+// Heard notes that a message of the agent arrived.
+func (u *Upstream) Heard(now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.heardAt = now
+}
+
+// HeardAt returns when a message of the agent last arrived, the zero time if
+// none did.
+func (u *Upstream) HeardAt() time.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.heardAt
+}
+
+// HeardWithin tells whether a message of the agent arrived within the time
+// before now.
+func (u *Upstream) HeardWithin(now time.Time, d time.Duration) bool {
+	return now.Sub(u.HeardAt()) <= d
+}
+
 // Lost notes that the control conversation ended. What the agent said last
 // still counts as its load, but no longer forbids an offer: the process that
 // was leaving may have been replaced.
--- a/internal/role/entry/attempt.go
+++ b/internal/role/entry/attempt.go
@@ -31,6 +31,9 @@
 	// firstWordAfter is how long the agent may take to say that it has the
 	// offer, which it does at once.
 	firstWordAfter = 500 * time.Millisecond
+	// unheardAfter is how long an agent may have said nothing before its link is
+	// tried ahead of an offer: two heartbeats.
+	unheardAfter = time.Second
 	// lostAfter is how long an agent may stay out of reach, over new links
 	// too, before its request is given up as lost.
 	lostAfter = 6 * time.Second
@@ -90,7 +93,7 @@
 // offer makes the offer and follows it to its end.
 func (a *attempt) offer(ctx context.Context, c choice) result {
 	e := a.entry
-	if !e.contact(ctx, a.upstream) {
+	if !e.contact(ctx, a.upstream) || !e.confirm(ctx, a.upstream) {
 		return result{ending: notRun, reason: wire.Decline_REASON_UNREACHABLE}
 	}
 	now := e.now()
@@ -246,11 +249,13 @@
 		}
 		if err != nil {
 			if errorx.IsOfType(err, link.Silent) {
-				e.logger.Warn("link silent", "request", a.runID, "upstream", a.upstream.Name())
+				e.logger.Warn("link silent", "node", e.settings.Node(), "request", a.runID, "upstream", a.upstream.Name(),
+					"session", a.current.Load().Session(), "heard-before", e.now().Sub(a.upstream.HeardAt()).Round(time.Millisecond))
 			}
 			return result{}, false
 		}
 		allowed = silentAfter
+		a.upstream.Heard(e.now())
 		if a.overdue(e.now()) {
 			a.withdraw(a.q.RepeatSafe())
 			return result{ending: a.lostOrBroken(), detail: "not finished long after its deadline"}, true
--- a/internal/role/entry/peers.go
+++ b/internal/role/entry/peers.go
@@ -62,6 +62,24 @@
 	}
 }
 
+// confirm makes sure that a link on which nothing came for a while still leads
+// to its agent. An offer that a lost VM swallows may have run, as far as anyone
+// knows, and can go nowhere else; a ping that it swallows can.
+func (e *Entry) confirm(ctx context.Context, u *member.Upstream) bool {
+	if u.HeardWithin(e.now(), unheardAfter) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, firstWordAfter)
+	defer cancel()
+	if err := e.pool.Ping(ctx, u.Address()); err != nil {
+		e.logger.Warn("link silent", "node", e.settings.Node(), "upstream", u.Name(), "error", err.Error())
+		u.Failed(e.now())
+		return false
+	}
+	u.Heard(e.now())
+	return true
+}
+
 // describe says whether this entry steps the moves and wants their evidence.
 func (e *Entry) describe(now time.Time, n *wire.Notice, _ bool) {
 	if e.holder.Held(now, dutyKey) {
