A request waits a moment for agents that are being replaced

What callers saw: beside a rolling restart of the agents 1 to 4 bookings and lookups of 764 were refused as not run, "no upstream of booking can be reached", while three idle booking services ran.

Cause: an agent without work ends and is replaced in one instant. When all agents of a service are, an entry has heard that all leave, or found them gone, and has not linked with the new processes, which takes it some milliseconds, 250 at most. A request that looked for an upstream in that time was refused at once. An offer to a new process under the former one's number was declined, and that counted as the upstream's last word.

Evidence: "offer not run" tells the reason of each decline, "no upstream to claim for" a keyed request without one.

Change: while an agent that spoke within the last second has ended, ends or cannot be reached, a request that has no other upstream waits for one, a second at most. A decline by a process that leaves or is another one is not the upstream's. A keyed request tries the link before its claim names the upstream, and looks for another one if that fails; it was refused.

The gateway has no agents.

--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -111,6 +111,18 @@
 	return now.Sub(u.HeardAt()) <= d
 }
 
+// Returning tells whether the agent's process ended, ends or cannot be reached, and
+// was heard within the time before now, while the platform's list keeps its VM:
+// another process probably takes its place.
+func (u *Upstream) Returning(now time.Time, within time.Duration) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.listed == vmlist.Leaving || now.Sub(u.heardAt) > within {
+		return false
+	}
+	return u.lost || u.load.GetLeaving() || now.Before(u.failedUntil)
+}
+
 // Lost notes that the control conversation ended. What the agent said last
 // still counts as its load, but no longer forbids an offer: the process that
 // was leaving may have been replaced.
--- a/internal/role/entry/keyed.go
+++ b/internal/role/entry/keyed.go
@@ -57,8 +57,9 @@
 // request has its outcome.
 func (k *keyed) round(ctx context.Context) (refused *refusal.Refusal, over bool) {
 	c := k.call
-	next, ok := newSearch(c).next(c.entry.now())
-	if !ok || !c.entry.contact(ctx, next.upstream) {
+	next, ok := c.reachable(ctx)
+	if !ok {
+		c.entry.logger.Info("no upstream to claim for", "node", c.entry.settings.Node(), "request", c.q.ID())
 		return k.without(c.refusalOf(result{ending: notRun})), true
 	}
 	next.incarnation = next.upstream.Incarnation()
@@ -80,6 +81,22 @@
 	return k.without(refusal.New(refusal.StoreDown, refusal.NotRun, message, "send it again with the same key").RetryAfter(claimRetry)), true
 }
 
+// reachable returns the best upstream whose agent answers, so that the claim does
+// not name one that is gone.
+func (c *call) reachable(ctx context.Context) (choice, bool) {
+	s := newSearch(c)
+	for {
+		next, ok := s.find(ctx)
+		if !ok || ctx.Err() != nil {
+			return choice{}, false
+		}
+		if c.entry.contact(ctx, next.upstream) && c.entry.confirm(ctx, next.upstream) {
+			return next, true
+		}
+		s.note(c.entry.now(), next, wire.Decline_REASON_UNREACHABLE)
+	}
+}
+
 // without words the refusal of a request that was not dispatched itself.
 func (k *keyed) without(refused *refusal.Refusal) *refusal.Refusal {
 	if k.held {
--- a/internal/role/entry/serve.go
+++ b/internal/role/entry/serve.go
@@ -127,8 +127,8 @@
 	s := newSearch(c)
 	last := result{ending: notRun, reason: wire.Decline_REASON_UNSPECIFIED}
 	for {
+		next, ok := s.find(ctx)
 		now := e.now()
-		next, ok := s.next(now)
 		if !ok || now.After(c.q.Deadline()) {
 			return last
 		}
@@ -142,11 +142,13 @@
 		}
 		switch {
 		case r.ending == notRun:
-			s.note(next, r.reason)
+			e.logger.Info("offer not run", "node", e.settings.Node(), "request", c.q.ID(), "upstream", next.upstream.Name(),
+				"reason", r.reason.String(), "incarnation", next.incarnation)
+			s.note(e.now(), next, r.reason)
 			c.note(next, r)
 			last = r
 		case r.ending == failedEarly && c.mayRunAgain(now):
-			s.note(next, wire.Decline_REASON_UNSPECIFIED)
+			s.note(e.now(), next, wire.Decline_REASON_UNSPECIFIED)
 			c.retried = true
 			c.out.reset()
 			last = r
