An ask that comes late does not end the place that its request has meanwhile

What callers saw: an engine of one slot got two requests, so both were slow.

The board took any ask as proof that the gateway's former place for the request was over. Messages overtake each other where a silent link is replaced while it still delivers. A list of held places that is overtaken by the next ask did the same.

TestLateAskLeavesTheLaterPlace has the order of events, and is new.

Change: the numbers of a gateway rise, so an ask or a held place with a lower number than the board has for the request is of before.

--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -136,6 +136,9 @@
 // Ask takes a request for a place.
 func (b *Board) Ask(now time.Time, a Ask) {
 	ask := &a
+	if b.outdated(ask) {
+		return
+	}
 	ask.arrived = now
 	// A gateway has one place for a request. One that this board still counts
 	// was given back to another scheduler.
@@ -162,6 +165,18 @@
 	b.setLate(now, ask)
 }
 
+// outdated tells whether the gateway holds a place for the request that it got
+// after it had given the ask up: the ask came late, by a link that was replaced.
+func (b *Board) outdated(a *Ask) bool {
+	k := key(a.Owner, a.ID)
+	e := b.byRun[k]
+	if e == nil {
+		return false
+	}
+	r := e.runs[k]
+	return r != nil && r.number > a.Number
+}
+
 // answer adds a verdict for who asked.
 func (b *Board) answer(ask *Ask, v Verdict) {
 	v.Owner, v.ID, v.Number = ask.Owner, ask.ID, ask.Number
--- a/internal/sched/board/number_test.go
+++ b/internal/sched/board/number_test.go
@@ -75,3 +75,22 @@
 	require.Len(t, verdicts, 1)
 	require.Equal(t, given, verdicts[0].Upstream)
 }
+
+// Guards against an ask that comes late, by a link that was replaced, and ends the
+// place that its request has meanwhile.
+func TestLateAskLeavesTheLaterPlace(t *testing.T) {
+	now := time.Now()
+	b := oneSlot(now)
+	b.Sync(now, "gateway", []board.Held{{ID: "one", Number: 2, Upstream: "e0", Prompt: 1000, Output: 100}})
+	b.Ask(now, numbered(now, "one", 1))
+	b.Ended(now, "gateway", "one", board.End{Outcome: board.Left, Number: 1})
+	b.Ask(now, numbered(now, "two", 3))
+	for _, v := range b.Verdicts() {
+		require.Empty(t, v.Upstream, "the engine's slot is in use")
+	}
+	b.Sync(now, "gateway", []board.Held{{ID: "one", Number: 1, Upstream: "e0", Prompt: 1000, Output: 100}})
+	b.Ended(now, "gateway", "one", board.End{Outcome: board.Answered, Number: 2})
+	verdicts := b.Verdicts()
+	require.Len(t, verdicts, 1)
+	require.Equal(t, uint64(3), verdicts[0].Number)
+}
--- a/internal/sched/board/sync.go
+++ b/internal/sched/board/sync.go
@@ -46,7 +46,8 @@
 	e := b.engines[h.Upstream]
 	if other := b.byRun[k]; other != nil {
 		r := other.runs[k]
-		if r == nil || r.number == h.Number {
+		// What a gateway held before it asked again is outdated.
+		if r == nil || r.number >= h.Number {
 			return
 		}
 		// The gateway had given up the ask that this board granted.
