--- a/internal/role/gateway/stops_test.go
+++ b/internal/role/gateway/stops_test.go
@@ -86,3 +86,53 @@
 	require.Equal(t, http.StatusServiceUnavailable, o.status)
 	require.Less(t, o.took, 50*time.Millisecond)
 }
+
+// Guards against a stream that a stop cuts because it came at another moment of it
+// than the one that was mended.
+func TestStreamThatOutrunsItsGuessIsNotCutAtAnyLateMoment(t *testing.T) {
+	for _, since := range []time.Duration{2050, 2500, 3000, 3500, 4000, 4500, 5000, 5500} {
+		requireNotCut(t, since*time.Millisecond, 1)
+	}
+}
+
+// Guards against a stream that is taken in the first two seconds of a stop, outruns
+// the guess of its length and is cut, though another gateway would serve it whole.
+func TestStreamTakenEarlyInAStopIsNotCut(t *testing.T) {
+	for _, since := range []time.Duration{1000, 1500, 1900} {
+		requireNotCut(t, since*time.Millisecond, 1)
+	}
+}
+
+// Guards against a stream that is taken late in a stop, outruns two guesses of its
+// length and is cut, because no other gateway takes requests.
+func TestLateStreamIsNotCutWhileAllGatewaysStop(t *testing.T) {
+	for _, since := range []time.Duration{2500, 3200, 5000} {
+		requireNotCut(t, since*time.Millisecond, gateways)
+	}
+}
+
+// requireNotCut has the first gateways stop, the first with a stream that keeps it at
+// work, and calls that one later for a stream thirty times as long as its guess: its
+// caller gets all of it, or is told at once that it has not run.
+func requireNotCut(t *testing.T, since time.Duration, stopping int) {
+	t.Helper()
+	var o outcome
+	play(t, func(f *fleet) {
+		f.warmUp()
+		go f.callFor(0, longPath, "long", "1000,360", "360")
+		bubble.Pass(50 * time.Millisecond)
+		for i := range stopping {
+			go f.stop(i)
+		}
+		bubble.Pass(since)
+		o = f.callFor(0, longPath, "outruns", "1000,2940", "12")
+		bubble.Pass(10 * time.Second)
+	})
+	require.NoError(t, o.err, "%s after the stop", since)
+	if o.status == http.StatusOK {
+		require.Equal(t, longEvents, strings.Count(o.body, "data:"), "%s after the stop", since)
+		return
+	}
+	require.Equal(t, http.StatusServiceUnavailable, o.status, "%s after the stop", since)
+	require.Less(t, o.took, 50*time.Millisecond, "%s after the stop", since)
+}
