A body that is malformed or too slow is answered

What callers saw: a request with a broken chunk, or whose body stopped coming, ended with a closed connection and no answer, so that its caller could not tell whether it had run. One that states a length over the limit was read until its time was over.

Cause: any error while the body was read, but the limit's own, counted as a caller that left.

Change: a body that does not come in time is refused with 408, which says that it has not run, and one that is malformed with 400; a length over the limit with 413 at once. The connection ends then, since what follows cannot be told from the body. A connection that ends inside the body still counts as a caller that left.

--- a/internal/edge/flow/admit.go
+++ b/internal/edge/flow/admit.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -39,19 +41,18 @@
 	if most <= 0 {
 		most = 4 << 20
 	}
+	if r.ContentLength > most {
+		u.refuseBody(&http.MaxBytesError{Limit: most})
+		return false
+	}
 	controller := http.NewResponseController(u.w)
 	if err := controller.SetReadDeadline(u.until); err != nil {
 		u.logger.Debug("no read deadline", "err", err)
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(u.w, r.Body, most))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		u.refuse(http.StatusRequestEntityTooLarge, 0, "body too large")
-		return false
-	}
 	if err != nil {
-		u.finishLeft("left while sending", "err", err)
-		panic(http.ErrAbortHandler)
+		u.refuseBody(err)
+		return false
 	}
 	if err := controller.SetReadDeadline(time.Time{}); err != nil {
 		u.logger.Debug("no read deadline", "err", err)
@@ -60,6 +61,25 @@
 	return true
 }
 
+// refuseBody answers a request whose body could not be read. Nothing that follows on
+// its connection can be told from the rest of the body.
+func (u *run) refuseBody(err error) {
+	u.w.Header().Set("Connection", "close")
+	var tooLarge *http.MaxBytesError
+	var broken *net.OpError
+	switch {
+	case errors.As(err, &tooLarge):
+		u.refuse(http.StatusRequestEntityTooLarge, 0, "body too large")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		u.refuse(http.StatusRequestTimeout, slowBodyRetry, "the body did not come in time")
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed), errors.As(err, &broken):
+		u.finishLeft("left while sending", "err", err)
+		panic(http.ErrAbortHandler)
+	default:
+		u.refuse(http.StatusBadRequest, 0, "malformed body: "+err.Error())
+	}
+}
+
 // fingerprintOf recognizes a request that is sent again by the same caller.
 func (u *run) fingerprintOf() uint64 {
 	var hash xxhash.Digest
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -24,6 +24,8 @@
 	unreachedMost = 5
 	// declinedRetry is told to callers whose request an upstream declined.
 	declinedRetry = 100 * time.Millisecond
+	// slowBodyRetry is told to callers whose body did not come in time.
+	slowBodyRetry = 100 * time.Millisecond
 	// crashRetry is told to callers of a request that crashes upstreams.
 	crashRetry = time.Minute
 	// againWithin is how soon a request that was sent before must go on. Callers
