The limits of headers that a configuration states are in force

What callers saw: nothing yet; a caller who sends a header for ten seconds, or one of 64 KB, was served although the operator's limits forbid it, and one whose larger header the operator allows would have been refused.

Cause: headerTimeoutMs and maxHeaderBytes were decoded and used nowhere. http.Server's own limits can't change while it runs.

Evidence: TestHeaderTimeoutIsThatOfTheConfiguration (10 s in place of 1 s) and TestHeaderSizeIsThatOfTheConfiguration (200 in place of 431) failed on the code before; a review had found it.

Change: the connection bounds a header itself, from its first byte on, by the limit then in force, and keeps that bound when http.Server lifts its own; the size is compared once the header is read. A process takes 256 KB at most, whatever the configuration says.

--- a/internal/edge/ingress/conn.go
+++ b/internal/edge/ingress/conn.go
@@ -30,8 +30,9 @@
 	idleSince time.Time
 	// idleTime is how long it awaited the last request.
 	idleTime time.Duration
-	// header tells that a part of a request's header was read.
-	header bool
+	// headerUntil is when the header of which a part was read must be whole, zero
+	// while none is read.
+	headerUntil time.Time
 	// inFlight tells that the handler has a request, and closedInFlight that this
 	// process closed the connection before it had answered.
 	inFlight, closed, closedInFlight bool
@@ -70,7 +71,18 @@
 	if final = !now.Before(deadline); final {
 		deadline = now.Add(finalReadTimeout)
 	}
-	return final, c.SetReadDeadline(deadline)
+	return final, c.Conn.SetReadDeadline(deadline)
+}
+
+// SetReadDeadline implements net.Conn. http.Server lifts all bounds when it begins to
+// parse a header, of which a part may have been read before.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.headerUntil.IsZero() && (t.IsZero() || t.After(c.headerUntil)) {
+		t = c.headerUntil
+	}
+	return c.Conn.SetReadDeadline(t)
 }
 
 // interrupt wakes a read that awaits a request, so that it sees the drain, and
@@ -80,9 +92,9 @@
 	defer c.mu.Unlock()
 	switch {
 	case !c.idleSince.IsZero():
-		return c.SetReadDeadline(now)
-	case c.header:
-		return c.SetReadDeadline(now.Add(drainHeaderTimeout))
+		return c.Conn.SetReadDeadline(now)
+	case !c.headerUntil.IsZero():
+		return c.boundHeaderLocked(now)
 	}
 	return nil
 }
@@ -149,19 +161,24 @@
 	c.idleSince = now
 }
 
-// beginHeader bounds a header whose first bytes were read. http.Server does so
-// only from the fourth byte on.
+// beginHeader bounds a header whose first bytes were read, by the limit that is in
+// force then; http.Server's own does not change while it runs.
 func (c *Conn) beginHeader(now time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.endIdleLocked(now) {
 		return nil
 	}
-	c.header = true
-	if c.server.draining.Load() {
-		return c.SetReadDeadline(now.Add(drainHeaderTimeout))
+	return c.boundHeaderLocked(now)
+}
+
+// boundHeaderLocked sets when the header must be whole; it never puts that off.
+func (c *Conn) boundHeaderLocked(now time.Time) error {
+	until := now.Add(c.server.headerLimit())
+	if c.headerUntil.IsZero() || until.Before(c.headerUntil) {
+		c.headerUntil = until
 	}
-	return c.SetReadDeadline(now.Add(headerTimeout))
+	return c.Conn.SetReadDeadline(c.headerUntil)
 }
 
 // endHeader notes that a header was read, also one that came with the request
@@ -170,8 +187,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.endIdleLocked(now)
-	c.header = false
-	return c.SetReadDeadline(time.Time{})
+	c.headerUntil = time.Time{}
+	return c.Conn.SetReadDeadline(time.Time{})
 }
 
 // endIdleLocked tells whether the connection was idle until now.
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -18,8 +18,13 @@
 )
 
 const (
+	// headerTimeout and headerBytes apply until a configuration is known, and where
+	// it states none.
 	headerTimeout = 10 * time.Second
 	headerBytes   = 64 << 10
+	// maxHeaderBytes bounds what a header may take of the process's memory, whatever
+	// the configuration allows.
+	maxHeaderBytes = 256 << 10
 	// unreadBodyTimeout bounds a body that the handler does not read: http.Server
 	// reads on before it answers.
 	unreadBodyTimeout = 2 * time.Second
@@ -83,7 +88,7 @@
 func New(parts Parts) *Server {
 	s := &Server{Parts: parts, conns: make(map[*Conn]struct{})}
 	s.http = &http.Server{
-		Handler: s.count(parts.Handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes,
+		Handler: s.count(parts.Handler), MaxHeaderBytes: maxHeaderBytes,
 		ConnState: s.state, ConnContext: withConn, DisableGeneralOptionsHandler: true,
 		ErrorLog: slog.NewLogLogger(parts.Logger.Handler(), slog.LevelWarn),
 	}
@@ -124,7 +129,13 @@
 				s.Logger.Debug("no read deadline", "err", err)
 			}
 		}
-		next.ServeHTTP(w, r)
+		if size, most := headerSize(r), s.headerMost(); size > most {
+			s.Logger.Warn("header too large", "bytes", size, "most", most)
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusRequestHeaderFieldsTooLarge)
+		} else {
+			next.ServeHTTP(w, r)
+		}
 		answered = true
 	})
 }
@@ -172,6 +183,40 @@
 	return idleTimeout
 }
 
+// headerLimit is how long a header may take from its first byte on.
+func (s *Server) headerLimit() time.Duration {
+	limit := headerTimeout
+	if c := s.Catalog(); c != nil && c.Limits().HeaderTimeout > 0 {
+		limit = c.Limits().HeaderTimeout
+	}
+	if s.draining.Load() {
+		return min(limit, drainHeaderTimeout)
+	}
+	return limit
+}
+
+// headerMost is how many bytes a header may have.
+func (s *Server) headerMost() int {
+	if c := s.Catalog(); c != nil && c.Limits().HeaderBytes > 0 {
+		return c.Limits().HeaderBytes
+	}
+	return headerBytes
+}
+
+// headerSize returns the bytes of a request's header. A few fields that http.Server
+// takes out are not counted.
+func headerSize(r *http.Request) int {
+	const separators = len(": \r\n")
+	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + separators
+	size += len("Host") + len(r.Host) + separators
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+	}
+	return size
+}
+
 // Stop ends the server in order: open connections are served until callers had
 // time to leave them, and what runs is finished. What still runs when the context
 // ends is cut.
--- a/internal/edge/ingress/ingress_test.go
+++ b/internal/edge/ingress/ingress_test.go
@@ -296,3 +296,55 @@
 		})
 	}
 }
+
+// Guards against limits of a configuration that bind nobody: a header may take the
+// time that is in force when it begins, on a new connection and on an open one.
+func TestHeaderTimeoutIsThatOfTheConfiguration(t *testing.T) {
+	for _, limit := range []time.Duration{time.Second, 3 * time.Second, 30 * time.Second} {
+		for _, first := range []bool{true, false} {
+			play(t, 0, func(s *site) {
+				s.limits(catalog.Limits{IdleTimeout: time.Minute, HeaderTimeout: limit})
+				c := s.dial()
+				if !first {
+					_, err := c.call()
+					require.NoError(t, err)
+					bubble.Pass(time.Second)
+				}
+				begun := time.Now()
+				for _, piece := range []string{"GET / HTTP/1.1\r\n", "Host: h\r\n", "X: a"} {
+					require.NoError(t, c.write(piece))
+					bubble.Pass(limit / 4)
+				}
+				require.NoError(t, c.conn.SetReadDeadline(begun.Add(time.Hour)))
+				_, err := io.ReadAll(c.reader)
+				require.NoError(t, err)
+				require.Equal(t, limit, time.Since(begun), "first request: %v", first)
+			})
+		}
+	}
+}
+
+// Guards against a configured size of headers that binds nobody, and against one
+// over the usual size that proper callers may not use.
+func TestHeaderSizeIsThatOfTheConfiguration(t *testing.T) {
+	play(t, 0, func(s *site) {
+		for _, c := range []struct{ most, size, status int }{
+			{8 << 10, 7 << 10, http.StatusOK},
+			{8 << 10, 9 << 10, http.StatusRequestHeaderFieldsTooLarge},
+			{128 << 10, 100 << 10, http.StatusOK},
+			{0, 60 << 10, http.StatusOK},
+			{0, 70 << 10, http.StatusRequestHeaderFieldsTooLarge},
+		} {
+			s.limits(catalog.Limits{IdleTimeout: time.Minute, HeaderBytes: c.most})
+			caller := s.dial()
+			require.NoError(t, caller.write("GET / HTTP/1.1\r\nHost: h\r\nX: "+strings.Repeat("a", c.size)+"\r\n\r\n"))
+			response, err := http.ReadResponse(caller.reader, nil)
+			require.NoError(t, err)
+			require.Equal(t, c.status, response.StatusCode, "%+v", c)
+			require.Equal(t, c.status != http.StatusOK, response.Close)
+			_, err = io.Copy(io.Discard, response.Body)
+			require.NoError(t, err)
+			require.NoError(t, caller.conn.Close())
+		}
+	})
+}
--- a/internal/edge/ingress/site_test.go
+++ b/internal/edge/ingress/site_test.go
@@ -94,8 +94,11 @@
 }
 
 // limit puts a configuration with the idle limit in force.
-func (s *site) limit(d time.Duration) {
-	s.catalog.Store(catalog.New(catalog.Content{Limits: catalog.Limits{IdleTimeout: d}}))
+func (s *site) limit(d time.Duration) { s.limits(catalog.Limits{IdleTimeout: d}) }
+
+// limits puts a configuration with the limits in force.
+func (s *site) limits(l catalog.Limits) {
+	s.catalog.Store(catalog.New(catalog.Content{Limits: l}))
 }
 
 // serve answers after a while, a request for slow after more than the idle limit,
