A store without any history is asked with a pause

What operators would see: a gateway that calls the store as fast as it answers, which its price and its rate limit make everybody's trouble.

Cause: after 410 the range is read anew at once, and then watched; a store that forgets its history sooner than that answers 410 again, and no pause lies between. Found while looking for what may hang a test in fake time: a loop in which no time passes does, since the network in memory takes none.

Evidence: TestStoreWithoutHistoryIsNotAskedWithoutPause ran into its time-out of 10 s on the code before; follow_test passes now, three times with the race detector.

Change: if no watch was answered since the range was read, it is read anew after 50 to 200 ms. A first 410 is still followed at once.

--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -86,6 +86,7 @@
 
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) error {
+	gapPause := time.Duration(0)
 	for ctx.Err() == nil {
 		snapshot, err := f.store.Range(ctx, f.options.Prefix)
 		if err != nil {
@@ -95,15 +96,21 @@
 		f.answered()
 		f.read.Store(snapshot.Revision)
 		f.view.Replace(f.now(), snapshot)
-		f.watch(ctx, snapshot.Revision)
+		if f.watch(ctx, snapshot.Revision) {
+			gapPause = 0
+			continue
+		}
+		gapPause = min(max(2*gapPause, retryFirst), retryMost)
+		wait.For(ctx, gapPause)
 	}
 	return nil
 }
 
-// watch follows the history until it has a gap. After a failure the store is
+// watch follows the history until it has a gap, and tells whether any watch was
+// answered: a store may have no history at all. After a failure the store is
 // asked without waiting: a watch that was begun while the store is silent would
 // hang for its whole time after the store's return.
-func (f *Follower) watch(ctx context.Context, after int64) {
+func (f *Follower) watch(ctx context.Context, after int64) (answered bool) {
 	for ctx.Err() == nil {
 		longest := f.options.Wait
 		if f.away {
@@ -112,13 +119,14 @@
 		changes, err := f.store.Watch(ctx, f.options.Prefix, after, longest)
 		if errorx.IsOfType(err, kv.Compacted) {
 			f.logger.Info("history is gone, reading the range again", "prefix", f.options.Prefix, "after", after)
-			return
+			return answered
 		}
 		if err != nil {
 			f.failed(ctx, err)
 			continue
 		}
 		f.answered()
+		answered = true
 		after = max(after, changes.Revision)
 		f.read.Store(after)
 		if len(changes.Events) > 0 || changes.Revision > 0 {
@@ -128,6 +136,7 @@
 			f.pause(ctx)
 		}
 	}
+	return answered
 }
 
 // pause waits before the next watch, unless it is woken.
--- a/internal/state/follow/follow_test.go
+++ b/internal/state/follow/follow_test.go
@@ -217,6 +217,23 @@
 	})
 }
 
+// Guards against a store that has no history at all and is asked without a pause:
+// calls at the rate of its answers, which no time-out ends.
+func TestStoreWithoutHistoryIsNotAskedWithoutPause(t *testing.T) {
+	play(t, func(s *store, v *view, _ *follow.Follower) {
+		pass(time.Second)
+		s.set(func() { s.gone = 1 << 40 })
+		s.spent()
+		pass(10 * time.Second)
+		require.LessOrEqual(t, s.spent(), 110)
+		s.put("meanwhile")
+		s.set(func() { s.gone = 0 })
+		back := time.Now()
+		pass(time.Second)
+		require.WithinDuration(t, back, v.at("meanwhile"), 200*time.Millisecond)
+	})
+}
+
 // Every call is priced. Keys that change many times a second must cost two
 // calls a second at most, and none that changes one call in the waiting time.
 func TestCallsAreFew(t *testing.T) {
