A server that can accept no link tries again after a pause

What operators would see: a gateway without free descriptors takes its whole processor for accepting links, and serves nobody.

Cause: any error of Accept was followed by the next Accept at once.

Evidence: TestAcceptingIsTriedAgainAfterAPause ran into its time-out on the code before and passes now.

--- a/internal/fleet/link/server.go
+++ b/internal/fleet/link/server.go
@@ -6,10 +6,16 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/hashicorp/yamux"
+
+	"github.com/persimmonridge/persimmonridge/internal/state/wait"
 )
 
+// acceptPause is waited after a connection could not be accepted.
+const acceptPause = 20 * time.Millisecond
+
 // Handler serves one stream; it owns the stream and closes it.
 type Handler func(ctx context.Context, s *Stream)
 
@@ -47,6 +53,8 @@
 			if errors.Is(err, net.ErrClosed) || s.ctx.Err() != nil {
 				return
 			}
+			// A process without free descriptors is told so at once, each time.
+			wait.For(s.ctx, acceptPause)
 			continue
 		}
 		s.startSession(conn)
--- a/internal/fleet/link/stream_test.go
+++ b/internal/fleet/link/stream_test.go
@@ -4,6 +4,9 @@
 	"bufio"
 	"bytes"
 	"context"
+	"net"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -93,22 +96,22 @@
 // gone for seconds.
 func TestPingFindsALinkThatLeadsNowhere(t *testing.T) {
 	bubble.Run(t, func(t *testing.T) {
-		net := network.New()
-		listener, err := net.Listen("127.0.0.1:0")
+		n := network.New()
+		listener, err := n.Listen("127.0.0.1:0")
 		require.NoError(t, err)
 		server := link.Serve(listener, echo)
-		pool := link.NewPool(net, nil)
+		pool := link.NewPool(n, nil)
 		ping := func() error {
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
 			return pool.Ping(ctx, server.Addr())
 		}
 		require.NoError(t, ping())
-		net.Silence(server.Addr())
+		n.Silence(server.Addr())
 		require.True(t, errorx.IsOfType(ping(), link.Silent))
 		require.False(t, pool.Holds(server.Addr()))
 		require.NoError(t, ping(), "a new session is made")
-		net.Vanish(server.Addr())
+		n.Vanish(server.Addr())
 		require.True(t, errorx.IsOfType(ping(), link.Silent))
 		require.True(t, errorx.IsOfType(ping(), link.Refused))
 		require.NoError(t, pool.Close())
@@ -116,3 +119,27 @@
 		require.True(t, errorx.IsOfType(ping(), link.Refused))
 	})
 }
+
+// fullListener accepts nothing, as in a process without free descriptors.
+type fullListener struct {
+	net.Listener
+	tries atomic.Int64
+}
+
+func (l *fullListener) Accept() (net.Conn, error) {
+	l.tries.Add(1)
+	return nil, syscall.EMFILE
+}
+
+// Guards against a server that takes the whole processor while it can accept nothing.
+func TestAcceptingIsTriedAgainAfterAPause(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		listener, err := network.New().Listen("127.0.0.1:0")
+		require.NoError(t, err)
+		full := &fullListener{Listener: listener}
+		server := link.Serve(full, echo)
+		bubble.Pass(time.Second)
+		require.LessOrEqual(t, full.tries.Load(), int64(51))
+		require.NoError(t, server.Close())
+	})
+}
