A plain request waits a moment for upstreams that are all being replaced

A lookup or booking that came while the store listed no upstream of its service was refused at once with 503, though its next upstream was about to be listed.

Cause: the choice without a scheduler never waits. Engines' requests wait at the scheduler.

Evidence: TestServiceWhoseUpstreamsAreReplacedIsAwaited, "replaced at once", is refused on the code before.

Change: a request waits for an upstream for a second at most after the service had its last one, within its own time. A service that has had none for longer is refused at once as before.

--- /dev/null
+++ b/internal/sched/local/absent_test.go
@@ -0,0 +1,67 @@
+package local_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/stretchr/testify/require"
+
+	"github.com/persimmonridge/persimmonridge/internal/edge/flow"
+	"github.com/persimmonridge/persimmonridge/internal/sched/local"
+	"github.com/persimmonridge/persimmonridge/internal/state/roster"
+)
+
+// Guards against requests that are refused because all upstreams of a plain service
+// are replaced in one instant, and against callers who are held while it has none.
+func TestServiceWhoseUpstreamsAreReplacedIsAwaited(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// absent is for how long the service has no upstream, and later how long
+		// after their going the request comes.
+		absent, later, deadline time.Duration
+		served                  bool
+		took                    time.Duration
+	}{
+		{name: "replaced at once", absent: 200 * time.Millisecond, deadline: time.Second, served: true, took: 200 * time.Millisecond},
+		{name: "gone", absent: time.Minute, deadline: 10 * time.Second, took: time.Second},
+		{name: "gone for a while", absent: time.Minute, later: 2 * time.Second, deadline: 10 * time.Second},
+		{name: "caller leaves", absent: time.Minute, deadline: 300 * time.Millisecond, took: 300 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				gone := time.Now().Add(time.Second)
+				ready := func(string) []roster.Upstream {
+					if now := time.Now(); !now.Before(gone) && now.Before(gone.Add(c.absent)) {
+						return nil
+					}
+					return []roster.Upstream{{ID: "u", Service: "bookings", Slots: 6, State: roster.Ready}}
+				}
+				chooser := local.New("a", ready, func() int { return 1 })
+				pick := func() (flow.Place, error) {
+					now := time.Now()
+					ctx, cancel := context.WithTimeout(t.Context(), c.deadline)
+					defer cancel()
+					return chooser.Pick(ctx, now, flow.Ask{ID: "one", Service: "bookings", Until: now.Add(c.deadline)})
+				}
+				for time.Now().Before(gone) {
+					place, err := pick()
+					require.NoError(t, err)
+					place.Done(time.Now(), flow.Answered, 0)
+					<-time.After(10 * time.Millisecond)
+				}
+				<-time.After(c.later)
+				begun := time.Now()
+				_, err := pick()
+				require.InDelta(t, c.took, time.Since(begun), float64(20*time.Millisecond))
+				if c.served {
+					require.NoError(t, err)
+					return
+				}
+				require.True(t, errorx.IsOfType(err, flow.NoPlace))
+			})
+		})
+	}
+}
--- a/internal/sched/local/local.go
+++ b/internal/sched/local/local.go
@@ -13,6 +13,7 @@
 	"github.com/persimmonridge/persimmonridge/internal/edge/flow"
 	"github.com/persimmonridge/persimmonridge/internal/sched/failure"
 	"github.com/persimmonridge/persimmonridge/internal/state/roster"
+	"github.com/persimmonridge/persimmonridge/internal/state/wait"
 )
 
 const (
@@ -41,6 +42,12 @@
 	fullRetry = 250 * time.Millisecond
 	// noneRetry is told to callers when a service has no upstream.
 	noneRetry = 500 * time.Millisecond
+	// absentMost is how long after a service had its last upstream a request waits
+	// for another one: all may be replaced at once, and what a process does not know
+	// yet is no reason to turn callers away.
+	absentMost = time.Second
+	// absentPause is between two looks for one.
+	absentPause = 10 * time.Millisecond
 )
 
 type record struct {
@@ -62,11 +69,13 @@
 	mu      sync.Mutex
 	records map[string]*record
 	turn    uint64
+	// present is when a service last had an upstream.
+	present map[string]time.Time
 }
 
 // New returns a chooser for a process in the domain.
 func New(domain string, ready func(service string) []roster.Upstream, processes func() int) *Chooser {
-	return &Chooser{domain: domain, ready: ready, processes: processes, records: make(map[string]*record)}
+	return &Chooser{domain: domain, ready: ready, processes: processes, records: make(map[string]*record), present: make(map[string]time.Time)}
 }
 
 func (c *Chooser) record(id string) *record {
@@ -78,9 +87,17 @@
 	return r
 }
 
-// Pick implements flow.Picker. It never waits.
-func (c *Chooser) Pick(_ context.Context, now time.Time, a flow.Ask) (flow.Place, error) {
+// Pick implements flow.Picker. It waits only for a service whose upstreams have all
+// just gone.
+func (c *Chooser) Pick(ctx context.Context, now time.Time, a flow.Ask) (flow.Place, error) {
 	ups := c.ready(a.Service)
+	for ; len(ups) == 0 && ctx.Err() == nil && now.Before(c.awaitedUntil(a)); now = now.Add(absentPause) {
+		wait.For(ctx, absentPause)
+		ups = c.ready(a.Service)
+	}
+	if len(ups) > 0 {
+		c.notePresent(now, a.Service)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	best, found := c.best(now, ups, a, false)
@@ -98,6 +115,26 @@
 	return &place{chooser: c, upstream: best}, nil
 }
 
+// awaitedUntil returns until when a request waits for an upstream of a service that
+// has none.
+func (c *Chooser) awaitedUntil(a flow.Ask) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	until := c.present[a.Service].Add(absentMost)
+	if a.Until.Before(until) {
+		return a.Until
+	}
+	return until
+}
+
+func (c *Chooser) notePresent(now time.Time, service string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.After(c.present[service]) {
+		c.present[service] = now
+	}
+}
+
 // Hold counts a place at an upstream that somebody else chose.
 func (c *Chooser) Hold(u roster.Upstream) flow.Place {
 	c.mu.Lock()
