Known red: crashes that gateways repeat to each other are never forgotten

What callers see: a request that crashed three upstreams once is refused as long as the fleet runs, though a crash is to be remembered for two minutes.

The test has two gateways tell each other of three crashes for six minutes: both still refuse.

--- a/internal/role/gateway/peers_internal_test.go
+++ b/internal/role/gateway/peers_internal_test.go
@@ -96,3 +96,31 @@
 	require.Equal(t, member{Halvings: halvingsMost}.rank(7), member{Halvings: 1 << 40}.rank(7))
 	require.Equal(t, int64(7), member{Halvings: -1}.rank(7))
 }
+
+// Guards against a request that stays refused for ever once it has crashed upstreams:
+// gateways that repeat to each other what they saw learn it anew each time that they
+// have forgotten it.
+func TestCrashesThatPeersRepeatAreForgotten(t *testing.T) {
+	const fingerprint, remembered = 7, 2 * time.Minute
+	now := time.Unix(1_000_000, 0)
+	a := New(Parts{Dialer: &net.Dialer{}, Logger: slog.New(slog.DiscardHandler), Now: time.Now})
+	b := New(Parts{Dialer: &net.Dialer{}, Logger: slog.New(slog.DiscardHandler), Now: time.Now})
+	tell := func(from, to *Gateway) {
+		gossip := &wire.Gossip{}
+		from.peers.Gossip(now, gossip)
+		to.peers.Heard(now, "peer", &wire.Gossip{Crashes: gossip.Crashes})
+	}
+	for i := range 3 {
+		a.peers.Heard(now, "peer", &wire.Gossip{Crashes: []*wire.CrashSeen{{Fingerprint: fingerprint, Upstream: strconv.Itoa(i)}}})
+	}
+	tell(a, b)
+	require.True(t, b.crashRegister.Blocked(now, fingerprint))
+	for end := now.Add(3 * remembered); now.Before(end); now = now.Add(time.Second) {
+		tell(a, b)
+		tell(b, a)
+		a.crashRegister.Blocked(now, fingerprint)
+		b.crashRegister.Blocked(now, fingerprint)
+	}
+	require.False(t, a.crashRegister.Blocked(now, fingerprint))
+	require.False(t, b.crashRegister.Blocked(now, fingerprint))
+}
