Logs tell how a stream that came in a stop was planned

A stream that a stopping gateway cuts was logged with its guess and its last event, so that several causes looked alike: an estimate in place of a bound, a length that is not stated, a slot that came late, or a gateway that hears no other. The last line of such a request now says how long after the start of the stop it came, the time left at its last placement, the constraint and the tokens that were planned, and whether another gateway took requests. No decision changes.

--- a/internal/edge/flow/ending.go
+++ b/internal/edge/flow/ending.go
@@ -140,8 +140,9 @@
 	if c.route.Kind != catalog.Streaming {
 		return details
 	}
-	return append(details, "last-event", c.progress.lastEventID, "longest-gap", c.longestGap,
+	details = append(details, "last-event", c.progress.lastEventID, "longest-gap", c.longestGap,
 		"prompt", c.request.PromptTokens, "output", c.request.OutputTokens, "hint", c.request.LengthHint)
+	return append(details, c.shutdownDetails()...)
 }
 
 // late reports whether the answer missed the route's latency target or the limit on
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -91,6 +91,7 @@
 	arrivedAt   time.Time
 	deadline    time.Time
 	shutdown    shutdownWindow
+	exitPlan    exitPlan
 	chargedCost float64
 	// attempts counts the sends of which at least one byte left; mayHaveExecuted
 	// reports that an upstream may have executed one of them.
@@ -248,6 +249,7 @@
 		}
 	}
 	c.limitToExit(&req)
+	c.recordExitPlan(now, req)
 	return req
 }
 
--- a/internal/edge/flow/shutdown.go
+++ b/internal/edge/flow/shutdown.go
@@ -76,10 +76,44 @@
 		return
 	}
 	req.EndConstraint = EndRequired
-	if c.OthersAccept != nil && c.OthersAccept() {
+	if c.othersAccept() {
 		// An estimate is not an upper bound, whatever margin is added.
 		req.OutputTokens = c.request.OutputTokens
 		return
 	}
 	req.OutputTokens = min(c.request.OutputTokens, lateLengthFactor*req.OutputTokens)
 }
+
+func (c *call) othersAccept() bool { return c.OthersAccept != nil && c.OthersAccept() }
+
+// exitPlan is how the last placement of a request that arrived during a shutdown was
+// planned. It is only logged: a stream that was cut off shows by it which estimate was
+// wrong.
+type exitPlan struct {
+	timeLeft     time.Duration
+	constraint   EndConstraint
+	tokens       int
+	othersAccept bool
+}
+
+func (c *call) recordExitPlan(now time.Time, req PlacementRequest) {
+	if c.shutdown.started() {
+		c.exitPlan = exitPlan{c.shutdown.exitAt.Sub(now), req.EndConstraint, req.OutputTokens, c.othersAccept()}
+	}
+}
+
+// shutdownDetails returns the log attributes of the plan, if there is one.
+func (c *call) shutdownDetails() []any {
+	if !c.shutdown.started() {
+		return nil
+	}
+	return []any{
+		"since-stop", c.arrivedAt.Sub(c.shutdown.startedAt), "exit-in", c.exitPlan.timeLeft, "end", c.exitPlan.constraint,
+		"planned", c.exitPlan.tokens, "others-accept", c.exitPlan.othersAccept,
+	}
+}
+
+var endConstraintNames = [...]string{"open", "preferred", "required"}
+
+// String returns the constraint's name in logs.
+func (e EndConstraint) String() string { return endConstraintNames[e] }
