Gateways know which of a failure domain accept callers

A gateway that is no hub hears eight hubs and nobody else. Of the other gateways it knew neither the failure domain nor whether they stop, so a stopping one could not tell whether a caller that it refuses finds a gateway that accepts it.

Gossip carries the sender's failure domain beside its name, and hubs report the addresses that do not accept callers, when that list has changed. A report counts while its hub is selected and alive. Gateways of earlier versions send neither: a gateway of unknown domain counts as one of the same, and one that nobody reports on as not accepting.

No decision uses it yet.

--- /dev/null
+++ b/internal/fleet/mesh/availability.go
@@ -0,0 +1,126 @@
+package mesh
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
+)
+
+// Availability counts gateways, and those of them that accept callers.
+type Availability struct{ Accepting, Total int }
+
+func (a *Availability) add(accepts bool) {
+	a.Total++
+	if accepts {
+		a.Accepting++
+	}
+}
+
+// Availability counts the other gateways of the failure domain and those of all other
+// domains. A gateway of unknown domain counts as one of the given domain. What a
+// gateway says of itself decides; of those that this process does not hear, its hubs
+// say which do not accept callers.
+func (m *Mesh) Availability(now time.Time, domain string) (within, outside Availability) {
+	timeout := m.livenessTimeout()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	unavailable, reported := m.reportedUnavailableLocked(now, timeout)
+	for address, p := range m.peers {
+		accepts := p.acceptsCallers(now, timeout)
+		if !p.alive(now, timeout) && reported {
+			_, listed := unavailable[address]
+			accepts = !listed
+		}
+		if d := p.effectiveDomain(); d == "" || d == domain {
+			within.add(accepts)
+		} else {
+			outside.add(accepts)
+		}
+	}
+	return within, outside
+}
+
+// reportedUnavailableLocked returns the gateways that any hub of this process reports
+// as not accepting callers, and whether any has reported.
+func (m *Mesh) reportedUnavailableLocked(now time.Time, timeout time.Duration) (addresses map[string]struct{}, reported bool) {
+	addresses = make(map[string]struct{})
+	for _, p := range m.peers {
+		if p.unavailable == nil || !p.selected || !p.alive(now, timeout) {
+			continue
+		}
+		reported = true
+		for address := range p.unavailable {
+			addresses[address] = struct{}{}
+		}
+	}
+	return addresses, reported
+}
+
+// unavailableGateways returns the gateways that do not accept callers, with a checksum,
+// or nil if this process may not hear all gateways.
+func (m *Mesh) unavailableGateways(now time.Time, timeout time.Duration) (*wire.Unavailable, uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.hub || now.Sub(m.hubSince) <= timeout {
+		return nil, 0
+	}
+	list := &wire.Unavailable{}
+	for address, p := range m.peers {
+		if !p.acceptsCallers(now, timeout) {
+			list.Addresses = append(list.Addresses, address)
+		}
+	}
+	slices.Sort(list.Addresses)
+	digest := xxhash.New()
+	for _, address := range list.Addresses {
+		_, _ = digest.WriteString(address) // a digest's Write never fails
+		_, _ = digest.Write([]byte{0})
+	}
+	return list, digest.Sum64()
+}
+
+// alive reports whether the peer was heard within the timeout and has not exited.
+func (p *peer) alive(now time.Time, timeout time.Duration) bool {
+	return p.Node != "" && !p.exited && now.Sub(p.LastHeard) < timeout
+}
+
+func (p *peer) acceptsCallers(now time.Time, timeout time.Duration) bool {
+	return p.alive(now, timeout) && p.Ready && !p.Leaving
+}
+
+// effectiveDomain returns the failure domain that the peer sent, or the one in the store
+// while it has sent none.
+func (p *peer) effectiveDomain() string {
+	if p.Domain != "" {
+		return p.Domain
+	}
+	return p.advertisedDomain
+}
+
+// recordUnavailable replaces the peer's report, if there is a new one. A restarted peer
+// has reported nothing yet.
+func (p *peer) recordUnavailable(list *wire.Unavailable, restarted bool) {
+	if restarted {
+		p.unavailable = nil
+	}
+	if list == nil {
+		return
+	}
+	p.unavailable = make(map[string]struct{}, len(list.Addresses))
+	for _, address := range list.Addresses {
+		p.unavailable[address] = struct{}{}
+	}
+}
+
+// SetDomain sets the failure domain of the peer at the address, for as long as the peer
+// has not sent its own.
+func (m *Mesh) SetDomain(address, domain string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p := m.peers[address]; p != nil {
+		p.advertisedDomain = domain
+	}
+}
--- a/internal/fleet/mesh/heard.go
+++ b/internal/fleet/mesh/heard.go
@@ -8,11 +8,11 @@
 )
 
 // sender identifies the peer that opened a stream.
-type sender struct{ node, address string }
+type sender struct{ node, address, domain string }
 
 func (s *sender) update(g *wire.Gossip) {
 	if g.Node != "" {
-		s.node, s.address = g.Node, g.Address
+		s.node, s.address, s.domain = g.Node, g.Address, g.Domain
 	}
 }
 
@@ -65,10 +65,11 @@
 	restarted = p.Run != 0 && p.Run != g.Run
 	recovered = p.down || p.Run == 0
 	p.Peer = Peer{
-		Node: from.node, Address: from.address, Run: g.Run, Rank: g.Rank,
+		Node: from.node, Address: from.address, Domain: from.domain, Run: g.Run, Rank: g.Rank,
 		Ready: g.Ready, Leaving: g.Leaving, LastHeard: now, HearsUs: g.HearsYou,
 	}
 	p.down, p.exited, p.selectedUs = false, false, g.WantsYou
+	p.recordUnavailable(g.Unavailable, restarted)
 	if m.group != nil && !m.closed {
 		m.updateSenderLocked(now, p, timeout)
 	}
@@ -91,7 +92,7 @@
 // first announcement, since it may arrive several times.
 func (p *peer) markExited(from sender, run uint64) bool {
 	first := !p.exited || p.Run != run
-	p.Peer = Peer{Node: from.node, Address: from.address, Run: run}
+	p.Peer = Peer{Node: from.node, Address: from.address, Domain: from.domain, Run: run}
 	p.down, p.exited, p.selectedUs = true, true, false
 	return first
 }
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -79,6 +79,8 @@
 type Peer struct {
 	Node    string
 	Address string
+	// Domain is the peer's failure domain, empty if it has not told.
+	Domain string
 	// Run identifies the peer's process. A restarted process has a later run unless
 	// its clock was set back.
 	Run  uint64
@@ -104,6 +106,11 @@
 	lastAdvertised time.Time
 	// advertisedRank is the rank reported by the store or by another peer.
 	advertisedRank int64
+	// advertisedDomain is the failure domain reported by the store.
+	advertisedDomain string
+	// unavailable holds the addresses of the gateways that do not accept callers, as
+	// the peer reported last; it is nil if the peer has reported none.
+	unavailable map[string]struct{}
 	// selected peers are hubs of this process; selectedUs peers use it as a hub.
 	selected, selectedUs bool
 	selectedSince        time.Time
@@ -112,9 +119,10 @@
 	exited        bool
 	lastReconnect time.Time
 	gossipsSent   int
-	// sentHeardSum and sentCrashesSum are checksums of the lists of heard peers and
-	// of crashes that were last sent to the peer.
-	sentHeardSum, sentCrashesSum uint64
+	// sentHeardSum, sentCrashesSum and sentUnavailableSum are checksums of the lists
+	// of heard peers, of crashes and of unavailable gateways that were last sent to
+	// the peer.
+	sentHeardSum, sentCrashesSum, sentUnavailableSum uint64
 }
 
 // Mesh holds the connections of one process to its peers.
@@ -267,7 +275,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	drain(p.queue)
-	p.gossipsSent = 0
+	p.gossipsSent, p.sentUnavailableSum = 0, 0
 }
 
 // Send queues a message for the node. It reports whether messages are being sent to
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -34,6 +34,7 @@
 	*g = wire.Gossip{
 		Run: run, Rank: h.sent.Rank, Ready: h.sent.Ready, ConfigVersion: h.sent.ConfigVersion,
 		RosterRevision: h.sent.RosterRevision, StoreAnswers: h.sent.StoreAnswers, ChangeRevision: h.sent.ChangeRevision,
+		Leaving: h.sent.Leaving, Domain: h.sent.Domain,
 	}
 }
 
--- a/internal/fleet/mesh/tell.go
+++ b/internal/fleet/mesh/tell.go
@@ -18,7 +18,10 @@
 	gossip               *wire.Gossip
 	heard                []*wire.Heard
 	heardSum, crashesSum uint64
-	livenessTimeout      time.Duration
+	// unavailable is nil unless this process is a hub and knows all gateways.
+	unavailable     *wire.Unavailable
+	unavailableSum  uint64
+	livenessTimeout time.Duration
 }
 
 func (m *Mesh) currentGossip() gossipState {
@@ -35,6 +38,7 @@
 		_, _ = crashesDigest.WriteString(crash.Upstream)
 	}
 	state.heardSum, state.crashesSum = heardDigest.Sum64(), crashesDigest.Sum64()
+	state.unavailable, state.unavailableSum = m.unavailableGateways(now, state.livenessTimeout)
 	return state
 }
 
@@ -81,7 +85,7 @@
 		HearsYou: p.Node != "" && state.now.Sub(p.LastHeard) < state.livenessTimeout, WantsYou: p.selected, Gone: m.exiting,
 	}
 	if p.gossipsSent%identityEvery == 0 {
-		gossip.Node, gossip.Address = m.node, m.address
+		gossip.Node, gossip.Address, gossip.Domain = m.node, m.address, state.gossip.Domain
 		if p.gossipsSent%heardPeersEvery == 0 || state.heardSum != p.sentHeardSum {
 			gossip.Known, p.sentHeardSum = state.heard, state.heardSum
 		}
@@ -89,6 +93,9 @@
 	if p.gossipsSent == 0 || state.crashesSum != p.sentCrashesSum {
 		gossip.Crashes, p.sentCrashesSum = state.gossip.Crashes, state.crashesSum
 	}
+	if state.unavailable != nil && state.unavailableSum != p.sentUnavailableSum {
+		gossip.Unavailable, p.sentUnavailableSum = state.unavailable, state.unavailableSum
+	}
 	p.gossipsSent++
 	enqueue(p, &wire.Envelope{Body: &wire.Envelope_Gossip{Gossip: gossip}})
 }
