A stream placed in a stop surely ends in it, wherever a refused caller finds another gateway

What callers saw: a stream that a stopping gateway took 1.5 s after SIGTERM, thirty times as long as its guess, was cut in the middle of the answer, though two gateways of its failure domain took requests.

Cause: for the first two seconds of a stop a stream was planned by its guess alone. In a rolling restart nearly all refusals met another stopping gateway.

Evidence: two traces made apart from each other name the same line.

Change: a stopping gateway counts the gateways of its failure domain that accept callers (mesh.Availability). While these are at least half of it, each stream is planned by the most that it may generate, from the first moment of the stop, with the learned margin, and one without a stated length is refused; otherwise as before. No gateway of the domain accepts: others do once the load balancer has noticed. The stop is read at each placement, no longer once at the arrival, and a stream whose wait for a slot began before the stop is placed again. The rest of a stream that has begun is never refused for the stop.

Why it works: a refusal costs a caller 10 ms where the retry is accepted, so that certainty is cheap there, and only there.

TestLateStreamIsPlannedWithItsMaximumWhileOthersAccept held the guess at 1 s although others accept, which is the fault; its replacement, TestStreamInShutdownIsPlannedWithItsMaximumWhileOthersAccept, holds the maximum there and at 0 s, the former rows for later moments, and the guess at 1 s where no other accepts.

Left and listed: most of a domain stops, the stopping gateway hears no other, all gateways stop.

--- a/internal/edge/flow/ending.go
+++ b/internal/edge/flow/ending.go
@@ -70,6 +70,11 @@
 	c.finish("refused", "status", status, "why", reason, "retry-after", retryAfter)
 }
 
+// refuseForShutdown refuses a request that may outlast the process.
+func (c *call) refuseForShutdown() {
+	c.refuse(http.StatusServiceUnavailable, shutdownRetryAfter, "this process shuts down before the request could complete")
+}
+
 func (c *call) refundCost() {
 	if c.chargedCost > 0 && !c.mayHaveExecuted {
 		c.Quota.Return(c.workspace, c.chargedCost)
@@ -142,7 +147,7 @@
 	}
 	details = append(details, "last-event", c.progress.lastEventID, "longest-gap", c.longestGap,
 		"prompt", c.request.PromptTokens, "output", c.request.OutputTokens, "hint", c.request.LengthHint)
-	return append(details, c.shutdownDetails()...)
+	return append(details, c.exitPlan.attributes()...)
 }
 
 // late reports whether the answer missed the route's latency target or the limit on
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -55,9 +55,10 @@
 	// ShutdownStatus reports whether the process is shutting down, since when, and when
 	// it will exit.
 	ShutdownStatus func() (since, until time.Time, leaving bool)
-	// OthersAccept reports whether another process accepts the requests that this
-	// one refuses; if nil, none does.
-	OthersAccept func() bool
+	// OthersAccept reports whether callers that this process refuses while it shuts
+	// down are likely to reach one that accepts them, given whether the load balancer
+	// has noticed the shutdown; if nil, they are not.
+	OthersAccept func(shutdownNoticed bool) bool
 }
 
 // Metrics records counts and latencies.
@@ -122,11 +123,7 @@
 	now := h.Now()
 	c := &call{Handler: h, w: w, request: h.Headers.Read(r), arrivedAt: now, conn: ingress.ConnOf(r.Context())}
 	c.logger = h.Logger.With("id", c.request.ID)
-	since, exitAt, leaving := h.ShutdownStatus()
-	if leaving {
-		w.Header().Set("Connection", "close")
-		c.shutdown = shutdownWindow{startedAt: since, exitAt: exitAt}
-	}
+	c.checkShutdown()
 	if !c.admit() {
 		return
 	}
@@ -138,8 +135,8 @@
 		timeout = min(timeout, c.request.Timeout)
 	}
 	c.deadline = now.Add(timeout)
-	if !c.fitsBeforeExit() {
-		c.refuse(http.StatusServiceUnavailable, shutdownRetryAfter, "this process shuts down before the request could complete")
+	if !c.fitsBeforeExit(now) {
+		c.refuseForShutdown()
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
@@ -167,12 +164,22 @@
 			c.expire(ctx)
 			return
 		}
-		placement, err := c.Picker.Pick(ctx, now, c.placementRequest(now, service))
+		c.checkShutdown()
+		if c.attempts == 0 && !c.fitsBeforeExit(now) {
+			c.refuseForShutdown()
+			return
+		}
+		req := c.placementRequest(now, service)
+		placement, err := c.Picker.Pick(ctx, now, req)
 		c.placementWait = c.Now().Sub(now)
 		if err != nil {
 			c.handleNoPlacement(ctx, err)
 			return
 		}
+		if req.EndConstraint == EndUnconstrained && c.mayOutlastShutdown(c.Now()) {
+			placement.Release(c.Now(), Canceled, 0)
+			continue
+		}
 		if c.attempts == 0 {
 			c.Retries.Sent(now, service)
 		}
@@ -248,8 +255,7 @@
 			req.OutputTokens = min(req.OutputTokens, c.request.LengthHint)
 		}
 	}
-	c.limitToExit(&req)
-	c.recordExitPlan(now, req)
+	c.limitToExit(now, &req)
 	return req
 }
 
--- a/internal/edge/flow/flow_test.go
+++ b/internal/edge/flow/flow_test.go
@@ -86,7 +86,7 @@
 		},
 		Picker: f, Quota: f, Retries: retries{f}, Crashes: f, Metrics: metrics{},
 		Logger: slog.New(slog.DiscardHandler), Now: time.Now, ShutdownStatus: f.shutdown,
-		OthersAccept: func() bool { return f.otherAccepts },
+		OthersAccept: func(bool) bool { return f.otherAccepts },
 	})
 	f.server = httptest.NewServer(handler)
 	f.t.Cleanup(f.server.Close)
@@ -434,9 +434,9 @@
 	}
 }
 
-// Guards against a stream that is accepted late in a shutdown, exceeds any estimate
-// of its length and is cut off, although another process could have served it.
-func TestLateStreamIsPlannedWithItsMaximumWhileOthersAccept(t *testing.T) {
+// Guards against a stream that is accepted during a shutdown, exceeds any estimate of
+// its length and is cut off, although another process could have served it.
+func TestStreamInShutdownIsPlannedWithItsMaximumWhileOthersAccept(t *testing.T) {
 	f := newFixture(t)
 	f.addUpstream("one", streamHeader)
 	for _, c := range []struct {
@@ -445,7 +445,9 @@
 		ending       flow.EndConstraint
 		planned      int
 	}{
-		{time.Second, true, flow.EndPreferred, 20},
+		{0, true, flow.EndRequired, 100},
+		{time.Second, true, flow.EndRequired, 100},
+		{time.Second, false, flow.EndPreferred, 20},
 		{3 * time.Second, true, flow.EndRequired, 100},
 		{3 * time.Second, false, flow.EndRequired, 40},
 	} {
--- a/internal/edge/flow/shutdown.go
+++ b/internal/edge/flow/shutdown.go
@@ -8,10 +8,9 @@
 
 const (
 	// balancerNoticeTime is how long after the start of a shutdown the load
-	// balancer may still send new callers here. Later requests are refused if they
-	// may outlast the process, since their answer would be cut off.
+	// balancer may still send new callers here.
 	balancerNoticeTime = 2 * time.Second
-	// lateLengthFactor multiplies the estimated length of a stream that arrives
+	// lateLengthFactor multiplies the estimated length of a stream that is placed
 	// later and that no other process accepts. The scheduler's own margin for
 	// streams that exceed their estimate is learned from short streams too, and is
 	// too small for long ones.
@@ -38,24 +37,39 @@
 // if it is not shutting down.
 type shutdownWindow struct{ startedAt, exitAt time.Time }
 
+func (s shutdownWindow) started() bool { return !s.exitAt.IsZero() }
+
+// unnoticed reports whether the load balancer may not have noticed the shutdown yet.
+func (s shutdownWindow) unnoticed(now time.Time) bool {
+	return now.Sub(s.startedAt) <= balancerNoticeTime
+}
+
+// checkShutdown reads whether the process is shutting down. A shutdown may begin while
+// a request waits for its body or for a placement.
+func (c *call) checkShutdown() {
+	since, exitAt, leaving := c.ShutdownStatus()
+	if !leaving {
+		return
+	}
+	c.shutdown = shutdownWindow{startedAt: since, exitAt: exitAt}
+	if !c.progress.opened {
+		c.w.Header().Set("Connection", "close")
+	}
+}
+
 // fitsBeforeExit reports whether a process that is shutting down may accept the
 // request. A generation of known length is always accepted here: the scheduler,
 // which knows the engines, decides whether one can finish it in time. Judging it
 // by the route's timeout, which is about ten times as long, would refuse nearly
 // every stream even while engines are free.
-func (c *call) fitsBeforeExit() bool {
-	if !c.shutdown.started() || c.lengthKnown() {
+func (c *call) fitsBeforeExit(now time.Time) bool {
+	if !c.shutdown.started() || c.lengthKnown() || !c.deadline.After(c.shutdown.exitAt) {
 		return true
 	}
-	return c.shutdown.unnoticed(c.arrivedAt) || !c.deadline.After(c.shutdown.exitAt)
-}
-
-func (s shutdownWindow) started() bool { return !s.exitAt.IsZero() }
-
-// unnoticed reports whether the load balancer may not have noticed the shutdown
-// when the request arrived.
-func (s shutdownWindow) unnoticed(arrivedAt time.Time) bool {
-	return arrivedAt.Sub(s.startedAt) <= balancerNoticeTime
+	if c.route.Kind == catalog.Streaming && c.othersAccept(now) {
+		return false
+	}
+	return c.shutdown.unnoticed(now)
 }
 
 // lengthKnown reports whether the request is a generation with a known maximum
@@ -64,52 +78,67 @@
 	return c.route.Kind == catalog.Streaming && c.request.TokensStated && c.request.OutputTokens > 0
 }
 
+// othersAccept reports whether the caller probably reaches another process if this one
+// refuses the request.
+func (c *call) othersAccept(now time.Time) bool {
+	return c.OthersAccept != nil && c.OthersAccept(!c.shutdown.unnoticed(now))
+}
+
+// mayOutlastShutdown reports whether a stream that was placed without regard to a
+// shutdown must be placed again, because one began while the stream waited and another
+// process could serve it.
+func (c *call) mayOutlastShutdown(now time.Time) bool {
+	c.checkShutdown()
+	return c.shutdown.started() && c.lengthKnown() && c.shutdown.exitAt.Before(c.deadline) &&
+		!c.progress.opened && c.othersAccept(now)
+}
+
 // limitToExit restricts the placement if the process exits before the request's
-// deadline.
-func (c *call) limitToExit(req *PlacementRequest) {
+// deadline. A refusal costs a caller little if another process accepts the request, so
+// only what surely ends in time is placed then. Otherwise an estimate decides, since
+// the caller would find no other process.
+func (c *call) limitToExit(now time.Time, req *PlacementRequest) {
 	if !c.shutdown.started() || !c.lengthKnown() || !c.shutdown.exitAt.Before(req.Deadline) {
 		return
 	}
 	req.Deadline = c.shutdown.exitAt
-	if c.shutdown.unnoticed(c.arrivedAt) {
+	othersAccept := c.othersAccept(now)
+	switch {
+	case c.progress.opened:
+		// Refusing the rest of a stream that has begun would break it off for certain.
 		req.EndConstraint = EndPreferred
-		return
-	}
-	req.EndConstraint = EndRequired
-	if c.othersAccept() {
+	case othersAccept:
 		// An estimate is not an upper bound, whatever margin is added.
-		req.OutputTokens = c.request.OutputTokens
-		return
+		req.EndConstraint, req.OutputTokens = EndRequired, c.request.OutputTokens
+	case c.shutdown.unnoticed(now):
+		req.EndConstraint = EndPreferred
+	default:
+		req.EndConstraint = EndRequired
+		req.OutputTokens = min(c.request.OutputTokens, lateLengthFactor*req.OutputTokens)
+	}
+	c.exitPlan = exitPlan{
+		sinceStop: now.Sub(c.shutdown.startedAt), timeLeft: c.shutdown.exitAt.Sub(now),
+		constraint: req.EndConstraint, tokens: req.OutputTokens, othersAccept: othersAccept,
 	}
-	req.OutputTokens = min(c.request.OutputTokens, lateLengthFactor*req.OutputTokens)
 }
 
-func (c *call) othersAccept() bool { return c.OthersAccept != nil && c.OthersAccept() }
-
-// exitPlan is how the last placement of a request that arrived during a shutdown was
-// planned. It is only logged: a stream that was cut off shows by it which estimate was
-// wrong.
+// exitPlan is how a stream was planned that was placed during a shutdown. It is only
+// logged: a stream that was cut off shows by it which estimate was wrong.
 type exitPlan struct {
-	timeLeft     time.Duration
-	constraint   EndConstraint
-	tokens       int
-	othersAccept bool
-}
-
-func (c *call) recordExitPlan(now time.Time, req PlacementRequest) {
-	if c.shutdown.started() {
-		c.exitPlan = exitPlan{c.shutdown.exitAt.Sub(now), req.EndConstraint, req.OutputTokens, c.othersAccept()}
-	}
+	sinceStop, timeLeft time.Duration
+	constraint          EndConstraint
+	tokens              int
+	othersAccept        bool
 }
 
-// shutdownDetails returns the log attributes of the plan, if there is one.
-func (c *call) shutdownDetails() []any {
-	if !c.shutdown.started() {
+// attributes returns the log attributes of the plan, if there is one.
+func (e exitPlan) attributes() []any {
+	if e.constraint == EndUnconstrained {
 		return nil
 	}
 	return []any{
-		"since-stop", c.arrivedAt.Sub(c.shutdown.startedAt), "exit-in", c.exitPlan.timeLeft, "end", c.exitPlan.constraint,
-		"planned", c.exitPlan.tokens, "others-accept", c.exitPlan.othersAccept,
+		"since-stop", e.sinceStop, "exit-in", e.timeLeft, "end", e.constraint,
+		"planned", e.tokens, "others-accept", e.othersAccept,
 	}
 }
 
--- a/internal/role/gateway/fleet_test.go
+++ b/internal/role/gateway/fleet_test.go
@@ -44,6 +44,8 @@
 	stopOnce []*sync.Once
 	exits    []chan error
 	servers  []*http.Server
+	nodes    []*gateway.Gateway
+	logger   *slog.Logger
 
 	mu sync.Mutex
 	// peakLoad and running hold, by engine, the largest and the present number of
@@ -61,8 +63,13 @@
 
 // runFleet starts a fleet in fake time, runs the script and stops the fleet.
 func runFleet(t *testing.T, script func(f *fleet)) {
+	runLoggedFleet(t, slog.New(slog.DiscardHandler), script)
+}
+
+// runLoggedFleet is runFleet with the logger of all gateways.
+func runLoggedFleet(t *testing.T, logger *slog.Logger, script func(f *fleet)) {
 	bubble.Run(t, func(t *testing.T) {
-		f := &fleet{t: t, network: network.New(), store: standin.NewStore(), peakLoad: map[string]int{}, running: map[string]int{}}
+		f := &fleet{t: t, logger: logger, network: network.New(), store: standin.NewStore(), peakLoad: map[string]int{}, running: map[string]int{}}
 		for i := range gateways {
 			f.serve(storeAddress(i), f.store)
 		}
@@ -137,22 +144,27 @@
 	f.cancels = append(f.cancels, cancel)
 	f.stopOnce = append(f.stopOnce, &sync.Once{})
 	f.exits = append(f.exits, make(chan error, 1))
-	settings := gateway.Settings{
-		Name: "gateway-" + strconv.Itoa(i), Domain: "a", CallerAddress: callerAddress(i), LinkAddress: linkAddress(i),
-		ReadinessAddress: fmt.Sprintf("10.0.0.%d:82", i+1), MetricsAddress: fmt.Sprintf("10.0.0.%d:83", i+1),
-		GracePeriod: 8 * time.Second, ConfigApplyLimit: 2 * time.Second, Quota: quota.Options{StartFull: true},
-		Retry:     retry.Settings{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
-		ConfigKey: platform.ConfigPrefix, UpstreamPrefix: platform.UpstreamPrefix, OrderPrefix: platform.RolloutPrefix,
-	}
+	settings := f.settings(i)
 	g := gateway.New(gateway.Dependencies{
 		Settings: settings, Store: platform.NewStore(storeAddress(i), f.network.DialContext), Decoder: platform.Decoder{},
 		Headers: platform.Headers{}, AnswerHeaders: platform.AnswerHeaders(), Dialer: f.network,
 		Listen: func(_, address string) (net.Listener, error) { return f.network.Listen(address) },
-		Logger: slog.New(slog.DiscardHandler), Now: time.Now,
+		Logger: f.logger.With("node", settings.Name), Now: time.Now,
 	})
+	f.nodes = append(f.nodes, g)
 	go func() { f.exits[i] <- g.Run(ctx) }()
 }
 
+func (f *fleet) settings(i int) gateway.Settings {
+	return gateway.Settings{
+		Name: "gateway-" + strconv.Itoa(i), Domain: "a", CallerAddress: callerAddress(i), LinkAddress: linkAddress(i),
+		ReadinessAddress: fmt.Sprintf("10.0.0.%d:82", i+1), MetricsAddress: fmt.Sprintf("10.0.0.%d:83", i+1),
+		GracePeriod: 8 * time.Second, ConfigApplyLimit: 2 * time.Second, Quota: quota.Options{StartFull: true},
+		Retry:     retry.Settings{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
+		ConfigKey: platform.ConfigPrefix, UpstreamPrefix: platform.UpstreamPrefix, OrderPrefix: platform.RolloutPrefix,
+	}
+}
+
 // stop stops a gateway gracefully and waits for its end. Further calls, as runFleet
 // makes after the script, only wait.
 func (f *fleet) stop(i int) {
@@ -178,8 +190,12 @@
 
 // callFor calls a gateway with the given token counts and length hint.
 func (f *fleet) callFor(i int, path, attemptID, tokenCounts, lengthHint string) outcome {
+	return f.callWithBody(i, path, attemptID, tokenCounts, lengthHint, strings.NewReader("body"))
+}
+
+func (f *fleet) callWithBody(i int, path, attemptID, tokenCounts, lengthHint string, body io.Reader) outcome {
 	client := &http.Client{Transport: &http.Transport{DialContext: f.network.DialContext, DisableKeepAlives: true}}
-	r, err := http.NewRequest(http.MethodPost, "http://"+callerAddress(i)+path, strings.NewReader("body"))
+	r, err := http.NewRequest(http.MethodPost, "http://"+callerAddress(i)+path, body)
 	require.NoError(f.t, err)
 	r.Host = "h"
 	for name, value := range map[string]string{
@@ -193,10 +209,10 @@
 	if err != nil {
 		return outcome{err: err}
 	}
-	body, err := io.ReadAll(response.Body)
+	received, err := io.ReadAll(response.Body)
 	_ = response.Body.Close()
 	return outcome{
-		status: response.StatusCode, body: string(body), err: err, took: time.Since(start),
+		status: response.StatusCode, body: string(received), err: err, took: time.Since(start),
 		retryAfter: response.Header.Get("Retry-After"),
 	}
 }
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -212,7 +212,7 @@
 		Headers: deps.Headers, Client: exchange.NewClient(g.pool, deps.AnswerHeaders, now), Catalog: g.catalog.Load,
 		Picker: g.versionPicker, Quota: g.quota, Retries: g.retryBudget, Crashes: g.crashTracker,
 		Metrics: g.metrics, Logger: logger, Now: now, ShutdownStatus: g.stopTimes,
-		OthersAccept: func() bool { return g.peers.otherAcceptsRequests(now()) },
+		OthersAccept: func(shutdownNoticed bool) bool { return g.peers.othersAccept(now(), shutdownNoticed) },
 	})
 	g.ingress = ingress.New(ingress.Dependencies{
 		Handler: requests, Catalog: g.catalog.Load, Metrics: g.metrics, Logger: logger, Now: now,
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"math"
-	"slices"
 	"sync"
 	"time"
 
@@ -43,6 +42,8 @@
 	Run     uint64 `json:"run"`
 	// CPUHalvings is n for a gateway that may use about 1/2^n of one core.
 	CPUHalvings int64 `json:"halvings,omitempty"`
+	// Domain is the gateway's failure domain.
+	Domain string `json:"domain,omitempty"`
 }
 
 const (
@@ -128,6 +129,7 @@
 		return
 	}
 	p.mesh.AddRankedPeer(now, m.Address, m.rank(item.CreatedRevision))
+	p.mesh.SetDomain(m.Address, m.Domain)
 }
 
 // memberPrefix is the prefix of the gateways' registrations in the store.
@@ -135,7 +137,7 @@
 
 // register keeps the gateway registered in the store until the context ends.
 func (p *peers) register(ctx context.Context) error {
-	value, err := json.Marshal(member{Address: p.settings.LinkAddress, Run: p.runID, CPUHalvings: cpuHalvings(p.settings.CPUCores)})
+	value, err := json.Marshal(member{Address: p.settings.LinkAddress, Run: p.runID, CPUHalvings: cpuHalvings(p.settings.CPUCores), Domain: p.settings.Domain})
 	if err != nil {
 		return err
 	}
@@ -201,6 +203,7 @@
 	}
 	g.Ready = g.ConfigVersion > 0
 	g.Leaving = p.stopping()
+	g.Domain = p.settings.Domain
 	g.RosterRevision = p.roster.Revision()
 	g.ChangeRevision = p.lastChange.Load()
 }
@@ -311,9 +314,23 @@
 	return all
 }
 
-// otherAcceptsRequests reports whether another gateway is ready and not stopping.
-func (p *peers) otherAcceptsRequests(now time.Time) bool {
-	return slices.ContainsFunc(p.mesh.Alive(now), func(other mesh.Peer) bool { return other.Ready && !other.Leaving })
+// othersAccept reports whether a caller that this stopping gateway refuses probably
+// reaches a gateway that accepts it.
+func (p *peers) othersAccept(now time.Time, stopNoticed bool) bool {
+	within, outside := p.mesh.Availability(now, p.settings.Domain)
+	return reachesAccepting(within, outside, stopNoticed)
+}
+
+// reachesAccepting decides that from the other gateways within the failure domain and
+// outside. The load balancer sends callers to the gateways of their domain that accept
+// them, if these are at least half of the domain, and otherwise to all of the domain,
+// whether they accept or not. It sends callers to other domains once it has noticed
+// that no gateway of their own accepts them.
+func reachesAccepting(within, outside mesh.Availability, stopNoticed bool) bool {
+	if within.Accepting > 0 {
+		return 2*within.Accepting >= within.Total+1
+	}
+	return stopNoticed && outside.Accepting > 0
 }
 
 // candidate is a gateway that may be the scheduler. The zero value stands for none.
--- a/internal/role/gateway/peers_internal_test.go
+++ b/internal/role/gateway/peers_internal_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/persimmonridge/persimmonridge/internal/fleet/mesh"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
 	"github.com/persimmonridge/persimmonridge/internal/sched/board"
 	"github.com/persimmonridge/persimmonridge/internal/state/kv"
@@ -95,6 +96,29 @@
 	require.Equal(t, int64(7), member{CPUHalvings: -1}.rank(7))
 }
 
+// Guards against refusals that meet another stopping gateway: a caller is refused for
+// the stop only if the load balancer sends it to a gateway that accepts it.
+func TestStoppingGatewayRefusesOnlyForAcceptingOnes(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		within, outside mesh.Availability
+		noticed, want   bool
+	}{
+		{"alone in the fleet", mesh.Availability{}, mesh.Availability{}, true, false},
+		{"all others accept", mesh.Availability{Accepting: 6, Total: 6}, mesh.Availability{Accepting: 14, Total: 14}, false, true},
+		{"one of two in the domain", mesh.Availability{Accepting: 1, Total: 1}, mesh.Availability{}, false, true},
+		{"one of three in the domain", mesh.Availability{Accepting: 1, Total: 2}, mesh.Availability{Accepting: 6, Total: 6}, true, false},
+		{"half of the domain", mesh.Availability{Accepting: 4, Total: 7}, mesh.Availability{}, true, true},
+		{"less than half, others are down", mesh.Availability{Accepting: 3, Total: 6}, mesh.Availability{}, true, false},
+		{"none in the domain, not noticed", mesh.Availability{Total: 2}, mesh.Availability{Accepting: 6, Total: 6}, false, false},
+		{"none in the domain, noticed", mesh.Availability{Total: 2}, mesh.Availability{Accepting: 1, Total: 6}, true, true},
+		{"only one in the domain, noticed", mesh.Availability{}, mesh.Availability{Accepting: 2, Total: 2}, true, true},
+		{"all stop", mesh.Availability{Total: 2}, mesh.Availability{Total: 6}, true, false},
+	} {
+		require.Equal(t, c.want, reachesAccepting(c.within, c.outside, c.noticed), c.name)
+	}
+}
+
 // Guards against a request that is refused for ever after it has crashed upstreams:
 // gateways repeat the crashes to each other and record them again after they have
 // expired.
