Entry: a request taken for abandoned aborts its connection

What callers saw: an answer with status 200 that ended without an error after some of its tokens, or an empty 200.

Cause: a handler of net/http that returns ends its answer as if it were complete. The entry returned so when the context of the request ended, and so did the stand-in engine. Two ways lead there: - A caller closes its sending side and still reads. net/http ends the context; the entry withdraws the run and returns, and the caller gets the end of a chunked answer. Sockets of the system refuse writes from the start of a close.

Change: an entry that takes its caller for gone aborts the connection, as the gateway does. The stand-in engine and service abort what they don't finish, and the stand-in network ends writes before reads.

--- a/internal/role/entry/serve.go
+++ b/internal/role/entry/serve.go
@@ -106,12 +106,13 @@
 	e.metrics.observe(c, kind, refused)
 	e.logger.Info("request ended", "request", c.request.ID(), "workspace", c.request.Workspace(), "action", c.request.Action().Route(),
 		"tier", c.request.Tier(), "outcome", string(kind), "took", now.Sub(c.request.Arrived()).Round(time.Millisecond), "bytes", c.output.offset)
-	if refused == nil || kind == outcome.CallerGone {
+	if refused == nil {
 		return
 	}
-	if c.output.started {
-		// The response ended early after its first byte: the connection is
-		// aborted, so that the caller does not take it for complete.
+	if kind == outcome.CallerGone || c.output.started {
+		// The connection is aborted, so that the caller does not take a response
+		// that ended early for complete. A caller that only closed its sending
+		// side, which net/http does not distinguish, still reads.
 		panic(http.ErrAbortHandler)
 	}
 	refused.Write(w, c.request.ID())
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -298,7 +298,7 @@
 func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
-		return
+		panic(http.ErrAbortHandler)
 	}
 	p, err := parsePrompt(body)
 	if err != nil {
@@ -315,9 +315,14 @@
 	if err == nil {
 		err = e.decode(r.Context(), w, p)
 	}
-	if err != nil && e.prefillCounter != nil {
+	if err == nil {
+		return
+	}
+	if e.prefillCounter != nil {
 		e.prefillCounter.recordAborted(prefillTokens)
 	}
+	// A handler that returns ends the answer as if it were complete.
+	panic(http.ErrAbortHandler)
 }
 
 // startRun counts the run and reports whether it is to fail.
--- a/internal/standin/network/conn.go
+++ b/internal/standin/network/conn.go
@@ -34,14 +34,21 @@
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) { return c.out.write(p) }
 
-// Close implements net.Conn.
+// Close implements net.Conn. Writes fail before a blocked read returns: the reader
+// could otherwise cause a write that still reaches the peer.
 func (c *conn) Close() error {
-	c.in.closeRead()
 	c.out.closeWrite()
+	c.in.closeRead()
 	c.network.removeConn(c)
 	return nil
 }
 
+// CloseWrite closes the sending side only; the peer reads the end and may still write.
+func (c *conn) CloseWrite() error {
+	c.out.closeWrite()
+	return nil
+}
+
 func (c *conn) freeze(d time.Duration) {
 	c.in.freeze(d)
 	c.out.freeze(d)
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -113,7 +113,7 @@
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
-		return
+		panic(http.ErrAbortHandler)
 	}
 	s.mu.Lock()
 	s.calls++
--- a/internal/trial/load/load.go
+++ b/internal/trial/load/load.go
@@ -89,6 +89,8 @@
 	Duration   time.Duration
 	Attempts   int
 	Tokens     int
+	// Fault says what was wrong with a Wrong answer.
+	Fault string
 }
 
 // Dialer opens connections to entries.
@@ -355,7 +357,7 @@
 // request.
 func (c *Callers) readResponse(s *Sample, startedAt time.Time, response *http.Response, planned plannedRequest) {
 	if planned.action.Model == "" {
-		s.Outcome = readPlain(response.Body, planned)
+		s.Outcome, s.Fault = readPlain(response.Body, planned)
 		s.FirstToken = time.Since(startedAt)
 		return
 	}
@@ -371,6 +373,9 @@
 	for {
 		line, err := reader.ReadString('\n')
 		if errors.Is(err, io.EOF) {
+			if s.Outcome == Wrong {
+				s.Fault = fmt.Sprintf("ended without error after %d of %d tokens", s.Tokens, planned.tokens)
+			}
 			return
 		}
 		if err != nil {
@@ -401,20 +406,21 @@
 		s.FirstToken = time.Since(startedAt)
 	}
 	if !strings.Contains(line, fmt.Sprintf("%s:%d ", p.marker, s.Tokens)) {
+		s.Fault = fmt.Sprintf("token %d of %s expected, got %q", s.Tokens, p.marker, line)
 		return false
 	}
 	s.Tokens++
 	return true
 }
 
-func readPlain(body io.Reader, planned plannedRequest) Outcome {
+func readPlain(body io.Reader, planned plannedRequest) (outcome Outcome, fault string) {
 	content, err := io.ReadAll(body)
 	matchesKey := !planned.action.Keyed || strings.Contains(string(content), planned.key())
 	switch {
 	case err != nil:
-		return Cut
+		return Cut, ""
 	case len(content) == 0 || !matchesKey:
-		return Wrong
+		return Wrong, fmt.Sprintf("answer to %s expected, got %q", planned.key(), content)
 	}
-	return InTime
+	return InTime, ""
 }
--- a/internal/trial/scenario/check.go
+++ b/internal/trial/scenario/check.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+
+	"github.com/persimmonridge/persimmonridge/internal/trial/load"
 )
 
 // Check returns the expectations that a result does not meet: those of the script,
@@ -19,6 +21,9 @@
 	}
 	addFailure(r.Report.DoubledActions > 0, "%d actions doubled", r.Report.DoubledActions)
 	addFailure(len(r.RunTwice) > 0, "requests run twice on one engine: %v", r.RunTwice)
+	for _, s := range r.Samples {
+		addFailure(s.Outcome == load.Wrong, "wrong answer to request %s of %s sent after %s: %s", s.RequestID, s.Action, s.SentAfter, s.Fault)
+	}
 	addFailure(r.Report.WrongAnswers > 0, "%d answers ended without error but were incomplete or another request's", r.Report.WrongAnswers)
 	addFailure(len(r.FalselyNotRun) > 0, "refused as not run, but ran: %v", r.FalselyNotRun)
 	addFailure(len(r.TailFailures) > 0, "not answered in time after the last failure: %+v", r.TailFailures)
