A request that may run again gets a new connection when a kept one was stale

What callers saw: 502 for a request that may run more than once, from an upstream that was sound: it had closed a kept connection, unannounced, as the request was on its way.

Cause: the pool looks whether a connection has ended before a send; a close that is on its way is not seen. The lost send counted as an attempt at the upstream and as a sign of a crash.

Is the scripted upstream wrong? No: upstreams of the platform drop idle connections and state the time only in whole seconds, if at all. RFC 9112, 9.3.1 allows the retransmission of what is idempotent on a new connection, RFC 9110, 9.2.2 also of what is known to be by other means, as by a route's kind. A route's attempts limit the upstreams a request is sent to; the second send goes to the same one.

Change: if a kept connection ends within a second of the send and before one byte of an answer, a request of a route that may repeat is sent once more on a new connection to the same upstream. The retry budget is charged, as the upstream may have run the first. If it accepts no new connection, it counts as crashed at once, and a further attempt elsewhere uses the retry that was charged. A decline of the second send does not mean that the first has not run. Where no byte could be sent on a kept connection, any request gets a new one; before, the upstream was taken for unreachable.

--- a/internal/edge/exchange/exchange.go
+++ b/internal/edge/exchange/exchange.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -24,6 +25,10 @@
 	// Lost: the request was sent, and no trustworthy answer arrived. It may have
 	// been executed or may still run.
 	Lost = namespace.NewType("lost")
+	// Stale is a Lost on a kept connection that ended soon after the request was
+	// sent and before one byte of an answer arrived. Most probably the upstream
+	// closed the idle connection while the request was on its way.
+	Stale = Lost.NewSubtype("stale")
 )
 
 const (
@@ -36,6 +41,10 @@
 	// for a non-idempotent request. If the upstream had just closed the connection,
 	// the outcome of the request would be unknown.
 	maxIdleNonIdempotent = time.Second
+	// maxStaleDelay is the longest time from sending a request to the end of a stale
+	// connection. It is longer than a round trip; an upstream that ends a connection
+	// later has probably failed while it executed the request.
+	maxStaleDelay = time.Second
 )
 
 // HeaderNames holds the names of the headers that are read from an upstream's answer.
@@ -62,6 +71,8 @@
 	ID string
 	// NonIdempotent reports that the request must not be executed twice.
 	NonIdempotent bool
+	// NewConnection forbids the reuse of a kept connection.
+	NewConnection bool
 }
 
 // Load is the load that an upstream states in an answer.
@@ -108,11 +119,7 @@
 // arrived. When the context ends, the connection is closed, so that the upstream
 // stops working on the request.
 func (c *Client) Do(ctx context.Context, address string, r Request) (*Answer, error) {
-	maxIdle := time.Hour
-	if r.NonIdempotent {
-		maxIdle = maxIdleNonIdempotent
-	}
-	conn, err := c.pool.acquire(ctx, c.now(), address, maxIdle)
+	conn, err := c.acquire(ctx, address, r)
 	if err != nil {
 		return nil, NotSent.Wrap(err, "no connection to %s", address)
 	}
@@ -121,12 +128,28 @@
 	if err != nil {
 		stopContextWatch()
 		closeQuietly(conn)
+		if conn.reused && ctx.Err() == nil && errorx.IsOfType(err, NotSent) {
+			// Only the kept connection has ended, which says nothing of the upstream.
+			r.NewConnection = true
+			return c.Do(ctx, address, r)
+		}
 		return nil, err
 	}
 	answer.stopContextWatch = stopContextWatch
 	return answer, nil
 }
 
+func (c *Client) acquire(ctx context.Context, address string, r Request) (*conn, error) {
+	switch {
+	case r.NewConnection:
+		return c.pool.open(ctx, address)
+	case r.NonIdempotent:
+		return c.pool.acquire(ctx, c.now(), address, maxIdleNonIdempotent)
+	default:
+		return c.pool.acquire(ctx, c.now(), address, time.Hour)
+	}
+}
+
 // countingConn counts the bytes that were sent.
 type countingConn struct {
 	net.Conn
@@ -140,7 +163,7 @@
 }
 
 func (c *Client) roundTrip(conn *conn, r Request) (*Answer, error) {
-	counting := &countingConn{Conn: conn.Conn}
+	sentAt, counting := c.now(), &countingConn{Conn: conn.Conn}
 	request := &http.Request{Method: r.Method}
 	written := make(chan error, 1)
 	if len(r.Body) <= inlineBodyBytes {
@@ -150,6 +173,7 @@
 	}
 	//nolint:bodyclose // Answer.Close closes or keeps the connection.
 	response, err := c.readAnswer(conn, request, r.ID)
+	stale := conn.reused && errors.Is(err, errNoByte) && c.now().Sub(sentAt) < maxStaleDelay
 	bodySent := false
 	select {
 	case writeErr := <-written:
@@ -159,7 +183,10 @@
 		}
 	default:
 	}
-	if err != nil {
+	switch {
+	case stale:
+		return nil, Stale.Wrap(err, "no answer from %s on a kept connection", conn.address)
+	case err != nil:
 		return nil, Lost.Wrap(err, "no answer from %s", conn.address)
 	}
 	if response.Header.Get("Content-Encoding") != "" {
@@ -210,9 +237,15 @@
 	return buffered.Flush()
 }
 
+// errNoByte means that the connection ended before one byte of an answer.
+var errNoByte = errors.New("the connection ended before the answer")
+
 // readAnswer reads the header of the answer to the request with the ID. It skips
 // answers to other requests, which a faulty upstream sends late.
 func (c *Client) readAnswer(conn *conn, request *http.Request, id string) (*http.Response, error) {
+	if _, err := conn.reader.Peek(1); err != nil {
+		return nil, fmt.Errorf("%w: %w", errNoByte, err)
+	}
 	unrelated, informational := 0, 0
 	for {
 		response, err := http.ReadResponse(conn.reader, request)
--- a/internal/edge/exchange/pool.go
+++ b/internal/edge/exchange/pool.go
@@ -67,6 +67,11 @@
 		}
 		closeQuietly(c)
 	}
+	return p.open(ctx, address)
+}
+
+// open returns a new connection.
+func (p *Pool) open(ctx context.Context, address string) (*conn, error) {
 	raw, err := p.dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -13,6 +13,7 @@
 	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
 	"github.com/persimmonridge/persimmonridge/internal/edge/ingress"
 	"github.com/persimmonridge/persimmonridge/internal/state/catalog"
+	"github.com/persimmonridge/persimmonridge/internal/state/roster"
 )
 
 const (
@@ -92,9 +93,13 @@
 	deadline    time.Time
 	shutdown    shutdownWindow
 	chargedCost float64
-	// attempts counts the sends of which at least one byte left; mayHaveExecuted
-	// reports that an upstream may have executed one of them.
-	attempts        int
+	// attempts counts the upstreams to which at least one byte was sent;
+	// mayHaveExecuted reports that one of them may have executed the request.
+	attempts int
+	// resends counts the further sends to an upstream after a stale connection.
+	resends int
+	// retryTaken reports that a retry was charged to the budget and not sent.
+	retryTaken      bool
 	unreachable     int
 	mayHaveExecuted bool
 	triedUpstreams  []string
@@ -182,13 +187,23 @@
 			return
 		}
 		c.triedUpstreams = append(c.triedUpstreams, placement.Upstream().ID)
-		if outcome != Unreachable && !c.Retries.Take(c.Now(), service) {
+		if outcome != Unreachable && !c.takeRetry(service) {
 			c.giveUp("retry budget exhausted")
 			return
 		}
 	}
 }
 
+// takeRetry charges a retry to the budget, unless one that was charged before was
+// not sent.
+func (c *call) takeRetry(service string) bool {
+	if c.retryTaken {
+		c.retryTaken = false
+		return true
+	}
+	return c.Retries.Take(c.Now(), service)
+}
+
 // streamedTokens returns the tokens that the last attempt streamed after its
 // first event.
 func (c *call) streamedTokens() int {
@@ -254,22 +269,19 @@
 // attempt makes one attempt. For any outcome other than Answered, the caller has not
 // been answered yet, unless part of a stream was delivered.
 func (c *call) attempt(ctx context.Context, placement Placement) Outcome {
-	now := c.Now()
-	c.sentAt, c.events, c.longestGap = now, 0, 0
+	c.sentAt, c.events, c.longestGap = c.Now(), 0, 0
 	upstream := placement.Upstream()
 	c.upstream, c.firstEvent = upstream.ID, 0
-	workspace := ""
-	if c.workspace != nil {
-		workspace = c.workspace.Name
+	answer, err := c.send(ctx, upstream, false)
+	if c.maySendOnNewConnection(ctx, err) {
+		c.logger.Info("kept connection to upstream was closed, sending on a new one", "upstream", upstream.ID, "err", err)
+		c.mayHaveExecuted = true
+		answer, err = c.send(ctx, upstream, true)
+		if errorx.IsOfType(err, exchange.NotSent) {
+			return c.handleUpstreamGone(ctx, upstream, err)
+		}
+		c.resends++
 	}
-	resumeAfter := c.progress.lastEventID
-	header := c.Headers.Upstream(c.request, Attempt{
-		UpstreamID: upstream.ID, Workspace: workspace, TimeLeft: c.deadline.Sub(now), LastEventID: resumeAfter,
-	})
-	answer, err := c.Client.Do(ctx, upstream.Address, exchange.Request{
-		Method: c.request.Method, Target: c.request.Target, Host: c.request.Host, Header: header,
-		Body: c.request.Body, ID: c.request.ID, NonIdempotent: !c.route.Repeatable(),
-	})
 	if err != nil {
 		return c.handleNoAnswer(ctx, placement, err)
 	}
@@ -291,6 +303,43 @@
 	return c.deliver(ctx, placement, answer)
 }
 
+// send sends the request to the upstream once.
+func (c *call) send(ctx context.Context, upstream roster.Upstream, newConnection bool) (*exchange.Answer, error) {
+	workspace := ""
+	if c.workspace != nil {
+		workspace = c.workspace.Name
+	}
+	header := c.Headers.Upstream(c.request, Attempt{
+		UpstreamID: upstream.ID, Workspace: workspace, TimeLeft: c.deadline.Sub(c.Now()), LastEventID: c.progress.lastEventID,
+	})
+	return c.Client.Do(ctx, upstream.Address, exchange.Request{
+		Method: c.request.Method, Target: c.request.Target, Host: c.request.Host, Header: header,
+		Body: c.request.Body, ID: c.request.ID, NonIdempotent: !c.route.Repeatable(), NewConnection: newConnection,
+	})
+}
+
+// maySendOnNewConnection reports whether a request that failed on a stale connection
+// may be sent to the same upstream again, and charges this to the retry budget. It is
+// no attempt at another upstream, which MaxAttempts limits. The upstream may have
+// executed the request, so the route must allow another execution.
+func (c *call) maySendOnNewConnection(ctx context.Context, err error) bool {
+	return errorx.IsOfType(err, exchange.Stale) && ctx.Err() == nil && c.route.Repeatable() && c.takeRetry(c.targetService())
+}
+
+// handleUpstreamGone ends an attempt whose kept connection ended and whose upstream
+// accepts no new one: it may have crashed while it executed the request.
+func (c *call) handleUpstreamGone(ctx context.Context, upstream roster.Upstream, err error) Outcome {
+	c.attempts++
+	c.retryTaken = true
+	if ctx.Err() != nil {
+		return Canceled
+	}
+	c.Crashes.Broke(c.Now(), upstream.ID, c.fingerprint)
+	c.Crashes.Down(c.Now(), upstream.ID)
+	c.logger.Warn("answer lost", "upstream", upstream.ID, "err", err)
+	return Interrupted
+}
+
 func (c *call) handleNoAnswer(ctx context.Context, placement Placement, err error) Outcome {
 	upstream := placement.Upstream()
 	if errorx.IsOfType(err, exchange.NotSent) {
--- a/internal/edge/flow/flow_test.go
+++ b/internal/edge/flow/flow_test.go
@@ -49,10 +49,12 @@
 	pendingQuotaRequests int
 	retryBudget          int
 	blocked              bool
+	crashReports         []string
+	dial                 exchange.Dial
 }
 
 func newFixture(t *testing.T) *fixture {
-	f := &fixture{t: t, retryBudget: 10}
+	f := &fixture{t: t, retryBudget: 10, dial: new(net.Dialer).DialContext}
 	f.content = catalog.Content{
 		Version: 1,
 		Routes: []catalog.Route{
@@ -74,8 +76,7 @@
 }
 
 func (f *fixture) start() {
-	var dialer net.Dialer
-	pool := exchange.NewPool(dialer.DialContext)
+	pool := exchange.NewPool(f.dial)
 	handler := flow.New(flow.Dependencies{
 		Headers: platform.Headers{}, Client: exchange.NewClient(pool, platform.AnswerHeaders(), time.Now),
 		Catalog: func() *catalog.Catalog {
@@ -179,9 +180,7 @@
 func (metrics) FirstEventSent(int, time.Duration)                  {}
 func (metrics) AttemptFinished(string, flow.Outcome)               {}
 
-func (f *fixture) Blocked(time.Time, uint64) bool  { return f.blocked }
-func (f *fixture) Broke(time.Time, string, uint64) {}
-func (f *fixture) Down(time.Time, string)          {}
+func (f *fixture) Blocked(time.Time, uint64) bool { return f.blocked }
 func (f *fixture) shutdown() (since, until time.Time, leaving bool) {
 	return f.shutdownSince, f.shutdownSince.Add(8 * time.Second), !f.shutdownSince.IsZero()
 }
--- a/internal/edge/flow/request.go
+++ b/internal/edge/flow/request.go
@@ -153,7 +153,8 @@
 // String returns the outcome's name in logs and metrics.
 func (o Outcome) String() string { return outcomeNames[o] }
 
-// Placement is the permission to send the request once to an upstream.
+// Placement is the permission to have an upstream execute the request. It covers a
+// second send to it after a stale connection.
 type Placement interface {
 	Upstream() roster.Upstream
 	// ReportLoad records the load that the upstream reported.
