Crashes are told with their age, and each counts once

What callers saw: a request that was running when three upstreams crashed was refused as crashes-upstreams for ever instead of for two minutes.

Cause: gateways kept crashes in their gossip without age and without end. Who had forgotten a crash took the next list that named it for news, remembered it for two minutes more and, as a hub, told all others.

Change: each crash has a number, and is told with the rest of its life and its hops (CrashSeen: life_ms, hops, event). A tracker takes a crash over once and recognizes it for ten minutes after its last report. A report overstates the rest of the life by its time on the way, so the least of all reports is kept, and the least number of hops: order and repetition don't matter. A hop takes off a second in place of the time on the way, which clocks that differ can't measure. A report without a number, from an older version, counts with a whole life unless a crash of that request and upstream is recognized; one with a number takes its place. Lives are bounded by two minutes, hops by 120, records by 8,192. The list of crashes moves into the tracker, and is sent again only when one is added.

Why it works: no report lengthens a life, and none that is recognized counts again, so a crash ends at each gateway two minutes after it at the latest, if reports take less than a second a hop.

crash_test.go is adapted to the tracker's new signature; it checks what it did.

--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -65,7 +65,8 @@
 
 // Handler handles messages from peers. Its methods must not block.
 type Handler interface {
-	// FillGossip fills in the state that this process sends to its peers.
+	// FillGossip fills in the state that this process sends to its peers. It adds a new
+	// crash at the end of the list.
 	FillGossip(now time.Time, g *wire.Gossip)
 	// HandleGossip handles gossip from a peer.
 	HandleGossip(now time.Time, peer string, g *wire.Gossip)
--- a/internal/fleet/mesh/tell.go
+++ b/internal/fleet/mesh/tell.go
@@ -12,7 +12,9 @@
 )
 
 // gossipState is the state sent to peers at one moment. A list is sent to a peer only
-// if its checksum differs from that of the list sent last.
+// if its checksum differs from that of the list sent last. That of the crashes covers the
+// last one, since new ones are added at the end: their ages change all the time, and that
+// one is forgotten need not be told.
 type gossipState struct {
 	now                  time.Time
 	gossip               *wire.Gossip
@@ -25,19 +27,27 @@
 	now := m.now()
 	state := gossipState{now: now, gossip: &wire.Gossip{Run: m.run}, heard: m.heardPeers(now), livenessTimeout: m.livenessTimeout()}
 	m.handler.FillGossip(now, state.gossip)
-	heardDigest, crashesDigest := xxhash.New(), xxhash.New()
+	heardDigest := xxhash.New()
 	for _, heard := range state.heard {
 		_, _ = heardDigest.WriteString(heard.Address) // a digest's Write never fails
 		_, _ = heardDigest.Write([]byte{0})
 	}
-	for _, crash := range state.gossip.Crashes {
-		_, _ = crashesDigest.Write(binary.LittleEndian.AppendUint64(nil, crash.Fingerprint))
-		_, _ = crashesDigest.WriteString(crash.Upstream)
-	}
-	state.heardSum, state.crashesSum = heardDigest.Sum64(), crashesDigest.Sum64()
+	state.heardSum, state.crashesSum = heardDigest.Sum64(), lastCrashSum(state.gossip.Crashes)
 	return state
 }
 
+// lastCrashSum returns a checksum of the identity of the last crash; it is 0 if there is
+// none.
+func lastCrashSum(crashes []*wire.CrashSeen) uint64 {
+	if len(crashes) == 0 {
+		return 0
+	}
+	last := crashes[len(crashes)-1]
+	identity := binary.LittleEndian.AppendUint64(nil, last.Fingerprint)
+	identity = binary.LittleEndian.AppendUint64(identity, last.Event)
+	return xxhash.Sum64(append(identity, last.Upstream...))
+}
+
 // heardPeers returns the peers that are alive, in order of address.
 func (m *Mesh) heardPeers(now time.Time) []*wire.Heard {
 	var heard []*wire.Heard
--- a/internal/limit/crash/crash.go
+++ b/internal/limit/crash/crash.go
@@ -3,6 +3,8 @@
 package crash
 
 import (
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
@@ -36,16 +38,19 @@
 	// their number.
 	interrupted      map[string][]suspectedRequest
 	interruptedCount int
-	// crashes holds the time of each crash by fingerprint and upstream.
-	crashes    map[uint64]map[string]time.Time
-	onCrash    func(fingerprint uint64, crash string)
+	// crashes holds the crashes by fingerprint, and recordCount is their number.
+	crashes     map[uint64][]*record
+	recordCount int
+	// reported holds the crashes to tell peers, in the order in which they became known.
+	reported   []reported
+	onCrash    func()
 	lastExpiry time.Time
 }
 
-// New returns a tracker without crashes. It calls onCrash for each crash that is recorded
-// for a fingerprint, so that other processes can be notified; onCrash may be nil.
-func New(onCrash func(fingerprint uint64, crash string)) *Tracker {
-	return &Tracker{interrupted: make(map[string][]suspectedRequest), crashes: make(map[uint64]map[string]time.Time), onCrash: onCrash}
+// New returns a tracker without crashes. It calls onCrash when it has recorded crashes
+// that this process observed, so that other processes can be notified; onCrash may be nil.
+func New(onCrash func()) *Tracker {
+	return &Tracker{interrupted: make(map[string][]suspectedRequest), crashes: make(map[uint64][]*record), onCrash: onCrash}
 }
 
 // Broke records that an upstream interrupted the answer to a request.
@@ -64,43 +69,29 @@
 // interrupted shortly before were being executed when it crashed.
 func (t *Tracker) Down(now time.Time, upstream string) {
 	t.mu.Lock()
+	t.expire(now)
 	suspicions := t.interrupted[upstream]
 	delete(t.interrupted, upstream)
 	t.interruptedCount -= len(suspicions)
-	var recorded []suspectedRequest
+	observed := make(map[uint64]bool)
 	for _, s := range suspicions {
-		if now.Sub(s.at) > confirmationWindow {
+		if now.Sub(s.at) > confirmationWindow || observed[s.fingerprint] {
 			continue
 		}
-		t.record(now, s.fingerprint, upstream)
-		recorded = append(recorded, s)
+		t.observe(now, s.fingerprint, upstream)
+		observed[s.fingerprint] = true
 	}
 	t.mu.Unlock()
-	if t.onCrash == nil {
-		return
-	}
-	for _, s := range recorded {
-		t.onCrash(s.fingerprint, upstream)
+	if len(observed) > 0 && t.onCrash != nil {
+		t.onCrash()
 	}
 }
 
-// RecordRemote records a crash that another process detected, and reports whether it is
-// new.
-func (t *Tracker) RecordRemote(now time.Time, fingerprint uint64, crash string) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if _, known := t.crashes[fingerprint][crash]; known {
-		return false
-	}
-	t.record(now, fingerprint, crash)
-	return true
-}
-
-func (t *Tracker) record(now time.Time, fingerprint uint64, crash string) {
-	if t.crashes[fingerprint] == nil {
-		t.crashes[fingerprint] = make(map[string]time.Time)
-	}
-	t.crashes[fingerprint][crash] = now
+// observe records a crash that this process observed.
+func (t *Tracker) observe(now time.Time, fingerprint uint64, upstream string) {
+	crash := &record{upstream: upstream, event: max(rand.Uint64(), 1), latestEnd: now.Add(retention), reportedAt: now}
+	t.insert(now, fingerprint, crash)
+	t.addReport(fingerprint, crash)
 }
 
 // Blocked reports whether requests with the fingerprint are refused.
@@ -108,7 +99,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
-	return len(t.crashes[fingerprint]) >= blockAfterCrashes
+	var crashed []string
+	for _, r := range t.crashes[fingerprint] {
+		if now.Before(r.end()) && !slices.Contains(crashed, r.upstream) {
+			crashed = append(crashed, r.upstream)
+		}
+		if len(crashed) >= blockAfterCrashes {
+			return true
+		}
+	}
+	return false
 }
 
 // expire removes expired entries, at most once a second.
@@ -123,14 +123,5 @@
 			delete(t.interrupted, upstream)
 		}
 	}
-	for fingerprint, crashes := range t.crashes {
-		for upstream, at := range crashes {
-			if now.Sub(at) > retention {
-				delete(crashes, upstream)
-			}
-		}
-		if len(crashes) == 0 {
-			delete(t.crashes, fingerprint)
-		}
-	}
+	t.deleteRecords(func(r *record) bool { return !now.Before(r.end()) && now.Sub(r.reportedAt) > recognition })
 }
--- a/internal/limit/crash/crash_test.go
+++ b/internal/limit/crash/crash_test.go
@@ -17,7 +17,12 @@
 func TestRequestIsRefusedAfterItsThirdCrash(t *testing.T) {
 	const guilty, innocent = 1, 2
 	other := crash.New(nil)
-	r := crash.New(func(fingerprint uint64, upstream string) { other.RecordRemote(start, fingerprint, upstream) })
+	var r *crash.Tracker
+	r = crash.New(func() {
+		for _, report := range r.Reports(start) {
+			other.RecordRemote(start, report, false)
+		}
+	})
 	for i, upstream := range []string{"a", "b", "c"} {
 		now := start.Add(time.Duration(i) * 5 * time.Second)
 		require.False(t, r.Blocked(now, guilty))
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -193,7 +193,7 @@
 	g.upstreams = newUpstreamView(g)
 	g.peers = &peers{Gateway: g, rank: unranked, storeReachedAt: make(map[string]time.Time)}
 	g.quota = quota.New(s.Quota, g.peers.gatewayCount)
-	g.crashTracker = crash.New(g.peers.recordCrash)
+	g.crashTracker = crash.New(func() { g.mesh.GossipNow() })
 	g.mesh = mesh.New(s.Name, s.LinkAddress, g.runID, deps.Dialer, g.peers, logger, now)
 	g.peers.isHub = g.mesh.IsHub
 	g.granter = granter.New(now, g.peers.deliverDecision, logger)
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -13,6 +13,7 @@
 
 	"github.com/persimmonridge/persimmonridge/internal/fleet/mesh"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
+	"github.com/persimmonridge/persimmonridge/internal/limit/crash"
 	"github.com/persimmonridge/persimmonridge/internal/limit/quota"
 	"github.com/persimmonridge/persimmonridge/internal/sched/board"
 	"github.com/persimmonridge/persimmonridge/internal/sched/permit"
@@ -33,8 +34,6 @@
 	// quotaReportInterval is how often quota use is reported to the scheduler. The
 	// gateways together may exceed a quota by what is used within one interval.
 	quotaReportInterval = 100 * time.Millisecond
-	// maxGossipedCrashes bounds the crashes in one gossip message.
-	maxGossipedCrashes = 64
 )
 
 // member is a gateway's registration in the store.
@@ -81,7 +80,6 @@
 	// configRequestedAt and rosterRequestedAt are the times of the last requests to
 	// any peer.
 	configRequestedAt, rosterRequestedAt time.Time
-	gossipedCrashes                      []*wire.CrashSeen
 	storeLost                            bool
 	// configLag and changeLag track how far this gateway is behind its peers in the
 	// configuration and in the changes from the store.
@@ -193,9 +191,13 @@
 	p.granter.SetReachableGateways(p.mesh.Reach(now))
 	p.mu.Lock()
 	g.Rank = p.rank
-	g.Crashes = p.gossipedCrashes
 	g.StoreAnswers = !p.storeLost
 	p.mu.Unlock()
+	for _, r := range p.crashTracker.Reports(now) {
+		// Rounded up: a process that hears its own report again must not shorten a life.
+		life := uint32((r.Life + time.Millisecond - 1) / time.Millisecond)
+		g.Crashes = append(g.Crashes, &wire.CrashSeen{Fingerprint: r.Fingerprint, Upstream: r.Upstream, Event: r.Event, Hops: r.Hops, LifeMs: life})
+	}
 	if c := p.catalog.Load(); c != nil {
 		g.ConfigVersion = c.Version()
 	}
@@ -208,9 +210,13 @@
 // HandleGossip implements mesh.Handler.
 func (p *peers) HandleGossip(now time.Time, peer string, g *wire.Gossip) {
 	p.granter.OwnerUp(peer)
+	isHub := len(g.Crashes) > 0 && p.isHub()
 	for _, c := range g.Crashes {
-		if p.crashTracker.RecordRemote(now, c.Fingerprint, c.Upstream) && p.isHub() {
-			p.recordCrash(c.Fingerprint, c.Upstream)
+		report := crash.Report{
+			Fingerprint: c.Fingerprint, Upstream: c.Upstream, Event: c.Event, Hops: c.Hops, Life: time.Duration(c.LifeMs) * time.Millisecond,
+		}
+		if p.crashTracker.RecordRemote(now, report, isHub) && isHub {
+			p.mesh.GossipNow()
 		}
 	}
 	p.requestMissing(now, peer, g)
@@ -346,17 +352,6 @@
 	p.mesh.Send(decision.Owner, message)
 }
 
-// recordCrash adds a crash that this gateway observed or relays to its gossip.
-func (p *peers) recordCrash(fingerprint uint64, upstream string) {
-	p.mesh.GossipNow()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.gossipedCrashes = append(p.gossipedCrashes, &wire.CrashSeen{Fingerprint: fingerprint, Upstream: upstream})
-	if len(p.gossipedCrashes) > maxGossipedCrashes {
-		p.gossipedCrashes = append([]*wire.CrashSeen(nil), p.gossipedCrashes[len(p.gossipedCrashes)-maxGossipedCrashes:]...)
-	}
-}
-
 // reportQuota reports the workspaces' use on this gateway to the scheduler until the
 // context ends; the scheduler answers with their use on the other gateways.
 func (p *peers) reportQuota(ctx context.Context) error {
