A request that waits at a replaced scheduler moves to the new one

Callers saw: a request in the queue of a scheduler that begins to stop was refused after 460 ms (Retry-After 0.495) while engines were idle; without the stop it was served after 580 ms.

Cause: slots that become free are reported to the successor, but a change of scheduler left pending slot requests with the former one.

Change: on a change the held slots are reported to the new scheduler, pending requests are withdrawn from the former one and asked of the new one under a new number, once the scheduler has been the same for 30 ms. The time waited counts, at most maxSchedulers are asked, and the last one keeps the request. The first decision counts: a grant after the withdrawal goes back to its granter, so HandleDecision is told who decided, and a grant before the change is used and reported as held. Two call sites in tests name the sender, nothing else in them changed. A gateway that stops, and one that hears of it, look for the new scheduler at once.

--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -282,6 +282,8 @@
 	now := g.now()
 	g.stop.Store(&stopWindow{start: now, end: now.Add(grace - stopMargin)})
 	g.peers.invalidateScheduler()
+	// The successor must know the slots of this gateway before it is asked for others.
+	g.permits.UpdateScheduler(now)
 	g.mesh.AnnounceLeaving()
 	ctx, cancel := context.WithTimeout(context.Background(), grace-stopMargin)
 	defer cancel()
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -214,6 +214,10 @@
 		}
 	}
 	p.requestMissing(now, peer, g)
+	if g.Leaving {
+		// The successor of a scheduler must hear of the held slots at once.
+		p.invalidateScheduler()
+	}
 	p.permits.UpdateScheduler(now)
 }
 
@@ -221,7 +225,7 @@
 func (p *peers) HandleMessage(now time.Time, peer string, e *wire.Envelope) {
 	switch body := e.Body.(type) {
 	case *wire.Envelope_PlaceVerdict:
-		p.permits.HandleDecision(body.PlaceVerdict)
+		p.permits.HandleDecision(peer, body.PlaceVerdict)
 	case *wire.Envelope_MoveReport:
 		p.rolloutController.receiveReport(peer, body.MoveReport)
 	case *wire.Envelope_MoveState:
@@ -340,7 +344,7 @@
 func (p *peers) deliverDecision(decision board.Decision) {
 	message := permit.DecisionMessage(decision)
 	if decision.Owner == p.settings.Name {
-		p.permits.HandleDecision(message.GetPlaceVerdict())
+		p.permits.HandleDecision(decision.Owner, message.GetPlaceVerdict())
 		return
 	}
 	p.mesh.Send(decision.Owner, message)
--- a/internal/sched/permit/moments_test.go
+++ b/internal/sched/permit/moments_test.go
@@ -72,7 +72,7 @@
 			}
 			return
 		}
-		time.AfterFunc(toGateway.delay(time.Now()), func() { client.HandleDecision(permit.DecisionMessage(d).GetPlaceVerdict()) })
+		time.AfterFunc(toGateway.delay(time.Now()), func() { client.HandleDecision("scheduler", permit.DecisionMessage(d).GetPlaceVerdict()) })
 	}, slog.New(slog.DiscardHandler))
 	scheduler.SetUpstreams([]board.Upstream{{ID: engine.ID, Service: "tutor", Domain: "a", Slots: 1, TokensPerEvent: 6}})
 	client = permit.New(permit.Dependencies{
--- a/internal/sched/permit/permit.go
+++ b/internal/sched/permit/permit.go
@@ -29,9 +29,19 @@
 const firstReplyTimeout = 40 * time.Millisecond
 
 // maxSchedulers is how many schedulers are asked for one request, each after the previous
-// one went silent.
+// one went silent or was replaced. The last one keeps its slot request even if it is
+// replaced, so a scheduler that changes back and forth causes no further messages.
 const maxSchedulers = 3
 
+// settleTime is how long after a change of the scheduler the new one is asked for slots for
+// the requests that waited at the former one. By then the other gateways have reported their
+// slots to it, too; before, it takes full engines for idle.
+const settleTime = 30 * time.Millisecond
+
+// movedRetryAfter is the Retry-After of a request whose time to wait ended after it was
+// moved to another scheduler: the shortest that schedulers give.
+const movedRetryAfter = 300 * time.Millisecond
+
 // Local chooses an upstream without a scheduler.
 type Local interface {
 	flow.Picker
@@ -72,8 +82,8 @@
 	reason     string
 	// lost is set if the scheduler is gone.
 	lost bool
-	// waiting is set if the slot request was queued.
-	waiting bool
+	// replaced is set if another gateway has become the scheduler while this one lives.
+	replaced bool
 	// timedOut is set if there was no first reply in time.
 	timedOut bool
 }
@@ -88,18 +98,14 @@
 		return "mute"
 	case d.lost:
 		return "lost"
+	case d.replaced:
+		return "moved"
 	case d.upstream == "":
 		return "refused"
 	}
 	return "granted"
 }
 
-type pendingRequest struct {
-	scheduler string
-	number    uint64
-	decisions chan decision
-}
-
 // Client implements flow.Picker.
 type Client struct {
 	Dependencies
@@ -108,6 +114,8 @@
 	pending       map[string]*pendingRequest
 	placements    map[*placement]struct{}
 	lastScheduler string
+	// changedAt is when lastScheduler changed.
+	changedAt time.Time
 	// lastNumber is the last number given to a slot request or to a locally chosen slot. A
 	// request may have several in succession.
 	lastNumber uint64
@@ -124,18 +132,37 @@
 	if service == nil || service.Engine == nil {
 		return c.Local.Pick(ctx, now, req)
 	}
-	for range maxSchedulers {
+	var giveUpAt time.Time
+	moved := false
+	for attempt := range maxSchedulers {
 		scheduler := c.Scheduler(c.Now())
 		if scheduler == "" {
 			break
 		}
-		d, ok := c.requestSlot(ctx, scheduler, req)
+		// The time that a request waited at a replaced scheduler counts.
+		if !moved {
+			giveUpAt = c.Now().Add(decisionTimeout)
+		}
+		p := c.newPending(scheduler, req, attempt < maxSchedulers-1)
+		d, ok := c.requestSlot(ctx, p, giveUpAt)
 		if ctx.Err() != nil {
+			// A granted slot is given back.
+			if d.upstream != "" {
+				c.release(p, board.Canceled)
+			}
 			return nil, flow.RefusePlacement(0, "the caller left or the deadline passed")
 		}
 		if d.timedOut {
 			break
 		}
+		if d.replaced || (!ok && moved) {
+			if !c.awaitSettled(ctx, earliest(giveUpAt, req.Deadline)) {
+				return nil, flow.RefusePlacement(movedRetryAfter, "no slot: none became free in time at a scheduler and its successor")
+			}
+			moved = true
+			continue
+		}
+		moved = false
 		if !ok || d.lost {
 			continue
 		}
@@ -146,7 +173,7 @@
 			return c.hold(c.Local.Hold(u), req, d.number), nil
 		}
 		// The scheduler does not know yet that the upstream is gone or leaving.
-		c.notify(endedMessage(req.ID, d.number, board.SlotResult{Outcome: board.Unreachable}))
+		c.release(p, board.Unreachable)
 		req.ExcludedUpstreams = append(append([]string(nil), req.ExcludedUpstreams...), d.upstream)
 	}
 	return c.pickLocally(ctx, req)
@@ -173,57 +200,6 @@
 	return c.hold(chosen, req, number), nil
 }
 
-// requestSlot sends a slot request to a scheduler and waits for the decision.
-func (c *Client) requestSlot(ctx context.Context, scheduler string, req flow.PlacementRequest) (decision, bool) {
-	p := &pendingRequest{scheduler: scheduler, decisions: make(chan decision, 2)}
-	c.mu.Lock()
-	c.lastNumber++
-	p.number = c.lastNumber
-	c.pending[req.ID] = p
-	c.mu.Unlock()
-	defer func() {
-		c.mu.Lock()
-		delete(c.pending, req.ID)
-		c.mu.Unlock()
-	}()
-	if !c.sendTo(scheduler, c.slotRequestMessage(p.number, req)) {
-		return decision{}, false
-	}
-	askedAt := c.Now()
-	d, ok := c.await(ctx, p, req)
-	c.Metrics.Placed(d.result(ok), c.Now().Sub(askedAt))
-	if !ok || d.timedOut {
-		c.sendTo(scheduler, endedMessage(req.ID, p.number, board.SlotResult{Outcome: board.Canceled}))
-	}
-	d.number = p.number
-	return d, ok
-}
-
-// await waits for the first reply, and then for the decision.
-func (c *Client) await(ctx context.Context, p *pendingRequest, req flow.PlacementRequest) (decision, bool) {
-	firstReply := time.NewTimer(firstReplyTimeout)
-	defer firstReply.Stop()
-	timeout := time.NewTimer(min(req.Deadline.Sub(c.Now()), decisionTimeout))
-	defer timeout.Stop()
-	for {
-		select {
-		case d := <-p.decisions:
-			if d.waiting {
-				firstReply.Stop()
-				continue
-			}
-			return d, true
-		case <-firstReply.C:
-			return decision{timedOut: true}, true
-		case <-ctx.Done():
-			return decision{}, false
-		case <-timeout.C:
-			c.Logger.Warn("scheduler did not decide in time", "id", req.ID, "scheduler", p.scheduler)
-			return decision{}, false
-		}
-	}
-}
-
 func (c *Client) slotRequestMessage(number uint64, req flow.PlacementRequest) *wire.Envelope {
 	now := c.Now()
 	return &wire.Envelope{Body: &wire.Envelope_PlaceAsk{PlaceAsk: &wire.PlaceAsk{
@@ -250,22 +226,35 @@
 	}
 }
 
-// HandleDecision passes a scheduler's decision to the request that waits for it. A slot
-// granted after its slot request was abandoned is released by its number, because the
-// request may have another slot by then.
-func (c *Client) HandleDecision(v *wire.PlaceVerdict) {
+// notifyGranter sends the end of a slot request or slot to the scheduler that was asked
+// for it, and to the current one, which may have been told of the slot.
+func (c *Client) notifyGranter(granter string, e *wire.Envelope) {
+	c.sendTo(granter, e)
+	if scheduler := c.Scheduler(c.Now()); scheduler != "" && scheduler != granter {
+		c.sendTo(scheduler, e)
+	}
+}
+
+// HandleDecision passes a decision of the scheduler on node to the request that waits for
+// it. A slot granted after its slot request was abandoned is released by its number,
+// because the request may have another slot by then.
+func (c *Client) HandleDecision(node string, v *wire.PlaceVerdict) {
 	c.mu.Lock()
 	p := c.pending[v.Id]
-	c.mu.Unlock()
-	if p == nil || p.number != v.Number {
-		if v.Upstream != "" {
-			c.notify(endedMessage(v.Id, v.Number, board.SlotResult{Outcome: board.Canceled}))
+	late := p == nil || p.number != v.Number || p.decided
+	switch {
+	case late:
+	case v.Waiting:
+		select {
+		case p.queued <- struct{}{}:
+		default:
 		}
-		return
-	}
-	select {
-	case p.decisions <- decision{upstream: v.Upstream, retryAfter: time.Duration(v.RetryAfterMs) * time.Millisecond, reason: v.Why, waiting: v.Waiting}:
 	default:
+		p.decide(decision{upstream: v.Upstream, retryAfter: time.Duration(v.RetryAfterMs) * time.Millisecond, reason: v.Why})
+	}
+	c.mu.Unlock()
+	if late && v.Upstream != "" {
+		c.notifyGranter(node, endedMessage(v.Id, v.Number, board.SlotResult{Outcome: board.Canceled}))
 	}
 }
 
@@ -275,22 +264,22 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, p := range c.pending {
-		if p.scheduler != node {
-			continue
-		}
-		select {
-		case p.decisions <- decision{lost: true}:
-		default:
+		if p.scheduler == node {
+			p.decide(decision{lost: true})
 		}
 	}
 }
 
-// UpdateScheduler checks for a new scheduler and reports the held slots to it.
+// UpdateScheduler checks for a new scheduler, reports the held slots to it, and moves the
+// pending slot requests to it.
 func (c *Client) UpdateScheduler(now time.Time) {
 	scheduler := c.Scheduler(now)
 	c.mu.Lock()
 	previous := c.lastScheduler
 	c.lastScheduler = scheduler
+	if scheduler != previous {
+		c.changedAt = now
+	}
 	c.mu.Unlock()
 	if scheduler == previous {
 		return
@@ -299,7 +288,8 @@
 	c.ReportHeld(now)
 }
 
-// ReportHeld reports all held slots to the scheduler. It is repeated regularly because a
+// ReportHeld reports all held slots to the scheduler, and then moves to it the slot requests
+// that are pending at others: those hear of no slot that becomes free. It is repeated regularly because a
 // message may be lost, and because a slot granted by a gateway that was the scheduler for
 // a moment would otherwise stay in use there permanently.
 func (c *Client) ReportHeld(now time.Time) {
@@ -312,8 +302,23 @@
 	for p := range c.placements {
 		held.Places = append(held.Places, p.heldMessage())
 	}
+	for _, p := range c.pending {
+		if p.upstream != "" {
+			held.Places = append(held.Places, &wire.PlaceHeld{
+				Id: p.request.ID, Number: p.number, Upstream: p.upstream,
+				Prompt: uint32(p.request.PromptTokens), Output: uint32(p.request.OutputTokens),
+			})
+		}
+	}
 	c.mu.Unlock()
 	c.sendTo(scheduler, &wire.Envelope{Body: &wire.Envelope_PlacesHeld{PlacesHeld: held}})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.pending {
+		if p.movable && p.scheduler != scheduler {
+			p.decide(decision{replaced: true})
+		}
+	}
 }
 
 // ReportInterval is the interval between reports of held slots.
@@ -323,6 +328,9 @@
 	p := &placement{client: c, local: local, upstream: local.Upstream(), request: req, number: number}
 	c.mu.Lock()
 	c.placements[p] = struct{}{}
+	if granted := c.pending[req.ID]; granted != nil && granted.number == number {
+		delete(c.pending, req.ID)
+	}
 	c.mu.Unlock()
 	return p
 }
--- a/internal/sched/permit/permit_test.go
+++ b/internal/sched/permit/permit_test.go
@@ -55,7 +55,7 @@
 				granted[d.Owner]++
 			}
 			if d.Owner == "gateway" {
-				time.AfterFunc(latency, func() { client.HandleDecision(permit.DecisionMessage(d).GetPlaceVerdict()) })
+				time.AfterFunc(latency, func() { client.HandleDecision("scheduler", permit.DecisionMessage(d).GetPlaceVerdict()) })
 			}
 		}, slog.New(slog.DiscardHandler))
 		scheduler.SetUpstreams([]board.Upstream{{ID: engine.ID, Service: "tutor", Domain: "a", Slots: 1, TokensPerEvent: 6}})
