An address that nobody has heard does not count as accepting callers

A gateway that is not heard counted as accepting callers while some hub reported and none listed it. A hub lists only what it knows itself, so an address that only this process knows counted as accepting: a seed address of a VM that is gone, for two minutes after the start. Its domain is unknown too, so it counted within the own one. A stopping gateway that is alone in its domain then refuses streams for a gateway that does not exist.

A gateway that is not heard now counts as accepting only if some peer has reported that it hears it.

--- a/internal/fleet/mesh/availability.go
+++ b/internal/fleet/mesh/availability.go
@@ -32,7 +32,7 @@
 		accepts := p.acceptsCallers(now, timeout)
 		if !p.alive(now, timeout) && reported {
 			_, listed := unavailable[address]
-			accepts = !listed
+			accepts = p.known && !listed
 		}
 		if d := p.effectiveDomain(); d == "" || d == domain {
 			within.add(accepts)
@@ -115,6 +115,18 @@
 	}
 }
 
+// recordKnown records which gateways a peer hears. One that nobody has heard, such as a
+// seed address of a VM that is gone, is on no hub's list either.
+func (m *Mesh) recordKnown(heard []*wire.Heard) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, h := range heard {
+		if p := m.peers[h.Address]; p != nil {
+			p.known = true
+		}
+	}
+}
+
 // SetDomain sets the failure domain of the peer at the address, for as long as the peer
 // has not sent its own.
 func (m *Mesh) SetDomain(address, domain string) {
--- a/internal/fleet/mesh/heard.go
+++ b/internal/fleet/mesh/heard.go
@@ -21,6 +21,7 @@
 	for _, heard := range g.Known {
 		m.AddRankedPeer(now, heard.Address, heard.Rank)
 	}
+	m.recordKnown(g.Known)
 	if g.Gone {
 		if m.recordExit(now, from, g) {
 			m.logger.Info("peer exited", "peer", from.node, "run", g.Run)
