A stream that may have been executed is not refused for a stop

What a caller of the test saw: a resumable stream of a stopping gateway, whose upstream broke off before its first event, got 502 although another upstream was free. It was planned by the most that it may generate while others accept, as if its caller could go to them; 502 is no promise, so the caller of a stream may not repeat it.

Such a stream is now planned like one that has begun, by its estimate, with a preferred end, and is not placed again. TestStreamThatMayHaveBeenExecutedIsNotRefusedForAShutdown failed before, at the first of its two moments.

--- a/internal/edge/flow/flow_test.go
+++ b/internal/edge/flow/flow_test.go
@@ -49,10 +49,13 @@
 	pendingQuotaRequests int
 	retryBudget          int
 	blocked              bool
+	// picker is the fixture itself, unless a test replaces it and starts again.
+	picker flow.Picker
 }
 
 func newFixture(t *testing.T) *fixture {
 	f := &fixture{t: t, retryBudget: 10}
+	f.picker = f
 	f.content = catalog.Content{
 		Version: 1,
 		Routes: []catalog.Route{
@@ -84,7 +87,7 @@
 			}
 			return catalog.New(f.content)
 		},
-		Picker: f, Quota: f, Retries: retries{f}, Crashes: f, Metrics: metrics{},
+		Picker: f.picker, Quota: f, Retries: retries{f}, Crashes: f, Metrics: metrics{},
 		Logger: slog.New(slog.DiscardHandler), Now: time.Now, ShutdownStatus: f.shutdown,
 		OthersAccept: func(bool) bool { return f.otherAccepts },
 	})
--- a/internal/edge/flow/shutdown.go
+++ b/internal/edge/flow/shutdown.go
@@ -90,7 +90,7 @@
 func (c *call) mayOutlastShutdown(now time.Time) bool {
 	c.checkShutdown()
 	return c.shutdown.started() && c.lengthKnown() && c.shutdown.exitAt.Before(c.deadline) &&
-		!c.progress.opened && c.othersAccept(now)
+		!c.mayHaveExecuted && c.othersAccept(now)
 }
 
 // limitToExit restricts the placement if the process exits before the request's
@@ -104,8 +104,9 @@
 	req.Deadline = c.shutdown.exitAt
 	othersAccept := c.othersAccept(now)
 	switch {
-	case c.progress.opened:
-		// Refusing the rest of a stream that has begun would break it off for certain.
+	case c.mayHaveExecuted:
+		// A stream that has begun would be broken off for certain, and one that an
+		// upstream may have executed can no longer be refused as not executed.
 		req.EndConstraint = EndPreferred
 	case othersAccept:
 		// An estimate is not an upper bound, whatever margin is added.
