A stream of unknown length that waits for a slot while a stop begins is refused

A stream that waits for its slot while a stop begins was placed again only if its length is stated; one without, which a stopping gateway refuses while others accept, was sent, and may be cut. It is now judged again before its first send, and gives its slot back. TestStreamOfUnknownLengthPlacedAcrossTheStartOfAShutdownIsRefused got 200 before; a second test holds that one of known length is planned again, once, with its slot given back.

--- a/internal/edge/flow/shutdown.go
+++ b/internal/edge/flow/shutdown.go
@@ -85,12 +85,13 @@
 }
 
 // mayOutlastShutdown reports whether a stream that was placed without regard to a
-// shutdown must be placed again, because one began while the stream waited and another
+// shutdown must be judged again, because one began while the stream waited and another
 // process could serve it.
 func (c *call) mayOutlastShutdown(now time.Time) bool {
 	c.checkShutdown()
-	return c.shutdown.started() && c.lengthKnown() && c.shutdown.exitAt.Before(c.deadline) &&
-		!c.mayHaveExecuted && c.othersAccept(now)
+	// A stream of unknown length is judged before its first send only.
+	judged := c.lengthKnown() || (c.route.Kind == catalog.Streaming && c.attempts == 0)
+	return c.shutdown.started() && judged && c.shutdown.exitAt.Before(c.deadline) && !c.mayHaveExecuted && c.othersAccept(now)
 }
 
 // limitToExit restricts the placement if the process exits before the request's
--- a/internal/edge/flow/shutdown_resend_test.go
+++ b/internal/edge/flow/shutdown_resend_test.go
@@ -43,3 +43,47 @@
 		require.Equal(t, 20, f.placementRequests[1].OutputTokens)
 	}
 }
+
+// stopsWhilePicking is a Picker during whose first call a shutdown begins.
+type stopsWhilePicking struct{ *fixture }
+
+func (s stopsWhilePicking) Pick(ctx context.Context, now time.Time, a flow.PlacementRequest) (flow.Placement, error) {
+	if s.shutdownSince.IsZero() {
+		s.shutdownSince = time.Now()
+	}
+	return s.fixture.Pick(ctx, now, a)
+}
+
+// Guards against a stream of unknown length that waits for a slot while a shutdown
+// begins, and is then sent although it would have been refused had it come later.
+func TestStreamOfUnknownLengthPlacedAcrossTheStartOfAShutdownIsRefused(t *testing.T) {
+	f := newFixture(t)
+	f.picker = stopsWhilePicking{f}
+	f.addUpstream("one", streamHeader+"id: 1\ndata: a\n\n")
+	f.otherAccepts = true
+	f.start()
+	response, _, err := f.call("/long/x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.Empty(t, f.executed)
+	require.Equal(t, []flow.Outcome{flow.Canceled}, f.outcomes)
+}
+
+// A stream of known length that waits for a slot while a shutdown begins gives its slot
+// back and is planned again, once.
+func TestStreamPlacedAcrossTheStartOfAShutdownIsPlannedAgain(t *testing.T) {
+	f := newFixture(t)
+	f.picker = stopsWhilePicking{f}
+	f.addUpstream("one", streamHeader+"id: 1\ndata: a\n\n")
+	f.otherAccepts = true
+	f.headers = map[string]string{"X-Persimmonridge-Token-Counts": "1000,100", "X-Persimmonridge-Length-Hint": "20"}
+	f.start()
+	response, _, err := f.call("/long/x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Len(t, f.placementRequests, 2)
+	require.Equal(t, flow.EndRequired, f.placementRequests[1].EndConstraint)
+	require.Equal(t, 100, f.placementRequests[1].OutputTokens)
+	require.Equal(t, flow.Canceled, f.outcomes[0])
+	require.Len(t, f.executed, 1)
+}
