Tests: gateways that crash leave the count of those that accept callers

TestGatewaysKnowWhichOfADomainAcceptCallers silences only a gateway that was already leaving, so that nothing held that a hub reports a gateway that falls silent. The new test crashes two that are no hubs: 2 of 4 after three seconds, 2 of 2 once they are forgotten. No code changes.

--- a/internal/fleet/mesh/availability_unheard_test.go
+++ b/internal/fleet/mesh/availability_unheard_test.go
@@ -27,3 +27,19 @@
 		require.Equal(t, mesh.Availability{Accepting: 2, Total: 3}, within)
 	})
 }
+
+// Guards against gateways that crash and still count as accepting callers, as none but
+// the hubs notices their silence; they leave the count once they are forgotten.
+func TestAvailabilityFollowsCrashedGateways(t *testing.T) {
+	runDomains(t, func(n *network.Network, all []*process) {
+		for _, i := range []int{9, 14} {
+			n.Vanish(gatewayName(i))
+			all[i].cancel()
+		}
+		bubble.Sleep(3 * time.Second)
+		all[24].requireAvailability(t, 24, 2, 20)
+		bubble.Sleep(3 * time.Minute)
+		within, _ := all[24].mesh.Availability(time.Now(), domainOf(24))
+		require.Equal(t, mesh.Availability{Accepting: 2, Total: 2}, within)
+	})
+}
