Answers of a stopping gateway end the caller's connection

The gateway sets Connection: close on what it answers in a stop, but the translation of headers deleted it again from every answer of an upstream; only refusals bore it. Callers that are served stay on their connection to the stopping gateway.

--- a/internal/edge/flow/shutdown_resend_test.go
+++ b/internal/edge/flow/shutdown_resend_test.go
@@ -87,3 +87,15 @@
 	require.Equal(t, flow.Canceled, f.outcomes[0])
 	require.Len(t, f.executed, 1)
 }
+
+// Guards against callers that stay on a connection of a process that shuts down, because
+// its answers do not say that the connection ends.
+func TestAnswersInAShutdownEndTheConnection(t *testing.T) {
+	f := newFixture(t)
+	f.addUpstream("one", successAnswer)
+	f.shutdownSince = time.Now().Add(-time.Second)
+	response, _, err := f.call("/read/x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.True(t, response.Close)
+}
