--- a/internal/edge/flow/flow_test.go
+++ b/internal/edge/flow/flow_test.go
@@ -51,10 +51,13 @@
 	blocked              bool
 	crashReports         []string
 	dial                 exchange.Dial
+	// picker is the fixture itself, unless a test replaces it and starts again.
+	picker flow.Picker
 }
 
 func newFixture(t *testing.T) *fixture {
 	f := &fixture{t: t, retryBudget: 10, dial: new(net.Dialer).DialContext}
+	f.picker = f
 	f.content = catalog.Content{
 		Version: 1,
 		Routes: []catalog.Route{
@@ -85,7 +88,7 @@
 			}
 			return catalog.New(f.content)
 		},
-		Picker: f, Quota: f, Retries: retries{f}, Crashes: f, Metrics: metrics{},
+		Picker: f.picker, Quota: f, Retries: retries{f}, Crashes: f, Metrics: metrics{},
 		Logger: slog.New(slog.DiscardHandler), Now: time.Now, ShutdownStatus: f.shutdown,
 		OthersAccept: func(bool) bool { return f.otherAccepts },
 	})
@@ -459,41 +462,3 @@
 		require.Equal(t, c.planned, request.OutputTokens)
 	}
 }
-
-func TestBlockedFingerprintIsRefused(t *testing.T) {
-	f := newFixture(t)
-	f.addUpstream("one", successAnswer)
-	f.blocked = true
-	response, _, err := f.call("/read/x")
-	require.NoError(t, err)
-	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
-	require.Empty(t, f.executed)
-}
-
-// Guards against a newly started process that refuses callers below their quota
-// because it does not know the usage totals yet.
-func TestRequestIsHeldUntilUsageIsKnown(t *testing.T) {
-	f := newFixture(t)
-	f.addUpstream("one", successAnswer)
-	f.content.Workspaces[0].QuotaPerSecond, f.pendingQuotaRequests = 1, 3
-	response, _, err := f.call("/read/x")
-	require.NoError(t, err)
-	require.Equal(t, http.StatusOK, response.StatusCode)
-	require.Zero(t, f.pendingQuotaRequests)
-}
-
-// A request above the quota is refused as not executed. One that is refused
-// because no upstream accepts it is refunded.
-func TestQuotaIsChargedAndRefunded(t *testing.T) {
-	f := newFixture(t)
-	f.content.Workspaces[0].QuotaPerSecond = 1
-	response, _, err := f.call("/read/x")
-	require.NoError(t, err)
-	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
-	require.InDelta(t, 1, f.refunded, 0)
-	f.refunded = -1
-	response, _, err = f.call("/read/x")
-	require.NoError(t, err)
-	require.Equal(t, http.StatusTooManyRequests, response.StatusCode)
-	require.Equal(t, "1.000", response.Header.Get("Retry-After"))
-}
--- /dev/null
+++ b/internal/edge/flow/shutdown_resend_test.go
@@ -0,0 +1,101 @@
+package flow_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/persimmonridge/persimmonridge/internal/edge/flow"
+)
+
+// longStreamsDoNotFit is a Picker that grants no second slot to a stream that must end in
+// time, as a scheduler whose engines would take too long.
+type longStreamsDoNotFit struct{ *fixture }
+
+func (l longStreamsDoNotFit) Pick(ctx context.Context, now time.Time, a flow.PlacementRequest) (flow.Placement, error) {
+	if a.Resent && a.EndConstraint == flow.EndRequired {
+		return nil, flow.RefusePlacement(0, "no engine could complete the stream")
+	}
+	return l.fixture.Pick(ctx, now, a)
+}
+
+// Guards against a stream that an upstream may have executed and that is then refused
+// for the shutdown: its caller would be told 502, which is no promise, and would find no
+// other process.
+func TestStreamThatMayHaveBeenExecutedIsNotRefusedForAShutdown(t *testing.T) {
+	for _, since := range []time.Duration{time.Second, 3 * time.Second} {
+		f := newFixture(t)
+		f.picker = longStreamsDoNotFit{f}
+		f.start()
+		f.addUpstream("one", "HTTP/1.1 200")
+		f.addUpstream("two", streamHeader+"id: 1\ndata: a\n\n")
+		f.shutdownSince, f.otherAccepts = time.Now().Add(-since), true
+		f.headers = map[string]string{"X-Persimmonridge-Token-Counts": "1000,100", "X-Persimmonridge-Length-Hint": "20"}
+		response, _, err := f.call("/long/x")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		require.Len(t, f.placementRequests, 2)
+		require.Equal(t, flow.EndRequired, f.placementRequests[0].EndConstraint)
+		require.Equal(t, flow.EndPreferred, f.placementRequests[1].EndConstraint)
+		require.Equal(t, 20, f.placementRequests[1].OutputTokens)
+	}
+}
+
+// stopsWhilePicking is a Picker during whose first call a shutdown begins.
+type stopsWhilePicking struct{ *fixture }
+
+func (s stopsWhilePicking) Pick(ctx context.Context, now time.Time, a flow.PlacementRequest) (flow.Placement, error) {
+	if s.shutdownSince.IsZero() {
+		s.shutdownSince = time.Now()
+	}
+	return s.fixture.Pick(ctx, now, a)
+}
+
+// Guards against a stream of unknown length that waits for a slot while a shutdown
+// begins, and is then sent although it would have been refused had it come later.
+func TestStreamOfUnknownLengthPlacedAcrossTheStartOfAShutdownIsRefused(t *testing.T) {
+	f := newFixture(t)
+	f.picker = stopsWhilePicking{f}
+	f.addUpstream("one", streamHeader+"id: 1\ndata: a\n\n")
+	f.otherAccepts = true
+	f.start()
+	response, _, err := f.call("/long/x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.Empty(t, f.executed)
+	require.Equal(t, []flow.Outcome{flow.Canceled}, f.outcomes)
+}
+
+// A stream of known length that waits for a slot while a shutdown begins gives its slot
+// back and is planned again, once.
+func TestStreamPlacedAcrossTheStartOfAShutdownIsPlannedAgain(t *testing.T) {
+	f := newFixture(t)
+	f.picker = stopsWhilePicking{f}
+	f.addUpstream("one", streamHeader+"id: 1\ndata: a\n\n")
+	f.otherAccepts = true
+	f.headers = map[string]string{"X-Persimmonridge-Token-Counts": "1000,100", "X-Persimmonridge-Length-Hint": "20"}
+	f.start()
+	response, _, err := f.call("/long/x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Len(t, f.placementRequests, 2)
+	require.Equal(t, flow.EndRequired, f.placementRequests[1].EndConstraint)
+	require.Equal(t, 100, f.placementRequests[1].OutputTokens)
+	require.Equal(t, flow.Canceled, f.outcomes[0])
+	require.Len(t, f.executed, 1)
+}
+
+// Guards against callers that stay on a connection of a process that shuts down, because
+// its answers do not say that the connection ends.
+func TestAnswersInAShutdownEndTheConnection(t *testing.T) {
+	f := newFixture(t)
+	f.addUpstream("one", successAnswer)
+	f.shutdownSince = time.Now().Add(-time.Second)
+	response, _, err := f.call("/read/x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.True(t, response.Close)
+}
--- a/internal/role/gateway/stops_test.go
+++ b/internal/role/gateway/stops_test.go
@@ -110,6 +110,23 @@
 	}
 }
 
+// Guards against a stopping gateway that refuses streams which surely end in time.
+func TestStoppingGatewayServesStreamsThatSurelyEnd(t *testing.T) {
+	runFleet(t, func(f *fleet) {
+		f.warmUp()
+		go f.callFor(0, longPath, "long", "1000,360", "360")
+		bubble.Sleep(50 * time.Millisecond)
+		go f.stop(0)
+		for i := range 4 {
+			o := f.callFor(0, "/old/x", "short"+strconv.Itoa(i), "1000,18", "18")
+			require.NoError(t, o.err)
+			require.Equal(t, http.StatusOK, o.status, "call %d", i)
+			bubble.Sleep(time.Second)
+		}
+		bubble.Sleep(10 * time.Second)
+	})
+}
+
 // requireStreamNotCut stops the given number of gateways, the first of which has a
 // stream running, and later calls the first for a stream thirty times as long as its
 // length hint. The caller must get all of it, or an immediate refusal.
