--- a/internal/sched/permit/replaced_random_test.go
+++ b/internal/sched/permit/replaced_random_test.go
@@ -80,7 +80,7 @@
 	return c.random.IntN(n)
 }
 
-func newChanges(t *testing.T, ctx context.Context, seed uint64) *changes {
+func newChanges(ctx context.Context, t *testing.T, seed uint64) *changes {
 	c := &changes{
 		t: t, random: rand.New(rand.NewPCG(seed, 0)), arrivals: map[string]time.Time{}, seen: make([]int, randomGateways),
 		grants: map[string]slotUse{}, used: map[string]slotUse{}, asks: map[string]int{}, ended: map[string]int{}, servedBy: map[string]int{},
@@ -237,7 +237,7 @@
 		bubble.Run(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
-			c := newChanges(t, ctx, seed)
+			c := newChanges(ctx, t, seed)
 			c.replace(0)
 			bubble.Sleep(2 * maxDelay)
 			requests := 0
