--- a/internal/edge/flow/stale_test.go
+++ b/internal/edge/flow/stale_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -117,16 +118,35 @@
 	require.Empty(t, f.crashReports)
 }
 
+// awaitClose waits until the peer's close of the connection has arrived. It reads nothing.
+func awaitClose(t *testing.T, conn *net.TCPConn) {
+	raw, err := conn.SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, raw.Read(func(fd uintptr) bool {
+		n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return err == nil && n == 0
+	}))
+}
+
 // If the close has arrived before the next request, nothing is sent on the connection
 // and no retry is charged, also for a request that may run only once.
 func TestConnectionThatIsSeenClosedIsNotUsed(t *testing.T) {
 	for _, path := range []string{"/open/x", "/pay/x"} {
 		f := newFixture(t)
+		var dialed []*net.TCPConn
+		f.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := new(net.Dialer).DialContext(ctx, network, address)
+			if tcp, ok := conn.(*net.TCPConn); ok {
+				dialed = append(dialed, tcp)
+			}
+			return conn, err
+		}
+		f.start()
 		u := f.addIdleCloser("one", make(chan struct{}, 1))
 		f.requireStatus(path, http.StatusOK)
 		u.closeIdle <- struct{}{}
 		<-u.idleClosed
-		time.Sleep(20 * time.Millisecond)
+		awaitClose(t, dialed[0])
 		f.requireStatus(path, http.StatusOK)
 		require.Len(t, u.requests, 2)
 		require.Equal(t, 10, f.retryBudget)
