--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -182,6 +182,7 @@
 			return
 		}
 		if req.EndConstraint == EndUnconstrained && c.mayOutlastShutdown(c.Now()) {
+			// The next round plans the stream's end, or refuses it.
 			placement.Release(c.Now(), Canceled, 0)
 			continue
 		}
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -112,7 +112,8 @@
 	// unavailable holds the addresses of the gateways that do not accept callers, as
 	// the peer reported last; it is nil if the peer has reported none.
 	unavailable map[string]struct{}
-	// known is set once another peer has reported that it hears this one.
+	// known is set once another peer has reported that it hears this one: a hub can
+	// list as unavailable only what it knows.
 	known bool
 	// selected peers are hubs of this process; selectedUs peers use it as a hub.
 	selected, selectedUs bool
