--- a/internal/role/gateway/fleet_test.go
+++ b/internal/role/gateway/fleet_test.go
@@ -48,6 +48,8 @@
 	logger   *slog.Logger
 
 	mu sync.Mutex
+	// broken holds the IDs of requests that an engine broke off once.
+	broken map[string]bool
 	// peakLoad and running hold, by engine, the largest and the present number of
 	// running requests.
 	peakLoad map[string]int
@@ -69,7 +71,10 @@
 // runLoggedFleet is runFleet with the logger of all gateways.
 func runLoggedFleet(t *testing.T, logger *slog.Logger, script func(f *fleet)) {
 	bubble.Run(t, func(t *testing.T) {
-		f := &fleet{t: t, logger: logger, network: network.New(), store: standin.NewStore(), peakLoad: map[string]int{}, running: map[string]int{}}
+		f := &fleet{
+			t: t, logger: logger, network: network.New(), store: standin.NewStore(),
+			broken: map[string]bool{}, peakLoad: map[string]int{}, running: map[string]int{},
+		}
 		for i := range gateways {
 			f.serve(storeAddress(i), f.store)
 		}
@@ -102,7 +107,8 @@
 }
 
 // engine returns a handler that streams events a tenth of a second apart and counts
-// its running requests.
+// its running requests. The query may state the number of events, and after how many the
+// first attempt breaks off; a resumed stream goes on after the last event it had.
 func (f *fleet) engine(name string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.mu.Lock()
@@ -120,7 +126,24 @@
 		if r.URL.Path == longPath {
 			events = longEvents
 		}
-		for i := range events {
+		query := r.URL.Query()
+		if n, err := strconv.Atoi(query.Get("events")); err == nil {
+			events = n
+		}
+		breakAfter, err := strconv.Atoi(query.Get("break"))
+		id := r.Header.Get(attemptIDHeader)
+		f.mu.Lock()
+		breaks := err == nil && !f.broken[id]
+		f.broken[id] = f.broken[id] || breaks
+		f.mu.Unlock()
+		resumeAfter := 0
+		if n, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
+			resumeAfter = n
+		}
+		for i := resumeAfter; i < events; i++ {
+			if breaks && i == breakAfter {
+				panic(http.ErrAbortHandler)
+			}
 			bubble.Sleep(100 * time.Millisecond)
 			if _, err := fmt.Fprintf(w, "id: %d\ndata: x\n\n", i+1); err != nil {
 				return
