--- a/cmd/persimmonridge/gateway.go
+++ b/cmd/persimmonridge/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/persimmonridge/persimmonridge/internal/fleet/dial"
 	"github.com/persimmonridge/persimmonridge/internal/limit/quota"
 	"github.com/persimmonridge/persimmonridge/internal/limit/retry"
+	"github.com/persimmonridge/persimmonridge/internal/limit/warmup"
 	"github.com/persimmonridge/persimmonridge/internal/observe/logs"
 	"github.com/persimmonridge/persimmonridge/internal/role/gateway"
 	"github.com/persimmonridge/persimmonridge/platform"
@@ -101,5 +102,7 @@
 		Retry:     retry.Settings{Ratio: node.RetryRatio, Slack: node.RetrySlack, Window: node.RetryWindow},
 		Quota:     quota.Options{StartFull: node.Bootstrap, Slack: node.QuotaSlack, ExcessFraction: node.QuotaExcessFraction, Window: node.QuotaWindow},
 		ConfigKey: platform.ConfigPrefix, UpstreamPrefix: platform.UpstreamPrefix, OrderPrefix: platform.RolloutPrefix,
+		EvacuationPrefix: platform.EvacuationPrefix, Regions: node.Regions,
+		WarmUp: warmup.Limit{Factor: node.WarmUpFactor, Slack: node.WarmUpSlack},
 	}
 }
--- a/internal/edge/exchange/exchange.go
+++ b/internal/edge/exchange/exchange.go
@@ -29,6 +29,8 @@
 	// sent and before one byte of an answer arrived. Most probably the upstream
 	// closed the idle connection while the request was on its way.
 	Stale = Lost.NewSubtype("stale")
+	// NotAdmitted is a NotSent of a request that the caller's Admit rejected.
+	NotAdmitted = NotSent.NewSubtype("not-admitted")
 )
 
 const (
@@ -57,6 +59,8 @@
 	NotExecuted string
 	// Load states the upstream's running and waiting requests and its slots.
 	Load string
+	// WarmUpMs states the rest of the upstream's warm-up in milliseconds.
+	WarmUpMs string
 }
 
 // Request is a request to an upstream.
@@ -73,6 +77,9 @@
 	NonIdempotent bool
 	// NewConnection forbids the reuse of a kept connection.
 	NewConnection bool
+	// Admit is called immediately before the request is written to a connection. If it
+	// returns false, nothing is written. It may be nil.
+	Admit func() bool
 }
 
 // Load is the load that an upstream states in an answer.
@@ -90,6 +97,8 @@
 	// NotExecuted reports that the upstream did not execute the request.
 	NotExecuted bool
 	Load        *Load
+	// WarmUpRemaining is the rest of the upstream's warm-up, 0 if it stated none.
+	WarmUpRemaining time.Duration
 
 	body io.ReadCloser
 	conn *conn
@@ -123,6 +132,10 @@
 	if err != nil {
 		return nil, NotSent.Wrap(err, "no connection to %s", address)
 	}
+	if r.Admit != nil && !r.Admit() {
+		c.pool.release(c.now(), conn, 0)
+		return nil, NotAdmitted.New("%s may get no request now", address)
+	}
 	stopContextWatch := context.AfterFunc(ctx, func() { closeQuietly(conn) })
 	answer, err := c.roundTrip(conn, r)
 	if err != nil {
@@ -196,8 +209,8 @@
 		Status: response.StatusCode, Header: response.Header,
 		Sealed:      response.Header.Get(c.names.Seal) != "",
 		NotExecuted: response.Header.Get(c.names.NotExecuted) != "" || response.StatusCode == http.StatusMisdirectedRequest,
-		Load:        parseLoad(response.Header.Get(c.names.Load)),
-		body:        response.Body, conn: conn, pool: c.pool, now: c.now,
+		Load:        parseLoad(response.Header.Get(c.names.Load)), WarmUpRemaining: parseMillis(response.Header.Get(c.names.WarmUpMs)),
+		body: response.Body, conn: conn, pool: c.pool, now: c.now,
 		// An upstream that answers before the whole body was sent takes what
 		// follows for the rest of it, so the connection must not be reused.
 		reusable: bodySent && !response.Close,
@@ -309,6 +322,18 @@
 	return 0
 }
 
+// parseMillis returns a duration in milliseconds, or 0 if there is none.
+func parseMillis(value string) time.Duration {
+	n, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(n > 0) || n > maxStatedMillis {
+		return 0
+	}
+	return time.Duration(n * float64(time.Millisecond))
+}
+
+// maxStatedMillis is the longest warm-up that is believed, one hour.
+const maxStatedMillis = 3_600_000
+
 func parseLoad(value string) *Load {
 	parts := strings.Split(value, ",")
 	if len(parts) != 3 {
--- a/internal/edge/flow/admit.go
+++ b/internal/edge/flow/admit.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/persimmonridge/persimmonridge/internal/state/catalog"
 	"github.com/persimmonridge/persimmonridge/internal/state/wait"
 )
 
@@ -34,6 +35,23 @@
 		c.refuse(http.StatusUnauthorized, 0, "unknown API key")
 		return false
 	}
+	return c.findDomains()
+}
+
+// findDomains looks up the failure domains that may get the request, and refuses it if
+// there are none.
+func (c *call) findDomains() bool {
+	regions, restricted := catalog.AllowedRegions(c.route, c.workspace)
+	if !restricted {
+		return true
+	}
+	if c.Domains != nil {
+		c.domains = c.Domains(regions)
+	}
+	if len(c.domains) == 0 {
+		c.refuse(http.StatusServiceUnavailable, regionRetryAfter, fmt.Sprintf("no known failure domain is in a region that route and workspace allow: %v", regions))
+		return false
+	}
 	return true
 }
 
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,6 +24,12 @@
 	// maxUnreachable limits how many upstreams may refuse a connection before
 	// the request fails; each of them costs a round trip.
 	maxUnreachable = 5
+	// maxWithheld limits how many placements may be withdrawn because their upstream may
+	// get no request at the moment.
+	maxWithheld = 5
+	// regionRetryAfter is the Retry-After of requests that no region may serve: only a
+	// new configuration changes that.
+	regionRetryAfter = time.Minute
 	// declinedRetryAfter is the Retry-After of requests that upstreams declined.
 	declinedRetryAfter = 100 * time.Millisecond
 	// slowBodyRetryAfter is the Retry-After of requests whose body timed out.
@@ -60,6 +67,11 @@
 	// down are likely to reach one that accepts them, given whether the load balancer
 	// has noticed the shutdown; if nil, they are not.
 	OthersAccept func(shutdownNoticed bool) bool
+	// Guard may be nil, which admits every request.
+	Guard SendGuard
+	// Domains returns the failure domains in the regions; if nil, no route or workspace
+	// may restrict its regions.
+	Domains func(regions []string) []string
 }
 
 // Metrics records counts and latencies.
@@ -101,11 +113,16 @@
 	// resends counts the further sends to an upstream after a stale connection.
 	resends int
 	// retryTaken reports that a retry was charged to the budget and not sent.
-	retryTaken      bool
-	unreachable     int
+	retryTaken  bool
+	unreachable int
+	// withheldFrom lists the upstreams that were chosen and may get no request at the
+	// moment.
+	withheldFrom    []string
 	mayHaveExecuted bool
 	triedUpstreams  []string
-	fingerprint     uint64
+	// domains are the failure domains that may get the request; nil means all.
+	domains     []string
+	fingerprint uint64
 	// upstream, placementWait, firstEvent and longestGap describe the last attempt:
 	// its upstream, the time spent waiting for a placement, the time to the first
 	// event and the longest pause between later events.
@@ -186,15 +203,19 @@
 			placement.Release(c.Now(), Canceled, 0)
 			continue
 		}
-		if c.attempts == 0 {
+		if c.attempts == 0 && len(c.withheldFrom) == 0 {
 			c.Retries.Sent(now, service)
 		}
+		withheld := len(c.withheldFrom)
 		outcome := c.attempt(ctx, placement)
 		placement.Release(c.Now(), outcome, c.streamedTokens())
 		c.Metrics.AttemptFinished(service, outcome)
 		if c.concluded(ctx, outcome) {
 			return
 		}
+		if len(c.withheldFrom) > withheld {
+			continue
+		}
 		c.triedUpstreams = append(c.triedUpstreams, placement.Upstream().ID)
 		if outcome != Unreachable && !c.takeRetry(service) {
 			c.giveUp("retry budget exhausted")
@@ -259,8 +280,8 @@
 func (c *call) placementRequest(now time.Time, service string) PlacementRequest {
 	req := PlacementRequest{
 		ID: c.request.ID, Service: service, Route: c.route, Tier: c.tier,
-		NextEventDue: c.nextEventDue(now), Deadline: c.deadline, ExcludedUpstreams: c.triedUpstreams, Resent: c.attempts > 0,
-		Fingerprint: c.fingerprint,
+		NextEventDue: c.nextEventDue(now), Deadline: c.deadline, ExcludedUpstreams: slices.Concat(c.triedUpstreams, c.withheldFrom), Resent: c.attempts > 0,
+		Fingerprint: c.fingerprint, Domains: c.domains,
 	}
 	if c.workspace != nil {
 		req.Workspace = c.workspace.Name
@@ -295,6 +316,9 @@
 		return c.handleNoAnswer(ctx, placement, err)
 	}
 	c.attempts++
+	if answer.WarmUpRemaining > 0 && c.Guard != nil {
+		c.Guard.WarmUpStated(c.Now(), upstream.ID, answer.WarmUpRemaining)
+	}
 	if answer.Load != nil {
 		placement.ReportLoad(c.Now(), *answer.Load)
 	}
@@ -324,9 +348,22 @@
 	return c.Client.Do(ctx, upstream.Address, exchange.Request{
 		Method: c.request.Method, Target: c.request.Target, Host: c.request.Host, Header: header,
 		Body: c.request.Body, ID: c.request.ID, NonIdempotent: !c.route.Repeatable(), NewConnection: newConnection,
+		Admit: func() bool { return c.admitted(upstream) },
 	})
 }
 
+// admitted reports whether the upstream may get a request now, and counts it.
+func (c *call) admitted(upstream roster.Upstream) bool {
+	if c.Guard == nil {
+		return true
+	}
+	reason := c.Guard.Admit(c.Now(), upstream)
+	if reason != "" {
+		c.logger.Info("request withheld from upstream", "upstream", upstream.ID, "why", reason)
+	}
+	return reason == ""
+}
+
 // maySendOnNewConnection reports whether a request that failed on a stale connection
 // may be sent to the same upstream again, and charges this to the retry budget. It is
 // no attempt at another upstream, which MaxAttempts limits. The upstream may have
@@ -343,6 +380,10 @@
 	if ctx.Err() != nil {
 		return Canceled
 	}
+	if errorx.IsOfType(err, exchange.NotAdmitted) {
+		return Interrupted
+	}
+	c.connectionFailed(upstream.ID)
 	c.Crashes.Broke(c.Now(), upstream.ID, c.fingerprint)
 	c.Crashes.Down(c.Now(), upstream.ID)
 	c.logger.Warn("answer lost", "upstream", upstream.ID, "err", err)
@@ -355,7 +396,12 @@
 		if ctx.Err() != nil {
 			return Canceled
 		}
+		if errorx.IsOfType(err, exchange.NotAdmitted) {
+			c.withheldFrom = append(c.withheldFrom, upstream.ID)
+			return Canceled
+		}
 		c.unreachable++
+		c.connectionFailed(upstream.ID)
 		c.Crashes.Down(c.Now(), upstream.ID)
 		c.logger.Info("could not connect to upstream", "upstream", upstream.ID, "err", err)
 		return Unreachable
@@ -365,11 +411,19 @@
 	if ctx.Err() != nil {
 		return Canceled
 	}
+	c.connectionFailed(upstream.ID)
 	c.Crashes.Broke(c.Now(), upstream.ID, c.fingerprint)
 	c.logger.Warn("answer lost", "upstream", upstream.ID, "err", err)
 	return Interrupted
 }
 
+// connectionFailed tells the guard that an upstream's connection failed.
+func (c *call) connectionFailed(upstream string) {
+	if c.Guard != nil {
+		c.Guard.Failed(c.Now(), upstream)
+	}
+}
+
 // deliver passes the answer to the caller. A failure is held back while another
 // attempt is allowed.
 func (c *call) deliver(ctx context.Context, placement Placement, answer *exchange.Answer) Outcome {
@@ -440,6 +494,13 @@
 		return true
 	}
 	switch o {
+	case Canceled:
+		// The upstream may get no request at the moment. Another one is chosen.
+		if len(c.withheldFrom) <= maxWithheld {
+			return false
+		}
+		c.giveUp("upstreams may get no more requests at the moment")
+		return true
 	case Unreachable:
 		if c.unreachable >= maxUnreachable {
 			c.giveUp("no upstream reachable")
--- a/internal/edge/flow/flow_test.go
+++ b/internal/edge/flow/flow_test.go
@@ -53,6 +53,10 @@
 	dial                 exchange.Dial
 	// picker is the fixture itself, unless a test replaces it and starts again.
 	picker flow.Picker
+	// guard is nil unless a test sets it and starts again.
+	guard *guard
+	// domains holds the failure domains of each region.
+	domains map[string][]string
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -92,6 +96,10 @@
 		Logger: slog.New(slog.DiscardHandler), Now: time.Now, ShutdownStatus: f.shutdown,
 		OthersAccept: func(bool) bool { return f.otherAccepts },
 	})
+	if f.guard != nil {
+		handler.Guard = f.guard
+	}
+	handler.Domains = f.domainsIn
 	f.server = httptest.NewServer(handler)
 	f.t.Cleanup(f.server.Close)
 	f.t.Cleanup(func() { require.NoError(f.t, pool.Close()) })
--- /dev/null
+++ b/internal/edge/flow/guard_test.go
@@ -0,0 +1,103 @@
+package flow_test
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/persimmonridge/persimmonridge/internal/state/roster"
+)
+
+// guard implements flow.SendGuard: it withholds requests from the named upstreams.
+type guard struct {
+	withheld []string
+	failed   []string
+	warmUp   time.Duration
+}
+
+func (g *guard) Admit(_ time.Time, u roster.Upstream) string {
+	if slices.Contains(g.withheld, u.ID) {
+		return "withheld"
+	}
+	return ""
+}
+
+func (g *guard) WarmUpStated(_ time.Time, _ string, remaining time.Duration) { g.warmUp = remaining }
+
+func (g *guard) Failed(_ time.Time, upstream string) { g.failed = append(g.failed, upstream) }
+
+// Guards against requests to an upstream that may get none at the moment of sending, and
+// against callers that fail because of it while another upstream could serve them.
+func TestRequestIsNotSentToAnUpstreamThatMayGetNone(t *testing.T) {
+	f := newFixture(t)
+	f.addUpstream("cold", successAnswer)
+	f.addUpstream("warm", successAnswer)
+	f.guard = &guard{withheld: []string{"cold"}}
+	f.start()
+	response, _, err := f.call("/pay/x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Len(t, f.executed, 1)
+	require.Contains(t, f.executed[0], "warm")
+	require.Empty(t, f.guard.failed, "withholding a request is no failure of the upstream")
+}
+
+// Guards against a caller who is told that the request may have run, or who is held,
+// although every upstream may get no request at the moment.
+func TestRequestWithheldFromAllUpstreamsIsRefused(t *testing.T) {
+	f := newFixture(t)
+	f.addUpstream("cold", successAnswer)
+	f.guard = &guard{withheld: []string{"cold"}}
+	f.start()
+	response, _, err := f.call("/pay/x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.NotEmpty(t, response.Header.Get("Retry-After"))
+	require.Empty(t, f.executed)
+}
+
+// Guards against an upstream's own statement of its warm-up that is ignored, and against
+// a failed connection, the first sign of a restart, that is not reported.
+func TestGuardHearsOfWarmUpAndFailures(t *testing.T) {
+	f := newFixture(t)
+	f.addUnreachable("gone")
+	f.addUpstream("cold", strings.Replace(successAnswer, "\n", "\nX-Persimmonridge-Cold-Ms: 1500\n", 1))
+	f.guard = &guard{}
+	f.start()
+	require.Equal(t, http.StatusOK, f.status("/pay/x"))
+	require.Equal(t, []string{"gone"}, f.guard.failed)
+	require.Equal(t, 1500*time.Millisecond, f.guard.warmUp)
+}
+
+// Guards against requests that leave the regions which their route and workspace allow.
+func TestRequestIsPlacedInItsRegionsOnly(t *testing.T) {
+	f := newFixture(t)
+	f.addUpstream("u", successAnswer)
+	f.domains = map[string][]string{"north": {"a", "b"}}
+	f.content.Routes[0].AllowedRegions = []string{"north", "south"}
+	f.content.Workspaces[0].AllowedRegions = []string{"north"}
+	require.Equal(t, http.StatusOK, f.status("/pay/x"))
+	require.Equal(t, []string{"a", "b"}, f.placementRequests[0].Domains)
+	f.content.Workspaces[0].AllowedRegions = []string{"south"}
+	require.Equal(t, http.StatusServiceUnavailable, f.status("/pay/x"))
+	require.Len(t, f.placementRequests, 1)
+}
+
+// status makes a call and returns the status of its answer.
+func (f *fixture) status(path string) int {
+	response, _, err := f.call(path)
+	require.NoError(f.t, err)
+	return response.StatusCode
+}
+
+func (f *fixture) domainsIn(regions []string) []string {
+	var domains []string
+	for _, region := range regions {
+		domains = append(domains, f.domains[region]...)
+	}
+	return domains
+}
--- a/internal/edge/flow/request.go
+++ b/internal/edge/flow/request.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -122,6 +123,13 @@
 	RequiredVersion, ExcludedVersion string
 	// Resent reports that the request was sent to an upstream before.
 	Resent bool
+	// Domains are the failure domains whose upstreams may get the request; nil means all.
+	Domains []string
+}
+
+// AllowsDomain reports whether an upstream of the failure domain may serve the request.
+func (a *PlacementRequest) AllowsDomain(domain string) bool {
+	return a.Domains == nil || slices.Contains(a.Domains, domain)
 }
 
 // AllowsVersion reports whether an upstream of the version may serve the request.
@@ -144,7 +152,8 @@
 	Unreachable
 	// Interrupted: the request was sent, and no complete answer arrived.
 	Interrupted
-	// Canceled: the caller disconnected or the deadline passed.
+	// Canceled: the caller disconnected or the deadline passed, or the upstream may get
+	// no request at the moment.
 	Canceled
 )
 
@@ -172,6 +181,16 @@
 	Pick(ctx context.Context, now time.Time, a PlacementRequest) (Placement, error)
 }
 
+// SendGuard decides at the last moment whether a request may be sent to an upstream.
+type SendGuard interface {
+	// Admit counts a request that the upstream may get now, or returns why it may not.
+	Admit(now time.Time, upstream roster.Upstream) (reason string)
+	// WarmUpStated records the rest of the warm-up that an upstream stated.
+	WarmUpStated(now time.Time, upstream string, remaining time.Duration)
+	// Failed records that an upstream's connection failed.
+	Failed(now time.Time, upstream string)
+}
+
 // Quota limits the cost of a workspace's requests.
 type Quota interface {
 	// Take charges the cost, or returns when to retry.
--- a/internal/edge/flow/stream.go
+++ b/internal/edge/flow/stream.go
@@ -163,6 +163,7 @@
 	if ctx.Err() != nil {
 		return Canceled
 	}
+	c.connectionFailed(placement.Upstream().ID)
 	c.Crashes.Broke(c.Now(), placement.Upstream().ID, c.fingerprint)
 	c.logger.Warn("stream broke off", "upstream", placement.Upstream().ID, "after", c.progress.lastEventID, "err", err)
 	return Interrupted
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -344,6 +344,23 @@
 	return peers
 }
 
+// Addresses returns the addresses of the other gateways that are registered or that some
+// gateway has heard, and those of the nodes that this one has heard by name.
+func (m *Mesh) Addresses() (all []string, byNode map[string]string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	byNode = make(map[string]string, len(m.peers))
+	for address, p := range m.peers {
+		if p.Node != "" {
+			byNode[p.Node] = address
+		}
+		if p.Node != "" || p.known || p.advertisedRank != unknownRank {
+			all = append(all, address)
+		}
+	}
+	return all, byNode
+}
+
 // PeerCount returns the number of other gateways, heard or not.
 func (m *Mesh) PeerCount() int {
 	m.mu.Lock()
--- a/internal/observe/explain/explain.go
+++ b/internal/observe/explain/explain.go
@@ -35,6 +35,8 @@
 	"upstream changed":       "upstream",
 	"upstream gone":          "upstream",
 	"peer silent":            "peer",
+	// The last line holds all domains that are evacuated.
+	"evacuated failure domains": "",
 }
 
 // Log holds the log lines of one process.
--- a/internal/role/gateway/fleet_test.go
+++ b/internal/role/gateway/fleet_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/persimmonridge/persimmonridge/internal/limit/quota"
 	"github.com/persimmonridge/persimmonridge/internal/limit/retry"
+	"github.com/persimmonridge/persimmonridge/internal/limit/warmup"
 	"github.com/persimmonridge/persimmonridge/internal/proof/bubble"
 	"github.com/persimmonridge/persimmonridge/internal/role/gateway"
 	"github.com/persimmonridge/persimmonridge/internal/standin/network"
@@ -54,6 +55,8 @@
 	// running requests.
 	peakLoad map[string]int
 	running  map[string]int
+	// arrivals holds, by engine, when it got requests.
+	arrivals map[string][]time.Time
 }
 
 // storeAddress returns the store's address for one gateway; each has its own, so that
@@ -74,6 +77,7 @@
 		f := &fleet{
 			t: t, logger: logger, network: network.New(), store: standin.NewStore(),
 			broken: map[string]bool{}, peakLoad: map[string]int{}, running: map[string]int{},
+			arrivals: map[string][]time.Time{},
 		}
 		for i := range gateways {
 			f.serve(storeAddress(i), f.store)
@@ -113,6 +117,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.mu.Lock()
 		f.running[name]++
+		f.arrivals[name] = append(f.arrivals[name], time.Now())
 		f.peakLoad[name] = max(f.peakLoad[name], f.running[name])
 		f.mu.Unlock()
 		defer func() {
@@ -185,6 +190,8 @@
 		GracePeriod: 8 * time.Second, ConfigApplyLimit: 2 * time.Second, Quota: quota.Options{StartFull: true},
 		Retry:     retry.Settings{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 		ConfigKey: platform.ConfigPrefix, UpstreamPrefix: platform.UpstreamPrefix, OrderPrefix: platform.RolloutPrefix,
+		EvacuationPrefix: platform.EvacuationPrefix, Regions: map[string]string{"a": "north", "b": "south"},
+		WarmUp: warmup.Limit{Factor: 1.5, Slack: 5},
 	}
 }
 
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/persimmonridge/persimmonridge/internal/limit/crash"
 	"github.com/persimmonridge/persimmonridge/internal/limit/quota"
 	"github.com/persimmonridge/persimmonridge/internal/limit/retry"
+	"github.com/persimmonridge/persimmonridge/internal/limit/warmup"
 	"github.com/persimmonridge/persimmonridge/internal/observe/meter"
 	"github.com/persimmonridge/persimmonridge/internal/sched/granter"
 	"github.com/persimmonridge/persimmonridge/internal/sched/local"
@@ -66,6 +67,10 @@
 	Upstream(key string, raw []byte, revision int64) (roster.Upstream, error)
 	// UpstreamID returns the upstream ID in a registration's key.
 	UpstreamID(key string) string
+	// EvacuatedDomain returns the failure domain that is evacuated while the key exists.
+	EvacuatedDomain(key string) string
+	// CheckEvacuation returns an error if an evacuation order cannot be read.
+	CheckEvacuation(key string, raw []byte) error
 	// Order decodes an operator's order to roll out another version of a service.
 	Order(key string, raw []byte, revision int64) (rollout.Order, error)
 	// Status encodes the status of a rollout that operators read.
@@ -84,7 +89,11 @@
 	Retry                     retry.Settings
 	ConfigKey, UpstreamPrefix string
 	OrderPrefix               string
-	Quota                     quota.Options
+	EvacuationPrefix          string
+	// Regions holds the region of each failure domain.
+	Regions map[string]string
+	WarmUp  warmup.Limit
+	Quota   quota.Options
 	// ConfigApplyLimit is the longest time that may pass from the store's acknowledgment
 	// of a configuration until every gateway uses it.
 	ConfigApplyLimit time.Duration
@@ -135,6 +144,9 @@
 	rawConfig         atomic.Pointer[[]byte]
 	roster            *roster.Roster
 	upstreams         *upstreamView
+	evacuations       *evacuations
+	guard             *sendGuard
+	regions           atomic.Pointer[map[string]string]
 	pool              *exchange.Pool
 	quota             *quota.Limiter
 	ledger            *quota.Ledger
@@ -190,17 +202,23 @@
 	g.store = meter.New(deps.Store, g.metrics.StoreCall)
 	g.omittedLogLines = deps.OmittedLogLines
 	g.retryBudget = retry.New(s.Retry, func() int { return g.peers.gatewayCount() })
+	g.regions.Store(&s.Regions)
 	g.upstreams = newUpstreamView(g)
+	g.evacuations = &evacuations{Gateway: g}
+	g.guard = newSendGuard(g, s.WarmUp)
 	g.peers = &peers{Gateway: g, rank: unranked, storeReachedAt: make(map[string]time.Time)}
 	g.quota = quota.New(s.Quota, g.peers.gatewayCount)
 	g.crashTracker = crash.New(func() { g.mesh.GossipNow() })
 	g.mesh = mesh.New(s.Name, s.LinkAddress, g.runID, deps.Dialer, g.peers, logger, now)
 	g.peers.isHub = g.mesh.IsHub
 	g.granter = granter.New(now, g.peers.deliverDecision, logger)
+	g.granter.SetLimiter(g.guard)
+	chooser := local.New(s.Domain, g.roster.Ready, g.peers.gatewayCount)
+	chooser.SetLimiter(g.guard)
 	g.permits = permit.New(permit.Dependencies{
 		Node: s.Name, Domain: s.Domain, Scheduler: g.peers.scheduler, Send: g.mesh.Send,
 		DeliverLocally: func(now time.Time, e *wire.Envelope) { permit.HandleMessage(now, g.granter, s.Name, e) },
-		Local:          local.New(s.Domain, g.roster.Ready, g.peers.gatewayCount), Upstream: g.roster.Get,
+		Local:          chooser, Upstream: g.roster.Get, Evacuated: g.roster.Evacuated,
 		Service: g.service, Metrics: g.metrics, Logger: logger, Now: now,
 	})
 	g.versionPicker = rollout.NewPicker(g.permits)
@@ -213,6 +231,7 @@
 		Picker: g.versionPicker, Quota: g.quota, Retries: g.retryBudget, Crashes: g.crashTracker,
 		Metrics: g.metrics, Logger: logger, Now: now, ShutdownStatus: g.stopTimes,
 		OthersAccept: func(shutdownNoticed bool) bool { return g.peers.othersAccept(now(), shutdownNoticed) },
+		Guard:        g.guard, Domains: g.domainsIn,
 	})
 	g.ingress = ingress.New(ingress.Dependencies{
 		Handler: requests, Catalog: g.catalog.Load, Metrics: g.metrics, Logger: logger, Now: now,
@@ -356,6 +375,8 @@
 // other gateways, the rollouts and the engine speeds in step with the store.
 func (g *Gateway) newFollower() *follow.Follower {
 	views := follow.Mux{
+		// Evacuations come first: no upstream is used before they are known.
+		{Prefix: g.settings.EvacuationPrefix, View: g.evacuations},
 		{Prefix: g.settings.ConfigKey, View: &configView{gateway: g}},
 		{Prefix: g.settings.UpstreamPrefix, View: g.upstreams},
 		{Prefix: memberPrefix, View: g.peers},
--- a/internal/role/gateway/metrics.go
+++ b/internal/role/gateway/metrics.go
@@ -29,6 +29,7 @@
 	placeWait         *prometheus.HistogramVec
 	storeCalls        *prometheus.CounterVec
 	connectionsClosed *prometheus.CounterVec
+	withheld          *prometheus.CounterVec
 	registry          *prometheus.Registry
 }
 
@@ -59,6 +60,11 @@
 		return 0
 	})
 	gauge("upstreams", "Upstreams that are registered.", func() float64 { return float64(len(g.roster.All())) })
+	gauge("upstreams_warming_up", "Registered upstreams that may be warming up, so that they get few requests.", func() float64 { return float64(g.guard.limits.Cold(g.now())) })
+	gauge("failure_domains_evacuated", "Failure domains whose upstreams get no requests by order of the operators.", func() float64 {
+		_, domains := g.evacuations.set.State()
+		return float64(len(domains))
+	})
 	gauge("log_lines_sampled", "Log lines beyond the bound of a second, since the start.", func() float64 { return float64(g.omittedLineCount(true)) })
 	gauge("log_lines_dropped", "Log lines that a slow reader of the output left no room for, since the start.", func() float64 { return float64(g.omittedLineCount(false)) })
 }
@@ -111,6 +117,9 @@
 			Name: "persimmonridge_caller_connections_closed_total",
 			Help: "Callers' connections that this process closed as idle, or with a request in flight.",
 		}, []string{"reason"}),
+		withheld: auto.NewCounterVec(prometheus.CounterOpts{
+			Name: "persimmonridge_sends_withheld_total", Help: "Sends to upstreams that were withheld at the last moment, by reason.",
+		}, []string{"reason"}),
 		firstEvent: auto.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "persimmonridge_first_event_seconds", Help: "Time from a request's arrival to its stream's first event.", Buckets: latencyBuckets,
 		}, []string{"tier"}),
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -124,6 +124,9 @@
 		p.mu.Lock()
 		p.rank = min(p.rank, m.rank(item.CreatedRevision))
 		p.mu.Unlock()
+		if m.Run != p.runID {
+			p.guard.listedBefore()
+		}
 		return
 	}
 	p.mesh.AddRankedPeer(now, m.Address, m.rank(item.CreatedRevision))
@@ -208,6 +211,7 @@
 	g.Domain = p.settings.Domain
 	g.RosterRevision = p.roster.Revision()
 	g.ChangeRevision = p.lastChange.Load()
+	g.EvacuationRevision, g.Evacuated = p.evacuations.set.State()
 }
 
 // HandleGossip implements mesh.Handler.
@@ -222,6 +226,7 @@
 			p.mesh.GossipNow()
 		}
 	}
+	p.evacuations.applyGossip(now, g)
 	p.requestMissing(now, peer, g)
 	if g.Leaving {
 		// The successor of a scheduler must hear of the held slots at once.
--- /dev/null
+++ b/internal/role/gateway/sendguard.go
@@ -0,0 +1,144 @@
+package gateway
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/persimmonridge/persimmonridge/internal/limit/warmup"
+	"github.com/persimmonridge/persimmonridge/internal/state/roster"
+)
+
+// gatewaySetTTL is how long the set of gateways is cached: it changes when one joins.
+const gatewaySetTTL = 100 * time.Millisecond
+
+// sendGuard decides at the last moment whether a request may be sent to an upstream. It
+// implements flow.SendGuard, board.Limiter and local.Limiter.
+type sendGuard struct {
+	*Gateway
+	limits *warmup.Guard
+
+	mu      sync.Mutex
+	set     warmup.Gateways
+	byNode  map[string]string
+	builtAt time.Time
+	// joined is set if the store listed this gateway before its process started.
+	joined bool
+}
+
+func newSendGuard(g *Gateway, limit warmup.Limit) *sendGuard {
+	s := &sendGuard{Gateway: g}
+	s.limits = warmup.New(limit, warmup.Dependencies{Service: s.service, Gateways: s.gateways})
+	return s
+}
+
+// service returns what the service states of the warm-up of its upstreams.
+func (s *sendGuard) service(name string) warmup.Service {
+	service := s.Gateway.service(name)
+	if service == nil {
+		return warmup.Service{}
+	}
+	return warmup.Service{Time: service.WarmUpTime, PerSecond: service.WarmUpPerSecond}
+}
+
+// gateways returns the addresses of all known gateways.
+func (s *sendGuard) gateways(now time.Time) warmup.Gateways {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refreshLocked(now)
+	set := s.set
+	// A new gateway is known to all others once they had the time to read a change.
+	set.Joined = s.joined || now.Sub(s.startedAt) >= s.settings.ConfigApplyLimit
+	return set
+}
+
+// listedBefore records that the other gateways know this one from before its process
+// started.
+func (s *sendGuard) listedBefore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.joined = true
+}
+
+func (s *sendGuard) refreshLocked(now time.Time) {
+	if age := now.Sub(s.builtAt); !s.builtAt.IsZero() && age >= 0 && age < gatewaySetTTL {
+		return
+	}
+	addresses, byNode := s.mesh.Addresses()
+	addresses = append(addresses, s.settings.LinkAddress)
+	byNode[s.settings.Name] = s.settings.LinkAddress
+	slices.Sort(addresses)
+	addresses = slices.Compact(addresses)
+	digest := xxhash.New()
+	for _, address := range addresses {
+		_, _ = digest.WriteString(address) // a digest's Write never fails
+		_, _ = digest.Write([]byte{0})
+	}
+	s.set, s.byNode, s.builtAt = warmup.Gateways{Version: digest.Sum64(), IDs: addresses}, byNode, now
+}
+
+// address returns the address of a node, or "" if it is unknown.
+func (s *sendGuard) address(now time.Time, node string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refreshLocked(now)
+	return s.byNode[node]
+}
+
+// Admit implements flow.SendGuard.
+func (s *sendGuard) Admit(now time.Time, upstream roster.Upstream) (reason string) {
+	if s.evacuations.set.Contains(upstream.Domain) {
+		reason = "failure domain evacuated"
+	} else if !s.limits.Take(now, s.settings.LinkAddress, upstream.ID) {
+		reason = "upstream may be warming up"
+	}
+	if reason != "" {
+		s.metrics.withheld.WithLabelValues(reason).Inc()
+	}
+	return reason
+}
+
+// WarmUpStated implements flow.SendGuard.
+func (s *sendGuard) WarmUpStated(now time.Time, upstream string, remaining time.Duration) {
+	s.limits.Stated(now, upstream, remaining)
+}
+
+// Failed implements flow.SendGuard and board.Limiter.
+func (s *sendGuard) Failed(now time.Time, upstream string) { s.limits.Failed(now, upstream) }
+
+// Wait implements local.Limiter.
+func (s *sendGuard) Wait(now time.Time, upstream string) time.Duration {
+	return s.limits.Wait(now, s.settings.LinkAddress, upstream)
+}
+
+// Allowance implements board.Limiter.
+func (s *sendGuard) Allowance(now time.Time, owner, upstream string) (requests int, limited bool) {
+	return s.limits.Allowance(now, s.address(now, owner), upstream)
+}
+
+// Tolerance implements board.Limiter.
+func (s *sendGuard) Tolerance(upstream string) (requests int, limited bool) {
+	return s.limits.Tolerance(upstream)
+}
+
+// registered passes a registration to the guard.
+func (s *sendGuard) registered(now time.Time, u roster.Upstream) {
+	s.limits.Registered(now, warmup.Registration{
+		ID: u.ID, Service: u.Service, Domain: u.Domain, StartedAtMs: u.StartedAtMs,
+		Remaining: u.WarmUpRemaining, Unknown: u.WarmUpUnknown,
+	})
+}
+
+// domainsIn returns the failure domains in the regions, as the settings state them.
+func (g *Gateway) domainsIn(regions []string) []string {
+	var domains []string
+	for domain, region := range *g.regions.Load() {
+		if slices.Contains(regions, region) {
+			domains = append(domains, domain)
+		}
+	}
+	slices.Sort(domains)
+	return domains
+}
--- a/internal/role/gateway/upstreams.go
+++ b/internal/role/gateway/upstreams.go
@@ -53,6 +53,7 @@
 	latest := v.latestChangeLocked(s.Revision, registrations, upstreams)
 	replaced := v.gateway.roster.Replace(now, s.Revision, upstreams)
 	if replaced {
+		v.recordWarmUpLocked(now, registrations, upstreams)
 		v.registrations, v.changedAt = registrations, changedAt
 		v.removedAt, v.historyStart = make(map[string]int64), s.Revision
 	}
@@ -65,6 +66,20 @@
 	v.gateway.logger.Info("upstream list replaced", "count", len(upstreams), "revision", s.Revision)
 }
 
+// recordWarmUpLocked passes a complete list of registrations to the guard.
+func (v *upstreamView) recordWarmUpLocked(now time.Time, registrations map[string]kv.Item, upstreams []roster.Upstream) {
+	guard := v.gateway.guard
+	for key := range v.registrations {
+		if _, kept := registrations[key]; !kept {
+			guard.limits.Removed(now, v.gateway.decoder.UpstreamID(key))
+		}
+	}
+	for _, u := range upstreams {
+		guard.registered(now, u)
+	}
+	guard.limits.Listed(now)
+}
+
 // latestChangeLocked compares a complete list, read after a gap in the store's
 // history, with the registrations so far. It returns the revision of the latest
 // change other than a heartbeat, or 0 if there is none. A removal counts as a change
@@ -101,6 +116,7 @@
 		}
 	}
 	v.gateway.roster.AdvanceRevision(c.Revision)
+	v.gateway.guard.limits.Listed(now)
 	if changed {
 		v.gateway.publishEngines()
 	}
@@ -122,6 +138,7 @@
 		delete(v.changedAt, e.Key)
 		v.recordRemovalLocked(e.Key, e.Revision)
 		g.roster.Remove(now, id, e.Revision)
+		g.guard.limits.Removed(now, id)
 		return true
 	}
 	u, err := g.decoder.Upstream(e.Key, e.Value, e.Revision)
@@ -131,7 +148,7 @@
 	} else if old, ok := g.roster.Get(id); !ok || !old.EqualExceptHeartbeat(u) {
 		changed = true
 		g.logger.Info("upstream changed", "upstream", id, "service", u.Service, "address", u.Address,
-			"state", u.State, "version", u.Version, "born", u.StartedAtMs, "revision", e.Revision)
+			"state", u.State, "version", u.Version, "born", u.StartedAtMs, "warm-up", u.WarmUpRemaining, "revision", e.Revision)
 		g.recordChange(e.Revision)
 	}
 	v.mu.Lock()
@@ -145,6 +162,7 @@
 		g.roster.Remove(now, id, e.Revision)
 		return true
 	}
+	g.guard.registered(now, u)
 	g.roster.Put(u)
 	return changed
 }
--- a/internal/role/gateway/views.go
+++ b/internal/role/gateway/views.go
@@ -7,7 +7,6 @@
 	"github.com/persimmonridge/persimmonridge/internal/sched/board"
 	"github.com/persimmonridge/persimmonridge/internal/state/catalog"
 	"github.com/persimmonridge/persimmonridge/internal/state/kv"
-	"github.com/persimmonridge/persimmonridge/internal/state/roster"
 )
 
 // configView applies the operators' configuration from the store.
@@ -85,7 +84,7 @@
 	var engines []board.Upstream
 	for _, u := range g.roster.All() {
 		service := current.Service(u.Service)
-		if u.State != roster.Ready || service == nil || service.Engine == nil {
+		if !u.AcceptsRequests() || service == nil || service.Engine == nil {
 			continue
 		}
 		engines = append(engines, board.Upstream{
--- a/internal/sched/board/ask.go
+++ b/internal/sched/board/ask.go
@@ -27,6 +27,8 @@
 	ExcludedUpstreams []string
 	// Required and excluded version of the engine. An empty string does not restrict it.
 	RequiredVersion, ExcludedVersion string
+	// Domains are the failure domains that the engine may be in; if empty, all.
+	Domains []string
 	// Resent is set if the request was sent to an engine before. Such requests go first.
 	Resent bool
 	// Fingerprint identifies a request that is retried after a refusal.
@@ -86,6 +88,9 @@
 	if (req.RequiredVersion != "" && req.RequiredVersion != e.Version) || (req.ExcludedVersion != "" && req.ExcludedVersion == e.Version) {
 		return false
 	}
+	if len(req.Domains) > 0 && !slices.Contains(req.Domains, e.Domain) {
+		return false
+	}
 	return !slices.Contains(req.ExcludedUpstreams, e.ID)
 }
 
--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -53,6 +53,7 @@
 	// baselines cache the failure rate with which the engines of a service are compared.
 	baselines         map[string]failureBaseline
 	refusalsExpiredAt time.Time
+	limiter           Limiter
 }
 
 // New returns an empty scheduler.
@@ -65,6 +66,10 @@
 	}
 }
 
+// SetLimiter sets the limiter. Without one, engines get as many requests as they have slots
+// for.
+func (s *Scheduler) SetLimiter(l Limiter) { s.limiter = l }
+
 // SetUpstreams replaces the list of engines that may be assigned requests. An engine that
 // restarted begins with no runs and an unknown speed. An engine that was unlisted for a
 // while keeps its runs, and they count when it is listed again.
@@ -232,6 +237,9 @@
 		e.learnStream(now, r, end.StreamTime, end.Tokens)
 	}
 	e.remove(now, k, r)
+	if s.limiter != nil && (end.Outcome == Interrupted || end.Outcome == Unreachable) {
+		s.limiter.Failed(now, e.ID)
+	}
 	switch end.Outcome {
 	case Answered:
 		e.failuresInRow = 0
@@ -287,6 +295,21 @@
 	}
 }
 
+// RefuseWaiting refuses the waiting requests for which the function returns true.
+func (s *Scheduler) RefuseWaiting(now time.Time, hopeless func(service string, domains []string) bool, retryAfter time.Duration, reason string) {
+	refuse := func(req *SlotRequest) bool {
+		if !hopeless(req.Service, req.Domains) {
+			return false
+		}
+		s.refusals.add(now, req.Fingerprint)
+		s.decide(req, Decision{RetryAfter: retryAfter, Reason: reason})
+		return true
+	}
+	s.waiting = slices.DeleteFunc(s.waiting, refuse)
+	s.late = slices.DeleteFunc(s.late, refuse)
+	s.updateSaturation(now)
+}
+
 // Tick moves requests that can no longer be served in time to the late queue, refuses late
 // requests whose wait is over, and retries the others. It is to be called regularly while
 // requests wait.
--- a/internal/sched/board/engine.go
+++ b/internal/sched/board/engine.go
@@ -88,6 +88,8 @@
 	external   float64
 	externalAt time.Time
 	shared     bool
+
+	grants grantHistory
 }
 
 func newEngine(now time.Time, u Upstream, timing *serviceTiming) *engine {
--- a/internal/sched/board/place.go
+++ b/internal/sched/board/place.go
@@ -156,7 +156,7 @@
 	if running > 0 && req.EventGapTarget > 0 && gap > maxGapShare*ms(req.EventGapTarget) {
 		return 0, false
 	}
-	if !e.endsInTime(now, req, firstEvent) || e.stalled(now) {
+	if !e.endsInTime(now, req, firstEvent) || e.stalled(now) || !s.withinLimit(now, e, req.Owner) {
 		return 0, false
 	}
 	fraction := ms(firstEvent) / max(1, ms(available))
@@ -170,6 +170,7 @@
 func (s *Scheduler) grant(now time.Time, e *engine, req *SlotRequest) {
 	r := &run{owner: req.Owner, id: req.ID, number: req.Number, prompt: req.PromptTokens, output: req.OutputTokens, grantedAt: now}
 	e.assign(now, r)
+	e.grants.add(now, req.Owner)
 	s.addRun(req.Owner, runKey(req.Owner, req.ID), e)
 	s.decide(req, Decision{Upstream: e.ID})
 }
--- a/internal/sched/granter/granter.go
+++ b/internal/sched/granter/granter.go
@@ -97,6 +97,18 @@
 	}
 }
 
+// SetLimiter sets the limiter of the scheduler.
+func (g *Granter) SetLimiter(l board.Limiter) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.scheduler.SetLimiter(l)
+}
+
+// RefuseWaiting refuses the waiting requests for which the function returns true.
+func (g *Granter) RefuseWaiting(hopeless func(service string, domains []string) bool, retryAfter time.Duration, reason string) {
+	g.update(func(s *board.Scheduler, now time.Time) { s.RefuseWaiting(now, hopeless, retryAfter, reason) })
+}
+
 // SetUpstreams replaces the list of engines that may be assigned requests.
 func (g *Granter) SetUpstreams(upstreams []board.Upstream) {
 	g.update(func(s *board.Scheduler, now time.Time) { s.SetUpstreams(now, upstreams) })
--- a/internal/sched/local/local.go
+++ b/internal/sched/local/local.go
@@ -61,6 +61,12 @@
 	failureRate      failure.Rate
 }
 
+// Limiter limits the requests to upstreams that tolerate few requests after their start.
+type Limiter interface {
+	// Wait returns how long it takes until this process may send a request to the upstream.
+	Wait(now time.Time, upstream string) time.Duration
+}
+
 // Chooser implements flow.Picker.
 type Chooser struct {
 	domain         string
@@ -70,6 +76,7 @@
 	mu       sync.Mutex
 	states   map[string]*upstreamState
 	rotation uint64
+	limiter  Limiter
 	// lastPresent is when each service last had an upstream.
 	lastPresent map[string]time.Time
 }
@@ -79,6 +86,13 @@
 	return &Chooser{domain: domain, readyUpstreams: ready, processCount: processes, states: make(map[string]*upstreamState), lastPresent: make(map[string]time.Time)}
 }
 
+// SetLimiter sets the limiter. Without one, no upstream is limited.
+func (c *Chooser) SetLimiter(l Limiter) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limiter = l
+}
+
 func (c *Chooser) state(id string) *upstreamState {
 	state := c.states[id]
 	if state == nil {
@@ -106,6 +120,9 @@
 		best, found = c.cheapest(now, upstreams, req, true)
 	}
 	if !found {
+		if pause := c.shortestWait(now, upstreams, req); pause > 0 {
+			return nil, flow.RefusePlacement(pause, "all upstreams of the service that may get the request are warming up")
+		}
 		return nil, flow.RefusePlacement(noUpstreamRetryAfter, "no upstream of the service is left to try")
 	}
 	state := c.state(best.ID)
@@ -168,7 +185,7 @@
 	for i := range upstreams {
 		u := upstreams[(uint64(i)+c.rotation)%uint64(len(upstreams))]
 		state := c.state(u.ID)
-		if !req.AllowsVersion(u.Version) || slices.Contains(req.ExcludedUpstreams, u.ID) || (!includeSkipped && (now.Before(state.backoffUntil) || state.failureRate.At(now) > baseline+failureMargin)) {
+		if !allows(req, u) || c.wait(now, u) > 0 || (!includeSkipped && (now.Before(state.backoffUntil) || state.failureRate.At(now) > baseline+failureMargin)) {
 			continue
 		}
 		cost := c.cost(now, state, u)
@@ -179,6 +196,31 @@
 	return best, found
 }
 
+// allows reports whether the request may be sent to the upstream.
+func allows(req flow.PlacementRequest, u roster.Upstream) bool {
+	return req.AllowsVersion(u.Version) && req.AllowsDomain(u.Domain) && !slices.Contains(req.ExcludedUpstreams, u.ID)
+}
+
+// wait returns how long it takes until this process may send a request to the upstream.
+func (c *Chooser) wait(now time.Time, u roster.Upstream) time.Duration {
+	if c.limiter == nil {
+		return 0
+	}
+	return c.limiter.Wait(now, u.ID)
+}
+
+// shortestWait returns how long it takes until this process may send the request to one of
+// the upstreams, or 0 if that is not what keeps it from being sent.
+func (c *Chooser) shortestWait(now time.Time, upstreams []roster.Upstream, req flow.PlacementRequest) time.Duration {
+	shortest := time.Duration(0)
+	for _, u := range upstreams {
+		if wait := c.wait(now, u); allows(req, u) && wait > 0 && (shortest == 0 || wait < shortest) {
+			shortest = wait
+		}
+	}
+	return shortest
+}
+
 // cost returns the share of the upstream's slots in use, by the requests of this process, by
 // those of others that it reported recently, and by the cost of another failure domain.
 func (c *Chooser) cost(now time.Time, state *upstreamState, u roster.Upstream) float64 {
--- a/internal/sched/permit/permit.go
+++ b/internal/sched/permit/permit.go
@@ -42,6 +42,13 @@
 // moved to another scheduler: the shortest that schedulers give.
 const movedRetryAfter = 300 * time.Millisecond
 
+// EvacuatedRetryAfter and EvacuatedReason answer requests whose upstreams are all in
+// evacuated failure domains. An evacuation lasts for seconds at least.
+const (
+	EvacuatedRetryAfter = 2 * time.Second
+	EvacuatedReason     = "all failure domains with upstreams of the service are evacuated"
+)
+
 // Local chooses an upstream without a scheduler.
 type Local interface {
 	flow.Picker
@@ -62,9 +69,12 @@
 	Local          Local
 	Upstream       func(id string) (roster.Upstream, bool)
 	Service        func(name string) *catalog.Service
-	Metrics        Metrics
-	Logger         *slog.Logger
-	Now            func() time.Time
+	// Evacuated reports whether all upstreams of the service in the failure domains are
+	// evacuated; nil domains stand for all. It may be nil.
+	Evacuated func(service string, domains []string) bool
+	Metrics   Metrics
+	Logger    *slog.Logger
+	Now       func() time.Time
 }
 
 // Metrics records the results of slot requests.
@@ -128,6 +138,9 @@
 
 // Pick implements flow.Picker.
 func (c *Client) Pick(ctx context.Context, now time.Time, req flow.PlacementRequest) (flow.Placement, error) {
+	if c.Evacuated != nil && c.Evacuated(req.Service, req.Domains) {
+		return nil, flow.RefusePlacement(EvacuatedRetryAfter, EvacuatedReason)
+	}
 	service := c.Service(req.Service)
 	if service == nil || service.Engine == nil {
 		return c.Local.Pick(ctx, now, req)
@@ -169,7 +182,7 @@
 		if d.upstream == "" {
 			return nil, flow.RefusePlacement(d.retryAfter, "no slot: %s", d.reason)
 		}
-		if u, known := c.Upstream(d.upstream); known && u.State == roster.Ready {
+		if u, known := c.Upstream(d.upstream); known && u.AcceptsRequests() && req.AllowsDomain(u.Domain) {
 			return c.hold(c.Local.Hold(u), req, d.number), nil
 		}
 		// The scheduler does not know yet that the upstream is gone or leaving.
@@ -207,7 +220,7 @@
 		DueMs: req.NextEventDue.Sub(now).Milliseconds(), UntilMs: req.Deadline.Sub(now).Milliseconds(),
 		Prompt: uint32(req.PromptTokens), Output: uint32(req.OutputTokens), MaxGapMs: uint32(req.Route.EventGapTarget.Milliseconds()),
 		Exclude: req.ExcludedUpstreams, Again: req.Resent, Fingerprint: req.Fingerprint,
-		OnlyVersion: req.RequiredVersion, NotVersion: req.ExcludedVersion, End: endConstraintMessage(req.EndConstraint),
+		Domains: req.Domains, OnlyVersion: req.RequiredVersion, NotVersion: req.ExcludedVersion, End: endConstraintMessage(req.EndConstraint),
 	}}}
 }
 
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -4,6 +4,7 @@
 package catalog
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -60,6 +61,8 @@
 	// Public reports whether requests need no API key.
 	Public  bool
 	Targets []Target
+	// AllowedRegions are the regions whose upstreams may get the requests; nil means all.
+	AllowedRegions []string
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -82,6 +85,10 @@
 	Name           string
 	HealthPath     string
 	MaxConnections int
+	// WarmUpTime is how long an upstream warms up after its start, and WarmUpPerSecond
+	// the rate of requests that it tolerates meanwhile.
+	WarmUpTime      time.Duration
+	WarmUpPerSecond float64
 	// Engine is nil for a service without inference engines.
 	Engine *Engine
 }
@@ -100,6 +107,9 @@
 	QuotaCountsTokens bool
 	// DefaultTokens is the number of tokens charged for a request without token counts.
 	DefaultTokens float64
+	// AllowedRegions are the regions whose upstreams may get the workspace's requests; nil
+	// means all.
+	AllowedRegions []string
 }
 
 // Limits bound the size of callers' requests, the time to send them and the time that
@@ -188,6 +198,23 @@
 // WorkspaceByKey returns the workspace of the API key, or nil.
 func (c *Catalog) WorkspaceByKey(key string) *Workspace { return c.workspacesByKey[key] }
 
+// AllowedRegions returns the regions that both the route and the workspace allow, and
+// whether any of them restricts the regions at all.
+func AllowedRegions(route *Route, workspace *Workspace) (regions []string, restricted bool) {
+	switch {
+	case workspace == nil || workspace.AllowedRegions == nil:
+		return route.AllowedRegions, route.AllowedRegions != nil
+	case route.AllowedRegions == nil:
+		return workspace.AllowedRegions, true
+	}
+	for _, region := range route.AllowedRegions {
+		if slices.Contains(workspace.AllowedRegions, region) {
+			regions = append(regions, region)
+		}
+	}
+	return regions, true
+}
+
 // tierWidth is the number of route tiers within one workspace tier.
 const tierWidth = 16
 
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -3,6 +3,7 @@
 package roster
 
 import (
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -30,19 +31,28 @@
 	// restarts under the same ID keeps nothing from before the restart.
 	StartedAtMs int64
 	// WarmUpRemaining is the remaining warm-up time that the upstream reported,
-	// during which it is slow.
+	// during which it is slow; WarmUpUnknown is set if it reported none.
 	WarmUpRemaining time.Duration
+	WarmUpUnknown   bool
+	// Evacuated reports that operators have evacuated the upstream's failure domain.
+	Evacuated bool
 	// Revision is the revision of the registration's last change in the store.
 	Revision int64
 }
 
 // EqualExceptHeartbeat reports whether two registrations differ at most in what a
-// heartbeat changes.
+// heartbeat changes. The begin of a warm-up is a change.
 func (u Upstream) EqualExceptHeartbeat(other Upstream) bool {
-	u.Revision, u.WarmUpRemaining = other.Revision, other.WarmUpRemaining
+	if u.WarmUpRemaining <= 0 && other.WarmUpRemaining > 0 {
+		return false
+	}
+	u.Revision, u.WarmUpRemaining, u.Evacuated = other.Revision, other.WarmUpRemaining, other.Evacuated
 	return u == other
 }
 
+// AcceptsRequests reports whether the upstream may get new requests.
+func (u Upstream) AcceptsRequests() bool { return u.State == Ready && !u.Evacuated }
+
 // reregistrationGrace is how long an upstream whose registration lapsed during a store
 // outage may take to register again: the platform states about two seconds.
 const reregistrationGrace = 2200 * time.Millisecond
@@ -60,6 +70,7 @@
 	records         map[string]record
 	byID            map[string]Upstream
 	readyByService  map[string][]Upstream
+	evacuated       []string
 	storeRegainedAt time.Time
 	revision        int64
 }
@@ -186,9 +197,11 @@
 	readyByService := make(map[string][]Upstream)
 	byID := make(map[string]Upstream, len(r.records))
 	for id, rec := range r.records {
-		byID[id] = rec.upstream
-		if rec.upstream.State == Ready {
-			readyByService[rec.upstream.Service] = append(readyByService[rec.upstream.Service], rec.upstream)
+		u := rec.upstream
+		u.Evacuated = slices.Contains(r.evacuated, u.Domain)
+		byID[id] = u
+		if u.AcceptsRequests() {
+			readyByService[u.Service] = append(readyByService[u.Service], u)
 		}
 	}
 	for _, list := range readyByService {
@@ -197,6 +210,34 @@
 	r.readyByService, r.byID = readyByService, byID
 }
 
+// SetEvacuated sets the failure domains whose upstreams may get no new requests.
+func (r *Roster) SetEvacuated(domains []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.evacuated = domains
+	r.rebuildIndexes()
+}
+
+// Evacuated reports whether all ready upstreams of the service in the failure domains are
+// evacuated, and there are any. Empty domains stand for all.
+func (r *Roster) Evacuated(service string, domains []string) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if len(r.evacuated) == 0 {
+		return false
+	}
+	among := func(u Upstream) bool { return len(domains) == 0 || slices.Contains(domains, u.Domain) }
+	if slices.ContainsFunc(r.readyByService[service], among) {
+		return false
+	}
+	for _, u := range r.byID {
+		if u.Service == service && u.Evacuated && u.State == Ready && among(u) {
+			return true
+		}
+	}
+	return false
+}
+
 // Ready returns the upstreams of the service that may get new requests, ordered by
 // ID. The caller must not change the list.
 func (r *Roster) Ready(service string) []Upstream {
