A resumed stream is planned by what is left of it

What callers saw: a stream whose engine broke off with 17 of 65 events left was broken off for good beside idle engines. Cause: a resume asked for a slot with the whole length, which no engine could generate before the deadline. Change: events that were passed on are counted; a resume asks for the tokens that are left, at least one event's.

--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -244,6 +244,20 @@
 	return (c.events - 1) * service.Engine.TokensPerEvent
 }
 
+// tokensLeft returns how many of the tokens remain to be generated after the events that
+// the caller has received, at least those of one event.
+func (c *call) tokensLeft(tokens int) int {
+	if c.progress.events == 0 {
+		return tokens
+	}
+	service := c.catalog.Service(c.targetService())
+	if service == nil || service.Engine == nil {
+		return tokens
+	}
+	perEvent := service.Engine.TokensPerEvent
+	return max(perEvent, tokens-c.progress.events*perEvent)
+}
+
 // targetService chooses one of the route's services by weight. The choice depends
 // on the request's ID alone, so that all processes and all retries agree on it.
 func (c *call) targetService() string {
@@ -291,6 +305,7 @@
 		if c.request.LengthHint > 0 {
 			req.OutputTokens = min(req.OutputTokens, c.request.LengthHint)
 		}
+		req.OutputTokens = c.tokensLeft(req.OutputTokens)
 	}
 	c.limitToExit(now, &req)
 	return req
--- a/internal/edge/flow/stream.go
+++ b/internal/edge/flow/stream.go
@@ -30,6 +30,8 @@
 	// its value if it is a number.
 	lastEventID     string
 	lastEventNumber int64
+	// events is the number of events that were passed on.
+	events int
 }
 
 // event is one event of a stream, including the blank line that ends it.
@@ -145,6 +147,7 @@
 	if err := http.NewResponseController(c.w).Flush(); err != nil {
 		return err
 	}
+	c.progress.events++
 	if e.id != "" {
 		c.progress.lastEventID = e.id
 		if number, err := strconv.ParseInt(e.id, 10, 64); err == nil {
