A lower tier gets a share of the engines' time while it is served less often than the one above

Change: while a tier gets less than 0.06 of the engines' time of its service and is served less often than the tier above it, a slot that becomes free goes to it before that tier, never before tiers two or more above. An order that prefers the highest tier whatever it costs the others is one way; the other tried here gave the share before all higher tiers.

--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -54,6 +54,8 @@
 	baselines         map[string]failureBaseline
 	refusalsExpiredAt time.Time
 	limiter           Limiter
+	// tierUses hold what each tier of a service got lately.
+	tierUses map[serviceTier]*tierUse
 }
 
 // New returns an empty scheduler.
@@ -62,7 +64,7 @@
 		engines: make(map[string]*engine), byService: make(map[string][]*engine), byRun: make(map[string]*engine),
 		byOwner:  make(map[string]map[string]struct{}),
 		refusals: make(refusals), restoredSpeeds: make(map[string]Speed), grantRates: make(map[rank]*grantRate), timings: make(map[string]*serviceTiming),
-		baselines: make(map[string]failureBaseline),
+		baselines: make(map[string]failureBaseline), tierUses: make(map[serviceTier]*tierUse),
 	}
 }
 
--- a/internal/sched/board/fill.go
+++ b/internal/sched/board/fill.go
@@ -24,11 +24,12 @@
 
 func (s *Scheduler) fillFrom(now time.Time, e *engine, queue []*SlotRequest, late bool, baseline float64) []*SlotRequest {
 	for e.running(now) < e.Slots {
-		index := s.nextFor(now, e, queue, late, baseline)
+		index := s.nextFor(now, e, queue, late, baseline, anyRequest)
 		if index < 0 {
 			return queue
 		}
 		if !late {
+			index = s.preferLowerTier(now, e, queue, index, baseline)
 			s.recordQueueGrant(now, queue[index])
 		}
 		s.grant(now, e, queue[index])
@@ -37,12 +38,13 @@
 	return queue
 }
 
-// nextFor returns the index of the first request in the queue for which the engine is
-// suitable, or -1. A request of a lower tier is chosen only if the engine is suitable for
-// none of a higher one.
-func (s *Scheduler) nextFor(now time.Time, e *engine, queue []*SlotRequest, late bool, baseline float64) int {
+func anyRequest(*SlotRequest) bool { return true }
+
+// nextFor returns the index of the first eligible request in the queue for which the
+// engine is suitable, or -1.
+func (s *Scheduler) nextFor(now time.Time, e *engine, queue []*SlotRequest, late bool, baseline float64, eligible func(*SlotRequest) bool) int {
 	for i, req := range queue[:min(len(queue), maxScanned)] {
-		if req.Service != e.Service {
+		if req.Service != e.Service || !eligible(req) {
 			continue
 		}
 		if _, ok := s.cost(now, e, req, late, baseline); ok {
@@ -51,3 +53,23 @@
 	}
 	return -1
 }
+
+// preferLowerTier returns the index of a request of the next lower tier that goes before
+// the one at the index, because that tier gets less than its share. It returns the given
+// index if there is none.
+func (s *Scheduler) preferLowerTier(now time.Time, e *engine, queue []*SlotRequest, index int, baseline float64) int {
+	if queue[index].Resent {
+		return index
+	}
+	lower, below := s.tierBelowShare(now, e.Service, queue[index].Tier)
+	if !below {
+		return index
+	}
+	preferred := s.nextFor(now, e, queue, false, baseline, func(req *SlotRequest) bool {
+		return req.Tier == lower && !req.refusedBefore
+	})
+	if preferred < 0 {
+		return index
+	}
+	return preferred
+}
--- a/internal/sched/board/refusals.go
+++ b/internal/sched/board/refusals.go
@@ -51,6 +51,7 @@
 
 func (s *Scheduler) refuse(now time.Time, req *SlotRequest, reason string) {
 	s.refusals.add(now, req.Fingerprint)
+	s.recordTierRefusal(now, req)
 	reason = fmt.Sprintf("%s (%d waiting, %d late, %d slots, saturated for %s)",
 		reason, len(s.waiting), len(s.late), s.slots(req.Service), s.saturatedFor(now).Round(time.Millisecond))
 	s.decide(req, Decision{RetryAfter: s.retryAfter(now), Reason: reason})
--- a/internal/trial/pattern/engine.go
+++ b/internal/trial/pattern/engine.go
@@ -27,6 +27,7 @@
 // is prefilled, and prefills one chunk of prompt tokens in order of arrival.
 type engine struct {
 	id       string
+	domain   string
 	slots    int
 	slowness float64
 	// prefillFactor and firstEventDelay come from the EngineModel.
--- a/internal/trial/pattern/load.go
+++ b/internal/trial/pattern/load.go
@@ -65,8 +65,12 @@
 	outputEstimate int
 	firstEventAt   time.Time
 	longestGap     time.Duration
-	refused        bool
-	lost           bool
+	// domain is the failure domain of the request's gateway, and remote reports that the
+	// request was sent to an engine of another one.
+	domain  string
+	remote  bool
+	refused bool
+	lost    bool
 	// retryAt is when the caller retries after a refusal; zero before the first
 	// refusal. A caller retries once.
 	retryAt time.Time
@@ -160,6 +164,21 @@
 	LongAnswerShare float64
 	// Model is the engine model; the zero value is that of the Atelier.
 	Model EngineModel
+	// Mix multiplies the arrival rates of the classes, in order of tier; the zero value
+	// leaves them as specified.
+	Mix [3]float64
+	// Domains is the number of failure domains in which gateways and engines are; 0 stands
+	// for one.
+	Domains int
+}
+
+// arrivalRate returns the arrival rate of a class before bursts.
+func (p Pattern) arrivalRate(c *class) float64 {
+	rate := c.arrivalRate * p.Scale
+	if p.Mix != [3]float64{} {
+		rate *= p.Mix[c.tier]
+	}
+	return rate
 }
 
 // EngineModel describes the engines of a simulation.
@@ -199,6 +218,8 @@
 	{Name: "long-burst", Description: "classes start in the whole school: twice the traffic for 10 s, then normal traffic", Duration: 20 * time.Second, Scale: 1,
 		Bursts: []Burst{{At: 2 * time.Second, Duration: 10 * time.Second, Tier: -1, Factor: 2}}},
 	uniformFailures(5, 8, 1.1, 4*time.Second), uniformFailures(93, 8, 1.1, 4*time.Second), uniformFailures(600, 3, 1.3, 3000*time.Millisecond),
+	{Name: "answers-prevail", Description: "quick answers have become the larger part of the traffic, and all of it exceeds the capacity by half: three domains of engines with 11 slots", Duration: 14 * time.Second, Scale: 1.5,
+		Mix: [3]float64{1.74, 3.23, 1.69}, Domains: 3, Model: EngineModel{Count: 41, Slots: 11, PrefillFactor: 1, FirstEventDelay: profile.FixedLatency}},
 	{Name: "overload", Description: "sustained traffic beyond the capacity of the engines", Duration: 14 * time.Second, Scale: 1.5},
 }
 
@@ -231,7 +252,7 @@
 	var requests []*request
 	for i := range classes {
 		c := &classes[i]
-		peakRate := c.arrivalRate * p.Scale * p.peakRateFactor(c.tier)
+		peakRate := p.arrivalRate(c) * p.peakRateFactor(c.tier)
 		for at := time.Duration(0); at < p.Duration; {
 			at += time.Duration(random.ExpFloat64() / peakRate * float64(time.Second))
 			if at >= p.Duration || random.Float64() > p.rateFactor(at, c.tier)/p.peakRateFactor(c.tier) {
@@ -248,7 +269,10 @@
 }
 
 func (p Pattern) generateRequest(at time.Time, c *class, random *rand.Rand) *request {
-	r := &request{class: c, arrivedAt: at}
+	r := &request{class: c, arrivedAt: at, domain: domainName(0)}
+	if p.Domains > 1 {
+		r.domain = domainName(random.IntN(p.Domains))
+	}
 	r.prompt = sampleLogNormal(random, c.promptMedian, c.promptSigma, c.promptMax)
 	if c.tier == 0 && random.Float64() < p.LongPromptShare {
 		r.prompt = min(10*r.prompt, c.promptMax)
@@ -264,6 +288,8 @@
 	return r
 }
 
+func domainName(i int) string { return "domain-" + strconv.Itoa(i) }
+
 func sampleLogNormal(random *rand.Rand, median, sigma float64, limit int) int {
 	return min(limit, max(1, int(median*math.Exp(sigma*random.NormFloat64()))))
 }
--- a/internal/trial/pattern/pattern_test.go
+++ b/internal/trial/pattern/pattern_test.go
@@ -161,6 +161,17 @@
 	}
 }
 
+// Quick answers prevail, and traffic exceeds the capacity by half. Tags need a fiftieth of
+// the engines' time; if they only got what higher tiers leave, nearly all of them would be
+// refused for a gain of the answers that is a fraction of that. They must be served at
+// least half as often as the answers, and no more often than those.
+func TestSmallRequestsOfTheLowestTierAreNotStarved(t *testing.T) {
+	got := simulateMean(t, "answers-prevail", pattern.Board)
+	require.GreaterOrEqual(t, got.Tiers[2].InTimeShare(), got.Tiers[1].InTimeShare()/2)
+	require.GreaterOrEqual(t, got.Tiers[0].InTimeShare(), 0.9)
+	requireTierOrder(t, got)
+}
+
 // The same seed gives the same result.
 func TestSimulationIsDeterministic(t *testing.T) {
 	p := pattern.Patterns[1]
--- a/internal/trial/pattern/play.go
+++ b/internal/trial/pattern/play.go
@@ -87,7 +87,7 @@
 	model := p.engineModel()
 	for i := range model.Count {
 		s.engines = append(s.engines, &engine{
-			id: "engine-" + strconv.Itoa(i), slots: model.Slots, slowness: engineSlowness[i%len(engineSlowness)],
+			id: "engine-" + strconv.Itoa(i), domain: domainName(i % max(1, p.Domains)), slots: model.Slots, slowness: engineSlowness[i%len(engineSlowness)],
 			prefillFactor: model.PrefillFactor, firstEventDelay: model.FirstEventDelay,
 		})
 	}
@@ -152,6 +152,7 @@
 		return true
 	}
 	e.add(r)
+	r.remote = r.domain != e.domain
 	if !e.stepping {
 		e.stepping = true
 		s.schedule(now, func(now time.Time) { s.step(now, e) })
--- a/internal/trial/pattern/policy.go
+++ b/internal/trial/pattern/policy.go
@@ -27,7 +27,7 @@
 	var upstreams []board.Upstream
 	for _, e := range s.engines {
 		b.engines[e.id] = e
-		upstreams = append(upstreams, board.Upstream{ID: e.id, Service: "tutor", Slots: e.slots, TokensPerEvent: tokensPerEvent})
+		upstreams = append(upstreams, board.Upstream{ID: e.id, Service: "tutor", Domain: e.domain, Slots: e.slots, TokensPerEvent: tokensPerEvent})
 	}
 	b.board.SetUpstreams(startTime, upstreams)
 	return b
@@ -37,7 +37,7 @@
 	b.requests[r.id] = r
 	r.submittedAt = now
 	b.board.Submit(now, board.SlotRequest{
-		Owner: gatewayName, ID: r.id, Service: "tutor", Tier: r.class.tier, NextEventDue: now.Add(r.class.firstEventTarget),
+		Owner: gatewayName, ID: r.id, Service: "tutor", Domain: r.domain, Tier: r.class.tier, NextEventDue: now.Add(r.class.firstEventTarget),
 		Fingerprint: r.fingerprint(),
 		Deadline:    r.arrivedAt.Add(r.class.timeout), PromptTokens: r.prompt, OutputTokens: r.outputEstimate, EventGapTarget: r.class.maxGap,
 	})
--- a/internal/trial/pattern/result.go
+++ b/internal/trial/pattern/result.go
@@ -11,6 +11,8 @@
 	// WaitBeforeRefusal is the total time that requests waited for a slot before they were
 	// refused.
 	WaitBeforeRefusal time.Duration
+	// Remote counts the requests that ran in another failure domain than their gateway's.
+	Remote int
 	// LargeRequests and LargeServed count the largest tenth by tokens.
 	LargeRequests, LargeServed int
 }
@@ -41,6 +43,9 @@
 		earned[index] += earnedValue
 		tier.Requests++
 		tier.WaitBeforeRefusal += r.waitBeforeRefusal
+		if r.remote && r.served() {
+			tier.Remote++
+		}
 		if largest[r] {
 			tier.LargeRequests++
 			if r.served() {
@@ -113,6 +118,7 @@
 	t.InTime += other.InTime
 	t.Late += other.Late
 	t.Refused += other.Refused
+	t.Remote += other.Remote
 	t.WaitBeforeRefusal += other.WaitBeforeRefusal
 	t.Lost += other.Lost
 	t.LargeRequests += other.LargeRequests
