A slot that becomes free goes to a waiting request of the engine's own failure domain

Change: three of four slots go to the first waiting request of the same rank from the engine's own domain; each fourth goes to the first of all, so that a domain with few engines for its requests still gets slots in the others.

--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -56,6 +56,8 @@
 	limiter           Limiter
 	// tierUses hold what each tier of a service got lately.
 	tierUses map[serviceTier]*tierUse
+	// turns counts the slots that were given to waiting requests.
+	turns uint64
 }
 
 // New returns an empty scheduler.
--- a/internal/sched/board/fill.go
+++ b/internal/sched/board/fill.go
@@ -8,6 +8,11 @@
 // maxScanned is the maximum number of waiting requests that are considered for one engine.
 const maxScanned = 256
 
+// orderedTurns is the number of slots of which one goes to the first request that waits,
+// wherever it comes from. The others go to requests of the engine's own failure domain. A
+// domain with few engines for its requests thus still gets slots in the others.
+const orderedTurns = 4
+
 // fill assigns waiting requests to an engine with free slots: requests that can be served
 // in time first, and late ones only if none of those is left. An engine that is no longer
 // listed gets none.
@@ -30,6 +35,7 @@
 		}
 		if !late {
 			index = s.preferLowerTier(now, e, queue, index, baseline)
+			index = s.preferDomain(now, e, queue, index, baseline)
 			s.recordQueueGrant(now, queue[index])
 		}
 		s.grant(now, e, queue[index])
@@ -73,3 +79,21 @@
 	}
 	return preferred
 }
+
+// preferDomain returns the index of a waiting request from the engine's own failure domain
+// that goes before the one at the index: one of the same rank. It returns the given index
+// if there is none. Traffic between failure domains is expensive and takes longer.
+func (s *Scheduler) preferDomain(now time.Time, e *engine, queue []*SlotRequest, index int, baseline float64) int {
+	first := queue[index]
+	s.turns++
+	if first.Resent || first.Domain == e.Domain || s.turns%orderedTurns == 0 {
+		return index
+	}
+	local := s.nextFor(now, e, queue, false, baseline, func(req *SlotRequest) bool {
+		return req.Domain == e.Domain && !req.Resent && rankOf(req) == rankOf(first)
+	})
+	if local < 0 {
+		return index
+	}
+	return local
+}
--- a/internal/trial/pattern/pattern_test.go
+++ b/internal/trial/pattern/pattern_test.go
@@ -172,6 +172,19 @@
 	requireTierOrder(t, got)
 }
 
+// All engines are full, and requests wait in each of three failure domains. A slot that
+// becomes free must go to a request of its own domain, if those of others can wait: less
+// than half as many as by chance may leave their domain.
+func TestWaitingRequestsStayInTheirDomain(t *testing.T) {
+	got := simulateMean(t, "answers-prevail", pattern.Board)
+	remote, served := 0, 0
+	for _, tier := range got.Tiers {
+		remote, served = remote+tier.Remote, served+tier.InTime+tier.Late
+	}
+	const byChance = 2.0 / 3
+	require.Less(t, float64(remote)/float64(served), byChance/2)
+}
+
 // The same seed gives the same result.
 func TestSimulationIsDeterministic(t *testing.T) {
 	p := pattern.Patterns[1]
