An upstream whose address another one has is skipped until its registration goes

Each try cost a request its only send.

Change: 421 is an outcome of its own; the scheduler and the choice without it skip the upstream for five seconds, in which the platform removes the registration. A new registration is a new upstream and is used at once.

--- a/internal/edge/exchange/exchange.go
+++ b/internal/edge/exchange/exchange.go
@@ -96,6 +96,8 @@
 	Sealed bool
 	// NotExecuted reports that the upstream did not execute the request.
 	NotExecuted bool
+	// Misdirected reports that another upstream has the address now.
+	Misdirected bool
 	Load        *Load
 	// WarmUpRemaining is the rest of the upstream's warm-up, 0 if it stated none.
 	WarmUpRemaining time.Duration
@@ -209,6 +211,7 @@
 		Status: response.StatusCode, Header: response.Header,
 		Sealed:      response.Header.Get(c.names.Seal) != "",
 		NotExecuted: response.Header.Get(c.names.NotExecuted) != "" || response.StatusCode == http.StatusMisdirectedRequest,
+		Misdirected: response.StatusCode == http.StatusMisdirectedRequest,
 		Load:        parseLoad(response.Header.Get(c.names.Load)), WarmUpRemaining: parseMillis(response.Header.Get(c.names.WarmUpMs)),
 		body: response.Body, conn: conn, pool: c.pool, now: c.now,
 		// An upstream that answers before the whole body was sent takes what
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -340,6 +340,9 @@
 	if answer.NotExecuted {
 		c.logger.Info("upstream declined the request", "upstream", upstream.ID, "status", answer.Status)
 		answer.Close(false)
+		if answer.Misdirected {
+			return Misdirected
+		}
 		return Declined
 	}
 	c.mayHaveExecuted = true
@@ -522,7 +525,7 @@
 			return true
 		}
 		return false
-	case Declined:
+	case Declined, Misdirected:
 		if c.attempts < c.route.MaxAttempts {
 			return false
 		}
--- a/internal/edge/flow/guard_test.go
+++ b/internal/edge/flow/guard_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/persimmonridge/persimmonridge/internal/edge/flow"
 	"github.com/persimmonridge/persimmonridge/internal/state/roster"
 )
 
@@ -87,6 +88,15 @@
 	require.Len(t, f.placementRequests, 1)
 }
 
+// Guards against an upstream whose address another one has that is taken for a full one.
+func TestMisdirectedRequestGoesToAnotherUpstream(t *testing.T) {
+	f := newFixture(t)
+	f.addUpstream("replaced", "HTTP/1.1 421 Misdirected Request\nContent-Length: 0\n\n")
+	f.addUpstream("u", successAnswer)
+	require.Equal(t, http.StatusOK, f.status("/pay/x"))
+	require.Equal(t, []flow.Outcome{flow.Misdirected, flow.Answered}, f.outcomes)
+}
+
 // status makes a call and returns the status of its answer.
 func (f *fixture) status(path string) int {
 	response, _, err := f.call(path)
--- a/internal/edge/flow/request.go
+++ b/internal/edge/flow/request.go
@@ -155,9 +155,11 @@
 	// Canceled: the caller disconnected or the deadline passed, or the upstream may get
 	// no request at the moment.
 	Canceled
+	// Misdirected: another upstream has the address now, and did not execute the request.
+	Misdirected
 )
 
-var outcomeNames = [...]string{"answered", "failed", "declined", "unreached", "broken", "left"}
+var outcomeNames = [...]string{"answered", "failed", "declined", "unreached", "broken", "left", "misdirected"}
 
 // String returns the outcome's name in logs and metrics.
 func (o Outcome) String() string { return outcomeNames[o] }
--- a/internal/sched/board/ask.go
+++ b/internal/sched/board/ask.go
@@ -70,6 +70,8 @@
 	Canceled
 	// Interrupted: the connection was closed before the answer was complete.
 	Interrupted
+	// Misdirected: another engine has the address now.
+	Misdirected
 )
 
 // SlotResult describes how the use of a slot ended.
--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -256,6 +256,8 @@
 		e.recordLoad(now, e.Slots)
 	case Unreachable:
 		e.backOff(now)
+	case Misdirected:
+		e.backoffUntil = now.Add(misdirectedBackoff)
 	case Canceled:
 	}
 	s.fill(now, e)
--- a/internal/sched/board/engine.go
+++ b/internal/sched/board/engine.go
@@ -16,6 +16,9 @@
 	// skipped. The time doubles with each consecutive failure.
 	minBackoff = 200 * time.Millisecond
 	maxBackoff = 2 * time.Second
+	// misdirectedBackoff is how long an engine is skipped whose address another one has: the
+	// platform removes its registration within this time.
+	misdirectedBackoff = 5 * time.Second
 	// failureWeight is the weight of one outcome in an engine's failure rate. Without new
 	// outcomes the rate halves every failureHalfLife, so that the engine is tried again.
 	failureWeight   = 0.15
--- a/internal/sched/board/limit.go
+++ b/internal/sched/board/limit.go
@@ -62,3 +62,12 @@
 	allowance, limited := s.limiter.Allowance(now, owner, e.ID)
 	return !limited || e.grants.countOf(now, owner) < allowance
 }
+
+// mayBeWarmingUp reports whether the engine is limited as one that may be warming up.
+func (s *Scheduler) mayBeWarmingUp(now time.Time, e *engine) bool {
+	if s.limiter == nil {
+		return false
+	}
+	_, limited := s.limiter.Allowance(now, "", e.ID)
+	return limited
+}
--- a/internal/sched/board/stats.go
+++ b/internal/sched/board/stats.go
@@ -42,9 +42,15 @@
 		if running == 0 {
 			stats.Idle++
 		}
-		if e.unusual(now) {
-			engines = append(engines, e.describe(now))
+		warming := s.mayBeWarmingUp(now, e)
+		if !e.unusual(now) && !warming {
+			continue
 		}
+		text := e.describe(now)
+		if warming {
+			text += "!warming"
+		}
+		engines = append(engines, text)
 	}
 	slices.Sort(engines)
 	stats.Unusual = len(engines)
--- a/internal/sched/local/local.go
+++ b/internal/sched/local/local.go
@@ -24,6 +24,9 @@
 	// connection. The time doubles with each consecutive failure.
 	minBackoff = 300 * time.Millisecond
 	maxBackoff = 3 * time.Second
+	// misdirectedBackoff is how long an upstream is skipped whose address another one has:
+	// the platform removes its registration within this time.
+	misdirectedBackoff = 5 * time.Second
 	// failureWeight is the weight of one outcome in an upstream's failure rate.
 	failureWeight = 0.1
 	// failureMargin is by how much an upstream's failure rate must exceed the baseline of
@@ -275,6 +278,8 @@
 	case flow.Unreachable:
 		state.failuresInRow++
 		state.backoffUntil = now.Add(min(maxBackoff, minBackoff<<min(state.failuresInRow-1, 4)))
+	case flow.Misdirected:
+		state.backoffUntil = now.Add(misdirectedBackoff)
 	case flow.Canceled:
 	}
 }
--- a/internal/sched/permit/permit.go
+++ b/internal/sched/permit/permit.go
@@ -428,6 +428,8 @@
 		return board.Canceled
 	case flow.Interrupted:
 		return board.Interrupted
+	case flow.Misdirected:
+		return board.Misdirected
 	case flow.Failed:
 	}
 	return board.Failed
