Callers who return after a refusal go after all who can still be in time

What callers saw: a caller who was refused and came back, late by then whatever happens, went before requests of lower tiers that could still be in time.

Change: who was refused before goes after all who were not, of whatever tier, and by tier among themselves.

Test: TestReturnedCallersGoAfterThoseWhoCanBeInTime, which failed before.

--- a/internal/sched/board/ask.go
+++ b/internal/sched/board/ask.go
@@ -37,7 +37,7 @@
 	arrived  time.Time
 	giveUpAt time.Time
 	// refusedBefore is set if the request was refused earlier. Its answer is late already,
-	// so it goes after the requests of its tier that can still be served in time.
+	// so it goes after all requests that can still be served in time.
 	refusedBefore bool
 }
 
@@ -97,7 +97,7 @@
 }
 
 // enqueue inserts the request in the order in which waiting requests are served: first
-// those that were sent before, then by tier, by whether they were refused before, and by
+// those that were sent before, last those that were refused before, then by tier and by
 // first-event deadline.
 func (s *Scheduler) enqueue(req *SlotRequest) {
 	at, _ := slices.BinarySearchFunc(s.waiting, req, compareRequests)
@@ -106,7 +106,7 @@
 
 func compareRequests(x, y *SlotRequest) int {
 	return cmp.Or(
-		-compareBools(x.Resent, y.Resent), cmp.Compare(x.Tier, y.Tier), compareBools(x.refusedBefore, y.refusedBefore),
+		-compareBools(x.Resent, y.Resent), compareBools(x.refusedBefore, y.refusedBefore), cmp.Compare(x.Tier, y.Tier),
 		x.NextEventDue.Compare(y.NextEventDue), cmp.Compare(x.ID, y.ID),
 	)
 }
--- a/internal/sched/board/return_test.go
+++ b/internal/sched/board/return_test.go
@@ -49,3 +49,27 @@
 	b.Submit(startTime, newSlotRequest(startTime, "gateway", "new"))
 	require.Equal(t, 1, countGranted(b.Decisions()))
 }
+
+// Guards against callers who can still be served in time and are refused because one whose
+// answer is late already goes before them, of whatever tier.
+func TestReturnedCallersGoAfterThoseWhoCanBeInTime(t *testing.T) {
+	b := board.New()
+	b.SetUpstreams(startTime, newEngines(1, 1))
+	b.Submit(startTime, newSlotRequest(startTime, "gateway", "running"))
+	returned := newSlotRequest(startTime, "gateway", "returned")
+	returned.Tier, returned.Fingerprint, returned.NextEventDue = 0, 7, startTime.Add(time.Millisecond)
+	b.Submit(startTime, returned)
+	b.Decisions()
+
+	later := startTime.Add(100 * time.Millisecond)
+	returned.Number, returned.NextEventDue = 2, later.Add(600*time.Millisecond)
+	b.Submit(later, returned)
+	first := newSlotRequest(later, "gateway", "first")
+	first.Tier = 2
+	b.Submit(later, first)
+	b.Decisions()
+	b.Release(later, "gateway", "running", board.SlotResult{Outcome: board.Canceled})
+	decisions := b.Decisions()
+	require.Equal(t, 1, countGranted(decisions))
+	require.Equal(t, "first", decisions[0].ID)
+}
