Only engines of services that warm up are asked for their limit

A service that states a warm-up time but no rate would have had its engines limited to the slack at all times, warm ones included; and each placement on any deployment looked up limits that don't exist. The bound of engines that are known to be cold is unchanged.

Tests: TestGrantsStayWithinWhatAnEngineTolerates, TestFailedConnectionsAreReportedToTheLimiter.

--- a/internal/limit/warmup/guard.go
+++ b/internal/limit/warmup/guard.go
@@ -210,7 +210,7 @@
 }
 
 // Tolerance returns how many requests the upstream tolerates from all gateways in a Window
-// while it warms up, and whether it warms up at all.
+// while it warms up, and whether its service states that.
 func (g *Guard) Tolerance(id string) (requests int, limited bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -219,7 +219,7 @@
 		return 0, false
 	}
 	service := g.deps.Service(u.Service)
-	return owned(g.limit.Bound(service.PerSecond)), service.limited()
+	return owned(g.limit.Bound(service.PerSecond)), service.PerSecond > 0
 }
 
 // Wait returns how long it takes until this gateway may send a request to the upstream.
--- a/internal/role/gateway/views.go
+++ b/internal/role/gateway/views.go
@@ -89,7 +89,7 @@
 		}
 		engines = append(engines, board.Upstream{
 			ID: u.ID, Service: u.Service, Domain: u.Domain, Version: u.Version, Slots: u.Slots, StartedAtMs: u.StartedAtMs,
-			TokensPerEvent: service.Engine.TokensPerEvent,
+			TokensPerEvent: service.Engine.TokensPerEvent, WarmsUp: service.WarmsUp(),
 		})
 	}
 	g.granter.SetUpstreams(engines)
--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -20,6 +20,9 @@
 	StartedAtMs int64
 	// TokensPerEvent is the number of tokens in one stream event.
 	TokensPerEvent int
+	// WarmsUp is set if the engines of the service warm up after their start, so that the
+	// limiter is to be asked.
+	WarmsUp bool
 }
 
 // Scheduler holds the state of all engines and waiting requests. It is not safe for
--- a/internal/sched/board/limit.go
+++ b/internal/sched/board/limit.go
@@ -12,7 +12,7 @@
 	// warmup.Window, and whether it is limited at all.
 	Allowance(now time.Time, owner, upstream string) (requests int, limited bool)
 	// Tolerance returns how many requests the upstream tolerates in warmup.Window from all
-	// gateways while it warms up, and whether it warms up at all.
+	// gateways while it warms up, and whether its service states that.
 	Tolerance(upstream string) (requests int, limited bool)
 	// Failed records that the upstream's connections failed.
 	Failed(now time.Time, upstream string)
@@ -53,7 +53,7 @@
 // engine may have restarted without anybody knowing it yet, so it never gets more than it
 // tolerates while it warms up.
 func (s *Scheduler) withinLimit(now time.Time, e *engine, owner string) bool {
-	if s.limiter == nil {
+	if s.limiter == nil || !e.WarmsUp {
 		return true
 	}
 	if tolerance, limited := s.limiter.Tolerance(e.ID); limited && e.grants.all.Count(now, grantWindow) >= tolerance {
@@ -65,7 +65,7 @@
 
 // mayBeWarmingUp reports whether the engine is limited as one that may be warming up.
 func (s *Scheduler) mayBeWarmingUp(now time.Time, e *engine) bool {
-	if s.limiter == nil {
+	if s.limiter == nil || !e.WarmsUp {
 		return false
 	}
 	_, limited := s.limiter.Allowance(now, "", e.ID)
--- a/internal/sched/board/place.go
+++ b/internal/sched/board/place.go
@@ -170,7 +170,9 @@
 func (s *Scheduler) grant(now time.Time, e *engine, req *SlotRequest) {
 	r := &run{owner: req.Owner, id: req.ID, number: req.Number, prompt: req.PromptTokens, output: req.OutputTokens, grantedAt: now}
 	e.assign(now, r)
-	e.grants.add(now, req.Owner)
+	if e.WarmsUp {
+		e.grants.add(now, req.Owner)
+	}
 	s.recordTierGrant(now, e, req)
 	s.addRun(req.Owner, runKey(req.Owner, req.ID), e)
 	s.decide(req, Decision{Upstream: e.ID})
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -93,6 +93,9 @@
 	Engine *Engine
 }
 
+// WarmsUp reports whether the service's upstreams warm up after their start.
+func (s *Service) WarmsUp() bool { return s.WarmUpTime > 0 || s.WarmUpPerSecond > 0 }
+
 // Workspace is a customer with its API keys and its quota.
 type Workspace struct {
 	Name    string
