A withheld request has an outcome of its own

It was counted as one that its caller had left, in sends_total and in the loop that chooses the next upstream.

--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -206,14 +206,13 @@
 		if c.attempts == 0 && len(c.withheldFrom) == 0 {
 			c.Retries.Sent(now, service)
 		}
-		withheld := len(c.withheldFrom)
 		outcome := c.attempt(ctx, placement)
 		placement.Release(c.Now(), outcome, c.streamedTokens())
 		c.Metrics.AttemptFinished(service, outcome)
 		if c.concluded(ctx, outcome) {
 			return
 		}
-		if len(c.withheldFrom) > withheld {
+		if outcome == Withheld {
 			continue
 		}
 		c.triedUpstreams = append(c.triedUpstreams, placement.Upstream().ID)
@@ -416,7 +415,7 @@
 		}
 		if errorx.IsOfType(err, exchange.NotAdmitted) {
 			c.withheldFrom = append(c.withheldFrom, upstream.ID)
-			return Canceled
+			return Withheld
 		}
 		c.unreachable++
 		c.connectionFailed(upstream.ID)
@@ -512,8 +511,7 @@
 		return true
 	}
 	switch o {
-	case Canceled:
-		// The upstream may get no request at the moment. Another one is chosen.
+	case Withheld:
 		if len(c.withheldFrom) <= maxWithheld {
 			return false
 		}
--- a/internal/edge/flow/request.go
+++ b/internal/edge/flow/request.go
@@ -152,14 +152,15 @@
 	Unreachable
 	// Interrupted: the request was sent, and no complete answer arrived.
 	Interrupted
-	// Canceled: the caller disconnected or the deadline passed, or the upstream may get
-	// no request at the moment.
+	// Canceled: the caller disconnected or the deadline passed.
 	Canceled
 	// Misdirected: another upstream has the address now, and did not execute the request.
 	Misdirected
+	// Withheld: nothing was sent, because the upstream may get no request at the moment.
+	Withheld
 )
 
-var outcomeNames = [...]string{"answered", "failed", "declined", "unreached", "broken", "left", "misdirected"}
+var outcomeNames = [...]string{"answered", "failed", "declined", "unreached", "broken", "left", "misdirected", "withheld"}
 
 // String returns the outcome's name in logs and metrics.
 func (o Outcome) String() string { return outcomeNames[o] }
--- a/internal/sched/local/local.go
+++ b/internal/sched/local/local.go
@@ -280,6 +280,6 @@
 		state.backoffUntil = now.Add(min(maxBackoff, minBackoff<<min(state.failuresInRow-1, 4)))
 	case flow.Misdirected:
 		state.backoffUntil = now.Add(misdirectedBackoff)
-	case flow.Canceled:
+	case flow.Canceled, flow.Withheld:
 	}
 }
--- a/internal/sched/permit/permit.go
+++ b/internal/sched/permit/permit.go
@@ -424,7 +424,7 @@
 		return board.Declined
 	case flow.Unreachable:
 		return board.Unreachable
-	case flow.Canceled:
+	case flow.Canceled, flow.Withheld:
 		return board.Canceled
 	case flow.Interrupted:
 		return board.Interrupted
