One attempt of a request moves to a file of its own; explain shows a silent scheduler

The functions of one send to one upstream are moved unchanged. explain lists the last "scheduler silent" line before a request, which tells why its slot was asked for elsewhere.

--- /dev/null
+++ b/internal/edge/flow/attempt.go
@@ -0,0 +1,141 @@
+package flow
+
+import (
+	"context"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
+	"github.com/persimmonridge/persimmonridge/internal/state/roster"
+)
+
+// attempt makes one attempt. For any outcome other than Answered, the caller has not
+// been answered yet, unless part of a stream was delivered.
+func (c *call) attempt(ctx context.Context, placement Placement) Outcome {
+	c.sentAt, c.events, c.longestGap = c.Now(), 0, 0
+	upstream := placement.Upstream()
+	c.upstream, c.firstEvent = upstream.ID, 0
+	answer, err := c.send(ctx, upstream, false)
+	if c.maySendOnNewConnection(ctx, err) {
+		c.logger.Info("kept connection to upstream was closed, sending on a new one", "upstream", upstream.ID, "err", err)
+		c.mayHaveExecuted = true
+		answer, err = c.send(ctx, upstream, true)
+		if errorx.IsOfType(err, exchange.NotSent) {
+			return c.handleUpstreamGone(ctx, upstream, err)
+		}
+		c.resends++
+	}
+	if err != nil {
+		return c.handleNoAnswer(ctx, placement, err)
+	}
+	c.attempts++
+	if answer.WarmUpRemaining > 0 && c.Guard != nil {
+		c.Guard.WarmUpStated(c.Now(), upstream.ID, answer.WarmUpRemaining)
+	}
+	if answer.Load != nil {
+		placement.ReportLoad(c.Now(), *answer.Load)
+	}
+	if answer.NotExecuted {
+		c.logger.Info("upstream declined the request", "upstream", upstream.ID, "status", answer.Status)
+		answer.Close(false)
+		if answer.Misdirected {
+			return Misdirected
+		}
+		return Declined
+	}
+	c.mayHaveExecuted = true
+	if !answer.Sealed {
+		c.logger.Warn("answer without a response seal", "upstream", upstream.ID, "status", answer.Status)
+		answer.Close(false)
+		return Interrupted
+	}
+	return c.deliver(ctx, placement, answer)
+}
+
+// send sends the request to the upstream once.
+func (c *call) send(ctx context.Context, upstream roster.Upstream, newConnection bool) (*exchange.Answer, error) {
+	workspace := ""
+	if c.workspace != nil {
+		workspace = c.workspace.Name
+	}
+	header := c.Headers.Upstream(c.request, Attempt{
+		UpstreamID: upstream.ID, Workspace: workspace, TimeLeft: c.deadline.Sub(c.Now()), LastEventID: c.progress.lastEventID,
+	})
+	return c.Client.Do(ctx, upstream.Address, exchange.Request{
+		Method: c.request.Method, Target: c.request.Target, Host: c.request.Host, Header: header,
+		Body: c.request.Body, ID: c.request.ID, NonIdempotent: !c.route.Repeatable(), NewConnection: newConnection,
+		Admit: func() bool { return c.admitted(upstream) },
+	})
+}
+
+// admitted reports whether the upstream may get a request now, and counts it.
+func (c *call) admitted(upstream roster.Upstream) bool {
+	if c.Guard == nil {
+		return true
+	}
+	reason := c.Guard.Admit(c.Now(), upstream)
+	if reason != "" {
+		c.logger.Info("request withheld from upstream", "upstream", upstream.ID, "why", reason)
+	}
+	return reason == ""
+}
+
+// maySendOnNewConnection reports whether a request that failed on a stale connection
+// may be sent to the same upstream again, and charges this to the retry budget. It is
+// no attempt at another upstream, which MaxAttempts limits. The upstream may have
+// executed the request, so the route must allow another execution.
+func (c *call) maySendOnNewConnection(ctx context.Context, err error) bool {
+	return errorx.IsOfType(err, exchange.Stale) && ctx.Err() == nil && c.route.Repeatable() && c.takeRetry(c.targetService())
+}
+
+// handleUpstreamGone ends an attempt whose kept connection ended and whose upstream
+// accepts no new one: it may have crashed while it executed the request.
+func (c *call) handleUpstreamGone(ctx context.Context, upstream roster.Upstream, err error) Outcome {
+	c.attempts++
+	c.retryTaken = true
+	if ctx.Err() != nil {
+		return Canceled
+	}
+	if errorx.IsOfType(err, exchange.NotAdmitted) {
+		return Interrupted
+	}
+	c.connectionFailed(upstream.ID)
+	c.Crashes.Broke(c.Now(), upstream.ID, c.fingerprint)
+	c.Crashes.Down(c.Now(), upstream.ID)
+	c.logger.Warn("answer lost", "upstream", upstream.ID, "err", err)
+	return Interrupted
+}
+
+func (c *call) handleNoAnswer(ctx context.Context, placement Placement, err error) Outcome {
+	upstream := placement.Upstream()
+	if errorx.IsOfType(err, exchange.NotSent) {
+		if ctx.Err() != nil {
+			return Canceled
+		}
+		if errorx.IsOfType(err, exchange.NotAdmitted) {
+			c.withheldFrom = append(c.withheldFrom, upstream.ID)
+			return Withheld
+		}
+		c.unreachable++
+		c.connectionFailed(upstream.ID)
+		c.Crashes.Down(c.Now(), upstream.ID)
+		c.logger.Info("could not connect to upstream", "upstream", upstream.ID, "err", err)
+		return Unreachable
+	}
+	c.attempts++
+	c.mayHaveExecuted = true
+	if ctx.Err() != nil {
+		return Canceled
+	}
+	c.connectionFailed(upstream.ID)
+	c.Crashes.Broke(c.Now(), upstream.ID, c.fingerprint)
+	c.logger.Warn("answer lost", "upstream", upstream.ID, "err", err)
+	return Interrupted
+}
+
+// connectionFailed tells the guard that an upstream's connection failed.
+func (c *call) connectionFailed(upstream string) {
+	if c.Guard != nil {
+		c.Guard.Failed(c.Now(), upstream)
+	}
+}
--- a/internal/observe/explain/explain.go
+++ b/internal/observe/explain/explain.go
@@ -35,6 +35,7 @@
 	"upstream changed":       "upstream",
 	"upstream gone":          "upstream",
 	"peer silent":            "peer",
+	"scheduler silent":       "node",
 	// The last line holds all domains that are evacuated.
 	"evacuated failure domains": "",
 }
