--- a/internal/trial/soak/backend_test.go
+++ b/internal/trial/soak/backend_test.go
@@ -84,6 +84,19 @@
 	l.executions[id] = append(l.executions[id], e)
 }
 
+// executionTimes returns when each upstream began to execute requests.
+func (l *requestLog) executionTimes() map[string][]time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	times := make(map[string][]time.Time)
+	for _, executions := range l.executions {
+		for _, e := range executions {
+			times[e.upstream] = append(times[e.upstream], e.at)
+		}
+	}
+	return times
+}
+
 func (l *requestLog) executionsOf(id string) []execution {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -93,6 +106,7 @@
 // upstream is a stand-in for an upstream, which gateways reach through a relay.
 type upstream struct {
 	service    string
+	domain     string
 	requestLog *requestLog
 	server     *http.Server
 	relay      *relay.Relay
@@ -106,6 +120,7 @@
 	state         string
 	sequence      int
 	drainingSince time.Time
+	coldUntil     time.Time
 	failureMode   atomic.Int32
 	running       atomic.Int32
 	conns         map[net.Conn]struct{}
@@ -117,7 +132,7 @@
 	Remove(key string)
 }
 
-func newUpstream(service, id, address string, log *requestLog, store registry) (*upstream, error) {
+func newUpstream(service, domain, id, address string, log *requestLog, store registry) (*upstream, error) {
 	inner, err := net.Listen("tcp", net.JoinHostPort(address, "9001"))
 	if err != nil {
 		return nil, err
@@ -126,7 +141,7 @@
 	if err != nil {
 		return nil, err
 	}
-	u := &upstream{service: service, id: id, up: true, state: "ready", requestLog: log, store: store, conns: make(map[net.Conn]struct{})}
+	u := &upstream{service: service, domain: domain, id: id, up: true, state: "ready", requestLog: log, store: store, conns: make(map[net.Conn]struct{})}
 	u.server = &http.Server{Handler: u, ConnState: u.connState}
 	go func() { _ = u.server.Serve(inner) }()
 	u.relay = relay.New(outer, inner.Addr().String())
@@ -153,8 +168,8 @@
 	}
 	u.sequence++
 	u.store.Put(platform.UpstreamPrefix+u.id, fmt.Sprintf(
-		`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":%d,"state":%q,"sequence":%d,"born":1}`,
-		u.service, u.relay.Addr(), slots, u.state, u.sequence))
+		`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"sequence":%d,"born":1,"coldRemainingMs":%d}`,
+		u.service, u.relay.Addr(), u.domain, slots, u.state, u.sequence, max(0, time.Until(u.coldUntil).Milliseconds())))
 }
 
 // crash closes all connections and takes the upstream down. Its registration
@@ -170,9 +185,9 @@
 	time.AfterFunc(3*time.Second, func() { u.store.Remove(platform.UpstreamPrefix + old) })
 }
 
-func (u *upstream) restart(id string) {
+func (u *upstream) restart(id string, coldUntil time.Time) {
 	u.mu.Lock()
-	u.id, u.up, u.state = id, true, "ready"
+	u.id, u.up, u.state, u.coldUntil = id, true, "ready", coldUntil
 	u.mu.Unlock()
 	u.register()
 }
--- a/internal/trial/soak/fault_test.go
+++ b/internal/trial/soak/fault_test.go
@@ -169,7 +169,7 @@
 	defer u.disruptions.begin()()
 	u.crash()
 	<-time.After(randomDuration(r, 100*time.Millisecond, 2*time.Second))
-	u.restart(tb.nextUpstream(u.service))
+	tb.restart(u)
 }
 
 // drainUpstream announces the drain of an upstream, which keeps serving for
@@ -183,7 +183,7 @@
 	<-time.After(drainTime)
 	defer u.disruptions.begin()()
 	u.crash()
-	u.restart(tb.nextUpstream(u.service))
+	tb.restart(u)
 }
 
 func misbehave(tb *testbed, r *rand.Rand) {
--- a/internal/trial/soak/process_test.go
+++ b/internal/trial/soak/process_test.go
@@ -75,9 +75,10 @@
 	text := fmt.Sprintf(`{"nodeName":%q,"zone":"a","ip":%q,"bootstrap":true,
 		"listen":{"frontend":"%[2]s:8221","readiness":"%[2]s:8224","control":"%[2]s:8229"},
 		"internalPortRange":[7600,7615],"seeds":[%q,%q,%q],"limits":{"memoryMb":200},
-		"bounds":{"graceS":%g,"configApplyMs":2000,"retryBudgetRatio":0.2,"retryBudgetSlack":%d,"budgetWindowS":10,"quotaSlack":140000},
+		"bounds":{"graceS":%g,"configApplyMs":2000,"retryBudgetRatio":0.2,"retryBudgetSlack":%d,"budgetWindowS":10,"quotaSlack":140000,"coldOver":%g,"coldSlack":%d},
 		"platform":{"address":%q}}`,
-		g.name, g.address, g.seeds[0], g.seeds[1], g.seeds[2], stopGrace.Seconds(), g.retryBudgetSlack, g.storeAddress)
+		g.name, g.address, g.seeds[0], g.seeds[1], g.seeds[2], stopGrace.Seconds(), g.retryBudgetSlack,
+		warmUpFactor, warmUpSlack, g.storeAddress)
 	next := g.settingsPath + ".next"
 	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
 		return err
--- a/internal/trial/soak/testbed_test.go
+++ b/internal/trial/soak/testbed_test.go
@@ -73,12 +73,16 @@
 	// storeLinks are the relays between the gateways and the store.
 	storeLinks []*relay.Relay
 
-	mu               sync.Mutex
-	calls            []call
-	probes           []call
-	faults           []*fault
-	versions         []configVersion
-	drains           []drain
+	mu          sync.Mutex
+	calls       []call
+	probes      []call
+	faults      []*fault
+	versions    []configVersion
+	drains      []drain
+	evacuations []evacuation
+	warmUps     []warmUp
+	// evacuated holds the IDs of the upstreams in the domain that is evacuated.
+	evacuated        map[string]bool
 	findings         []string
 	upstreamsStarted int
 	// stopCallers is closed when the callers must stop.
@@ -91,7 +95,7 @@
 // newTestbed starts the stand-ins and gateways of a seed.
 func newTestbed(seed uint64, binary, folder string, duration time.Duration) (*testbed, error) {
 	tb := &testbed{
-		seed: seed, binary: binary, folder: folder, store: standin.NewStore(), requestLog: newRequestLog(),
+		seed: seed, binary: binary, folder: folder, store: standin.NewStore(), requestLog: newRequestLog(), evacuated: make(map[string]bool),
 		startedAt: time.Now(), faultsEndAt: time.Now().Add(duration), stopCallers: make(chan struct{}),
 	}
 	changeConfig(tb, rand.New(rand.NewPCG(seed, 0x69646c65)))
@@ -154,7 +158,11 @@
 		if i >= tutorUpstreams {
 			service = "desk"
 		}
-		u, err := newUpstream(service, tb.nextUpstream(service), tb.address(150+i), tb.requestLog, tb.store)
+		domain := "a"
+		if tb.playsWarmUps() && i%2 == 1 {
+			domain = evacuatedDomain
+		}
+		u, err := newUpstream(service, domain, tb.nextUpstream(service, domain), tb.address(150+i), tb.requestLog, tb.store)
 		if err != nil {
 			return err
 		}
@@ -163,11 +171,24 @@
 	return nil
 }
 
-func (tb *testbed) nextUpstream(service string) string {
+func (tb *testbed) nextUpstream(service, domain string) string {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	tb.upstreamsStarted++
-	return fmt.Sprintf("%s-%d", service, tb.upstreamsStarted)
+	id := fmt.Sprintf("%s-%d", service, tb.upstreamsStarted)
+	tb.evacuated[id] = domain == evacuatedDomain
+	return id
+}
+
+// restart starts an upstream that was down as a new one, which is cold if the seed plays
+// warm-ups.
+func (tb *testbed) restart(u *upstream) {
+	id := tb.nextUpstream(u.service, u.domain)
+	var coldUntil time.Time
+	if tb.playsWarmUps() {
+		coldUntil = tb.startsCold(id)
+	}
+	u.restart(id, coldUntil)
 }
 
 func (tb *testbed) startGateways() error {
@@ -254,7 +275,12 @@
 	for i := range idleGroups {
 		running.Go(newIdleGroup(tb, i).run)
 	}
+	var evacuating sync.WaitGroup
+	if tb.playsWarmUps() {
+		evacuating.Go(tb.evacuate)
+	}
 	tb.injectFaults()
+	evacuating.Wait()
 	tb.clearFaults()
 	<-time.After(recoveryTime)
 	close(tb.stopCallers)
--- a/internal/trial/soak/verify_test.go
+++ b/internal/trial/soak/verify_test.go
@@ -23,7 +23,9 @@
 		tb.checkForwarded(c)
 		tb.checkAnswered(c)
 		tb.checkDrained(c)
+		tb.checkEvacuated(c)
 	}
+	tb.checkWarmUps()
 	for _, p := range tb.probes {
 		tb.checkForwarded(p)
 		tb.checkVersion(p)
