An upstream that returns without a statement counts as warming up

Found by reading the change once more. What could happen: an upstream that was cold once, whose registration went and came back with neither its start nor the rest of its warm-up, counted as warm, and a burst could reach it cold. Cause: without a statement only an upstream that had never been cold was taken for one that has started. Change: one that was not registered meanwhile counts as started, too.

Test: TestUpstreamThatReturnsWithoutAStatementMayBeWarmingUp, which failed before.

--- a/internal/limit/warmup/guard.go
+++ b/internal/limit/warmup/guard.go
@@ -110,7 +110,9 @@
 		u = &upstream{}
 		g.upstreams[r.ID] = u
 	}
-	started = started || (u.StartedAtMs != 0 && u.StartedAtMs != r.StartedAtMs) || (r.Unknown && u.warmAt.IsZero())
+	started = started || (u.StartedAtMs != 0 && u.StartedAtMs != r.StartedAtMs)
+	// Without a statement, an upstream may have started whenever it was not registered.
+	started = started || (r.Unknown && (u.warmAt.IsZero() || !u.goneAt.IsZero()))
 	u.Registration, u.goneAt = r, time.Time{}
 	if started {
 		u.coldFor(now, g.deps.Service(r.Service).Time)
--- a/internal/limit/warmup/warmup_test.go
+++ b/internal/limit/warmup/warmup_test.go
@@ -173,3 +173,16 @@
 	require.Positive(t, g.Wait(start.Add(100*time.Millisecond), "gateway-0", "u"))
 	require.Zero(t, g.Wait(start.Add(warmup.Window), "gateway-0", "u"))
 }
+
+// Guards against an upstream that was cold once and counts as warm when it is registered
+// again, although its registration states neither its start nor the rest of its warm-up.
+func TestUpstreamThatReturnsWithoutAStatementMayBeWarmingUp(t *testing.T) {
+	g := newGuard(3, true)
+	register(g, start, time.Second)
+	at := start.Add(10 * time.Second)
+	g.Listed(at)
+	require.False(t, limited(g, at))
+	g.Removed(at, "u")
+	g.Registered(at.Add(time.Second), warmup.Registration{ID: "u", Service: "s", Domain: "a", StartedAtMs: 1, Unknown: true})
+	require.True(t, limited(g, at.Add(time.Second)))
+}
