The margin of a stream that must end is learned from the tokens that it generated

What callers saw: in a stop, streams were refused beside idle engines that would have ended all that the request allows in a fraction of the time left.

Cause: the margin (board.overrun) compared how long a stream took with the time planned for its *estimated* length, so that it held two things at once: how wrong estimates are, and how much slower a token comes than planned. It was then applied to whatever length is told, a stated maximum too, which cannot be exceeded. It began at 4, times 1.2, and fell by 0.0003 of its logarithm a stream, short ones included, whose planned time is mostly a fixed allowance: after 32 streams that took 200 ms of 550 planned it stood at 3.96, after 3,300 short ones at 1.5, and one stream thirty times as long as its hint set it to 12.

Change: the margin compares the time of a stream with the time planned for the tokens that it generated, and a stream moves it by the share of decoding in its planned time. It begins at 1.25 and is at least 1, times 1.2 as before: the plan itself has all slots of the engine in use.

--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -240,7 +240,7 @@
 		return
 	}
 	if end.Outcome == Answered && r.started {
-		e.learnOverrun(r, end.StreamTime)
+		e.learnOverrun(r, end.StreamTime, end.Tokens)
 		e.learnStream(now, r, end.StreamTime, end.Tokens)
 	}
 	e.remove(now, k, r)
--- a/internal/sched/board/overrun.go
+++ b/internal/sched/board/overrun.go
@@ -14,24 +14,25 @@
 	EndUnconstrained EndConstraint = iota
 	// EndPreferred streams are cut off at Deadline and should be complete by then.
 	EndPreferred
-	// EndRequired streams are cut off at Deadline and must be complete by then.
+	// EndRequired streams are cut off at Deadline and must be complete by then, even if
+	// they generate as many tokens as the request states.
 	EndRequired
 )
 
 const (
 	// initialOverrun is assumed for a service until its first stream ends.
-	initialOverrun = 4.0
+	initialOverrun = 1.25
 	// minOverrun and maxOverrun bound the estimate.
-	minOverrun = 1.5
+	minOverrun = 1.0
 	maxOverrun = 12.0
-	// overrunDecay is by how much the logarithm of the estimate decreases with each stream
-	// that stayed within it. The estimate settles where about one stream in 700 exceeds
-	// it.
+	// overrunDecay is by how much the logarithm of the estimate decreases with each long
+	// stream that stayed within it. The estimate settles where about one stream in 700
+	// exceeds it.
 	overrunDecay = 0.0003
-	// overrunMargin is a factor on top of the estimate, because the next long stream may
-	// be longer.
+	// overrunMargin is a factor on top of the estimate, because the next stream may be
+	// slower.
 	overrunMargin = 1.2
-	// likelyOverrun is the overrun assumed for streams that should end in time but need
+	// likelyOverrun is the factor on the length of streams that should end in time but need
 	// not. The length estimate is a median and often off by half.
 	likelyOverrun = 1.6
 	// prefillInterference is how much time a stream of any length may lose to long prompts
@@ -41,22 +42,25 @@
 	assumedSlowness = 3.0
 )
 
-// overrun estimates how far streams exceed the time planned from their estimated length.
-// Length estimates are right at the median but off by factors, concurrent prefill delays a
-// stream, and the engine's speed is itself an estimate; the ratio covers all of these.
+// overrun estimates how far streams exceed the time planned for the tokens that they
+// generated: concurrent prefill delays a stream, and the engine's speed is itself an
+// estimate. It says nothing of how wrong an estimate of a length is.
 type overrun struct {
 	logRatio float64
 	known    bool
 }
 
-// observe takes the duration of a complete stream and the time planned for it.
-func (o *overrun) observe(took, planned time.Duration) {
+// observe takes the duration of a complete stream, the time planned for its tokens and
+// the part of that which was planned for decoding. The rest is an allowance that hides
+// how slow a short stream was.
+func (o *overrun) observe(took, planned, decoding time.Duration) {
 	if took <= 0 || planned <= 0 {
 		return
 	}
 	current := math.Log(o.ratio())
 	observed := math.Log(float64(took) / float64(planned))
-	o.logRatio = min(max(observed, current-overrunDecay, math.Log(minOverrun)), math.Log(maxOverrun))
+	decay := overrunDecay * float64(decoding) / float64(planned)
+	o.logRatio = min(max(observed, current-decay, math.Log(minOverrun)), math.Log(maxOverrun))
 	o.known = true
 }
 
@@ -67,10 +71,11 @@
 	return math.Exp(o.logRatio)
 }
 
-// learnOverrun updates the overrun from a stream that completed.
-func (e *engine) learnOverrun(r *run, took time.Duration) {
-	if e.slowness.known() && !r.adopted {
-		e.timing.overrun.observe(took, e.plannedStreamTime(r.output))
+// learnOverrun updates the overrun from a stream that completed after it generated the
+// tokens.
+func (e *engine) learnOverrun(r *run, took time.Duration, tokens int) {
+	if e.slowness.known() && !r.adopted && tokens > 0 {
+		e.timing.overrun.observe(took, e.plannedStreamTime(tokens), e.decodeTime(float64(tokens)))
 	}
 }
 
@@ -84,8 +89,8 @@
 	return time.Duration(e.timing.overrun.ratio() * overrunMargin * float64(planned))
 }
 
-// plannedStreamTime returns how long a stream of the estimated length takes when all slots
-// of the engine are in use.
+// plannedStreamTime returns how long a stream of the given length takes when all slots of
+// the engine are in use.
 func (e *engine) plannedStreamTime(output int) time.Duration {
 	return e.decodeTime(float64(output)) + prefillInterference
 }
