A stream that comes late in a stop is planned by the most that it may generate

What callers saw: all gateways stop, and one of them takes a stream 2.5 s after that; the stream is thirty times as long as its length hint and is cut at the exit, in the middle of the answer.

Cause: while no other gateway accepts callers, a stream that came later than two seconds after the start of the stop was planned by twice its hint. The most that the request states only capped that plan and was never what must fit.

Change: the maximum decides, whether others accept or not; lateLengthFactor goes. In the first two seconds of a stop of all an estimate decides as before.

--- a/internal/edge/flow/flow_test.go
+++ b/internal/edge/flow/flow_test.go
@@ -420,7 +420,7 @@
 // Guards against a stream that is accepted late in a shutdown, exceeds its
 // estimated length and is cut off. Late streams are planned with more than the
 // estimate, though never with more than they may generate.
-func TestLateStreamIsPlannedWithAMargin(t *testing.T) {
+func TestLateStreamIsPlannedWithItsMaximum(t *testing.T) {
 	f := newFixture(t)
 	f.addUpstream("one", streamHeader)
 	for _, c := range []struct {
@@ -430,8 +430,8 @@
 		planned           int
 	}{
 		{time.Second, "1000,100", "20", flow.EndPreferred, 20},
-		{2500 * time.Millisecond, "1000,100", "20", flow.EndRequired, 40},
-		{3 * time.Second, "1000,100", "20", flow.EndRequired, 40},
+		{2500 * time.Millisecond, "1000,100", "20", flow.EndRequired, 100},
+		{3 * time.Second, "1000,100", "20", flow.EndRequired, 100},
 		{3 * time.Second, "1000,30", "20", flow.EndRequired, 30},
 	} {
 		f.shutdownSince = time.Now().Add(-c.since)
@@ -459,7 +459,7 @@
 		{time.Second, true, flow.EndRequired, 100},
 		{time.Second, false, flow.EndPreferred, 20},
 		{3 * time.Second, true, flow.EndRequired, 100},
-		{3 * time.Second, false, flow.EndRequired, 40},
+		{3 * time.Second, false, flow.EndRequired, 100},
 	} {
 		f.shutdownSince, f.otherAccepts = time.Now().Add(-c.since), c.otherAccepts
 		f.headers = map[string]string{"X-Persimmonridge-Token-Counts": "1000,100", "X-Persimmonridge-Length-Hint": "20"}
--- a/internal/edge/flow/shutdown.go
+++ b/internal/edge/flow/shutdown.go
@@ -10,13 +10,8 @@
 	// balancerNoticeTime is how long after the start of a shutdown the load
 	// balancer may still send new callers here.
 	balancerNoticeTime = 2 * time.Second
-	// lateLengthFactor multiplies the estimated length of a stream that is placed
-	// later and that no other process accepts. The scheduler's own margin for
-	// streams that exceed their estimate is learned from short streams too, and is
-	// too small for long ones.
-	lateLengthFactor = 2
 	// shutdownRetryAfter is the Retry-After of requests that are refused because of a
-	// shutdown; another process accepts them at once.
+	// shutdown and that another process accepts at once.
 	shutdownRetryAfter = 10 * time.Millisecond
 )
 
@@ -95,9 +90,10 @@
 }
 
 // limitToExit restricts the placement if the process exits before the request's
-// deadline. A refusal costs a caller little if another process accepts the request, so
-// only what surely ends in time is placed then. Otherwise an estimate decides, since
-// the caller would find no other process.
+// deadline. Only what surely ends in time is placed then, by the most tokens that the
+// request states: an estimate of the length, whatever margin is added, is no bound. The
+// exception is a stream that comes early in a shutdown while its caller would find no
+// other process; an estimate decides then.
 func (c *call) limitToExit(now time.Time, req *PlacementRequest) {
 	if !c.shutdown.started() || !c.lengthKnown() || !c.shutdown.exitAt.Before(req.Deadline) {
 		return
@@ -109,14 +105,10 @@
 		// A stream that has begun would be broken off for certain, and one that an
 		// upstream may have executed can no longer be refused as not executed.
 		req.EndConstraint = EndPreferred
-	case othersAccept:
-		// An estimate is not an upper bound, whatever margin is added.
-		req.EndConstraint, req.OutputTokens = EndRequired, c.request.OutputTokens
-	case c.shutdown.unnoticed(now):
+	case c.shutdown.unnoticed(now) && !othersAccept:
 		req.EndConstraint = EndPreferred
 	default:
-		req.EndConstraint = EndRequired
-		req.OutputTokens = min(c.request.OutputTokens, lateLengthFactor*req.OutputTokens)
+		req.EndConstraint, req.OutputTokens = EndRequired, c.request.OutputTokens
 	}
 	c.exitPlan = exitPlan{
 		sinceStop: now.Sub(c.shutdown.startedAt), timeLeft: c.shutdown.exitAt.Sub(now),
--- a/internal/edge/flow/shutdown_internal_test.go
+++ b/internal/edge/flow/shutdown_internal_test.go
@@ -106,14 +106,14 @@
 	}
 }
 
-// What a process tells the scheduler of a stream with no other process left: a multiple of
-// the estimate after the first two seconds, the estimate itself before.
-func TestStreamInAShutdownIsPlannedByEstimatesWhileNobodyElseAccepts(t *testing.T) {
+// What a process tells the scheduler of a stream with no other process left: the most that
+// it may generate after the first two seconds, the estimate before.
+func TestStreamInAShutdownIsPlannedByAnEstimateEarlyOnlyWhileNobodyElseAccepts(t *testing.T) {
 	for _, s := range []stopCase{
 		{arrives: time.Second, hint: testHint, constraint: EndPreferred, planned: testHint},
 		{arrives: 1999 * time.Millisecond, hint: testHint, constraint: EndPreferred, planned: testHint},
-		{arrives: 2001 * time.Millisecond, hint: testHint, constraint: EndRequired, planned: 2 * testHint},
-		{arrives: 5 * time.Second, hint: testHint, constraint: EndRequired, planned: 2 * testHint},
+		{arrives: 2001 * time.Millisecond, hint: testHint, constraint: EndRequired, planned: testMax},
+		{arrives: 5 * time.Second, hint: testHint, constraint: EndRequired, planned: testMax},
 		{arrives: 5 * time.Second, constraint: EndRequired, planned: testMax},
 		{arrives: time.Second, constraint: EndPreferred, planned: testMax},
 	} {
