A stream refused while all gateways stop is told when one is back

What callers saw: while every gateway stops, a refused stream was told to come back in 10 ms. It met another stopping gateway, which refused it too, and its caller, who retries once, was lost although a gateway was back within seconds.

Cause: the Retry-After of a stop was the same whether or not another gateway accepts callers.

Change: a gateway notes when the others that stop are expected to exit (their stop as it hears of it, or their exit) and tells a refused stream when the first of them should accept again, spread over 0.6 s so that callers do not come back together. Where others accept, 10 ms as before; where they do once the load balancer has noticed the stop, the rest of these two seconds.

--- a/internal/edge/flow/ending.go
+++ b/internal/edge/flow/ending.go
@@ -23,7 +23,7 @@
 	}
 	retryAfter := RetryAfter(err)
 	if retryAfter == 0 && c.shutdown.started() {
-		retryAfter = shutdownRetryAfter
+		retryAfter = c.refusalDelay(c.Now())
 	}
 	c.refuse(http.StatusServiceUnavailable, retryAfter, err.Error())
 }
@@ -72,7 +72,7 @@
 
 // refuseForShutdown refuses a request that may outlast the process.
 func (c *call) refuseForShutdown() {
-	c.refuse(http.StatusServiceUnavailable, shutdownRetryAfter, "this process shuts down before the request could complete")
+	c.refuse(http.StatusServiceUnavailable, c.refusalDelay(c.Now()), "this process shuts down before the request could complete")
 }
 
 func (c *call) refundCost() {
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -65,6 +65,9 @@
 	// down are likely to reach one that accepts them, given whether the load balancer
 	// has noticed the shutdown; if nil, they are not.
 	OthersAccept func(shutdownNoticed bool) bool
+	// NextAccepting returns when a process that shuts down is expected to have started
+	// again, if no other one accepts callers. It may be nil.
+	NextAccepting func(now time.Time) time.Time
 	// Guard may be nil, which admits every request.
 	Guard SendGuard
 	// Domains returns the failure domains in the regions; if nil, no route or workspace
--- a/internal/edge/flow/flow_test.go
+++ b/internal/edge/flow/flow_test.go
@@ -44,6 +44,10 @@
 	shutdownSince     time.Time
 	// otherAccepts reports that another process accepts requests.
 	otherAccepts bool
+	// acceptNoticed reports that another process accepts requests once the load balancer
+	// has noticed the shutdown, and nextAccepting is after what time one has started again.
+	acceptNoticed bool
+	nextAccepting time.Duration
 	// pendingQuotaRequests is the number of quota requests until the usage totals
 	// are known.
 	pendingQuotaRequests int
@@ -94,7 +98,8 @@
 		},
 		Picker: f.picker, Quota: f, Retries: retries{f}, Crashes: f, Metrics: metrics{},
 		Logger: slog.New(slog.DiscardHandler), Now: time.Now, ShutdownStatus: f.shutdown,
-		OthersAccept: func(bool) bool { return f.otherAccepts },
+		OthersAccept:  func(noticed bool) bool { return f.otherAccepts || noticed && f.acceptNoticed },
+		NextAccepting: func(now time.Time) time.Time { return now.Add(f.nextAccepting) },
 	})
 	if f.guard != nil {
 		handler.Guard = f.guard
--- a/internal/edge/flow/shutdown.go
+++ b/internal/edge/flow/shutdown.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/persimmonridge/persimmonridge/internal/state/catalog"
 )
 
@@ -13,6 +15,9 @@
 	// shutdownRetryAfter is the Retry-After of requests that are refused because of a
 	// shutdown and that another process accepts at once.
 	shutdownRetryAfter = 10 * time.Millisecond
+	// maxReturnSpread is the time over which callers are told to come back once a process
+	// has started again.
+	maxReturnSpread = 600 * time.Millisecond
 )
 
 // EndConstraint states how a stream's end relates to the exit of the process.
@@ -116,6 +121,28 @@
 	}
 }
 
+// refusalDelay returns the Retry-After of a stream that is refused because of the
+// shutdown: when its caller is likely to reach a process that accepts it. Callers that
+// come back sooner would meet another process that shuts down, and lose a retry.
+func (c *call) refusalDelay(now time.Time) time.Duration {
+	if c.route.Kind != catalog.Streaming || c.OthersAccept == nil || c.othersAccept(now) {
+		return shutdownRetryAfter
+	}
+	var next time.Time
+	switch {
+	case c.OthersAccept(true):
+		next = c.shutdown.startedAt.Add(balancerNoticeTime)
+	case c.NextAccepting != nil:
+		next = c.NextAccepting(now).Add(c.returnSpread())
+	}
+	return max(shutdownRetryAfter, next.Sub(now))
+}
+
+// returnSpread spreads the callers that come back to a process that has just started.
+func (c *call) returnSpread() time.Duration {
+	return time.Duration(xxhash.Sum64String(c.request.ID) % uint64(maxReturnSpread))
+}
+
 // exitPlan is how a stream was planned that was placed during a shutdown. It is only
 // logged: a stream that was cut off shows by it which estimate was wrong.
 type exitPlan struct {
--- a/internal/edge/flow/shutdown_test.go
+++ b/internal/edge/flow/shutdown_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -99,3 +100,44 @@
 	require.Equal(t, http.StatusOK, response.StatusCode)
 	require.True(t, response.Close)
 }
+
+// refusesAll is a Picker that grants no slot, as a scheduler whose engines would take too
+// long.
+type refusesAll struct{}
+
+func (refusesAll) Pick(context.Context, time.Time, flow.PlacementRequest) (flow.Placement, error) {
+	return nil, flow.RefusePlacement(0, "no engine could complete the stream")
+}
+
+// Guards against callers that are told to come back at once while every process shuts down:
+// they would lose their retry at another one that refuses them.
+func TestRefusalInAShutdownTellsWhenAProcessAcceptsAgain(t *testing.T) {
+	const back, spread = 4 * time.Second, 600 * time.Millisecond
+	for _, c := range []struct {
+		name                  string
+		accept, acceptNoticed bool
+		since                 time.Duration
+		least, most           time.Duration
+	}{
+		{"others accept", true, true, 3 * time.Second, 0, 10 * time.Millisecond},
+		{"no other accepts", false, false, 3 * time.Second, back, back + spread},
+		{"others accept once the load balancer has noticed", false, true, 1500 * time.Millisecond, 10 * time.Millisecond, 500 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.picker = refusesAll{}
+			f.addUpstream("one", streamHeader+"id: 1\ndata: a\n\n")
+			f.otherAccepts, f.acceptNoticed, f.nextAccepting = c.accept, c.acceptNoticed, back
+			f.shutdownSince = time.Now().Add(-c.since)
+			f.headers = map[string]string{"X-Persimmonridge-Token-Counts": "1000,100", "X-Persimmonridge-Length-Hint": "20"}
+			f.start()
+			response, _, err := f.call("/long/x")
+			require.NoError(t, err)
+			require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+			seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+			require.NoError(t, err)
+			require.GreaterOrEqual(t, seconds, c.least.Seconds())
+			require.LessOrEqual(t, seconds, c.most.Seconds())
+		})
+	}
+}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -188,6 +188,15 @@
 	return window.start, window.end, true
 }
 
+// nextAccepting returns when a gateway is expected to accept callers again, while all stop.
+func (g *Gateway) nextAccepting(now time.Time) time.Time {
+	_, end, stopping := g.stopTimes()
+	if !stopping {
+		return now
+	}
+	return g.peers.stops.nextAccepting(now, end)
+}
+
 // New returns a gateway that has not been started.
 func New(deps Dependencies) *Gateway {
 	s, now, logger := deps.Settings, deps.Now, deps.Logger
@@ -206,7 +215,7 @@
 	g.upstreams = newUpstreamView(g)
 	g.evacuations = &evacuations{Gateway: g}
 	g.guard = newSendGuard(g, s.WarmUp)
-	g.peers = &peers{Gateway: g, rank: unranked, storeReachedAt: make(map[string]time.Time), silentSince: make(map[string]time.Time)}
+	g.peers = &peers{Gateway: g, rank: unranked, stops: newPeerStops(), storeReachedAt: make(map[string]time.Time), silentSince: make(map[string]time.Time)}
 	g.quota = quota.New(s.Quota, g.peers.gatewayCount)
 	g.crashTracker = crash.New(func() { g.mesh.GossipNow() })
 	g.mesh = mesh.New(s.Name, s.LinkAddress, g.runID, deps.Dialer, g.peers, logger, now)
@@ -230,8 +239,8 @@
 		Headers: deps.Headers, Client: exchange.NewClient(g.pool, deps.AnswerHeaders, now), Catalog: g.catalog.Load,
 		Picker: g.versionPicker, Quota: g.quota, Retries: g.retryBudget, Crashes: g.crashTracker,
 		Metrics: g.metrics, Logger: logger, Now: now, ShutdownStatus: g.stopTimes,
-		OthersAccept: func(shutdownNoticed bool) bool { return g.peers.othersAccept(now(), shutdownNoticed) },
-		Guard:        g.guard, Domains: g.domainsIn,
+		OthersAccept:  func(shutdownNoticed bool) bool { return g.peers.othersAccept(now(), shutdownNoticed) },
+		NextAccepting: g.nextAccepting, Guard: g.guard, Domains: g.domainsIn,
 	})
 	g.ingress = ingress.New(ingress.Dependencies{
 		Handler: requests, Catalog: g.catalog.Load, Metrics: g.metrics, Logger: logger, Now: now,
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -94,6 +94,7 @@
 	// silentSince holds the schedulers that reply to no slot request, and since when. They
 	// are not selected until they are heard again.
 	silentSince map[string]time.Time
+	stops       *peerStops
 }
 
 // Replace implements follow.View.
@@ -233,6 +234,7 @@
 			p.mesh.GossipNow()
 		}
 	}
+	p.stops.heard(now, peer, g.Leaving, time.Duration(p.grace.Load())-stopMargin)
 	p.evacuations.applyGossip(now, g)
 	p.requestMissing(now, peer, g)
 	if g.Leaving {
@@ -277,6 +279,7 @@
 	delete(p.storeReachedAt, peer)
 	p.schedulerCachedAt = time.Time{}
 	p.mu.Unlock()
+	p.stops.down(now, peer)
 	p.granter.OwnerDown(peer)
 	p.permits.GatewayDown(peer)
 	p.permits.UpdateScheduler(now)
