A stream that broke off in a stop is resumed where its estimated rest ends in time

Cause: a stream that has begun should not be refused for a stop, but the scheduler refuses one whose estimated rest, times 1.6 for estimates that are too low, does not end by the exit. A hint that is too high, or that is the maximum, is enough.

Evidence: a stream of 20 events, hint 72 events, broken off after 10: refused each time; with a hint of 40 events it is resumed.

Change: such a stream is placed a second time without that allowance. One that even by its estimate does not end is still broken off, since it would hold the gateway back to the end of its grace period.

Tests, which failed before: TestStreamOfAStopIsResumedThoughItsHintIsTooHigh, TestStreamWhoseRestEndsInTimeIsResumedInAStop.

--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -97,16 +97,19 @@
 	*Handler
 	w http.ResponseWriter
 	// conn is the caller's connection, which may be nil.
-	conn        *ingress.Conn
-	request     Request
-	catalog     *catalog.Catalog
-	route       *catalog.Route
-	workspace   *catalog.Workspace
-	tier        int
-	arrivedAt   time.Time
-	deadline    time.Time
-	shutdown    shutdownWindow
-	exitPlan    exitPlan
+	conn      *ingress.Conn
+	request   Request
+	catalog   *catalog.Catalog
+	route     *catalog.Route
+	workspace *catalog.Workspace
+	tier      int
+	arrivedAt time.Time
+	deadline  time.Time
+	shutdown  shutdownWindow
+	exitPlan  exitPlan
+	// exitLikely reports that the process may exit before the rest of the stream ends,
+	// whichever upstream serves it.
+	exitLikely  bool
 	chargedCost float64
 	// attempts counts the upstreams to which at least one byte was sent;
 	// mayHaveExecuted reports that one of them may have executed the request.
@@ -196,6 +199,9 @@
 		placement, err := c.Picker.Pick(ctx, now, req)
 		c.placementWait = c.Now().Sub(now)
 		if err != nil {
+			if ctx.Err() == nil && c.placeWithoutAllowance(req) {
+				continue
+			}
 			c.handleNoPlacement(ctx, err)
 			return
 		}
--- a/internal/edge/flow/shutdown.go
+++ b/internal/edge/flow/shutdown.go
@@ -104,6 +104,9 @@
 		return
 	}
 	req.Deadline = c.shutdown.exitAt
+	if c.exitLikely {
+		return
+	}
 	othersAccept := c.othersAccept(now)
 	switch {
 	case c.mayHaveExecuted:
@@ -121,6 +124,17 @@
 	}
 }
 
+// placeWithoutAllowance reports whether a request that got no placement is to be placed
+// again where its estimated length ends in time, with no allowance for a longer one: a
+// stream that may have been executed is broken off for certain without a placement.
+func (c *call) placeWithoutAllowance(req PlacementRequest) bool {
+	if c.exitLikely || !c.mayHaveExecuted || req.EndConstraint != EndPreferred {
+		return false
+	}
+	c.exitLikely = true
+	return true
+}
+
 // refusalDelay returns the Retry-After of a stream that is refused because of the
 // shutdown: when its caller is likely to reach a process that accepts it. Callers that
 // come back sooner would meet another process that shuts down, and lose a retry.
