A gateway that hears nobody takes it that the others accept callers as before

What callers saw: a gateway that lost its links to all others began to stop, took a stream 1.5 s after that by its hint, and cut it at the exit, though the other gateways went on and would have served it.

Cause: a gateway that is not heard counts as not accepting callers. A process that hears nobody at all is itself cut off, and knows nothing new of the others; it acted as if all of them were gone.

Evidence: TestIsolatedGatewayThatStopsCutsNoStream; its log has others-accept=false with the two others serving. The case of 3 s passes since late streams are planned by their maximum; the one of 1.5 s failed.

Change: mesh.Availability counts what the others said last while no peer is heard. One that has exited, or stopped, still counts as not accepting. The scheduler is chosen as before.

If all others did fail in the same moment, callers that are refused for it come back in 10 ms and may be refused again; before, they were planned by an estimate.

--- a/internal/fleet/mesh/availability.go
+++ b/internal/fleet/mesh/availability.go
@@ -28,9 +28,13 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	unavailable, reported := m.reportedUnavailableLocked(now, timeout)
+	cutOff := !m.hearsAnyLocked(now, timeout)
 	for address, p := range m.peers {
 		accepts := p.acceptsCallers(now, timeout)
-		if !p.alive(now, timeout) && reported {
+		switch {
+		case cutOff:
+			accepts = p.acceptedLast()
+		case !p.alive(now, timeout) && reported:
 			_, listed := unavailable[address]
 			accepts = p.known && !listed
 		}
@@ -87,6 +91,21 @@
 	return p.Node != "" && !p.exited && now.Sub(p.LastHeard) < timeout
 }
 
+// hearsAnyLocked reports whether any peer is alive.
+func (m *Mesh) hearsAnyLocked(now time.Time, timeout time.Duration) bool {
+	for _, p := range m.peers {
+		if p.alive(now, timeout) {
+			return true
+		}
+	}
+	return false
+}
+
+// acceptedLast reports whether the peer accepted callers when it was last heard.
+func (p *peer) acceptedLast() bool {
+	return p.Node != "" && !p.exited && p.Ready && !p.Leaving
+}
+
 func (p *peer) acceptsCallers(now time.Time, timeout time.Duration) bool {
 	return p.alive(now, timeout) && p.Ready && !p.Leaving
 }
--- a/internal/fleet/mesh/availability_test.go
+++ b/internal/fleet/mesh/availability_test.go
@@ -122,3 +122,21 @@
 		}
 	})
 }
+
+// Guards against a gateway that has lost its links to all others and takes it that none of
+// them accepts callers.
+func TestGatewayThatHearsNobodyCountsWhatOthersSaidLast(t *testing.T) {
+	runDomains(t, func(n *network.Network, all []*process) {
+		all[5].setState(true, true)
+		bubble.Sleep(time.Second)
+		all[0].requireAvailability(t, 0, 3, 20)
+		for i := range all {
+			n.Vanish(gatewayName(i))
+		}
+		bubble.Sleep(3 * time.Second)
+		within, outside := all[0].mesh.Availability(time.Now(), domainOf(0))
+		require.Equal(t, 3, within.Accepting, "all of the domain but the one that stops")
+		require.Equal(t, availabilityFleet-availabilityFleet/availabilityDomains, outside.Total)
+		require.Positive(t, outside.Accepting)
+	})
+}
