--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -65,6 +65,9 @@
 	// down are likely to reach one that accepts them, given whether the load balancer
 	// has noticed the shutdown; if nil, they are not.
 	OthersAccept func(shutdownNoticed bool) bool
+	// NextAccepting returns when a process that shuts down is expected to have started
+	// again, if no other one accepts callers. It may be nil.
+	NextAccepting func(now time.Time) time.Time
 	// Guard may be nil, which admits every request.
 	Guard SendGuard
 	// Domains returns the failure domains in the regions; if nil, no route or workspace
@@ -94,16 +97,19 @@
 	*Handler
 	w http.ResponseWriter
 	// conn is the caller's connection, which may be nil.
-	conn        *ingress.Conn
-	request     Request
-	catalog     *catalog.Catalog
-	route       *catalog.Route
-	workspace   *catalog.Workspace
-	tier        int
-	arrivedAt   time.Time
-	deadline    time.Time
-	shutdown    shutdownWindow
-	exitPlan    exitPlan
+	conn      *ingress.Conn
+	request   Request
+	catalog   *catalog.Catalog
+	route     *catalog.Route
+	workspace *catalog.Workspace
+	tier      int
+	arrivedAt time.Time
+	deadline  time.Time
+	shutdown  shutdownWindow
+	exitPlan  exitPlan
+	// exitLikely reports that the process may exit before the rest of the stream ends,
+	// whichever upstream serves it.
+	exitLikely  bool
 	chargedCost float64
 	// attempts counts the upstreams to which at least one byte was sent;
 	// mayHaveExecuted reports that one of them may have executed the request.
@@ -193,6 +199,9 @@
 		placement, err := c.Picker.Pick(ctx, now, req)
 		c.placementWait = c.Now().Sub(now)
 		if err != nil {
+			if ctx.Err() == nil && c.placeWithoutAllowance(req) {
+				continue
+			}
 			c.handleNoPlacement(ctx, err)
 			return
 		}
--- a/internal/edge/flow/shutdown.go
+++ b/internal/edge/flow/shutdown.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/persimmonridge/persimmonridge/internal/state/catalog"
 )
 
@@ -10,14 +12,12 @@
 	// balancerNoticeTime is how long after the start of a shutdown the load
 	// balancer may still send new callers here.
 	balancerNoticeTime = 2 * time.Second
-	// lateLengthFactor multiplies the estimated length of a stream that is placed
-	// later and that no other process accepts. The scheduler's own margin for
-	// streams that exceed their estimate is learned from short streams too, and is
-	// too small for long ones.
-	lateLengthFactor = 2
 	// shutdownRetryAfter is the Retry-After of requests that are refused because of a
-	// shutdown; another process accepts them at once.
+	// shutdown and that another process accepts at once.
 	shutdownRetryAfter = 10 * time.Millisecond
+	// maxReturnSpread is the time over which callers are told to come back once a process
+	// has started again.
+	maxReturnSpread = 600 * time.Millisecond
 )
 
 // EndConstraint states how a stream's end relates to the exit of the process.
@@ -95,28 +95,28 @@
 }
 
 // limitToExit restricts the placement if the process exits before the request's
-// deadline. A refusal costs a caller little if another process accepts the request, so
-// only what surely ends in time is placed then. Otherwise an estimate decides, since
-// the caller would find no other process.
+// deadline. Only what surely ends in time is placed then, by the most tokens that the
+// request states: an estimate of the length, whatever margin is added, is no bound. The
+// exception is a stream that comes early in a shutdown while its caller would find no
+// other process; an estimate decides then.
 func (c *call) limitToExit(now time.Time, req *PlacementRequest) {
 	if !c.shutdown.started() || !c.lengthKnown() || !c.shutdown.exitAt.Before(req.Deadline) {
 		return
 	}
 	req.Deadline = c.shutdown.exitAt
+	if c.exitLikely {
+		return
+	}
 	othersAccept := c.othersAccept(now)
 	switch {
 	case c.mayHaveExecuted:
 		// A stream that has begun would be broken off for certain, and one that an
 		// upstream may have executed can no longer be refused as not executed.
 		req.EndConstraint = EndPreferred
-	case othersAccept:
-		// An estimate is not an upper bound, whatever margin is added.
-		req.EndConstraint, req.OutputTokens = EndRequired, c.request.OutputTokens
-	case c.shutdown.unnoticed(now):
+	case c.shutdown.unnoticed(now) && !othersAccept:
 		req.EndConstraint = EndPreferred
 	default:
-		req.EndConstraint = EndRequired
-		req.OutputTokens = min(c.request.OutputTokens, lateLengthFactor*req.OutputTokens)
+		req.EndConstraint, req.OutputTokens = EndRequired, c.request.OutputTokens
 	}
 	c.exitPlan = exitPlan{
 		sinceStop: now.Sub(c.shutdown.startedAt), timeLeft: c.shutdown.exitAt.Sub(now),
@@ -124,6 +124,39 @@
 	}
 }
 
+// placeWithoutAllowance reports whether a request that got no placement is to be placed
+// again where its estimated length ends in time, with no allowance for a longer one: a
+// stream that may have been executed is broken off for certain without a placement.
+func (c *call) placeWithoutAllowance(req PlacementRequest) bool {
+	if c.exitLikely || !c.mayHaveExecuted || req.EndConstraint != EndPreferred {
+		return false
+	}
+	c.exitLikely = true
+	return true
+}
+
+// refusalDelay returns the Retry-After of a stream that is refused because of the
+// shutdown: when its caller is likely to reach a process that accepts it. Callers that
+// come back sooner would meet another process that shuts down, and lose a retry.
+func (c *call) refusalDelay(now time.Time) time.Duration {
+	if c.route.Kind != catalog.Streaming || c.OthersAccept == nil || c.othersAccept(now) {
+		return shutdownRetryAfter
+	}
+	var next time.Time
+	switch {
+	case c.OthersAccept(true):
+		next = c.shutdown.startedAt.Add(balancerNoticeTime)
+	case c.NextAccepting != nil:
+		next = c.NextAccepting(now).Add(c.returnSpread())
+	}
+	return max(shutdownRetryAfter, next.Sub(now))
+}
+
+// returnSpread spreads the callers that come back to a process that has just started.
+func (c *call) returnSpread() time.Duration {
+	return time.Duration(xxhash.Sum64String(c.request.ID) % uint64(maxReturnSpread))
+}
+
 // exitPlan is how a stream was planned that was placed during a shutdown. It is only
 // logged: a stream that was cut off shows by it which estimate was wrong.
 type exitPlan struct {
