A grant that leaves a stream too little time is not used

What callers saw: a stream of a stopping gateway was cut off. Its slot came 50 ms before the process exits and was used.

Cause: the scheduler compares a stream's end with the time left when it makes a grant. Nothing compared it when the grant arrived, however long the request had waited and the message had taken.

Evidence: TestGrantThatArrivesTooLateIsNotUsed, whose grant arrives 1.4 s after the slot request for a stream that is cut off after 1.45 s, failed in both cases.

Change: a gateway knows how long a stream takes at least, namely on the idle engine, by the speed that it has from the store or as a standby; an engine of unknown speed counts as the fastest.

--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -219,7 +219,8 @@
 		Node: s.Name, Domain: s.Domain, Scheduler: g.peers.scheduler, Send: g.mesh.Send,
 		DeliverLocally: func(now time.Time, e *wire.Envelope) { permit.HandleMessage(now, g.granter, s.Name, e) },
 		Local:          chooser, Upstream: g.roster.Get, Evacuated: g.roster.Evacuated,
-		Silent: g.peers.schedulerSilent, Service: g.service, Metrics: g.metrics, Logger: logger, Now: now,
+		MinStreamTime: g.granter.MinStreamTime,
+		Silent:        g.peers.schedulerSilent, Service: g.service, Metrics: g.metrics, Logger: logger, Now: now,
 	})
 	g.versionPicker = rollout.NewPicker(g.permits)
 	g.rolloutController = newRolloutController(g)
--- a/internal/sched/board/learned.go
+++ b/internal/sched/board/learned.go
@@ -9,7 +9,7 @@
 
 const (
 	// minSlowness and maxSlowness bound the estimated slowness of an engine.
-	minSlowness = 0.1
+	minSlowness = profile.MinSlowness
 	maxSlowness = 30
 	// maxEvidence limits the accumulated weight of past observations, in units of a
 	// full-weight observation.
--- a/internal/sched/granter/granter.go
+++ b/internal/sched/granter/granter.go
@@ -140,6 +140,14 @@
 	g.scheduler.ApplyLearned(m)
 }
 
+// MinStreamTime returns how long the idle engine takes from the send of a prompt to the
+// last of its output tokens.
+func (g *Granter) MinStreamTime(upstream string, promptTokens, outputTokens int) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.scheduler.MinStreamTime(upstream, promptTokens, outputTokens)
+}
+
 // Submit grants a slot to the request, queues the request or refuses it.
 func (g *Granter) Submit(a board.SlotRequest) {
 	g.update(func(s *board.Scheduler, now time.Time) { s.Submit(now, a) })
--- a/internal/sched/permit/replaced_test.go
+++ b/internal/sched/permit/replaced_test.go
@@ -71,6 +71,10 @@
 	r.decide(node, number, &wire.PlaceVerdict{Upstream: engine.ID})
 }
 
+func (r *replacement) refuse(node string, number uint64) {
+	r.decide(node, number, &wire.PlaceVerdict{Why: "no engine could end the stream"})
+}
+
 func (r *replacement) replace(scheduler string) {
 	r.mu.Lock()
 	r.scheduler = scheduler
@@ -114,12 +118,17 @@
 }
 
 func (r *replacement) pick(ctx context.Context, e flow.EndConstraint) <-chan picked {
+	return r.pickWithin(ctx, r.client, 15*time.Second, e)
+}
+
+// pickWithin asks for a slot for a stream whose deadline is after the given time.
+func (r *replacement) pickWithin(ctx context.Context, picker flow.Picker, remaining time.Duration, e flow.EndConstraint) <-chan picked {
 	result := make(chan picked, 1)
 	go func() {
 		now := time.Now()
-		placement, err := r.client.Pick(ctx, now, flow.PlacementRequest{
+		placement, err := picker.Pick(ctx, now, flow.PlacementRequest{
 			ID: "one", Service: "tutor", Route: &catalog.Route{}, PromptTokens: 1000, OutputTokens: 100,
-			NextEventDue: now.Add(600 * time.Millisecond), Deadline: now.Add(15 * time.Second), EndConstraint: e,
+			NextEventDue: now.Add(600 * time.Millisecond), Deadline: now.Add(remaining), EndConstraint: e,
 		})
 		result <- picked{placement: placement, err: err, took: time.Since(now)}
 	}()
--- a/internal/sched/profile/profile.go
+++ b/internal/sched/profile/profile.go
@@ -47,3 +47,13 @@
 
 // DecodeMs returns the time in milliseconds to generate the tokens.
 func DecodeMs(tokens, running int) float64 { return float64(tokens) * StepMs(running) }
+
+// MinSlowness is the slowness of the fastest engines that are reckoned with.
+const MinSlowness = 0.1
+
+// MinStreamTime returns how long an idle engine takes from the send of a prompt to the last
+// of its output tokens.
+func MinStreamTime(slowness float64, promptTokens, outputTokens int) time.Duration {
+	ordinaryMs := PrefillMs(promptTokens, 1) + DecodeMs(outputTokens, 1)
+	return FixedLatency + time.Duration(slowness*ordinaryMs*float64(time.Millisecond))
+}
