A choice without the scheduler looks at the end of a stream

Cause: only the scheduler compared a stream's end with the time left. A gateway that chooses an engine by itself compared nothing for a stream that should end, and the choice among upstreams without engines, which never has a scheduler, did not look at ends at all, not even at those that must hold.

Change: every choice without the scheduler goes through pickToEnd. What must end gets no upstream, since it is not known which engines are full, nor how long an upstream without an engine takes at most. What should end is placed where it may end by the bound of a late grant, and an upstream on which it cannot is passed over. What can end nowhere is refused at once, by the refusal of a stopping gateway.

Why it works: no way of choosing is left that does not compare the end. The rest of a stream that has begun is still placed without the scheduler while it may end, as a refusal would break it off for certain.

New and failing before: TestStreamThatCannotEndIsRefusedAtOnce, TestLocalChoicePassesOverEnginesThatAreTooSlow, TestLocalChoiceAmongEnginesThatAreAllTooSlow. TestRestThatMayStillEndIsPlacedWithoutScheduler holds the other direction and passed before.

Left: a stream of a service without engines is refused whenever its end must hold, also when all gateways stop.

--- a/internal/sched/permit/ending.go
+++ b/internal/sched/permit/ending.go
@@ -1,6 +1,8 @@
 package permit
 
 import (
+	"context"
+	"slices"
 	"time"
 
 	"github.com/persimmonridge/persimmonridge/internal/edge/flow"
@@ -37,6 +39,35 @@
 	return c.MinStreamTime(upstream, req.PromptTokens, req.OutputTokens)
 }
 
+// pickToEnd chooses an upstream without the scheduler, for a stream one on which it may
+// end by its deadline. A stream that must end gets none: on an engine it might wait in a
+// queue, as only the scheduler knows which engines are full, and how long an upstream
+// without an engine takes at most is not known at all.
+func (c *Client) pickToEnd(ctx context.Context, now time.Time, req flow.PlacementRequest) (flow.Placement, error) {
+	if req.EndConstraint == flow.EndRequired || !c.mayEnd(now, &req, "") {
+		return nil, refuseBeforeExit()
+	}
+	tooSlow := false
+	for {
+		chosen, err := c.Local.Pick(ctx, now, req)
+		if err != nil && tooSlow {
+			return nil, refuseBeforeExit()
+		}
+		if err != nil {
+			return nil, err
+		}
+		// The choice may have waited for an upstream.
+		now = c.Now()
+		upstream := chosen.Upstream().ID
+		if c.mayEnd(now, &req, upstream) {
+			return chosen, nil
+		}
+		chosen.Release(now, flow.Canceled, 0)
+		tooSlow = true
+		req.ExcludedUpstreams = slices.Concat(req.ExcludedUpstreams, []string{upstream})
+	}
+}
+
 // refuseBeforeExit refuses a request that would outlast this process.
 func refuseBeforeExit() error {
 	return flow.RefusePlacement(0, "this process shuts down before the request could complete")
--- a/internal/sched/permit/permit.go
+++ b/internal/sched/permit/permit.go
@@ -149,7 +149,7 @@
 	}
 	service := c.Service(req.Service)
 	if service == nil || service.Engine == nil {
-		return c.Local.Pick(ctx, now, req)
+		return c.pickToEnd(ctx, now, req)
 	}
 	var giveUpAt time.Time
 	moved := false
@@ -207,17 +207,11 @@
 	return c.pickLocally(ctx, req)
 }
 
-// pickLocally chooses an upstream without the scheduler. The slot is held like a granted
-// one, so that the scheduler learns of it. A stream that must end in time gets none: it
-// might wait in the queue of a full engine, and only the scheduler knows which engines are
-// full.
+// pickLocally chooses an engine without the scheduler. The slot is held like a granted
+// one, so that the scheduler learns of it.
 func (c *Client) pickLocally(ctx context.Context, req flow.PlacementRequest) (flow.Placement, error) {
 	c.Logger.Debug("choosing without the scheduler", "id", req.ID)
-	now := c.Now()
-	if req.EndConstraint == flow.EndRequired {
-		return nil, flow.RefusePlacement(0, "this process shuts down before the request could complete")
-	}
-	chosen, err := c.Local.Pick(ctx, now, req)
+	chosen, err := c.pickToEnd(ctx, c.Now(), req)
 	if err != nil {
 		return nil, err
 	}
