A quota report of a gateway's former process changes nothing

A gateway restarts, and a report of its former process arrives late; what a workspace used there counts again, once more for the former and once for the current process.

Cause: the ledger took a report of any other run for that of a new process, which counts from zero.

Evidence: whether messages can come in that order was not known. The mesh passes over the gossip of a stale run, not its other messages.

Change: the ledger orders the processes of a gateway by when they started by its own clock (arrival minus age, the earliest of all reports), and passes over a report of an earlier one until the current one has been silent for ten seconds.

Why it works: an age is measured by one clock, so it tells the order also if the gateway's clock was set back. A report overstates the start by its time on the way, which matters only if that is longer than the process ran; then the run tells.

--- a/internal/limit/quota/ledger.go
+++ b/internal/limit/quota/ledger.go
@@ -19,6 +19,9 @@
 	// reported.
 	run        uint64
 	lastReport map[string]float64
+	// startedAt is when the process started. Each report overstates it by the time that
+	// it was on its way, so the earliest is kept.
+	startedAt time.Time
 	// used is the part of the totals that this gateway used.
 	used       map[string]float64
 	reportedAt time.Time
@@ -29,6 +32,10 @@
 // restart of all gateways, the first and the last one are connected within 1.5 s.
 const justStartedAge = 3 * time.Second
 
+// maxReportDelay is the longest time that a report is on its way: the receiver closes a
+// stream on which nothing arrives for that long.
+const maxReportDelay = 10 * time.Second
+
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
 	return &Ledger{totals: make(map[string]float64), gateways: make(map[string]*gatewayUsage)}
@@ -57,9 +64,9 @@
 	AllJustStarted bool
 }
 
-// Report records a gateway's usage. Usage before the gateway's first report to this
-// ledger is ignored unless the gateway has just started: it has been refilled since,
-// or was charged by the previous ledger.
+// Report records a gateway's usage. A late report of a former process is ignored, and so
+// is usage before the gateway's first report to this ledger unless the gateway has just
+// started: it has been refilled since, or was charged by the previous ledger.
 func (l *Ledger) Report(now time.Time, node string, r Report) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -69,8 +76,14 @@
 		gateway = &gatewayUsage{used: make(map[string]float64)}
 		l.gateways[node] = gateway
 	}
-	if gateway.run != r.Run {
-		gateway.run, gateway.lastReport = r.Run, make(map[string]float64)
+	startedAt := now.Add(-r.Age)
+	switch {
+	case first || gateway.run != r.Run && !gateway.isFormer(now, r.Run, startedAt):
+		gateway.run, gateway.startedAt, gateway.lastReport = r.Run, startedAt, make(map[string]float64)
+	case gateway.run != r.Run:
+		return
+	case startedAt.Before(gateway.startedAt):
+		gateway.startedAt = startedAt
 	}
 	gateway.reportedAt, gateway.age = now, r.Age
 	for workspace, count := range r.Used {
@@ -84,6 +97,19 @@
 	}
 }
 
+// isFormer reports whether a report of another process than the current one is late: its
+// process was replaced by the current one. The times at which they started tell, as runs
+// do not rise if the gateway's clock was set back; but a report that was on its way for
+// longer than its process ran makes it look like a later one. A process with a lower run
+// is therefore accepted only once the current one is silent.
+func (g *gatewayUsage) isFormer(now time.Time, run uint64, startedAt time.Time) bool {
+	silence := now.Sub(g.reportedAt)
+	if startedAt.Before(g.startedAt) {
+		return silence <= maxReportDelay
+	}
+	return run < g.run && silence <= totalsTimeout
+}
+
 // Totals returns the totals for a gateway. Run identifies the ledger's process, and
 // known is the number of known gateways.
 func (l *Ledger) Totals(now time.Time, node string, run uint64, known int) Totals {
--- a/internal/limit/quota/restart_test.go
+++ b/internal/limit/quota/restart_test.go
@@ -150,3 +150,56 @@
 	k.ApplyTotals(start.Add(100*time.Millisecond), quota.Totals{LedgerRun: 1, Coverage: 1, AllJustStarted: true})
 	require.False(t, k.Settles(start.Add(100*time.Millisecond)))
 }
+
+// delayedReport is a report of gateway "a" that arrives at a time after the start.
+type delayedReport struct {
+	at, age time.Duration
+	run     uint64
+	used    float64
+}
+
+// Guards against usage that is counted twice because a report of a gateway's former
+// process arrives late, and against a current process that is taken for a former one.
+func TestReportsOfFormerProcessesChangeNothing(t *testing.T) {
+	const ms = time.Millisecond
+	for _, c := range []struct {
+		name    string
+		reports []delayedReport
+		want    float64
+	}{
+		{"a late report", []delayedReport{{0, time.Minute, 1, 100}, {500 * ms, 0, 2, 5}, {600 * ms, time.Minute, 1, 100}, {700 * ms, 200 * ms, 2, 6}}, 106},
+		{"one from before the last", []delayedReport{{0, time.Minute, 1, 100}, {500 * ms, 0, 2, 5}, {600 * ms, time.Minute - 100*ms, 1, 90}, {700 * ms, 200 * ms, 2, 6}}, 106},
+		{"one with usage that was not reported before", []delayedReport{{0, time.Minute, 1, 100}, {500 * ms, 0, 2, 5}, {600 * ms, time.Minute + 100*ms, 1, 130}, {700 * ms, 200 * ms, 2, 6}}, 106},
+		{"while the current process is silent", []delayedReport{{0, time.Minute, 1, 100}, {500 * ms, 0, 2, 5}, {5 * time.Second, time.Minute, 1, 100}, {6 * time.Second, 5500 * ms, 2, 6}}, 106},
+		{"of a process that is reported first then", []delayedReport{{0, 0, 2, 5}, {600 * ms, time.Minute, 1, 100}, {700 * ms, 700 * ms, 2, 6}}, 6},
+		{"later than its process lived", []delayedReport{{0, 100 * ms, 1, 10}, {500 * ms, 0, 2, 5}, {700 * ms, 100 * ms, 1, 10}, {800 * ms, 300 * ms, 2, 6}}, 16},
+		{"of a process before the former one", []delayedReport{{0, time.Minute, 1, 100}, {500 * ms, 0, 2, 5}, {900 * ms, 0, 3, 1}, {1000 * ms, time.Minute, 1, 100}, {1100 * ms, 300 * ms, 2, 5}, {1200 * ms, 300 * ms, 3, 2}}, 107},
+		{"with the clock set back", []delayedReport{{0, time.Minute, 5, 100}, {500 * ms, 0, 4, 5}, {600 * ms, time.Minute, 5, 100}, {700 * ms, 200 * ms, 4, 6}}, 106},
+		{"with the clock set back, while the current process is silent", []delayedReport{{0, time.Minute, 5, 100}, {500 * ms, 0, 4, 5}, {5 * time.Second, time.Minute, 5, 100}, {6 * time.Second, 5500 * ms, 4, 6}}, 106},
+		{"no former report, with the clock set back at once", []delayedReport{{0, time.Minute, 5, 100}, {100 * ms, 0, 4, 5}, {200 * ms, 100 * ms, 4, 6}, {600 * ms, 500 * ms, 4, 9}}, 109},
+		{"no former report, with a process that was heard through a late report only", []delayedReport{{0, 500 * ms, 1, 10}, {100 * ms, 2 * time.Second, 2, 5}, {11 * time.Second, 13 * time.Second, 2, 6}}, 16},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l, first := quota.NewLedger(), c.reports[0]
+			l.Report(start.Add(first.at), "a", quota.Report{Run: first.run, Age: first.age, Used: map[string]float64{"studio": 0}})
+			for _, r := range c.reports {
+				l.Report(start.Add(r.at), "a", quota.Report{Run: r.run, Age: r.age, Used: map[string]float64{"studio": r.used}})
+			}
+			last := c.reports[len(c.reports)-1]
+			totals := l.Totals(start.Add(last.at), "b", 1, 1)
+			require.InDelta(t, c.want, totals.OthersUsed["studio"], 0.001)
+			require.InDelta(t, 1, totals.Coverage, 0.001)
+		})
+	}
+}
+
+// Guards against a gateway that counts as heard, and the fleet as running for long,
+// because of a report of its former process.
+func TestReportOfAFormerProcessChangesNeitherCoverageNorAge(t *testing.T) {
+	l := quota.NewLedger()
+	l.Report(start, "a", quota.Report{Run: 1, Age: time.Minute})
+	l.Report(start.Add(500*time.Millisecond), "a", quota.Report{Run: 2})
+	l.Report(start.Add(600*time.Millisecond), "a", quota.Report{Run: 1, Age: time.Minute})
+	require.True(t, l.Totals(start.Add(600*time.Millisecond), "b", 1, 1).AllJustStarted)
+	require.Zero(t, l.Totals(start.Add(950*time.Millisecond), "b", 1, 1).Coverage)
+}
