Notices tell how long a crash is still remembered, and it counts once

Cause: a notice named crashes without their age. A node that had forgotten one took the next notice for news, remembered it for ten minutes more, told the others, and convicted again for six hours.

The tests of suspect's new functions don't compile on the code before.

Change: Crash has life_ms, the rest of its life. The earliest of all reports of a crash counts; a crash that was forgotten, or dropped for want of room, is recognized for six hours after its last report, 1,024 at most. A conviction counts from the later of its crashes. A crash keeps which fingerprints were cleared. Of too many crashes the oldest is dropped, by its time and not by its place in the list.

Why it works: no report lengthens a life, and a forgotten crash is not taken over again, so each node forgets it ten minutes after it plus the time that the first report was on its way. An older version tells no life (0): its report counts as whole when first heard, and once.

--- a/internal/fleet/control/control.go
+++ b/internal/fleet/control/control.go
@@ -291,7 +291,9 @@
 func (p *Peer) notice(now time.Time, evidence bool) *wire.Notice {
 	n := &wire.Notice{Revision: p.log.Revision()}
 	for _, crash := range p.suspects.Crashes(now) {
-		n.Crashes = append(n.Crashes, &wire.Crash{Id: crash.ID(), Fingerprints: crash.Fingerprints()})
+		// Rounded up: a node that hears its own report again must not shorten a life.
+		life := (crash.Life(now) + time.Millisecond - 1) / time.Millisecond
+		n.Crashes = append(n.Crashes, &wire.Crash{Id: crash.ID(), Fingerprints: crash.Fingerprints(), LifeMs: uint32(life)})
 	}
 	if p.describe != nil {
 		p.describe(now, n, evidence)
@@ -336,7 +338,8 @@
 func (p *Peer) recordCrashes(now time.Time, n *wire.Notice) {
 	isNew := false
 	for _, crash := range n.GetCrashes() {
-		if p.suspects.Record(now, suspect.NewCrash(crash.GetId(), now, crash.GetFingerprints())) {
+		life := time.Duration(crash.GetLifeMs()) * time.Millisecond
+		if p.suspects.Record(now, suspect.NewReportedCrash(now, crash.GetId(), life, crash.GetFingerprints())) {
 			isNew = true
 		}
 	}
--- a/internal/upstream/suspect/suspect.go
+++ b/internal/upstream/suspect/suspect.go
@@ -33,6 +33,11 @@
 	// added.
 	maxCrashes   = 256
 	maxConvicted = 4096
+	// recognition is how long after its last report a forgotten crash is recognized, so
+	// that a peer that repeats it does not make it count again.
+	recognition = convictionRetention
+	// maxForgotten bounds the crashes that are only recognized.
+	maxForgotten = 1024
 	// maxFingerprintsPerCrash bounds the fingerprints of a crash; a larger crash is
 	// ignored.
 	maxFingerprintsPerCrash = 512
@@ -44,6 +49,8 @@
 	id           uint64
 	at           time.Time
 	fingerprints []uint64
+	// cleared are the fingerprints that were removed since.
+	cleared []uint64
 }
 
 // NewCrash returns a crash. All reporters of a crash derive the same id for it.
@@ -53,46 +60,72 @@
 	return Crash{id: id, at: at, fingerprints: slices.Compact(sorted)}
 }
 
+// NewReportedCrash returns a crash that a peer reported with the rest of its life. The
+// life is 0 if the peer is of an older version, and then counts as whole.
+func NewReportedCrash(now time.Time, id uint64, life time.Duration, fingerprints []uint64) Crash {
+	if life <= 0 || life > crashRetention {
+		life = crashRetention
+	}
+	return NewCrash(id, now.Add(life-crashRetention), fingerprints)
+}
+
 // ID returns the ID of the crash.
 func (c Crash) ID() uint64 { return c.id }
 
 // Fingerprints returns the fingerprints of the running requests, sorted.
 func (c Crash) Fingerprints() []uint64 { return c.fingerprints }
 
+// Life returns how long the crash is still remembered.
+func (c Crash) Life(now time.Time) time.Duration { return c.at.Add(crashRetention).Sub(now) }
+
 // Registry records crashes and convictions. It is safe for concurrent use.
 type Registry struct {
 	mu        sync.Mutex
 	crashes   []Crash
 	convicted map[uint64]time.Time
+	// forgotten holds the last reports of crashes that no longer count, by ID.
+	forgotten map[uint64]time.Time
 }
 
 // New returns a registry without crashes.
-func New() *Registry { return &Registry{convicted: make(map[uint64]time.Time)} }
+func New() *Registry {
+	return &Registry{convicted: make(map[uint64]time.Time), forgotten: make(map[uint64]time.Time)}
+}
 
 // Record records a crash that was observed here or reported by a peer, and returns
-// whether it added anything. Partial reports of one crash are merged by its ID.
+// whether it added anything. Partial reports of one crash are merged by its ID. Each
+// report overstates when the crash was by the time that it was on its way, so the
+// earliest time is kept. A crash that was forgotten does not count again.
 func (r *Registry) Record(now time.Time, crash Crash) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.expire(now)
-	merged, changed := r.merge(crash)
+	if r.isForgotten(now, crash.id) {
+		return false
+	}
+	merged, changed := r.merge(now, crash)
 	if !changed {
 		return false
 	}
 	for _, other := range r.crashes {
 		if other.id != merged.id {
-			r.convictCommon(now, merged, other)
+			r.convictCommon(merged, other)
 		}
 	}
 	return true
 }
 
-func (r *Registry) merge(crash Crash) (Crash, bool) {
+func (r *Registry) merge(now time.Time, crash Crash) (Crash, bool) {
 	for i, known := range r.crashes {
 		if known.id != crash.id {
 			continue
 		}
-		merged := NewCrash(known.id, known.at, slices.Concat(known.fingerprints, crash.fingerprints))
+		added := slices.DeleteFunc(slices.Clone(crash.fingerprints), func(f uint64) bool { return slices.Contains(known.cleared, f) })
+		merged := NewCrash(known.id, known.at, slices.Concat(known.fingerprints, added))
+		merged.cleared = known.cleared
+		if crash.at.Before(known.at) {
+			merged.at = crash.at
+		}
 		changed := len(merged.fingerprints) > len(known.fingerprints)
 		r.crashes[i] = merged
 		return merged, changed
@@ -102,12 +135,45 @@
 	}
 	r.crashes = append(r.crashes, crash)
 	if len(r.crashes) > maxCrashes {
-		r.crashes = slices.Delete(r.crashes, 0, 1)
+		oldest := slices.MinFunc(r.crashes, func(x, y Crash) int { return x.at.Compare(y.at) })
+		r.crashes = slices.DeleteFunc(r.crashes, func(c Crash) bool { return c.id == oldest.id })
+		r.forget(now, oldest.id)
+		return crash, oldest.id != crash.id
 	}
 	return crash, true
 }
 
-func (r *Registry) convictCommon(now time.Time, a, b Crash) {
+// isForgotten reports whether the crash was forgotten, and notes that it was reported
+// again.
+func (r *Registry) isForgotten(now time.Time, id uint64) bool {
+	last, ok := r.forgotten[id]
+	if !ok || now.Sub(last) > recognition {
+		return false
+	}
+	r.forgotten[id] = now
+	return true
+}
+
+// forget notes that the crash no longer counts. The one that was reported least recently
+// makes room.
+func (r *Registry) forget(now time.Time, id uint64) {
+	r.forgotten[id] = now
+	if len(r.forgotten) <= maxForgotten {
+		return
+	}
+	oldest := id
+	for other, at := range r.forgotten {
+		if at.Before(r.forgotten[oldest]) {
+			oldest = other
+		}
+	}
+	delete(r.forgotten, oldest)
+}
+
+// convictCommon convicts the only fingerprint that two crashes have in common. The
+// conviction counts from the later crash and not from its report, so that it ends at all
+// nodes at the same time.
+func (r *Registry) convictCommon(a, b Crash) {
 	var common []uint64
 	for _, fingerprint := range a.fingerprints {
 		if slices.Contains(b.fingerprints, fingerprint) {
@@ -118,7 +184,11 @@
 		return
 	}
 	if _, known := r.convicted[common[0]]; !known {
-		r.convicted[common[0]] = now
+		at := a.at
+		if b.at.After(at) {
+			at = b.at
+		}
+		r.convicted[common[0]] = at
 	}
 }
 
@@ -128,8 +198,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i := range r.crashes {
-		remaining := slices.DeleteFunc(slices.Clone(r.crashes[i].fingerprints), func(f uint64) bool { return f == fingerprint })
-		r.crashes[i].fingerprints = remaining
+		crash := &r.crashes[i]
+		remaining := slices.DeleteFunc(slices.Clone(crash.fingerprints), func(f uint64) bool { return f == fingerprint })
+		if len(remaining) < len(crash.fingerprints) {
+			crash.cleared = append(slices.Clone(crash.cleared), fingerprint)
+		}
+		crash.fingerprints = remaining
 	}
 }
 
@@ -152,7 +226,8 @@
 	return NotSuspected
 }
 
-// Crashes returns all recorded crashes, oldest first, for reporting to peers.
+// Crashes returns all recorded crashes, in the order in which they became known, for
+// reporting to peers.
 func (r *Registry) Crashes(now time.Time) []Crash {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -169,7 +244,13 @@
 }
 
 func (r *Registry) expire(now time.Time) {
-	r.crashes = slices.DeleteFunc(r.crashes, func(c Crash) bool { return now.Sub(c.at) > crashRetention })
+	r.crashes = slices.DeleteFunc(r.crashes, func(c Crash) bool {
+		expired := c.Life(now) <= 0
+		if expired {
+			r.forget(now, c.id)
+		}
+		return expired
+	})
 	for fingerprint, at := range r.convicted {
 		if now.Sub(at) > convictionRetention {
 			delete(r.convicted, fingerprint)
--- a/internal/upstream/suspect/suspect_test.go
+++ b/internal/upstream/suspect/suspect_test.go
@@ -64,3 +64,47 @@
 	require.LessOrEqual(t, len(r.Crashes(start)), 256)
 	require.LessOrEqual(t, r.Convicted(start), 4096)
 }
+
+// Guards against a crash that is remembered for longer because its reports arrive late or
+// in another order, and against one that counts again once it was forgotten.
+func TestLateReportsDoNotLengthenACrash(t *testing.T) {
+	reports := []struct{ at, life time.Duration }{
+		{time.Minute, 9 * time.Minute}, {3 * time.Minute, 9 * time.Minute}, {2 * time.Minute, 8 * time.Minute}, {4 * time.Minute, 0},
+	}
+	for first := range reports {
+		r := suspect.New()
+		for i := range reports {
+			report := reports[(first+i)%len(reports)]
+			now := start.Add(report.at)
+			added := r.Record(now, suspect.NewReportedCrash(now, 1, report.life, []uint64{1}))
+			require.Equal(t, i == 0, added)
+		}
+		require.Equal(t, suspect.Suspected, r.Status(start.Add(10*time.Minute-time.Second), 1))
+		for end := 10 * time.Minute; end < 3*time.Hour; end += 9 * time.Minute {
+			now := start.Add(end)
+			require.Equal(t, suspect.NotSuspected, r.Status(now, 1))
+			require.False(t, r.Record(now, suspect.NewReportedCrash(now, 1, time.Minute, []uint64{1})))
+			require.False(t, r.Record(now, suspect.NewReportedCrash(now, 1, 0, []uint64{1})))
+		}
+	}
+}
+
+// Guards against peers that tell each other in turn what each of them drops for want of
+// room: a dropped crash must not be news again.
+func TestDroppedCrashIsNotRecordedAgain(t *testing.T) {
+	r := suspect.New()
+	const count = 300
+	for id := range uint64(count) {
+		r.Record(start, suspect.NewCrash(id, start.Add(time.Duration(id)*time.Millisecond), []uint64{id}))
+	}
+	now := start.Add(time.Second)
+	kept := make(map[uint64]bool)
+	for _, c := range r.Crashes(now) {
+		kept[c.ID()] = true
+	}
+	require.Len(t, kept, 256)
+	for id := range uint64(count) {
+		require.Equal(t, id >= count-256, kept[id], "the oldest make room")
+		require.False(t, r.Record(now, suspect.NewReportedCrash(now, id, 0, []uint64{id})))
+	}
+}
