Revisions of the store know their era

What callers saw: after the store came back from a copy 100 revisions older, an upstream that was registered since got no request, and one that had left got them on, on all gateways, until the counter had passed its old value.

The list of the new history was ignored as stale, and each change after it. A watch from a revision that the new history had passed got no 410 and lacked what lay between. Store-Era was read nowhere.

The first list of an era replaces the former one. A peer of an earlier build states none: its requests mean the present era, and what it tells replaces nothing that an era is known of.

What the copy lacks keeps the 2.2 s of an outage: upstreams, evacuations. Two rules are new. A service of which nothing is kept, as when all its registrations lapsed, keeps its 2.2 s. And an upstream that had left in the last minute or was draining gets nothing on the word of the copy, until its registration is written again or it has another start.

Late answers and peers of the former era are below and change nothing.

Not reached, as before: orders and states of moves, learned speeds and leases compare numbers without eras.

--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -33,7 +33,7 @@
 	run := g.Run
 	*g = wire.Gossip{
 		Run: run, Rank: h.sent.Rank, Ready: h.sent.Ready, ConfigVersion: h.sent.ConfigVersion,
-		RosterRevision: h.sent.RosterRevision, StoreAnswers: h.sent.StoreAnswers, ChangeRevision: h.sent.ChangeRevision,
+		RosterRevision: h.sent.RosterRevision, StoreAnswers: h.sent.StoreAnswers, ChangeRevision: h.sent.ChangeRevision, StoreEra: h.sent.StoreEra,
 		Leaving: h.sent.Leaving, Domain: h.sent.Domain,
 	}
 }
@@ -117,7 +117,7 @@
 func TestAllGossipFieldsReachPeers(t *testing.T) {
 	bubble.Run(t, func(t *testing.T) {
 		n := network.New()
-		sent := &wire.Gossip{Rank: 3, Ready: true, ConfigVersion: 5, RosterRevision: 7, StoreAnswers: true, ChangeRevision: 11}
+		sent := &wire.Gossip{Rank: 3, Ready: true, ConfigVersion: 5, RosterRevision: 7, StoreAnswers: true, ChangeRevision: 11, StoreEra: 13}
 		a := startProcess(t, n, "a:1", 1, sent, "b:1")
 		b := startProcess(t, n, "b:1", 2, &wire.Gossip{}, "a:1")
 		bubble.Sleep(time.Second)
@@ -129,6 +129,7 @@
 		require.Equal(t, sent.RosterRevision, got.RosterRevision)
 		require.Equal(t, sent.StoreAnswers, got.StoreAnswers)
 		require.Equal(t, sent.ChangeRevision, got.ChangeRevision)
+		require.Equal(t, sent.StoreEra, got.StoreEra)
 		a.stop()
 		b.stop()
 	})
--- a/internal/observe/meter/meter.go
+++ b/internal/observe/meter/meter.go
@@ -54,7 +54,7 @@
 }
 
 // Watch implements kv.Store.
-func (s *Store) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (kv.Changes, error) {
+func (s *Store) Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) (kv.Changes, error) {
 	changes, err := s.store.Watch(ctx, prefix, after, wait)
 	s.record("watch", err)
 	return changes, err
--- a/internal/role/gateway/evacuation.go
+++ b/internal/role/gateway/evacuation.go
@@ -28,7 +28,7 @@
 			domains = append(domains, domain)
 		}
 	}
-	e.change(now, func() evacuation.Change { return e.set.Replace(s.Revision, domains) })
+	e.change(now, func() evacuation.Change { return e.set.Replace(now, s.Revision, domains) })
 }
 
 // Apply implements follow.View.
@@ -59,10 +59,16 @@
 
 // applyGossip takes over what a peer knows at a later revision.
 func (e *evacuations) applyGossip(now time.Time, g *wire.Gossip) {
-	if known, _ := e.set.State(); g.EvacuationRevision <= known {
+	revision := kv.At(g.StoreEra, g.EvacuationRevision)
+	if known, _ := e.set.State(); g.EvacuationRevision == 0 || revision <= known {
 		return
 	}
-	e.change(now, func() evacuation.Change { return e.set.Replace(g.EvacuationRevision, g.Evacuated) })
+	e.change(now, func() evacuation.Change { return e.set.Replace(now, revision, g.Evacuated) })
+}
+
+// expire ends evacuations that were not ordered again in time.
+func (e *evacuations) expire(now time.Time) {
+	e.change(now, func() evacuation.Change { return e.set.Expire(now) })
 }
 
 // change carries out a change of the set.
@@ -73,7 +79,8 @@
 	if change.Empty() {
 		return
 	}
-	revision, domains := e.set.State()
+	revision, _ := e.set.State()
+	domains := e.set.Domains()
 	e.logger.Warn("evacuated failure domains", "domains", domains, "begun", change.Begun, "ended", change.Ended, "revision", revision)
 	e.roster.SetEvacuated(domains)
 	for _, domain := range change.Ended {
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -64,7 +64,7 @@
 // Decoder decodes and encodes the values in the store.
 type Decoder interface {
 	Config(raw []byte) (*catalog.Catalog, error)
-	Upstream(key string, raw []byte, revision int64) (roster.Upstream, error)
+	Upstream(key string, raw []byte, revision kv.Revision) (roster.Upstream, error)
 	// UpstreamID returns the upstream ID in a registration's key.
 	UpstreamID(key string) string
 	// EvacuatedDomain returns the failure domain that is evacuated while the key exists.
@@ -159,8 +159,8 @@
 	rolloutController *rolloutController
 	speedStore        *speedStore
 	follower          *follow.Follower
-	// lastChange is the store revision of the latest change that was applied,
-	// heartbeats excluded.
+	// lastChange is the kv.Revision of the latest change that was applied, heartbeats
+	// excluded.
 	lastChange atomic.Int64
 	metrics    *metrics
 	ingress    *ingress.Server
@@ -346,6 +346,7 @@
 			now := g.now()
 			g.pool.CloseExpired(now)
 			g.logOmittedLines(now)
+			g.evacuations.expire(now)
 			if g.roster.Expire(now) {
 				g.logger.Info("expired upstreams dropped")
 				g.publishEngines()
@@ -396,13 +397,13 @@
 
 // recordChange records the revision of a change that was applied. Hubs gossip it
 // at once.
-func (g *Gateway) recordChange(revision int64) {
+func (g *Gateway) recordChange(revision kv.Revision) {
 	for {
 		known := g.lastChange.Load()
-		if revision <= known {
+		if int64(revision) <= known {
 			return
 		}
-		if g.lastChange.CompareAndSwap(known, revision) {
+		if g.lastChange.CompareAndSwap(known, int64(revision)) {
 			if g.mesh.IsHub() {
 				g.mesh.GossipNow()
 			}
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -213,9 +213,7 @@
 	g.Ready = g.ConfigVersion > 0
 	g.Leaving = p.stopping()
 	g.Domain = p.settings.Domain
-	g.RosterRevision = p.roster.Revision()
-	g.ChangeRevision = p.lastChange.Load()
-	g.EvacuationRevision, g.Evacuated = p.evacuations.set.State()
+	p.fillRevisions(g)
 }
 
 // HandleGossip implements mesh.Handler.
--- a/internal/role/gateway/rollouts.go
+++ b/internal/role/gateway/rollouts.go
@@ -62,7 +62,7 @@
 
 // applyOrder applies a rollout order unless a later one is known.
 func (c *rolloutController) applyOrder(item kv.Item) {
-	order, err := c.decoder.Order(item.Key, item.Value, item.Revision)
+	order, err := c.decoder.Order(item.Key, item.Value, item.Revision.Number())
 	if err != nil {
 		c.logger.Warn("rollout order ignored", "err", err)
 		return
@@ -91,7 +91,7 @@
 // Replace implements follow.View.
 func (v stateView) Replace(_ time.Time, s kv.Snapshot) {
 	for _, item := range s.Items {
-		v.applyState(strings.TrimPrefix(item.Key, rolloutStatePrefix), item.Value, item.Revision, "store")
+		v.applyState(strings.TrimPrefix(item.Key, rolloutStatePrefix), item.Value, item.Revision.Number(), "store")
 	}
 }
 
@@ -99,7 +99,7 @@
 func (v stateView) Apply(_ time.Time, c kv.Changes) {
 	for _, e := range c.Events {
 		if !e.Deleted {
-			v.applyState(strings.TrimPrefix(e.Key, rolloutStatePrefix), e.Value, e.Revision, "store")
+			v.applyState(strings.TrimPrefix(e.Key, rolloutStatePrefix), e.Value, e.Revision.Number(), "store")
 		}
 	}
 }
--- a/internal/role/gateway/snapshots.go
+++ b/internal/role/gateway/snapshots.go
@@ -35,7 +35,9 @@
 		version = c.Version()
 	}
 	known := p.roster.Revision()
-	request := &wire.SnapshotAsk{RosterAfter: known}
+	// A list of another era than the peer's is no base for its changes.
+	request := &wire.SnapshotAsk{RosterAfter: known.NumberIn(g.StoreEra), RosterAfterEra: known.Era()}
+	peerRoster, peerChange := kv.At(g.StoreEra, g.RosterRevision), kv.At(g.StoreEra, g.ChangeRevision)
 	p.mu.Lock()
 	if g.StoreAnswers {
 		p.storeReachedAt[peer] = now
@@ -50,9 +52,9 @@
 		request.Config, p.configRequestedAt = true, now
 	}
 	// The first upstream list is read from the store.
-	changeBehind, changeBehindFor := p.changeLag.observe(now, known, g.ChangeRevision)
+	changeBehind, changeBehindFor := p.changeLag.observe(now, int64(known), int64(peerChange))
 	changeBehind = changeBehind && known > 0
-	peerNewer := p.storeLost && g.StoreAnswers && g.RosterRevision > known
+	peerNewer := p.storeLost && g.StoreAnswers && peerRoster > known
 	if (changeBehind || peerNewer) && now.Sub(p.rosterRequestedAt) > snapshotRequestInterval {
 		request.Roster, p.rosterRequestedAt = true, now
 	}
@@ -61,7 +63,7 @@
 		p.mesh.Send(peer, &wire.Envelope{Body: &wire.Envelope_SnapshotAsk{SnapshotAsk: request}})
 	}
 	if configBehind || (changeBehind && changeBehindFor > maxChangeLag) {
-		p.follower.Wake(g.ChangeRevision)
+		p.follower.Wake(peerChange)
 	}
 }
 
@@ -114,35 +116,59 @@
 	if !request.Roster {
 		return answer
 	}
-	events, revision, partial := p.upstreams.changesSince(request.RosterAfter)
-	answer.RosterRevision, answer.Partial = revision, partial
+	events, revision, partial := p.upstreams.changesSince(p.requestedAfter(request))
+	answer.RosterEra, answer.RosterRevision, answer.Partial = revision.Era(), revision.Number(), partial
 	for _, e := range events {
-		answer.Roster = append(answer.Roster, &wire.StoreItem{Key: e.Key, Value: e.Value, Revision: e.Revision, Removed: e.Deleted})
+		answer.Roster = append(answer.Roster, &wire.StoreItem{
+			Key: e.Key, Value: e.Value, Revision: e.Revision.Number(), CreatedRevision: e.CreatedRevision, Removed: e.Deleted,
+		})
 	}
 	return answer
 }
 
+// requestedAfter returns the revision after which a peer requests changes. One of an
+// earlier build states no era; it means the present one.
+func (p *peers) requestedAfter(request *wire.SnapshotAsk) kv.Revision {
+	if request.RosterAfterEra == 0 {
+		return kv.At(p.roster.Revision().Era(), request.RosterAfter)
+	}
+	return kv.At(request.RosterAfterEra, request.RosterAfter)
+}
+
+// fillRevisions tells peers the revisions up to which the store is known here. All are of
+// the latest era; those of an earlier one are told as 0.
+func (p *peers) fillRevisions(g *wire.Gossip) {
+	roster, change := p.roster.Revision(), kv.Revision(p.lastChange.Load())
+	evacuation, domains := p.evacuations.set.State()
+	era := max(roster, change, evacuation).Era()
+	g.StoreEra, g.RosterRevision, g.ChangeRevision = era, roster.NumberIn(era), change.NumberIn(era)
+	g.EvacuationRevision, g.Evacuated = evacuation.NumberIn(era), domains
+}
+
 // applySnapshot applies a peer's answer.
 func (p *peers) applySnapshot(now time.Time, peer string, answer *wire.Snapshot) {
 	if len(answer.Config) > 0 {
 		p.applyConfig(answer.Config, peer)
 	}
-	if answer.RosterRevision <= p.roster.Revision() {
+	revision := kv.At(answer.RosterEra, answer.RosterRevision)
+	if revision <= p.roster.Revision() {
 		return
 	}
 	if answer.Partial {
-		changes := kv.Changes{Revision: answer.RosterRevision}
+		changes := kv.Changes{Revision: revision}
 		for _, item := range answer.Roster {
-			changes.Events = append(changes.Events, kv.Event{
-				Item: kv.Item{Key: item.Key, Value: item.Value, Revision: item.Revision}, Deleted: item.Removed,
-			})
+			changes.Events = append(changes.Events, kv.Event{Item: storeItem(answer.RosterEra, item), Deleted: item.Removed})
 		}
 		p.upstreams.Apply(now, changes)
 		return
 	}
-	snapshot := kv.Snapshot{Revision: answer.RosterRevision}
+	snapshot := kv.Snapshot{Revision: revision}
 	for _, item := range answer.Roster {
-		snapshot.Items = append(snapshot.Items, kv.Item{Key: item.Key, Value: item.Value, Revision: item.Revision})
+		snapshot.Items = append(snapshot.Items, storeItem(answer.RosterEra, item))
 	}
 	p.upstreams.Replace(now, snapshot)
 }
+
+func storeItem(era int64, item *wire.StoreItem) kv.Item {
+	return kv.Item{Key: item.Key, Value: item.Value, Revision: kv.At(era, item.Revision), CreatedRevision: item.CreatedRevision}
+}
--- a/internal/role/gateway/snapshots_internal_test.go
+++ b/internal/role/gateway/snapshots_internal_test.go
@@ -17,7 +17,7 @@
 // stateDecoder decodes registrations whose value is the upstream's state.
 type stateDecoder struct{ Decoder }
 
-func (stateDecoder) Upstream(key string, raw []byte, revision int64) (roster.Upstream, error) {
+func (stateDecoder) Upstream(key string, raw []byte, revision kv.Revision) (roster.Upstream, error) {
 	u := roster.Upstream{ID: key, Service: "tutor", Revision: revision}
 	if strings.HasPrefix(string(raw), "draining") {
 		u.State = roster.Draining
@@ -34,18 +34,18 @@
 	})
 }
 
-func putEvent(key, value string, revision int64) kv.Event {
+func putEvent(key, value string, revision kv.Revision) kv.Event {
 	return kv.Event{Item: kv.Item{Key: key, Value: []byte(value), Revision: revision}}
 }
 
-func deleteEvent(key string, revision int64) kv.Event {
+func deleteEvent(key string, revision kv.Revision) kv.Event {
 	return kv.Event{Item: kv.Item{Key: key, Revision: revision}, Deleted: true}
 }
 
 // exchangeSnapshot requests the upstream changes that a gateway lacks from another one
 // and returns the answer.
 func exchangeSnapshot(now time.Time, from, to *Gateway) *wire.Snapshot {
-	answer := from.peers.buildSnapshot(&wire.SnapshotAsk{Roster: true, RosterAfter: to.roster.Revision()})
+	answer := from.peers.buildSnapshot(&wire.SnapshotAsk{Roster: true, RosterAfter: to.roster.Revision().Number(), RosterAfterEra: to.roster.Revision().Era()})
 	to.peers.applySnapshot(now, "peer", answer)
 	return answer
 }
@@ -69,7 +69,7 @@
 	answer := exchangeSnapshot(now, reader, receiver)
 	require.True(t, answer.Partial)
 	require.Len(t, answer.Roster, 3, "a heartbeat must not count as a change")
-	require.Equal(t, int64(20), receiver.roster.Revision())
+	require.Equal(t, kv.Revision(20), receiver.roster.Revision())
 	b, _ := receiver.roster.Get("b")
 	require.Equal(t, roster.Draining, b.State)
 	_, known := receiver.roster.Get("c")
@@ -110,13 +110,13 @@
 	exchangeSnapshot(now, reader, receiver)
 	_, known := receiver.roster.Get("a")
 	require.True(t, known)
-	require.Equal(t, int64(12), receiver.roster.Revision())
+	require.Equal(t, kv.Revision(12), receiver.roster.Revision())
 	later := now.Add(3 * time.Second)
 	reader.roster.Expire(later)
 	exchangeSnapshot(later, reader, receiver)
 	_, known = receiver.roster.Get("a")
 	require.False(t, known)
-	require.Equal(t, int64(20), receiver.roster.Revision())
+	require.Equal(t, kv.Revision(20), receiver.roster.Revision())
 }
 
 // Guards against changes that are not gossiped because they are seen only by comparing
@@ -124,7 +124,7 @@
 func TestRereadListReportsItsChanges(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	g := newSnapshotGateway("reader")
-	item := func(value string, revision int64) []kv.Item {
+	item := func(value string, revision kv.Revision) []kv.Item {
 		return []kv.Item{{Key: "a", Value: []byte(value), Revision: revision}}
 	}
 	g.upstreams.Replace(now, kv.Snapshot{Revision: 10, Items: item("ready", 9)})
--- a/internal/role/gateway/speeds.go
+++ b/internal/role/gateway/speeds.go
@@ -76,9 +76,9 @@
 		speeds = append(speeds, board.Speed{ID: e.ID, StartedAtMs: e.Born, Slowness: e.Slowness})
 	}
 	s.mu.Lock()
-	known := item.Revision <= s.revision
+	known := item.Revision.Number() <= s.revision
 	if !known {
-		s.stored, s.revision = stored, item.Revision
+		s.stored, s.revision = stored, item.Revision.Number()
 	}
 	s.mu.Unlock()
 	if known {
@@ -125,7 +125,7 @@
 		s.logger.Info("engine speeds not written to the store", "engines", len(entries), "err", err)
 		return true
 	}
-	s.load(kv.Item{Key: speedsKey, Value: value, Revision: revision})
+	s.load(kv.Item{Key: speedsKey, Value: value, Revision: kv.At(0, revision)})
 	return true
 }
 
--- a/internal/role/gateway/upstreams.go
+++ b/internal/role/gateway/upstreams.go
@@ -25,20 +25,20 @@
 	// changedAt and removedAt hold, by key, the revision at which a registration last
 	// changed other than by a heartbeat, and at which it was removed. Removals up to
 	// historyStart are not recorded.
-	changedAt, removedAt map[string]int64
-	historyStart         int64
+	changedAt, removedAt map[string]kv.Revision
+	historyStart         kv.Revision
 }
 
 func newUpstreamView(g *Gateway) *upstreamView {
 	return &upstreamView{
-		gateway: g, registrations: make(map[string]kv.Item), changedAt: make(map[string]int64), removedAt: make(map[string]int64),
+		gateway: g, registrations: make(map[string]kv.Item), changedAt: make(map[string]kv.Revision), removedAt: make(map[string]kv.Revision),
 	}
 }
 
 // Replace implements follow.View.
 func (v *upstreamView) Replace(now time.Time, s kv.Snapshot) {
 	registrations := make(map[string]kv.Item, len(s.Items))
-	changedAt := make(map[string]int64, len(s.Items))
+	changedAt := make(map[string]kv.Revision, len(s.Items))
 	var upstreams []roster.Upstream
 	for _, item := range s.Items {
 		registrations[item.Key], changedAt[item.Key] = item, item.Revision
@@ -47,6 +47,7 @@
 			v.gateway.logger.Warn("registration ignored", "err", err)
 			continue
 		}
+		u.CreatedRevision = item.CreatedRevision
 		upstreams = append(upstreams, u)
 	}
 	v.mu.Lock()
@@ -55,7 +56,7 @@
 	if replaced {
 		v.recordWarmUpLocked(now, registrations, upstreams)
 		v.registrations, v.changedAt = registrations, changedAt
-		v.removedAt, v.historyStart = make(map[string]int64), s.Revision
+		v.removedAt, v.historyStart = make(map[string]kv.Revision), s.Revision
 	}
 	v.mu.Unlock()
 	if !replaced {
@@ -83,17 +84,20 @@
 // latestChangeLocked compares a complete list, read after a gap in the store's
 // history, with the registrations so far. It returns the revision of the latest
 // change other than a heartbeat, or 0 if there is none. A removal counts as a change
-// at the list's revision.
-func (v *upstreamView) latestChangeLocked(revision int64, registrations map[string]kv.Item, upstreams []roster.Upstream) int64 {
+// at the list's revision. A new era is a change in itself, so that peers read it too.
+func (v *upstreamView) latestChangeLocked(revision kv.Revision, registrations map[string]kv.Item, upstreams []roster.Upstream) kv.Revision {
+	latest := kv.Revision(0)
+	if known, era := v.gateway.roster.Revision(), revision.Era(); known != 0 && era > known.Era() {
+		latest = kv.At(era, 0)
+	}
 	if len(v.registrations) == 0 {
-		return 0
+		return latest
 	}
 	for key := range v.registrations {
 		if _, kept := registrations[key]; !kept {
 			return revision
 		}
 	}
-	latest := int64(0)
 	for _, u := range upstreams {
 		if old, ok := v.gateway.roster.Get(u.ID); !ok || !old.EqualExceptHeartbeat(u) {
 			latest = max(latest, u.Revision)
@@ -102,8 +106,11 @@
 	return latest
 }
 
-// Apply implements follow.View.
+// Apply implements follow.View. Changes of an earlier era are ignored.
 func (v *upstreamView) Apply(now time.Time, c kv.Changes) {
+	if c.Revision.Era() < v.gateway.roster.Revision().Era() {
+		return
+	}
 	// Only the last event of each key is applied. Most events are heartbeats.
 	lastIndex := make(map[string]int, len(c.Events))
 	for i, e := range c.Events {
@@ -124,7 +131,10 @@
 
 // applyEvent applies one event and reports whether it is more than a heartbeat.
 func (v *upstreamView) applyEvent(now time.Time, e kv.Event) (changed bool) {
-	if !v.isNewer(e) {
+	v.mu.Lock()
+	newer := v.isNewerLocked(e)
+	v.mu.Unlock()
+	if !newer {
 		return false
 	}
 	g := v.gateway
@@ -134,6 +144,9 @@
 		g.recordChange(e.Revision)
 		v.mu.Lock()
 		defer v.mu.Unlock()
+		if !v.isNewerLocked(e) {
+			return false
+		}
 		delete(v.registrations, e.Key)
 		delete(v.changedAt, e.Key)
 		v.recordRemovalLocked(e.Key, e.Revision)
@@ -142,6 +155,7 @@
 		return true
 	}
 	u, err := g.decoder.Upstream(e.Key, e.Value, e.Revision)
+	u.CreatedRevision = e.CreatedRevision
 	if err != nil {
 		g.logger.Warn("registration ignored", "err", err)
 		changed = true
@@ -153,6 +167,9 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if !v.isNewerLocked(e) {
+		return false
+	}
 	v.registrations[e.Key] = e.Item
 	delete(v.removedAt, e.Key)
 	if changed {
@@ -167,22 +184,21 @@
 	return changed
 }
 
-// isNewer reports whether an event is later than the known state of its key. The
-// store delivers again what a peer has already passed on.
-func (v *upstreamView) isNewer(e kv.Event) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return e.Revision > max(v.registrations[e.Key].Revision, v.removedAt[e.Key])
+// isNewerLocked reports whether an event is later than the known state of its key, and
+// not of an earlier era than the roster. The store delivers again what a peer has already
+// passed on, and a peer may replace the list meanwhile.
+func (v *upstreamView) isNewerLocked(e kv.Event) bool {
+	return e.Revision.Era() >= v.gateway.roster.Revision().Era() && e.Revision > max(v.registrations[e.Key].Revision, v.removedAt[e.Key])
 }
 
 // recordRemovalLocked records the removal of a registration. When the records are
 // full, all of them are dropped.
-func (v *upstreamView) recordRemovalLocked(key string, revision int64) {
+func (v *upstreamView) recordRemovalLocked(key string, revision kv.Revision) {
 	if len(v.removedAt) >= maxRememberedRemovals {
 		for _, removed := range v.removedAt {
 			v.historyStart = max(v.historyStart, removed)
 		}
-		v.removedAt = make(map[string]int64)
+		v.removedAt = make(map[string]kv.Revision)
 	}
 	v.removedAt[key] = revision
 }
@@ -191,11 +207,11 @@
 // revision up to which they are complete. If partial is false, the history does not
 // reach back that far and the events are the complete list. Registrations that lapsed
 // during a store outage and may be renewed are not reported as removed.
-func (v *upstreamView) changesSince(after int64) (events []kv.Event, revision int64, partial bool) {
+func (v *upstreamView) changesSince(after kv.Revision) (events []kv.Event, revision kv.Revision, partial bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	revision = v.gateway.roster.Revision()
-	partial = after >= v.historyStart && after > 0
+	partial = after >= v.historyStart && after.Number() > 0
 	for key, item := range v.registrations {
 		if !partial || v.changedAt[key] > after {
 			events = append(events, kv.Event{Item: item})
--- a/internal/role/gateway/views_internal_test.go
+++ b/internal/role/gateway/views_internal_test.go
@@ -49,11 +49,11 @@
 	granted := false
 	g.granter = granter.New(time.Now, func(d board.Decision) { granted = granted || d.Upstream != "" }, g.logger)
 	g.catalog.Store(catalog.New(catalog.Content{Version: 1, Services: []catalog.Service{{Name: "tutor", Engine: &catalog.Engine{Slots: 1}}}}))
-	change := func(state roster.State, revision int64) {
+	change := func(state roster.State, revision kv.Revision) {
 		g.roster.Put(roster.Upstream{ID: "engine", Service: "tutor", Slots: 1, State: state, Revision: revision})
 		g.publishEngines()
 	}
-	for revision := int64(1); revision < 20_000; revision += 2 {
+	for revision := kv.Revision(1); revision < 20_000; revision += 2 {
 		var wg sync.WaitGroup
 		wg.Go(func() { change(roster.Ready, revision) })
 		wg.Go(func() { change(roster.Draining, revision+1) })
@@ -69,7 +69,7 @@
 type idDecoder struct{ Decoder }
 
 // Upstream implements Decoder.
-func (idDecoder) Upstream(key string, _ []byte, revision int64) (roster.Upstream, error) {
+func (idDecoder) Upstream(key string, _ []byte, revision kv.Revision) (roster.Upstream, error) {
 	return roster.Upstream{ID: key, Service: "tutor", Revision: revision}, nil
 }
 
--- a/internal/state/evacuation/evacuation.go
+++ b/internal/state/evacuation/evacuation.go
@@ -5,15 +5,22 @@
 import (
 	"slices"
 	"sync"
+	"time"
+
+	"github.com/persimmonridge/persimmonridge/internal/state/kv"
 )
 
 // Set is the set of evacuated domains as of a revision of the store. It is safe for
 // concurrent use. What is known at a later revision replaces what was known before, so a
-// store or a peer that is behind ends no evacuation.
+// store or a peer that is behind ends no evacuation. When the store returns to an older
+// copy, evacuations that it lacks hold until operators had the time to order them again.
 type Set struct {
 	mu       sync.RWMutex
-	revision int64
+	revision kv.Revision
 	domains  []string
+	// retained are the domains that were evacuated when the era began, until retainedUntil.
+	retained      []string
+	retainedUntil time.Time
 }
 
 // Change is the difference between two sets.
@@ -24,61 +31,104 @@
 
 // Replace replaces the set by all domains that are evacuated at the revision, unless a
 // later revision is known.
-func (s *Set) Replace(revision int64, domains []string) Change {
+func (s *Set) Replace(now time.Time, revision kv.Revision, domains []string) Change {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if revision < s.revision {
 		return Change{}
 	}
-	sorted := slices.Compact(slices.Sorted(slices.Values(domains)))
-	var change Change
-	for _, domain := range sorted {
-		if !slices.Contains(s.domains, domain) {
-			change.Begun = append(change.Begun, domain)
-		}
-	}
-	for _, domain := range s.domains {
-		if !slices.Contains(sorted, domain) {
-			change.Ended = append(change.Ended, domain)
-		}
+	before := s.allLocked()
+	if s.revision != 0 && revision.Era() > s.revision.Era() {
+		s.retained, s.retainedUntil = before, now.Add(kv.RewriteTime)
 	}
-	s.revision, s.domains = revision, sorted
-	return change
+	s.revision, s.domains = revision, sorted(domains)
+	return difference(before, s.allLocked())
 }
 
 // Apply applies the order of one domain at the revision, unless a later one is known.
-func (s *Set) Apply(revision int64, domain string, evacuated bool) Change {
-	s.mu.RLock()
-	next, known := slices.Clone(s.domains), s.revision
-	s.mu.RUnlock()
-	if revision <= known {
+func (s *Set) Apply(revision kv.Revision, domain string, evacuated bool) Change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if revision <= s.revision {
 		return Change{}
 	}
-	next = slices.DeleteFunc(next, func(other string) bool { return other == domain })
+	before := s.allLocked()
+	other := func(known string) bool { return known != domain }
+	s.revision, s.domains, s.retained = revision, filter(s.domains, other), filter(s.retained, other)
 	if evacuated {
-		next = append(next, domain)
+		s.domains = sorted(append(s.domains, domain))
+	}
+	return difference(before, s.allLocked())
+}
+
+// Expire ends the evacuations that were not ordered again in time after the store returned
+// to an older copy.
+func (s *Set) Expire(now time.Time) Change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.retained) == 0 || now.Before(s.retainedUntil) {
+		return Change{}
+	}
+	before := s.allLocked()
+	s.retained = nil
+	return difference(before, s.allLocked())
+}
+
+func (s *Set) allLocked() []string {
+	if len(s.retained) == 0 {
+		return s.domains
+	}
+	return sorted(slices.Concat(s.domains, s.retained))
+}
+
+func sorted(domains []string) []string {
+	return slices.Compact(slices.Sorted(slices.Values(domains)))
+}
+
+// filter returns a new list of the domains that are kept.
+func filter(domains []string, keep func(string) bool) []string {
+	var kept []string
+	for _, domain := range domains {
+		if keep(domain) {
+			kept = append(kept, domain)
+		}
+	}
+	return kept
+}
+
+func difference(before, after []string) Change {
+	return Change{
+		Begun: filter(after, func(domain string) bool { return !slices.Contains(before, domain) }),
+		Ended: filter(before, func(domain string) bool { return !slices.Contains(after, domain) }),
 	}
-	return s.Replace(revision, next)
 }
 
 // Advance records that the set is complete up to the revision.
-func (s *Set) Advance(revision int64) {
+func (s *Set) Advance(revision kv.Revision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision = max(s.revision, revision)
 }
 
-// State returns the evacuated domains, sorted, and the revision up to which they are
-// known. The caller must not change the list.
-func (s *Set) State() (revision int64, domains []string) {
+// State returns the domains that are evacuated at the revision, sorted. Those that hold
+// only until they are ordered again are not among them. The caller must not change the
+// list.
+func (s *Set) State() (revision kv.Revision, domains []string) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	return s.revision, s.domains
 }
 
+// Domains returns all evacuated domains, sorted. The caller must not change the list.
+func (s *Set) Domains() []string {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.allLocked()
+}
+
 // Contains reports whether the domain is evacuated.
 func (s *Set) Contains(domain string) bool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return slices.Contains(s.domains, domain)
+	return slices.Contains(s.domains, domain) || slices.Contains(s.retained, domain)
 }
--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -59,7 +59,7 @@
 	storeLost  bool
 	retryPause time.Duration
 
-	// readRevision is the revision up to which the view is up to date.
+	// readRevision is the kv.Revision up to which the view is up to date.
 	readRevision atomic.Int64
 	wake         chan struct{}
 }
@@ -74,8 +74,8 @@
 
 // Wake reports that another process has seen a change at the revision. If the change
 // has not been read here yet, the pause before the next watch ends.
-func (f *Follower) Wake(revision int64) {
-	if revision <= f.readRevision.Load() {
+func (f *Follower) Wake(revision kv.Revision) {
+	if revision <= f.read() {
 		return
 	}
 	select {
@@ -84,6 +84,9 @@
 	}
 }
 
+// read returns the revision up to which the view is up to date.
+func (f *Follower) read() kv.Revision { return kv.Revision(f.readRevision.Load()) }
+
 // Run follows the range until the context ends.
 func (f *Follower) Run(ctx context.Context) error {
 	gapPause := time.Duration(0)
@@ -94,7 +97,11 @@
 			continue
 		}
 		f.callSucceeded()
-		f.readRevision.Store(snapshot.Revision)
+		if before := f.read(); before != 0 && snapshot.Revision.Era() > before.Era() {
+			f.logger.Warn("store restored from an older copy", "prefix", f.options.Prefix, "era", snapshot.Revision.Era(), "revision", snapshot.Revision,
+				"former-era", before.Era(), "former-revision", before)
+		}
+		f.readRevision.Store(int64(snapshot.Revision))
 		f.view.Replace(f.now(), snapshot)
 		if f.watch(ctx, snapshot.Revision) {
 			gapPause = 0
@@ -110,7 +117,7 @@
 // succeeded: a store may have no history at all. After a failed call a watch does not
 // wait for changes: one that was sent while the store did not answer would hang for its
 // whole time-out although the store has returned.
-func (f *Follower) watch(ctx context.Context, after int64) (answered bool) {
+func (f *Follower) watch(ctx context.Context, after kv.Revision) (answered bool) {
 	for ctx.Err() == nil {
 		timeout := f.options.WatchTimeout
 		if f.storeLost {
@@ -118,7 +125,7 @@
 		}
 		changes, err := f.store.Watch(ctx, f.options.Prefix, after, timeout)
 		if errorx.IsOfType(err, kv.Compacted) {
-			f.logger.Info("store history compacted; reading the range again", "prefix", f.options.Prefix, "after", after)
+			f.logger.Info("store history compacted; reading the range again", "prefix", f.options.Prefix, "after", after, "err", err)
 			return answered
 		}
 		if err != nil {
@@ -128,7 +135,7 @@
 		f.callSucceeded()
 		answered = true
 		after = max(after, changes.Revision)
-		f.readRevision.Store(after)
+		f.readRevision.Store(int64(after))
 		if len(changes.Events) > 0 || changes.Revision > 0 {
 			f.view.Apply(f.now(), changes)
 		}
--- a/internal/state/follow/follow_test.go
+++ b/internal/state/follow/follow_test.go
@@ -1,8 +1,10 @@
 package follow_test
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -19,8 +21,8 @@
 	kv.Store
 	mu              sync.Mutex
 	changed         chan struct{}
-	revision        int64
-	compactedBefore int64
+	revision        kv.Revision
+	compactedBefore kv.Revision
 	events          []kv.Event
 	silent          bool
 	calls           int
@@ -82,7 +84,7 @@
 	return snapshot, nil
 }
 
-func (s *store) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (kv.Changes, error) {
+func (s *store) Watch(ctx context.Context, _ string, after kv.Revision, wait time.Duration) (kv.Changes, error) {
 	if err := s.beginCall(ctx, wait); err != nil {
 		return kv.Changes{}, err
 	}
@@ -267,3 +269,33 @@
 		require.LessOrEqual(t, s.takeCallCount(), 5)
 	})
 }
+
+// Guards against a follower that goes on from the revision of a former era because its
+// number is higher: the range is read again, and a peer's lower number ends the pause.
+func TestRangeIsReadAgainInALaterEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, v := newStore(), &view{seenAt: make(map[string]time.Time)}
+		s.revision = kv.At(1, 500)
+		var log bytes.Buffer
+		options := follow.Options{WatchTimeout: 2 * time.Second, WatchPause: func() time.Duration { return time.Minute }}
+		f := follow.New(s, v, options, slog.New(slog.NewTextHandler(&log, nil)), time.Now)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- f.Run(ctx) }()
+		advance(time.Second)
+		s.put("before the pause")
+		advance(time.Second)
+		s.update(func() { s.revision, s.compactedBefore, s.events = kv.At(2, 399), kv.At(2, 0), nil })
+		s.put("of the new era")
+		f.Wake(kv.At(2, 400))
+		advance(100 * time.Millisecond)
+		require.Equal(t, 2, v.replaceCalls())
+		require.NotZero(t, v.firstSeen("of the new era"))
+		f.Wake(kv.At(1, 600))
+		require.Equal(t, 2, v.replaceCalls())
+		cancel()
+		require.NoError(t, <-done)
+		require.Equal(t, 1, strings.Count(log.String(), "store restored from an older copy"))
+		require.Contains(t, log.String(), "era=2 revision=400 former-era=1 former-revision=501")
+	})
+}
--- a/internal/state/kv/kv.go
+++ b/internal/state/kv/kv.go
@@ -17,8 +17,8 @@
 	// Unavailable means that the store did not answer, or rejects the calls of this
 	// process for now. A write may still be carried out later.
 	Unavailable = namespace.NewType("unavailable")
-	// Compacted means that the history after the requested revision was compacted. The
-	// whole range must be read again.
+	// Compacted means that the history after the requested revision was compacted, or that
+	// it belongs to an era that has ended. The whole range must be read again.
 	Compacted = namespace.NewType("compacted")
 	// Conflict means that a condition did not hold and nothing was written.
 	Conflict = namespace.NewType("conflict")
@@ -34,8 +34,8 @@
 type Item struct {
 	Key      string
 	Value    []byte
-	Revision int64
-	// CreatedRevision is the revision at which the key was created.
+	Revision Revision
+	// CreatedRevision is the number of the revision at which the key was created.
 	CreatedRevision int64
 }
 
@@ -49,17 +49,17 @@
 // changes.
 type Snapshot struct {
 	Items    []Item
-	Revision int64
+	Revision Revision
 }
 
 // Changes is the result of a watch, and the revision after which to continue it.
 type Changes struct {
 	Events   []Event
-	Revision int64
+	Revision Revision
 }
 
-// Condition requires that a key was last changed at the revision; 0 requires that the
-// key does not exist.
+// Condition requires that a key was last changed at the revision of this number; 0
+// requires that the key does not exist.
 type Condition struct {
 	Key      string
 	Revision int64
@@ -79,14 +79,16 @@
 	Deletes    []string
 }
 
-// Store is a key-value store. All methods return when the context ends.
+// Store is a key-value store. All methods return when the context ends. A response of an
+// earlier era than that of another response fails with Unavailable.
 type Store interface {
 	// Range reads all keys under the prefix.
 	Range(ctx context.Context, prefix string) (Snapshot, error)
 	// Watch returns the changes after the revision. If there are none, it waits for
-	// them for at most the given time.
-	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Changes, error)
-	// Commit applies the transaction and returns its revision.
+	// them for at most the given time. When the era of the revision has ended, Watch fails
+	// with Compacted.
+	Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) (Changes, error)
+	// Commit applies the transaction and returns the number of its revision.
 	Commit(ctx context.Context, t Transaction) (int64, error)
 	// Grant returns a new lease and the TTL that the store granted.
 	Grant(ctx context.Context, ttl time.Duration) (lease int64, granted time.Duration, err error)
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -3,10 +3,13 @@
 package roster
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"sync"
 	"time"
+
+	"github.com/persimmonridge/persimmonridge/internal/state/kv"
 )
 
 // State is the state that an upstream registered.
@@ -37,7 +40,10 @@
 	// Evacuated reports that operators have evacuated the upstream's failure domain.
 	Evacuated bool
 	// Revision is the revision of the registration's last change in the store.
-	Revision int64
+	Revision kv.Revision
+	// CreatedRevision is the number of the revision at which the registration was created;
+	// 0 is unknown.
+	CreatedRevision int64
 }
 
 // EqualExceptHeartbeat reports whether two registrations differ at most in what a
@@ -46,38 +52,47 @@
 	if u.WarmUpRemaining <= 0 && other.WarmUpRemaining > 0 {
 		return false
 	}
-	u.Revision, u.WarmUpRemaining, u.Evacuated = other.Revision, other.WarmUpRemaining, other.Evacuated
+	u.Revision, u.CreatedRevision = other.Revision, other.CreatedRevision
+	u.WarmUpRemaining, u.Evacuated = other.WarmUpRemaining, other.Evacuated
 	return u == other
 }
 
 // AcceptsRequests reports whether the upstream may get new requests.
 func (u Upstream) AcceptsRequests() bool { return u.State == Ready && !u.Evacuated }
 
-// reregistrationGrace is how long an upstream whose registration lapsed during a store
-// outage may take to register again: the platform states about two seconds.
-const reregistrationGrace = 2200 * time.Millisecond
+// rememberDeparted is how long an upstream that has left is remembered. An older copy, to
+// which the store returns, may list it still; the platform's copies are some seconds old.
+const rememberDeparted = time.Minute
 
 type record struct {
 	upstream Upstream
-	// retainedUntil is set for a registration that lapsed during a store outage; it
-	// remains valid until then.
+	// retainedUntil is set for a registration that lapsed during a store outage, or is
+	// missing from the copy to which the store returned; it remains valid until then.
 	retainedUntil time.Time
 }
 
+// departure is an upstream that has left.
+type departure struct {
+	startedAtMs int64
+	at          time.Time
+}
+
 // Roster is the set of registered upstreams. It is safe for concurrent use.
 type Roster struct {
-	mu              sync.RWMutex
-	records         map[string]record
+	mu      sync.RWMutex
+	records map[string]record
+	// departed holds, by ID, the upstreams that have left.
+	departed        map[string]departure
 	byID            map[string]Upstream
 	readyByService  map[string][]Upstream
 	evacuated       []string
 	storeRegainedAt time.Time
-	revision        int64
+	revision        kv.Revision
 }
 
 // New returns an empty roster.
 func New() *Roster {
-	return &Roster{records: make(map[string]record), readyByService: make(map[string][]Upstream)}
+	return &Roster{records: make(map[string]record), departed: make(map[string]departure), readyByService: make(map[string][]Upstream)}
 }
 
 // StoreRegained records that the store answers again after an outage.
@@ -88,22 +103,42 @@
 }
 
 // Replace replaces the upstreams by the complete list as read at the revision.
-// Upstreams that may have lapsed only because of a store outage are retained for a
-// while. Replace reports whether it applied the list: one that is older than the known
-// revision is ignored.
-func (r *Roster) Replace(now time.Time, revision int64, upstreams []Upstream) bool {
+// Upstreams that may have lapsed only because of a store outage, or because they are
+// missing from an older copy, are retained for a while. Replace reports whether it applied the
+// list: one that is older than the known revision is ignored.
+func (r *Roster) Replace(now time.Time, revision kv.Revision, upstreams []Upstream) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if revision < r.revision {
 		return false
 	}
+	newEra := r.revision != 0 && revision.Era() > r.revision.Era()
+	var copied map[string]int64
+	if newEra {
+		copied = r.latestCopied(upstreams)
+	}
 	registered := make(map[string]bool, len(upstreams))
 	for _, u := range upstreams {
 		registered[u.ID] = true
+		if r.withdrawn(u, newEra) {
+			u.State = Draining
+		}
 		r.records[u.ID] = record{upstream: u}
+		delete(r.departed, u.ID)
 	}
-	for id := range r.records {
-		if !registered[id] {
+	for id, rec := range r.records {
+		if registered[id] {
+			continue
+		}
+		created := rec.upstream.CreatedRevision
+		removedSince := created > 0 && created <= copied[rec.upstream.Service]
+		switch {
+		case newEra && removedSince:
+			r.drop(now, id, rec.upstream)
+		case newEra && rec.upstream.State == Ready:
+			rec.retainedUntil = now.Add(kv.RewriteTime)
+			r.records[id] = rec
+		case !now.Before(rec.retainedUntil):
 			r.remove(now, id)
 		}
 	}
@@ -112,17 +147,44 @@
 	return true
 }
 
-// Put adds or replaces one registration unless a later one is known. Replace ignores
-// lists that are older than it.
+// latestCopied returns, by service, the latest creation of a registration that the first
+// list of a new era has in common with the era before. The copy to which the store
+// returned is at least as late, so that what was created earlier and is not listed was
+// removed since. A service whose registrations all lapsed has none in common.
+func (r *Roster) latestCopied(upstreams []Upstream) map[string]int64 {
+	latest := make(map[string]int64)
+	for _, u := range upstreams {
+		if old, ok := r.records[u.ID]; ok && old.upstream.CreatedRevision == u.CreatedRevision {
+			latest[u.Service] = max(latest[u.Service], u.CreatedRevision)
+		}
+	}
+	return latest
+}
+
+// withdrawn reports whether a list states an upstream as it was in the copy to which the
+// store returned, although it has left or begun to drain since. Another write of its
+// registration, or another start of the upstream, counts as a return.
+func (r *Roster) withdrawn(u Upstream, newEra bool) bool {
+	if left, ok := r.departed[u.ID]; ok && newEra && left.startedAtMs == u.StartedAtMs {
+		return true
+	}
+	old, ok := r.records[u.ID]
+	return ok && old.upstream.State == Draining && old.upstream.StartedAtMs == u.StartedAtMs &&
+		(newEra || old.upstream.Revision == u.Revision)
+}
+
+// Put adds or replaces one registration unless a later one, or a later era, is known.
+// Replace ignores lists that are older than it.
 func (r *Roster) Put(u Upstream) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.revision = max(r.revision, u.Revision)
 	old, ok := r.records[u.ID]
-	if ok && old.upstream.Revision > u.Revision {
+	if u.Revision.Era() < r.revision.Era() || (ok && old.upstream.Revision > u.Revision) {
 		return
 	}
+	r.revision = max(r.revision, u.Revision)
 	r.records[u.ID] = record{upstream: u}
+	delete(r.departed, u.ID)
 	// Each upstream sends a heartbeat about every second, and rebuilding the lists of
 	// a large fleet takes a millisecond.
 	if !ok || !old.upstream.EqualExceptHeartbeat(u) {
@@ -131,11 +193,12 @@
 }
 
 // Remove removes a registration at the revision. A removal that is older than the known
-// registration, as a watch may deliver again after a gap, changes nothing.
-func (r *Roster) Remove(now time.Time, id string, revision int64) {
+// registration, as a watch may deliver again after a gap, or of an earlier era changes
+// nothing.
+func (r *Roster) Remove(now time.Time, id string, revision kv.Revision) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.records[id].upstream.Revision > revision {
+	if revision.Era() < r.revision.Era() || r.records[id].upstream.Revision > revision {
 		return
 	}
 	r.remove(now, id)
@@ -143,20 +206,20 @@
 }
 
 // AdvanceRevision raises the revision up to which changes were applied.
-func (r *Roster) AdvanceRevision(revision int64) {
+func (r *Roster) AdvanceRevision(revision kv.Revision) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.revision = max(r.revision, revision)
 }
 
 // Revision returns the revision up to which changes were applied.
-func (r *Roster) Revision() int64 {
+func (r *Roster) Revision() kv.Revision {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	return r.revision
 }
 
-// remove drops a registration, or retains it for a while if it may have lapsed only
+// remove drops a registration, or retains it for a while if it may be missing only
 // because of a store outage: a live upstream then registers again. The registration
 // of a draining upstream is dropped at once.
 func (r *Roster) remove(now time.Time, id string) {
@@ -164,27 +227,34 @@
 	if !ok {
 		return
 	}
-	until := r.storeRegainedAt.Add(reregistrationGrace)
+	until := r.storeRegainedAt.Add(kv.RewriteTime)
 	if old.upstream.State == Ready && now.Before(until) {
 		old.retainedUntil = until
 		r.records[id] = old
 		return
 	}
+	r.drop(now, id, old.upstream)
+}
+
+// drop drops a registration and remembers that the upstream has left.
+func (r *Roster) drop(now time.Time, id string, u Upstream) {
 	delete(r.records, id)
+	r.departed[id] = departure{startedAtMs: u.StartedAtMs, at: now}
 }
 
 // Expire drops retained registrations that were not renewed in time, and reports
-// whether there were any.
+// whether there were any. It forgets upstreams that left long ago.
 func (r *Roster) Expire(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	dropped := false
 	for id, rec := range r.records {
 		if !rec.retainedUntil.IsZero() && !now.Before(rec.retainedUntil) {
-			delete(r.records, id)
+			r.drop(now, id, rec.upstream)
 			dropped = true
 		}
 	}
+	maps.DeleteFunc(r.departed, func(_ string, d departure) bool { return now.Sub(d.at) > rememberDeparted })
 	if dropped {
 		r.rebuildIndexes()
 	}
--- a/internal/state/roster/roster_test.go
+++ b/internal/state/roster/roster_test.go
@@ -7,12 +7,13 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/persimmonridge/persimmonridge/internal/state/kv"
 	"github.com/persimmonridge/persimmonridge/internal/state/roster"
 )
 
 var start = time.Unix(1_000_000, 0)
 
-func upstream(id string, revision int64, state roster.State) roster.Upstream {
+func upstream(id string, revision kv.Revision, state roster.State) roster.Upstream {
 	return roster.Upstream{ID: id, Service: "s", Address: "10.0.0.1:80", Slots: 4, State: state, Revision: revision}
 }
 
@@ -99,7 +100,7 @@
 	before := r.Ready("s")
 	r.Put(upstream("a", 2, roster.Ready))
 	require.Same(t, &before[0], &r.Ready("s")[0])
-	require.Equal(t, int64(2), r.Revision())
+	require.Equal(t, kv.Revision(2), r.Revision())
 	r.Remove(start, "a", 1)
 	require.Equal(t, []string{"a"}, readyIDs(r), "a removal older than the heartbeat must be ignored")
 	r.Put(upstream("a", 3, roster.Draining))
@@ -117,7 +118,7 @@
 	r.Replace(start, 1, list)
 	for i := 0; b.Loop(); i++ {
 		u := list[i%count]
-		u.Revision = int64(i + 2)
+		u.Revision = kv.Revision(i + 2)
 		r.Put(u)
 	}
 }
