Gossip tells evacuations

What callers saw: a gateway that the store does not answer, and that chooses upstreams by itself, sent requests to an evacuated failure domain.

Cause: the handler fills evacuation_revision and evacuated into gossip and applies them from peers, but the mesh copies gossip for each peer field by field and left them out. No gateway ever told another.

Evidence: TestAllGossipFieldsReachPeers, which checks these fields now, got 0 for 17; the new TestPeersTellOfAnEvacuation saw requests at engine 2, of the evacuated domain ("expected: false, actual: true"). TestEvacuatedDomainGetsNoRequests leaves the gateway its peers, so that the scheduler, which knew, chose for it.

Change: the evacuations go with the sender's identity (each tenth message, and the first of a stream) and when they change, so that the revision, which rises with each heartbeat, costs little. A change sends gossip at once already.

Why it works: a set at a later revision replaces the known one, and one that is not told, at 0, changes nothing.

--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -33,8 +33,8 @@
 	// opened, because a connection may stop delivering while new ones work.
 	reconnectAfter = 900 * time.Millisecond
 	// identityEvery is the number of gossip messages per one that carries the
-	// sender's identity and, if changed, the list of peers that it hears. The
-	// first message on a stream carries both.
+	// sender's identity, the evacuations and, if changed, the list of peers that it
+	// hears. The first message on a stream carries all of them.
 	identityEvery = 10
 	// heardPeersEvery is the number of gossip messages per one that carries the
 	// list of heard peers even if it has not changed.
@@ -127,6 +127,8 @@
 	// of heard peers, of crashes and of unavailable gateways that were last sent to
 	// the peer.
 	sentHeardSum, sentCrashesSum, sentUnavailableSum uint64
+	// sentEvacuated are the evacuated failure domains that were last sent to the peer.
+	sentEvacuated []string
 }
 
 // Mesh holds the connections of one process to its peers.
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -23,6 +23,8 @@
 	mu            sync.Mutex
 	received      map[string]*wire.Gossip
 	firstReceived map[string]time.Time
+	// evacuations holds, by peer, the last gossip that told of evacuations: not each does.
+	evacuations map[string]*wire.Gossip
 	// count is the number of gossip messages received.
 	count int
 }
@@ -34,6 +36,7 @@
 	*g = wire.Gossip{
 		Run: run, Rank: h.sent.Rank, Ready: h.sent.Ready, ConfigVersion: h.sent.ConfigVersion,
 		RosterRevision: h.sent.RosterRevision, StoreAnswers: h.sent.StoreAnswers, ChangeRevision: h.sent.ChangeRevision, StoreEra: h.sent.StoreEra,
+		EvacuationRevision: h.sent.EvacuationRevision, Evacuated: h.sent.Evacuated,
 		Leaving: h.sent.Leaving, Domain: h.sent.Domain,
 	}
 }
@@ -45,6 +48,9 @@
 		h.firstReceived[peer] = now
 	}
 	h.received[peer] = g
+	if g.EvacuationRevision > 0 {
+		h.evacuations[peer] = g
+	}
 	h.count++
 }
 
@@ -68,7 +74,7 @@
 }
 
 func startProcess(t *testing.T, n *network.Network, name string, run uint64, gossip *wire.Gossip, peers ...string) *process {
-	p := &process{t: t, handler: &recordingHandler{sent: gossip, received: make(map[string]*wire.Gossip), firstReceived: make(map[string]time.Time)}, done: make(chan error, 1)}
+	p := &process{t: t, handler: &recordingHandler{sent: gossip, received: make(map[string]*wire.Gossip), firstReceived: make(map[string]time.Time), evacuations: make(map[string]*wire.Gossip)}, done: make(chan error, 1)}
 	listener, err := n.Listen(name)
 	require.NoError(t, err)
 	m := mesh.New(name, name, run, n, p.handler, slog.New(slog.DiscardHandler), time.Now)
@@ -117,7 +123,10 @@
 func TestAllGossipFieldsReachPeers(t *testing.T) {
 	bubble.Run(t, func(t *testing.T) {
 		n := network.New()
-		sent := &wire.Gossip{Rank: 3, Ready: true, ConfigVersion: 5, RosterRevision: 7, StoreAnswers: true, ChangeRevision: 11, StoreEra: 13}
+		sent := &wire.Gossip{
+			Rank: 3, Ready: true, ConfigVersion: 5, RosterRevision: 7, StoreAnswers: true, ChangeRevision: 11, StoreEra: 13,
+			EvacuationRevision: 17, Evacuated: []string{"north"},
+		}
 		a := startProcess(t, n, "a:1", 1, sent, "b:1")
 		b := startProcess(t, n, "b:1", 2, &wire.Gossip{}, "a:1")
 		bubble.Sleep(time.Second)
@@ -130,6 +139,11 @@
 		require.Equal(t, sent.StoreAnswers, got.StoreAnswers)
 		require.Equal(t, sent.ChangeRevision, got.ChangeRevision)
 		require.Equal(t, sent.StoreEra, got.StoreEra)
+		b.handler.mu.Lock()
+		evacuation := b.handler.evacuations["a:1"]
+		b.handler.mu.Unlock()
+		require.Equal(t, sent.EvacuationRevision, evacuation.GetEvacuationRevision())
+		require.Equal(t, sent.Evacuated, evacuation.GetEvacuated())
 		a.stop()
 		b.stop()
 	})
--- a/internal/fleet/mesh/tell.go
+++ b/internal/fleet/mesh/tell.go
@@ -94,6 +94,10 @@
 		StoreAnswers: state.gossip.StoreAnswers, ChangeRevision: state.gossip.ChangeRevision,
 		HearsYou: p.Node != "" && state.now.Sub(p.LastHeard) < state.livenessTimeout, WantsYou: p.selected, Gone: m.exiting,
 	}
+	if p.gossipsSent%identityEvery == 0 || !slices.Equal(state.gossip.Evacuated, p.sentEvacuated) {
+		gossip.EvacuationRevision, gossip.Evacuated = state.gossip.EvacuationRevision, state.gossip.Evacuated
+		p.sentEvacuated = state.gossip.Evacuated
+	}
 	if p.gossipsSent%identityEvery == 0 {
 		gossip.Node, gossip.Address, gossip.Domain = m.node, m.address, state.gossip.Domain
 		if p.gossipsSent%heardPeersEvery == 0 || state.heardSum != p.sentHeardSum {
--- a/internal/role/gateway/evacuation_test.go
+++ b/internal/role/gateway/evacuation_test.go
@@ -76,6 +76,29 @@
 	})
 }
 
+// Guards against requests to an evacuated domain from a gateway that neither the store nor
+// a scheduler tells of it: peers told of the evacuation while they were heard.
+func TestPeersTellOfAnEvacuation(t *testing.T) {
+	runFleet(t, func(f *fleet) {
+		f.splitDomains()
+		const cutOff = 2
+		f.network.Vanish(storeAddress(cutOff))
+		bubble.Sleep(evacuationLimit)
+		f.store.Put("op/evacuate/b", "{}")
+		bubble.Sleep(evacuationLimit)
+		for i := range gateways {
+			f.network.Vanish(linkAddress(i))
+		}
+		bubble.Sleep(time.Second)
+		f.requireServedOnlyBy([]int{cutOff}, inDomainA)
+		f.network.Restore(storeAddress(cutOff))
+		for i := range gateways {
+			f.network.Restore(linkAddress(i))
+		}
+		bubble.Sleep(time.Second)
+	})
+}
+
 // Guards against an evacuation that ends because the store is away or forgets its history.
 func TestEvacuationHoldsWhileTheStoreIsAway(t *testing.T) {
 	runFleet(t, func(f *fleet) {
