A receiver keeps its deadline while a frame is incomplete

A test in fake time hangs.

Cause: the multiplexer writes a frame's header and body by two writes, and reads a body with the stream's lock held. A receiver that comes meanwhile waits for the lock, which knows no deadline. In fake time a goroutine that waits for a mutex counts as running, so time stands still, and the pause for which the stand-in of the network holds the body back never ends.

TestReceiveKeepsItsDeadlineWhileAFrameIsIncomplete hung on the code before until its time-out, with the receiver in sync.Mutex.Lock of Stream.Read.

Change: frameConn gives frames to the multiplexer only once they are whole.

Why it works: the multiplexer waits for the network only between two frames, when it holds no stream's lock. It gave nothing of a frame to a receiver before the whole of it either, except what was left when a session broke.

--- a/internal/fleet/link/pool.go
+++ b/internal/fleet/link/pool.go
@@ -181,7 +181,7 @@
 		}
 		return nil, Refused.Wrap(err, "cannot connect to %s; use another address", address)
 	}
-	mux, err := yamux.Client(conn, muxConfig(clientPingInterval))
+	mux, err := yamux.Client(newFrameConn(conn), muxConfig(clientPingInterval))
 	if err != nil {
 		closeQuietly(conn)
 		return nil, Refused.Wrap(err, "cannot start a session with %s; use another address", address)
--- a/internal/fleet/link/server.go
+++ b/internal/fleet/link/server.go
@@ -62,7 +62,7 @@
 }
 
 func (s *Server) startSession(conn net.Conn) {
-	mux, err := yamux.Server(conn, muxConfig(serverPingInterval))
+	mux, err := yamux.Server(newFrameConn(conn), muxConfig(serverPingInterval))
 	if err != nil {
 		closeQuietly(conn)
 		return
