A request that arrives in a change of scheduler waits for the reports

What callers saw: first events that came late. When the scheduler began to stop, an engine of two slots got a third request.

Cause: two faults. Only requests that moved from the former scheduler waited for the 30 ms in which the other gateways report their slots to the new one; one that arrived just then asked at once, and full engines counted as idle. And a gateway reported its own slots when it next heard gossip, not when a request first selected the new scheduler.

Change: before each slot request a gateway checks for a new scheduler, reports its slots to it, and asks it once it has been the scheduler for 30 ms, or after 90 ms if it changes again and again. The first scheduler of a process is asked at once. Concurrent checks are recorded in the order in which the scheduler was selected.

Why it works: whoever asks, the other gateways have had the time to hear of the change and to report, and the own report is sent before.

Tests: the cases at 0 ms are added to TestRequestsMovedToASuccessorOverfillNoEngine.

Messages and news that together take longer than 30 ms are not covered, as before.

--- a/internal/role/gateway/requeue_test.go
+++ b/internal/role/gateway/requeue_test.go
@@ -46,7 +46,7 @@
 // there which are in use: the successor must know the slots of all gateways first.
 func TestRequestsMovedToASuccessorOverfillNoEngine(t *testing.T) {
 	for _, queued := range []int{1, 4, 8} {
-		for _, stopsAfter := range []time.Duration{1, 3, 5, 10, 50, 100, 200} {
+		for _, stopsAfter := range []time.Duration{0, 1, 3, 5, 10, 50, 100, 200} {
 			t.Run(fmt.Sprintf("%d queued, stop after %d ms", queued, stopsAfter), func(t *testing.T) {
 				outcomes, peak := stopWhileQueued(t, queued, stopsAfter*time.Millisecond)
 				require.Equal(t, queued, countServed(outcomes))
--- a/internal/sched/permit/pending.go
+++ b/internal/sched/permit/pending.go
@@ -110,6 +110,22 @@
 	}
 }
 
+// settledScheduler returns the scheduler, or "" if there is none. If it has just replaced
+// another one, the slots of this gateway are reported to it first, and it is returned once
+// the other gateways should have reported theirs.
+func (c *Client) settledScheduler(ctx context.Context, deadline time.Time) string {
+	until := earliest(c.Now().Add(maxSettleWait), deadline)
+	for {
+		now := c.Now()
+		scheduler, settledAt := c.updateScheduler(now)
+		settledAt = earliest(settledAt, until)
+		if scheduler == "" || !now.Before(settledAt) || ctx.Err() != nil {
+			return scheduler
+		}
+		wait.For(ctx, settledAt.Sub(now))
+	}
+}
+
 // awaitSettled waits until the scheduler has remained the same for settleTime. It reports
 // false at once if that is not before until. It may return early if the context ends.
 func (c *Client) awaitSettled(ctx context.Context, until time.Time) bool {
--- a/internal/sched/permit/permit.go
+++ b/internal/sched/permit/permit.go
@@ -32,11 +32,15 @@
 // replaced, so a scheduler that changes back and forth causes no further messages.
 const maxSchedulers = 3
 
-// settleTime is how long after a change of the scheduler the new one is asked for slots for
-// the requests that waited at the former one. By then the other gateways have reported their
-// slots to it, too; before, it takes full engines for idle.
+// settleTime is how long after a change of the scheduler the new one is asked for slots. By
+// then the other gateways have reported their slots to it, too; before, it takes full
+// engines for idle.
 const settleTime = 30 * time.Millisecond
 
+// maxSettleWait is how long a request that arrives while the scheduler changes again and
+// again waits before it asks the present one.
+const maxSettleWait = 3 * settleTime
+
 // movedRetryAfter is the Retry-After of a request whose time to wait ended after it was
 // moved to another scheduler: the shortest that schedulers give.
 const movedRetryAfter = 300 * time.Millisecond
@@ -125,11 +129,14 @@
 type Client struct {
 	Dependencies
 
+	// selectMu is held while the scheduler is selected and recorded. It is locked before mu.
+	selectMu sync.Mutex
+
 	mu            sync.Mutex
 	pending       map[string]*pendingRequest
 	placements    map[*placement]struct{}
 	lastScheduler string
-	// changedAt is when lastScheduler changed.
+	// changedAt is when lastScheduler changed; it is zero until one was replaced.
 	changedAt time.Time
 	// lastNumber is the last number given to a slot request or to a locally chosen slot. A
 	// request may have several in succession.
@@ -157,7 +164,7 @@
 		if !c.mayEnd(c.Now(), &req, "") {
 			return nil, refuseBeforeExit()
 		}
-		scheduler := c.Scheduler(c.Now())
+		scheduler := c.settledScheduler(ctx, req.Deadline)
 		if scheduler == "" {
 			break
 		}
@@ -294,20 +301,35 @@
 
 // UpdateScheduler checks for a new scheduler, reports the held slots to it, and moves the
 // pending slot requests to it.
-func (c *Client) UpdateScheduler(now time.Time) {
-	scheduler := c.Scheduler(now)
+func (c *Client) UpdateScheduler(now time.Time) { c.updateScheduler(now) }
+
+// updateScheduler is UpdateScheduler. It returns the scheduler and when all gateways should
+// have reported their slots to it.
+func (c *Client) updateScheduler(now time.Time) (scheduler string, settledAt time.Time) {
+	scheduler, previous, settledAt := c.recordScheduler(now)
+	if scheduler != previous {
+		c.Logger.Info("scheduler", "node", scheduler, "before", previous)
+		c.ReportHeld(now)
+	}
+	return scheduler, settledAt
+}
+
+// recordScheduler records the present scheduler and returns it with the one before.
+func (c *Client) recordScheduler(now time.Time) (scheduler, previous string, settledAt time.Time) {
+	// Of two concurrent calls, the one that selects the scheduler later also records it
+	// later.
+	c.selectMu.Lock()
+	defer c.selectMu.Unlock()
+	scheduler = c.Scheduler(now)
 	c.mu.Lock()
-	previous := c.lastScheduler
+	defer c.mu.Unlock()
+	previous = c.lastScheduler
 	c.lastScheduler = scheduler
-	if scheduler != previous {
+	// The first scheduler of a process has not replaced another one.
+	if scheduler != previous && (previous != "" || !c.changedAt.IsZero()) {
 		c.changedAt = now
 	}
-	c.mu.Unlock()
-	if scheduler == previous {
-		return
-	}
-	c.Logger.Info("scheduler", "node", scheduler, "before", previous)
-	c.ReportHeld(now)
+	return scheduler, previous, c.changedAt.Add(settleTime)
 }
 
 // ReportHeld reports all held slots to the scheduler, and then moves to it the slot requests
--- a/internal/sched/permit/replaced_random_test.go
+++ b/internal/sched/permit/replaced_random_test.go
@@ -241,12 +241,13 @@
 			c.replace(0)
 			bubble.Sleep(2 * maxDelay)
 			requests := 0
+			var running sync.WaitGroup
 			for range 4 {
 				for range 5 + c.intN(8) {
 					id := fmt.Sprint("request-", requests)
 					requests++
 					i, length := c.intN(randomGateways), time.Duration(150+c.intN(250))*time.Millisecond
-					go c.run(i, id, length)
+					running.Go(func() { c.run(i, id, length) })
 				}
 				bubble.Sleep(60 * time.Millisecond)
 				for range 1 + c.intN(4) {
@@ -261,6 +262,7 @@
 				}
 			}
 			bubble.Sleep(5 * time.Second)
+			running.Wait()
 			require.Empty(t, c.overfilled, "seed %d", seed)
 			require.Len(t, c.ended, requests, "seed %d", seed)
 			for id, count := range c.ended {
--- a/internal/sched/permit/replaced_test.go
+++ b/internal/sched/permit/replaced_test.go
@@ -33,6 +33,8 @@
 	scheduler string
 	silent    map[string]bool
 	messages  []sent
+	// askedAt is the time of the last slot request.
+	askedAt time.Time
 }
 
 func newReplacement() *replacement {
@@ -56,7 +58,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.messages = append(r.messages, sent{to: node, e: e})
-	if ask := e.GetPlaceAsk(); ask != nil && !r.silent[node] {
+	ask := e.GetPlaceAsk()
+	if ask != nil {
+		r.askedAt = time.Now()
+	}
+	if ask != nil && !r.silent[node] {
 		time.AfterFunc(time.Millisecond, func() { r.decide(node, ask.Number, &wire.PlaceVerdict{Waiting: true}) })
 	}
 	return true
@@ -82,6 +88,12 @@
 	r.client.UpdateScheduler(time.Now())
 }
 
+func (r *replacement) lastAskedAt() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.askedAt
+}
+
 // kinds returns the messages to a scheduler: held, ask or ended, the last two by number.
 func (r *replacement) kinds(node string) []string {
 	r.mu.Lock()
