Names of the factor and of the second placement; a run no longer keeps the told length

likelyOverrun is a factor on a length since the margin is learned from generated tokens, and exitLikely says what is done, not why. The length that a run was told served the former margin alone. No behavior changes; tests of board and flow pass.

--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -107,10 +107,10 @@
 	deadline  time.Time
 	shutdown  shutdownWindow
 	exitPlan  exitPlan
-	// exitLikely reports that the process may exit before the rest of the stream ends,
-	// whichever upstream serves it.
-	exitLikely  bool
-	chargedCost float64
+	// withoutAllowance reports that the stream is placed where its estimated rest ends
+	// before the process exits, with no allowance for a longer one.
+	withoutAllowance bool
+	chargedCost      float64
 	// attempts counts the upstreams to which at least one byte was sent;
 	// mayHaveExecuted reports that one of them may have executed the request.
 	attempts int
--- a/internal/edge/flow/shutdown.go
+++ b/internal/edge/flow/shutdown.go
@@ -104,7 +104,7 @@
 		return
 	}
 	req.Deadline = c.shutdown.exitAt
-	if c.exitLikely {
+	if c.withoutAllowance {
 		return
 	}
 	othersAccept := c.othersAccept(now)
@@ -128,10 +128,10 @@
 // again where its estimated length ends in time, with no allowance for a longer one: a
 // stream that may have been executed is broken off for certain without a placement.
 func (c *call) placeWithoutAllowance(req PlacementRequest) bool {
-	if c.exitLikely || !c.mayHaveExecuted || req.EndConstraint != EndPreferred {
+	if c.withoutAllowance || !c.mayHaveExecuted || req.EndConstraint != EndPreferred {
 		return false
 	}
-	c.exitLikely = true
+	c.withoutAllowance = true
 	return true
 }
 
--- a/internal/sched/board/engine.go
+++ b/internal/sched/board/engine.go
@@ -40,7 +40,6 @@
 	// number distinguishes this slot from others of the same request.
 	number           uint64
 	prompt           int
-	output           int
 	grantedAt        time.Time
 	expectedAt       time.Time
 	started          bool
--- a/internal/sched/board/overrun.go
+++ b/internal/sched/board/overrun.go
@@ -32,9 +32,9 @@
 	// overrunMargin is a factor on top of the estimate, because the next stream may be
 	// slower.
 	overrunMargin = 1.2
-	// likelyOverrun is the factor on the length of streams that should end in time but need
+	// likelyLengthFactor is the factor on the length of streams that should end in time but need
 	// not. The length estimate is a median and often off by half.
-	likelyOverrun = 1.6
+	likelyLengthFactor = 1.6
 	// prefillInterference is how much time a stream of any length may lose to long prompts
 	// that the engine prefills meanwhile.
 	prefillInterference = 250 * time.Millisecond
@@ -105,7 +105,7 @@
 	case EndRequired:
 		return firstEvent+e.maxStreamTime(req.OutputTokens) <= remaining
 	case EndPreferred:
-		return firstEvent+e.decodeTime(likelyOverrun*float64(req.OutputTokens)) <= remaining
+		return firstEvent+e.decodeTime(likelyLengthFactor*float64(req.OutputTokens)) <= remaining
 	case EndUnconstrained:
 	}
 	return firstEvent+e.decodeTime(float64(req.OutputTokens)) <= remaining
--- a/internal/sched/board/place.go
+++ b/internal/sched/board/place.go
@@ -168,7 +168,7 @@
 }
 
 func (s *Scheduler) grant(now time.Time, e *engine, req *SlotRequest) {
-	r := &run{owner: req.Owner, id: req.ID, number: req.Number, prompt: req.PromptTokens, output: req.OutputTokens, grantedAt: now}
+	r := &run{owner: req.Owner, id: req.ID, number: req.Number, prompt: req.PromptTokens, grantedAt: now}
 	e.assign(now, r)
 	if e.WarmsUp {
 		e.grants.add(now, req.Owner)
--- a/internal/sched/board/sync.go
+++ b/internal/sched/board/sync.go
@@ -59,7 +59,7 @@
 	if e == nil {
 		return
 	}
-	r := &run{owner: owner, id: h.ID, number: h.Number, prompt: h.PromptTokens, output: h.OutputTokens, grantedAt: now, adopted: true}
+	r := &run{owner: owner, id: h.ID, number: h.Number, prompt: h.PromptTokens, grantedAt: now, adopted: true}
 	s.addRun(owner, k, e)
 	if h.Started {
 		e.adopt(now, r)
