A stream that is granted in a stop of all is planned with regard to the exit

What callers saw (by test): a stream that waits for its slot as a stop begins, while no other gateway accepts callers, is sent by the grant of before: its deadline is that of its caller, so that not even its estimated length need end by the exit. One of unknown length is sent as late as three seconds after the start of the stop, when one that comes then is refused.

Cause: only where another process accepts callers was such a placement given back and planned again (call.mayOutlastShutdown).

Change: it is planned again whenever one that comes at that time would be planned or refused. It is given back once: the next request for a slot has an end constraint, or there is none.

Tests, failing before: TestStreamGrantedInAShutdownOfAllIsPlannedAgain (early, late), TestStreamOfUnknownLengthGrantedLateInAShutdownOfAllIsRefused. Passing before and after, against loops: TestStreamOfUnknownLengthGrantedEarlyInAShutdownOfAllIsSentOnce, TestBrokenStreamIsPlacedOnceWithoutAllowance.

--- a/internal/edge/flow/shutdown.go
+++ b/internal/edge/flow/shutdown.go
@@ -85,13 +85,11 @@
 }
 
 // mayOutlastShutdown reports whether a stream that was placed without regard to a
-// shutdown must be judged again, because one began while the stream waited and another
-// process could serve it.
+// shutdown must be judged again, because one began while the stream waited.
 func (c *call) mayOutlastShutdown(now time.Time) bool {
 	c.checkShutdown()
-	// A stream of unknown length is judged before its first send only.
-	judged := c.lengthKnown() || (c.route.Kind == catalog.Streaming && c.attempts == 0)
-	return c.shutdown.started() && judged && c.shutdown.exitAt.Before(c.deadline) && !c.mayHaveExecuted && c.othersAccept(now)
+	judged := c.lengthKnown() || (c.route.Kind == catalog.Streaming && c.attempts == 0 && !c.fitsBeforeExit(now))
+	return c.shutdown.started() && judged && c.shutdown.exitAt.Before(c.deadline) && !c.mayHaveExecuted
 }
 
 // limitToExit restricts the placement if the process exits before the request's
