A declined stream of unknown length is not sent again late in a stop

What callers saw (by test): an upstream declines a stream of unknown length, a stop begins, and three seconds after that the stream is sent to another upstream with no regard to the exit, whether or not another gateway accepts callers.

Cause: streams of unknown length were compared with the exit before their first send only (attempts == 0), though a declined one was executed nowhere and can be refused.

Change: what counts for streams is whether one may have been executed. Plain requests as before.

Test, which failed before in all four cases: TestDeclinedStreamOfUnknownLengthIsNotSentAgainInAShutdown.

--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -191,7 +191,7 @@
 			return
 		}
 		c.checkShutdown()
-		if c.attempts == 0 && !c.fitsBeforeExit(now) {
+		if c.mayBeRefused() && !c.fitsBeforeExit(now) {
 			c.refuseForShutdown()
 			return
 		}
--- a/internal/edge/flow/shutdown.go
+++ b/internal/edge/flow/shutdown.go
@@ -78,6 +78,12 @@
 	return c.route.Kind == catalog.Streaming && c.request.TokensStated && c.request.OutputTokens > 0
 }
 
+// mayBeRefused reports whether a request that may outlast the shutdown can still be refused
+// as not executed. A plain request that an upstream declined is soon sent to another one.
+func (c *call) mayBeRefused() bool {
+	return c.attempts == 0 || (c.route.Kind == catalog.Streaming && !c.mayHaveExecuted)
+}
+
 // othersAccept reports whether the caller probably reaches another process if this one
 // refuses the request.
 func (c *call) othersAccept(now time.Time) bool {
@@ -88,7 +94,7 @@
 // shutdown must be judged again, because one began while the stream waited.
 func (c *call) mayOutlastShutdown(now time.Time) bool {
 	c.checkShutdown()
-	judged := c.lengthKnown() || (c.route.Kind == catalog.Streaming && c.attempts == 0 && !c.fitsBeforeExit(now))
+	judged := c.lengthKnown() || (c.route.Kind == catalog.Streaming && !c.fitsBeforeExit(now))
 	return c.shutdown.started() && judged && c.shutdown.exitAt.Before(c.deadline) && !c.mayHaveExecuted
 }
 
--- a/internal/edge/flow/shutdown_across_test.go
+++ b/internal/edge/flow/shutdown_across_test.go
@@ -113,3 +113,47 @@
 	require.Equal(t, flow.EndPreferred, f.placementRequests[1].EndConstraint)
 	require.Equal(t, flow.EndUnconstrained, f.placementRequests[2].EndConstraint)
 }
+
+// stopsAtDecline is a Picker whose first slot ends as a shutdown has begun three seconds ago.
+type stopsAtDecline struct{ *fixture }
+
+func (s stopsAtDecline) Pick(ctx context.Context, now time.Time, a flow.PlacementRequest) (flow.Placement, error) {
+	p, err := s.fixture.Pick(ctx, now, a)
+	return stopsAtRelease{p, s.fixture}, err
+}
+
+type stopsAtRelease struct {
+	flow.Placement
+	fixture *fixture
+}
+
+func (s stopsAtRelease) Release(now time.Time, o flow.Outcome, tokens int) {
+	s.Placement.Release(now, o, tokens)
+	s.fixture.shutdownSince = time.Now().Add(-3 * time.Second)
+}
+
+// Guards against a stream of unknown length that an upstream declined, and that is sent to
+// another one in a shutdown although it was executed nowhere and may outlast the process.
+func TestDeclinedStreamOfUnknownLengthIsNotSentAgainInAShutdown(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		picker func(f *fixture) flow.Picker
+	}{
+		{"shutdown before the second slot is asked for", func(f *fixture) flow.Picker { return stopsAtDecline{f} }},
+		{"shutdown while the second slot is awaited", func(f *fixture) flow.Picker { return stopsBeforeGrant{f, 2, 3 * time.Second} }},
+	} {
+		for _, othersAccept := range []bool{true, false} {
+			t.Run(c.name, func(t *testing.T) {
+				f := newFixture(t)
+				f.picker, f.otherAccepts = c.picker(f), othersAccept
+				f.addUpstream("one", declinedAnswer)
+				f.addUpstream("two", streamHeader+"id: 1\ndata: a\n\n")
+				f.start()
+				response, _, err := f.call("/long/x")
+				require.NoError(t, err)
+				require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+				require.Len(t, f.executed, 1)
+			})
+		}
+	}
+}
