A stop is not taken for over while the gateway is heard again

What callers saw (by test): two gateways stop and do not hear each other for a moment. A refused caller is told to come back 0.8 s after the silence, though the other one still stops for four seconds, and meets a stopping gateway.

Cause: the silence replaced the expected exit of the gateway for good (peerStops.down), and its next gossip did not restore it.

Change: the expected exit is kept beside the time of the loss, and holds again once the gateway is heard.

Test, which failed before: TestStopOfAGatewayThatIsHeardAgainLastsAsBefore.

--- a/internal/role/gateway/stops.go
+++ b/internal/role/gateway/stops.go
@@ -14,31 +14,48 @@
 // safe for concurrent use.
 type peerStops struct {
 	mu sync.Mutex
-	// exits holds the expected exit of each gateway that stops.
-	exits map[string]time.Time
+	// stops holds the gateways that stop.
+	stops map[string]*peerStop
 }
 
-func newPeerStops() *peerStops { return &peerStops{exits: make(map[string]time.Time)} }
+// peerStop is the stop of a gateway.
+type peerStop struct {
+	exitAt time.Time
+	// goneAt is when the gateway was lost before its exit, and zero while it is heard.
+	goneAt time.Time
+}
+
+// backAt returns when the gateway is expected to accept callers again.
+func (p *peerStop) backAt() time.Time {
+	if !p.goneAt.IsZero() {
+		return p.goneAt.Add(restartTime)
+	}
+	return p.exitAt.Add(restartTime)
+}
+
+func newPeerStops() *peerStops { return &peerStops{stops: make(map[string]*peerStop)} }
 
 // heard records whether a gateway stops. A stop lasts for the given time at most.
 func (s *peerStops) heard(now time.Time, node string, stopping bool, lasts time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !stopping {
-		delete(s.exits, node)
+		delete(s.stops, node)
 		return
 	}
-	if _, known := s.exits[node]; !known {
-		s.exits[node] = now.Add(lasts)
+	if stop := s.stops[node]; stop != nil && now.Before(stop.exitAt.Add(restartTime)) {
+		stop.goneAt = time.Time{}
+		return
 	}
+	s.stops[node] = &peerStop{exitAt: now.Add(lasts)}
 }
 
-// down records that a gateway is gone. One that was stopping has exited.
+// down records that a gateway is gone. One that was stopping has exited, or is not heard.
 func (s *peerStops) down(now time.Time, node string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if exit, known := s.exits[node]; known && now.Before(exit) {
-		s.exits[node] = now
+	if stop := s.stops[node]; stop != nil && now.Before(stop.exitAt) {
+		stop.goneAt = now
 	}
 }
 
@@ -48,14 +65,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	next := exitAt.Add(restartTime)
-	for node, exit := range s.exits {
-		back := exit.Add(restartTime)
-		if back.Before(now) {
-			// It was expected by now, so nothing is known of its return.
-			delete(s.exits, node)
-			continue
-		}
-		if back.Before(next) {
+	for _, stop := range s.stops {
+		// Nothing is known of the return of one that was expected by now.
+		if back := stop.backAt(); !back.Before(now) && back.Before(next) {
 			next = back
 		}
 	}
