Gateways that stopped and never came back are forgotten

Cause: the expected exit of each gateway that stops was kept until it was heard again, or until this gateway stopped itself and refused a stream. Where each gateway that starts has a new name, one entry per name stayed: 100 of 100 in the test.

Change: entries that are past are dropped when the next stop is heard.

Test, which failed before: TestStopsOfGatewaysThatAreGoneAreForgotten.

--- a/internal/role/gateway/stops.go
+++ b/internal/role/gateway/stops.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -43,13 +44,20 @@
 		delete(s.stops, node)
 		return
 	}
-	if stop := s.stops[node]; stop != nil && now.Before(stop.exitAt.Add(restartTime)) {
+	s.forgetLocked(now)
+	if stop := s.stops[node]; stop != nil {
 		stop.goneAt = time.Time{}
 		return
 	}
 	s.stops[node] = &peerStop{exitAt: now.Add(lasts)}
 }
 
+// forgetLocked forgets the gateways that should have come back by now: those that were
+// replaced by others never do.
+func (s *peerStops) forgetLocked(now time.Time) {
+	maps.DeleteFunc(s.stops, func(_ string, stop *peerStop) bool { return stop.exitAt.Add(restartTime).Before(now) })
+}
+
 // down records that a gateway is gone. One that was stopping has exited, or is not heard.
 func (s *peerStops) down(now time.Time, node string) {
 	s.mu.Lock()
--- a/internal/role/gateway/stops_return_internal_test.go
+++ b/internal/role/gateway/stops_return_internal_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -20,3 +21,17 @@
 	s.heard(at(3200*time.Millisecond), "first", true, lasts)
 	require.Equal(t, at(lasts+restartTime), s.nextAccepting(at(3300*time.Millisecond), ownExit), "heard again")
 }
+
+// Guards against memory that grows with each gateway that stops and does not come back.
+func TestStopsOfGatewaysThatAreGoneAreForgotten(t *testing.T) {
+	const lasts = 7300 * time.Millisecond
+	now := time.Unix(1_000_000, 0)
+	s := newPeerStops()
+	for i := range 100 {
+		node := strconv.Itoa(i)
+		s.heard(now, node, true, lasts)
+		s.down(now.Add(time.Second), node)
+		now = now.Add(time.Minute)
+	}
+	require.LessOrEqual(t, len(s.stops), 1)
+}
