A gateway of a large fleet that hears nobody counts what its hubs said last

What can happen (by test, 25 gateways): a gateway that is no hub and loses its links counts one of the four others of its failure domain as accepting callers, where three do.

Change: while no peer is heard, the reports of hubs that were alive when the last peer was heard count for gateways that were not heard then.

Test, which failed before: TestGatewayThatHearsNobodyCountsWhatItsHubsSaidLast. All of internal/fleet/mesh and, of internal/role/gateway, TestIsolatedGatewayThatStopsCutsNoStream, TestNoOrderOfEventsCutsAStreamWhileMostOthersAccept and TestOverlappingStopsRefuseNoRequest pass.

--- a/internal/fleet/mesh/availability.go
+++ b/internal/fleet/mesh/availability.go
@@ -27,12 +27,16 @@
 	timeout := m.livenessTimeout()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	unavailable, reported := m.reportedUnavailableLocked(now, timeout)
 	cutOff := !m.hearsAnyLocked(now, timeout)
+	reportsAt := now
+	if cutOff {
+		reportsAt = m.lastHeardLocked()
+	}
+	unavailable, reported := m.reportedUnavailableLocked(reportsAt, timeout)
 	for address, p := range m.peers {
 		accepts := p.acceptsCallers(now, timeout)
 		switch {
-		case cutOff:
+		case cutOff && (p.exited || p.alive(reportsAt, timeout) || !reported):
 			accepts = p.acceptedLast()
 		case !p.alive(now, timeout) && reported:
 			_, listed := unavailable[address]
@@ -101,6 +105,17 @@
 	return false
 }
 
+// lastHeardLocked returns when a peer was last heard.
+func (m *Mesh) lastHeardLocked() time.Time {
+	var last time.Time
+	for _, p := range m.peers {
+		if p.LastHeard.After(last) {
+			last = p.LastHeard
+		}
+	}
+	return last
+}
+
 // acceptedLast reports whether the peer accepted callers when it was last heard.
 func (p *peer) acceptedLast() bool {
 	return p.Node != "" && !p.exited && p.Ready && !p.Leaving
