Failing: a stream that waits early in a stop of all is sent by its estimate though others accept

A stream that comes in the first two seconds of a stop, while no other gateway accepts callers, is planned by its estimate, and this holds for as long as it waits for a slot. It is sent by the estimate, and cut at the exit, though another gateway accepts callers when the slot is granted.

Test, which fails: TestWaitingStreamIsPlannedByItsMaximumOnceOthersAccept (one request for a slot instead of two).

--- a/internal/edge/flow/shutdown_across_test.go
+++ b/internal/edge/flow/shutdown_across_test.go
@@ -157,3 +157,28 @@
 		}
 	}
 }
+
+// acceptsBeforeGrant is a Picker during whose first call another process begins to accept.
+type acceptsBeforeGrant struct{ *fixture }
+
+func (a acceptsBeforeGrant) Pick(ctx context.Context, now time.Time, req flow.PlacementRequest) (flow.Placement, error) {
+	a.otherAccepts = true
+	return a.fixture.Pick(ctx, now, req)
+}
+
+// Guards against a stream that came early in a shutdown of all, waited for its slot, and is sent
+// by its estimate although another process accepts callers by then.
+func TestWaitingStreamIsPlannedByItsMaximumOnceOthersAccept(t *testing.T) {
+	f := newFixture(t)
+	f.picker = acceptsBeforeGrant{f}
+	f.shutdownSince = time.Now().Add(-time.Second)
+	f.addUpstream("one", streamHeader+"id: 1\ndata: a\n\n")
+	f.headers = statedLength()
+	f.start()
+	response, _, err := f.call("/long/x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	last := f.placementRequests[len(f.placementRequests)-1]
+	require.Equal(t, flow.EndRequired, last.EndConstraint)
+	require.Equal(t, 100, last.OutputTokens)
+}
