--- a/internal/fleet/mesh/availability.go
+++ b/internal/fleet/mesh/availability.go
@@ -9,6 +9,10 @@
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
 )
 
+// cutOffMemory is how long a process that hears nobody counts what the others said last.
+// After that they have probably failed.
+const cutOffMemory = 45 * time.Second
+
 // Availability counts gateways, and those of them that accept callers.
 type Availability struct{ Accepting, Total int }
 
@@ -22,15 +26,17 @@
 // Availability counts the other gateways of the failure domain and those of all other
 // domains. A gateway of unknown domain counts as one of the given domain. What a
 // gateway says of itself decides; of those that this process does not hear, its hubs
-// say which do not accept callers.
+// say which do not accept callers. A process that hears nobody is probably cut off
+// itself, so what the others said last counts for a while.
 func (m *Mesh) Availability(now time.Time, domain string) (within, outside Availability) {
 	timeout := m.livenessTimeout()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	cutOff := !m.hearsAnyLocked(now, timeout)
+	lastHeard := m.lastHeardLocked()
+	cutOff := !m.hearsAnyLocked(now, timeout) && now.Sub(lastHeard) < cutOffMemory
 	reportsAt := now
 	if cutOff {
-		reportsAt = m.lastHeardLocked()
+		reportsAt = lastHeard
 	}
 	unavailable, reported := m.reportedUnavailableLocked(reportsAt, timeout)
 	for address, p := range m.peers {
