Gateways decode, log and count the rate limit that upstreams state

Nothing showed that two engines had asked for less: the header was forwarded to callers and read nowhere. The statement is decoded next to the load, as absent, unreadable or a rate; a change of what an upstream states is one log line with the rate before, and persimmonridge_upstream_statements_total counts the answers. With these a limit that is not kept can be told from one that is kept by each gateway alone, and from one that only some paths keep.

--- a/internal/edge/exchange/exchange.go
+++ b/internal/edge/exchange/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -61,6 +62,8 @@
 	Load string
 	// WarmUpMs states the rest of the upstream's warm-up in milliseconds.
 	WarmUpMs string
+	// RateLimit states the requests per second that the upstream takes from all callers.
+	RateLimit string
 }
 
 // Request is a request to an upstream.
@@ -87,6 +90,14 @@
 	Running, Waiting, Slots int
 }
 
+// RateLimit is the rate that an upstream states in an answer that it takes from all
+// callers together.
+type RateLimit struct {
+	// Stated is set if the answer names a limit, and Valid if the limit can be read.
+	Stated, Valid bool
+	PerSecond     float64
+}
+
 // Answer is an upstream's answer, whose body has not been read yet.
 type Answer struct {
 	Status int
@@ -101,6 +112,7 @@
 	Load        *Load
 	// WarmUpRemaining is the rest of the upstream's warm-up, 0 if it stated none.
 	WarmUpRemaining time.Duration
+	RateLimit       RateLimit
 
 	body io.ReadCloser
 	conn *conn
@@ -213,7 +225,8 @@
 		NotExecuted: response.Header.Get(c.names.NotExecuted) != "" || response.StatusCode == http.StatusMisdirectedRequest,
 		Misdirected: response.StatusCode == http.StatusMisdirectedRequest,
 		Load:        parseLoad(response.Header.Get(c.names.Load)), WarmUpRemaining: parseMillis(response.Header.Get(c.names.WarmUpMs)),
-		body: response.Body, conn: conn, pool: c.pool, now: c.now,
+		RateLimit: parseRateLimit(response.Header.Get(c.names.RateLimit)),
+		body:      response.Body, conn: conn, pool: c.pool, now: c.now,
 		// An upstream that answers before the whole body was sent takes what
 		// follows for the rest of it, so the connection must not be reused.
 		reusable: bodySent && !response.Close,
@@ -337,6 +350,17 @@
 // maxStatedMillis is the longest warm-up that is believed, one hour.
 const maxStatedMillis = 3_600_000
 
+func parseRateLimit(value string) RateLimit {
+	if value == "" {
+		return RateLimit{}
+	}
+	n, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+	if err != nil || !(n >= 0) || math.IsInf(n, 0) {
+		return RateLimit{Stated: true}
+	}
+	return RateLimit{Stated: true, Valid: true, PerSecond: n}
+}
+
 func parseLoad(value string) *Load {
 	parts := strings.Split(value, ",")
 	if len(parts) != 3 {
--- a/internal/edge/exchange/exchange_test.go
+++ b/internal/edge/exchange/exchange_test.go
@@ -16,7 +16,7 @@
 	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
 )
 
-var names = exchange.HeaderNames{RequestID: "Request-Id", Seal: "Seal", NotExecuted: "Not-Run", Load: "Load"}
+var names = exchange.HeaderNames{RequestID: "Request-Id", Seal: "Seal", NotExecuted: "Not-Run", Load: "Load", RateLimit: "Limit"}
 
 // upstream answers each request by a script.
 type upstream struct {
@@ -121,6 +121,33 @@
 	answer.Close(true)
 }
 
+// Guards against a stated limit that cannot be right and is taken for one, or for none.
+func TestStatedRateLimitIsParsed(t *testing.T) {
+	for value, want := range map[string]exchange.RateLimit{
+		"":      {},
+		"2.2":   {Stated: true, Valid: true, PerSecond: 2.2},
+		" 7 ":   {Stated: true, Valid: true, PerSecond: 7},
+		"0":     {Stated: true, Valid: true},
+		"-1":    {Stated: true},
+		"NaN":   {Stated: true},
+		"+Inf":  {Stated: true},
+		"1e999": {Stated: true},
+		"few":   {Stated: true},
+	} {
+		u := startUpstream(t, func(conn net.Conn, _ int) bool {
+			header := ""
+			if value != "" {
+				header = "Limit: " + value + "\n"
+			}
+			return write(conn, strings.Replace(completeAnswer, "Seal", header+"Seal", 1))
+		})
+		answer, err := newClient(t).Do(context.Background(), u.address, request("one"))
+		require.NoError(t, err)
+		require.Equal(t, want, answer.RateLimit, value)
+		answer.Close(false)
+	}
+}
+
 // Consecutive requests share a connection, since each new one costs the upstream a
 // handshake.
 func TestConnectionIsReused(t *testing.T) {
--- a/internal/edge/flow/attempt.go
+++ b/internal/edge/flow/attempt.go
@@ -29,8 +29,9 @@
 		return c.handleNoAnswer(ctx, placement, err)
 	}
 	c.attempts++
-	if answer.WarmUpRemaining > 0 && c.Guard != nil {
-		c.Guard.WarmUpStated(c.Now(), upstream.ID, answer.WarmUpRemaining)
+	// A misdirected request was answered by another upstream.
+	if c.Guard != nil && !answer.Misdirected {
+		c.Guard.AnswerReceived(c.Now(), upstream, c.sentAt, answer)
 	}
 	if answer.Load != nil {
 		placement.ReportLoad(c.Now(), *answer.Load)
--- a/internal/edge/flow/guard_test.go
+++ b/internal/edge/flow/guard_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
 	"github.com/persimmonridge/persimmonridge/internal/edge/flow"
 	"github.com/persimmonridge/persimmonridge/internal/state/roster"
 )
@@ -27,7 +28,9 @@
 	return ""
 }
 
-func (g *guard) WarmUpStated(_ time.Time, _ string, remaining time.Duration) { g.warmUp = remaining }
+func (g *guard) AnswerReceived(_ time.Time, _ roster.Upstream, _ time.Time, answer *exchange.Answer) {
+	g.warmUp = answer.WarmUpRemaining
+}
 
 func (g *guard) Failed(_ time.Time, upstream string) { g.failed = append(g.failed, upstream) }
 
--- a/internal/edge/flow/request.go
+++ b/internal/edge/flow/request.go
@@ -188,8 +188,9 @@
 type SendGuard interface {
 	// Admit counts a request that the upstream may get now, or returns why it may not.
 	Admit(now time.Time, upstream roster.Upstream) (reason string)
-	// WarmUpStated records the rest of the warm-up that an upstream stated.
-	WarmUpStated(now time.Time, upstream string, remaining time.Duration)
+	// AnswerReceived records what an upstream states of itself in its answer to a request
+	// that was sent at a time.
+	AnswerReceived(now time.Time, upstream roster.Upstream, sentAt time.Time, answer *exchange.Answer)
 	// Failed records that an upstream's connection failed.
 	Failed(now time.Time, upstream string)
 }
--- a/internal/role/gateway/metrics.go
+++ b/internal/role/gateway/metrics.go
@@ -30,6 +30,7 @@
 	storeCalls        *prometheus.CounterVec
 	connectionsClosed *prometheus.CounterVec
 	withheld          *prometheus.CounterVec
+	statements        *prometheus.CounterVec
 	registry          *prometheus.Registry
 }
 
@@ -120,6 +121,9 @@
 		withheld: auto.NewCounterVec(prometheus.CounterOpts{
 			Name: "persimmonridge_sends_withheld_total", Help: "Sends to upstreams that were withheld at the last moment, by reason.",
 		}, []string{"reason"}),
+		statements: auto.NewCounterVec(prometheus.CounterOpts{
+			Name: "persimmonridge_upstream_statements_total", Help: "Answers of upstreams that state a need of theirs, by what they state.",
+		}, []string{"statement"}),
 		firstEvent: auto.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "persimmonridge_first_event_seconds", Help: "Time from a request's arrival to its stream's first event.", Buckets: latencyBuckets,
 		}, []string{"tier"}),
--- a/internal/role/gateway/sendguard.go
+++ b/internal/role/gateway/sendguard.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
 	"github.com/persimmonridge/persimmonridge/internal/limit/warmup"
 	"github.com/persimmonridge/persimmonridge/internal/state/roster"
 )
@@ -26,10 +27,12 @@
 	builtAt time.Time
 	// joined is set if the store listed this gateway before its process started.
 	joined bool
+	// stated holds the rate limit that each upstream stated last.
+	stated map[string]exchange.RateLimit
 }
 
 func newSendGuard(g *Gateway, limit warmup.Limit) *sendGuard {
-	s := &sendGuard{Gateway: g}
+	s := &sendGuard{Gateway: g, stated: make(map[string]exchange.RateLimit)}
 	s.limits = warmup.New(limit, warmup.Dependencies{Service: s.service, Gateways: s.gateways})
 	return s
 }
@@ -100,9 +103,28 @@
 	return reason
 }
 
-// WarmUpStated implements flow.SendGuard.
-func (s *sendGuard) WarmUpStated(now time.Time, upstream string, remaining time.Duration) {
-	s.limits.Stated(now, upstream, remaining)
+// AnswerReceived implements flow.SendGuard.
+func (s *sendGuard) AnswerReceived(now time.Time, upstream roster.Upstream, _ time.Time, answer *exchange.Answer) {
+	if answer.WarmUpRemaining > 0 {
+		s.limits.Stated(now, upstream.ID, answer.WarmUpRemaining)
+	}
+	s.recordRateLimit(upstream, answer)
+}
+
+// recordRateLimit logs the rate limit that an upstream states, when it changes.
+func (s *sendGuard) recordRateLimit(upstream roster.Upstream, answer *exchange.Answer) {
+	stated := answer.RateLimit
+	if stated.Stated {
+		s.metrics.statements.WithLabelValues("rate-limit").Inc()
+	}
+	s.mu.Lock()
+	previous := s.stated[upstream.ID]
+	s.stated[upstream.ID] = stated
+	s.mu.Unlock()
+	if previous != stated {
+		s.logger.Info("rate limit stated by upstream changed", "upstream", upstream.ID, "born", upstream.StartedAtMs,
+			"stated", stated.Stated, "valid", stated.Valid, "per-second", stated.PerSecond, "before", previous.PerSecond)
+	}
 }
 
 // Failed implements flow.SendGuard and board.Limiter.
