Failing: an upstream's stated rate limit is kept on no path

Three gateways press on four upstreams of which one states a limit of 1, 2.5 or 8 requests a second, in calm and while the store is away, the scheduler is lost or stops, the gateways are cut off from each other, and for a plain service. The test also asks that the limited upstream is not left idle and that the others are used.

--- a/internal/role/gateway/fleet_test.go
+++ b/internal/role/gateway/fleet_test.go
@@ -58,6 +58,8 @@
 	running  map[string]int
 	// arrivals holds, by engine, when it got requests.
 	arrivals map[string][]time.Time
+	// stated holds, by engine, the headers that it adds to its answers.
+	stated map[string]map[string]string
 }
 
 // storeAddress returns the store's address for one gateway; each has its own, so that
@@ -78,7 +80,7 @@
 		f := &fleet{
 			t: t, logger: logger, network: network.New(), store: standin.NewStore(),
 			broken: map[string]bool{}, peakLoad: map[string]int{}, running: map[string]int{},
-			arrivals: map[string][]time.Time{},
+			arrivals: map[string][]time.Time{}, stated: map[string]map[string]string{},
 		}
 		for i := range gateways {
 			f.serve(storeAddress(i), f.store)
@@ -120,6 +122,9 @@
 		f.running[name]++
 		f.arrivals[name] = append(f.arrivals[name], time.Now())
 		f.peakLoad[name] = max(f.peakLoad[name], f.running[name])
+		for header, value := range f.stated[name] {
+			w.Header().Set(header, value)
+		}
 		f.mu.Unlock()
 		defer func() {
 			f.mu.Lock()
--- /dev/null
+++ b/internal/role/gateway/ratelimit_test.go
@@ -0,0 +1,106 @@
+package gateway_test
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/persimmonridge/persimmonridge/internal/proof/bubble"
+	"github.com/persimmonridge/persimmonridge/platform/standin"
+)
+
+const (
+	rateLimitHeader = "Server-Limit"
+	// limitWindow is the time in which a limited upstream may get limitBound requests.
+	limitWindow = 4 * time.Second
+)
+
+// limitBound returns the requests that an upstream tolerates in limitWindow after it has
+// stated a limit: half as many again as the limit allows, and five.
+func limitBound(perSecond float64) int {
+	return int(math.Ceil(1.5*perSecond*limitWindow.Seconds() + 5))
+}
+
+// state sets a header that the engine adds to its answers; an empty value removes it.
+func (f *fleet) state(engine int, header, value string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	name := engineAddress(engine)
+	if f.stated[name] == nil {
+		f.stated[name] = map[string]string{}
+	}
+	if value == "" {
+		delete(f.stated[name], header)
+		return
+	}
+	f.stated[name][header] = value
+}
+
+// arrivalsSince returns when the engine got requests after a time.
+func (f *fleet) arrivalsSince(engine int, since time.Time) []time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	arrivals := slices.Clone(f.arrivals[engineAddress(engine)])
+	return slices.DeleteFunc(arrivals, func(at time.Time) bool { return at.Before(since) })
+}
+
+// requireLimited checks that the engine got at most what its limit tolerates in any
+// limitWindow after a time, and that it was not left idle.
+func (f *fleet) requireLimited(engine int, since time.Time, perSecond float64) {
+	f.t.Helper()
+	arrivals, bound := f.arrivalsSince(engine, since), limitBound(perSecond)
+	for i := bound; i < len(arrivals); i++ {
+		require.GreaterOrEqual(f.t, arrivals[i].Sub(arrivals[i-bound]), limitWindow, "engine %d got %d requests", engine, len(arrivals))
+	}
+	expected := perSecond * time.Since(since).Seconds()
+	require.GreaterOrEqual(f.t, float64(len(arrivals)), expected/3, "a limited engine must not be left idle")
+}
+
+// putPlainConfig puts a configuration whose service has no engines.
+func (f *fleet) putPlainConfig() {
+	f.store.Put("op/config", fmt.Sprintf(`{"version":2,
+		"routes":[{"name":"r","hostname":"h","prefix":"/old/","kind":"idempotent","timeoutMs":15000,"targetLatencyMs":600,
+			"service":"tutor","maxAttempts":2}],
+		"services":[{"name":"tutor","slots":%d}],
+		"tenants":[{"name":"studio","apiKeys":["key"]}]}`, slots))
+	bubble.Sleep(2 * time.Second)
+}
+
+// Guards against upstreams in need that get as many requests as before from gateways that
+// they have told their limit, whatever happens to the store, the scheduler and the links.
+func TestLimitedUpstreamGetsNoMoreThanItStates(t *testing.T) {
+	for name, prepare := range map[string]func(f *fleet){
+		"engine":                func(*fleet) {},
+		"plain service":         (*fleet).putPlainConfig,
+		"the scheduler is lost": func(f *fleet) { f.network.Vanish(linkAddress(f.scheduler())) },
+		"the scheduler stops":   func(f *fleet) { f.cancels[f.scheduler()]() },
+		"the store is away":     func(f *fleet) { f.store.SetFault(standin.NoResponse) },
+		"gateways are cut off from each other": func(f *fleet) {
+			for i := range gateways {
+				f.network.Vanish(linkAddress(i))
+			}
+		},
+	} {
+		for _, perSecond := range []float64{1, 2.5, 8} {
+			t.Run(fmt.Sprintf("%s, %v a second", name, perSecond), func(t *testing.T) {
+				runFleet(t, func(f *fleet) {
+					f.state(0, rateLimitHeader, fmt.Sprint(perSecond))
+					prepare(f)
+					// The gateways are told within the first second.
+					f.press(time.Second)
+					since := time.Now()
+					f.press(10 * time.Second)
+					f.store.SetFault(standin.None)
+					f.requireLimited(0, since, perSecond)
+					for i := 1; i < engines; i++ {
+						require.NotEmpty(t, f.arrivalsSince(i, since), "the other engines are used")
+					}
+				})
+			})
+		}
+	}
+}
