The division among gateways is a package of its own

Moves the parts that gateways own of a number of requests, and the history of sends, from warmup to limit/share, for a second limit. No logic changes; the tests of warmup pass with the moved type's name.

--- a/internal/limit/warmup/guard.go
+++ b/internal/limit/warmup/guard.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/persimmonridge/persimmonridge/internal/limit/share"
 )
 
 const (
@@ -45,7 +47,7 @@
 	// Service returns what the service states.
 	Service func(name string) Service
 	// Gateways returns all known gateways.
-	Gateways func(now time.Time) Gateways
+	Gateways func(now time.Time) share.Gateways
 }
 
 // upstream is what is known of one upstream.
@@ -55,8 +57,8 @@
 	warmAt time.Time
 	// goneAt is when its registration was removed, or zero.
 	goneAt time.Time
-	parts  parts
-	sent   History
+	parts  share.Parts
+	sent   share.History
 }
 
 // Guard decides how many requests a gateway may send to an upstream that may be warming
@@ -195,11 +197,11 @@
 	if u == nil || !g.coldLocked(now, u) {
 		return 0, false
 	}
-	gateways, bound := g.deps.Gateways(now), g.limit.Bound(g.deps.Service(u.Service).PerSecond)
-	if u.parts.version != gateways.Version || u.parts.bound != bound {
-		u.parts = divide(bound, u.ID, gateways)
+	gateways, total := g.deps.Gateways(now), owned(g.limit.Bound(g.deps.Service(u.Service).PerSecond))
+	if !u.parts.Current(total, gateways) {
+		u.parts = share.Divide(total, u.ID, gateways)
 	}
-	return u.parts.of(gateway, u.ID), true
+	return u.parts.Of(gateway, u.ID), true
 }
 
 // ownAllowanceLocked is allowanceLocked for this gateway itself.
@@ -233,7 +235,7 @@
 	if !limited {
 		return 0
 	}
-	return u.sent.free(now, Window, allowed)
+	return u.sent.Free(now, Window, allowed)
 }
 
 // Take reports whether this gateway may send a request to the upstream now, and counts
--- a/internal/limit/warmup/warmup_test.go
+++ b/internal/limit/warmup/warmup_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/persimmonridge/persimmonridge/internal/limit/share"
 	"github.com/persimmonridge/persimmonridge/internal/limit/warmup"
 )
 
@@ -15,8 +16,8 @@
 
 var limit = warmup.Limit{Factor: 1.5, Slack: 5}
 
-func gatewayIDs(count int) warmup.Gateways {
-	g := warmup.Gateways{Version: uint64(count), Joined: true}
+func gatewayIDs(count int) share.Gateways {
+	g := share.Gateways{Version: uint64(count), Joined: true}
 	for i := range count {
 		g.IDs = append(g.IDs, fmt.Sprint("gateway-", i))
 	}
@@ -30,7 +31,7 @@
 	gateways.Joined = joined
 	return warmup.New(limit, warmup.Dependencies{
 		Service:  func(string) warmup.Service { return warmup.Service{Time: 3 * time.Second, PerSecond: 16} },
-		Gateways: func(time.Time) warmup.Gateways { return gateways },
+		Gateways: func(time.Time) share.Gateways { return gateways },
 	})
 }
 
@@ -151,7 +152,7 @@
 func TestUpstreamsWithoutWarmUpAreNotLimited(t *testing.T) {
 	g := warmup.New(limit, warmup.Dependencies{
 		Service:  func(string) warmup.Service { return warmup.Service{} },
-		Gateways: func(time.Time) warmup.Gateways { return gatewayIDs(3) },
+		Gateways: func(time.Time) share.Gateways { return gatewayIDs(3) },
 	})
 	register(g, start, time.Second)
 	g.Failed(start, "u")
--- a/internal/role/gateway/sendguard.go
+++ b/internal/role/gateway/sendguard.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
+	"github.com/persimmonridge/persimmonridge/internal/limit/share"
 	"github.com/persimmonridge/persimmonridge/internal/limit/warmup"
 	"github.com/persimmonridge/persimmonridge/internal/state/roster"
 )
@@ -22,7 +23,7 @@
 	limits *warmup.Guard
 
 	mu      sync.Mutex
-	set     warmup.Gateways
+	set     share.Gateways
 	byNode  map[string]string
 	builtAt time.Time
 	// joined is set if the store listed this gateway before its process started.
@@ -47,7 +48,7 @@
 }
 
 // gateways returns the addresses of all known gateways.
-func (s *sendGuard) gateways(now time.Time) warmup.Gateways {
+func (s *sendGuard) gateways(now time.Time) share.Gateways {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.refreshLocked(now)
@@ -79,7 +80,7 @@
 		_, _ = digest.WriteString(address) // a digest's Write never fails
 		_, _ = digest.Write([]byte{0})
 	}
-	s.set, s.byNode, s.builtAt = warmup.Gateways{Version: digest.Sum64(), IDs: addresses}, byNode, now
+	s.set, s.byNode, s.builtAt = share.Gateways{Version: digest.Sum64(), IDs: addresses}, byNode, now
 }
 
 // address returns the address of a node, or "" if it is unknown.
--- a/internal/sched/board/limit.go
+++ b/internal/sched/board/limit.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/persimmonridge/persimmonridge/internal/limit/share"
 	"github.com/persimmonridge/persimmonridge/internal/limit/warmup"
 )
 
@@ -25,18 +26,18 @@
 
 // grantHistory holds the times of an engine's latest grants.
 type grantHistory struct {
-	all     warmup.History
-	byOwner map[string]*warmup.History
+	all     share.History
+	byOwner map[string]*share.History
 }
 
 func (h *grantHistory) add(now time.Time, owner string) {
 	if h.byOwner == nil {
-		h.byOwner = make(map[string]*warmup.History)
+		h.byOwner = make(map[string]*share.History)
 	}
 	if h.byOwner[owner] == nil {
-		h.byOwner[owner] = &warmup.History{}
+		h.byOwner[owner] = &share.History{}
 	}
-	for _, history := range []*warmup.History{&h.all, h.byOwner[owner]} {
+	for _, history := range []*share.History{&h.all, h.byOwner[owner]} {
 		history.Count(now, grantWindow)
 		history.Add(now)
 	}
