Upstreams that state a rate limit get no more from all gateways together

Callers saw nothing at first; the upstream in need was pressed on until it failed.

Cause: the limit was in the answers and read by nobody. The class: a statement about itself that an upstream makes in an answer, where only registrations were taken as statements.

Each gateway keeps what it was told, by the upstream's process, and owns a fixed part of the limit: four seconds' worth is divided by hash among the known gateways, or, if that is less than one for each, one request in a longer time for up to twice the rate and four of them. In any four seconds that sums to 4 L or 2 L + 4 at most, whichever is more, without messages. The last check before a send counts it, so it holds for grants, local choice, retries, resumes and requests that wait. Slot requests exclude upstreams for which the gateway has no part left, which any scheduler understands, also one of an earlier build; if no other is left, callers are told when there is one. An executed answer without the header ends the limit, if its request was sent after it was stated; so does a later process.

--- a/internal/edge/flow/request.go
+++ b/internal/edge/flow/request.go
@@ -137,6 +137,11 @@
 	return (a.RequiredVersion == "" || a.RequiredVersion == version) && (a.ExcludedVersion == "" || a.ExcludedVersion != version)
 }
 
+// Allows reports whether the upstream may serve the request.
+func (a *PlacementRequest) Allows(u roster.Upstream) bool {
+	return a.AllowsVersion(u.Version) && a.AllowsDomain(u.Domain) && !slices.Contains(a.ExcludedUpstreams, u.ID)
+}
+
 // Outcome is the result of an attempt.
 type Outcome int
 
--- /dev/null
+++ b/internal/limit/ratelimit/ratelimit.go
@@ -0,0 +1,170 @@
+// Package ratelimit keeps the limits that upstreams state in their answers: how many
+// requests a second they take from all gateways together. Each gateway that has heard of
+// a limit owns a fixed part of it, so that the sum holds without messages, between
+// gateways that cannot reach each other, and while the scheduler changes.
+package ratelimit
+
+import (
+	"sync"
+	"time"
+
+	"github.com/persimmonridge/persimmonridge/internal/limit/share"
+)
+
+const (
+	// forgetAfter is how long a limit that has ended, or whose upstream is no longer
+	// registered, is remembered.
+	forgetAfter = time.Minute
+	// joinDelay is the pause of a gateway that owns nothing yet because the others may not
+	// know it.
+	joinDelay = time.Second
+)
+
+// Statement is what an upstream's process stated last of its limit.
+type Statement struct {
+	Upstream string
+	// StartedAtMs identifies the process.
+	StartedAtMs int64
+	// Limited is false if the limit has ended.
+	Limited   bool
+	PerSecond float64
+	// At is when the statement was heard last.
+	At time.Time
+}
+
+// sameAs reports whether both state the same of the same process.
+func (s Statement) sameAs(other Statement) bool {
+	return s.StartedAtMs == other.StartedAtMs && s.Limited == other.Limited && s.PerSecond == other.PerSecond
+}
+
+type upstream struct {
+	Statement
+	parts share.Parts
+	sent  share.History
+}
+
+// Limiter decides how many requests a gateway may send to an upstream that has stated a
+// limit. It is safe for concurrent use.
+type Limiter struct {
+	gateways func(now time.Time) share.Gateways
+
+	mu        sync.Mutex
+	upstreams map[string]*upstream
+}
+
+// New returns a limiter that has heard of no limit. The function returns all known
+// gateways.
+func New(gateways func(now time.Time) share.Gateways) *Limiter {
+	return &Limiter{gateways: gateways, upstreams: make(map[string]*upstream)}
+}
+
+// Stated records the limit that an upstream's process stated in an answer. It returns what
+// it had stated before, and whether that has changed.
+func (l *Limiter) Stated(now time.Time, id string, startedAtMs int64, perSecond float64) (before Statement, changed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.recordLocked(Statement{Upstream: id, StartedAtMs: startedAtMs, Limited: perSecond <= maxRate, PerSecond: perSecond, At: now})
+}
+
+// NotStated records an answer without a limit to a request that was sent at a time. The
+// answer ends a limit that was heard of before then; a later limit may have been stated
+// after it.
+func (l *Limiter) NotStated(now time.Time, id string, startedAtMs int64, sentAt time.Time) (before Statement, changed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	u := l.upstreams[id]
+	if u == nil || !u.Limited || u.StartedAtMs > startedAtMs || sentAt.Before(u.At) {
+		return Statement{}, false
+	}
+	return l.recordLocked(Statement{Upstream: id, StartedAtMs: startedAtMs, At: now})
+}
+
+func (l *Limiter) recordLocked(s Statement) (before Statement, changed bool) {
+	u := l.upstreams[s.Upstream]
+	if u == nil {
+		u = &upstream{}
+		l.upstreams[s.Upstream] = u
+	}
+	before, changed = u.Statement, !u.sameAs(s)
+	u.Statement = s
+	return before, changed
+}
+
+// limitedLocked returns the upstream if the process that started at the time, or a later
+// one, is limited.
+func (l *Limiter) limitedLocked(id string, startedAtMs int64) *upstream {
+	u := l.upstreams[id]
+	if u == nil || !u.Limited || u.StartedAtMs < startedAtMs {
+		return nil
+	}
+	return u
+}
+
+// allowanceLocked returns how many requests the gateway may send to the upstream in a time.
+func (l *Limiter) allowanceLocked(gateways share.Gateways, gateway string, u *upstream) (requests int, within time.Duration) {
+	total, within := division(u.PerSecond, len(gateways.IDs))
+	if !u.parts.Current(total, gateways) {
+		u.parts = share.Divide(total, u.Upstream, gateways)
+	}
+	return u.parts.Of(gateway, u.Upstream), within
+}
+
+// Wait returns how long it takes until this gateway may send a request to the upstream's
+// process.
+func (l *Limiter) Wait(now time.Time, gateway, id string, startedAtMs int64) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.waitLocked(now, gateway, l.limitedLocked(id, startedAtMs))
+}
+
+func (l *Limiter) waitLocked(now time.Time, gateway string, u *upstream) time.Duration {
+	if u == nil {
+		return 0
+	}
+	gateways := l.gateways(now)
+	if !gateways.Joined {
+		return joinDelay
+	}
+	allowed, within := l.allowanceLocked(gateways, gateway, u)
+	return u.sent.Free(now, within, allowed)
+}
+
+// Take reports whether this gateway may send a request to the upstream's process now, and
+// counts it.
+func (l *Limiter) Take(now time.Time, gateway, id string, startedAtMs int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	u := l.limitedLocked(id, startedAtMs)
+	if l.waitLocked(now, gateway, u) > 0 {
+		return false
+	}
+	if u != nil {
+		u.sent.Add(now)
+	}
+	return true
+}
+
+// Limited returns the number of upstreams that have stated a limit.
+func (l *Limiter) Limited() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	count := 0
+	for _, u := range l.upstreams {
+		if u.Limited {
+			count++
+		}
+	}
+	return count
+}
+
+// Forget drops limits that ended long ago and those of upstreams that are no longer
+// registered.
+func (l *Limiter) Forget(now time.Time, registered func(id string) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, u := range l.upstreams {
+		if now.Sub(u.At) > forgetAfter && (!u.Limited || !registered(id)) {
+			delete(l.upstreams, id)
+		}
+	}
+}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -228,6 +228,7 @@
 		Node: s.Name, Domain: s.Domain, Scheduler: g.peers.scheduler, Send: g.mesh.Send,
 		DeliverLocally: func(now time.Time, e *wire.Envelope) { permit.HandleMessage(now, g.granter, s.Name, e) },
 		Local:          chooser, Upstream: g.roster.Get, Evacuated: g.roster.Evacuated,
+		Ready: g.roster.Ready, Paused: g.guard.paused,
 		MinStreamTime: g.granter.MinStreamTime,
 		Silent:        g.peers.schedulerSilent, Service: g.service, Metrics: g.metrics, Logger: logger, Now: now,
 	})
@@ -357,6 +358,7 @@
 			g.pool.CloseExpired(now)
 			g.logOmittedLines(now)
 			g.evacuations.expire(now)
+			g.guard.forget(now)
 			if g.roster.Expire(now) {
 				g.logger.Info("expired upstreams dropped")
 				g.publishEngines()
--- a/internal/role/gateway/ratelimit_test.go
+++ b/internal/role/gateway/ratelimit_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"math"
+	"net/http"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -104,3 +106,67 @@
 		}
 	}
 }
+
+// Guards against requests that wait for a slot, or have been granted one, when the
+// upstream states its limit, and are sent all the same.
+func TestLimitStatedInABurstHoldsForWaitingRequests(t *testing.T) {
+	for name, prepare := range map[string]func(f *fleet){"engine": func(*fleet) {}, "plain service": (*fleet).putPlainConfig} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, func(f *fleet) {
+				prepare(f)
+				go func() {
+					bubble.Sleep(2 * time.Second)
+					f.state(0, rateLimitHeader, "1")
+				}()
+				began := time.Now()
+				f.press(10 * time.Second)
+				f.requireLimited(0, began.Add(3*time.Second), 1)
+			})
+		})
+	}
+}
+
+// Guards against an upstream that is left with few requests after it no longer states a
+// limit.
+func TestUpstreamIsUsedAgainWhenItStatesNoLimit(t *testing.T) {
+	for name, prepare := range map[string]func(f *fleet){"engine": func(*fleet) {}, "plain service": (*fleet).putPlainConfig} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, func(f *fleet) {
+				prepare(f)
+				f.state(0, rateLimitHeader, "1")
+				f.press(3 * time.Second)
+				f.state(0, rateLimitHeader, "")
+				f.press(5 * time.Second)
+				since := time.Now()
+				f.press(2 * time.Second)
+				require.GreaterOrEqual(t, len(f.arrivalsSince(0, since)), len(f.arrivalsSince(1, since))/2)
+			})
+		})
+	}
+}
+
+// Guards against callers who are told to come back before a limited upstream takes another
+// request, and against a limit that is only kept for the first choice.
+func TestCallerIsToldWhenALimitedUpstreamTakesMore(t *testing.T) {
+	for name, prepare := range map[string]func(f *fleet){"engine": func(*fleet) {}, "plain service": (*fleet).putPlainConfig} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, func(f *fleet) {
+				prepare(f)
+				for i := range engines {
+					f.state(i, rateLimitHeader, "1")
+				}
+				f.press(time.Second)
+				var refused outcome
+				for n := 0; refused.status != http.StatusServiceUnavailable; n++ {
+					require.Less(t, n, 100, "limited upstreams take every request")
+					refused = f.call(0, "/old/x?events=1", fmt.Sprint("refused-", n))
+				}
+				seconds, err := strconv.ParseFloat(refused.retryAfter, 64)
+				require.NoError(t, err)
+				require.LessOrEqual(t, seconds, 4.0)
+				bubble.Sleep(time.Duration(seconds*float64(time.Second)) + time.Millisecond)
+				require.Equal(t, http.StatusOK, f.call(0, "/old/x?events=1", "returned").status)
+			})
+		})
+	}
+}
--- a/internal/role/gateway/sendguard.go
+++ b/internal/role/gateway/sendguard.go
@@ -8,8 +8,10 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
+	"github.com/persimmonridge/persimmonridge/internal/limit/ratelimit"
 	"github.com/persimmonridge/persimmonridge/internal/limit/share"
 	"github.com/persimmonridge/persimmonridge/internal/limit/warmup"
+	"github.com/persimmonridge/persimmonridge/internal/sched/permit"
 	"github.com/persimmonridge/persimmonridge/internal/state/roster"
 )
 
@@ -21,6 +23,7 @@
 type sendGuard struct {
 	*Gateway
 	limits *warmup.Guard
+	rates  *ratelimit.Limiter
 
 	mu      sync.Mutex
 	set     share.Gateways
@@ -28,12 +31,11 @@
 	builtAt time.Time
 	// joined is set if the store listed this gateway before its process started.
 	joined bool
-	// stated holds the rate limit that each upstream stated last.
-	stated map[string]exchange.RateLimit
 }
 
 func newSendGuard(g *Gateway, limit warmup.Limit) *sendGuard {
-	s := &sendGuard{Gateway: g, stated: make(map[string]exchange.RateLimit)}
+	s := &sendGuard{Gateway: g}
+	s.rates = ratelimit.New(s.gateways)
 	s.limits = warmup.New(limit, warmup.Dependencies{Service: s.service, Gateways: s.gateways})
 	return s
 }
@@ -95,8 +97,12 @@
 func (s *sendGuard) Admit(now time.Time, upstream roster.Upstream) (reason string) {
 	if s.evacuations.set.Contains(upstream.Domain) {
 		reason = "failure domain evacuated"
+	} else if s.rateWait(now, upstream) > 0 {
+		reason = "upstream states a rate limit"
 	} else if !s.limits.Take(now, s.settings.LinkAddress, upstream.ID) {
 		reason = "upstream may be warming up"
+	} else if !s.rates.Take(now, s.settings.LinkAddress, upstream.ID, upstream.StartedAtMs) {
+		reason = "upstream states a rate limit"
 	}
 	if reason != "" {
 		s.metrics.withheld.WithLabelValues(reason).Inc()
@@ -105,26 +111,31 @@
 }
 
 // AnswerReceived implements flow.SendGuard.
-func (s *sendGuard) AnswerReceived(now time.Time, upstream roster.Upstream, _ time.Time, answer *exchange.Answer) {
+func (s *sendGuard) AnswerReceived(now time.Time, upstream roster.Upstream, sentAt time.Time, answer *exchange.Answer) {
 	if answer.WarmUpRemaining > 0 {
 		s.limits.Stated(now, upstream.ID, answer.WarmUpRemaining)
 	}
-	s.recordRateLimit(upstream, answer)
+	s.recordRateLimit(now, upstream, sentAt, answer)
 }
 
-// recordRateLimit logs the rate limit that an upstream states, when it changes.
-func (s *sendGuard) recordRateLimit(upstream roster.Upstream, answer *exchange.Answer) {
+// recordRateLimit records the rate limit that an upstream states. An answer without one
+// ends it only if the upstream has executed the request: a refusal may lack the header.
+func (s *sendGuard) recordRateLimit(now time.Time, upstream roster.Upstream, sentAt time.Time, answer *exchange.Answer) {
 	stated := answer.RateLimit
-	if stated.Stated {
+	var before ratelimit.Statement
+	changed := false
+	switch {
+	case stated.Valid:
 		s.metrics.statements.WithLabelValues("rate-limit").Inc()
+		before, changed = s.rates.Stated(now, upstream.ID, upstream.StartedAtMs, stated.PerSecond)
+	case stated.Stated:
+		s.metrics.statements.WithLabelValues("rate-limit-unreadable").Inc()
+	case answer.Sealed:
+		before, changed = s.rates.NotStated(now, upstream.ID, upstream.StartedAtMs, sentAt)
 	}
-	s.mu.Lock()
-	previous := s.stated[upstream.ID]
-	s.stated[upstream.ID] = stated
-	s.mu.Unlock()
-	if previous != stated {
+	if changed {
 		s.logger.Info("rate limit stated by upstream changed", "upstream", upstream.ID, "born", upstream.StartedAtMs,
-			"stated", stated.Stated, "valid", stated.Valid, "per-second", stated.PerSecond, "before", previous.PerSecond)
+			"stated", stated.Stated, "per-second", stated.PerSecond, "before", before.PerSecond)
 	}
 }
 
@@ -132,8 +143,29 @@
 func (s *sendGuard) Failed(now time.Time, upstream string) { s.limits.Failed(now, upstream) }
 
 // Wait implements local.Limiter.
-func (s *sendGuard) Wait(now time.Time, upstream string) time.Duration {
-	return s.limits.Wait(now, s.settings.LinkAddress, upstream)
+func (s *sendGuard) Wait(now time.Time, upstream roster.Upstream) time.Duration {
+	return max(s.limits.Wait(now, s.settings.LinkAddress, upstream.ID), s.rateWait(now, upstream))
+}
+
+// rateWait returns how long it takes until this gateway may send a request to the upstream
+// by the rate limit that the upstream states.
+func (s *sendGuard) rateWait(now time.Time, upstream roster.Upstream) time.Duration {
+	return s.rates.Wait(now, s.settings.LinkAddress, upstream.ID, upstream.StartedAtMs)
+}
+
+// paused returns the upstreams of the service that may get no request of this gateway now
+// by what they stated themselves. The scheduler knows of the warm-ups.
+func (s *sendGuard) paused(now time.Time, service string) []permit.Pause {
+	if s.rates.Limited() == 0 {
+		return nil
+	}
+	var paused []permit.Pause
+	for _, u := range s.roster.Ready(service) {
+		if wait := s.rateWait(now, u); wait > 0 {
+			paused = append(paused, permit.Pause{Upstream: u.ID, For: wait})
+		}
+	}
+	return paused
 }
 
 // Allowance implements board.Limiter.
@@ -154,6 +186,14 @@
 	})
 }
 
+// forget drops what upstreams stated that left long ago.
+func (s *sendGuard) forget(now time.Time) {
+	s.rates.Forget(now, func(id string) bool {
+		_, registered := s.roster.Get(id)
+		return registered
+	})
+}
+
 // domainsIn returns the failure domains in the regions, as the settings state them.
 func (g *Gateway) domainsIn(regions []string) []string {
 	var domains []string
--- a/internal/sched/local/local.go
+++ b/internal/sched/local/local.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -64,10 +63,10 @@
 	failureRate      failure.Rate
 }
 
-// Limiter limits the requests to upstreams that tolerate few requests after their start.
+// Limiter limits the requests to upstreams that take few of them at the moment.
 type Limiter interface {
 	// Wait returns how long it takes until this process may send a request to the upstream.
-	Wait(now time.Time, upstream string) time.Duration
+	Wait(now time.Time, upstream roster.Upstream) time.Duration
 }
 
 // Chooser implements flow.Picker.
@@ -124,7 +123,7 @@
 	}
 	if !found {
 		if pause := c.shortestWait(now, upstreams, req); pause > 0 {
-			return nil, flow.RefusePlacement(pause, "all upstreams of the service that may get the request are warming up")
+			return nil, flow.RefusePlacement(pause, "all upstreams of the service that may get the request are warming up or take fewer requests")
 		}
 		return nil, flow.RefusePlacement(noUpstreamRetryAfter, "no upstream of the service is left to try")
 	}
@@ -188,7 +187,7 @@
 	for i := range upstreams {
 		u := upstreams[(uint64(i)+c.rotation)%uint64(len(upstreams))]
 		state := c.state(u.ID)
-		if !allows(req, u) || c.wait(now, u) > 0 || (!includeSkipped && (now.Before(state.backoffUntil) || state.failureRate.At(now) > baseline+failureMargin)) {
+		if !req.Allows(u) || c.wait(now, u) > 0 || (!includeSkipped && (now.Before(state.backoffUntil) || state.failureRate.At(now) > baseline+failureMargin)) {
 			continue
 		}
 		cost := c.cost(now, state, u)
@@ -199,17 +198,12 @@
 	return best, found
 }
 
-// allows reports whether the request may be sent to the upstream.
-func allows(req flow.PlacementRequest, u roster.Upstream) bool {
-	return req.AllowsVersion(u.Version) && req.AllowsDomain(u.Domain) && !slices.Contains(req.ExcludedUpstreams, u.ID)
-}
-
 // wait returns how long it takes until this process may send a request to the upstream.
 func (c *Chooser) wait(now time.Time, u roster.Upstream) time.Duration {
 	if c.limiter == nil {
 		return 0
 	}
-	return c.limiter.Wait(now, u.ID)
+	return c.limiter.Wait(now, u)
 }
 
 // shortestWait returns how long it takes until this process may send the request to one of
@@ -217,7 +211,7 @@
 func (c *Chooser) shortestWait(now time.Time, upstreams []roster.Upstream, req flow.PlacementRequest) time.Duration {
 	shortest := time.Duration(0)
 	for _, u := range upstreams {
-		if wait := c.wait(now, u); allows(req, u) && wait > 0 && (shortest == 0 || wait < shortest) {
+		if wait := c.wait(now, u); req.Allows(u) && wait > 0 && (shortest == 0 || wait < shortest) {
 			shortest = wait
 		}
 	}
--- a/internal/sched/local/warmup_test.go
+++ b/internal/sched/local/warmup_test.go
@@ -15,7 +15,7 @@
 // waits implements local.Limiter by the wait of each upstream.
 type waits map[string]time.Duration
 
-func (w waits) Wait(_ time.Time, upstream string) time.Duration { return w[upstream] }
+func (w waits) Wait(_ time.Time, upstream roster.Upstream) time.Duration { return w[upstream.ID] }
 
 // Guards against a choice among plain upstreams that ignores a warm-up or the failure
 // domains that may get the request. If only the warm-up keeps the request from being sent,
--- a/internal/sched/permit/permit.go
+++ b/internal/sched/permit/permit.go
@@ -75,6 +75,10 @@
 	// Evacuated reports whether all upstreams of the service in the failure domains are
 	// evacuated; nil domains stand for all. It may be nil.
 	Evacuated func(service string, domains []string) bool
+	// Ready returns the upstreams of a service that may get new requests.
+	Ready func(service string) []roster.Upstream
+	// Paused returns those that may get no request of this gateway now. It may be nil.
+	Paused func(now time.Time, service string) []Pause
 	// MinStreamTime returns how long the idle upstream takes from the send of a prompt to
 	// the last of its output tokens. If it is nil, all upstreams count as the fastest.
 	MinStreamTime func(upstream string, promptTokens, outputTokens int) time.Duration
@@ -172,7 +176,11 @@
 		if !moved {
 			giveUpAt = c.Now().Add(decisionTimeout)
 		}
-		p := c.newPending(scheduler, req, attempt < maxSchedulers-1)
+		unpaused, err := c.withoutPaused(c.Now(), req)
+		if err != nil {
+			return nil, err
+		}
+		p := c.newPending(scheduler, unpaused, attempt < maxSchedulers-1)
 		d, ok := c.requestSlot(ctx, p, giveUpAt)
 		if ctx.Err() != nil {
 			// A granted slot is given back.
