Gateways tell each other the rate limits that upstreams state

A gateway learned of a limit only by pressing on the upstream once itself, and one that owns no part of it, as in a fleet of many gateways, got no answer any more that could end the limit, so that it left the upstream out for good. Each gossip that changes them, and every tenth, now has the statements with their age; the later one of a process holds. What others say does not renew one's own knowledge, or two gateways could confirm an ended limit to each other, and nobody takes a limit older than a minute, for which an ended one is kept.

TestGatewaysTellEachOtherOfARateLimit failed before (the other gateways knew of 0 limits).

--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/persimmonridge/persimmonridge/internal/fleet/link"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/mesh"
@@ -36,7 +37,7 @@
 	*g = wire.Gossip{
 		Run: run, Rank: h.sent.Rank, Ready: h.sent.Ready, ConfigVersion: h.sent.ConfigVersion,
 		RosterRevision: h.sent.RosterRevision, StoreAnswers: h.sent.StoreAnswers, ChangeRevision: h.sent.ChangeRevision, StoreEra: h.sent.StoreEra,
-		EvacuationRevision: h.sent.EvacuationRevision, Evacuated: h.sent.Evacuated,
+		EvacuationRevision: h.sent.EvacuationRevision, Evacuated: h.sent.Evacuated, RateLimits: h.sent.RateLimits,
 		Leaving: h.sent.Leaving, Domain: h.sent.Domain,
 	}
 }
@@ -126,6 +127,7 @@
 		sent := &wire.Gossip{
 			Rank: 3, Ready: true, ConfigVersion: 5, RosterRevision: 7, StoreAnswers: true, ChangeRevision: 11, StoreEra: 13,
 			EvacuationRevision: 17, Evacuated: []string{"north"},
+			RateLimits: []*wire.RateLimit{{Upstream: "u", Born: 19, Limited: true, PerSecond: 2.5, AgeMs: 23, Event: 29}},
 		}
 		a := startProcess(t, n, "a:1", 1, sent, "b:1")
 		b := startProcess(t, n, "b:1", 2, &wire.Gossip{}, "a:1")
@@ -144,6 +146,8 @@
 		b.handler.mu.Unlock()
 		require.Equal(t, sent.EvacuationRevision, evacuation.GetEvacuationRevision())
 		require.Equal(t, sent.Evacuated, evacuation.GetEvacuated())
+		require.Len(t, evacuation.GetRateLimits(), 1)
+		require.True(t, proto.Equal(sent.RateLimits[0], evacuation.GetRateLimits()[0]))
 		a.stop()
 		b.stop()
 	})
--- a/internal/fleet/mesh/tell.go
+++ b/internal/fleet/mesh/tell.go
@@ -20,6 +20,7 @@
 	gossip               *wire.Gossip
 	heard                []*wire.Heard
 	heardSum, crashesSum uint64
+	rateLimitsSum        uint64
 	// unavailable is nil unless this process is a hub and knows all gateways.
 	unavailable     *wire.Unavailable
 	unavailableSum  uint64
@@ -36,6 +37,7 @@
 		_, _ = heardDigest.Write([]byte{0})
 	}
 	state.heardSum, state.crashesSum = heardDigest.Sum64(), lastCrashSum(state.gossip.Crashes)
+	state.rateLimitsSum = rateLimitsSum(state.gossip.RateLimits)
 	state.unavailable, state.unavailableSum = m.unavailableGateways(now, state.livenessTimeout)
 	return state
 }
@@ -52,6 +54,15 @@
 	return xxhash.Sum64(append(identity, last.Upstream...))
 }
 
+// rateLimitsSum returns a checksum of the statements in any order, without their ages.
+func rateLimitsSum(limits []*wire.RateLimit) uint64 {
+	sum := uint64(0)
+	for _, l := range limits {
+		sum += xxhash.Sum64String(l.Upstream) ^ l.Event
+	}
+	return sum
+}
+
 // heardPeers returns the peers that are alive, in order of address.
 func (m *Mesh) heardPeers(now time.Time) []*wire.Heard {
 	var heard []*wire.Heard
@@ -98,6 +109,9 @@
 		gossip.EvacuationRevision, gossip.Evacuated = state.gossip.EvacuationRevision, state.gossip.Evacuated
 		p.sentEvacuated = state.gossip.Evacuated
 	}
+	if p.gossipsSent%identityEvery == 0 || state.rateLimitsSum != p.sentRateLimitsSum {
+		gossip.RateLimits, p.sentRateLimitsSum = state.gossip.RateLimits, state.rateLimitsSum
+	}
 	if p.gossipsSent%identityEvery == 0 {
 		gossip.Node, gossip.Address, gossip.Domain = m.node, m.address, state.gossip.Domain
 		if p.gossipsSent%heardPeersEvery == 0 || state.heardSum != p.sentHeardSum {
--- a/internal/limit/ratelimit/ratelimit.go
+++ b/internal/limit/ratelimit/ratelimit.go
@@ -5,9 +5,12 @@
 package ratelimit
 
 import (
+	"encoding/binary"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/persimmonridge/persimmonridge/internal/limit/share"
 )
 
@@ -30,6 +33,8 @@
 	PerSecond float64
 	// At is when the statement was heard last.
 	At time.Time
+	// Event distinguishes a change of what upstreams state from any other.
+	Event uint64
 }
 
 // sameAs reports whether both state the same of the same process.
@@ -46,16 +51,20 @@
 // Limiter decides how many requests a gateway may send to an upstream that has stated a
 // limit. It is safe for concurrent use.
 type Limiter struct {
+	// process identifies this gateway's process.
+	process  uint64
 	gateways func(now time.Time) share.Gateways
 
 	mu        sync.Mutex
 	upstreams map[string]*upstream
+	// changes counts the changes that this gateway was the first to hear of.
+	changes uint64
 }
 
-// New returns a limiter that has heard of no limit. The function returns all known
-// gateways.
-func New(gateways func(now time.Time) share.Gateways) *Limiter {
-	return &Limiter{gateways: gateways, upstreams: make(map[string]*upstream)}
+// New returns a limiter for a gateway's process that has heard of no limit. The function
+// returns all known gateways.
+func New(process uint64, gateways func(now time.Time) share.Gateways) *Limiter {
+	return &Limiter{process: process, gateways: gateways, upstreams: make(map[string]*upstream)}
 }
 
 // Stated records the limit that an upstream's process stated in an answer. It returns what
@@ -86,10 +95,52 @@
 		l.upstreams[s.Upstream] = u
 	}
 	before, changed = u.Statement, !u.sameAs(s)
+	s.Event = before.Event
+	if changed {
+		l.changes++
+		s.Event = xxhash.Sum64(binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, l.process), l.changes))
+	}
 	u.Statement = s
 	return before, changed
 }
 
+// Heard records what another gateway heard last of an upstream, and reports whether that
+// changes what is known. An upstream's statement to this gateway is not renewed by what
+// others say, or two gateways could confirm an old one to each other for ever.
+func (l *Limiter) Heard(now time.Time, s Statement) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	u := l.upstreams[s.Upstream]
+	switch {
+	case now.Sub(s.At) > forgetAfter:
+		// A limit that ended since may have been forgotten here.
+		return false
+	case u == nil && !s.Limited:
+		return false
+	case u == nil:
+		u = &upstream{}
+		l.upstreams[s.Upstream] = u
+	case u.Event == s.Event || u.sameAs(s) || s.StartedAtMs < u.StartedAtMs || (s.StartedAtMs == u.StartedAtMs && !s.At.After(u.At)):
+		return false
+	}
+	u.Statement = s
+	return true
+}
+
+// Statements returns what is known of all upstreams that stated a limit.
+func (l *Limiter) Statements() []Statement {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.upstreams) == 0 {
+		return nil
+	}
+	statements := make([]Statement, 0, len(l.upstreams))
+	for _, u := range l.upstreams {
+		statements = append(statements, u.Statement)
+	}
+	return statements
+}
+
 // limitedLocked returns the upstream if the process that started at the time, or a later
 // one, is limited.
 func (l *Limiter) limitedLocked(id string, startedAtMs int64) *upstream {
--- a/internal/limit/ratelimit/ratelimit_test.go
+++ b/internal/limit/ratelimit/ratelimit_test.go
@@ -25,7 +25,7 @@
 }
 
 func newLimiter(perSecond float64) *ratelimit.Limiter {
-	l := ratelimit.New(gateways(1))
+	l := ratelimit.New(1, gateways(1))
 	l.Stated(start, "u", 1, perSecond)
 	return l
 }
@@ -48,7 +48,7 @@
 		known := gateways(count)
 		limiters := make([]*ratelimit.Limiter, count)
 		for i := range limiters {
-			limiters[i] = ratelimit.New(known)
+			limiters[i] = ratelimit.New(uint64(i), known)
 			limiters[i].Stated(start, "u", 1, perSecond)
 		}
 		now, sent := start, []time.Time{}
@@ -75,7 +75,7 @@
 			known := gateways(count)
 			limiters := make([]*ratelimit.Limiter, count)
 			for i := range limiters {
-				limiters[i] = ratelimit.New(known)
+				limiters[i] = ratelimit.New(uint64(i), known)
 				limiters[i].Stated(start, "u", 1, perSecond)
 			}
 			const seconds = 400
@@ -130,7 +130,7 @@
 // Guards against a gateway that has just started and takes a part that the others, who do
 // not know it yet, have divided among themselves.
 func TestNewGatewayOwnsNothing(t *testing.T) {
-	l := ratelimit.New(func(time.Time) share.Gateways { return share.Gateways{IDs: []string{"gateway-0"}} })
+	l := ratelimit.New(1, func(time.Time) share.Gateways { return share.Gateways{IDs: []string{"gateway-0"}} })
 	l.Stated(start, "u", 1, 5)
 	require.False(t, l.Take(start, "gateway-0", "u", 1))
 	require.Positive(t, l.Wait(start, "gateway-0", "u", 1))
@@ -143,3 +143,45 @@
 	l.Forget(start.Add(time.Hour), func(string) bool { return false })
 	require.False(t, limited(l, 1))
 }
+
+// Guards against a gateway that owns no part of a limit, and so gets no answer that could
+// end it, and against old news that bring back a limit which has ended.
+func TestGatewaysTellEachOtherOfLimits(t *testing.T) {
+	owner, other := newLimiter(0.5), ratelimit.New(2, gateways(1))
+	tell := func(now time.Time, from, to *ratelimit.Limiter) bool {
+		changed := false
+		for _, s := range from.Statements() {
+			changed = to.Heard(now, s) || changed
+		}
+		return changed
+	}
+	require.True(t, tell(start, owner, other))
+	require.True(t, limited(other, 1))
+	require.False(t, tell(start, owner, other), "told again")
+	stale := other.Statements()
+	owner.NotStated(start.Add(2*time.Second), "u", 1, start.Add(time.Second))
+	require.False(t, tell(start.Add(2*time.Second), other, owner), "an older statement")
+	require.Zero(t, owner.Limited())
+	require.True(t, tell(start.Add(3*time.Second), owner, other))
+	require.False(t, limited(other, 1))
+	for now := start; now.Before(start.Add(5 * time.Minute)); now = now.Add(10 * time.Second) {
+		owner.Forget(now, func(string) bool { return true })
+		owner.Heard(now, stale[0])
+		require.Zero(t, owner.Limited(), "after %s", now.Sub(start))
+	}
+}
+
+// Guards against a limit that two gateways, neither of which hears from the upstream any
+// more, confirm to each other, so that it outlives a later statement.
+func TestToldLimitIsNotRenewed(t *testing.T) {
+	first, second := newLimiter(0.5), newLimiter(0.5)
+	for range 100 {
+		for _, pair := range [][2]*ratelimit.Limiter{{first, second}, {second, first}} {
+			for _, s := range pair[0].Statements() {
+				s.At = s.At.Add(time.Second)
+				require.False(t, pair[1].Heard(start.Add(time.Second), s))
+			}
+		}
+	}
+	require.Equal(t, start, first.Statements()[0].At)
+}
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -215,6 +215,7 @@
 	g.Leaving = p.stopping()
 	g.Domain = p.settings.Domain
 	p.fillRevisions(g)
+	p.guard.fillGossip(now, g)
 }
 
 // HandleGossip implements mesh.Handler.
@@ -234,6 +235,7 @@
 	}
 	p.stops.heard(now, peer, g.Leaving, time.Duration(p.grace.Load())-stopMargin)
 	p.evacuations.applyGossip(now, g)
+	p.guard.applyGossip(now, peer, g)
 	p.requestMissing(now, peer, g)
 	if g.Leaving {
 		// The successor of a scheduler must hear of the held slots at once.
--- a/internal/role/gateway/ratelimit_test.go
+++ b/internal/role/gateway/ratelimit_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -170,3 +171,30 @@
 		})
 	}
 }
+
+// Guards against gateways that press on an upstream until each of them has been told its
+// limit, and against a limit that holds for ever at those that get no answer of it.
+func TestGatewaysTellEachOtherOfARateLimit(t *testing.T) {
+	runFleet(t, func(f *fleet) {
+		limitedUpstreams := func(want int) {
+			for i := range gateways {
+				require.True(t, strings.Contains(f.metrics(i), fmt.Sprintf("\npersimmonridge_upstreams_rate_limited %d\n", want)), "gateway %d", i)
+			}
+		}
+		callUpstream := func(id string) {
+			arrivals := len(f.arrivalsSince(0, time.Time{}))
+			for n := 0; len(f.arrivalsSince(0, time.Time{})) == arrivals; n++ {
+				require.Less(t, n, 100, "the upstream is not used")
+				f.call(0, "/old/x?events=1", fmt.Sprint(id, n))
+			}
+		}
+		f.state(0, rateLimitHeader, "0.5")
+		callUpstream("limited-")
+		bubble.Sleep(time.Second)
+		limitedUpstreams(1)
+		f.state(0, rateLimitHeader, "")
+		callUpstream("unlimited-")
+		bubble.Sleep(time.Second)
+		limitedUpstreams(0)
+	})
+}
--- a/internal/role/gateway/sendguard.go
+++ b/internal/role/gateway/sendguard.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
+	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
 	"github.com/persimmonridge/persimmonridge/internal/limit/ratelimit"
 	"github.com/persimmonridge/persimmonridge/internal/limit/share"
 	"github.com/persimmonridge/persimmonridge/internal/limit/warmup"
@@ -35,7 +36,7 @@
 
 func newSendGuard(g *Gateway, limit warmup.Limit) *sendGuard {
 	s := &sendGuard{Gateway: g}
-	s.rates = ratelimit.New(s.gateways)
+	s.rates = ratelimit.New(g.runID, s.gateways)
 	s.limits = warmup.New(limit, warmup.Dependencies{Service: s.service, Gateways: s.gateways})
 	return s
 }
@@ -139,6 +140,33 @@
 	}
 }
 
+// fillGossip adds what upstreams stated to the gossip.
+func (s *sendGuard) fillGossip(now time.Time, g *wire.Gossip) {
+	for _, stated := range s.rates.Statements() {
+		g.RateLimits = append(g.RateLimits, &wire.RateLimit{
+			Upstream: stated.Upstream, Born: stated.StartedAtMs, Limited: stated.Limited, PerSecond: stated.PerSecond,
+			AgeMs: uint32(max(0, now.Sub(stated.At)).Milliseconds()), Event: stated.Event,
+		})
+	}
+}
+
+// applyGossip records what upstreams stated to a peer.
+func (s *sendGuard) applyGossip(now time.Time, peer string, g *wire.Gossip) {
+	for _, told := range g.RateLimits {
+		if !(told.PerSecond >= 0) {
+			continue
+		}
+		changed := s.rates.Heard(now, ratelimit.Statement{
+			Upstream: told.Upstream, StartedAtMs: told.Born, Limited: told.Limited, PerSecond: told.PerSecond,
+			At: now.Add(-time.Duration(told.AgeMs) * time.Millisecond), Event: told.Event,
+		})
+		if changed {
+			s.logger.Info("rate limit stated by upstream told by peer", "upstream", told.Upstream, "born", told.Born,
+				"stated", told.Limited, "per-second", told.PerSecond, "peer", peer)
+		}
+	}
+}
+
 // Failed implements flow.SendGuard and board.Limiter.
 func (s *sendGuard) Failed(now time.Time, upstream string) { s.limits.Failed(now, upstream) }
 
