Gateways decode, log and count answers that say an upstream leaves

While the store was away nothing showed which answer had told which gateway that an engine leaves. No decision changes.

--- a/internal/edge/exchange/exchange.go
+++ b/internal/edge/exchange/exchange.go
@@ -64,6 +64,8 @@
 	WarmUpMs string
 	// RateLimit states the requests per second that the upstream takes from all callers.
 	RateLimit string
+	// Leaving is "1" while the upstream leaves.
+	Leaving string
 }
 
 // Request is a request to an upstream.
@@ -113,6 +115,8 @@
 	// WarmUpRemaining is the rest of the upstream's warm-up, 0 if it stated none.
 	WarmUpRemaining time.Duration
 	RateLimit       RateLimit
+	// Leaving reports that the upstream wants no new requests because it shuts down.
+	Leaving bool
 
 	body io.ReadCloser
 	conn *conn
@@ -226,6 +230,7 @@
 		Misdirected: response.StatusCode == http.StatusMisdirectedRequest,
 		Load:        parseLoad(response.Header.Get(c.names.Load)), WarmUpRemaining: parseMillis(response.Header.Get(c.names.WarmUpMs)),
 		RateLimit: parseRateLimit(response.Header.Get(c.names.RateLimit)),
+		Leaving:   strings.TrimSpace(response.Header.Get(c.names.Leaving)) == "1",
 		body:      response.Body, conn: conn, pool: c.pool, now: c.now,
 		// An upstream that answers before the whole body was sent takes what
 		// follows for the rest of it, so the connection must not be reused.
--- a/internal/edge/exchange/exchange_test.go
+++ b/internal/edge/exchange/exchange_test.go
@@ -16,7 +16,7 @@
 	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
 )
 
-var names = exchange.HeaderNames{RequestID: "Request-Id", Seal: "Seal", NotExecuted: "Not-Run", Load: "Load", RateLimit: "Limit"}
+var names = exchange.HeaderNames{RequestID: "Request-Id", Seal: "Seal", NotExecuted: "Not-Run", Load: "Load", RateLimit: "Limit", Leaving: "Leaving"}
 
 // upstream answers each request by a script.
 type upstream struct {
@@ -148,6 +148,19 @@
 	}
 }
 
+// Guards against any other value that is taken for an upstream that leaves.
+func TestLeavingIsParsed(t *testing.T) {
+	for value, want := range map[string]bool{"1": true, " 1 ": true, "0": false, "11": false, "soon": false} {
+		u := startUpstream(t, func(conn net.Conn, _ int) bool {
+			return write(conn, strings.Replace(completeAnswer, "Seal", "Leaving: "+value+"\nSeal", 1))
+		})
+		answer, err := newClient(t).Do(context.Background(), u.address, request("one"))
+		require.NoError(t, err)
+		require.Equal(t, want, answer.Leaving, value)
+		answer.Close(false)
+	}
+}
+
 // Consecutive requests share a connection, since each new one costs the upstream a
 // handshake.
 func TestConnectionIsReused(t *testing.T) {
--- a/internal/edge/flow/attempt.go
+++ b/internal/edge/flow/attempt.go
@@ -32,6 +32,9 @@
 	// A misdirected request was answered by another upstream.
 	if c.Guard != nil && !answer.Misdirected {
 		c.Guard.AnswerReceived(c.Now(), upstream, c.sentAt, answer)
+		if answer.Leaving {
+			c.logger.Info("upstream says that it leaves", "upstream", upstream.ID, "born", upstream.StartedAtMs, "status", answer.Status)
+		}
 	}
 	if answer.Load != nil {
 		placement.ReportLoad(c.Now(), *answer.Load)
--- a/internal/role/gateway/sendguard.go
+++ b/internal/role/gateway/sendguard.go
@@ -116,6 +116,9 @@
 	if answer.WarmUpRemaining > 0 {
 		s.limits.Stated(now, upstream.ID, answer.WarmUpRemaining)
 	}
+	if answer.Leaving {
+		s.metrics.statements.WithLabelValues("leaving").Inc()
+	}
 	s.recordRateLimit(now, upstream, sentAt, answer)
 }
 
