An upstream that says in an answer that it leaves gets no new requests

Callers' requests went on to an engine that was shutting down, up to its exit, and were at its mercy: for twelve seconds after its first answer that said so, as the store was away and its registration stood still. 2.0 s is the bound.

Cause: only registrations counted as word of a leaving upstream. The class is that of the stated rate limit: statements in answers that nobody read.

The roster now marks the process that said so, and treats it as one that is draining: local choice, the scheduler's engines, granted slots before they are used and the last check before a send all go by it, whatever the registration says, also one that lapses and returns, or comes with an older copy of the store. Slot requests exclude it, for a scheduler that does not know. The mark ends with a later process under the id. Gossip tells it on, at once. A missing registration of such an upstream is not retained as one that a store outage may have ended.

What gateways are told by statements has moved to statements.go.

--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -123,10 +123,10 @@
 	exited        bool
 	lastReconnect time.Time
 	gossipsSent   int
-	// sentHeardSum, sentCrashesSum, sentUnavailableSum and sentRateLimitsSum are
-	// checksums of the lists of heard peers, of crashes, of unavailable gateways and of
-	// rate limits that were last sent to the peer.
-	sentHeardSum, sentCrashesSum, sentUnavailableSum, sentRateLimitsSum uint64
+	// The checksums are those of the lists of heard peers, of crashes, of unavailable
+	// gateways, of rate limits and of leaving upstreams that were last sent to the peer.
+	sentHeardSum, sentCrashesSum, sentUnavailableSum uint64
+	sentRateLimitsSum, sentLeavingSum                uint64
 	// sentEvacuated are the evacuated failure domains that were last sent to the peer.
 	sentEvacuated []string
 }
--- a/internal/fleet/mesh/mesh_test.go
+++ b/internal/fleet/mesh/mesh_test.go
@@ -38,7 +38,8 @@
 		Run: run, Rank: h.sent.Rank, Ready: h.sent.Ready, ConfigVersion: h.sent.ConfigVersion,
 		RosterRevision: h.sent.RosterRevision, StoreAnswers: h.sent.StoreAnswers, ChangeRevision: h.sent.ChangeRevision, StoreEra: h.sent.StoreEra,
 		EvacuationRevision: h.sent.EvacuationRevision, Evacuated: h.sent.Evacuated, RateLimits: h.sent.RateLimits,
-		Leaving: h.sent.Leaving, Domain: h.sent.Domain,
+		LeavingUpstreams: h.sent.LeavingUpstreams,
+		Leaving:          h.sent.Leaving, Domain: h.sent.Domain,
 	}
 }
 
@@ -127,7 +128,8 @@
 		sent := &wire.Gossip{
 			Rank: 3, Ready: true, ConfigVersion: 5, RosterRevision: 7, StoreAnswers: true, ChangeRevision: 11, StoreEra: 13,
 			EvacuationRevision: 17, Evacuated: []string{"north"},
-			RateLimits: []*wire.RateLimit{{Upstream: "u", Born: 19, Limited: true, PerSecond: 2.5, AgeMs: 23, Event: 29}},
+			RateLimits:       []*wire.RateLimit{{Upstream: "u", Born: 19, Limited: true, PerSecond: 2.5, AgeMs: 23, Event: 29}},
+			LeavingUpstreams: []*wire.LeavingUpstream{{Upstream: "u", Born: 31}},
 		}
 		a := startProcess(t, n, "a:1", 1, sent, "b:1")
 		b := startProcess(t, n, "b:1", 2, &wire.Gossip{}, "a:1")
@@ -148,6 +150,8 @@
 		require.Equal(t, sent.Evacuated, evacuation.GetEvacuated())
 		require.Len(t, evacuation.GetRateLimits(), 1)
 		require.True(t, proto.Equal(sent.RateLimits[0], evacuation.GetRateLimits()[0]))
+		require.Len(t, evacuation.GetLeavingUpstreams(), 1)
+		require.True(t, proto.Equal(sent.LeavingUpstreams[0], evacuation.GetLeavingUpstreams()[0]))
 		a.stop()
 		b.stop()
 	})
--- a/internal/fleet/mesh/tell.go
+++ b/internal/fleet/mesh/tell.go
@@ -21,6 +21,7 @@
 	heard                []*wire.Heard
 	heardSum, crashesSum uint64
 	rateLimitsSum        uint64
+	leavingSum           uint64
 	// unavailable is nil unless this process is a hub and knows all gateways.
 	unavailable     *wire.Unavailable
 	unavailableSum  uint64
@@ -38,6 +39,7 @@
 	}
 	state.heardSum, state.crashesSum = heardDigest.Sum64(), lastCrashSum(state.gossip.Crashes)
 	state.rateLimitsSum = rateLimitsSum(state.gossip.RateLimits)
+	state.leavingSum = leavingSum(state.gossip.LeavingUpstreams)
 	state.unavailable, state.unavailableSum = m.unavailableGateways(now, state.livenessTimeout)
 	return state
 }
@@ -63,6 +65,15 @@
 	return sum
 }
 
+// leavingSum returns a checksum of the upstreams in any order.
+func leavingSum(leaving []*wire.LeavingUpstream) uint64 {
+	sum := uint64(0)
+	for _, u := range leaving {
+		sum += xxhash.Sum64String(u.Upstream) ^ uint64(u.Born)
+	}
+	return sum
+}
+
 // heardPeers returns the peers that are alive, in order of address.
 func (m *Mesh) heardPeers(now time.Time) []*wire.Heard {
 	var heard []*wire.Heard
@@ -112,6 +123,9 @@
 	if p.gossipsSent%identityEvery == 0 || state.rateLimitsSum != p.sentRateLimitsSum {
 		gossip.RateLimits, p.sentRateLimitsSum = state.gossip.RateLimits, state.rateLimitsSum
 	}
+	if p.gossipsSent%identityEvery == 0 || state.leavingSum != p.sentLeavingSum {
+		gossip.LeavingUpstreams, p.sentLeavingSum = state.gossip.LeavingUpstreams, state.leavingSum
+	}
 	if p.gossipsSent%identityEvery == 0 {
 		gossip.Node, gossip.Address, gossip.Domain = m.node, m.address, state.gossip.Domain
 		if p.gossipsSent%heardPeersEvery == 0 || state.heardSum != p.sentHeardSum {
--- a/internal/role/gateway/metrics.go
+++ b/internal/role/gateway/metrics.go
@@ -63,6 +63,7 @@
 	gauge("upstreams", "Upstreams that are registered.", func() float64 { return float64(len(g.roster.All())) })
 	gauge("upstreams_warming_up", "Registered upstreams that may be warming up, so that they get few requests.", func() float64 { return float64(g.guard.limits.Cold(g.now())) })
 	gauge("upstreams_rate_limited", "Upstreams that have stated a rate limit.", func() float64 { return float64(g.guard.rates.Limited()) })
+	gauge("upstreams_leaving", "Registered upstreams that have said in an answer that they leave.", func() float64 { return float64(len(g.roster.Leaving())) })
 	gauge("failure_domains_evacuated", "Failure domains whose upstreams get no requests by order of the operators.", func() float64 {
 		_, domains := g.evacuations.set.State()
 		return float64(len(domains))
--- a/internal/role/gateway/sendguard.go
+++ b/internal/role/gateway/sendguard.go
@@ -7,12 +7,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
-	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
 	"github.com/persimmonridge/persimmonridge/internal/limit/ratelimit"
 	"github.com/persimmonridge/persimmonridge/internal/limit/share"
 	"github.com/persimmonridge/persimmonridge/internal/limit/warmup"
-	"github.com/persimmonridge/persimmonridge/internal/sched/permit"
 	"github.com/persimmonridge/persimmonridge/internal/state/roster"
 )
 
@@ -98,6 +95,8 @@
 func (s *sendGuard) Admit(now time.Time, upstream roster.Upstream) (reason string) {
 	if s.evacuations.set.Contains(upstream.Domain) {
 		reason = "failure domain evacuated"
+	} else if s.roster.IsLeaving(processOf(upstream)) {
+		reason = "upstream leaves"
 	} else if s.rateWait(now, upstream) > 0 {
 		reason = "upstream states a rate limit"
 	} else if !s.limits.Take(now, s.settings.LinkAddress, upstream.ID) {
@@ -111,65 +110,6 @@
 	return reason
 }
 
-// AnswerReceived implements flow.SendGuard.
-func (s *sendGuard) AnswerReceived(now time.Time, upstream roster.Upstream, sentAt time.Time, answer *exchange.Answer) {
-	if answer.WarmUpRemaining > 0 {
-		s.limits.Stated(now, upstream.ID, answer.WarmUpRemaining)
-	}
-	if answer.Leaving {
-		s.metrics.statements.WithLabelValues("leaving").Inc()
-	}
-	s.recordRateLimit(now, upstream, sentAt, answer)
-}
-
-// recordRateLimit records the rate limit that an upstream states. An answer without one
-// ends it only if the upstream has executed the request: a refusal may lack the header.
-func (s *sendGuard) recordRateLimit(now time.Time, upstream roster.Upstream, sentAt time.Time, answer *exchange.Answer) {
-	stated := answer.RateLimit
-	var before ratelimit.Statement
-	changed := false
-	switch {
-	case stated.Valid:
-		s.metrics.statements.WithLabelValues("rate-limit").Inc()
-		before, changed = s.rates.Stated(now, upstream.ID, upstream.StartedAtMs, stated.PerSecond)
-	case stated.Stated:
-		s.metrics.statements.WithLabelValues("rate-limit-unreadable").Inc()
-	case answer.Sealed:
-		before, changed = s.rates.NotStated(now, upstream.ID, upstream.StartedAtMs, sentAt)
-	}
-	if changed {
-		s.logger.Info("rate limit stated by upstream changed", "upstream", upstream.ID, "born", upstream.StartedAtMs,
-			"stated", stated.Stated, "per-second", stated.PerSecond, "before", before.PerSecond)
-	}
-}
-
-// fillGossip adds what upstreams stated to the gossip.
-func (s *sendGuard) fillGossip(now time.Time, g *wire.Gossip) {
-	for _, stated := range s.rates.Statements() {
-		g.RateLimits = append(g.RateLimits, &wire.RateLimit{
-			Upstream: stated.Upstream, Born: stated.StartedAtMs, Limited: stated.Limited, PerSecond: stated.PerSecond,
-			AgeMs: uint32(max(0, now.Sub(stated.At)).Milliseconds()), Event: stated.Event,
-		})
-	}
-}
-
-// applyGossip records what upstreams stated to a peer.
-func (s *sendGuard) applyGossip(now time.Time, peer string, g *wire.Gossip) {
-	for _, told := range g.RateLimits {
-		if !(told.PerSecond >= 0) {
-			continue
-		}
-		changed := s.rates.Heard(now, ratelimit.Statement{
-			Upstream: told.Upstream, StartedAtMs: told.Born, Limited: told.Limited, PerSecond: told.PerSecond,
-			At: now.Add(-time.Duration(told.AgeMs) * time.Millisecond), Event: told.Event,
-		})
-		if changed {
-			s.logger.Info("rate limit stated by upstream told by peer", "upstream", told.Upstream, "born", told.Born,
-				"stated", told.Limited, "per-second", told.PerSecond, "peer", peer)
-		}
-	}
-}
-
 // Failed implements flow.SendGuard and board.Limiter.
 func (s *sendGuard) Failed(now time.Time, upstream string) { s.limits.Failed(now, upstream) }
 
@@ -184,21 +124,6 @@
 	return s.rates.Wait(now, s.settings.LinkAddress, upstream.ID, upstream.StartedAtMs)
 }
 
-// paused returns the upstreams of the service that may get no request of this gateway now
-// by what they stated themselves. The scheduler knows of the warm-ups.
-func (s *sendGuard) paused(now time.Time, service string) []permit.Pause {
-	if s.rates.Limited() == 0 {
-		return nil
-	}
-	var paused []permit.Pause
-	for _, u := range s.roster.Ready(service) {
-		if wait := s.rateWait(now, u); wait > 0 {
-			paused = append(paused, permit.Pause{Upstream: u.ID, For: wait})
-		}
-	}
-	return paused
-}
-
 // Allowance implements board.Limiter.
 func (s *sendGuard) Allowance(now time.Time, owner, upstream string) (requests int, limited bool) {
 	return s.limits.Allowance(now, s.address(now, owner), upstream)
@@ -217,14 +142,6 @@
 	})
 }
 
-// forget drops what upstreams stated that left long ago.
-func (s *sendGuard) forget(now time.Time) {
-	s.rates.Forget(now, func(id string) bool {
-		_, registered := s.roster.Get(id)
-		return registered
-	})
-}
-
 // domainsIn returns the failure domains in the regions, as the settings state them.
 func (g *Gateway) domainsIn(regions []string) []string {
 	var domains []string
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -39,6 +39,8 @@
 	WarmUpUnknown   bool
 	// Evacuated reports that operators have evacuated the upstream's failure domain.
 	Evacuated bool
+	// Leaving reports that the upstream has said in an answer that it leaves.
+	Leaving bool
 	// Revision is the revision of the registration's last change in the store.
 	Revision kv.Revision
 	// CreatedRevision is the number of the revision at which the registration was created;
@@ -53,12 +55,17 @@
 		return false
 	}
 	u.Revision, u.CreatedRevision = other.Revision, other.CreatedRevision
-	u.WarmUpRemaining, u.Evacuated = other.WarmUpRemaining, other.Evacuated
+	u.WarmUpRemaining, u.Evacuated, u.Leaving = other.WarmUpRemaining, other.Evacuated, other.Leaving
 	return u == other
 }
 
 // AcceptsRequests reports whether the upstream may get new requests.
-func (u Upstream) AcceptsRequests() bool { return u.State == Ready && !u.Evacuated }
+func (u Upstream) AcceptsRequests() bool {
+	return u.State == Ready && !u.Evacuated && !u.Leaving
+}
+
+// process returns the process that registered.
+func (u Upstream) process() Process { return Process{ID: u.ID, StartedAtMs: u.StartedAtMs} }
 
 // rememberDeparted is how long an upstream that has left is remembered. An older copy, to
 // which the store returns, may list it still; the platform's copies are some seconds old.
@@ -82,7 +89,9 @@
 	mu      sync.RWMutex
 	records map[string]record
 	// departed holds, by ID, the upstreams that have left.
-	departed        map[string]departure
+	departed map[string]departure
+	// leaving holds, by ID, the upstreams that have said in an answer that they leave.
+	leaving         map[string]leavingMark
 	byID            map[string]Upstream
 	readyByService  map[string][]Upstream
 	evacuated       []string
@@ -92,7 +101,7 @@
 
 // New returns an empty roster.
 func New() *Roster {
-	return &Roster{records: make(map[string]record), departed: make(map[string]departure), readyByService: make(map[string][]Upstream)}
+	return &Roster{records: make(map[string]record), departed: make(map[string]departure), leaving: make(map[string]leavingMark), readyByService: make(map[string][]Upstream)}
 }
 
 // StoreRegained records that the store answers again after an outage.
@@ -135,7 +144,7 @@
 		switch {
 		case newEra && removedSince:
 			r.drop(now, id, rec.upstream)
-		case newEra && rec.upstream.State == Ready:
+		case newEra && r.mayReturn(rec.upstream):
 			rec.retainedUntil = now.Add(kv.RewriteTime)
 			r.records[id] = rec
 		case !now.Before(rec.retainedUntil):
@@ -228,7 +237,7 @@
 		return
 	}
 	until := r.storeRegainedAt.Add(kv.RewriteTime)
-	if old.upstream.State == Ready && now.Before(until) {
+	if r.mayReturn(old.upstream) && now.Before(until) {
 		old.retainedUntil = until
 		r.records[id] = old
 		return
@@ -236,6 +245,12 @@
 	r.drop(now, id, old.upstream)
 }
 
+// mayReturn reports whether an upstream whose registration is missing may only have lost
+// it, and has not left.
+func (r *Roster) mayReturn(u Upstream) bool {
+	return u.State == Ready && !r.leavingLocked(u.process())
+}
+
 // drop drops a registration and remembers that the upstream has left.
 func (r *Roster) drop(now time.Time, id string, u Upstream) {
 	delete(r.records, id)
@@ -258,6 +273,7 @@
 	if dropped {
 		r.rebuildIndexes()
 	}
+	r.forgetLeaving(now)
 	return dropped
 }
 
@@ -269,6 +285,7 @@
 	for id, rec := range r.records {
 		u := rec.upstream
 		u.Evacuated = slices.Contains(r.evacuated, u.Domain)
+		u.Leaving = r.leavingLocked(u.process())
 		byID[id] = u
 		if u.AcceptsRequests() {
 			readyByService[u.Service] = append(readyByService[u.Service], u)
@@ -301,7 +318,7 @@
 		return false
 	}
 	for _, u := range r.byID {
-		if u.Service == service && u.Evacuated && u.State == Ready && among(u) {
+		if u.Service == service && u.Evacuated && u.State == Ready && !u.Leaving && among(u) {
 			return true
 		}
 	}
