Gateways decode, log and count the rest that upstreams ask for

The line of a refusal by an upstream now tells for how long it wants no other request (rest), and persimmonridge_upstream_statements_total counts those that ask. Without them a pause of an engine that is full could not be told from one that it asked for. No decision changes.

--- a/internal/edge/exchange/exchange.go
+++ b/internal/edge/exchange/exchange.go
@@ -117,6 +117,9 @@
 	RateLimit       RateLimit
 	// Leaving reports that the upstream wants no new requests because it shuts down.
 	Leaving bool
+	// RetryAfter is for how long an upstream that turned the request away wants no other
+	// one of this process, 0 if it did not say.
+	RetryAfter time.Duration
 
 	body io.ReadCloser
 	conn *conn
@@ -236,6 +239,10 @@
 		// follows for the rest of it, so the connection must not be reused.
 		reusable: bodySent && !response.Close,
 	}
+	// An executed request may be answered 429 for its caller's sake alone.
+	if answer.Status == http.StatusServiceUnavailable || (answer.Status == http.StatusTooManyRequests && answer.NotExecuted) {
+		answer.RetryAfter = parseRetryAfter(response.Header.Get("Retry-After"))
+	}
 	return answer, nil
 }
 
@@ -355,6 +362,19 @@
 // maxStatedMillis is the longest warm-up that is believed, one hour.
 const maxStatedMillis = 3_600_000
 
+// maxRetryAfter is the longest rest that an upstream gets for one refusal, however long it
+// asks for.
+const maxRetryAfter = time.Hour
+
+// parseRetryAfter returns a number of seconds, or 0 if there is none.
+func parseRetryAfter(value string) time.Duration {
+	n, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+	if err != nil || !(n > 0) || math.IsInf(n, 0) {
+		return 0
+	}
+	return time.Duration(min(n, maxRetryAfter.Seconds()) * float64(time.Second))
+}
+
 func parseRateLimit(value string) RateLimit {
 	if value == "" {
 		return RateLimit{}
--- a/internal/edge/exchange/exchange_test.go
+++ b/internal/edge/exchange/exchange_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -161,6 +162,37 @@
 	}
 }
 
+// Guards against a time to rest that cannot be right, and against one that is read from an
+// answer that turns nothing away.
+func TestRestIsParsed(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Busy\nRequest-Id: one\nNot-Run: 1\nRetry-After: %s\nContent-Length: 0\n\n"
+	for _, test := range []struct {
+		answer, value string
+		want          time.Duration
+	}{
+		{refusal, "3", 3 * time.Second},
+		{refusal, " 0.25 ", 250 * time.Millisecond},
+		{refusal, "1e12", time.Hour},
+		{refusal, "0", 0},
+		{refusal, "-3", 0},
+		{refusal, "NaN", 0},
+		{refusal, "Inf", 0},
+		{refusal, "1e999", 0},
+		{refusal, "soon", 0},
+		{strings.Replace(refusal, "503 Busy", "429 Many", 1), "3", 3 * time.Second},
+		{strings.Replace(refusal, "503 Busy", "421 Other", 1), "3", 0},
+		{strings.Replace(refusal, "Not-Run", "Seal", 1), "3", 3 * time.Second},
+		{strings.NewReplacer("Not-Run", "Seal", "503 Busy", "429 Many").Replace(refusal), "3", 0},
+		{strings.NewReplacer("Not-Run", "Seal", "503 Busy", "200 OK").Replace(refusal), "3", 0},
+	} {
+		u := startUpstream(t, func(conn net.Conn, _ int) bool { return write(conn, fmt.Sprintf(test.answer, test.value)) })
+		answer, err := newClient(t).Do(context.Background(), u.address, request("one"))
+		require.NoError(t, err)
+		require.Equal(t, test.want, answer.RetryAfter, test.value)
+		answer.Close(false)
+	}
+}
+
 // Consecutive requests share a connection, since each new one costs the upstream a
 // handshake.
 func TestConnectionIsReused(t *testing.T) {
--- a/internal/edge/flow/attempt.go
+++ b/internal/edge/flow/attempt.go
@@ -40,7 +40,7 @@
 		placement.ReportLoad(c.Now(), *answer.Load)
 	}
 	if answer.NotExecuted {
-		c.logger.Info("upstream declined the request", "upstream", upstream.ID, "status", answer.Status)
+		c.logger.Info("upstream declined the request", "upstream", upstream.ID, "status", answer.Status, "rest", answer.RetryAfter)
 		answer.Close(false)
 		if answer.Misdirected {
 			return Misdirected
--- a/internal/role/gateway/statements.go
+++ b/internal/role/gateway/statements.go
@@ -19,6 +19,9 @@
 		s.metrics.statements.WithLabelValues("leaving").Inc()
 		s.setLeaving(now, processOf(upstream))
 	}
+	if answer.RetryAfter > 0 {
+		s.metrics.statements.WithLabelValues("rest").Inc()
+	}
 	s.recordRateLimit(now, upstream, sentAt, answer)
 }
 
