Failing: upstreams that ask for rest in refusals do not get it

Three gateways press on four upstreams, two of which begin to turn all requests away and ask for 3 s of rest, in calm and while the store is away, the scheduler is lost or stops, the gateways are cut off from each other, and for a plain service.

--- a/internal/role/gateway/fleet_test.go
+++ b/internal/role/gateway/fleet_test.go
@@ -26,11 +26,12 @@
 )
 
 const (
-	attemptIDHeader = "X-Persimmonridge-Attempt-Id"
-	sealHeader      = "X-Persimmonridge-Response-Seal"
-	gateways        = 3
-	engines         = 4
-	slots           = 2
+	attemptIDHeader   = "X-Persimmonridge-Attempt-Id"
+	sealHeader        = "X-Persimmonridge-Response-Seal"
+	notExecutedHeader = "X-Persimmonridge-Not-Executed"
+	gateways          = 3
+	engines           = 4
+	slots             = 2
 	// longPath is the path of a stream of longEvents events; others have three.
 	longPath   = "/old/long"
 	longEvents = 60
@@ -60,6 +61,10 @@
 	arrivals map[string][]time.Time
 	// stated holds, by engine, the headers that it adds to its answers.
 	stated map[string]map[string]string
+	// refuses holds the engines that turn all requests away, and senders, by engine, the IDs
+	// of the requests in arrivals.
+	refuses map[string]bool
+	senders map[string][]string
 }
 
 // storeAddress returns the store's address for one gateway; each has its own, so that
@@ -81,6 +86,7 @@
 			t: t, logger: logger, network: network.New(), store: standin.NewStore(),
 			broken: map[string]bool{}, peakLoad: map[string]int{}, running: map[string]int{},
 			arrivals: map[string][]time.Time{}, stated: map[string]map[string]string{},
+			refuses: map[string]bool{}, senders: map[string][]string{},
 		}
 		for i := range gateways {
 			f.serve(storeAddress(i), f.store)
@@ -125,6 +131,8 @@
 		for header, value := range f.stated[name] {
 			w.Header().Set(header, value)
 		}
+		f.senders[name] = append(f.senders[name], r.Header.Get(attemptIDHeader))
+		refuses := f.refuses[name]
 		f.mu.Unlock()
 		defer func() {
 			f.mu.Lock()
@@ -132,6 +140,11 @@
 			f.mu.Unlock()
 		}()
 		w.Header().Set(attemptIDHeader, r.Header.Get(attemptIDHeader))
+		if refuses {
+			w.Header().Set(notExecutedHeader, "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		w.Header().Set(sealHeader, "s")
 		events := 3
 		if r.URL.Path == longPath {
--- /dev/null
+++ b/internal/role/gateway/rest_test.go
@@ -0,0 +1,103 @@
+package gateway_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/persimmonridge/persimmonridge/internal/proof/bubble"
+	"github.com/persimmonridge/persimmonridge/platform/standin"
+)
+
+const (
+	// rest is what upstreams ask for in a refusal. restSlack is the time after a refusal in
+	// which requests on their way do not count, and maxInRest how many may come in the rest.
+	rest      = 3 * time.Second
+	restSlack = 500 * time.Millisecond
+	maxInRest = 2
+)
+
+// refuse makes the engine turn all requests away and ask for rest, or end that.
+func (f *fleet) refuse(engine int, refuses bool) {
+	value := ""
+	if refuses {
+		value = "3"
+	}
+	f.state(engine, "Retry-After", value)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refuses[engineAddress(engine)] = refuses
+}
+
+// requireRested checks that the engine, which refused all requests since a time, got few
+// from each gateway that it asked for rest. The ID of a request ends with its gateway.
+func (f *fleet) requireRested(engine int, since time.Time) {
+	f.t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	byGateway := make(map[string][]time.Time)
+	for i, at := range f.arrivals[engineAddress(engine)] {
+		id := f.senders[engineAddress(engine)][i]
+		if !at.Before(since) {
+			sender := id[strings.LastIndex(id, "-")+1:]
+			byGateway[sender] = append(byGateway[sender], at)
+		}
+	}
+	require.NotEmpty(f.t, byGateway, "an engine that asks for rest is tried again after it")
+	for sender, arrivals := range byGateway {
+		for i, refused := range arrivals {
+			early := 0
+			for _, at := range arrivals[i+1:] {
+				if at.After(refused.Add(restSlack)) && at.Before(refused.Add(rest)) {
+					early++
+				}
+			}
+			require.LessOrEqual(f.t, early, maxInRest, "gateway %s, engine %d", sender, engine)
+		}
+	}
+}
+
+// Guards against requests to upstreams that have turned this gateway away and asked it for
+// rest, whatever happens to the store, the scheduler and the links.
+func TestUpstreamThatAsksForRestGetsIt(t *testing.T) {
+	for name, prepare := range map[string]func(f *fleet){
+		"engine":                func(*fleet) {},
+		"plain service":         (*fleet).putPlainConfig,
+		"the scheduler is lost": func(f *fleet) { f.network.Vanish(linkAddress(f.scheduler())) },
+		"the scheduler stops":   func(f *fleet) { f.cancels[f.scheduler()]() },
+		"the store is away":     func(f *fleet) { f.store.SetFault(standin.NoResponse) },
+		"gateways are cut off from each other": func(f *fleet) {
+			for i := range gateways {
+				f.network.Vanish(linkAddress(i))
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, func(f *fleet) {
+				prepare(f)
+				go func() {
+					bubble.Sleep(time.Second)
+					f.refuse(0, true)
+					f.refuse(1, true)
+				}()
+				since := time.Now().Add(time.Second)
+				f.press(10 * time.Second)
+				for i := range engines {
+					if i < 2 {
+						f.requireRested(i, since)
+					} else {
+						require.NotEmpty(t, f.arrivalsSince(i, since), "the other engines are used")
+					}
+				}
+				f.refuse(0, false)
+				f.press(4 * time.Second)
+				again := time.Now()
+				f.press(2 * time.Second)
+				f.store.SetFault(standin.None)
+				require.GreaterOrEqual(t, len(f.arrivalsSince(0, again)), len(f.arrivalsSince(2, again))/2, "after its rest it is used again")
+			})
+		})
+	}
+}
