Upstreams that ask for rest when they turn requests away get it

Cause: the Retry-After of an upstream's refusal was read by nobody; the same class as the stated rate limit and the upstream that leaves.

Each gateway keeps the rest that it was asked for, by the upstream's process. The choice without the scheduler skips such an upstream, slot requests exclude it, and the last check before a send counts. A refused caller is told no earlier time than the first at which any upstream may get a request.

--- a/internal/edge/flow/ending.go
+++ b/internal/edge/flow/ending.go
@@ -24,6 +24,8 @@
 	retryAfter := RetryAfter(err)
 	if retryAfter == 0 && c.shutdown.started() {
 		retryAfter = c.refusalDelay(c.Now())
+	} else {
+		retryAfter = c.atLeastPause(retryAfter)
 	}
 	c.refuse(http.StatusServiceUnavailable, retryAfter, err.Error())
 }
@@ -50,7 +52,7 @@
 		return
 	}
 	if !c.mayHaveExecuted {
-		c.refuse(http.StatusServiceUnavailable, declinedRetryAfter, reason)
+		c.refuse(http.StatusServiceUnavailable, c.atLeastPause(declinedRetryAfter), reason)
 		return
 	}
 	status := http.StatusBadGateway
@@ -62,6 +64,15 @@
 	c.finish("gave up", append(c.lastAttempt(), "status", status, "why", reason)...)
 }
 
+// atLeastPause returns the Retry-After, or how long it takes until any upstream may get a
+// request, if that is longer.
+func (c *call) atLeastPause(retryAfter time.Duration) time.Duration {
+	if c.Guard == nil {
+		return retryAfter
+	}
+	return max(retryAfter, c.Guard.Pause(c.Now(), c.targetService()))
+}
+
 // refuse answers a request that was not executed and will not be.
 func (c *call) refuse(status int, retryAfter time.Duration, reason string) {
 	c.refundCost()
--- a/internal/edge/flow/guard_test.go
+++ b/internal/edge/flow/guard_test.go
@@ -19,6 +19,7 @@
 	withheld []string
 	failed   []string
 	warmUp   time.Duration
+	pause    time.Duration
 }
 
 func (g *guard) Admit(_ time.Time, u roster.Upstream) string {
@@ -28,6 +29,8 @@
 	return ""
 }
 
+func (g *guard) Pause(time.Time, string) time.Duration { return g.pause }
+
 func (g *guard) AnswerReceived(_ time.Time, _ roster.Upstream, _ time.Time, answer *exchange.Answer) {
 	g.warmUp = answer.WarmUpRemaining
 }
@@ -114,3 +117,16 @@
 	}
 	return domains
 }
+
+// Guards against a caller of a declined request who is told to come back while all
+// upstreams still rest.
+func TestDeclinedCallerIsToldWhenAnUpstreamTakesRequests(t *testing.T) {
+	f := newFixture(t)
+	f.addUpstream("resting", declinedAnswer)
+	f.guard = &guard{pause: 2500 * time.Millisecond}
+	f.start()
+	response, _, err := f.call("/pay/x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.Equal(t, "2.500", response.Header.Get("Retry-After"))
+}
--- a/internal/edge/flow/request.go
+++ b/internal/edge/flow/request.go
@@ -193,6 +193,8 @@
 type SendGuard interface {
 	// Admit counts a request that the upstream may get now, or returns why it may not.
 	Admit(now time.Time, upstream roster.Upstream) (reason string)
+	// Pause returns how long it takes until one of the service's upstreams may get a request.
+	Pause(now time.Time, service string) time.Duration
 	// AnswerReceived records what an upstream states of itself in its answer to a request
 	// that was sent at a time.
 	AnswerReceived(now time.Time, upstream roster.Upstream, sentAt time.Time, answer *exchange.Answer)
--- a/internal/role/gateway/rest_test.go
+++ b/internal/role/gateway/rest_test.go
@@ -1,6 +1,8 @@
 package gateway_test
 
 import (
+	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -101,3 +103,29 @@
 		})
 	}
 }
+
+// Guards against callers who are told to come back, again and again, while all upstreams
+// rest.
+func TestCallerIsToldWhenARestIsOver(t *testing.T) {
+	for name, prepare := range map[string]func(f *fleet){"engine": func(*fleet) {}, "plain service": (*fleet).putPlainConfig} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, func(f *fleet) {
+				prepare(f)
+				for i := range engines {
+					f.refuse(i, true)
+				}
+				f.press(time.Second)
+				refused := f.call(0, "/old/x?events=1", "refused")
+				require.Equal(t, http.StatusServiceUnavailable, refused.status)
+				seconds, err := strconv.ParseFloat(refused.retryAfter, 64)
+				require.NoError(t, err)
+				require.LessOrEqual(t, seconds, rest.Seconds())
+				for i := range engines {
+					f.refuse(i, false)
+				}
+				bubble.Sleep(time.Duration(seconds*float64(time.Second)) + time.Millisecond)
+				require.Equal(t, http.StatusOK, f.call(0, "/old/x?events=1", "returned").status)
+			})
+		})
+	}
+}
--- a/internal/role/gateway/sendguard.go
+++ b/internal/role/gateway/sendguard.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/persimmonridge/persimmonridge/internal/limit/cooldown"
 	"github.com/persimmonridge/persimmonridge/internal/limit/ratelimit"
 	"github.com/persimmonridge/persimmonridge/internal/limit/share"
 	"github.com/persimmonridge/persimmonridge/internal/limit/warmup"
@@ -22,6 +23,7 @@
 	*Gateway
 	limits *warmup.Guard
 	rates  *ratelimit.Limiter
+	rests  *cooldown.Tracker
 
 	mu      sync.Mutex
 	set     share.Gateways
@@ -32,7 +34,7 @@
 }
 
 func newSendGuard(g *Gateway, limit warmup.Limit) *sendGuard {
-	s := &sendGuard{Gateway: g}
+	s := &sendGuard{Gateway: g, rests: cooldown.New()}
 	s.rates = ratelimit.New(g.runID, s.gateways)
 	s.limits = warmup.New(limit, warmup.Dependencies{Service: s.service, Gateways: s.gateways})
 	return s
@@ -93,35 +95,41 @@
 
 // Admit implements flow.SendGuard.
 func (s *sendGuard) Admit(now time.Time, upstream roster.Upstream) (reason string) {
-	if s.evacuations.set.Contains(upstream.Domain) {
-		reason = "failure domain evacuated"
-	} else if s.roster.IsLeaving(processOf(upstream)) {
-		reason = "upstream leaves"
-	} else if s.rateWait(now, upstream) > 0 {
-		reason = "upstream states a rate limit"
-	} else if !s.limits.Take(now, s.settings.LinkAddress, upstream.ID) {
-		reason = "upstream may be warming up"
-	} else if !s.rates.Take(now, s.settings.LinkAddress, upstream.ID, upstream.StartedAtMs) {
-		reason = "upstream states a rate limit"
-	}
-	if reason != "" {
+	if reason = s.withholds(now, upstream); reason != "" {
 		s.metrics.withheld.WithLabelValues(reason).Inc()
 	}
 	return reason
 }
 
+// withholds returns why the upstream may get no request now, or else counts one. Nothing is
+// counted before all limits have room, unless two requests are sent at the same moment.
+func (s *sendGuard) withholds(now time.Time, u roster.Upstream) (reason string) {
+	const limited, resting = "upstream states a rate limit", "upstream asked for rest"
+	switch {
+	case s.evacuations.set.Contains(u.Domain):
+		return "failure domain evacuated"
+	case s.roster.IsLeaving(processOf(u)):
+		return "upstream leaves"
+	case s.rateWait(now, u) > 0:
+		return limited
+	case s.restWait(now, u) > 0:
+		return resting
+	case !s.limits.Take(now, s.settings.LinkAddress, u.ID):
+		return "upstream may be warming up"
+	case !s.rates.Take(now, s.settings.LinkAddress, u.ID, u.StartedAtMs):
+		return limited
+	case !s.rests.Take(now, u.ID, u.StartedAtMs):
+		return resting
+	}
+	return ""
+}
+
 // Failed implements flow.SendGuard and board.Limiter.
 func (s *sendGuard) Failed(now time.Time, upstream string) { s.limits.Failed(now, upstream) }
 
 // Wait implements local.Limiter.
 func (s *sendGuard) Wait(now time.Time, upstream roster.Upstream) time.Duration {
-	return max(s.limits.Wait(now, s.settings.LinkAddress, upstream.ID), s.rateWait(now, upstream))
-}
-
-// rateWait returns how long it takes until this gateway may send a request to the upstream
-// by the rate limit that the upstream states.
-func (s *sendGuard) rateWait(now time.Time, upstream roster.Upstream) time.Duration {
-	return s.rates.Wait(now, s.settings.LinkAddress, upstream.ID, upstream.StartedAtMs)
+	return max(s.limits.Wait(now, s.settings.LinkAddress, upstream.ID), s.statedWait(now, upstream))
 }
 
 // Allowance implements board.Limiter.
--- a/internal/role/gateway/statements.go
+++ b/internal/role/gateway/statements.go
@@ -19,8 +19,12 @@
 		s.metrics.statements.WithLabelValues("leaving").Inc()
 		s.setLeaving(now, processOf(upstream))
 	}
-	if answer.RetryAfter > 0 {
+	switch {
+	case answer.RetryAfter > 0:
 		s.metrics.statements.WithLabelValues("rest").Inc()
+		s.rests.Asked(now, upstream.ID, upstream.StartedAtMs, answer.RetryAfter)
+	case answer.Sealed:
+		s.rests.Served(upstream.ID, sentAt)
 	}
 	s.recordRateLimit(now, upstream, sentAt, answer)
 }
@@ -97,6 +101,35 @@
 	}
 }
 
+// statedWait returns how long it takes until this gateway may send a request to the upstream
+// by what the upstream states.
+func (s *sendGuard) statedWait(now time.Time, u roster.Upstream) time.Duration {
+	return max(s.rateWait(now, u), s.restWait(now, u))
+}
+
+func (s *sendGuard) rateWait(now time.Time, u roster.Upstream) time.Duration {
+	return s.rates.Wait(now, s.settings.LinkAddress, u.ID, u.StartedAtMs)
+}
+
+func (s *sendGuard) restWait(now time.Time, u roster.Upstream) time.Duration {
+	return s.rests.Wait(now, u.ID, u.StartedAtMs)
+}
+
+// Pause implements flow.SendGuard.
+func (s *sendGuard) Pause(now time.Time, service string) time.Duration {
+	shortest := time.Duration(0)
+	for i, u := range s.roster.Ready(service) {
+		wait := s.Wait(now, u)
+		if wait == 0 {
+			return 0
+		}
+		if i == 0 || wait < shortest {
+			shortest = wait
+		}
+	}
+	return shortest
+}
+
 // paused returns the upstreams of the service that may get no request of this gateway now
 // by what they stated themselves, which the scheduler may not know. It knows of warm-ups.
 func (s *sendGuard) paused(now time.Time, service string) []permit.Pause {
@@ -104,11 +137,11 @@
 	for _, p := range s.roster.Leaving() {
 		paused = append(paused, permit.Pause{Upstream: p.ID})
 	}
-	if s.rates.Limited() == 0 {
+	if s.rates.Limited() == 0 && s.rests.Resting(now) == 0 {
 		return paused
 	}
 	for _, u := range s.roster.Ready(service) {
-		if wait := s.rateWait(now, u); wait > 0 {
+		if wait := s.statedWait(now, u); wait > 0 {
 			paused = append(paused, permit.Pause{Upstream: u.ID, For: wait})
 		}
 	}
@@ -117,8 +150,10 @@
 
 // forget drops what upstreams stated that left long ago.
 func (s *sendGuard) forget(now time.Time) {
-	s.rates.Forget(now, func(id string) bool {
-		_, registered := s.roster.Get(id)
-		return registered
-	})
+	registered := func(id string) bool {
+		_, ok := s.roster.Get(id)
+		return ok
+	}
+	s.rates.Forget(now, registered)
+	s.rests.Forget(now, registered)
 }
