Only an answer that is the upstream's own counts as its statement

A faulty upstream sends bytes that are no answer of its own, and an answer without a request's ID is taken for the one that is waited for. Statements count from answers that bear a seal or say that the request was not executed, as only these can be told from such bytes; a misdirected request was answered by another upstream. TestGuardHearsOnlyWhatTheUpstreamStates failed before for the answer without a seal.

--- a/internal/edge/flow/attempt.go
+++ b/internal/edge/flow/attempt.go
@@ -29,13 +29,7 @@
 		return c.handleNoAnswer(ctx, placement, err)
 	}
 	c.attempts++
-	// A misdirected request was answered by another upstream.
-	if c.Guard != nil && !answer.Misdirected {
-		c.Guard.AnswerReceived(c.Now(), upstream, c.sentAt, answer)
-		if answer.Leaving {
-			c.logger.Info("upstream says that it leaves", "upstream", upstream.ID, "born", upstream.StartedAtMs, "status", answer.Status)
-		}
-	}
+	c.recordStatements(upstream, answer)
 	if answer.Load != nil {
 		placement.ReportLoad(c.Now(), *answer.Load)
 	}
@@ -56,6 +50,19 @@
 	return c.deliver(ctx, placement, answer)
 }
 
+// recordStatements tells the guard what the upstream states of itself. An answer with
+// neither a seal nor the statement that the request was not executed may be bytes of a
+// faulty upstream, and a misdirected request was answered by another one.
+func (c *call) recordStatements(upstream roster.Upstream, answer *exchange.Answer) {
+	if c.Guard == nil || answer.Misdirected || (!answer.Sealed && !answer.NotExecuted) {
+		return
+	}
+	c.Guard.AnswerReceived(c.Now(), upstream, c.sentAt, answer)
+	if answer.Leaving {
+		c.logger.Info("upstream says that it leaves", "upstream", upstream.ID, "born", upstream.StartedAtMs, "status", answer.Status)
+	}
+}
+
 // send sends the request to the upstream once.
 func (c *call) send(ctx context.Context, upstream roster.Upstream, newConnection bool) (*exchange.Answer, error) {
 	workspace := ""
--- a/internal/edge/flow/guard_test.go
+++ b/internal/edge/flow/guard_test.go
@@ -130,3 +130,29 @@
 	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
 	require.Equal(t, "2.500", response.Header.Get("Retry-After"))
 }
+
+// Guards against statements of another upstream, or in bytes of a faulty one, that are taken
+// for those of the upstream that got the request.
+func TestGuardHearsOnlyWhatTheUpstreamStates(t *testing.T) {
+	const misdirected = "HTTP/1.1 421 Other\n" + idHeader + ": ID\nContent-Length: 0\n\n"
+	for name, test := range map[string]struct {
+		answer string
+		heard  bool
+	}{
+		"executed":     {successAnswer, true},
+		"declined":     {declinedAnswer, true},
+		"failed":       {failureAnswer, true},
+		"without seal": {unsealedAnswer, false},
+		"misdirected":  {misdirected, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.addUpstream("one", strings.Replace(test.answer, "Content-Length", "X-Persimmonridge-Cold-Ms: 1500\nContent-Length", 1))
+			f.guard = &guard{}
+			f.start()
+			_, _, err := f.call("/pay/x")
+			require.NoError(t, err)
+			require.Equal(t, test.heard, f.guard.warmUp > 0)
+		})
+	}
+}
