A stated rate limit is kept over one or two seconds where that can be

All gateways could send their parts of four seconds at once, and their callers were then refused, or sent elsewhere, for the rest of the four. Where a second or two have a request for each gateway, and at least four, these are the time in which gateways count; four seconds have no more than before. TestLimitIsKeptInEachSecondIfGatewaysOwnEnough failed before (20 in the first second and none in the next two).

--- a/internal/limit/ratelimit/division.go
+++ b/internal/limit/ratelimit/division.go
@@ -3,9 +3,14 @@
 import "time"
 
 const (
-	// window is the time in which gateways count their requests to an upstream whose limit
-	// is at least one request per window for each of them.
-	window = 4 * time.Second
+	// shortestWindow and longestWindow bound the time in which gateways count their requests
+	// to an upstream whose limit is at least one request in it for each of them. Windows
+	// between them are halves of the longest, so that the limit holds over that, too.
+	shortestWindow = time.Second
+	longestWindow  = 4 * time.Second
+	// minPerWindow is the least number of requests in a shorter window: as they are whole,
+	// up to one of them is lost.
+	minPerWindow = 4
 	// burst is how many gateways more than twice the stated rate may own a request each.
 	// Their requests may all arrive at once, which the upstream must bear once per window.
 	burst = 4
@@ -18,11 +23,16 @@
 )
 
 // division returns how many requests the gateways together own, and in which time, so that
-// an upstream gets no more than the rate over any longer time. If the window has no request
+// an upstream gets no more than the rate over any longer time. If no window has a request
 // for each gateway, more of them own one in a longer time: a limited upstream then stays in
 // use though some gateways are down or have no callers.
 func division(perSecond float64, gateways int) (total int, within time.Duration) {
 	rate := max(perSecond, minRate)
-	total = max(int(rate*window.Seconds()), min(gateways, int(2*rate)+burst))
-	return total, max(window, time.Duration(float64(total)/rate*float64(time.Second)))
+	for w := shortestWindow; w < longestWindow; w *= 2 {
+		if total = int(rate * w.Seconds()); total >= max(gateways, minPerWindow) {
+			return total, w
+		}
+	}
+	total = max(int(rate*longestWindow.Seconds()), min(gateways, int(2*rate)+burst))
+	return total, max(longestWindow, time.Duration(float64(total)/rate*float64(time.Second)))
 }
--- a/internal/limit/ratelimit/ratelimit_test.go
+++ b/internal/limit/ratelimit/ratelimit_test.go
@@ -185,3 +185,17 @@
 	}
 	require.Equal(t, start, first.Statements()[0].At)
 }
+
+// Guards against the requests of four seconds that come within the first, after which
+// callers are refused for three.
+func TestLimitIsKeptInEachSecondIfGatewaysOwnEnough(t *testing.T) {
+	l := ratelimit.New(1, gateways(4))
+	l.Stated(start, "u", 1, 20)
+	for second := range 3 {
+		sent := 0
+		for l.Take(start.Add(time.Duration(second)*time.Second), "gateway-0", "u", 1) {
+			sent++
+		}
+		require.Equal(t, 5, sent)
+	}
+}
