--- a/internal/trial/soak/backend_test.go
+++ b/internal/trial/soak/backend_test.go
@@ -52,6 +52,8 @@
 	mu         sync.Mutex
 	receivers  map[string][]*upstream
 	executions map[string][]execution
+	// arrivals are the requests that reached upstreams which stated a need.
+	arrivals []arrival
 }
 
 func newRequestLog() *requestLog {
@@ -122,6 +124,7 @@
 	drainingSince time.Time
 	coldUntil     time.Time
 	failureMode   atomic.Int32
+	need          atomic.Pointer[need]
 	running       atomic.Int32
 	conns         map[net.Conn]struct{}
 }
@@ -188,6 +191,7 @@
 func (u *upstream) restart(id string, coldUntil time.Time) {
 	u.mu.Lock()
 	u.id, u.up, u.state, u.coldUntil = id, true, "ready", coldUntil
+	u.need.Store(nil)
 	u.mu.Unlock()
 	u.register()
 }
@@ -226,6 +230,12 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if n := u.need.Load(); n != nil && n.upstream == id {
+		u.requestLog.recordArrival(arrival{attempt: attempt, at: time.Now(), need: n})
+		if n.state(w) {
+			return
+		}
+	}
 	if u.running.Add(1) > slots {
 		u.running.Add(-1)
 		w.Header().Set(names.NotExecuted, "1")
--- a/internal/trial/soak/testbed_test.go
+++ b/internal/trial/soak/testbed_test.go
@@ -81,6 +81,7 @@
 	drains      []drain
 	evacuations []evacuation
 	warmUps     []warmUp
+	needs       []*need
 	// evacuated holds the IDs of the upstreams in the domain that is evacuated.
 	evacuated        map[string]bool
 	findings         []string
@@ -275,12 +276,15 @@
 	for i := range idleGroups {
 		running.Go(newIdleGroup(tb, i).run)
 	}
-	var evacuating sync.WaitGroup
+	var background sync.WaitGroup
 	if tb.playsWarmUps() {
-		evacuating.Go(tb.evacuate)
+		background.Go(tb.evacuate)
+	}
+	if tb.seed >= needsFromSeed {
+		background.Go(tb.stateNeeds)
 	}
 	tb.injectFaults()
-	evacuating.Wait()
+	background.Wait()
 	tb.clearFaults()
 	<-time.After(recoveryTime)
 	close(tb.stopCallers)
@@ -350,6 +354,7 @@
 	}
 	for _, u := range tb.upstreams {
 		u.failureMode.Store(int32(healthy))
+		u.need.Store(nil)
 		u.relay.SetMute(false)
 		u.relay.SetDelay(0)
 	}
--- a/internal/trial/soak/verify_test.go
+++ b/internal/trial/soak/verify_test.go
@@ -26,6 +26,7 @@
 		tb.checkEvacuated(c)
 	}
 	tb.checkWarmUps()
+	tb.checkNeeds()
 	for _, p := range tb.probes {
 		tb.checkForwarded(p)
 		tb.checkVersion(p)
