--- a/internal/role/gateway/leaving_test.go
+++ b/internal/role/gateway/leaving_test.go
@@ -21,18 +21,7 @@
 // Guards against requests to an upstream that has said in an answer that it leaves, while
 // its registration does not, whatever happens to the store, the scheduler and the links.
 func TestUpstreamThatSaysItLeavesGetsNoRequests(t *testing.T) {
-	for name, prepare := range map[string]func(f *fleet){
-		"engine":                func(*fleet) {},
-		"plain service":         (*fleet).putPlainConfig,
-		"the scheduler is lost": func(f *fleet) { f.network.Vanish(linkAddress(f.scheduler())) },
-		"the scheduler stops":   func(f *fleet) { f.cancels[f.scheduler()]() },
-		"the store is away":     func(f *fleet) { f.store.SetFault(standin.NoResponse) },
-		"gateways are cut off from each other": func(f *fleet) {
-			for i := range gateways {
-				f.network.Vanish(linkAddress(i))
-			}
-		},
-	} {
+	for name, prepare := range statementConditions {
 		t.Run(name, func(t *testing.T) {
 			runFleet(t, func(f *fleet) {
 				prepare(f)
@@ -95,7 +84,7 @@
 // Guards against callers who wait for nothing, or are told that their request may have
 // run, while all upstreams leave.
 func TestCallersAreRefusedWhileAllUpstreamsLeave(t *testing.T) {
-	for name, prepare := range map[string]func(f *fleet){"engine": func(*fleet) {}, "plain service": (*fleet).putPlainConfig} {
+	for name, prepare := range serviceKinds {
 		t.Run(name, func(t *testing.T) {
 			runFleet(t, func(f *fleet) {
 				prepare(f)
--- a/internal/role/gateway/ratelimit_test.go
+++ b/internal/role/gateway/ratelimit_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -28,29 +27,6 @@
 	return int(math.Ceil(1.5*perSecond*limitWindow.Seconds() + 5))
 }
 
-// state sets a header that the engine adds to its answers; an empty value removes it.
-func (f *fleet) state(engine int, header, value string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	name := engineAddress(engine)
-	if f.stated[name] == nil {
-		f.stated[name] = map[string]string{}
-	}
-	if value == "" {
-		delete(f.stated[name], header)
-		return
-	}
-	f.stated[name][header] = value
-}
-
-// arrivalsSince returns when the engine got requests after a time.
-func (f *fleet) arrivalsSince(engine int, since time.Time) []time.Time {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	arrivals := slices.Clone(f.arrivals[engineAddress(engine)])
-	return slices.DeleteFunc(arrivals, func(at time.Time) bool { return at.Before(since) })
-}
-
 // requireLimited checks that the engine got at most what its limit tolerates in any
 // limitWindow after a time, and that it was not left idle.
 func (f *fleet) requireLimited(engine int, since time.Time, perSecond float64) {
@@ -63,31 +39,10 @@
 	require.GreaterOrEqual(f.t, float64(len(arrivals)), expected/3, "a limited engine must not be left idle")
 }
 
-// putPlainConfig puts a configuration whose service has no engines.
-func (f *fleet) putPlainConfig() {
-	f.store.Put("op/config", fmt.Sprintf(`{"version":2,
-		"routes":[{"name":"r","hostname":"h","prefix":"/old/","kind":"idempotent","timeoutMs":15000,"targetLatencyMs":600,
-			"service":"tutor","maxAttempts":2}],
-		"services":[{"name":"tutor","slots":%d}],
-		"tenants":[{"name":"studio","apiKeys":["key"]}]}`, slots))
-	bubble.Sleep(2 * time.Second)
-}
-
 // Guards against upstreams in need that get as many requests as before from gateways that
 // they have told their limit, whatever happens to the store, the scheduler and the links.
 func TestLimitedUpstreamGetsNoMoreThanItStates(t *testing.T) {
-	for name, prepare := range map[string]func(f *fleet){
-		"engine":                func(*fleet) {},
-		"plain service":         (*fleet).putPlainConfig,
-		"the scheduler is lost": func(f *fleet) { f.network.Vanish(linkAddress(f.scheduler())) },
-		"the scheduler stops":   func(f *fleet) { f.cancels[f.scheduler()]() },
-		"the store is away":     func(f *fleet) { f.store.SetFault(standin.NoResponse) },
-		"gateways are cut off from each other": func(f *fleet) {
-			for i := range gateways {
-				f.network.Vanish(linkAddress(i))
-			}
-		},
-	} {
+	for name, prepare := range statementConditions {
 		for _, perSecond := range []float64{1, 2.5, 8} {
 			t.Run(fmt.Sprintf("%s, %v a second", name, perSecond), func(t *testing.T) {
 				runFleet(t, func(f *fleet) {
@@ -111,7 +66,7 @@
 // Guards against requests that wait for a slot, or have been granted one, when the
 // upstream states its limit, and are sent all the same.
 func TestLimitStatedInABurstHoldsForWaitingRequests(t *testing.T) {
-	for name, prepare := range map[string]func(f *fleet){"engine": func(*fleet) {}, "plain service": (*fleet).putPlainConfig} {
+	for name, prepare := range serviceKinds {
 		t.Run(name, func(t *testing.T) {
 			runFleet(t, func(f *fleet) {
 				prepare(f)
@@ -130,7 +85,7 @@
 // Guards against an upstream that is left with few requests after it no longer states a
 // limit.
 func TestUpstreamIsUsedAgainWhenItStatesNoLimit(t *testing.T) {
-	for name, prepare := range map[string]func(f *fleet){"engine": func(*fleet) {}, "plain service": (*fleet).putPlainConfig} {
+	for name, prepare := range serviceKinds {
 		t.Run(name, func(t *testing.T) {
 			runFleet(t, func(f *fleet) {
 				prepare(f)
@@ -149,7 +104,7 @@
 // Guards against callers who are told to come back before a limited upstream takes another
 // request, and against a limit that is only kept for the first choice.
 func TestCallerIsToldWhenALimitedUpstreamTakesMore(t *testing.T) {
-	for name, prepare := range map[string]func(f *fleet){"engine": func(*fleet) {}, "plain service": (*fleet).putPlainConfig} {
+	for name, prepare := range serviceKinds {
 		t.Run(name, func(t *testing.T) {
 			runFleet(t, func(f *fleet) {
 				prepare(f)
--- a/internal/role/gateway/rest_test.go
+++ b/internal/role/gateway/rest_test.go
@@ -64,18 +64,7 @@
 // Guards against requests to upstreams that have turned this gateway away and asked it for
 // rest, whatever happens to the store, the scheduler and the links.
 func TestUpstreamThatAsksForRestGetsIt(t *testing.T) {
-	for name, prepare := range map[string]func(f *fleet){
-		"engine":                func(*fleet) {},
-		"plain service":         (*fleet).putPlainConfig,
-		"the scheduler is lost": func(f *fleet) { f.network.Vanish(linkAddress(f.scheduler())) },
-		"the scheduler stops":   func(f *fleet) { f.cancels[f.scheduler()]() },
-		"the store is away":     func(f *fleet) { f.store.SetFault(standin.NoResponse) },
-		"gateways are cut off from each other": func(f *fleet) {
-			for i := range gateways {
-				f.network.Vanish(linkAddress(i))
-			}
-		},
-	} {
+	for name, prepare := range statementConditions {
 		t.Run(name, func(t *testing.T) {
 			runFleet(t, func(f *fleet) {
 				prepare(f)
@@ -107,7 +96,7 @@
 // Guards against callers who are told to come back, again and again, while all upstreams
 // rest.
 func TestCallerIsToldWhenARestIsOver(t *testing.T) {
-	for name, prepare := range map[string]func(f *fleet){"engine": func(*fleet) {}, "plain service": (*fleet).putPlainConfig} {
+	for name, prepare := range serviceKinds {
 		t.Run(name, func(t *testing.T) {
 			runFleet(t, func(f *fleet) {
 				prepare(f)
