--- a/internal/limit/warmup/warmup_test.go
+++ b/internal/limit/warmup/warmup_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/persimmonridge/persimmonridge/internal/limit/share"
 	"github.com/persimmonridge/persimmonridge/internal/limit/warmup"
+	_ "github.com/persimmonridge/persimmonridge/internal/proof/seed"
 )
 
 var start = time.Unix(1_000_000, 0)
