Callers who return together at the end of a rest are served

All upstreams of a service had asked a gateway for rest, and its callers were told when it would be over. Those who came back then met one request for each upstream, and the others were refused a second time, for the quarter of a second until the first was executed; most callers come back only once.

A request now waits for a pause of all its upstreams of 300 ms at most, and only while its first event can still be in time; longer ones are refused at once, as before. A placement that was withdrawn no longer excludes its upstream for good, only until the next choice. A gateway that owns no part of a limit tells 4 s, not the up to 40 s in which others own one.

--- a/internal/edge/flow/attempt.go
+++ b/internal/edge/flow/attempt.go
@@ -124,7 +124,8 @@
 			return Canceled
 		}
 		if errorx.IsOfType(err, exchange.NotAdmitted) {
-			c.withheldFrom = append(c.withheldFrom, upstream.ID)
+			c.withheld++
+			c.withheldFrom = upstream.ID
 			return Withheld
 		}
 		c.unreachable++
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -119,9 +119,10 @@
 	// retryTaken reports that a retry was charged to the budget and not sent.
 	retryTaken  bool
 	unreachable int
-	// withheldFrom lists the upstreams that were chosen and may get no request at the
-	// moment.
-	withheldFrom    []string
+	// withheld counts the placements that were withdrawn because their upstream may get no
+	// request at the moment, and withheldFrom is the upstream of the last one.
+	withheld        int
+	withheldFrom    string
 	mayHaveExecuted bool
 	triedUpstreams  []string
 	// domains are the failure domains that may get the request; nil means all.
@@ -210,7 +211,7 @@
 			placement.Release(c.Now(), Canceled, 0)
 			continue
 		}
-		if c.attempts == 0 && len(c.withheldFrom) == 0 {
+		if c.attempts == 0 && c.withheld == 0 {
 			c.Retries.Sent(now, service)
 		}
 		outcome := c.attempt(ctx, placement)
@@ -297,10 +298,20 @@
 	return due
 }
 
+// excludedUpstreams returns the upstreams that must not be chosen again: those that were
+// tried, and the last one that might get no request. One before that may get one by now.
+func (c *call) excludedUpstreams() []string {
+	excluded := slices.Clone(c.triedUpstreams)
+	if c.withheldFrom != "" {
+		excluded = append(excluded, c.withheldFrom)
+	}
+	return excluded
+}
+
 func (c *call) placementRequest(now time.Time, service string) PlacementRequest {
 	req := PlacementRequest{
 		ID: c.request.ID, Service: service, Route: c.route, Tier: c.tier,
-		NextEventDue: c.nextEventDue(now), Deadline: c.deadline, ExcludedUpstreams: slices.Concat(c.triedUpstreams, c.withheldFrom), Resent: c.attempts > 0,
+		NextEventDue: c.nextEventDue(now), Deadline: c.deadline, ExcludedUpstreams: c.excludedUpstreams(), Resent: c.attempts > 0,
 		Fingerprint: c.fingerprint, Domains: c.domains,
 	}
 	if c.workspace != nil {
@@ -388,7 +399,7 @@
 	}
 	switch o {
 	case Withheld:
-		if len(c.withheldFrom) <= maxWithheld {
+		if c.withheld <= maxWithheld {
 			return false
 		}
 		c.giveUp("upstreams may get no more requests at the moment")
--- a/internal/limit/ratelimit/ratelimit.go
+++ b/internal/limit/ratelimit/ratelimit.go
@@ -177,6 +177,10 @@
 		return joinDelay
 	}
 	allowed, within := l.allowanceLocked(gateways, gateway, u)
+	if allowed == 0 {
+		// Other gateways own the limit; a longer pause would tell callers nothing.
+		return longestWindow
+	}
 	return u.sent.Free(now, within, allowed)
 }
 
--- a/internal/role/gateway/rest_test.go
+++ b/internal/role/gateway/rest_test.go
@@ -1,9 +1,11 @@
 package gateway_test
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -118,3 +120,30 @@
 		})
 	}
 }
+
+// Guards against callers who come back together when a rest is over, as they were told, and
+// of whom all but one for each upstream are refused again.
+func TestCallersWhoReturnAfterARestAreServed(t *testing.T) {
+	for name, prepare := range serviceKinds {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, func(f *fleet) {
+				prepare(f)
+				for i := range engines {
+					f.refuse(i, true)
+				}
+				f.press(time.Second)
+				for i := range engines {
+					f.refuse(i, false)
+				}
+				bubble.Sleep(rest)
+				outcomes := make([]outcome, engines+slots)
+				var returned sync.WaitGroup
+				for i := range outcomes {
+					returned.Go(func() { outcomes[i] = f.call(0, "/old/x?events=1", fmt.Sprint("returned-", i)) })
+				}
+				returned.Wait()
+				require.Equal(t, len(outcomes), countServed(outcomes))
+			})
+		})
+	}
+}
--- a/internal/sched/permit/permit.go
+++ b/internal/sched/permit/permit.go
@@ -160,7 +160,7 @@
 	}
 	service := c.Service(req.Service)
 	if service == nil || service.Engine == nil {
-		return c.pickToEnd(ctx, now, req)
+		return c.pickUnpaused(ctx, now, req)
 	}
 	var giveUpAt time.Time
 	moved := false
@@ -168,6 +168,10 @@
 		if !c.mayEnd(c.Now(), &req, "") {
 			return nil, refuseBeforeExit()
 		}
+		unpaused, err := c.awaitUnpaused(ctx, c.Now(), req)
+		if err != nil {
+			return nil, err
+		}
 		scheduler := c.settledScheduler(ctx, req.Deadline)
 		if scheduler == "" {
 			break
@@ -176,10 +180,6 @@
 		if !moved {
 			giveUpAt = c.Now().Add(decisionTimeout)
 		}
-		unpaused, err := c.withoutPaused(c.Now(), req)
-		if err != nil {
-			return nil, err
-		}
 		p := c.newPending(scheduler, unpaused, attempt < maxSchedulers-1)
 		d, ok := c.requestSlot(ctx, p, giveUpAt)
 		if ctx.Err() != nil {
