A gateway that has restarted owns no part of a bound for a second

Cause: what a process has sent is forgotten when it is killed, and the next one, which the others know from before, owned its part at once. It now owns nothing for the 1.05 s in which a part counts.

--- a/internal/role/gateway/sendguard.go
+++ b/internal/role/gateway/sendguard.go
@@ -55,8 +55,10 @@
 	defer s.mu.Unlock()
 	s.refreshLocked(now)
 	set := s.set
-	// A new gateway is known to all others once they had the time to read a change.
-	set.Joined = s.joined || now.Sub(s.startedAt) >= s.settings.ConfigApplyLimit
+	// A new gateway is known to all others once they had the time to read a change. One that
+	// has restarted may have used its part of a window just before.
+	age := now.Sub(s.startedAt)
+	set.Joined = age >= warmup.Window && (s.joined || age >= s.settings.ConfigApplyLimit)
 	return set
 }
 
