Statements count from each answer that has the request's ID

A refusal with neither a seal nor the mark of a request that was not executed was not taken for a statement, so that a rest asked for in one was not kept. What tells an upstream's own answer from the bytes of a faulty one is the ID of the request.

--- a/internal/edge/exchange/exchange.go
+++ b/internal/edge/exchange/exchange.go
@@ -104,6 +104,8 @@
 type Answer struct {
 	Status int
 	Header http.Header
+	// Echoed reports that the answer has the request's ID.
+	Echoed bool
 	// Sealed reports that the answer has the seal of an upstream that executed the
 	// request.
 	Sealed bool
@@ -228,6 +230,7 @@
 	}
 	answer := &Answer{
 		Status: response.StatusCode, Header: response.Header,
+		Echoed:      response.Header.Get(c.names.RequestID) == r.ID,
 		Sealed:      response.Header.Get(c.names.Seal) != "",
 		NotExecuted: response.Header.Get(c.names.NotExecuted) != "" || response.StatusCode == http.StatusMisdirectedRequest,
 		Misdirected: response.StatusCode == http.StatusMisdirectedRequest,
--- a/internal/edge/flow/attempt.go
+++ b/internal/edge/flow/attempt.go
@@ -50,11 +50,11 @@
 	return c.deliver(ctx, placement, answer)
 }
 
-// recordStatements tells the guard what the upstream states of itself. An answer with
-// neither a seal nor the statement that the request was not executed may be bytes of a
-// faulty upstream, and a misdirected request was answered by another one.
+// recordStatements tells the guard what the upstream states of itself. An answer without the
+// request's ID may be bytes of a faulty upstream, and a misdirected request was answered by
+// another one.
 func (c *call) recordStatements(upstream roster.Upstream, answer *exchange.Answer) {
-	if c.Guard == nil || answer.Misdirected || (!answer.Sealed && !answer.NotExecuted) {
+	if c.Guard == nil || answer.Misdirected || !answer.Echoed {
 		return
 	}
 	c.Guard.AnswerReceived(c.Now(), upstream, c.sentAt, answer)
