Statements of processes that were replaced are forgotten

A limit of an upstream's former process was kept, counted in persimmonridge_upstreams_rate_limited and told to peers for as long as a later process had its ID. It bound nobody. What is kept is now that of the process that is registered, or of a later one that is not known yet.

--- a/internal/limit/cooldown/cooldown.go
+++ b/internal/limit/cooldown/cooldown.go
@@ -107,12 +107,13 @@
 	return count
 }
 
-// Forget drops the rests that are over of upstreams that are no longer registered.
-func (t *Tracker) Forget(now time.Time, registered func(id string) bool) {
+// Forget drops the rests that are over of processes that are no longer registered, or not
+// the latest under their ID.
+func (t *Tracker) Forget(now time.Time, isCurrent func(id string, startedAtMs int64) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, r := range t.rests {
-		if now.After(r.until) && !registered(id) {
+		if now.After(r.until) && !isCurrent(id, r.startedAtMs) {
 			delete(t.rests, id)
 		}
 	}
--- a/internal/limit/cooldown/cooldown_test.go
+++ b/internal/limit/cooldown/cooldown_test.go
@@ -62,7 +62,7 @@
 func TestForget(t *testing.T) {
 	tracker := cooldown.New()
 	tracker.Asked(start, "u", 1, time.Minute)
-	gone := func(string) bool { return false }
+	gone := func(string, int64) bool { return false }
 	tracker.Forget(after(time.Second), gone)
 	require.False(t, tracker.Take(after(time.Second), "u", 1), "it may register again")
 	tracker.Forget(after(2*time.Minute), gone)
--- a/internal/limit/ratelimit/ratelimit.go
+++ b/internal/limit/ratelimit/ratelimit.go
@@ -212,13 +212,13 @@
 	return count
 }
 
-// Forget drops limits that ended long ago and those of upstreams that are no longer
-// registered.
-func (l *Limiter) Forget(now time.Time, registered func(id string) bool) {
+// Forget drops limits that ended long ago and those of processes that are no longer
+// registered, or not the latest under their ID.
+func (l *Limiter) Forget(now time.Time, isCurrent func(id string, startedAtMs int64) bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, u := range l.upstreams {
-		if now.Sub(u.At) > forgetAfter && (!u.Limited || !registered(id)) {
+		if now.Sub(u.At) > forgetAfter && (!u.Limited || !isCurrent(id, u.StartedAtMs)) {
 			delete(l.upstreams, id)
 		}
 	}
--- a/internal/limit/ratelimit/ratelimit_test.go
+++ b/internal/limit/ratelimit/ratelimit_test.go
@@ -138,9 +138,9 @@
 
 func TestForget(t *testing.T) {
 	l := newLimiter(1)
-	l.Forget(start.Add(time.Hour), func(string) bool { return true })
+	l.Forget(start.Add(time.Hour), func(string, int64) bool { return true })
 	require.True(t, limited(l, 1), "a limit of a registered upstream holds")
-	l.Forget(start.Add(time.Hour), func(string) bool { return false })
+	l.Forget(start.Add(time.Hour), func(string, int64) bool { return false })
 	require.False(t, limited(l, 1))
 }
 
@@ -165,7 +165,7 @@
 	require.True(t, tell(start.Add(3*time.Second), owner, other))
 	require.False(t, limited(other, 1))
 	for now := start; now.Before(start.Add(5 * time.Minute)); now = now.Add(10 * time.Second) {
-		owner.Forget(now, func(string) bool { return true })
+		owner.Forget(now, func(string, int64) bool { return true })
 		owner.Heard(now, stale[0])
 		require.Zero(t, owner.Limited(), "after %s", now.Sub(start))
 	}
--- a/internal/role/gateway/statements.go
+++ b/internal/role/gateway/statements.go
@@ -148,12 +148,12 @@
 	return paused
 }
 
-// forget drops what upstreams stated that left long ago.
+// forget drops the statements of processes that left long ago.
 func (s *sendGuard) forget(now time.Time) {
-	registered := func(id string) bool {
-		_, ok := s.roster.Get(id)
-		return ok
+	isCurrent := func(id string, startedAtMs int64) bool {
+		u, registered := s.roster.Get(id)
+		return registered && u.StartedAtMs <= startedAtMs
 	}
-	s.rates.Forget(now, registered)
-	s.rests.Forget(now, registered)
+	s.rates.Forget(now, isCurrent)
+	s.rests.Forget(now, isCurrent)
 }
