--- a/internal/role/gateway/evacuation.go
+++ b/internal/role/gateway/evacuation.go
@@ -84,7 +84,7 @@
 	e.logger.Warn("evacuated failure domains", "domains", domains, "begun", change.Begun, "ended", change.Ended, "revision", revision)
 	e.roster.SetEvacuated(domains)
 	for _, domain := range change.Ended {
-		e.guard.limits.Returned(now, domain)
+		e.guard.warmUps.Returned(now, domain)
 	}
 	e.publishEngines()
 	e.granter.RefuseWaiting(e.roster.Evacuated, permit.EvacuatedRetryAfter, permit.EvacuatedReason)
--- a/internal/role/gateway/metrics.go
+++ b/internal/role/gateway/metrics.go
@@ -61,7 +61,7 @@
 		return 0
 	})
 	gauge("upstreams", "Upstreams that are registered.", func() float64 { return float64(len(g.roster.All())) })
-	gauge("upstreams_warming_up", "Registered upstreams that may be warming up, so that they get few requests.", func() float64 { return float64(g.guard.limits.Cold(g.now())) })
+	gauge("upstreams_warming_up", "Registered upstreams that may be warming up, so that they get few requests.", func() float64 { return float64(g.guard.warmUps.Cold(g.now())) })
 	gauge("upstreams_rate_limited", "Upstreams that have stated a rate limit.", func() float64 { return float64(g.guard.rates.Limited()) })
 	gauge("upstreams_leaving", "Registered upstreams that have said in an answer that they leave.", func() float64 { return float64(len(g.roster.Leaving())) })
 	gauge("upstreams_resting", "Upstreams that asked this gateway for rest, which is not over.", func() float64 { return float64(g.guard.rests.Resting(g.now())) })
--- a/internal/role/gateway/reload.go
+++ b/internal/role/gateway/reload.go
@@ -16,7 +16,7 @@
 	g.retryBudget.SetSettings(next.Retry)
 	g.quota.SetOptions(next.Quota)
 	g.regions.Store(&next.Regions)
-	g.guard.limits.SetLimit(next.WarmUp)
+	g.guard.warmUps.SetLimit(next.WarmUp)
 	g.grace.Store(int64(next.GracePeriod))
 	for _, address := range next.SeedAddresses {
 		g.mesh.AddPeer(g.now(), address)
--- a/internal/role/gateway/sendguard.go
+++ b/internal/role/gateway/sendguard.go
@@ -21,9 +21,9 @@
 // implements flow.SendGuard, board.Limiter and local.Limiter.
 type sendGuard struct {
 	*Gateway
-	limits *warmup.Guard
-	rates  *ratelimit.Limiter
-	rests  *cooldown.Tracker
+	warmUps *warmup.Guard
+	rates   *ratelimit.Limiter
+	rests   *cooldown.Tracker
 
 	mu      sync.Mutex
 	set     share.Gateways
@@ -36,7 +36,7 @@
 func newSendGuard(g *Gateway, limit warmup.Limit) *sendGuard {
 	s := &sendGuard{Gateway: g, rests: cooldown.New()}
 	s.rates = ratelimit.New(g.runID, s.gateways)
-	s.limits = warmup.New(limit, warmup.Dependencies{Service: s.service, Gateways: s.gateways})
+	s.warmUps = warmup.New(limit, warmup.Dependencies{Service: s.service, Gateways: s.gateways})
 	return s
 }
 
@@ -116,7 +116,7 @@
 		return limited
 	case s.restWait(now, u) > 0:
 		return resting
-	case !s.limits.Take(now, s.settings.LinkAddress, u.ID):
+	case !s.warmUps.Take(now, s.settings.LinkAddress, u.ID):
 		return "upstream may be warming up"
 	case !s.rates.Take(now, s.settings.LinkAddress, u.ID, u.StartedAtMs):
 		return limited
@@ -127,26 +127,26 @@
 }
 
 // Failed implements flow.SendGuard and board.Limiter.
-func (s *sendGuard) Failed(now time.Time, upstream string) { s.limits.Failed(now, upstream) }
+func (s *sendGuard) Failed(now time.Time, upstream string) { s.warmUps.Failed(now, upstream) }
 
 // Wait implements local.Limiter.
 func (s *sendGuard) Wait(now time.Time, upstream roster.Upstream) time.Duration {
-	return max(s.limits.Wait(now, s.settings.LinkAddress, upstream.ID), s.statedWait(now, upstream))
+	return max(s.warmUps.Wait(now, s.settings.LinkAddress, upstream.ID), s.statedWait(now, upstream))
 }
 
 // Allowance implements board.Limiter.
 func (s *sendGuard) Allowance(now time.Time, owner, upstream string) (requests int, limited bool) {
-	return s.limits.Allowance(now, s.address(now, owner), upstream)
+	return s.warmUps.Allowance(now, s.address(now, owner), upstream)
 }
 
 // Tolerance implements board.Limiter.
 func (s *sendGuard) Tolerance(upstream string) (requests int, limited bool) {
-	return s.limits.Tolerance(upstream)
+	return s.warmUps.Tolerance(upstream)
 }
 
 // registered passes a registration to the guard.
 func (s *sendGuard) registered(now time.Time, u roster.Upstream) {
-	s.limits.Registered(now, warmup.Registration{
+	s.warmUps.Registered(now, warmup.Registration{
 		ID: u.ID, Service: u.Service, Domain: u.Domain, StartedAtMs: u.StartedAtMs,
 		Remaining: u.WarmUpRemaining, Unknown: u.WarmUpUnknown,
 	})
--- a/internal/role/gateway/statements.go
+++ b/internal/role/gateway/statements.go
@@ -13,7 +13,7 @@
 // AnswerReceived implements flow.SendGuard.
 func (s *sendGuard) AnswerReceived(now time.Time, upstream roster.Upstream, sentAt time.Time, answer *exchange.Answer) {
 	if answer.WarmUpRemaining > 0 {
-		s.limits.Stated(now, upstream.ID, answer.WarmUpRemaining)
+		s.warmUps.Stated(now, upstream.ID, answer.WarmUpRemaining)
 	}
 	if answer.Leaving {
 		s.metrics.statements.WithLabelValues("leaving").Inc()
--- a/internal/role/gateway/upstreams.go
+++ b/internal/role/gateway/upstreams.go
@@ -72,13 +72,13 @@
 	guard := v.gateway.guard
 	for key := range v.registrations {
 		if _, kept := registrations[key]; !kept {
-			guard.limits.Removed(now, v.gateway.decoder.UpstreamID(key))
+			guard.warmUps.Removed(now, v.gateway.decoder.UpstreamID(key))
 		}
 	}
 	for _, u := range upstreams {
 		guard.registered(now, u)
 	}
-	guard.limits.Listed(now)
+	guard.warmUps.Listed(now)
 }
 
 // latestChangeLocked compares a complete list, read after a gap in the store's
@@ -123,7 +123,7 @@
 		}
 	}
 	v.gateway.roster.AdvanceRevision(c.Revision)
-	v.gateway.guard.limits.Listed(now)
+	v.gateway.guard.warmUps.Listed(now)
 	if changed {
 		v.gateway.publishEngines()
 	}
@@ -151,7 +151,7 @@
 		delete(v.changedAt, e.Key)
 		v.recordRemovalLocked(e.Key, e.Revision)
 		g.roster.Remove(now, id, e.Revision)
-		g.guard.limits.Removed(now, id)
+		g.guard.warmUps.Removed(now, id)
 		return true
 	}
 	u, err := g.decoder.Upstream(e.Key, e.Value, e.Revision)
