--- a/internal/limit/ratelimit/division.go
+++ b/internal/limit/ratelimit/division.go
@@ -11,9 +11,9 @@
 	// minPerWindow is the least number of requests in a shorter window: as they are whole,
 	// up to one of them is lost.
 	minPerWindow = 4
-	// burst is how many gateways more than twice the stated rate may own a request each.
-	// Their requests may all arrive at once, which the upstream must bear once per window.
-	burst = 4
+	// extraOwners is how many gateways, beyond twice the stated rate, may own one request
+	// each. They may all send it at the same moment.
+	extraOwners = 4
 	// minRate is the lowest limit in requests per second that is kept: an upstream that
 	// states less would get no request whose answer could end the limit.
 	minRate = 0.1
@@ -33,6 +33,6 @@
 			return total, w
 		}
 	}
-	total = max(int(rate*longestWindow.Seconds()), min(gateways, int(2*rate)+burst))
+	total = max(int(rate*longestWindow.Seconds()), min(gateways, int(2*rate)+extraOwners))
 	return total, max(longestWindow, time.Duration(float64(total)/rate*float64(time.Second)))
 }
