--- a/internal/sched/permit/stop_test.go
+++ b/internal/sched/permit/stop_test.go
@@ -127,3 +127,16 @@
 		require.Equal(t, wire.PlaceAsk_LIKELY, p.asks[0].End)
 	})
 }
+
+// Guards against a request that waits for a slot until the process exits, so that its
+// refusal does not reach the caller.
+func TestRequestThatWaitsInAStopIsRefusedBeforeTheExit(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		const remaining = 800 * time.Millisecond
+		p := newStopPicks(false)
+		p.queuedAfter = 5 * time.Millisecond
+		began := time.Now()
+		require.Error(t, p.pick(t, 10, remaining, flow.EndRequired))
+		require.LessOrEqual(t, time.Since(began), remaining-20*time.Millisecond)
+	})
+}
