Soak: a stream that runs where a leaving upstream ends is the upstream's end

By the logs the gateway started at 41.424 s, sent the streams, was told by their heads at 41.44 s that the upstream leaves, and lost them at 41.584 s, when the stand-in ended the upstream, as it does five to eight seconds after it began to say so. The upstream broke off, which the users' rules do not count, and a gateway that has just started cannot know. The check now passes over calls that ran at such an upstream when it ended, and over nothing else; that gateways which were told send nothing is checked as before.

--- a/internal/trial/soak/need_test.go
+++ b/internal/trial/soak/need_test.go
@@ -101,6 +101,20 @@
 	}
 }
 
+// endedWithUpstream reports whether the call ran at an upstream that had said only in answers
+// that it leaves, at the moment at which that ended. A gateway that was not told yet cannot
+// know.
+func (tb *testbed) endedWithUpstream(c call) bool {
+	for _, r := range tb.requestLog.executionsOf(c.id) {
+		for _, n := range tb.needs {
+			if n.leaving && n.upstream == r.upstream && !c.sent.After(n.until) && c.ended.After(n.until) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // state adds the need to the answer to a request, and reports whether it turns that away.
 func (n *need) state(w http.ResponseWriter) (refused bool) {
 	names := platform.AnswerHeaders()
