Gateways log and count the crashes that they observe and hear of

The lines of a lost answer and of a refusal tell the request's fingerprint, a counted crash has a line of its own with the number known by then, and so has one that a peer tells; persimmonridge_crashes_total counts both. Without them crashes that were not counted could not be told from crashes that were told too late, or from copies of a request that differ. No decision changes.

--- a/internal/edge/flow/admit.go
+++ b/internal/edge/flow/admit.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -111,6 +112,8 @@
 	return hash.Sum64()
 }
 
+func (c *call) formatFingerprint() string { return strconv.FormatUint(c.fingerprint, 16) }
+
 func (c *call) chargeQuota(ctx context.Context) bool {
 	if c.workspace == nil || c.workspace.QuotaPerSecond <= 0 {
 		return true
--- a/internal/edge/flow/attempt.go
+++ b/internal/edge/flow/attempt.go
@@ -113,7 +113,7 @@
 	c.connectionFailed(upstream.ID)
 	c.Crashes.Broke(c.Now(), upstream.ID, c.fingerprint)
 	c.Crashes.Down(c.Now(), upstream.ID)
-	c.logger.Warn("answer lost", "upstream", upstream.ID, "err", err)
+	c.logger.Warn("answer lost", "upstream", upstream.ID, "fingerprint", c.formatFingerprint(), "err", err)
 	return Interrupted
 }
 
@@ -141,7 +141,7 @@
 	}
 	c.connectionFailed(upstream.ID)
 	c.Crashes.Broke(c.Now(), upstream.ID, c.fingerprint)
-	c.logger.Warn("answer lost", "upstream", upstream.ID, "err", err)
+	c.logger.Warn("answer lost", "upstream", upstream.ID, "fingerprint", c.formatFingerprint(), "err", err)
 	return Interrupted
 }
 
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -173,6 +173,7 @@
 	}
 	c.fingerprint = c.computeFingerprint()
 	if h.Crashes.Blocked(now, c.fingerprint) {
+		c.logger = c.logger.With("fingerprint", c.formatFingerprint())
 		c.refuse(http.StatusServiceUnavailable, crashRetryAfter, "the request crashes upstreams")
 		return
 	}
--- a/internal/edge/flow/stream.go
+++ b/internal/edge/flow/stream.go
@@ -168,6 +168,7 @@
 	}
 	c.connectionFailed(placement.Upstream().ID)
 	c.Crashes.Broke(c.Now(), placement.Upstream().ID, c.fingerprint)
-	c.logger.Warn("stream broke off", "upstream", placement.Upstream().ID, "after", c.progress.lastEventID, "err", err)
+	c.logger.Warn("stream broke off", "upstream", placement.Upstream().ID, "after", c.progress.lastEventID,
+		"fingerprint", c.formatFingerprint(), "err", err)
 	return Interrupted
 }
--- a/internal/limit/crash/crash.go
+++ b/internal/limit/crash/crash.go
@@ -66,25 +66,34 @@
 }
 
 // Down records that the upstream refuses connections: the requests that it
-// interrupted shortly before were being executed when it crashed.
-func (t *Tracker) Down(now time.Time, upstream string) {
+// interrupted shortly before were being executed when it crashed. It returns their
+// fingerprints.
+func (t *Tracker) Down(now time.Time, upstream string) []uint64 {
 	t.mu.Lock()
 	t.expire(now)
 	suspicions := t.interrupted[upstream]
 	delete(t.interrupted, upstream)
 	t.interruptedCount -= len(suspicions)
-	observed := make(map[uint64]bool)
+	var observed []uint64
 	for _, s := range suspicions {
-		if now.Sub(s.at) > confirmationWindow || observed[s.fingerprint] {
+		if now.Sub(s.at) > confirmationWindow || slices.Contains(observed, s.fingerprint) {
 			continue
 		}
 		t.observe(now, s.fingerprint, upstream)
-		observed[s.fingerprint] = true
+		observed = append(observed, s.fingerprint)
 	}
 	t.mu.Unlock()
 	if len(observed) > 0 && t.onCrash != nil {
 		t.onCrash()
 	}
+	return observed
+}
+
+// Crashes returns how many upstreams are known to have crashed under the fingerprint.
+func (t *Tracker) Crashes(now time.Time, fingerprint uint64) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.crashedLocked(now, fingerprint))
 }
 
 // observe records a crash that this process observed.
@@ -99,16 +108,18 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
+	return len(t.crashedLocked(now, fingerprint)) >= blockAfterCrashes
+}
+
+// crashedLocked returns the upstreams that crashed under the fingerprint.
+func (t *Tracker) crashedLocked(now time.Time, fingerprint uint64) []string {
 	var crashed []string
 	for _, r := range t.crashes[fingerprint] {
 		if now.Before(r.end()) && !slices.Contains(crashed, r.upstream) {
 			crashed = append(crashed, r.upstream)
 		}
-		if len(crashed) >= blockAfterCrashes {
-			return true
-		}
 	}
-	return false
+	return crashed
 }
 
 // expire removes expired entries, at most once a second.
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -151,6 +151,7 @@
 	quota             *quota.Limiter
 	ledger            *quota.Ledger
 	crashTracker      *crash.Tracker
+	crashes           *crashWatch
 	peers             *peers
 	mesh              *mesh.Mesh
 	granter           *granter.Granter
@@ -218,6 +219,7 @@
 	g.peers = &peers{Gateway: g, rank: unranked, stops: newPeerStops(), storeReachedAt: make(map[string]time.Time), silentSince: make(map[string]time.Time)}
 	g.quota = quota.New(s.Quota, g.peers.gatewayCount)
 	g.crashTracker = crash.New(func() { g.mesh.GossipNow() })
+	g.crashes = &crashWatch{Gateway: g}
 	g.mesh = mesh.New(s.Name, s.LinkAddress, g.runID, deps.Dialer, g.peers, logger, now)
 	g.peers.isHub = g.mesh.IsHub
 	g.granter = granter.New(now, g.peers.deliverDecision, logger)
@@ -239,7 +241,7 @@
 	g.metrics.registerGauges(g)
 	requests := flow.New(flow.Dependencies{
 		Headers: deps.Headers, Client: exchange.NewClient(g.pool, deps.AnswerHeaders, now), Catalog: g.catalog.Load,
-		Picker: g.versionPicker, Quota: g.quota, Retries: g.retryBudget, Crashes: g.crashTracker,
+		Picker: g.versionPicker, Quota: g.quota, Retries: g.retryBudget, Crashes: g.crashes,
 		Metrics: g.metrics, Logger: logger, Now: now, ShutdownStatus: g.stopTimes,
 		OthersAccept:  func(shutdownNoticed bool) bool { return g.peers.othersAccept(now(), shutdownNoticed) },
 		NextAccepting: g.nextAccepting, Guard: g.guard, Domains: g.domainsIn,
--- a/internal/role/gateway/metrics.go
+++ b/internal/role/gateway/metrics.go
@@ -31,6 +31,7 @@
 	connectionsClosed *prometheus.CounterVec
 	withheld          *prometheus.CounterVec
 	statements        *prometheus.CounterVec
+	crashes           *prometheus.CounterVec
 	registry          *prometheus.Registry
 }
 
@@ -127,6 +128,9 @@
 		statements: auto.NewCounterVec(prometheus.CounterOpts{
 			Name: "persimmonridge_upstream_statements_total", Help: "Answers of upstreams that state a need of theirs, by what they state.",
 		}, []string{"statement"}),
+		crashes: auto.NewCounterVec(prometheus.CounterOpts{
+			Name: "persimmonridge_crashes_total", Help: "Requests that an upstream was executing when it crashed, by who observed it.",
+		}, []string{"observer"}),
 		firstEvent: auto.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "persimmonridge_first_event_seconds", Help: "Time from a request's arrival to its stream's first event.", Buckets: latencyBuckets,
 		}, []string{"tier"}),
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -13,7 +13,6 @@
 
 	"github.com/persimmonridge/persimmonridge/internal/fleet/mesh"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
-	"github.com/persimmonridge/persimmonridge/internal/limit/crash"
 	"github.com/persimmonridge/persimmonridge/internal/limit/quota"
 	"github.com/persimmonridge/persimmonridge/internal/sched/board"
 	"github.com/persimmonridge/persimmonridge/internal/sched/permit"
@@ -203,11 +202,7 @@
 	g.Rank = p.rank
 	g.StoreAnswers = !p.storeLost
 	p.mu.Unlock()
-	for _, r := range p.crashTracker.Reports(now) {
-		// Rounded up: a process that hears its own report again must not shorten a life.
-		life := uint32((r.Life + time.Millisecond - 1) / time.Millisecond)
-		g.Crashes = append(g.Crashes, &wire.CrashSeen{Fingerprint: r.Fingerprint, Upstream: r.Upstream, Event: r.Event, Hops: r.Hops, LifeMs: life})
-	}
+	p.crashes.fillGossip(now, g)
 	if c := p.catalog.Load(); c != nil {
 		g.ConfigVersion = c.Version()
 	}
@@ -224,15 +219,7 @@
 	p.mu.Lock()
 	delete(p.silentSince, peer)
 	p.mu.Unlock()
-	isHub := len(g.Crashes) > 0 && p.isHub()
-	for _, c := range g.Crashes {
-		report := crash.Report{
-			Fingerprint: c.Fingerprint, Upstream: c.Upstream, Event: c.Event, Hops: c.Hops, Life: time.Duration(c.LifeMs) * time.Millisecond,
-		}
-		if p.crashTracker.RecordRemote(now, report, isHub) && isHub {
-			p.mesh.GossipNow()
-		}
-	}
+	p.crashes.applyGossip(now, peer, g)
 	p.stops.heard(now, peer, g.Leaving, time.Duration(p.grace.Load())-stopMargin)
 	p.evacuations.applyGossip(now, g)
 	p.guard.applyGossip(now, peer, g)
