A crash counts by any sign that the upstream's process has ended

Its copies were counted only where one gateway lost the answer and had a connection of its own refused within 1.5 s; the scheduler steers other requests away from a failed upstream, so that in six of eight crashes the second half was seen by other gateways or too late.

The gateway that loses an answer now connects to the upstream at once. A refusal that a peer saw, a registration that lapses and another process at the address count as well, also for answers that stayed silent; a process that starts again under its ID is another one. A request that an upstream serves is cleared of its crashes, here and at the peers, since wider evidence catches more that merely ran beside. What is blocked is asked about before each send and ends its wait for a slot; a refusal says 'not executed' only if nothing was sent. After its end one more crash is enough for ten minutes.

TestRequestThatCrashesUpstreamsIsStopped: 6 of 6 cases failed (28 late sends, 3 allowed; a sound request refused), all pass. The doubles of flow's tests take the new interface; their checks are as they were.

--- a/internal/edge/exchange/exchange.go
+++ b/internal/edge/exchange/exchange.go
@@ -129,7 +129,9 @@
 	now  func() time.Time
 	// reusable reports that the connection may be reused after the body.
 	reusable bool
-	closed   atomic.Bool
+	// endsWithConnection reports that the body has neither a length nor chunks.
+	endsWithConnection bool
+	closed             atomic.Bool
 	// stopContextWatch ends the closing of the connection by the context. It returns
 	// false if the context has already ended.
 	stopContextWatch func() bool
@@ -240,7 +242,8 @@
 		body:      response.Body, conn: conn, pool: c.pool, now: c.now,
 		// An upstream that answers before the whole body was sent takes what
 		// follows for the rest of it, so the connection must not be reused.
-		reusable: bodySent && !response.Close,
+		reusable:           bodySent && !response.Close,
+		endsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
 	}
 	// An executed request may be answered 429 for its caller's sake alone.
 	if answer.Status == http.StatusServiceUnavailable || (answer.Status == http.StatusTooManyRequests && answer.NotExecuted) {
@@ -323,6 +326,9 @@
 // reset.
 func (a *Answer) Read(p []byte) (int, error) { return a.body.Read(p) }
 
+// EndsWithConnection reports whether the end of the body is that of the connection.
+func (a *Answer) EndsWithConnection() bool { return a.endsWithConnection }
+
 // Close ends the exchange. If the body was read completely, the connection is kept
 // for another request. Otherwise it is closed, so that the upstream stops working on
 // the request.
--- a/internal/edge/exchange/pool.go
+++ b/internal/edge/exchange/pool.go
@@ -79,6 +79,17 @@
 	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
 }
 
+// Check opens a connection to the address, which is kept for a request, and returns an
+// error if there is none to be had.
+func (p *Pool) Check(ctx context.Context, now time.Time, address string) error {
+	c, err := p.open(ctx, address)
+	if err != nil {
+		return err
+	}
+	p.release(now, c, 0)
+	return nil
+}
+
 func (p *Pool) pop(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/edge/flow/admit.go
+++ b/internal/edge/flow/admit.go
@@ -8,11 +8,8 @@
 	"net"
 	"net/http"
 	"os"
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/persimmonridge/persimmonridge/internal/state/catalog"
 	"github.com/persimmonridge/persimmonridge/internal/state/wait"
 )
@@ -100,20 +97,6 @@
 	}
 }
 
-// computeFingerprint returns a hash that is equal for repeats of a request by the
-// same caller.
-func (c *call) computeFingerprint() uint64 {
-	var hash xxhash.Digest
-	hash.Reset()
-	for _, part := range []string{c.request.Method, "\n", c.request.Host, "\n", c.request.Target, "\n", c.request.APIKey, "\n"} {
-		_, _ = hash.WriteString(part) // Digest.WriteString never fails.
-	}
-	_, _ = hash.Write(c.request.Body)
-	return hash.Sum64()
-}
-
-func (c *call) formatFingerprint() string { return strconv.FormatUint(c.fingerprint, 16) }
-
 func (c *call) chargeQuota(ctx context.Context) bool {
 	if c.workspace == nil || c.workspace.QuotaPerSecond <= 0 {
 		return true
--- a/internal/edge/flow/attempt.go
+++ b/internal/edge/flow/attempt.go
@@ -79,12 +79,15 @@
 	})
 }
 
-// admitted reports whether the upstream may get a request now, and counts it.
+// admitted reports whether the upstream may get the request now, and counts it.
 func (c *call) admitted(upstream roster.Upstream) bool {
-	if c.Guard == nil {
-		return true
+	reason := ""
+	switch {
+	case c.crashesUpstreams():
+		reason = "the request crashes upstreams"
+	case c.Guard != nil:
+		reason = c.Guard.Admit(c.Now(), upstream)
 	}
-	reason := c.Guard.Admit(c.Now(), upstream)
 	if reason != "" {
 		c.logger.Info("request withheld from upstream", "upstream", upstream.ID, "why", reason)
 	}
@@ -111,8 +114,8 @@
 		return Interrupted
 	}
 	c.connectionFailed(upstream.ID)
-	c.Crashes.Broke(c.Now(), upstream.ID, c.fingerprint)
-	c.Crashes.Down(c.Now(), upstream.ID)
+	c.Crashes.Broke(c.Now(), upstream, c.fingerprint)
+	c.Crashes.Down(c.Now(), upstream)
 	c.logger.Warn("answer lost", "upstream", upstream.ID, "fingerprint", c.formatFingerprint(), "err", err)
 	return Interrupted
 }
@@ -130,17 +133,18 @@
 		}
 		c.unreachable++
 		c.connectionFailed(upstream.ID)
-		c.Crashes.Down(c.Now(), upstream.ID)
+		c.Crashes.Down(c.Now(), upstream)
 		c.logger.Info("could not connect to upstream", "upstream", upstream.ID, "err", err)
 		return Unreachable
 	}
 	c.attempts++
 	c.mayHaveExecuted = true
 	if ctx.Err() != nil {
+		c.Crashes.Unanswered(c.Now(), upstream, c.fingerprint)
 		return Canceled
 	}
 	c.connectionFailed(upstream.ID)
-	c.Crashes.Broke(c.Now(), upstream.ID, c.fingerprint)
+	c.Crashes.Broke(c.Now(), upstream, c.fingerprint)
 	c.logger.Warn("answer lost", "upstream", upstream.ID, "fingerprint", c.formatFingerprint(), "err", err)
 	return Interrupted
 }
--- /dev/null
+++ b/internal/edge/flow/crash.go
@@ -0,0 +1,62 @@
+package flow
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
+)
+
+// crashRetryAfter is the Retry-After of requests that crash upstreams.
+const crashRetryAfter = time.Minute
+
+// computeFingerprint returns a hash that is equal for repeats of a request by the
+// same caller.
+func (c *call) computeFingerprint() uint64 {
+	var hash xxhash.Digest
+	hash.Reset()
+	for _, part := range []string{c.request.Method, "\n", c.request.Host, "\n", c.request.Target, "\n", c.request.APIKey, "\n"} {
+		_, _ = hash.WriteString(part) // Digest.WriteString never fails.
+	}
+	_, _ = hash.Write(c.request.Body)
+	return hash.Sum64()
+}
+
+func (c *call) formatFingerprint() string { return strconv.FormatUint(c.fingerprint, 16) }
+
+// crashesUpstreams reports whether the request must not be sent, because it crashes the
+// upstreams that execute it.
+func (c *call) crashesUpstreams() bool { return c.Crashes.Blocked(c.Now(), c.fingerprint) }
+
+// endCrashing ends a request that crashes upstreams. It is refused as not executed only
+// if it was not sent before that was known.
+func (c *call) endCrashing() {
+	const reason = "the request crashes upstreams"
+	c.logger = c.logger.With("fingerprint", c.formatFingerprint())
+	if c.mayHaveExecuted || c.progress.opened {
+		c.giveUp(reason)
+		return
+	}
+	c.refuse(http.StatusServiceUnavailable, crashRetryAfter, reason)
+}
+
+// pick obtains a placement. It ends without one as soon as the request is known to crash
+// upstreams.
+func (c *call) pick(ctx context.Context, now time.Time, req PlacementRequest) (Placement, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer c.Crashes.WhenBlocked(c.fingerprint, cancel)()
+	return c.Picker.Pick(ctx, now, req)
+}
+
+// recordServed records that an upstream has served the request, unless the end of the
+// answer may be that of its upstream.
+func (c *call) recordServed(answer *exchange.Answer) {
+	if !answer.EndsWithConnection() {
+		c.Crashes.Served(c.Now(), c.fingerprint)
+	}
+}
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -32,8 +32,6 @@
 	declinedRetryAfter = 100 * time.Millisecond
 	// slowBodyRetryAfter is the Retry-After of requests whose body timed out.
 	slowBodyRetryAfter = 100 * time.Millisecond
-	// crashRetryAfter is the Retry-After of requests that crash upstreams.
-	crashRetryAfter = time.Minute
 	// resumeWithin is the time in which a request that was already sent once must
 	// make progress again. Callers abandon a stream after two seconds of silence;
 	// the difference is spent on detecting the failure of the first upstream.
@@ -172,9 +170,8 @@
 		return
 	}
 	c.fingerprint = c.computeFingerprint()
-	if h.Crashes.Blocked(now, c.fingerprint) {
-		c.logger = c.logger.With("fingerprint", c.formatFingerprint())
-		c.refuse(http.StatusServiceUnavailable, crashRetryAfter, "the request crashes upstreams")
+	if c.crashesUpstreams() {
+		c.endCrashing()
 		return
 	}
 	if !c.chargeQuota(ctx) {
@@ -197,11 +194,15 @@
 			c.refuseForShutdown()
 			return
 		}
+		if c.crashesUpstreams() {
+			c.endCrashing()
+			return
+		}
 		req := c.placementRequest(now, service)
-		placement, err := c.Picker.Pick(ctx, now, req)
+		placement, err := c.pick(ctx, now, req)
 		c.placementWait = c.Now().Sub(now)
 		if err != nil {
-			if ctx.Err() == nil && c.placeWithoutAllowance(req) {
+			if ctx.Err() == nil && (c.crashesUpstreams() || c.placeWithoutAllowance(req)) {
 				continue
 			}
 			c.handleNoPlacement(ctx, err)
@@ -342,11 +343,15 @@
 		if ctx.Err() != nil {
 			return Canceled
 		}
-		c.logger.Warn("answer truncated", "upstream", placement.Upstream().ID, "err", err)
+		c.Crashes.Broke(c.Now(), placement.Upstream(), c.fingerprint)
+		c.logger.Warn("answer truncated", "upstream", placement.Upstream().ID, "fingerprint", c.formatFingerprint(), "err", err)
 		return Interrupted
 	}
 	answer.Close(true)
 	placement.AnswerStarted(c.Now())
+	if success {
+		c.recordServed(answer)
+	}
 	if c.progress.opened {
 		// The response header has already been sent, so a failed resume can only
 		// end in an aborted stream.
--- a/internal/edge/flow/flow_test.go
+++ b/internal/edge/flow/flow_test.go
@@ -53,8 +53,12 @@
 	pendingQuotaRequests int
 	retryBudget          int
 	blocked              bool
-	crashReports         []string
-	dial                 exchange.Dial
+	// whenBlocked is what the handler wants called when its request becomes blocked.
+	whenBlocked  func()
+	crashReports []string
+	// served is the number of requests that were recorded as served.
+	served int
+	dial   exchange.Dial
 	// picker is the fixture itself, unless a test replaces it and starts again.
 	picker flow.Picker
 	// guard is nil unless a test sets it and starts again.
--- a/internal/edge/flow/request.go
+++ b/internal/edge/flow/request.go
@@ -225,8 +225,14 @@
 type CrashTracker interface {
 	// Blocked reports whether requests with the fingerprint are refused.
 	Blocked(now time.Time, fingerprint uint64) bool
+	// WhenBlocked calls blocked once the fingerprint becomes blocked, until stop is called.
+	WhenBlocked(fingerprint uint64, blocked func()) (stop func())
 	// Broke records that an upstream broke off while it executed the request.
-	Broke(now time.Time, upstream string, fingerprint uint64)
+	Broke(now time.Time, upstream roster.Upstream, fingerprint uint64)
+	// Unanswered records that nothing came of the answer to a request that was canceled.
+	Unanswered(now time.Time, upstream roster.Upstream, fingerprint uint64)
+	// Served records that an upstream has executed the request to its end.
+	Served(now time.Time, fingerprint uint64)
 	// Down records that an upstream refuses connections.
-	Down(now time.Time, upstream string)
+	Down(now time.Time, upstream roster.Upstream)
 }
--- a/internal/edge/flow/stale_test.go
+++ b/internal/edge/flow/stale_test.go
@@ -85,12 +85,23 @@
 	return f
 }
 
-func (f *fixture) Broke(_ time.Time, upstream string, _ uint64) {
-	f.crashReports = append(f.crashReports, upstream+" broke")
+func (f *fixture) Broke(_ time.Time, upstream roster.Upstream, _ uint64) {
+	f.crashReports = append(f.crashReports, upstream.ID+" broke")
 }
 
-func (f *fixture) Down(_ time.Time, upstream string) {
-	f.crashReports = append(f.crashReports, upstream+" down")
+func (f *fixture) Down(_ time.Time, upstream roster.Upstream) {
+	f.crashReports = append(f.crashReports, upstream.ID+" down")
+}
+
+func (f *fixture) Unanswered(_ time.Time, upstream roster.Upstream, _ uint64) {
+	f.crashReports = append(f.crashReports, upstream.ID+" unanswered")
+}
+
+func (f *fixture) Served(time.Time, uint64) { f.served++ }
+
+func (f *fixture) WhenBlocked(_ uint64, blocked func()) (stop func()) {
+	f.whenBlocked = blocked
+	return func() { f.whenBlocked = nil }
 }
 
 func (f *fixture) requireStatus(path string, want int) {
--- a/internal/edge/flow/stream.go
+++ b/internal/edge/flow/stream.go
@@ -91,6 +91,7 @@
 		if errors.Is(err, io.EOF) {
 			answer.Close(true)
 			c.endStream(answer)
+			c.recordServed(answer)
 			c.finish(outcomeAnswered, append(c.lastAttempt(), "load", answer.Load)...)
 			return Answered
 		}
@@ -164,10 +165,13 @@
 
 func (c *call) handleBrokenStream(ctx context.Context, placement Placement, err error) Outcome {
 	if ctx.Err() != nil {
+		if c.events == 0 {
+			c.Crashes.Unanswered(c.Now(), placement.Upstream(), c.fingerprint)
+		}
 		return Canceled
 	}
 	c.connectionFailed(placement.Upstream().ID)
-	c.Crashes.Broke(c.Now(), placement.Upstream().ID, c.fingerprint)
+	c.Crashes.Broke(c.Now(), placement.Upstream(), c.fingerprint)
 	c.logger.Warn("stream broke off", "upstream", placement.Upstream().ID, "after", c.progress.lastEventID,
 		"fingerprint", c.formatFingerprint(), "err", err)
 	return Interrupted
--- a/internal/fleet/mesh/tell.go
+++ b/internal/fleet/mesh/tell.go
@@ -22,6 +22,7 @@
 	heardSum, crashesSum uint64
 	rateLimitsSum        uint64
 	leavingSum           uint64
+	downSum, clearedSum  uint64
 	// unavailable is nil unless this process is a hub and knows all gateways.
 	unavailable     *wire.Unavailable
 	unavailableSum  uint64
@@ -40,6 +41,7 @@
 	state.heardSum, state.crashesSum = heardDigest.Sum64(), lastCrashSum(state.gossip.Crashes)
 	state.rateLimitsSum = rateLimitsSum(state.gossip.RateLimits)
 	state.leavingSum = leavingSum(state.gossip.LeavingUpstreams)
+	state.downSum, state.clearedSum = downSum(state.gossip.DownProcesses), clearedSum(state.gossip.CrashClearances)
 	state.unavailable, state.unavailableSum = m.unavailableGateways(now, state.livenessTimeout)
 	return state
 }
@@ -74,6 +76,24 @@
 	return sum
 }
 
+// downSum returns a checksum of the processes in any order, without their ages.
+func downSum(down []*wire.DownProcess) uint64 {
+	sum := uint64(0)
+	for _, p := range down {
+		sum += xxhash.Sum64String(p.Process)
+	}
+	return sum
+}
+
+// clearedSum returns a checksum of the fingerprints in any order, without their ages.
+func clearedSum(cleared []*wire.CrashClearance) uint64 {
+	sum := uint64(0)
+	for _, c := range cleared {
+		sum += c.Fingerprint
+	}
+	return sum
+}
+
 // heardPeers returns the peers that are alive, in order of address.
 func (m *Mesh) heardPeers(now time.Time) []*wire.Heard {
 	var heard []*wire.Heard
@@ -126,6 +146,12 @@
 	if p.gossipsSent%identityEvery == 0 || state.leavingSum != p.sentLeavingSum {
 		gossip.LeavingUpstreams, p.sentLeavingSum = state.gossip.LeavingUpstreams, state.leavingSum
 	}
+	if p.gossipsSent%identityEvery == 0 || state.downSum != p.sentDownSum {
+		gossip.DownProcesses, p.sentDownSum = state.gossip.DownProcesses, state.downSum
+	}
+	if p.gossipsSent%identityEvery == 0 || state.clearedSum != p.sentClearedSum {
+		gossip.CrashClearances, p.sentClearedSum = state.gossip.CrashClearances, state.clearedSum
+	}
 	if p.gossipsSent%identityEvery == 0 {
 		gossip.Node, gossip.Address, gossip.Domain = m.node, m.address, state.gossip.Domain
 		if p.gossipsSent%heardPeersEvery == 0 || state.heardSum != p.sentHeardSum {
--- a/internal/limit/crash/crash.go
+++ b/internal/limit/crash/crash.go
@@ -1,10 +1,12 @@
 // Package crash detects requests that crash upstreams: those whose fingerprint was
-// being executed each time that an upstream crashed.
+// being executed each time that an upstream crashed, and was never served since.
 package crash
 
 import (
 	"math/rand/v2"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -15,111 +17,173 @@
 	// caller may be affected twice by chance; callers' retries allow for three
 	// crashes.
 	blockAfterCrashes = 3
-	// confirmationWindow is the longest time between an interrupted answer and a
-	// refused connection to its upstream for both to be one crash: the refusal is
-	// noticed within a round trip of the crash, as soon as any request is sent there.
-	confirmationWindow = 1500 * time.Millisecond
 	// retention is how long crashes are remembered.
 	retention = 2 * time.Minute
-	// maxSuspicions limits the interrupted requests that are remembered at a time.
-	maxSuspicions = 4096
+	// probation is how long after the end of a refusal one more crash is enough for the
+	// next.
+	probation = 10 * time.Minute
+	// maxOnProbation limits the fingerprints on probation.
+	maxOnProbation = 1024
 )
 
-// suspectedRequest is a request whose answer an upstream interrupted.
-type suspectedRequest struct {
-	fingerprint uint64
-	at          time.Time
+// processSeparator separates an upstream's ID from the start time of its process.
+const processSeparator = "@"
+
+// ProcessName returns the name of an upstream's process in crashes. An upstream that
+// starts again under its ID is another process, unless it states no start time.
+func ProcessName(upstream string, startedAtMs int64) string {
+	if startedAtMs == 0 {
+		return upstream
+	}
+	return upstream + processSeparator + strconv.FormatInt(startedAtMs, 10)
 }
 
 // Tracker records crashes of upstreams. It is safe for concurrent use.
 type Tracker struct {
 	mu sync.Mutex
-	// interrupted holds the interrupted requests by upstream, and interruptedCount is
-	// their number.
+	// interrupted holds the requests that were interrupted by an upstream's process, and
+	// interruptedCount is their number.
 	interrupted      map[string][]suspectedRequest
 	interruptedCount int
+	// ended holds the processes that are known to have ended.
+	ended map[string]endedProcess
 	// crashes holds the crashes by fingerprint, and recordCount is their number.
 	crashes     map[uint64][]*record
 	recordCount int
 	// reported holds the crashes to tell peers, in the order in which they became known.
-	reported   []reported
+	reported []reported
+	// cleared holds the fingerprints that were served after a crash, and when.
+	cleared map[uint64]time.Time
+	// onProbation holds the fingerprints that were refused, and until when one more crash
+	// is enough.
+	onProbation map[uint64]time.Time
+	// waiting holds the functions to call when a fingerprint becomes blocked.
+	waiting    map[uint64]map[*func()]struct{}
 	onCrash    func()
 	lastExpiry time.Time
 }
 
-// New returns a tracker without crashes. It calls onCrash when it has recorded crashes
-// that this process observed, so that other processes can be notified; onCrash may be nil.
+// New returns a tracker without crashes. It calls onCrash when this process has observed
+// something that other processes should be told without delay; onCrash may be nil.
 func New(onCrash func()) *Tracker {
-	return &Tracker{interrupted: make(map[string][]suspectedRequest), crashes: make(map[uint64][]*record), onCrash: onCrash}
+	return &Tracker{
+		interrupted: make(map[string][]suspectedRequest), ended: make(map[string]endedProcess), crashes: make(map[uint64][]*record),
+		cleared: make(map[uint64]time.Time), onProbation: make(map[uint64]time.Time), waiting: make(map[uint64]map[*func()]struct{}),
+		onCrash: onCrash,
+	}
 }
 
-// Broke records that an upstream interrupted the answer to a request.
-func (t *Tracker) Broke(now time.Time, upstream string, fingerprint uint64) {
+// Blocked reports whether requests with the fingerprint are refused.
+func (t *Tracker) Blocked(now time.Time, fingerprint uint64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
-	if t.interruptedCount >= maxSuspicions {
-		return
-	}
-	t.interrupted[upstream] = append(t.interrupted[upstream], suspectedRequest{fingerprint: fingerprint, at: now})
-	t.interruptedCount++
+	return t.blockedLocked(now, fingerprint)
 }
 
-// Down records that the upstream refuses connections: the requests that it
-// interrupted shortly before were being executed when it crashed. It returns their
-// fingerprints.
-func (t *Tracker) Down(now time.Time, upstream string) []uint64 {
+func (t *Tracker) blockedLocked(now time.Time, fingerprint uint64) bool {
+	crashes := t.crashesLocked(now, fingerprint)
+	return crashes >= blockAfterCrashes || (crashes > 0 && now.Before(t.onProbation[fingerprint]))
+}
+
+// Crashes returns how many upstreams are known to have crashed under the fingerprint.
+func (t *Tracker) Crashes(now time.Time, fingerprint uint64) int {
 	t.mu.Lock()
-	t.expire(now)
-	suspicions := t.interrupted[upstream]
-	delete(t.interrupted, upstream)
-	t.interruptedCount -= len(suspicions)
-	var observed []uint64
-	for _, s := range suspicions {
-		if now.Sub(s.at) > confirmationWindow || slices.Contains(observed, s.fingerprint) {
-			continue
+	defer t.mu.Unlock()
+	return t.crashesLocked(now, fingerprint)
+}
+
+// crashesLocked counts the processes that crashed under the fingerprint. A process of an
+// older version names an upstream without its process.
+func (t *Tracker) crashesLocked(now time.Time, fingerprint uint64) int {
+	var crashed []string
+	for _, r := range t.crashes[fingerprint] {
+		if now.Before(r.end()) && !slices.ContainsFunc(crashed, func(other string) bool { return mayBeSameProcess(r.upstream, other) }) {
+			crashed = append(crashed, r.upstream)
 		}
-		t.observe(now, s.fingerprint, upstream)
-		observed = append(observed, s.fingerprint)
 	}
-	t.mu.Unlock()
-	if len(observed) > 0 && t.onCrash != nil {
-		t.onCrash()
+	return len(crashed)
+}
+
+func mayBeSameProcess(x, y string) bool {
+	if x == y {
+		return true
 	}
-	return observed
+	upstreamOfX, _, namesProcessX := strings.Cut(x, processSeparator)
+	upstreamOfY, _, namesProcessY := strings.Cut(y, processSeparator)
+	return upstreamOfX == upstreamOfY && !(namesProcessX && namesProcessY)
 }
 
-// Crashes returns how many upstreams are known to have crashed under the fingerprint.
-func (t *Tracker) Crashes(now time.Time, fingerprint uint64) int {
+// WhenBlocked calls blocked once the fingerprint becomes blocked. The function that it
+// returns ends that.
+func (t *Tracker) WhenBlocked(fingerprint uint64, blocked func()) (stop func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.crashedLocked(now, fingerprint))
+	if t.waiting[fingerprint] == nil {
+		t.waiting[fingerprint] = make(map[*func()]struct{})
+	}
+	t.waiting[fingerprint][&blocked] = struct{}{}
+	return func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.waiting[fingerprint], &blocked)
+		if len(t.waiting[fingerprint]) == 0 {
+			delete(t.waiting, fingerprint)
+		}
+	}
 }
 
-// observe records a crash that this process observed.
-func (t *Tracker) observe(now time.Time, fingerprint uint64, upstream string) {
-	crash := &record{upstream: upstream, event: max(rand.Uint64(), 1), latestEnd: now.Add(retention), reportedAt: now}
-	t.insert(now, fingerprint, crash)
-	t.addReport(fingerprint, crash)
+// blockLocked is called after a crash of the fingerprint was added. It puts a blocked
+// fingerprint on probation and returns the functions to call without the lock.
+func (t *Tracker) blockLocked(now time.Time, fingerprint uint64) []func() {
+	if !t.blockedLocked(now, fingerprint) {
+		return nil
+	}
+	if _, known := t.onProbation[fingerprint]; known || len(t.onProbation) < maxOnProbation {
+		t.onProbation[fingerprint] = now.Add(retention + probation)
+	}
+	var notify []func()
+	for blocked := range t.waiting[fingerprint] {
+		notify = append(notify, *blocked)
+	}
+	return notify
 }
 
-// Blocked reports whether requests with the fingerprint are refused.
-func (t *Tracker) Blocked(now time.Time, fingerprint uint64) bool {
+// Served records that an upstream has served a request with the fingerprint, so that its
+// crashes had another cause, and reports whether there were any.
+func (t *Tracker) Served(now time.Time, fingerprint uint64) bool {
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.expire(now)
-	return len(t.crashedLocked(now, fingerprint)) >= blockAfterCrashes
+	clears := t.clearLocked(now, now, fingerprint)
+	t.mu.Unlock()
+	if clears && t.onCrash != nil {
+		t.onCrash()
+	}
+	return clears
 }
 
-// crashedLocked returns the upstreams that crashed under the fingerprint.
-func (t *Tracker) crashedLocked(now time.Time, fingerprint uint64) []string {
-	var crashed []string
+// clearLocked makes the crashes of a fingerprint that was served at a time count no
+// longer, and reports whether any counted.
+func (t *Tracker) clearLocked(now, servedAt time.Time, fingerprint uint64) bool {
+	clears := false
 	for _, r := range t.crashes[fingerprint] {
-		if now.Before(r.end()) && !slices.Contains(crashed, r.upstream) {
-			crashed = append(crashed, r.upstream)
+		if now.Before(r.end()) && !r.recordedAt.After(servedAt) {
+			r.latestEnd, clears = now, true
 		}
 	}
-	return crashed
+	if !clears {
+		return false
+	}
+	delete(t.onProbation, fingerprint)
+	t.cleared[fingerprint] = servedAt
+	return true
+}
+
+// observe records a crash that this process observed.
+func (t *Tracker) observe(now time.Time, fingerprint uint64, process string) []func() {
+	crash := &record{upstream: process, event: max(rand.Uint64(), 1), latestEnd: now.Add(retention), reportedAt: now, recordedAt: now}
+	t.insert(now, fingerprint, crash)
+	t.addReport(fingerprint, crash)
+	return t.blockLocked(now, fingerprint)
 }
 
 // expire removes expired entries, at most once a second.
@@ -128,10 +192,15 @@
 		return
 	}
 	t.lastExpiry = now
-	for upstream, suspicions := range t.interrupted {
-		if last := suspicions[len(suspicions)-1]; now.Sub(last.at) > confirmationWindow {
-			t.interruptedCount -= len(suspicions)
-			delete(t.interrupted, upstream)
+	t.expireSuspicions(now)
+	for fingerprint, servedAt := range t.cleared {
+		if now.Sub(servedAt) > endedRetention {
+			delete(t.cleared, fingerprint)
+		}
+	}
+	for fingerprint, until := range t.onProbation {
+		if !now.Before(until) {
+			delete(t.onProbation, fingerprint)
 		}
 	}
 	t.deleteRecords(func(r *record) bool { return !now.Before(r.end()) && now.Sub(r.reportedAt) > recognition })
--- a/internal/limit/crash/records.go
+++ b/internal/limit/crash/records.go
@@ -50,6 +50,7 @@
 	latestEnd  time.Time
 	hops       uint32
 	reportedAt time.Time
+	recordedAt time.Time
 }
 
 // end returns when the crash is forgotten.
@@ -78,6 +79,12 @@
 	if len(report.Upstream) > maxUpstreamLength {
 		return false
 	}
+	isNew, notify := t.recordRemote(now, report, relay)
+	t.tell(false, notify)
+	return isNew
+}
+
+func (t *Tracker) recordRemote(now time.Time, report Report, relay bool) (isNew bool, notify []func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
@@ -86,7 +93,8 @@
 		life = retention
 	}
 	received := &record{
-		upstream: report.Upstream, event: report.Event, latestEnd: now.Add(life), hops: min(report.Hops, maxHops) + 1, reportedAt: now,
+		upstream: report.Upstream, event: report.Event, latestEnd: now.Add(life), hops: min(report.Hops, maxHops) + 1,
+		reportedAt: now, recordedAt: now,
 	}
 	if known := t.find(report.Fingerprint, report.Upstream, report.Event); known != nil {
 		known.reportedAt = now
@@ -94,18 +102,21 @@
 		if received.latestEnd.Before(known.latestEnd) {
 			known.latestEnd = received.latestEnd
 		}
-		return false
+		return false, nil
 	}
 	if report.Event == 0 && slices.ContainsFunc(t.crashes[report.Fingerprint], func(r *record) bool { return r.upstream == report.Upstream }) {
 		// It may be the known crash, on its way through a process of an older version.
 		received.latestEnd = now
 	}
-	isNew := now.Before(received.end())
+	isNew = now.Before(received.end())
 	t.insert(now, report.Fingerprint, received)
-	if isNew && relay {
+	if !isNew {
+		return false, nil
+	}
+	if relay {
 		t.addReport(report.Fingerprint, received)
 	}
-	return isNew
+	return true, t.blockLocked(now, report.Fingerprint)
 }
 
 // Reports returns the crashes to tell peers, in the order in which they became known.
@@ -151,10 +162,14 @@
 	t.recordCount++
 }
 
-// addReport adds the crash to this process's reports. The earliest ones make room.
+// addReport adds the crash to this process's reports. The earliest one of a fingerprint
+// with one crash makes room, or else the earliest: most of what an upstream was executing
+// when it crashed did not cause it.
 func (t *Tracker) addReport(fingerprint uint64, r *record) {
 	if len(t.reported) >= maxReports {
-		t.reported = slices.Delete(t.reported, 0, len(t.reported)-maxReports+1)
+		once := func(id reported) bool { return len(t.crashes[id.fingerprint]) <= 1 }
+		earliest := max(0, slices.IndexFunc(t.reported, once))
+		t.reported = slices.Delete(t.reported, earliest, earliest+1)
 	}
 	t.reported = append(t.reported, reported{fingerprint: fingerprint, event: r.event, upstream: r.upstream})
 }
--- a/internal/role/gateway/crashes.go
+++ b/internal/role/gateway/crashes.go
@@ -1,40 +1,166 @@
 package gateway
 
 import (
+	"context"
 	"strconv"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
 	"github.com/persimmonridge/persimmonridge/internal/limit/crash"
+	"github.com/persimmonridge/persimmonridge/internal/state/roster"
+	"github.com/persimmonridge/persimmonridge/internal/state/wait"
+)
+
+const (
+	// checkTimeout bounds the connection that checks whether an upstream has crashed, and
+	// recheckDelay is the pause before the second one: a process may accept connections for
+	// a moment after it has ended others.
+	checkTimeout = time.Second
+	recheckDelay = 200 * time.Millisecond
+	// maxChecks limits the checks at a time, and maxQueuedChecks those that wait.
+	maxChecks       = 16
+	maxQueuedChecks = 256
+)
+
+// Signs of a crash, as logs and metrics name them.
+const (
+	signRefusal = "refused connection"
+	signTold    = "refused connection of a peer"
+	signGone    = "process gone"
+	signKnown   = "known before"
 )
 
 // crashWatch records which requests upstreams were executing when they crashed, and tells
 // the peers. It implements flow.CrashTracker.
 type crashWatch struct {
 	*Gateway
+	// checks holds the upstreams that broke off an answer, to find out whether they run.
+	checks chan roster.Upstream
 }
 
+func newCrashWatch(g *Gateway) *crashWatch {
+	return &crashWatch{Gateway: g, checks: make(chan roster.Upstream, maxQueuedChecks)}
+}
+
+// crashProcess returns the name of the upstream's process in crashes.
+func crashProcess(u roster.Upstream) string { return crash.ProcessName(u.ID, u.StartedAtMs) }
+
 // Blocked implements flow.CrashTracker.
 func (w *crashWatch) Blocked(now time.Time, fingerprint uint64) bool {
 	return w.crashTracker.Blocked(now, fingerprint)
 }
 
-// Broke implements flow.CrashTracker.
-func (w *crashWatch) Broke(now time.Time, upstream string, fingerprint uint64) {
-	w.crashTracker.Broke(now, upstream, fingerprint)
+// WhenBlocked implements flow.CrashTracker.
+func (w *crashWatch) WhenBlocked(fingerprint uint64, blocked func()) (stop func()) {
+	return w.crashTracker.WhenBlocked(fingerprint, blocked)
+}
+
+// Broke implements flow.CrashTracker. The scheduler avoids an upstream that broke off an
+// answer, so that a request may not show for long whether it still runs.
+func (w *crashWatch) Broke(now time.Time, upstream roster.Upstream, fingerprint uint64) {
+	process := crashProcess(upstream)
+	if w.crashTracker.Broke(now, process, fingerprint) {
+		w.logCrash(now, process, signKnown, fingerprint)
+		return
+	}
+	select {
+	case w.checks <- upstream:
+	default:
+		w.logger.Warn("upstream that broke off an answer is not checked, too many are", "upstream", upstream.ID)
+	}
+}
+
+// Unanswered implements flow.CrashTracker.
+func (w *crashWatch) Unanswered(now time.Time, upstream roster.Upstream, fingerprint uint64) {
+	process := crashProcess(upstream)
+	if w.crashTracker.Unanswered(now, process, fingerprint) {
+		w.logCrash(now, process, signKnown, fingerprint)
+	}
+}
+
+// Served implements flow.CrashTracker.
+func (w *crashWatch) Served(now time.Time, fingerprint uint64) {
+	if w.crashTracker.Served(now, fingerprint) {
+		w.logger.Info("request served that ran at crashes", "fingerprint", formatFingerprint(fingerprint))
+	}
 }
 
 // Down implements flow.CrashTracker.
-func (w *crashWatch) Down(now time.Time, upstream string) {
-	for _, fingerprint := range w.crashTracker.Down(now, upstream) {
+func (w *crashWatch) Down(now time.Time, upstream roster.Upstream) {
+	process := crashProcess(upstream)
+	w.logCrash(now, process, signRefusal, w.crashTracker.Down(now, process)...)
+}
+
+// gone records that the process of an upstream that has not announced its end is gone.
+func (w *crashWatch) gone(now time.Time, upstream roster.Upstream) {
+	if upstream.State != roster.Ready || upstream.Leaving {
+		return
+	}
+	process := crashProcess(upstream)
+	w.logCrash(now, process, signGone, w.crashTracker.Gone(now, process)...)
+}
+
+// replaced records that a new process has the address of former ones.
+func (w *crashWatch) replaced(now time.Time, started roster.Upstream) {
+	for _, u := range w.roster.All() {
+		if u.Address == started.Address && processOf(u) != processOf(started) && u.StartedAtMs <= started.StartedAtMs {
+			w.gone(now, u)
+		}
+	}
+}
+
+func (w *crashWatch) logCrash(now time.Time, process, sign string, fingerprints ...uint64) {
+	for _, fingerprint := range fingerprints {
 		w.metrics.crashes.WithLabelValues("here").Inc()
-		w.logger.Warn("upstream crashed with request", "upstream", upstream, "fingerprint", formatFingerprint(fingerprint),
+		w.logger.Warn("upstream crashed with request", "upstream", process, "sign", sign, "fingerprint", formatFingerprint(fingerprint),
 			"crashes", w.crashTracker.Crashes(now, fingerprint))
 	}
 }
 
 func formatFingerprint(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
 
+// run checks the upstreams that broke off answers until the context ends.
+func (w *crashWatch) run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(maxChecks)
+	for {
+		select {
+		case <-ctx.Done():
+			return group.Wait()
+		case upstream := <-w.checks:
+			group.Go(func() error {
+				w.check(ctx, upstream)
+				return nil
+			})
+		}
+	}
+}
+
+// check connects to an upstream, unless it is known to have crashed.
+func (w *crashWatch) check(ctx context.Context, upstream roster.Upstream) {
+	for attempt := range 2 {
+		if attempt > 0 {
+			wait.For(ctx, recheckDelay)
+		}
+		if w.crashTracker.IsEnded(w.now(), crashProcess(upstream)) {
+			return
+		}
+		checkCtx, cancel := context.WithTimeout(ctx, checkTimeout)
+		err := w.pool.Check(checkCtx, w.now(), upstream.Address)
+		cancel()
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			w.logger.Info("upstream that broke off an answer accepts no connection", "upstream", upstream.ID, "err", err)
+			w.Down(w.now(), upstream)
+			return
+		}
+	}
+}
+
 // fillGossip adds the crashes to tell peers to the gossip.
 func (w *crashWatch) fillGossip(now time.Time, g *wire.Gossip) {
 	for _, r := range w.crashTracker.Reports(now) {
@@ -42,6 +168,12 @@
 		life := uint32((r.Life + time.Millisecond - 1) / time.Millisecond)
 		g.Crashes = append(g.Crashes, &wire.CrashSeen{Fingerprint: r.Fingerprint, Upstream: r.Upstream, Event: r.Event, Hops: r.Hops, LifeMs: life})
 	}
+	for _, d := range w.crashTracker.DownProcesses(now) {
+		g.DownProcesses = append(g.DownProcesses, &wire.DownProcess{Process: d.Process, AgeMs: uint32(d.Age.Milliseconds())})
+	}
+	for _, c := range w.crashTracker.Clearances(now) {
+		g.CrashClearances = append(g.CrashClearances, &wire.CrashClearance{Fingerprint: c.Fingerprint, AgeMs: uint32(c.Age.Milliseconds())})
+	}
 }
 
 // applyGossip records the crashes that a peer reports.
@@ -61,4 +193,13 @@
 			w.mesh.GossipNow()
 		}
 	}
+	for _, d := range g.DownProcesses {
+		w.logCrash(now, d.Process, signTold, w.crashTracker.DownTold(now, d.Process, time.Duration(d.AgeMs)*time.Millisecond)...)
+	}
+	for _, c := range g.CrashClearances {
+		cleared := crash.Clearance{Fingerprint: c.Fingerprint, Age: time.Duration(c.AgeMs) * time.Millisecond}
+		if w.crashTracker.ServedElsewhere(now, cleared) {
+			w.logger.Info("request that ran at crashes was served by peer", "fingerprint", formatFingerprint(c.Fingerprint), "peer", peer)
+		}
+	}
 }
--- a/internal/role/gateway/crashes_test.go
+++ b/internal/role/gateway/crashes_test.go
@@ -151,7 +151,7 @@
 		c.keepsID = true
 		c.store.SetFault(standin.NoResponse)
 	},
-	"the scheduler is lost": func(c *crashingEngines) { c.network.Vanish(linkAddress(c.scheduler())) },
+	"the scheduler is lost":  func(c *crashingEngines) { c.network.Vanish(linkAddress(c.scheduler())) },
 	"engines keep their IDs": func(c *crashingEngines) { c.keepsID = true },
 }
 
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -219,7 +219,7 @@
 	g.peers = &peers{Gateway: g, rank: unranked, stops: newPeerStops(), storeReachedAt: make(map[string]time.Time), silentSince: make(map[string]time.Time)}
 	g.quota = quota.New(s.Quota, g.peers.gatewayCount)
 	g.crashTracker = crash.New(func() { g.mesh.GossipNow() })
-	g.crashes = &crashWatch{Gateway: g}
+	g.crashes = newCrashWatch(g)
 	g.mesh = mesh.New(s.Name, s.LinkAddress, g.runID, deps.Dialer, g.peers, logger, now)
 	g.peers.isHub = g.mesh.IsHub
 	g.granter = granter.New(now, g.peers.deliverDecision, logger)
@@ -288,6 +288,7 @@
 	group.Go(func() error { return g.peers.register(background) })
 	group.Go(func() error { return g.follower.Run(background) })
 	group.Go(func() error { return g.sweep(background) })
+	group.Go(func() error { return g.crashes.run(background) })
 	group.Go(func() error {
 		return g.serveHTTP(background, g.settings.ReadinessAddress, http.HandlerFunc(g.serveReadiness))
 	})
@@ -361,8 +362,10 @@
 			g.logOmittedLines(now)
 			g.evacuations.expire(now)
 			g.guard.forget(now)
+			former := g.roster.All()
 			if g.roster.Expire(now) {
 				g.logger.Info("expired upstreams dropped")
+				g.upstreams.recordGone(now, former)
 				g.publishEngines()
 			}
 		}
--- a/internal/role/gateway/upstreams.go
+++ b/internal/role/gateway/upstreams.go
@@ -52,8 +52,10 @@
 	}
 	v.mu.Lock()
 	latest := v.latestChangeLocked(s.Revision, registrations, upstreams)
+	former := v.gateway.roster.All()
 	replaced := v.gateway.roster.Replace(now, s.Revision, upstreams)
 	if replaced {
+		v.recordGone(now, former)
 		v.recordWarmUpLocked(now, registrations, upstreams)
 		v.registrations, v.changedAt = registrations, changedAt
 		v.removedAt, v.historyStart = make(map[string]kv.Revision), s.Revision
@@ -81,6 +83,16 @@
 	guard.warmUps.Listed(now)
 }
 
+// recordGone has the crash watch check the former registrations that the
+// roster has dropped or replaced since.
+func (v *upstreamView) recordGone(now time.Time, former []roster.Upstream) {
+	for _, u := range former {
+		if current, kept := v.gateway.roster.Get(u.ID); !kept || processOf(current) != processOf(u) {
+			v.gateway.crashes.gone(now, u)
+		}
+	}
+}
+
 // latestChangeLocked compares a complete list, read after a gap in the store's
 // history, with the registrations so far. It returns the revision of the latest
 // change other than a heartbeat, or 0 if there is none. A removal counts as a change
@@ -150,7 +162,11 @@
 		delete(v.registrations, e.Key)
 		delete(v.changedAt, e.Key)
 		v.recordRemovalLocked(e.Key, e.Revision)
+		former, known := g.roster.Get(id)
 		g.roster.Remove(now, id, e.Revision)
+		if _, retained := g.roster.Get(id); known && !retained {
+			g.crashes.gone(now, former)
+		}
 		g.guard.warmUps.Removed(now, id)
 		return true
 	}
@@ -180,6 +196,9 @@
 		return true
 	}
 	g.guard.registered(now, u)
+	if changed {
+		g.crashes.replaced(now, u)
+	}
 	g.roster.Put(u)
 	return changed
 }
