Lines of lost answers name the caller and the parts of the prompt

'answer lost', 'stream broke off' and 'answer truncated' tell the workspace and up to eight parts of the prompt. Without them a part that crashes upstreams could not be told from a caller or a route that does. No decision changes.

--- a/internal/edge/flow/attempt.go
+++ b/internal/edge/flow/attempt.go
@@ -116,7 +116,7 @@
 	c.connectionFailed(upstream.ID)
 	c.Crashes.Broke(c.Now(), upstream, c.fingerprint)
 	c.Crashes.Down(c.Now(), upstream)
-	c.logger.Warn("answer lost", "upstream", upstream.ID, "fingerprint", c.formatFingerprint(), "err", err)
+	c.logger.Warn("answer lost", append(c.crashDetails(), "upstream", upstream.ID, "err", err)...)
 	return Interrupted
 }
 
@@ -145,7 +145,7 @@
 	}
 	c.connectionFailed(upstream.ID)
 	c.Crashes.Broke(c.Now(), upstream, c.fingerprint)
-	c.logger.Warn("answer lost", "upstream", upstream.ID, "fingerprint", c.formatFingerprint(), "err", err)
+	c.logger.Warn("answer lost", append(c.crashDetails(), "upstream", upstream.ID, "err", err)...)
 	return Interrupted
 }
 
--- a/internal/edge/flow/crash.go
+++ b/internal/edge/flow/crash.go
@@ -28,6 +28,23 @@
 
 func (c *call) formatFingerprint() string { return strconv.FormatUint(c.fingerprint, 16) }
 
+// maxLoggedParts is the number of parts of a prompt that a line names.
+const maxLoggedParts = 8
+
+// crashDetails returns the log attributes of what a request has in common with others that
+// an upstream may have crashed with: its caller and the parts of its prompt.
+func (c *call) crashDetails() []any {
+	workspace := ""
+	if c.workspace != nil {
+		workspace = c.workspace.Name
+	}
+	var parts []string
+	for _, part := range c.request.PromptParts[:min(len(c.request.PromptParts), maxLoggedParts)] {
+		parts = append(parts, strconv.FormatUint(part.ID, 16))
+	}
+	return []any{"fingerprint", c.formatFingerprint(), "workspace", workspace, "parts", parts}
+}
+
 // crashesUpstreams reports whether the request must not be sent, because it crashes the
 // upstreams that execute it.
 func (c *call) crashesUpstreams() bool { return c.Crashes.Blocked(c.Now(), c.fingerprint) }
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -344,7 +344,7 @@
 			return Canceled
 		}
 		c.Crashes.Broke(c.Now(), placement.Upstream(), c.fingerprint)
-		c.logger.Warn("answer truncated", "upstream", placement.Upstream().ID, "fingerprint", c.formatFingerprint(), "err", err)
+		c.logger.Warn("answer truncated", append(c.crashDetails(), "upstream", placement.Upstream().ID, "err", err)...)
 		return Interrupted
 	}
 	answer.Close(true)
--- a/internal/edge/flow/stream.go
+++ b/internal/edge/flow/stream.go
@@ -172,7 +172,6 @@
 	}
 	c.connectionFailed(placement.Upstream().ID)
 	c.Crashes.Broke(c.Now(), placement.Upstream(), c.fingerprint)
-	c.logger.Warn("stream broke off", "upstream", placement.Upstream().ID, "after", c.progress.lastEventID,
-		"fingerprint", c.formatFingerprint(), "err", err)
+	c.logger.Warn("stream broke off", append(c.crashDetails(), "upstream", placement.Upstream().ID, "after", c.progress.lastEventID, "err", err)...)
 	return Interrupted
 }
