--- a/internal/role/gateway/fleet_test.go
+++ b/internal/role/gateway/fleet_test.go
@@ -243,14 +243,21 @@
 }
 
 func (f *fleet) callWithBody(i int, path, attemptID, tokenCounts, lengthHint string, body io.Reader) outcome {
+	return f.callWithHeaders(i, path, attemptID, body, map[string]string{
+		"X-Persimmonridge-Token-Counts": tokenCounts, "X-Persimmonridge-Length-Hint": lengthHint,
+	})
+}
+
+// callWithHeaders calls a gateway with the given headers besides those of each request.
+func (f *fleet) callWithHeaders(i int, path, attemptID string, body io.Reader, headers map[string]string) outcome {
 	client := &http.Client{Transport: &http.Transport{DialContext: f.network.DialContext, DisableKeepAlives: true}}
 	r, err := http.NewRequest(http.MethodPost, "http://"+callerAddress(i)+path, body)
 	require.NoError(f.t, err)
 	r.Host = "h"
-	for name, value := range map[string]string{
-		attemptIDHeader: attemptID, "Api-Key": "key", "X-Persimmonridge-Deadline-Ms": "15000",
-		"X-Persimmonridge-Token-Counts": tokenCounts, "X-Persimmonridge-Length-Hint": lengthHint,
-	} {
+	for name, value := range map[string]string{attemptIDHeader: attemptID, "Api-Key": "key", "X-Persimmonridge-Deadline-Ms": "15000"} {
+		r.Header.Set(name, value)
+	}
+	for name, value := range headers {
 		r.Header.Set(name, value)
 	}
 	start := time.Now()
