Crashes are gossiped once, not all of them with each new one

A gateway that had news of a crash sent all that it remembers, to each peer. That was affordable with a few; since each sign of a crash counts, a crash adds a record for each request that it interrupted. Now a peer gets those that were added since, and all of them on a new stream.

TestCrashesAreGossipedAgainOnlyWhenOneIsAdded becomes TestCrashesAreGossipedOnceWhenTheyAreAdded: it asked for the whole list with each crash, and now asks for just the new one, by its identity, and besides that a process that joins gets all three. The other checks are as they were.

--- a/internal/fleet/mesh/crashes_test.go
+++ b/internal/fleet/mesh/crashes_test.go
@@ -61,16 +61,17 @@
 }
 
 // Guards against gossip that repeats all crashes at each turn because their ages have
-// changed, or each time that one is forgotten.
-func TestCrashesAreGossipedAgainOnlyWhenOneIsAdded(t *testing.T) {
+// changed, or each time that one is added or forgotten, and against a process that joins
+// later and hears of none.
+func TestCrashesAreGossipedOnceWhenTheyAreAdded(t *testing.T) {
 	bubble.Run(t, func(t *testing.T) {
 		n := network.New()
 		var handlers []*crashHandler
-		for i, name := range []string{"a:1", "b:1"} {
+		join := func(name string) {
 			h := &crashHandler{}
 			listener, err := n.Listen(name)
 			require.NoError(t, err)
-			m := mesh.New(name, name, uint64(i+1), n, h, slog.New(slog.DiscardHandler), time.Now)
+			m := mesh.New(name, name, uint64(len(handlers)+1), n, h, slog.New(slog.DiscardHandler), time.Now)
 			server := link.Serve(listener, m.Serve)
 			m.AddPeer(time.Now(), "a:1")
 			m.AddPeer(time.Now(), "b:1")
@@ -78,12 +79,14 @@
 			done := make(chan error, 1)
 			go func() { done <- m.Run(ctx) }()
 			handlers = append(handlers, h)
-			defer func() {
+			t.Cleanup(func() {
 				cancel()
 				require.NoError(t, <-done)
 				require.NoError(t, server.Close())
-			}()
+			})
 		}
+		join("a:1")
+		join("b:1")
 		bubble.Sleep(2 * time.Second)
 		start := time.Now()
 		for i := range 3 {
@@ -91,12 +94,20 @@
 			bubble.Sleep(time.Second)
 			received := handlers[1].takeReceived()
 			require.Len(t, received, 1, "a crash is told at once and once")
-			require.Len(t, received[0], i+1)
+			require.Len(t, received[0], 1, "crashes that were told before are told again")
+			require.Equal(t, uint64(i+1), received[0][0].Event)
 		}
+		join("c:1")
+		bubble.Sleep(time.Second)
+		received := handlers[2].takeReceived()
+		require.Len(t, received, 1)
+		require.Len(t, received[0], 3, "a process that joins hears of all crashes")
 		bubble.Sleep(30 * time.Second)
 		require.Empty(t, handlers[1].takeReceived(), "crashes are told again although none was added")
 		handlers[0].addCrash(time.Now().Add(10 * time.Second))
 		bubble.Sleep(time.Second)
-		require.Len(t, handlers[1].takeReceived(), 1)
+		for _, h := range handlers[1:] {
+			require.Len(t, h.takeReceived(), 1)
+		}
 	})
 }
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -123,12 +123,12 @@
 	exited        bool
 	lastReconnect time.Time
 	gossipsSent   int
-	// The checksums are those of the lists of heard peers, of crashes, of unavailable
-	// gateways, of rate limits, of leaving upstreams, of processes that refused connections
-	// and of cleared crashes that were last sent to the peer.
-	sentHeardSum, sentCrashesSum, sentUnavailableSum uint64
-	sentRateLimitsSum, sentLeavingSum                uint64
-	sentDownSum, sentClearedSum                      uint64
+	// The checksums are those of the lists of heard peers, of unavailable gateways, of rate
+	// limits, of leaving upstreams, of processes that refused connections and of cleared
+	// crashes that were last sent to the peer, and of the last crash.
+	sentHeardSum, sentCrashSum, sentUnavailableSum uint64
+	sentRateLimitsSum, sentLeavingSum              uint64
+	sentDownSum, sentClearedSum                    uint64
 	// sentEvacuated are the evacuated failure domains that were last sent to the peer.
 	sentEvacuated []string
 }
--- a/internal/fleet/mesh/tell.go
+++ b/internal/fleet/mesh/tell.go
@@ -12,17 +12,17 @@
 )
 
 // gossipState is the state sent to peers at one moment. A list is sent to a peer only
-// if its checksum differs from that of the list sent last. That of the crashes covers the
-// last one, since new ones are added at the end: their ages change all the time, and that
+// if its checksum differs from that of the list sent last. Of the crashes those are sent
+// that were added since at the end of the list: their ages change all the time, and that
 // one is forgotten need not be told.
 type gossipState struct {
-	now                  time.Time
-	gossip               *wire.Gossip
-	heard                []*wire.Heard
-	heardSum, crashesSum uint64
-	rateLimitsSum        uint64
-	leavingSum           uint64
-	downSum, clearedSum  uint64
+	now                 time.Time
+	gossip              *wire.Gossip
+	heard               []*wire.Heard
+	heardSum            uint64
+	rateLimitsSum       uint64
+	leavingSum          uint64
+	downSum, clearedSum uint64
 	// unavailable is nil unless this process is a hub and knows all gateways.
 	unavailable     *wire.Unavailable
 	unavailableSum  uint64
@@ -38,7 +38,7 @@
 		_, _ = heardDigest.WriteString(heard.Address) // a digest's Write never fails
 		_, _ = heardDigest.Write([]byte{0})
 	}
-	state.heardSum, state.crashesSum = heardDigest.Sum64(), lastCrashSum(state.gossip.Crashes)
+	state.heardSum = heardDigest.Sum64()
 	state.rateLimitsSum = rateLimitsSum(state.gossip.RateLimits)
 	state.leavingSum = leavingSum(state.gossip.LeavingUpstreams)
 	state.downSum, state.clearedSum = downSum(state.gossip.DownProcesses), clearedSum(state.gossip.CrashClearances)
@@ -46,16 +46,25 @@
 	return state
 }
 
-// lastCrashSum returns a checksum of the identity of the last crash; it is 0 if there is
-// none.
-func lastCrashSum(crashes []*wire.CrashSeen) uint64 {
-	if len(crashes) == 0 {
-		return 0
+// crashSum returns a checksum of the identity of a crash.
+func crashSum(crash *wire.CrashSeen) uint64 {
+	identity := binary.LittleEndian.AppendUint64(nil, crash.Fingerprint)
+	identity = binary.LittleEndian.AppendUint64(identity, crash.Event)
+	return xxhash.Sum64(append(identity, crash.Upstream...))
+}
+
+// newCrashes returns the crashes that were added after the one that was sent last to the
+// peer. These are all if that one was forgotten, or on a new stream.
+func (p *peer) newCrashes(crashes []*wire.CrashSeen) []*wire.CrashSeen {
+	if p.gossipsSent == 0 {
+		return crashes
+	}
+	for i := len(crashes) - 1; i >= 0; i-- {
+		if crashSum(crashes[i]) == p.sentCrashSum {
+			return crashes[i+1:]
+		}
 	}
-	last := crashes[len(crashes)-1]
-	identity := binary.LittleEndian.AppendUint64(nil, last.Fingerprint)
-	identity = binary.LittleEndian.AppendUint64(identity, last.Event)
-	return xxhash.Sum64(append(identity, last.Upstream...))
+	return crashes
 }
 
 // rateLimitsSum returns a checksum of the statements in any order, without their ages.
@@ -158,8 +167,8 @@
 			gossip.Known, p.sentHeardSum = state.heard, state.heardSum
 		}
 	}
-	if p.gossipsSent == 0 || state.crashesSum != p.sentCrashesSum {
-		gossip.Crashes, p.sentCrashesSum = state.gossip.Crashes, state.crashesSum
+	if crashes := p.newCrashes(state.gossip.Crashes); len(crashes) > 0 {
+		gossip.Crashes, p.sentCrashSum = crashes, crashSum(crashes[len(crashes)-1])
 	}
 	if state.unavailable != nil && state.unavailableSum != p.sentUnavailableSum {
 		gossip.Unavailable, p.sentUnavailableSum = state.unavailable, state.unavailableSum
