A part of prompts that crashes upstreams is refused

Callers of all kinds of requests lost their answers while engines ended one after the other, 30 in ten seconds. Requests no two of which are alike had one part of their prompts in common, which ends each engine that begins to write an answer on it; crashes were counted by fingerprint alone, which is another one for each of them.

Each crash now tells also the parts of the requests that the upstream had just begun to execute. A part that is in four crashes which nothing else explains, and that no upstream has served since, is refused. Parts of sound requests are served between the crashes, which clears them at all gateways; the crashes of a refused part are no evidence against what merely ran beside it, as a part or as a repeated request; one request that is in more than half of the crashes is blamed itself. While nothing tells which of several parts it is, requests are refused that have all of them. Many upstreams that crash at once blame nobody.

--- a/internal/edge/flow/attempt.go
+++ b/internal/edge/flow/attempt.go
@@ -12,7 +12,7 @@
 // attempt makes one attempt. For any outcome other than Answered, the caller has not
 // been answered yet, unless part of a stream was delivered.
 func (c *call) attempt(ctx context.Context, placement Placement) Outcome {
-	c.sentAt, c.events, c.longestGap = c.Now(), 0, 0
+	c.sentAt, c.events, c.longestGap, c.survived = c.Now(), 0, 0, false
 	upstream := placement.Upstream()
 	c.upstream, c.firstEvent = upstream.ID, 0
 	answer, err := c.send(ctx, upstream, false)
@@ -114,7 +114,7 @@
 		return Interrupted
 	}
 	c.connectionFailed(upstream.ID)
-	c.Crashes.Broke(c.Now(), upstream, c.fingerprint)
+	c.Crashes.Broke(c.Now(), upstream, c.crashKey(), true)
 	c.Crashes.Down(c.Now(), upstream)
 	c.logger.Warn("answer lost", append(c.crashDetails(), "upstream", upstream.ID, "err", err)...)
 	return Interrupted
@@ -140,11 +140,11 @@
 	c.attempts++
 	c.mayHaveExecuted = true
 	if ctx.Err() != nil {
-		c.Crashes.Unanswered(c.Now(), upstream, c.fingerprint)
+		c.Crashes.Unanswered(c.Now(), upstream, c.crashKey())
 		return Canceled
 	}
 	c.connectionFailed(upstream.ID)
-	c.Crashes.Broke(c.Now(), upstream, c.fingerprint)
+	c.Crashes.Broke(c.Now(), upstream, c.crashKey(), true)
 	c.logger.Warn("answer lost", append(c.crashDetails(), "upstream", upstream.ID, "err", err)...)
 	return Interrupted
 }
--- a/internal/edge/flow/crash.go
+++ b/internal/edge/flow/crash.go
@@ -11,8 +11,13 @@
 	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
 )
 
-// crashRetryAfter is the Retry-After of requests that crash upstreams.
-const crashRetryAfter = time.Minute
+const (
+	// crashRetryAfter is the Retry-After of requests that crash upstreams.
+	crashRetryAfter = time.Minute
+	// beginTime is the time from a stream's first event in which an upstream begins to
+	// execute it. What it executes for longer does not crash it by a part of its prompt.
+	beginTime = 500 * time.Millisecond
+)
 
 // computeFingerprint returns a hash that is equal for repeats of a request by the
 // same caller.
@@ -32,22 +37,41 @@
 const maxLoggedParts = 8
 
 // crashDetails returns the log attributes of what a request has in common with others that
-// an upstream may have crashed with: its caller and the parts of its prompt.
+// an upstream may have crashed with: its caller and the shared parts of its prompt.
 func (c *call) crashDetails() []any {
 	workspace := ""
 	if c.workspace != nil {
 		workspace = c.workspace.Name
 	}
 	var parts []string
-	for _, part := range c.request.PromptParts[:min(len(c.request.PromptParts), maxLoggedParts)] {
-		parts = append(parts, strconv.FormatUint(part.ID, 16))
+	for _, part := range c.request.SharedParts[:min(len(c.request.SharedParts), maxLoggedParts)] {
+		parts = append(parts, strconv.FormatUint(part, 16))
 	}
 	return []any{"fingerprint", c.formatFingerprint(), "workspace", workspace, "parts", parts}
 }
 
+func (c *call) crashKey() CrashKey {
+	return CrashKey{Fingerprint: c.fingerprint, Parts: c.request.SharedParts}
+}
+
 // crashesUpstreams reports whether the request must not be sent, because it crashes the
 // upstreams that execute it.
-func (c *call) crashesUpstreams() bool { return c.Crashes.Blocked(c.Now(), c.fingerprint) }
+func (c *call) crashesUpstreams() bool { return c.Crashes.Blocked(c.Now(), c.crashKey()) }
+
+// hasBegun reports whether the last attempt's upstream has executed the request for a while.
+func (c *call) hasBegun(now time.Time) bool {
+	return c.events > 0 && now.Sub(c.firstEventAt) >= beginTime
+}
+
+// recordSurvival records once that the last attempt's upstream has executed the request for a
+// while.
+func (c *call) recordSurvival(now time.Time) {
+	if c.survived || !c.hasBegun(now) {
+		return
+	}
+	c.survived = true
+	c.Crashes.Survived(now, c.crashKey())
+}
 
 // endCrashing ends a request that crashes upstreams. It is refused as not executed only
 // if it was not sent before that was known.
@@ -66,7 +90,7 @@
 func (c *call) pick(ctx context.Context, now time.Time, req PlacementRequest) (Placement, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer c.Crashes.WhenBlocked(c.fingerprint, cancel)()
+	defer c.Crashes.WhenBlocked(c.crashKey(), cancel)()
 	return c.Picker.Pick(ctx, now, req)
 }
 
@@ -74,6 +98,6 @@
 // answer may be that of its upstream.
 func (c *call) recordServed(answer *exchange.Answer) {
 	if !answer.EndsWithConnection() {
-		c.Crashes.Served(c.Now(), c.fingerprint)
+		c.Crashes.Served(c.Now(), c.crashKey())
 	}
 }
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -128,9 +128,12 @@
 	fingerprint uint64
 	// upstream, placementWait, firstEvent and longestGap describe the last attempt:
 	// its upstream, the time spent waiting for a placement, the time to the first
-	// event and the longest pause between later events.
+	// event and the longest pause between later events. survived reports that its
+	// upstream has executed the request for beginTime since firstEventAt.
 	upstream      string
 	sentAt        time.Time
+	firstEventAt  time.Time
+	survived      bool
 	placementWait time.Duration
 	firstEvent    time.Duration
 	longestGap    time.Duration
@@ -343,7 +346,7 @@
 		if ctx.Err() != nil {
 			return Canceled
 		}
-		c.Crashes.Broke(c.Now(), placement.Upstream(), c.fingerprint)
+		c.Crashes.Broke(c.Now(), placement.Upstream(), c.crashKey(), true)
 		c.logger.Warn("answer truncated", append(c.crashDetails(), "upstream", placement.Upstream().ID, "err", err)...)
 		return Interrupted
 	}
--- a/internal/edge/flow/request.go
+++ b/internal/edge/flow/request.go
@@ -67,6 +67,9 @@
 	PromptTokens int
 	OutputTokens int
 	PromptParts  []PromptPart
+	// SharedParts are the IDs of the prompt's parts that other requests may have, as far as
+	// they can be read, also of a prompt whose PromptParts cannot be.
+	SharedParts []uint64
 	// LengthHint is the caller's estimate of the generated tokens, 0 if none.
 	LengthHint int
 	// LastEventID is the ID of the last stream event that the caller received.
@@ -221,18 +224,29 @@
 	Take(now time.Time, service string) bool
 }
 
+// CrashKey is what identifies a request among those that crash upstreams.
+type CrashKey struct {
+	// Fingerprint is equal for repeats of a request by the same caller.
+	Fingerprint uint64
+	// Parts are the parts of its prompt that other requests may have.
+	Parts []uint64
+}
+
 // CrashTracker detects requests that crash the upstreams which execute them.
 type CrashTracker interface {
-	// Blocked reports whether requests with the fingerprint are refused.
-	Blocked(now time.Time, fingerprint uint64) bool
-	// WhenBlocked calls blocked once the fingerprint becomes blocked, until stop is called.
-	WhenBlocked(fingerprint uint64, blocked func()) (stop func())
-	// Broke records that an upstream broke off while it executed the request.
-	Broke(now time.Time, upstream roster.Upstream, fingerprint uint64)
+	// Blocked reports whether such requests are refused.
+	Blocked(now time.Time, key CrashKey) bool
+	// WhenBlocked calls blocked once they are, until stop is called.
+	WhenBlocked(key CrashKey, blocked func()) (stop func())
+	// Broke records that an upstream broke off while it executed the request, and whether
+	// it had just begun to.
+	Broke(now time.Time, upstream roster.Upstream, key CrashKey, begun bool)
 	// Unanswered records that nothing came of the answer to a request that was canceled.
-	Unanswered(now time.Time, upstream roster.Upstream, fingerprint uint64)
+	Unanswered(now time.Time, upstream roster.Upstream, key CrashKey)
 	// Served records that an upstream has executed the request to its end.
-	Served(now time.Time, fingerprint uint64)
+	Served(now time.Time, key CrashKey)
+	// Survived records that an upstream executes the request for a while.
+	Survived(now time.Time, key CrashKey)
 	// Down records that an upstream refuses connections.
 	Down(now time.Time, upstream roster.Upstream)
 }
--- a/internal/edge/flow/stream.go
+++ b/internal/edge/flow/stream.go
@@ -102,10 +102,11 @@
 		c.events++
 		now := c.Now()
 		if c.events == 1 {
-			c.firstEvent = now.Sub(c.sentAt)
+			c.firstEvent, c.firstEventAt = now.Sub(c.sentAt), now
 			placement.AnswerStarted(now)
 		} else {
 			c.longestGap = max(c.longestGap, now.Sub(eventAt))
+			c.recordSurvival(now)
 		}
 		eventAt = now
 		if c.delivered(next) {
@@ -166,12 +167,12 @@
 func (c *call) handleBrokenStream(ctx context.Context, placement Placement, err error) Outcome {
 	if ctx.Err() != nil {
 		if c.events == 0 {
-			c.Crashes.Unanswered(c.Now(), placement.Upstream(), c.fingerprint)
+			c.Crashes.Unanswered(c.Now(), placement.Upstream(), c.crashKey())
 		}
 		return Canceled
 	}
 	c.connectionFailed(placement.Upstream().ID)
-	c.Crashes.Broke(c.Now(), placement.Upstream(), c.fingerprint)
+	c.Crashes.Broke(c.Now(), placement.Upstream(), c.crashKey(), !c.hasBegun(c.Now()))
 	c.logger.Warn("stream broke off", append(c.crashDetails(), "upstream", placement.Upstream().ID, "after", c.progress.lastEventID, "err", err)...)
 	return Interrupted
 }
--- a/internal/limit/crash/confirm.go
+++ b/internal/limit/crash/confirm.go
@@ -25,7 +25,10 @@
 // suspectedRequest is a request whose answer an upstream interrupted.
 type suspectedRequest struct {
 	fingerprint uint64
-	at          time.Time
+	// parts are the parts of its prompt besides its own, if the upstream had just begun to
+	// execute it.
+	parts []uint64
+	at    time.Time
 	// silent reports that the answer did not end, but nothing of it came. A refused
 	// connection does not confirm that the upstream has crashed meanwhile.
 	silent bool
@@ -48,29 +51,30 @@
 }
 
 // Broke records that an upstream's process interrupted the answer to a request, and
-// reports whether it is known to have crashed.
-func (t *Tracker) Broke(now time.Time, process string, fingerprint uint64) (crashed bool) {
-	return t.suspect(now, process, suspectedRequest{fingerprint: fingerprint, at: now})
+// reports whether it is known to have crashed. The parts are those of the request's prompt
+// besides its own, or none if the upstream had executed it for a while.
+func (t *Tracker) Broke(now time.Time, process string, fingerprint uint64, parts ...uint64) (crashed bool) {
+	return t.suspect(now, process, suspectedRequest{fingerprint: fingerprint, parts: parts, at: now})
 }
 
 // Unanswered records that nothing came of an upstream's answer to a request before its
 // caller left or its time was over.
-func (t *Tracker) Unanswered(now time.Time, process string, fingerprint uint64) (crashed bool) {
-	return t.suspect(now, process, suspectedRequest{fingerprint: fingerprint, at: now, silent: true})
+func (t *Tracker) Unanswered(now time.Time, process string, fingerprint uint64, parts ...uint64) (crashed bool) {
+	return t.suspect(now, process, suspectedRequest{fingerprint: fingerprint, parts: parts, at: now, silent: true})
 }
 
 func (t *Tracker) suspect(now time.Time, process string, s suspectedRequest) (crashed bool) {
 	t.mu.Lock()
 	t.expire(now)
-	var notify []func()
 	if end, known := t.ended[process]; known && end.explains(s) {
-		notify, crashed = t.observe(now, s.fingerprint, process), true
+		t.observe(now, s, process)
+		crashed = true
 	} else if t.interruptedCount < maxSuspicions {
 		t.interrupted[process] = append(t.interrupted[process], s)
 		t.interruptedCount++
 	}
 	t.mu.Unlock()
-	t.tell(crashed, notify)
+	t.tell(crashed)
 	return crashed
 }
 
@@ -104,14 +108,13 @@
 		t.ended[process] = e
 	}
 	var observed []uint64
-	var notify []func()
 	t.interrupted[process] = slices.DeleteFunc(t.interrupted[process], func(s suspectedRequest) bool {
 		if !e.explains(s) {
 			return false
 		}
 		if !slices.Contains(observed, s.fingerprint) {
 			observed = append(observed, s.fingerprint)
-			notify = append(notify, t.observe(now, s.fingerprint, process)...)
+			t.observe(now, s, process)
 		}
 		t.interruptedCount--
 		return true
@@ -120,21 +123,10 @@
 		delete(t.interrupted, process)
 	}
 	t.mu.Unlock()
-	t.tell(isNew || len(observed) > 0, notify)
+	t.tell(isNew || len(observed) > 0)
 	return observed
 }
 
-// tell calls the functions and, if there is news, has peers notified. The lock must not
-// be held.
-func (t *Tracker) tell(news bool, notify []func()) {
-	for _, blocked := range notify {
-		blocked()
-	}
-	if news && t.onCrash != nil {
-		t.onCrash()
-	}
-}
-
 // IsEnded reports whether a process is known to have ended shortly before.
 func (t *Tracker) IsEnded(now time.Time, process string) bool {
 	t.mu.Lock()
@@ -162,13 +154,16 @@
 	return down
 }
 
-// Clearance is a fingerprint that was served some time ago, after a crash.
+// Clearance is a fingerprint or a part of prompts that was served some time ago, after a
+// crash.
 type Clearance struct {
 	Fingerprint uint64
-	Age         time.Duration
+	// IsPart reports that the fingerprint is that of a part.
+	IsPart bool
+	Age    time.Duration
 }
 
-// Clearances returns the fingerprints that were served after a crash, to tell peers.
+// Clearances returns what was served after a crash, to tell peers.
 func (t *Tracker) Clearances(now time.Time) []Clearance {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -178,17 +173,25 @@
 			cleared = append(cleared, Clearance{Fingerprint: fingerprint, Age: age})
 		}
 	}
+	for part, servedAt := range t.clearedParts {
+		if age := now.Sub(servedAt); age <= tellWithin {
+			cleared = append(cleared, Clearance{Fingerprint: part, IsPart: true, Age: age})
+		}
+	}
 	return cleared
 }
 
-// ServedElsewhere records that a peer told that a fingerprint was served some time ago,
-// and reports whether that was not known and clears it of crashes.
+// ServedElsewhere records that a peer told of something that was served, and reports
+// whether that clears it of crashes.
 func (t *Tracker) ServedElsewhere(now time.Time, c Clearance) bool {
 	if c.Age < 0 || c.Age > endedRetention {
 		return false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if c.IsPart {
+		return t.servePartsLocked(now, now.Add(-c.Age), []uint64{c.Fingerprint})
+	}
 	return t.clearLocked(now, now.Add(-c.Age), c.Fingerprint)
 }
 
--- a/internal/limit/crash/crash.go
+++ b/internal/limit/crash/crash.go
@@ -1,5 +1,6 @@
 // Package crash detects requests that crash upstreams: those whose fingerprint was
-// being executed each time that an upstream crashed, and was never served since.
+// being executed each time that an upstream crashed, and was never served since, and
+// those that have a part of their prompts in common of which the same is true.
 package crash
 
 import (
@@ -52,33 +53,76 @@
 	recordCount int
 	// reported holds the crashes to tell peers, in the order in which they became known.
 	reported []reported
-	// cleared holds the fingerprints that were served after a crash, and when.
-	cleared map[uint64]time.Time
+	// cleared and clearedParts hold the fingerprints and the parts of prompts that were
+	// served after a crash, and when.
+	cleared, clearedParts map[uint64]time.Time
 	// onProbation holds the fingerprints that were refused, and until when one more crash
 	// is enough.
 	onProbation map[uint64]time.Time
-	// waiting holds the functions to call when a fingerprint becomes blocked.
-	waiting    map[uint64]map[*func()]struct{}
+	// partServed holds, by part, when an upstream last served a request with it, and
+	// partCrashedAt when one last crashed as it began to.
+	partServed, partCrashedAt map[uint64]time.Time
+	// partBlocks holds the parts that are or were refused.
+	partBlocks map[uint64]*partBlock
+	// explained holds the processes whose crashes a refused part explains.
+	explained map[string]bool
+	// unjudged is set if crashes with parts were added since judgedAt.
+	unjudged bool
+	judgedAt time.Time
+	// waiting holds the requests that wait for an upstream.
+	waiting map[*waiter]struct{}
+	// refusedUntil holds the fingerprints whose refusal was announced.
+	refusedUntil map[uint64]time.Time
+	// pending holds the functions to call once the lock is released.
+	pending    []func()
 	onCrash    func()
+	onRefusal  func(Refusal)
 	lastExpiry time.Time
 }
 
+// Refusal is the refusal of requests that crash upstreams.
+type Refusal struct {
+	// Fingerprint is that of the requests or, if IsPart is set, of a part of their prompts.
+	Fingerprint uint64
+	IsPart      bool
+	// With are the parts that requests must have besides to be refused.
+	With  []uint64
+	Until time.Time
+}
+
+// waiter is a request that wants to be told when it becomes blocked.
+type waiter struct {
+	fingerprint uint64
+	parts       []uint64
+	blocked     func()
+}
+
 // New returns a tracker without crashes. It calls onCrash when this process has observed
 // something that other processes should be told without delay; onCrash may be nil.
 func New(onCrash func()) *Tracker {
 	return &Tracker{
-		interrupted: make(map[string][]suspectedRequest), ended: make(map[string]endedProcess), crashes: make(map[uint64][]*record),
-		cleared: make(map[uint64]time.Time), onProbation: make(map[uint64]time.Time), waiting: make(map[uint64]map[*func()]struct{}),
-		onCrash: onCrash,
+		refusedUntil: make(map[uint64]time.Time),
+		interrupted:  make(map[string][]suspectedRequest), ended: make(map[string]endedProcess), crashes: make(map[uint64][]*record),
+		cleared: make(map[uint64]time.Time), clearedParts: make(map[uint64]time.Time), onProbation: make(map[uint64]time.Time),
+		partServed: make(map[uint64]time.Time), partCrashedAt: make(map[uint64]time.Time), partBlocks: make(map[uint64]*partBlock),
+		explained: make(map[string]bool), waiting: make(map[*waiter]struct{}), onCrash: onCrash,
 	}
 }
 
-// Blocked reports whether requests with the fingerprint are refused.
-func (t *Tracker) Blocked(now time.Time, fingerprint uint64) bool {
+// OnRefusal sets the function that is called when a refusal begins. It must be called before
+// any other method.
+func (t *Tracker) OnRefusal(f func(Refusal)) { t.onRefusal = f }
+
+// Blocked reports whether requests with the fingerprint, and with these parts of their
+// prompts besides their own, are refused.
+func (t *Tracker) Blocked(now time.Time, fingerprint uint64, parts ...uint64) bool {
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.expire(now)
-	return t.blockedLocked(now, fingerprint)
+	t.judgeIfDueLocked(now)
+	blocked := t.blockedLocked(now, fingerprint) || t.partsBlockedLocked(now, parts)
+	t.mu.Unlock()
+	t.tell(false)
+	return blocked
 }
 
 func (t *Tracker) blockedLocked(now time.Time, fingerprint uint64) bool {
@@ -93,12 +137,30 @@
 	return t.crashesLocked(now, fingerprint)
 }
 
+// Refusals returns how many fingerprints and parts of prompts are refused.
+func (t *Tracker) Refusals(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for fingerprint := range t.refusedUntil {
+		if t.blockedLocked(now, fingerprint) {
+			n++
+		}
+	}
+	for _, block := range t.partBlocks {
+		if block.inForce(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // crashesLocked counts the processes that crashed under the fingerprint. A process of an
 // older version names an upstream without its process.
 func (t *Tracker) crashesLocked(now time.Time, fingerprint uint64) int {
 	var crashed []string
 	for _, r := range t.crashes[fingerprint] {
-		if now.Before(r.end()) && !slices.ContainsFunc(crashed, func(other string) bool { return mayBeSameProcess(r.upstream, other) }) {
+		if now.Before(r.end()) && !t.explained[r.upstream] && !slices.ContainsFunc(crashed, func(other string) bool { return mayBeSameProcess(r.upstream, other) }) {
 			crashed = append(crashed, r.upstream)
 		}
 	}
@@ -114,50 +176,87 @@
 	return upstreamOfX == upstreamOfY && !(namesProcessX && namesProcessY)
 }
 
-// WhenBlocked calls blocked once the fingerprint becomes blocked. The function that it
-// returns ends that.
-func (t *Tracker) WhenBlocked(fingerprint uint64, blocked func()) (stop func()) {
+// WhenBlocked calls blocked once such requests become blocked. The function that it returns
+// ends that.
+func (t *Tracker) WhenBlocked(blocked func(), fingerprint uint64, parts ...uint64) (stop func()) {
+	w := &waiter{fingerprint: fingerprint, parts: parts, blocked: blocked}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.waiting[fingerprint] == nil {
-		t.waiting[fingerprint] = make(map[*func()]struct{})
-	}
-	t.waiting[fingerprint][&blocked] = struct{}{}
+	t.waiting[w] = struct{}{}
 	return func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		delete(t.waiting[fingerprint], &blocked)
-		if len(t.waiting[fingerprint]) == 0 {
-			delete(t.waiting, fingerprint)
-		}
+		delete(t.waiting, w)
 	}
 }
 
 // blockLocked is called after a crash of the fingerprint was added. It puts a blocked
-// fingerprint on probation and returns the functions to call without the lock.
-func (t *Tracker) blockLocked(now time.Time, fingerprint uint64) []func() {
+// fingerprint on probation.
+func (t *Tracker) blockLocked(now time.Time, fingerprint uint64) {
 	if !t.blockedLocked(now, fingerprint) {
-		return nil
+		return
 	}
+	until := now.Add(retention)
 	if _, known := t.onProbation[fingerprint]; known || len(t.onProbation) < maxOnProbation {
-		t.onProbation[fingerprint] = now.Add(retention + probation)
+		t.onProbation[fingerprint] = until.Add(probation)
+	}
+	if !now.Before(t.refusedUntil[fingerprint]) && len(t.refusedUntil) < maxOnProbation {
+		t.announceLocked(Refusal{Fingerprint: fingerprint, Until: until})
+	}
+	t.refusedUntil[fingerprint] = until
+	t.notifyWaitersLocked(now)
+}
+
+// announceLocked has the function for refusals called.
+func (t *Tracker) announceLocked(r Refusal) {
+	if t.onRefusal != nil {
+		t.pending = append(t.pending, func() { t.onRefusal(r) })
 	}
-	var notify []func()
-	for blocked := range t.waiting[fingerprint] {
-		notify = append(notify, *blocked)
+}
+
+// notifyWaitersLocked has the functions of the waiting requests called that are blocked by
+// now.
+func (t *Tracker) notifyWaitersLocked(now time.Time) {
+	for w := range t.waiting {
+		if t.blockedLocked(now, w.fingerprint) || t.partsBlockedLocked(now, w.parts) {
+			t.pending = append(t.pending, w.blocked)
+		}
 	}
-	return notify
 }
 
-// Served records that an upstream has served a request with the fingerprint, so that its
-// crashes had another cause, and reports whether there were any.
-func (t *Tracker) Served(now time.Time, fingerprint uint64) bool {
+// tell calls the pending functions and, if there is news, has peers notified. The lock must
+// not be held.
+func (t *Tracker) tell(news bool) {
 	t.mu.Lock()
-	clears := t.clearLocked(now, now, fingerprint)
+	pending := t.pending
+	t.pending = nil
 	t.mu.Unlock()
-	if clears && t.onCrash != nil {
+	for _, f := range pending {
+		f()
+	}
+	if news && t.onCrash != nil {
 		t.onCrash()
 	}
+}
+
+// Served records that an upstream has served a request with the fingerprint and the parts,
+// so that their crashes had another cause, and reports whether there were any.
+func (t *Tracker) Served(now time.Time, fingerprint uint64, parts ...uint64) bool {
+	t.mu.Lock()
+	clears := t.clearLocked(now, now, fingerprint)
+	clears = t.servePartsLocked(now, now, parts) || clears
+	t.mu.Unlock()
+	t.tell(clears)
+	return clears
+}
+
+// Survived records that an upstream still executes a request with the parts a while after it
+// has begun to, so that they do not crash it, and reports whether they were suspected to.
+func (t *Tracker) Survived(now time.Time, parts ...uint64) bool {
+	t.mu.Lock()
+	clears := t.servePartsLocked(now, now, parts)
+	t.mu.Unlock()
+	t.tell(clears)
 	return clears
 }
 
@@ -166,7 +265,7 @@
 func (t *Tracker) clearLocked(now, servedAt time.Time, fingerprint uint64) bool {
 	clears := false
 	for _, r := range t.crashes[fingerprint] {
-		if now.Before(r.end()) && !r.recordedAt.After(servedAt) {
+		if now.Before(r.end()) && !r.crashedAt().After(servedAt) {
 			r.latestEnd, clears = now, true
 		}
 	}
@@ -174,16 +273,18 @@
 		return false
 	}
 	delete(t.onProbation, fingerprint)
+	delete(t.refusedUntil, fingerprint)
 	t.cleared[fingerprint] = servedAt
 	return true
 }
 
 // observe records a crash that this process observed.
-func (t *Tracker) observe(now time.Time, fingerprint uint64, process string) []func() {
-	crash := &record{upstream: process, event: max(rand.Uint64(), 1), latestEnd: now.Add(retention), reportedAt: now, recordedAt: now}
-	t.insert(now, fingerprint, crash)
-	t.addReport(fingerprint, crash)
-	return t.blockLocked(now, fingerprint)
+func (t *Tracker) observe(now time.Time, s suspectedRequest, process string) {
+	crash := &record{upstream: process, event: max(rand.Uint64(), 1), latestEnd: now.Add(retention), reportedAt: now, parts: s.parts}
+	t.insert(now, s.fingerprint, crash)
+	t.addReport(s.fingerprint, crash)
+	t.blockLocked(now, s.fingerprint)
+	t.recordPartsLocked(now, crash)
 }
 
 // expire removes expired entries, at most once a second.
@@ -198,6 +299,12 @@
 			delete(t.cleared, fingerprint)
 		}
 	}
+	t.expireParts(now)
+	for fingerprint, until := range t.refusedUntil {
+		if !now.Before(until) {
+			delete(t.refusedUntil, fingerprint)
+		}
+	}
 	for fingerprint, until := range t.onProbation {
 		if !now.Before(until) {
 			delete(t.onProbation, fingerprint)
--- a/internal/limit/crash/records.go
+++ b/internal/limit/crash/records.go
@@ -22,7 +22,9 @@
 	// keys of the store, which are shorter.
 	maxUpstreamLength = 256
 	// maxReports bounds the crashes in one gossip message.
-	maxReports = 64
+	maxReports = 128
+	// maxParts bounds the parts of a prompt in a report.
+	maxParts = 64
 )
 
 // Report is what one process tells another of a crash.
@@ -37,6 +39,8 @@
 	Life time.Duration
 	// Hops is the number of processes that have passed the crash on.
 	Hops uint32
+	// Parts are the parts of the request's prompt that no upstream has served since.
+	Parts []uint64
 }
 
 // record is a crash that is remembered or, after its end, only recognized.
@@ -50,9 +54,15 @@
 	latestEnd  time.Time
 	hops       uint32
 	reportedAt time.Time
-	recordedAt time.Time
+	// parts are the parts of the request's prompt besides its own, if the upstream had just
+	// begun to execute it.
+	parts []uint64
 }
 
+// crashedAt returns when the upstream crashed, or up to the time that reports were on their
+// way later.
+func (r *record) crashedAt() time.Time { return r.latestEnd.Add(-retention) }
+
 // end returns when the crash is forgotten.
 func (r *record) end() time.Time {
 	return r.latestEnd.Add(-time.Duration(min(r.hops, maxHops)) * hopAllowance)
@@ -79,12 +89,12 @@
 	if len(report.Upstream) > maxUpstreamLength {
 		return false
 	}
-	isNew, notify := t.recordRemote(now, report, relay)
-	t.tell(false, notify)
+	isNew := t.recordRemote(now, report, relay)
+	t.tell(false)
 	return isNew
 }
 
-func (t *Tracker) recordRemote(now time.Time, report Report, relay bool) (isNew bool, notify []func()) {
+func (t *Tracker) recordRemote(now time.Time, report Report, relay bool) (isNew bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
@@ -94,7 +104,7 @@
 	}
 	received := &record{
 		upstream: report.Upstream, event: report.Event, latestEnd: now.Add(life), hops: min(report.Hops, maxHops) + 1,
-		reportedAt: now, recordedAt: now,
+		reportedAt: now, parts: report.Parts[:min(len(report.Parts), maxParts)],
 	}
 	if known := t.find(report.Fingerprint, report.Upstream, report.Event); known != nil {
 		known.reportedAt = now
@@ -102,7 +112,7 @@
 		if received.latestEnd.Before(known.latestEnd) {
 			known.latestEnd = received.latestEnd
 		}
-		return false, nil
+		return false
 	}
 	if report.Event == 0 && slices.ContainsFunc(t.crashes[report.Fingerprint], func(r *record) bool { return r.upstream == report.Upstream }) {
 		// It may be the known crash, on its way through a process of an older version.
@@ -111,12 +121,14 @@
 	isNew = now.Before(received.end())
 	t.insert(now, report.Fingerprint, received)
 	if !isNew {
-		return false, nil
+		return false
 	}
 	if relay {
 		t.addReport(report.Fingerprint, received)
 	}
-	return true, t.blockLocked(now, report.Fingerprint)
+	t.blockLocked(now, report.Fingerprint)
+	t.recordPartsLocked(now, received)
+	return true
 }
 
 // Reports returns the crashes to tell peers, in the order in which they became known.
@@ -130,9 +142,13 @@
 		if r == nil || r.end().Sub(now) <= hopAllowance {
 			return true
 		}
-		reports = append(reports, Report{
-			Fingerprint: id.fingerprint, Upstream: id.upstream, Event: id.event, Life: r.latestEnd.Sub(now), Hops: r.hops,
-		})
+		report := Report{Fingerprint: id.fingerprint, Upstream: id.upstream, Event: id.event, Life: r.latestEnd.Sub(now), Hops: r.hops}
+		for _, part := range r.parts {
+			if t.countsAgainst(now, r, part) {
+				report.Parts = append(report.Parts, part)
+			}
+		}
+		reports = append(reports, report)
 		return false
 	})
 	return reports
@@ -162,18 +178,27 @@
 	t.recordCount++
 }
 
-// addReport adds the crash to this process's reports. The earliest one of a fingerprint
-// with one crash makes room, or else the earliest: most of what an upstream was executing
-// when it crashed did not cause it.
+// addReport adds the crash to this process's reports. The earliest one that is evidence
+// against nothing yet makes room, or else the earliest: most of what an upstream was
+// executing when it crashed did not cause it.
 func (t *Tracker) addReport(fingerprint uint64, r *record) {
 	if len(t.reported) >= maxReports {
-		once := func(id reported) bool { return len(t.crashes[id.fingerprint]) <= 1 }
-		earliest := max(0, slices.IndexFunc(t.reported, once))
+		earliest := max(0, slices.IndexFunc(t.reported, func(id reported) bool { return !t.isEvidence(id) }))
 		t.reported = slices.Delete(t.reported, earliest, earliest+1)
 	}
 	t.reported = append(t.reported, reported{fingerprint: fingerprint, event: r.event, upstream: r.upstream})
 }
 
+// isEvidence reports whether the crash has its fingerprint or a refused part in common with
+// another one.
+func (t *Tracker) isEvidence(id reported) bool {
+	if len(t.crashes[id.fingerprint]) > 1 {
+		return true
+	}
+	r := t.find(id.fingerprint, id.upstream, id.event)
+	return r != nil && slices.ContainsFunc(r.parts, func(part uint64) bool { return t.partBlocks[part] != nil })
+}
+
 // evict removes a quarter of the records, so that a full table is sorted rarely.
 func (t *Tracker) evict() {
 	var all []*record
--- a/internal/role/gateway/crashes.go
+++ b/internal/role/gateway/crashes.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/persimmonridge/persimmonridge/internal/edge/flow"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
 	"github.com/persimmonridge/persimmonridge/internal/limit/crash"
 	"github.com/persimmonridge/persimmonridge/internal/state/roster"
@@ -41,28 +42,42 @@
 }
 
 func newCrashWatch(g *Gateway) *crashWatch {
-	return &crashWatch{Gateway: g, checks: make(chan roster.Upstream, maxQueuedChecks)}
+	w := &crashWatch{Gateway: g, checks: make(chan roster.Upstream, maxQueuedChecks)}
+	g.crashTracker.OnRefusal(w.logRefusal)
+	return w
+}
+
+func (w *crashWatch) logRefusal(r crash.Refusal) {
+	subject := "request"
+	if r.IsPart {
+		subject = "part of prompts"
+	}
+	w.logger.Warn("requests refused that crash upstreams", "by", subject, "fingerprint", formatFingerprint(r.Fingerprint),
+		"with", formatParts(r.With), "until", r.Until)
 }
 
 // crashProcess returns the name of the upstream's process in crashes.
 func crashProcess(u roster.Upstream) string { return crash.ProcessName(u.ID, u.StartedAtMs) }
 
 // Blocked implements flow.CrashTracker.
-func (w *crashWatch) Blocked(now time.Time, fingerprint uint64) bool {
-	return w.crashTracker.Blocked(now, fingerprint)
+func (w *crashWatch) Blocked(now time.Time, key flow.CrashKey) bool {
+	return w.crashTracker.Blocked(now, key.Fingerprint, key.Parts...)
 }
 
 // WhenBlocked implements flow.CrashTracker.
-func (w *crashWatch) WhenBlocked(fingerprint uint64, blocked func()) (stop func()) {
-	return w.crashTracker.WhenBlocked(fingerprint, blocked)
+func (w *crashWatch) WhenBlocked(key flow.CrashKey, blocked func()) (stop func()) {
+	return w.crashTracker.WhenBlocked(blocked, key.Fingerprint, key.Parts...)
 }
 
 // Broke implements flow.CrashTracker. The scheduler avoids an upstream that broke off an
 // answer, so that a request may not show for long whether it still runs.
-func (w *crashWatch) Broke(now time.Time, upstream roster.Upstream, fingerprint uint64) {
-	process := crashProcess(upstream)
-	if w.crashTracker.Broke(now, process, fingerprint) {
-		w.logCrash(now, process, signKnown, fingerprint)
+func (w *crashWatch) Broke(now time.Time, upstream roster.Upstream, key flow.CrashKey, begun bool) {
+	process, parts := crashProcess(upstream), key.Parts
+	if !begun {
+		parts = nil
+	}
+	if w.crashTracker.Broke(now, process, key.Fingerprint, parts...) {
+		w.logCrash(now, process, signKnown, key.Fingerprint)
 		return
 	}
 	select {
@@ -73,17 +88,24 @@
 }
 
 // Unanswered implements flow.CrashTracker.
-func (w *crashWatch) Unanswered(now time.Time, upstream roster.Upstream, fingerprint uint64) {
+func (w *crashWatch) Unanswered(now time.Time, upstream roster.Upstream, key flow.CrashKey) {
 	process := crashProcess(upstream)
-	if w.crashTracker.Unanswered(now, process, fingerprint) {
-		w.logCrash(now, process, signKnown, fingerprint)
+	if w.crashTracker.Unanswered(now, process, key.Fingerprint, key.Parts...) {
+		w.logCrash(now, process, signKnown, key.Fingerprint)
 	}
 }
 
 // Served implements flow.CrashTracker.
-func (w *crashWatch) Served(now time.Time, fingerprint uint64) {
-	if w.crashTracker.Served(now, fingerprint) {
-		w.logger.Info("request served that ran at crashes", "fingerprint", formatFingerprint(fingerprint))
+func (w *crashWatch) Served(now time.Time, key flow.CrashKey) {
+	if w.crashTracker.Served(now, key.Fingerprint, key.Parts...) {
+		w.logger.Info("request served that ran at crashes", "fingerprint", formatFingerprint(key.Fingerprint), "parts", formatParts(key.Parts))
+	}
+}
+
+// Survived implements flow.CrashTracker.
+func (w *crashWatch) Survived(now time.Time, key flow.CrashKey) {
+	if w.crashTracker.Survived(now, key.Parts...) {
+		w.logger.Info("request executed for a while with parts that were in others at crashes", "parts", formatParts(key.Parts))
 	}
 }
 
@@ -119,6 +141,17 @@
 	}
 }
 
+// maxLoggedParts is the number of parts of a prompt that a line names.
+const maxLoggedParts = 8
+
+func formatParts(parts []uint64) []string {
+	var formatted []string
+	for _, part := range parts[:min(len(parts), maxLoggedParts)] {
+		formatted = append(formatted, formatFingerprint(part))
+	}
+	return formatted
+}
+
 func formatFingerprint(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
 
 // run checks the upstreams that broke off answers until the context ends.
@@ -166,13 +199,15 @@
 	for _, r := range w.crashTracker.Reports(now) {
 		// Rounded up: a process that hears its own report again must not shorten a life.
 		life := uint32((r.Life + time.Millisecond - 1) / time.Millisecond)
-		g.Crashes = append(g.Crashes, &wire.CrashSeen{Fingerprint: r.Fingerprint, Upstream: r.Upstream, Event: r.Event, Hops: r.Hops, LifeMs: life})
+		g.Crashes = append(g.Crashes, &wire.CrashSeen{
+			Fingerprint: r.Fingerprint, Upstream: r.Upstream, Event: r.Event, Hops: r.Hops, LifeMs: life, Parts: r.Parts,
+		})
 	}
 	for _, d := range w.crashTracker.DownProcesses(now) {
 		g.DownProcesses = append(g.DownProcesses, &wire.DownProcess{Process: d.Process, AgeMs: uint32(d.Age.Milliseconds())})
 	}
 	for _, c := range w.crashTracker.Clearances(now) {
-		g.CrashClearances = append(g.CrashClearances, &wire.CrashClearance{Fingerprint: c.Fingerprint, AgeMs: uint32(c.Age.Milliseconds())})
+		g.CrashClearances = append(g.CrashClearances, &wire.CrashClearance{Fingerprint: c.Fingerprint, Part: c.IsPart, AgeMs: uint32(c.Age.Milliseconds())})
 	}
 }
 
@@ -181,7 +216,8 @@
 	isHub := len(g.Crashes) > 0 && w.peers.isHub()
 	for _, c := range g.Crashes {
 		report := crash.Report{
-			Fingerprint: c.Fingerprint, Upstream: c.Upstream, Event: c.Event, Hops: c.Hops, Life: time.Duration(c.LifeMs) * time.Millisecond,
+			Fingerprint: c.Fingerprint, Upstream: c.Upstream, Event: c.Event, Hops: c.Hops,
+			Life: time.Duration(c.LifeMs) * time.Millisecond, Parts: c.Parts,
 		}
 		if !w.crashTracker.RecordRemote(now, report, isHub) {
 			continue
@@ -197,9 +233,9 @@
 		w.logCrash(now, d.Process, signTold, w.crashTracker.DownTold(now, d.Process, time.Duration(d.AgeMs)*time.Millisecond)...)
 	}
 	for _, c := range g.CrashClearances {
-		cleared := crash.Clearance{Fingerprint: c.Fingerprint, Age: time.Duration(c.AgeMs) * time.Millisecond}
+		cleared := crash.Clearance{Fingerprint: c.Fingerprint, IsPart: c.Part, Age: time.Duration(c.AgeMs) * time.Millisecond}
 		if w.crashTracker.ServedElsewhere(now, cleared) {
-			w.logger.Info("request that ran at crashes was served by peer", "fingerprint", formatFingerprint(c.Fingerprint), "peer", peer)
+			w.logger.Info("request that ran at crashes was served by peer", "fingerprint", formatFingerprint(c.Fingerprint), "part", c.Part, "peer", peer)
 		}
 	}
 }
