A stream without an event that ends with its connection is broken off

An upstream that crashes as it begins a stream with neither a length nor chunks ends its connection after the header. The caller got a success with no event, no other upstream was tried, and the request counted as none that crashes upstreams. Such a stream now counts as broken off, as one that ends within an event did before; ends between events are complete.

TestStreamThatEndsWithItsConnectionIsCompleteOnlyAfterAnEvent failed in 2 of 10 cases (no event at all, blank lines alone) and passes.

--- a/internal/edge/flow/crash_test.go
+++ b/internal/edge/flow/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -82,3 +83,42 @@
 		require.Equal(t, served, f.served, answer)
 	}
 }
+
+// Guards against a stream that has neither a length nor chunks and looks complete although
+// its upstream broke it off: within an event, or before the first one.
+func TestStreamThatEndsWithItsConnectionIsCompleteOnlyAfterAnEvent(t *testing.T) {
+	const first, second = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	whole := strings.ReplaceAll(first+second, "\n", "\r\n")
+	for name, c := range map[string]struct {
+		sent     string
+		complete bool
+	}{
+		"between events":           {first + second, true},
+		"before the first event":   {"", false},
+		"blank lines alone":        {"\n\n", false},
+		"a comment alone":          {": begins\n", false},
+		"within the ID of the 1st": {"id:", false},
+		"within the 1st":           {"id: 1\ndata: a\n", false},
+		"within the ID of the 2nd": {first + "id: 2", false},
+		"within the data":          {first + "id: 2\ndata: ", false},
+		"before the blank line":    {first + "id: 2\ndata: b\n", false},
+		"within the line end":      {first + "id: 2\ndata: b\n\r", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.addUpstream("one", streamHeader+c.sent)
+			f.addUpstream("two", streamHeader+first+second)
+			_, body, err := f.call("/long/x")
+			require.NoError(t, err)
+			require.Equal(t, whole, body)
+			require.Equal(t, !c.complete, len(f.executed) == 2, "it is resumed only if it was broken off")
+
+			f = newFixture(t)
+			f.addUpstream("one", streamHeader+c.sent)
+			response, _, err := f.call("/once/x")
+			succeeds := err == nil && response.StatusCode == http.StatusOK
+			require.Equal(t, c.complete, succeeds)
+			require.Equal(t, !c.complete, len(f.crashReports) > 0, "it may be a crash")
+		})
+	}
+}
--- a/internal/edge/flow/stream.go
+++ b/internal/edge/flow/stream.go
@@ -19,7 +19,12 @@
 	maxEventBytes = 1 << 20
 )
 
-var errEventTooLong = errors.New("stream event exceeds 1 MiB")
+var (
+	errEventTooLong = errors.New("stream event exceeds 1 MiB")
+	// errNoEvent is the error of a stream whose connection ended before an event, as that of
+	// an upstream that crashes.
+	errNoEvent = errors.New("stream ended before its first event")
+)
 
 // streamProgress is what the caller has received of an answer so far.
 type streamProgress struct {
@@ -88,6 +93,9 @@
 	var eventAt time.Time
 	for {
 		next, err := reader.next()
+		if errors.Is(err, io.EOF) && c.events == 0 && answer.EndsWithConnection() {
+			err = errNoEvent
+		}
 		if errors.Is(err, io.EOF) {
 			answer.Close(true)
 			c.endStream(answer)
