A gateway may use the slots of plain upstreams that the others leave

While most callers connect to one gateway, it refused requests to plain services as 'all upstreams of the service are full' beside idle upstreams: each gateway kept to twice its even share of the slots and a quarter of them, 3 of 8 with 20 gateways. Now it may use what the others leave by the upstream's last report (300 ms at most), or all while nothing is known of them, but keeps to its part for a second after an upstream turned a request away. Engines are chosen here only while no scheduler can be asked; there the parts stay.

--- a/internal/sched/local/local.go
+++ b/internal/sched/local/local.go
@@ -40,6 +40,9 @@
 	// queueShare is how many requests this process may have at an upstream beyond twice
 	// its even share of the slots, as a share of all slots of the upstream.
 	queueShare = 0.25
+	// declineMemory is how long after an upstream turned a request away this process keeps
+	// to its part of the slots, since the others may use the rest.
+	declineMemory = time.Second
 	// fullRetryAfter is the retry delay when all upstreams are full.
 	fullRetryAfter = 250 * time.Millisecond
 	// noUpstreamRetryAfter is the retry delay when a service has no upstream.
@@ -58,11 +61,20 @@
 	load             exchange.Load
 	loadAt           time.Time
 	ownRunningAtLoad int
+	declinedAt       time.Time
 	failuresInRow    int
 	backoffUntil     time.Time
 	failureRate      failure.Rate
 }
 
+// external returns the requests of other processes that the upstream reported recently.
+func (s *upstreamState) external(now time.Time) float64 {
+	if now.Sub(s.loadAt) >= loadMaxAge {
+		return 0
+	}
+	return max(0, float64(s.load.Running+s.load.Waiting-s.ownRunningAtLoad))
+}
+
 // Limiter limits the requests to upstreams that take few of them at the moment.
 type Limiter interface {
 	// Wait returns how long it takes until this process may send a request to the upstream.
@@ -128,7 +140,7 @@
 		return nil, flow.RefusePlacement(noUpstreamRetryAfter, "no upstream of the service is left to try")
 	}
 	state := c.state(best.ID)
-	if c.full(state, best) {
+	if c.full(now, state, best, req) {
 		return nil, flow.RefusePlacement(fullRetryAfter, "all upstreams of the service are full")
 	}
 	state.running++
@@ -164,11 +176,23 @@
 }
 
 // full reports whether this process has as many requests at the upstream as it may have:
-// twice its even share of the slots plus queueShare of them, and at least two, because
+// what the other processes leave of its slots, but no less than its part. Engines are chosen
+// here only while no scheduler can be asked, by all processes at once, so each keeps to its
+// part of them.
+func (c *Chooser) full(now time.Time, state *upstreamState, u roster.Upstream, req flow.PlacementRequest) bool {
+	limit := c.part(u)
+	if isGeneration := req.PromptTokens > 0 || req.OutputTokens > 0; !isGeneration && now.Sub(state.declinedAt) >= declineMemory {
+		limit = max(limit, float64(u.Slots)-state.external(now))
+	}
+	return float64(state.running) >= limit
+}
+
+// part returns the requests that this process may have at the upstream whatever the others
+// have: twice its even share of the slots plus queueShare of them, and at least two, because
 // callers are distributed unevenly among the processes.
-func (c *Chooser) full(state *upstreamState, u roster.Upstream) bool {
+func (c *Chooser) part(u roster.Upstream) float64 {
 	evenShare := float64(u.Slots) / float64(max(1, c.processCount()))
-	return float64(state.running) >= max(2, 2*evenShare+queueShare*float64(u.Slots))
+	return max(2, 2*evenShare+queueShare*float64(u.Slots))
 }
 
 // cheapest returns the upstream with the lowest cost. Upstreams that are skipped because of
@@ -221,11 +245,7 @@
 // cost returns the share of the upstream's slots in use, by the requests of this process, by
 // those of others that it reported recently, and by the cost of another failure domain.
 func (c *Chooser) cost(now time.Time, state *upstreamState, u roster.Upstream) float64 {
-	running := float64(state.running)
-	if now.Sub(state.loadAt) < loadMaxAge {
-		external := float64(state.load.Running + state.load.Waiting - state.ownRunningAtLoad)
-		running += max(0, external)
-	}
+	running := float64(state.running) + state.external(now)
 	if u.Domain != c.domain {
 		running += crossDomainCost
 	}
@@ -268,6 +288,7 @@
 	case flow.Interrupted:
 		state.failureRate.Broken(now)
 	case flow.Declined:
+		state.declinedAt = now
 		state.failureRate.Failed(now)
 	case flow.Unreachable:
 		state.failuresInRow++
