Gateways that all restart still refuse what crashes upstreams

After a restart of all gateways a request that crashes upstreams was sent again until three more had ended: what was known lived in the gateways' memory and in what they tell each other. The scheduler now writes each refusal to the store under a lease of its length, and all read it with what they watch anyway; it costs two calls for a refusal. A refusal that ends early, because an upstream served the request, is deleted, and one from the store ends with its key.

--- a/internal/limit/crash/crash.go
+++ b/internal/limit/crash/crash.go
@@ -71,8 +71,9 @@
 	judgedAt time.Time
 	// waiting holds the requests that wait for an upstream.
 	waiting map[*waiter]struct{}
-	// refusedUntil holds the fingerprints whose refusal was announced.
-	refusedUntil map[uint64]time.Time
+	// refusedUntil holds the fingerprints whose refusal was announced, and restoredUntil
+	// those that were refused before this process started.
+	refusedUntil, restoredUntil map[uint64]time.Time
 	// pending holds the functions to call once the lock is released.
 	pending    []func()
 	onCrash    func()
@@ -80,16 +81,6 @@
 	lastExpiry time.Time
 }
 
-// Refusal is the refusal of requests that crash upstreams.
-type Refusal struct {
-	// Fingerprint is that of the requests or, if IsPart is set, of a part of their prompts.
-	Fingerprint uint64
-	IsPart      bool
-	// With are the parts that requests must have besides to be refused.
-	With  []uint64
-	Until time.Time
-}
-
 // waiter is a request that wants to be told when it becomes blocked.
 type waiter struct {
 	fingerprint uint64
@@ -101,18 +92,14 @@
 // something that other processes should be told without delay; onCrash may be nil.
 func New(onCrash func()) *Tracker {
 	return &Tracker{
-		refusedUntil: make(map[uint64]time.Time),
-		interrupted:  make(map[string][]suspectedRequest), ended: make(map[string]endedProcess), crashes: make(map[uint64][]*record),
+		refusedUntil: make(map[uint64]time.Time), restoredUntil: make(map[uint64]time.Time),
+		interrupted: make(map[string][]suspectedRequest), ended: make(map[string]endedProcess), crashes: make(map[uint64][]*record),
 		cleared: make(map[uint64]time.Time), clearedParts: make(map[uint64]time.Time), onProbation: make(map[uint64]time.Time),
 		partServed: make(map[uint64]time.Time), partCrashedAt: make(map[uint64]time.Time), partBlocks: make(map[uint64]*partBlock),
 		explained: make(map[string]bool), waiting: make(map[*waiter]struct{}), onCrash: onCrash,
 	}
 }
 
-// OnRefusal sets the function that is called when a refusal begins. It must be called before
-// any other method.
-func (t *Tracker) OnRefusal(f func(Refusal)) { t.onRefusal = f }
-
 // Blocked reports whether requests with the fingerprint, and with these parts of their
 // prompts besides their own, are refused.
 func (t *Tracker) Blocked(now time.Time, fingerprint uint64, parts ...uint64) bool {
@@ -127,7 +114,7 @@
 
 func (t *Tracker) blockedLocked(now time.Time, fingerprint uint64) bool {
 	crashes := t.crashesLocked(now, fingerprint)
-	return crashes >= blockAfterCrashes || (crashes > 0 && now.Before(t.onProbation[fingerprint]))
+	return crashes >= blockAfterCrashes || (crashes > 0 && now.Before(t.onProbation[fingerprint])) || now.Before(t.restoredUntil[fingerprint])
 }
 
 // Crashes returns how many upstreams are known to have crashed under the fingerprint.
@@ -137,24 +124,6 @@
 	return t.crashesLocked(now, fingerprint)
 }
 
-// Refusals returns how many fingerprints and parts of prompts are refused.
-func (t *Tracker) Refusals(now time.Time) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	n := 0
-	for fingerprint := range t.refusedUntil {
-		if t.blockedLocked(now, fingerprint) {
-			n++
-		}
-	}
-	for _, block := range t.partBlocks {
-		if block.inForce(now) {
-			n++
-		}
-	}
-	return n
-}
-
 // crashesLocked counts the processes that crashed under the fingerprint. A process of an
 // older version names an upstream without its process.
 func (t *Tracker) crashesLocked(now time.Time, fingerprint uint64) int {
@@ -207,13 +176,6 @@
 	t.notifyWaitersLocked(now)
 }
 
-// announceLocked has the function for refusals called.
-func (t *Tracker) announceLocked(r Refusal) {
-	if t.onRefusal != nil {
-		t.pending = append(t.pending, func() { t.onRefusal(r) })
-	}
-}
-
 // notifyWaitersLocked has the functions of the waiting requests called that are blocked by
 // now.
 func (t *Tracker) notifyWaitersLocked(now time.Time) {
@@ -263,7 +225,9 @@
 // clearLocked makes the crashes of a fingerprint that was served at a time count no
 // longer, and reports whether any counted.
 func (t *Tracker) clearLocked(now, servedAt time.Time, fingerprint uint64) bool {
-	clears := false
+	restoredUntil, clears := t.restoredUntil[fingerprint]
+	clears = clears && now.Before(restoredUntil)
+	delete(t.restoredUntil, fingerprint)
 	for _, r := range t.crashes[fingerprint] {
 		if now.Before(r.end()) && !r.crashedAt().After(servedAt) {
 			r.latestEnd, clears = now, true
@@ -300,6 +264,11 @@
 		}
 	}
 	t.expireParts(now)
+	for fingerprint, until := range t.restoredUntil {
+		if !now.Before(until) {
+			delete(t.restoredUntil, fingerprint)
+		}
+	}
 	for fingerprint, until := range t.refusedUntil {
 		if !now.Before(until) {
 			delete(t.refusedUntil, fingerprint)
--- a/internal/role/gateway/fleet_test.go
+++ b/internal/role/gateway/fleet_test.go
@@ -191,15 +191,20 @@
 	f.cancels = append(f.cancels, cancel)
 	f.stopOnce = append(f.stopOnce, &sync.Once{})
 	f.exits = append(f.exits, make(chan error, 1))
-	settings := f.settings(i)
+	f.nodes = append(f.nodes, f.run(ctx, i))
+}
+
+// run starts a gateway's process.
+func (f *fleet) run(ctx context.Context, i int) *gateway.Gateway {
+	settings, exit := f.settings(i), f.exits[i]
 	g := gateway.New(gateway.Dependencies{
 		Settings: settings, Store: platform.NewStore(storeAddress(i), f.network.DialContext), Decoder: platform.Decoder{},
 		Headers: platform.Headers{}, AnswerHeaders: platform.AnswerHeaders(), Dialer: f.dialer(i),
 		Listen: func(_, address string) (net.Listener, error) { return f.network.Listen(address) },
 		Logger: f.logger.With("node", settings.Name), Now: time.Now,
 	})
-	f.nodes = append(f.nodes, g)
-	go func() { f.exits[i] <- g.Run(ctx) }()
+	go func() { exit <- g.Run(ctx) }()
+	return g
 }
 
 func (f *fleet) settings(i int) gateway.Settings {
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -152,6 +152,7 @@
 	ledger            *quota.Ledger
 	crashTracker      *crash.Tracker
 	crashes           *crashWatch
+	crashStore        *crashStore
 	peers             *peers
 	mesh              *mesh.Mesh
 	granter           *granter.Granter
@@ -220,6 +221,7 @@
 	g.quota = quota.New(s.Quota, g.peers.gatewayCount)
 	g.crashTracker = crash.New(func() { g.mesh.GossipNow() })
 	g.crashes = newCrashWatch(g)
+	g.crashStore = newCrashStore(g)
 	g.mesh = mesh.New(s.Name, s.LinkAddress, g.runID, deps.Dialer, g.peers, logger, now)
 	g.peers.isHub = g.mesh.IsHub
 	g.granter = granter.New(now, g.peers.deliverDecision, logger)
@@ -289,6 +291,7 @@
 	group.Go(func() error { return g.follower.Run(background) })
 	group.Go(func() error { return g.sweep(background) })
 	group.Go(func() error { return g.crashes.run(background) })
+	group.Go(func() error { return g.crashStore.run(background) })
 	group.Go(func() error {
 		return g.serveHTTP(background, g.settings.ReadinessAddress, http.HandlerFunc(g.serveReadiness))
 	})
@@ -390,7 +393,8 @@
 }
 
 // newFollower returns the follower that keeps the configuration, the upstreams, the
-// other gateways, the rollouts and the engine speeds in step with the store.
+// other gateways, the rollouts, the engine speeds and what crashes upstreams in step with
+// the store.
 func (g *Gateway) newFollower() *follow.Follower {
 	views := follow.Mux{
 		// Evacuations come first: no upstream is used before they are known.
@@ -401,6 +405,7 @@
 		{Prefix: g.settings.OrderPrefix, View: orderView{g.rolloutController}},
 		{Prefix: rolloutStatePrefix, View: stateView{g.rolloutController}},
 		{Prefix: speedsKey, View: g.speedStore},
+		{Prefix: crashCausePrefix, View: g.crashStore},
 	}
 	return follow.New(g.store, views, follow.Options{
 		WatchPause: g.storePollPause, WatchTimeout: g.settings.ConfigApplyLimit,
--- a/internal/role/gateway/metrics.go
+++ b/internal/role/gateway/metrics.go
@@ -67,7 +67,7 @@
 	gauge("upstreams_leaving", "Registered upstreams that have said in an answer that they leave.", func() float64 { return float64(len(g.roster.Leaving())) })
 	gauge("upstreams_resting", "Upstreams that asked this gateway for rest, which is not over.", func() float64 { return float64(g.guard.rests.Resting(g.now())) })
 	gauge("refused_crash_causes", "Requests and parts of prompts that are refused because they crash upstreams.", func() float64 {
-		return float64(g.crashTracker.Refusals(g.now()))
+		return float64(len(g.crashTracker.Refusals(g.now())))
 	})
 	gauge("failure_domains_evacuated", "Failure domains whose upstreams get no requests by order of the operators.", func() float64 {
 		_, domains := g.evacuations.set.State()
