Gateways that all restart still refuse parts that crash upstreams

As with requests: after a restart of all gateways a part of prompts ended four more upstreams before it was refused. Refusals of parts are written to the store and read from it, with the parts that requests must have to be refused.

--- a/internal/limit/crash/parts.go
+++ b/internal/limit/crash/parts.go
@@ -37,6 +37,8 @@
 	// part among them. Only requests that have all of them are refused, since any of them
 	// may be the cause.
 	with []uint64
+	// restored reports that no crash is known here that led to it.
+	restored bool
 }
 
 func (b *partBlock) inForce(now time.Time) bool { return now.Before(b.until) }
@@ -282,7 +284,7 @@
 		switch {
 		case block == nil || !block.onProbation(now) || !t.countsAgainst(now, r, part):
 		case block.inForce(now):
-			block.until = later(block.until, now.Add(block.length))
+			block.until, block.restored = later(block.until, now.Add(block.length)), false
 		default:
 			t.blockPartLocked(now, part)
 		}
--- a/internal/limit/crash/refusals.go
+++ b/internal/limit/crash/refusals.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"slices"
 	"time"
 )
 
@@ -35,6 +36,11 @@
 			refusals = append(refusals, Refusal{Fingerprint: fingerprint, Until: until})
 		}
 	}
+	for part, block := range t.partBlocks {
+		if block.inForce(now) {
+			refusals = append(refusals, Refusal{Fingerprint: part, IsPart: true, With: slices.Clone(block.with), Until: block.until})
+		}
+	}
 	return refusals
 }
 
@@ -49,9 +55,17 @@
 	if !now.Before(until) {
 		return
 	}
-	if !r.IsPart && !t.blockedLocked(now, r.Fingerprint) && len(t.restoredUntil) < maxOnProbation {
-		t.restoredUntil[r.Fingerprint], t.refusedUntil[r.Fingerprint] = until, until
+	if !r.IsPart {
+		if !t.blockedLocked(now, r.Fingerprint) && len(t.restoredUntil) < maxOnProbation {
+			t.restoredUntil[r.Fingerprint], t.refusedUntil[r.Fingerprint] = until, until
+		}
+		return
+	}
+	known := t.partBlocks[r.Fingerprint]
+	if (known != nil && known.inForce(now)) || len(t.partBlocks) >= maxBlockedParts || !slices.Contains(r.With, r.Fingerprint) {
+		return
 	}
+	t.partBlocks[r.Fingerprint] = &partBlock{until: until, length: retention, with: slices.Clone(r.With), restored: true}
 }
 
 // Lift ends a refusal that Restore added and that no crash has confirmed since.
@@ -60,5 +74,9 @@
 	defer t.mu.Unlock()
 	if !isPart {
 		delete(t.restoredUntil, fingerprint)
+		return
+	}
+	if block := t.partBlocks[fingerprint]; block != nil && block.restored {
+		delete(t.partBlocks, fingerprint)
 	}
 }
--- a/internal/role/gateway/crashes_restart_test.go
+++ b/internal/role/gateway/crashes_restart_test.go
@@ -27,7 +27,7 @@
 // what is known to crash upstreams until it has seen enough crashes itself.
 func TestGatewaysThatRestartKnowWhatCrashesUpstreams(t *testing.T) {
 	crashes := func(r *http.Request) bool {
-		return strings.HasPrefix(r.URL.Path, crashPath)
+		return strings.Contains(r.Header.Get(promptHeader), crashingPart) || strings.HasPrefix(r.URL.Path, crashPath)
 	}
 	for name, restart := range map[string]func(c *crashingEngines){
 		"one":                 func(c *crashingEngines) { c.restart(0) },
@@ -46,15 +46,17 @@
 			var beside []outcome
 			runFleet(t, func(f *fleet) {
 				c = newCrashingEngines(f, crashes)
+				c.repeatPart(6, 1200*time.Millisecond)
 				c.repeat(6, 1200*time.Millisecond)
 				bubble.Sleep(2 * time.Second)
 				restart(c)
 				bubble.Sleep(2 * time.Second)
 				before := len(c.arrivedAt)
+				c.repeatPart(3, 1200*time.Millisecond)
 				c.repeat(3, 1200*time.Millisecond)
 				after = len(c.arrivedAt) - before
 				for i := range gateways {
-					beside = append(beside, f.call(i, "/old/x?events=1", fmt.Sprint("beside-", i)))
+					beside = append(beside, c.callWithParts(i, fmt.Sprint("beside-", i), firstPart, subject(i)))
 				}
 				f.store.SetFault(standin.None)
 				bubble.Sleep(restartTime + lapseTime)
@@ -86,16 +88,16 @@
 	runFleet(t, func(f *fleet) {
 		broken := true
 		c = newCrashingEngines(f, func(r *http.Request) bool {
-			return broken && strings.HasPrefix(r.URL.Path, crashPath)
+			return broken && strings.Contains(r.Header.Get(promptHeader), crashingPart)
 		})
-		c.repeat(6, 1200*time.Millisecond)
+		c.repeatPart(6, 1200*time.Millisecond)
 		bubble.Sleep(2 * time.Second)
 		f.restartAll()
 		bubble.Sleep(2 * time.Second)
 		broken = false
-		during = f.call(0, crashPath, "during")
+		during = c.callWithParts(0, "during", firstPart, crashingPart, subject(0))
 		bubble.Sleep(3 * time.Minute)
-		after = f.call(1, crashPath, "after")
+		after = c.callWithParts(1, "after", firstPart, crashingPart, subject(0))
 		stored = f.store.Count("crash-causes/")
 	})
 	require.Equal(t, http.StatusServiceUnavailable, during.status)
