A request that silences upstreams counts their end as a crash

An upstream whose process ends with its VM closes no connection: answers stay silent, and the gateway knew nothing of a crash until the caller gave up. A request of which nothing has come for 1.5 s when its upstream's process is gone, by its registration or by another process at its address, now counts as one under which it crashed; one whose caller gives up later does so for a minute.

--- a/internal/edge/flow/attempt.go
+++ b/internal/edge/flow/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 
 	"github.com/joomcode/errorx"
 
@@ -15,6 +16,8 @@
 	c.sentAt, c.events, c.longestGap, c.survived = c.Now(), 0, 0, false
 	upstream := placement.Upstream()
 	c.upstream, c.firstEvent = upstream.ID, 0
+	c.endSilence = sync.OnceFunc(c.Crashes.Sent(c.sentAt, upstream, c.crashKey()))
+	defer c.endSilence()
 	answer, err := c.send(ctx, upstream, false)
 	if c.maySendOnNewConnection(ctx, err) {
 		c.logger.Info("kept connection to upstream was closed, sending on a new one", "upstream", upstream.ID, "err", err)
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -129,11 +129,13 @@
 	// upstream, placementWait, firstEvent and longestGap describe the last attempt:
 	// its upstream, the time spent waiting for a placement, the time to the first
 	// event and the longest pause between later events. survived reports that its
-	// upstream has executed the request for beginTime since firstEventAt.
+	// upstream has executed the request for beginTime since firstEventAt, and endSilence is
+	// called when the first event comes.
 	upstream      string
 	sentAt        time.Time
 	firstEventAt  time.Time
 	survived      bool
+	endSilence    func()
 	placementWait time.Duration
 	firstEvent    time.Duration
 	longestGap    time.Duration
--- a/internal/edge/flow/request.go
+++ b/internal/edge/flow/request.go
@@ -238,6 +238,9 @@
 	Blocked(now time.Time, key CrashKey) bool
 	// WhenBlocked calls blocked once they are, until stop is called.
 	WhenBlocked(key CrashKey, blocked func()) (stop func())
+	// Sent records that the request is sent to an upstream, until done is called because
+	// something came of the answer, or nothing will.
+	Sent(now time.Time, upstream roster.Upstream, key CrashKey) (done func())
 	// Broke records that an upstream broke off while it executed the request, and whether
 	// it had just begun to.
 	Broke(now time.Time, upstream roster.Upstream, key CrashKey, begun bool)
--- a/internal/edge/flow/stale_test.go
+++ b/internal/edge/flow/stale_test.go
@@ -85,6 +85,8 @@
 	return f
 }
 
+func (f *fixture) Sent(time.Time, roster.Upstream, flow.CrashKey) (done func()) { return func() {} }
+
 func (f *fixture) Broke(_ time.Time, upstream roster.Upstream, _ flow.CrashKey, _ bool) {
 	f.crashReports = append(f.crashReports, upstream.ID+" broke")
 }
--- a/internal/edge/flow/stream.go
+++ b/internal/edge/flow/stream.go
@@ -112,6 +112,7 @@
 		if c.events == 1 {
 			c.firstEvent, c.firstEventAt = now.Sub(c.sentAt), now
 			placement.AnswerStarted(now)
+			c.endSilence()
 		} else {
 			c.longestGap = max(c.longestGap, now.Sub(eventAt))
 			c.recordSurvival(now)
--- a/internal/limit/crash/confirm.go
+++ b/internal/limit/crash/confirm.go
@@ -13,6 +13,12 @@
 	// endedRetention is how long an interrupted answer is remembered: the registration
 	// of a crashed upstream lapses after three heartbeats, and the store may be late.
 	endedRetention = 10 * time.Second
+	// goneRetention is how long a process that is gone is remembered: an answer that stays
+	// silent ends with its caller's patience.
+	goneRetention = time.Minute
+	// minSilence is how long nothing has come of an answer for its request to be suspected
+	// when the process is gone: a registration lapses later than that.
+	minSilence = 1500 * time.Millisecond
 	// tellWithin is how long the end of a process is told to peers. It is shorter than
 	// endedRetention, so that none hears again of what it has forgotten.
 	tellWithin = 5 * time.Second
@@ -34,6 +40,45 @@
 	silent bool
 }
 
+// runningRequest is a request that was sent and of whose answer nothing has come yet.
+type runningRequest struct {
+	fingerprint uint64
+	parts       []uint64
+	sentAt      time.Time
+}
+
+// Sent records that a request is sent to an upstream's process. The function that it returns
+// ends that, once something came of the answer or nothing will.
+func (t *Tracker) Sent(now time.Time, process string, fingerprint uint64, parts ...uint64) (done func()) {
+	r := &runningRequest{fingerprint: fingerprint, parts: parts, sentAt: now}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.running[process] == nil {
+		t.running[process] = make(map[*runningRequest]struct{})
+	}
+	t.running[process][r] = struct{}{}
+	return func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.running[process], r)
+		if len(t.running[process]) == 0 {
+			delete(t.running, process)
+		}
+	}
+}
+
+// suspectSilentLocked suspects the requests of which nothing has come yet from a process that
+// is gone.
+func (t *Tracker) suspectSilentLocked(now time.Time, process string) {
+	for r := range t.running[process] {
+		if now.Sub(r.sentAt) < minSilence || t.interruptedCount >= maxSuspicions {
+			continue
+		}
+		t.interrupted[process] = append(t.interrupted[process], suspectedRequest{fingerprint: r.fingerprint, parts: r.parts, at: now, silent: true})
+		t.interruptedCount++
+	}
+}
+
 // endedProcess is what is known of the end of an upstream's process.
 type endedProcess struct {
 	at time.Time
@@ -44,10 +89,22 @@
 // explains reports whether the end of the process is why the answer was interrupted.
 func (e endedProcess) explains(s suspectedRequest) bool {
 	apart := e.at.Sub(s.at).Abs()
-	if e.gone {
+	switch {
+	case e.gone && s.silent && s.at.After(e.at):
+		return apart <= goneRetention
+	case e.gone:
 		return apart <= endedRetention
+	default:
+		return apart <= confirmationWindow && !s.silent
 	}
-	return apart <= confirmationWindow && !s.silent
+}
+
+// retention returns how long the end is remembered.
+func (e endedProcess) retention() time.Duration {
+	if e.gone {
+		return goneRetention
+	}
+	return endedRetention
 }
 
 // Broke records that an upstream's process interrupted the answer to a request, and
@@ -107,6 +164,9 @@
 	if isNew && (isKnown || len(t.ended) < maxEnded) {
 		t.ended[process] = e
 	}
+	if isNew && e.gone {
+		t.suspectSilentLocked(now, process)
+	}
 	var observed []uint64
 	t.interrupted[process] = slices.DeleteFunc(t.interrupted[process], func(s suspectedRequest) bool {
 		if !e.explains(s) {
@@ -206,7 +266,7 @@
 		}
 	}
 	for process, e := range t.ended {
-		if now.Sub(e.at) > endedRetention {
+		if now.Sub(e.at) > e.retention() {
 			delete(t.ended, process)
 		}
 	}
--- a/internal/limit/crash/crash.go
+++ b/internal/limit/crash/crash.go
@@ -46,6 +46,8 @@
 	// interruptedCount is their number.
 	interrupted      map[string][]suspectedRequest
 	interruptedCount int
+	// running holds, by process, the requests of whose answers nothing has come yet.
+	running map[string]map[*runningRequest]struct{}
 	// ended holds the processes that are known to have ended.
 	ended map[string]endedProcess
 	// crashes holds the crashes by fingerprint, and recordCount is their number.
@@ -92,6 +94,7 @@
 // something that other processes should be told without delay; onCrash may be nil.
 func New(onCrash func()) *Tracker {
 	return &Tracker{
+		running:      make(map[string]map[*runningRequest]struct{}),
 		refusedUntil: make(map[uint64]time.Time), restoredUntil: make(map[uint64]time.Time),
 		interrupted: make(map[string][]suspectedRequest), ended: make(map[string]endedProcess), crashes: make(map[uint64][]*record),
 		cleared: make(map[uint64]time.Time), clearedParts: make(map[uint64]time.Time), onProbation: make(map[uint64]time.Time),
--- a/internal/limit/crash/signs_test.go
+++ b/internal/limit/crash/signs_test.go
@@ -69,6 +69,8 @@
 	switch verb {
 	case "broke":
 		tracker.Broke(now, args[0], fingerprint(1))
+	case "sent":
+		tracker.Sent(now, args[0], fingerprint(1), parts(2)...)
 	case "unanswered":
 		tracker.Unanswered(now, args[0], fingerprint(1))
 	case "refused":
--- a/internal/role/gateway/crashes.go
+++ b/internal/role/gateway/crashes.go
@@ -69,6 +69,11 @@
 	return w.crashTracker.WhenBlocked(blocked, key.Fingerprint, key.Parts...)
 }
 
+// Sent implements flow.CrashTracker.
+func (w *crashWatch) Sent(now time.Time, upstream roster.Upstream, key flow.CrashKey) (done func()) {
+	return w.crashTracker.Sent(now, crashProcess(upstream), key.Fingerprint, key.Parts...)
+}
+
 // Broke implements flow.CrashTracker. The scheduler avoids an upstream that broke off an
 // answer, so that a request may not show for long whether it still runs.
 func (w *crashWatch) Broke(now time.Time, upstream roster.Upstream, key flow.CrashKey, begun bool) {
--- a/internal/role/gateway/crashes_test.go
+++ b/internal/role/gateway/crashes_test.go
@@ -34,8 +34,9 @@
 	*fleet
 	// crashes reports whether a request crashes the engine.
 	crashes func(r *http.Request) bool
-	// keepsID makes a crashed engine start again under the ID that it had.
-	keepsID bool
+	// keepsID makes a crashed engine start again under the ID that it had, and silent makes
+	// its connections stay open with nothing on them.
+	keepsID, silent bool
 
 	mu      sync.Mutex
 	servers [engines]*http.Server
@@ -72,6 +73,9 @@
 		w.WriteHeader(http.StatusOK)
 		_ = http.NewResponseController(w).Flush()
 		bubble.Sleep(crashDelay)
+		if c.silent {
+			c.network.Vanish(engineAddress(engine))
+		}
 		c.crash(engine)
 		panic(http.ErrAbortHandler)
 	}))
@@ -102,6 +106,7 @@
 		c.starts[engine]++
 		born := c.starts[engine]
 		c.mu.Unlock()
+		c.network.Restore(engineAddress(engine))
 		c.listen(engine)
 		c.store.Put(c.registration(engine), fmt.Sprintf(
 			`{"service":"tutor","address":%q,"zone":"a","version":"v1","slots":%d,"state":"ready","born":%d}`, engineAddress(engine), slots, born))
@@ -153,6 +158,7 @@
 	},
 	"the scheduler is lost":  func(c *crashingEngines) { c.network.Vanish(linkAddress(c.scheduler())) },
 	"engines keep their IDs": func(c *crashingEngines) { c.keepsID = true },
+	"engines fall silent":    func(c *crashingEngines) { c.silent = true },
 }
 
 // pressSound makes calls of one sound request at all gateways, some at a time.
