Test of streams without a length waits for the handler before it reads its records

The race detector found that the test read what the handler records after the caller saw a broken stream, while the handler still ran (1 of 1 runs with -race). The checks are as they were.

--- a/internal/edge/flow/crash_test.go
+++ b/internal/edge/flow/crash_test.go
@@ -117,6 +117,7 @@
 			f.addUpstream("one", streamHeader+c.sent)
 			response, _, err := f.call("/once/x")
 			succeeds := err == nil && response.StatusCode == http.StatusOK
+			f.server.Close() // waits for the handler, which may still record what broke off
 			require.Equal(t, c.complete, succeeds)
 			require.Equal(t, !c.complete, len(f.crashReports) > 0, "it may be a crash")
 		})
