Test: sound requests are served beside a part that crashes upstreams

Sound requests of the same caller, with the same first part and the same subjects, are pressed while others with a crashing part come all at once or now and then. From six seconds after the time of five of them on, they are served at least half as often as before. The engines of the test crash once per process, also under several requests.

--- a/internal/role/gateway/crashes_test.go
+++ b/internal/role/gateway/crashes_test.go
@@ -41,6 +41,7 @@
 	mu      sync.Mutex
 	servers [engines]*http.Server
 	starts  [engines]int
+	down    [engines]bool
 	// crashedAt holds the time of each crash, and arrivedAt of each request that causes one.
 	crashedAt, arrivedAt []time.Time
 }
@@ -96,14 +97,20 @@
 func (c *crashingEngines) crash(engine int) {
 	former := c.registration(engine)
 	c.mu.Lock()
-	server := c.servers[engine]
-	c.crashedAt = append(c.crashedAt, time.Now())
+	server, isDown := c.servers[engine], c.down[engine]
+	if !isDown {
+		c.down[engine], c.crashedAt = true, append(c.crashedAt, time.Now())
+	}
 	c.mu.Unlock()
+	if isDown {
+		return
+	}
 	require.NoError(c.t, server.Close())
 	go func() {
 		bubble.Sleep(restartTime)
 		c.mu.Lock()
 		c.starts[engine]++
+		c.down[engine] = false
 		born := c.starts[engine]
 		c.mu.Unlock()
 		c.network.Restore(engineAddress(engine))
--- a/internal/role/gateway/crashing_part_test.go
+++ b/internal/role/gateway/crashing_part_test.go
@@ -98,3 +98,46 @@
 		})
 	}
 }
+
+// Guards against sound requests that are refused or find no upstream, because they share
+// their caller and their first part with requests that crash upstreams.
+func TestSoundRequestsAreServedBesideAPartThatCrashesUpstreams(t *testing.T) {
+	for name, every := range map[string]time.Duration{"all at once": 50 * time.Millisecond, "now and then": 700 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			var mu sync.Mutex
+			calls, served := make(map[bool]int), make(map[bool]int)
+			runFleet(t, func(f *fleet) {
+				c := newCrashingEngines(f, func(r *http.Request) bool { return strings.Contains(r.Header.Get(promptHeader), crashingPart) })
+				began := time.Now()
+				var wg sync.WaitGroup
+				wg.Go(func() {
+					bubble.Sleep(5 * time.Second)
+					c.repeatPart(int(20*time.Second/every), every)
+				})
+				for n := 0; time.Since(began) < 25*time.Second; n++ {
+					sentAt := time.Since(began)
+					wg.Go(func() {
+						o := c.callWithParts(n%gateways, fmt.Sprint("sound-", n), firstPart, subject(n))
+						mu.Lock()
+						defer mu.Unlock()
+						before, after := sentAt < 5*time.Second, sentAt > 5*time.Second+5*every+2*contactTime
+						if !before && !after {
+							return
+						}
+						calls[after]++
+						if o.status == http.StatusOK {
+							served[after]++
+						}
+					})
+					bubble.Sleep(100 * time.Millisecond)
+				}
+				wg.Wait()
+				bubble.Sleep(restartTime + lapseTime)
+			})
+			const before, after = false, true
+			require.Greater(t, calls[before], 20)
+			require.Greater(t, calls[after], 20)
+			require.GreaterOrEqual(t, 2*served[after]*calls[before], served[before]*calls[after], "served %v of %v", served, calls)
+		})
+	}
+}
