Words: crashes are attributed, peers are notified

judge, unjudged and tell of the crash tracker become attribute, unattributed and notify. The Sent, Broke and Gone of a process keep their names.

--- a/internal/limit/crash/confirm.go
+++ b/internal/limit/crash/confirm.go
@@ -131,7 +131,7 @@
 		t.interruptedCount++
 	}
 	t.mu.Unlock()
-	t.tell(crashed)
+	t.notify(crashed)
 	return crashed
 }
 
@@ -183,7 +183,7 @@
 		delete(t.interrupted, process)
 	}
 	t.mu.Unlock()
-	t.tell(isNew || len(observed) > 0)
+	t.notify(isNew || len(observed) > 0)
 	return observed
 }
 
--- a/internal/limit/crash/crash.go
+++ b/internal/limit/crash/crash.go
@@ -68,9 +68,9 @@
 	partBlocks map[uint64]*partBlock
 	// explained holds the processes whose crashes a refused part explains.
 	explained map[string]bool
-	// unjudged is set if crashes with parts were added since judgedAt.
-	unjudged bool
-	judgedAt time.Time
+	// unattributed is set if crashes with parts were added since attributedAt.
+	unattributed bool
+	attributedAt time.Time
 	// waiting holds the requests that wait for an upstream.
 	waiting map[*waiter]struct{}
 	// refusedUntil holds the fingerprints whose refusal was announced, and restoredUntil
@@ -108,10 +108,10 @@
 func (t *Tracker) Blocked(now time.Time, fingerprint uint64, parts ...uint64) bool {
 	t.mu.Lock()
 	t.expire(now)
-	t.judgeIfDueLocked(now)
+	t.attributeIfDueLocked(now)
 	blocked := t.blockedLocked(now, fingerprint) || t.partsBlockedLocked(now, parts)
 	t.mu.Unlock()
-	t.tell(false)
+	t.notify(false)
 	return blocked
 }
 
@@ -189,9 +189,9 @@
 	}
 }
 
-// tell calls the pending functions and, if there is news, has peers notified. The lock must
+// notify calls the pending functions and, if there is news, has peers notified. The lock must
 // not be held.
-func (t *Tracker) tell(news bool) {
+func (t *Tracker) notify(news bool) {
 	t.mu.Lock()
 	pending := t.pending
 	t.pending = nil
@@ -211,7 +211,7 @@
 	clears := t.clearLocked(now, now, fingerprint)
 	clears = t.servePartsLocked(now, now, parts) || clears
 	t.mu.Unlock()
-	t.tell(clears)
+	t.notify(clears)
 	return clears
 }
 
@@ -221,7 +221,7 @@
 	t.mu.Lock()
 	clears := t.servePartsLocked(now, now, parts)
 	t.mu.Unlock()
-	t.tell(clears)
+	t.notify(clears)
 	return clears
 }
 
--- a/internal/limit/crash/parts.go
+++ b/internal/limit/crash/parts.go
@@ -24,9 +24,9 @@
 	maxCrashedParts = 8192
 	// maxBlockedParts limits the parts that are refused or on probation.
 	maxBlockedParts = 256
-	// judgeInterval is the shortest time between two searches for the parts that crash
+	// attributionInterval is the shortest time between two searches for the parts that crash
 	// upstreams: many requests may be lost in a moment.
-	judgeInterval = 20 * time.Millisecond
+	attributionInterval = 20 * time.Millisecond
 )
 
 // partBlock is the refusal of requests that have a part in their prompts.
@@ -142,12 +142,12 @@
 	return evidence
 }
 
-// judgeIfDueLocked searches for parts that crash upstreams, if there is news of crashes.
-func (t *Tracker) judgeIfDueLocked(now time.Time) {
-	if age := now.Sub(t.judgedAt); !t.unjudged || (age >= 0 && age < judgeInterval) {
+// attributeIfDueLocked searches for parts that crash upstreams, if there is news of crashes.
+func (t *Tracker) attributeIfDueLocked(now time.Time) {
+	if age := now.Sub(t.attributedAt); !t.unattributed || (age >= 0 && age < attributionInterval) {
 		return
 	}
-	t.judgePartsLocked(now)
+	t.attributeCrashesLocked(now)
 	t.notifyWaitersLocked(now)
 }
 
@@ -157,10 +157,10 @@
 	return cmp.Or(cmp.Compare(len(other.processes), len(e.processes)), cmp.Compare(e.requests, other.requests))
 }
 
-// judgePartsLocked refuses the parts of prompts that crash upstreams. What crashed with the
+// attributeCrashesLocked refuses the parts of prompts that crash upstreams. What crashed with the
 // strongest is no evidence against any other, which may only have run beside it.
-func (t *Tracker) judgePartsLocked(now time.Time) {
-	t.unjudged, t.judgedAt = false, now
+func (t *Tracker) attributeCrashesLocked(now time.Time) {
+	t.unattributed, t.attributedAt = false, now
 	t.explainLocked(now)
 	for range maxBlockedParts {
 		strongest := t.strongestEvidence(now)
@@ -289,8 +289,8 @@
 			t.blockPartLocked(now, part)
 		}
 	}
-	t.unjudged = true
-	t.judgeIfDueLocked(now)
+	t.unattributed = true
+	t.attributeIfDueLocked(now)
 }
 
 func later(x, y time.Time) time.Time {
@@ -303,7 +303,7 @@
 // servePartsLocked records that an upstream has served a request with these parts at a time,
 // and reports whether this clears any of crashes.
 func (t *Tracker) servePartsLocked(now, servedAt time.Time, parts []uint64) (clears bool) {
-	rejudge := false
+	attributeAgain := false
 	for _, part := range parts {
 		before := t.partServed[part]
 		if !servedAt.After(before) {
@@ -315,11 +315,11 @@
 		}
 		if t.partBlocks[part] != nil {
 			delete(t.partBlocks, part)
-			rejudge = true
+			attributeAgain = true
 		}
 	}
-	if clears || rejudge {
-		t.judgePartsLocked(now)
+	if clears || attributeAgain {
+		t.attributeCrashesLocked(now)
 	}
 	return clears
 }
--- a/internal/limit/crash/records.go
+++ b/internal/limit/crash/records.go
@@ -90,7 +90,7 @@
 		return false
 	}
 	isNew := t.recordRemote(now, report, relay)
-	t.tell(false)
+	t.notify(false)
 	return isNew
 }
 
--- a/internal/role/gateway/crashes.go
+++ b/internal/role/gateway/crashes.go
@@ -228,7 +228,7 @@
 			continue
 		}
 		w.metrics.crashes.WithLabelValues("peer").Inc()
-		w.logger.Info("crash told by peer", "upstream", c.Upstream, "fingerprint", formatFingerprint(c.Fingerprint),
+		w.logger.Debug("crash told by peer", "upstream", c.Upstream, "fingerprint", formatFingerprint(c.Fingerprint),
 			"crashes", w.crashTracker.Crashes(now, c.Fingerprint), "peer", peer, "life", report.Life)
 		if isHub {
 			w.mesh.GossipNow()
