The loss of many upstreams at once costs little gossip

Each request that an upstream interrupted as it crashed became a record that was gossiped at once and relayed by each hub at once; a rack of upstreams of twelve requests each would be a thousand records in a moment.

TestRequestThatHadRunForAWhileIsReportedFromItsSecondCrashOn is new.

--- a/internal/edge/flow/crash.go
+++ b/internal/edge/flow/crash.go
@@ -58,15 +58,15 @@
 // upstreams that execute it.
 func (c *call) crashesUpstreams() bool { return c.Crashes.Blocked(c.Now(), c.crashKey()) }
 
-// hasBegun reports whether the last attempt's upstream has executed the request for a while.
-func (c *call) hasBegun(now time.Time) bool {
+// hasLasted reports whether the last attempt's upstream has executed the request for a while.
+func (c *call) hasLasted(now time.Time) bool {
 	return c.events > 0 && now.Sub(c.firstEventAt) >= beginTime
 }
 
 // recordSurvival records once that the last attempt's upstream has executed the request for a
 // while.
 func (c *call) recordSurvival(now time.Time) {
-	if c.survived || !c.hasBegun(now) {
+	if c.survived || !c.hasLasted(now) {
 		return
 	}
 	c.survived = true
--- a/internal/edge/flow/request.go
+++ b/internal/edge/flow/request.go
@@ -242,8 +242,8 @@
 	// something came of the answer, or nothing will.
 	Sent(now time.Time, upstream roster.Upstream, key CrashKey) (done func())
 	// Broke records that an upstream broke off while it executed the request, and whether
-	// it had just begun to.
-	Broke(now time.Time, upstream roster.Upstream, key CrashKey, begun bool)
+	// it had only just begun to.
+	Broke(now time.Time, upstream roster.Upstream, key CrashKey, justBegun bool)
 	// Unanswered records that nothing came of the answer to a request that was canceled.
 	Unanswered(now time.Time, upstream roster.Upstream, key CrashKey)
 	// Served records that an upstream has executed the request to its end.
--- a/internal/edge/flow/stream.go
+++ b/internal/edge/flow/stream.go
@@ -181,7 +181,7 @@
 		return Canceled
 	}
 	c.connectionFailed(placement.Upstream().ID)
-	c.Crashes.Broke(c.Now(), placement.Upstream(), c.crashKey(), !c.hasBegun(c.Now()))
+	c.Crashes.Broke(c.Now(), placement.Upstream(), c.crashKey(), !c.hasLasted(c.Now()))
 	c.logger.Warn("stream broke off", append(c.crashDetails(), "upstream", placement.Upstream().ID, "after", c.progress.lastEventID, "err", err)...)
 	return Interrupted
 }
--- a/internal/limit/crash/confirm.go
+++ b/internal/limit/crash/confirm.go
@@ -35,6 +35,8 @@
 	// execute it.
 	parts []uint64
 	at    time.Time
+	// lasted reports that the upstream had executed it for a while.
+	lasted bool
 	// silent reports that the answer did not end, but nothing of it came. A refused
 	// connection does not confirm that the upstream has crashed meanwhile.
 	silent bool
@@ -107,13 +109,19 @@
 	return endedRetention
 }
 
-// Broke records that an upstream's process interrupted the answer to a request, and
-// reports whether it is known to have crashed. The parts are those of the request's prompt
-// besides its own, or none if the upstream had executed it for a while.
+// Broke records that an upstream's process interrupted the answer to a request that it had
+// just begun to execute, and reports whether it is known to have crashed. The parts are those
+// of the request's prompt besides its own.
 func (t *Tracker) Broke(now time.Time, process string, fingerprint uint64, parts ...uint64) (crashed bool) {
 	return t.suspect(now, process, suspectedRequest{fingerprint: fingerprint, parts: parts, at: now})
 }
 
+// BrokeLate is Broke for a request that the upstream had executed for a while, so that the
+// parts of its prompt are no cause.
+func (t *Tracker) BrokeLate(now time.Time, process string, fingerprint uint64) (crashed bool) {
+	return t.suspect(now, process, suspectedRequest{fingerprint: fingerprint, at: now, lasted: true})
+}
+
 // Unanswered records that nothing came of an upstream's answer to a request before its
 // caller left or its time was over.
 func (t *Tracker) Unanswered(now time.Time, process string, fingerprint uint64, parts ...uint64) (crashed bool) {
@@ -123,15 +131,15 @@
 func (t *Tracker) suspect(now time.Time, process string, s suspectedRequest) (crashed bool) {
 	t.mu.Lock()
 	t.expire(now)
+	urgent := false
 	if end, known := t.ended[process]; known && end.explains(s) {
-		t.observe(now, s, process)
-		crashed = true
+		urgent, crashed = t.observe(now, s, process), true
 	} else if t.interruptedCount < maxSuspicions {
 		t.interrupted[process] = append(t.interrupted[process], s)
 		t.interruptedCount++
 	}
 	t.mu.Unlock()
-	t.notify(crashed)
+	t.notify(urgent)
 	return crashed
 }
 
@@ -168,13 +176,14 @@
 		t.suspectSilentLocked(now, process)
 	}
 	var observed []uint64
+	urgent := false
 	t.interrupted[process] = slices.DeleteFunc(t.interrupted[process], func(s suspectedRequest) bool {
 		if !e.explains(s) {
 			return false
 		}
 		if !slices.Contains(observed, s.fingerprint) {
 			observed = append(observed, s.fingerprint)
-			t.observe(now, s, process)
+			urgent = t.observe(now, s, process) || urgent
 		}
 		t.interruptedCount--
 		return true
@@ -183,7 +192,7 @@
 		delete(t.interrupted, process)
 	}
 	t.mu.Unlock()
-	t.notify(isNew || len(observed) > 0)
+	t.notify(urgent)
 	return observed
 }
 
--- a/internal/limit/crash/crash.go
+++ b/internal/limit/crash/crash.go
@@ -91,7 +91,8 @@
 }
 
 // New returns a tracker without crashes. It calls onCrash when this process has observed
-// something that other processes should be told without delay; onCrash may be nil.
+// something that other processes should be told without delay, as the second crash under one
+// fingerprint; onCrash may be nil.
 func New(onCrash func()) *Tracker {
 	return &Tracker{
 		running:      make(map[string]map[*runningRequest]struct{}),
@@ -211,7 +212,7 @@
 	clears := t.clearLocked(now, now, fingerprint)
 	clears = t.servePartsLocked(now, now, parts) || clears
 	t.mu.Unlock()
-	t.notify(clears)
+	t.notify(false)
 	return clears
 }
 
@@ -221,7 +222,7 @@
 	t.mu.Lock()
 	clears := t.servePartsLocked(now, now, parts)
 	t.mu.Unlock()
-	t.notify(clears)
+	t.notify(false)
 	return clears
 }
 
@@ -245,13 +246,15 @@
 	return true
 }
 
-// observe records a crash that this process observed.
-func (t *Tracker) observe(now time.Time, s suspectedRequest, process string) {
+// observe records a crash that this process observed, and reports whether peers should be
+// told without delay.
+func (t *Tracker) observe(now time.Time, s suspectedRequest, process string) (urgent bool) {
 	crash := &record{upstream: process, event: max(rand.Uint64(), 1), latestEnd: now.Add(retention), reportedAt: now, parts: s.parts}
 	t.insert(now, s.fingerprint, crash)
-	t.addReport(s.fingerprint, crash)
+	t.reportObserved(s, crash)
 	t.blockLocked(now, s.fingerprint)
 	t.recordPartsLocked(now, crash)
+	return t.crashesLocked(now, s.fingerprint) > 1
 }
 
 // expire removes expired entries, at most once a second.
--- a/internal/limit/crash/records.go
+++ b/internal/limit/crash/records.go
@@ -178,6 +178,19 @@
 	t.recordCount++
 }
 
+// reportObserved adds a crash that this process observed to its reports. Requests that the
+// upstream had executed for a while, which are most, are reported from the second crash on.
+func (t *Tracker) reportObserved(s suspectedRequest, r *record) {
+	if s.lasted && len(t.crashes[s.fingerprint]) == 1 {
+		return
+	}
+	for _, known := range t.crashes[s.fingerprint] {
+		if known.hops == 0 && !slices.Contains(t.reported, reported{fingerprint: s.fingerprint, event: known.event, upstream: known.upstream}) {
+			t.addReport(s.fingerprint, known)
+		}
+	}
+}
+
 // addReport adds the crash to this process's reports. The earliest one that is evidence
 // against nothing yet makes room, or else the earliest: most of what an upstream was
 // executing when it crashed did not cause it.
--- a/internal/limit/crash/records_internal_test.go
+++ b/internal/limit/crash/records_internal_test.go
@@ -70,3 +70,28 @@
 		}
 	}
 }
+
+// Guards against gossip that names everything that ran on a lost upstream: a request that
+// had run for a while is told from its second crash on.
+func TestRequestThatHadRunForAWhileIsReportedFromItsSecondCrashOn(t *testing.T) {
+	urgent := 0
+	tracker, now := New(func() { urgent++ }), time.Unix(1_000_000, 0)
+	for i, upstream := range []string{"a", "b", "c"} {
+		tracker.BrokeLate(now, upstream, 1)
+		tracker.BrokeLate(now, upstream, uint64(10+i))
+		tracker.Broke(now, upstream, uint64(20+i), 5)
+		tracker.Down(now, upstream)
+		reports := tracker.Reports(now)
+		late := 0
+		for _, r := range reports {
+			require.NotContains(t, []uint64{10, 11, 12}, r.Fingerprint)
+			if r.Fingerprint == 1 {
+				late++
+			}
+		}
+		require.Equal(t, []int{0, 2, 3}[i], late)
+		require.Len(t, reports, late+i+1)
+		require.Equal(t, i, urgent)
+	}
+	require.True(t, tracker.Blocked(now, 1))
+}
--- a/internal/role/gateway/crashes.go
+++ b/internal/role/gateway/crashes.go
@@ -76,12 +76,14 @@
 
 // Broke implements flow.CrashTracker. The scheduler avoids an upstream that broke off an
 // answer, so that a request may not show for long whether it still runs.
-func (w *crashWatch) Broke(now time.Time, upstream roster.Upstream, key flow.CrashKey, begun bool) {
-	process, parts := crashProcess(upstream), key.Parts
-	if !begun {
-		parts = nil
-	}
-	if w.crashTracker.Broke(now, process, key.Fingerprint, parts...) {
+func (w *crashWatch) Broke(now time.Time, upstream roster.Upstream, key flow.CrashKey, justBegun bool) {
+	process, crashed := crashProcess(upstream), false
+	if justBegun {
+		crashed = w.crashTracker.Broke(now, process, key.Fingerprint, key.Parts...)
+	} else {
+		crashed = w.crashTracker.BrokeLate(now, process, key.Fingerprint)
+	}
+	if crashed {
 		w.logCrash(now, process, signKnown, key.Fingerprint)
 		return
 	}
@@ -230,7 +232,7 @@
 		w.metrics.crashes.WithLabelValues("peer").Inc()
 		w.logger.Debug("crash told by peer", "upstream", c.Upstream, "fingerprint", formatFingerprint(c.Fingerprint),
 			"crashes", w.crashTracker.Crashes(now, c.Fingerprint), "peer", peer, "life", report.Life)
-		if isHub {
+		if isHub && w.crashTracker.Crashes(now, c.Fingerprint) > 1 {
 			w.mesh.GossipNow()
 		}
 	}
