Callers who leave soon are no sign of a silent upstream

A request that its caller gave up before anything came of its answer counted as under the crash of its upstream if that was gone within ten seconds, also if the caller was merely impatient and the upstream left without saying so. It counts from 1.5 s of silence on. Found by reading; no run showed a false refusal.

--- a/internal/edge/flow/attempt.go
+++ b/internal/edge/flow/attempt.go
@@ -143,7 +143,7 @@
 	c.attempts++
 	c.mayHaveExecuted = true
 	if ctx.Err() != nil {
-		c.Crashes.Unanswered(c.Now(), upstream, c.crashKey())
+		c.recordSilence(upstream)
 		return Canceled
 	}
 	c.connectionFailed(upstream.ID)
--- a/internal/edge/flow/crash.go
+++ b/internal/edge/flow/crash.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
+	"github.com/persimmonridge/persimmonridge/internal/state/roster"
 )
 
 const (
@@ -17,6 +18,9 @@
 	// beginTime is the time from a stream's first event in which an upstream begins to
 	// execute it. What it executes for longer does not crash it by a part of its prompt.
 	beginTime = 500 * time.Millisecond
+	// minSilence is how long nothing has come of an answer for the upstream to be suspected
+	// of having crashed: callers who leave sooner may only be impatient.
+	minSilence = 1500 * time.Millisecond
 )
 
 // computeFingerprint returns a hash that is equal for repeats of a request by the
@@ -73,6 +77,13 @@
 	c.Crashes.Survived(now, c.crashKey())
 }
 
+// recordSilence records a request that was canceled before anything came of its answer.
+func (c *call) recordSilence(upstream roster.Upstream) {
+	if now := c.Now(); c.events == 0 && now.Sub(c.sentAt) >= minSilence {
+		c.Crashes.Unanswered(now, upstream, c.crashKey())
+	}
+}
+
 // endCrashing ends a request that crashes upstreams. It is refused as not executed only
 // if it was not sent before that was known.
 func (c *call) endCrashing() {
--- a/internal/edge/flow/stream.go
+++ b/internal/edge/flow/stream.go
@@ -175,9 +175,7 @@
 
 func (c *call) handleBrokenStream(ctx context.Context, placement Placement, err error) Outcome {
 	if ctx.Err() != nil {
-		if c.events == 0 {
-			c.Crashes.Unanswered(c.Now(), placement.Upstream(), c.crashKey())
-		}
+		c.recordSilence(placement.Upstream())
 		return Canceled
 	}
 	c.connectionFailed(placement.Upstream().ID)
