--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -365,10 +365,10 @@
 			g.logOmittedLines(now)
 			g.evacuations.expire(now)
 			g.guard.forget(now)
-			former := g.roster.All()
+			overdue := g.roster.Overdue(now)
 			if g.roster.Expire(now) {
 				g.logger.Info("expired upstreams dropped")
-				g.upstreams.recordGone(now, former)
+				g.upstreams.recordGone(now, overdue)
 				g.publishEngines()
 			}
 		}
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -78,6 +78,11 @@
 	retainedUntil time.Time
 }
 
+// overdue reports whether a retained registration was not renewed in time.
+func (r record) overdue(now time.Time) bool {
+	return !r.retainedUntil.IsZero() && !now.Before(r.retainedUntil)
+}
+
 // departure is an upstream that has left.
 type departure struct {
 	startedAtMs int64
@@ -257,6 +262,20 @@
 	r.departed[id] = departure{startedAtMs: u.StartedAtMs, at: now}
 }
 
+// Overdue returns the retained registrations that were not renewed in time, which Expire
+// drops.
+func (r *Roster) Overdue(now time.Time) []Upstream {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	var overdue []Upstream
+	for _, rec := range r.records {
+		if rec.overdue(now) {
+			overdue = append(overdue, rec.upstream)
+		}
+	}
+	return overdue
+}
+
 // Expire drops retained registrations that were not renewed in time, and reports
 // whether there were any. It forgets upstreams that left long ago.
 func (r *Roster) Expire(now time.Time) bool {
@@ -264,7 +283,7 @@
 	defer r.mu.Unlock()
 	dropped := false
 	for id, rec := range r.records {
-		if !rec.retainedUntil.IsZero() && !now.Before(rec.retainedUntil) {
+		if rec.overdue(now) {
 			r.drop(now, id, rec.upstream)
 			dropped = true
 		}
