Refusals are written to the store for ten minutes at most, and less often in vain

The store grants leases of up to ten minutes, so that a longer refusal, of a part that crashed upstreams several times, could not be written; it is now written again when its lease ends. After a failed write the next is tried after 2 s, not 0.25 s, since refused calls are charged too. Found by reading.

--- a/internal/role/gateway/crashstore.go
+++ b/internal/role/gateway/crashstore.go
@@ -17,12 +17,17 @@
 	// the gateways, which would all forget it in a restart and let it crash as many
 	// upstreams again. Each key ends with its refusal, by its lease.
 	crashCausePrefix = "crash-causes/"
-	// crashCauseInterval is the pause between checks for new causes.
-	crashCauseInterval = 250 * time.Millisecond
+	// crashCauseInterval is the pause between checks for new causes, and
+	// crashCauseRetryDelay the pause after a failed write.
+	crashCauseInterval   = 250 * time.Millisecond
+	crashCauseRetryDelay = 2 * time.Second
 	// maxCausesPerWrite keeps a write within the store's limit of a transaction.
 	maxCausesPerWrite = 16
-	// minCauseLife is the shortest rest of a refusal that is worth a write.
+	// minCauseLife is the shortest rest of a refusal that is worth a write, and
+	// maxCauseLife the longest lease that the store grants. A longer refusal is written
+	// again when its lease ends.
 	minCauseLife = 2 * time.Second
+	maxCauseLife = 10 * time.Minute
 )
 
 // crashCause is the stored form of a refusal. Fingerprints are hexadecimal.
@@ -141,17 +146,19 @@
 // run stores what crashes upstreams while this gateway is the scheduler.
 func (s *crashStore) run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if s.peers.scheduler(s.now()) == s.settings.Name {
-			s.write(ctx)
+		pause := crashCauseInterval
+		if s.peers.scheduler(s.now()) == s.settings.Name && !s.write(ctx) {
+			pause = crashCauseRetryDelay
 		}
-		wait.For(ctx, crashCauseInterval)
+		wait.For(ctx, pause)
 	}
 	return nil
 }
 
 // write stores the refusals that are not stored, and deletes those that have ended early
-// because an upstream has served what they refuse.
-func (s *crashStore) write(ctx context.Context) {
+// because an upstream has served what they refuse. It reports whether the store did so, or
+// had nothing to do.
+func (s *crashStore) write(ctx context.Context) bool {
 	now := s.now()
 	refusals := s.crashTracker.Refusals(now)
 	inForce := make(map[string]bool, len(refusals))
@@ -178,17 +185,18 @@
 		}
 	}
 	s.mu.Unlock()
-	if len(transaction.Puts)+len(transaction.Deletes) > 0 {
-		s.commit(ctx, transaction, life)
+	if len(transaction.Puts)+len(transaction.Deletes) == 0 {
+		return true
 	}
+	return s.commit(ctx, transaction, min(life, maxCauseLife))
 }
 
-func (s *crashStore) commit(ctx context.Context, transaction kv.Transaction, life time.Duration) {
+func (s *crashStore) commit(ctx context.Context, transaction kv.Transaction, life time.Duration) bool {
 	if len(transaction.Puts) > 0 {
 		lease, _, err := s.store.Grant(ctx, life)
 		if err != nil {
 			s.logger.Info("causes of crashes not written to the store", "err", err)
-			return
+			return false
 		}
 		for i := range transaction.Puts {
 			transaction.Puts[i].Lease = lease
@@ -197,7 +205,7 @@
 	revision, err := s.store.Commit(ctx, transaction)
 	if err != nil {
 		s.logger.Info("causes of crashes not written to the store", "err", err)
-		return
+		return false
 	}
 	s.logger.Info("causes of crashes written to the store", "added", len(transaction.Puts), "deleted", len(transaction.Deletes), "revision", revision)
 	now := s.now()
@@ -207,4 +215,5 @@
 	for _, key := range transaction.Deletes {
 		s.end(key)
 	}
+	return true
 }
