Soak: requests come that crash upstreams by a part of their prompts

All streams share the other parts. Amid all other faults, undisturbed gateways that have seen five crashes, or should have heard of them, may let three more through later than three seconds.

--- a/internal/trial/soak/backend_test.go
+++ b/internal/trial/soak/backend_test.go
@@ -126,7 +126,9 @@
 	failureMode   atomic.Int32
 	need          atomic.Pointer[need]
 	running       atomic.Int32
-	conns         map[net.Conn]struct{}
+	// crashUnder is called when a request crashes the upstream.
+	crashUnder func(u *upstream)
+	conns      map[net.Conn]struct{}
 }
 
 // registry is the part of the store that upstreams use.
@@ -245,6 +247,12 @@
 	defer u.running.Add(-1)
 	u.requestLog.recordExecution(attempt, execution{at: time.Now(), upstream: id, body: string(body), path: r.URL.Path})
 	w.Header().Set(names.Seal, "seal-"+attempt)
+	if crashesUpstream(r) {
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		u.crashUnder(u)
+		panic(http.ErrAbortHandler)
+	}
 	u.run(w, r, attempt)
 }
 
--- a/internal/trial/soak/caller_test.go
+++ b/internal/trial/soak/caller_test.go
@@ -47,6 +47,8 @@
 	// notConnected is true if the connection could not be opened, so that the call
 	// reached no process.
 	notConnected bool
+	// prompted is true if a stream names the parts of its prompt.
+	prompted bool
 }
 
 // caller sends requests to one gateway one after another and reuses its connection
@@ -91,7 +93,7 @@
 // it; a request that is sent at the same time is not sent again.
 func (c *caller) call(k kind, path string) call {
 	c.sent++
-	result := call{id: fmt.Sprintf("%016x", c.testbed.seed<<40|uint64(c.number)<<24|uint64(c.sent)), kind: k, path: path, gateway: c.gateway, sent: time.Now()}
+	result := call{id: fmt.Sprintf("%016x", c.testbed.seed<<40|uint64(c.number)<<24|uint64(c.sent)), kind: k, path: path, gateway: c.gateway, sent: time.Now(), prompted: c.testbed.seed >= crashesFromSeed}
 	if c.conn != nil {
 		result.idleBefore = result.sent.Sub(c.lastUsedAt)
 	}
@@ -143,6 +145,9 @@
 	if c.kind.stream {
 		headers = append(headers, "X-Persimmonridge-Token-Counts: 200,160", "X-Persimmonridge-Length-Hint: 100")
 	}
+	if c.kind.stream && c.prompted {
+		headers = append(headers, promptHeader+": "+c.promptOf())
+	}
 	body := ""
 	if c.kind.method == http.MethodPost {
 		body = "body of " + c.id
--- a/internal/trial/soak/testbed_test.go
+++ b/internal/trial/soak/testbed_test.go
@@ -86,6 +86,8 @@
 	evacuated        map[string]bool
 	findings         []string
 	upstreamsStarted int
+	// restarts are those of upstreams that crashed under a request.
+	restarts sync.WaitGroup
 	// stopCallers is closed when the callers must stop.
 	stopCallers chan struct{}
 
@@ -167,6 +169,7 @@
 		if err != nil {
 			return err
 		}
+		u.crashUnder = tb.crashUnder
 		tb.upstreams = append(tb.upstreams, u)
 	}
 	return nil
@@ -283,8 +286,12 @@
 	if tb.seed >= needsFromSeed {
 		background.Go(tb.stateNeeds)
 	}
+	if tb.seed >= crashesFromSeed {
+		background.Go(tb.sendCrashing)
+	}
 	tb.injectFaults()
 	background.Wait()
+	tb.restarts.Wait()
 	tb.clearFaults()
 	<-time.After(recoveryTime)
 	close(tb.stopCallers)
--- a/internal/trial/soak/verify_test.go
+++ b/internal/trial/soak/verify_test.go
@@ -27,6 +27,7 @@
 	}
 	tb.checkWarmUps()
 	tb.checkNeeds()
+	tb.checkCrashing()
 	for _, p := range tb.probes {
 		tb.checkForwarded(p)
 		tb.checkVersion(p)
