Requests that upstreams serve are not refused for one loss of many

A read that many callers make runs on all upstreams at any moment. When these crashed together, for another reason, it had three crashes, was refused, and so could not be served and cleared: its callers were refused for two minutes beside upstreams that had returned. A fingerprint that an upstream has served within two minutes now needs six crashes, over two seconds or more; one that crashes upstreams was never served.

Gateways that have just started know of nothing that was served; that remains.

--- a/internal/limit/crash/crash.go
+++ b/internal/limit/crash/crash.go
@@ -18,8 +18,16 @@
 	// caller may be affected twice by chance; callers' retries allow for three
 	// crashes.
 	blockAfterCrashes = 3
+	// blockServedAfterCrashes and minServedCrashSpan are the number, and the shortest time
+	// from the first to the last, for a fingerprint that upstreams have served within the
+	// retention. A request that many callers make may run on all upstreams when these crash
+	// together, and none could serve it since.
+	blockServedAfterCrashes = 6
+	minServedCrashSpan      = 2 * time.Second
 	// retention is how long crashes are remembered.
 	retention = 2 * time.Minute
+	// maxServed limits the fingerprints that are remembered as served.
+	maxServed = 8192
 	// probation is how long after the end of a refusal one more crash is enough for the
 	// next.
 	probation = 10 * time.Minute
@@ -55,6 +63,8 @@
 	recordCount int
 	// reported holds the crashes to tell peers, in the order in which they became known.
 	reported []reported
+	// served holds, by fingerprint, when an upstream last served a request.
+	served map[uint64]time.Time
 	// cleared and clearedParts hold the fingerprints and the parts of prompts that were
 	// served after a crash, and when.
 	cleared, clearedParts map[uint64]time.Time
@@ -95,7 +105,7 @@
 // fingerprint; onCrash may be nil.
 func New(onCrash func()) *Tracker {
 	return &Tracker{
-		running:      make(map[string]map[*runningRequest]struct{}),
+		running: make(map[string]map[*runningRequest]struct{}), served: make(map[uint64]time.Time),
 		refusedUntil: make(map[uint64]time.Time), restoredUntil: make(map[uint64]time.Time),
 		interrupted: make(map[string][]suspectedRequest), ended: make(map[string]endedProcess), crashes: make(map[uint64][]*record),
 		cleared: make(map[uint64]time.Time), clearedParts: make(map[uint64]time.Time), onProbation: make(map[uint64]time.Time),
@@ -117,7 +127,10 @@
 }
 
 func (t *Tracker) blockedLocked(now time.Time, fingerprint uint64) bool {
-	crashes := t.crashesLocked(now, fingerprint)
+	crashes, span := t.crashesLocked(now, fingerprint)
+	if servedAt, served := t.served[fingerprint]; served && now.Sub(servedAt) < retention {
+		return crashes >= blockServedAfterCrashes && span >= minServedCrashSpan
+	}
 	return crashes >= blockAfterCrashes || (crashes > 0 && now.Before(t.onProbation[fingerprint])) || now.Before(t.restoredUntil[fingerprint])
 }
 
@@ -125,19 +138,29 @@
 func (t *Tracker) Crashes(now time.Time, fingerprint uint64) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.crashesLocked(now, fingerprint)
+	crashes, _ := t.crashesLocked(now, fingerprint)
+	return crashes
 }
 
-// crashesLocked counts the processes that crashed under the fingerprint. A process of an
-// older version names an upstream without its process.
-func (t *Tracker) crashesLocked(now time.Time, fingerprint uint64) int {
+// crashesLocked counts the processes that crashed under the fingerprint, and returns the time
+// from the first crash to the last. A process of an older version names an upstream without
+// its process.
+func (t *Tracker) crashesLocked(now time.Time, fingerprint uint64) (crashes int, span time.Duration) {
 	var crashed []string
+	var first, last time.Time
 	for _, r := range t.crashes[fingerprint] {
-		if now.Before(r.end()) && !t.explained[r.upstream] && !slices.ContainsFunc(crashed, func(other string) bool { return mayBeSameProcess(r.upstream, other) }) {
+		if !now.Before(r.end()) || t.explained[r.upstream] {
+			continue
+		}
+		if first.IsZero() || r.crashedAt().Before(first) {
+			first = r.crashedAt()
+		}
+		last = later(last, r.crashedAt())
+		if !slices.ContainsFunc(crashed, func(other string) bool { return mayBeSameProcess(r.upstream, other) }) {
 			crashed = append(crashed, r.upstream)
 		}
 	}
-	return len(crashed)
+	return len(crashed), last.Sub(first)
 }
 
 func mayBeSameProcess(x, y string) bool {
@@ -229,6 +252,7 @@
 // clearLocked makes the crashes of a fingerprint that was served at a time count no
 // longer, and reports whether any counted.
 func (t *Tracker) clearLocked(now, servedAt time.Time, fingerprint uint64) bool {
+	t.recordServed(fingerprint, servedAt)
 	restoredUntil, clears := t.restoredUntil[fingerprint]
 	clears = clears && now.Before(restoredUntil)
 	delete(t.restoredUntil, fingerprint)
@@ -246,6 +270,17 @@
 	return true
 }
 
+// recordServed records when a fingerprint was served. Another one makes room.
+func (t *Tracker) recordServed(fingerprint uint64, servedAt time.Time) {
+	if _, known := t.served[fingerprint]; !known && len(t.served) >= maxServed {
+		for other := range t.served {
+			delete(t.served, other)
+			break
+		}
+	}
+	t.served[fingerprint] = later(t.served[fingerprint], servedAt)
+}
+
 // observe records a crash that this process observed, and reports whether peers should be
 // told without delay.
 func (t *Tracker) observe(now time.Time, s suspectedRequest, process string) (urgent bool) {
@@ -254,7 +289,8 @@
 	t.reportObserved(s, crash)
 	t.blockLocked(now, s.fingerprint)
 	t.recordPartsLocked(now, crash)
-	return t.crashesLocked(now, s.fingerprint) > 1
+	crashes, _ := t.crashesLocked(now, s.fingerprint)
+	return crashes > 1
 }
 
 // expire removes expired entries, at most once a second.
@@ -269,6 +305,11 @@
 			delete(t.cleared, fingerprint)
 		}
 	}
+	for fingerprint, servedAt := range t.served {
+		if now.Sub(servedAt) > retention {
+			delete(t.served, fingerprint)
+		}
+	}
 	t.expireParts(now)
 	for fingerprint, until := range t.restoredUntil {
 		if !now.Before(until) {
