--- a/internal/role/gateway/crashes.go
+++ b/internal/role/gateway/crashes.go
@@ -25,7 +25,7 @@
 	maxQueuedChecks = 256
 )
 
-// Signs of a crash, as logs and metrics name them.
+// Signs of a crash, as logs name them.
 const (
 	signRefusal = "refused connection"
 	signTold    = "refused connection of a peer"
