A part that most requests have is not blamed for their upstreams' crashes

Four processes of three upstreams had crashed in 2.5 s, under a part of prompts that only two gateways had seen, which were killed or frozen; no stream was served between, and what the others knew left the two parts that all streams share as the cause. They were refused together, so nothing could clear them, for two minutes.

A request that crashes upstreams ends the first that begins it, so that rarely more than one with the same part is running; of a part that most requests have there are many. A part with more than one and a half requests for each crash, on average, is not refused.

--- a/internal/limit/crash/parts.go
+++ b/internal/limit/crash/parts.go
@@ -101,13 +101,24 @@
 	return false
 }
 
+// maxRequestsPerCrash is how many requests with a part that crashes upstreams are running as
+// one crashes, on average: the first to begin ends it. A part that most requests have is in
+// more of them.
+const maxRequestsPerCrash = 1.5
+
+// frequent reports whether more requests had the part at the crashes than if it was their
+// cause.
+func (e *partEvidence) frequent() bool {
+	return float64(e.requests) > maxRequestsPerCrash*float64(len(e.processes))
+}
+
 // suffices reports whether the evidence is enough to refuse the part.
 func (t *Tracker) suffices(now time.Time, e *partEvidence) bool {
 	crashes, span := blockPartAfterCrashes, minPartCrashSpan
 	if servedAt, served := t.partServed[e.part]; served && now.Sub(servedAt) < retention {
 		crashes, span = blockServedPartAfterCrashes, minServedPartCrashSpan
 	}
-	return len(e.processes) >= crashes && e.last.Sub(e.first) >= span && !e.dominated()
+	return len(e.processes) >= crashes && e.last.Sub(e.first) >= span && !e.dominated() && !e.frequent()
 }
 
 // collectEvidence returns the evidence against each part from the crashes that are not
