--- a/internal/limit/crash/crash.go
+++ b/internal/limit/crash/crash.go
@@ -169,7 +169,7 @@
 	}
 	upstreamOfX, _, namesProcessX := strings.Cut(x, processSeparator)
 	upstreamOfY, _, namesProcessY := strings.Cut(y, processSeparator)
-	return upstreamOfX == upstreamOfY && !(namesProcessX && namesProcessY)
+	return upstreamOfX == upstreamOfY && (!namesProcessX || !namesProcessY)
 }
 
 // WhenBlocked calls blocked once such requests become blocked. The function that it returns
@@ -286,7 +286,7 @@
 func (t *Tracker) observe(now time.Time, s suspectedRequest, process string) (urgent bool) {
 	crash := &record{upstream: process, event: max(rand.Uint64(), 1), latestEnd: now.Add(retention), reportedAt: now, parts: s.parts}
 	t.insert(now, s.fingerprint, crash)
-	t.reportObserved(s, crash)
+	t.reportObserved(s)
 	t.blockLocked(now, s.fingerprint)
 	t.recordPartsLocked(now, crash)
 	crashes, _ := t.crashesLocked(now, s.fingerprint)
--- a/internal/limit/crash/records.go
+++ b/internal/limit/crash/records.go
@@ -180,7 +180,7 @@
 
 // reportObserved adds a crash that this process observed to its reports. Requests that the
 // upstream had executed for a while, which are most, are reported from the second crash on.
-func (t *Tracker) reportObserved(s suspectedRequest, r *record) {
+func (t *Tracker) reportObserved(s suspectedRequest) {
 	if s.lasted && len(t.crashes[s.fingerprint]) == 1 {
 		return
 	}
