--- a/internal/role/gateway/crashes_test.go
+++ b/internal/role/gateway/crashes_test.go
@@ -195,6 +195,7 @@
 				f.store.SetFault(standin.None)
 				bubble.Sleep(restartTime + lapseTime)
 			})
+			require.GreaterOrEqual(t, len(c.crashedAt), 3)
 			c.requireStopped(t, 3)
 			for i := range gateways {
 				require.Equal(t, http.StatusServiceUnavailable, again[i].status)
