Load statements may hold a fourth figure; slot requests name their workspace

A load statement was taken only if it had exactly three figures, so all of a statement with a fourth one, the pace of the upstream's machine, was dropped: an upstream that others filled looked empty. Now the first three are read whatever follows, and the pace if it can be true (10% to 10,000%).

Lines of requests name the workspace.

TestStatedLoadIsParsed passes; it was not run on the former parser, which has no pace.

--- a/internal/edge/exchange/exchange.go
+++ b/internal/edge/exchange/exchange.go
@@ -58,7 +58,8 @@
 	Seal string
 	// NotExecuted is set in an answer to a request that was not executed.
 	NotExecuted string
-	// Load states the upstream's running and waiting requests and its slots.
+	// Load states the upstream's running and waiting requests, its slots and, if the
+	// upstream measures it, its pace in percent of the usual time.
 	Load string
 	// WarmUpMs states the rest of the upstream's warm-up in milliseconds.
 	WarmUpMs string
@@ -90,6 +91,9 @@
 // Load is the load that an upstream states in an answer.
 type Load struct {
 	Running, Waiting, Slots int
+	// Pace is how many times as long as usual work takes on the upstream's VM at the
+	// moment, 0 if the upstream does not state it.
+	Pace float64
 }
 
 // RateLimit is the rate that an upstream states in an answer that it takes from all
@@ -395,18 +399,40 @@
 	return RateLimit{Stated: true, Valid: true, PerSecond: n}
 }
 
+const (
+	// minPacePercent and maxPacePercent bound the paces that are believed. Others are
+	// errors of the upstream, and the rest of its statement is used without them.
+	minPacePercent = 10
+	maxPacePercent = 10_000
+)
+
+// parseLoad returns the load of a statement, or nil if it cannot be read. Figures beyond
+// the known ones are ignored, as upstreams may state more in future.
 func parseLoad(value string) *Load {
 	parts := strings.Split(value, ",")
-	if len(parts) != 3 {
+	if len(parts) < 3 {
 		return nil
 	}
 	var numbers [3]int
-	for i, part := range parts {
+	for i, part := range parts[:3] {
 		n, err := strconv.Atoi(strings.TrimSpace(part))
 		if err != nil || n < 0 {
 			return nil
 		}
 		numbers[i] = n
 	}
-	return &Load{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2]}
+	load := &Load{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2]}
+	if len(parts) > 3 {
+		load.Pace = parsePace(parts[3])
+	}
+	return load
+}
+
+// parsePace returns the factor of a pace in percent, or 0 if it is not one that can be true.
+func parsePace(value string) float64 {
+	percent, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+	if err != nil || !(percent >= minPacePercent && percent <= maxPacePercent) {
+		return 0
+	}
+	return percent / 100
 }
--- a/internal/edge/exchange/exchange_test.go
+++ b/internal/edge/exchange/exchange_test.go
@@ -122,6 +122,32 @@
 	answer.Close(true)
 }
 
+// Guards against load statements that are dropped as a whole because they hold a figure more
+// than expected, or a pace that cannot be true.
+func TestStatedLoadIsParsed(t *testing.T) {
+	usual := exchange.Load{Running: 3, Waiting: 1, Slots: 6}
+	paced := func(pace float64) exchange.Load { return exchange.Load{Running: 3, Waiting: 1, Slots: 6, Pace: pace} }
+	for value, want := range map[string]*exchange.Load{
+		"3,1,6": &usual, " 3, 1 ,6 ": &usual,
+		"3,1,6,100": ptr(paced(1)), "3,1,6, 250": ptr(paced(2.5)), "3,1,6,80.5": ptr(paced(0.805)), "3,1,6,300,7,x": ptr(paced(3)),
+		"3,1,6,": &usual, "3,1,6,0": &usual, "3,1,6,-100": &usual, "3,1,6,NaN": &usual, "3,1,6,+Inf": &usual, "3,1,6,fast": &usual,
+		"3,1,6,9": &usual, "3,1,6,10001": &usual,
+		"": nil, "3,1": nil, "3,1,x": nil, "-3,1,6": nil, "3,,6,100": nil,
+	} {
+		t.Run(value, func(t *testing.T) {
+			u := startUpstream(t, func(conn net.Conn, _ int) bool {
+				return write(conn, "HTTP/1.1 200 OK\nRequest-Id: one\nSeal: s\nLoad: "+value+"\nContent-Length: 2\n\nok")
+			})
+			answer, err := newClient(t).Do(context.Background(), u.address, request("one"))
+			require.NoError(t, err)
+			require.Equal(t, want, answer.Load)
+			answer.Close(true)
+		})
+	}
+}
+
+func ptr[T any](v T) *T { return &v }
+
 // Guards against a stated limit that cannot be right and is taken for one, or for none.
 func TestStatedRateLimitIsParsed(t *testing.T) {
 	for value, want := range map[string]exchange.RateLimit{
--- a/internal/edge/flow/ending.go
+++ b/internal/edge/flow/ending.go
@@ -103,6 +103,9 @@
 	}
 	c.Metrics.RequestFinished(route, c.tier, outcome, took)
 	args := []any{"outcome", outcome, "route", route, "tier", c.tier, "took", took, "sends", c.attempts + c.resends}
+	if c.workspace != nil {
+		args = append(args, "workspace", c.workspace.Name)
+	}
 	if len(c.triedUpstreams) > 0 {
 		args = append(args, "tried", slices.Clone(c.triedUpstreams))
 	}
--- a/internal/sched/board/ask.go
+++ b/internal/sched/board/ask.go
@@ -16,6 +16,8 @@
 	Service string
 	Domain  string
 	Tier    int
+	// Workspace is the workspace that the request belongs to, if it is known.
+	Workspace string
 	// NextEventDue is the deadline of the first event. An answer after Deadline is useless.
 	NextEventDue, Deadline time.Time
 	PromptTokens           int
--- a/internal/sched/board/sync.go
+++ b/internal/sched/board/sync.go
@@ -12,6 +12,8 @@
 	Number                     uint64
 	PromptTokens, OutputTokens int
 	Started                    bool
+	Workspace                  string
+	Tier                       int
 }
 
 // Reconcile compares the runs of a gateway with all slots that it holds. A scheduler
--- a/internal/sched/permit/permit.go
+++ b/internal/sched/permit/permit.go
@@ -245,6 +245,7 @@
 		Prompt: uint32(req.PromptTokens), Output: uint32(req.OutputTokens), MaxGapMs: uint32(req.Route.EventGapTarget.Milliseconds()),
 		Exclude: req.ExcludedUpstreams, Again: req.Resent, Fingerprint: req.Fingerprint,
 		Domains: req.Domains, OnlyVersion: req.RequiredVersion, NotVersion: req.ExcludedVersion, End: endConstraintMessage(req.EndConstraint),
+		Workspace: req.Workspace,
 	}}}
 }
 
@@ -359,6 +360,7 @@
 			held.Places = append(held.Places, &wire.PlaceHeld{
 				Id: p.request.ID, Number: p.number, Upstream: p.upstream,
 				Prompt: uint32(p.request.PromptTokens), Output: uint32(p.request.OutputTokens),
+				Workspace: p.request.Workspace, Tier: uint32(p.request.Tier),
 			})
 		}
 	}
--- a/internal/sched/permit/placement.go
+++ b/internal/sched/permit/placement.go
@@ -1,6 +1,7 @@
 package permit
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -32,7 +33,9 @@
 
 	mu        sync.Mutex
 	startedAt time.Time
-	load      *exchange.Load
+	// load is what the upstream stated last, at loadAt; nil if it has stated nothing.
+	load   *exchange.Load
+	loadAt time.Time
 }
 
 // Upstream implements flow.Placement.
@@ -43,7 +46,7 @@
 	p.local.ReportLoad(now, load)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.load = &load
+	p.load, p.loadAt = &load, now
 }
 
 // AnswerStarted implements flow.Placement.
@@ -53,6 +56,7 @@
 	p.startedAt = now
 	if p.load != nil {
 		message.LoadKnown, message.Running, message.Waiting = true, uint32(p.load.Running), uint32(p.load.Waiting)
+		message.PacePercent, message.LoadAgeMs = uint32(math.Round(100*p.load.Pace)), uint32(max(0, now.Sub(p.loadAt)).Milliseconds())
 	}
 	p.mu.Unlock()
 	p.local.AnswerStarted(now)
@@ -79,7 +83,7 @@
 	defer p.mu.Unlock()
 	return &wire.PlaceHeld{
 		Id: p.request.ID, Number: p.number, Upstream: p.upstream.ID, Prompt: uint32(p.request.PromptTokens), Output: uint32(p.request.OutputTokens),
-		Started: !p.startedAt.IsZero(),
+		Started: !p.startedAt.IsZero(), Workspace: p.request.Workspace, Tier: uint32(p.request.Tier),
 	}
 }
 
--- a/internal/sched/permit/serve.go
+++ b/internal/sched/permit/serve.go
@@ -38,7 +38,7 @@
 		Deadline:     now.Add(time.Duration(a.UntilMs) * time.Millisecond),
 		PromptTokens: int(a.Prompt), OutputTokens: int(a.Output), EndConstraint: decodeEndConstraint(a.End), EventGapTarget: time.Duration(a.MaxGapMs) * time.Millisecond,
 		ExcludedUpstreams: a.Exclude, Resent: a.Again, Fingerprint: a.Fingerprint,
-		Domains: a.Domains, RequiredVersion: a.OnlyVersion, ExcludedVersion: a.NotVersion,
+		Domains: a.Domains, RequiredVersion: a.OnlyVersion, ExcludedVersion: a.NotVersion, Workspace: a.Workspace,
 	}
 }
 
@@ -68,6 +68,7 @@
 	for _, p := range h.Places {
 		held = append(held, board.HeldSlot{
 			ID: p.Id, Number: p.Number, Upstream: p.Upstream, PromptTokens: int(p.Prompt), OutputTokens: int(p.Output), Started: p.Started,
+			Workspace: p.Workspace, Tier: int(p.Tier),
 		})
 	}
 	return held
