Totals of two gateways' ledgers are told apart

Traced: buckets at -1.4 to -3.2 million tokens. The scheduler and its successor had started in the same nanosecond, so that their ledgers had the same run, and totals of one were compared with those of the other. The run is now that of the process among all gateways. A gateway that returns to the ledger before charges what others used meanwhile.

Ruled out by the trace: totals that are late (none was), and the costs of waiting requests, which are too small.

--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -76,6 +76,9 @@
 	// ledgerRun the run of the ledger that they came from.
 	othersUsed map[string]float64
 	ledgerRun  uint64
+	// former holds the last totals of the ledger before that one. A gateway may take its
+	// scheduler for lost for a moment and return to its ledger.
+	former ledgerTotals
 	// sharedCoverage is the fraction of the gateways whose starting parts the
 	// buckets include after a restart of all, 0 while they include only their own.
 	sharedCoverage float64
@@ -88,6 +91,12 @@
 	options  Options
 }
 
+// ledgerTotals is the usage of the other gateways in the last totals of a ledger.
+type ledgerTotals struct {
+	run        uint64
+	othersUsed map[string]float64
+}
+
 // Options holds the deployment's settings for quotas.
 type Options struct {
 	// StartFull states that the buckets start full: nothing was used before, because
@@ -307,12 +316,22 @@
 	case t.AllJustStarted && !l.options.StartFull:
 		l.mergeStartingParts(now, t)
 	case t.LedgerRun == l.ledgerRun:
-		for workspace, count := range t.OthersUsed {
-			if b := l.buckets[workspace]; b != nil {
-				b.level -= count - l.othersUsed[workspace]
-				b.charged += count - l.othersUsed[workspace]
-			}
-		}
+		l.chargeOthers(t.OthersUsed, l.othersUsed)
+	case t.LedgerRun == l.former.run && l.former.othersUsed != nil:
+		l.chargeOthers(t.OthersUsed, l.former.othersUsed)
+	}
+	if t.LedgerRun != l.ledgerRun && !l.totalsAt.IsZero() {
+		l.former = ledgerTotals{run: l.ledgerRun, othersUsed: l.othersUsed}
 	}
 	l.ledgerRun, l.othersUsed, l.coverage, l.totalsAt = t.LedgerRun, t.OthersUsed, t.Coverage, now
 }
+
+// chargeOthers subtracts what the other gateways used between two totals of one ledger.
+func (l *Limiter) chargeOthers(used, before map[string]float64) {
+	for workspace, count := range used {
+		if b := l.buckets[workspace]; b != nil {
+			b.level -= count - before[workspace]
+			b.charged += count - before[workspace]
+		}
+	}
+}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
@@ -134,7 +135,10 @@
 	logger          *slog.Logger
 	now             func() time.Time
 
+	// runID orders the processes of this gateway, and processID distinguishes the process
+	// from those of all gateways: two may start in the same nanosecond.
 	runID     uint64
+	processID uint64
 	startedAt time.Time
 	// configMu is held while a configuration is activated.
 	configMu sync.Mutex
@@ -209,6 +213,7 @@
 		roster: roster.New(), ledger: quota.NewLedger(), metrics: newMetrics(),
 		pool: exchange.NewPool(deps.Dialer.DialContext),
 	}
+	g.processID = g.runID ^ xxhash.Sum64String(s.Name)
 	g.grace.Store(int64(s.GracePeriod))
 	g.store = meter.New(deps.Store, g.metrics.StoreCall)
 	g.omittedLogLines = deps.OmittedLogLines
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -437,7 +437,7 @@
 }
 
 func (p *peers) quotaTotals(now time.Time, node string) quota.Totals {
-	return p.ledger.Totals(now, node, p.runID, p.gatewayCount())
+	return p.ledger.Totals(now, node, p.processID, p.gatewayCount())
 }
 
 func quotaMessage(t quota.Totals) *wire.Envelope {
--- a/internal/role/gateway/sendguard.go
+++ b/internal/role/gateway/sendguard.go
@@ -35,7 +35,7 @@
 
 func newSendGuard(g *Gateway, limit warmup.Limit) *sendGuard {
 	s := &sendGuard{Gateway: g, rests: cooldown.New()}
-	s.rates = ratelimit.New(g.runID, s.gateways)
+	s.rates = ratelimit.New(g.processID, s.gateways)
 	s.warmUps = warmup.New(limit, warmup.Dependencies{Service: s.service, Gateways: s.gateways})
 	return s
 }
