--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -413,6 +413,9 @@
 		return
 	}
 	p.mesh.Send(decision.Owner, message)
+	if decision.Urgent {
+		p.mesh.ReplyAlternate(decision.Owner, message)
+	}
 }
 
 // reportQuota reports the workspaces' use on this gateway to the scheduler until the
@@ -437,7 +440,7 @@
 }
 
 func (p *peers) quotaTotals(now time.Time, node string) quota.Totals {
-	return p.ledger.Totals(now, node, p.runID, p.gatewayCount())
+	return p.ledger.Totals(now, node, p.processID, p.gatewayCount())
 }
 
 func quotaMessage(t quota.Totals) *wire.Envelope {
