Scheduler plans with the pace that engines state

Engines share their VMs with other programs and take 2.5 times as long for some 600 ms. The scheduler learned the mean of that as an engine's slowness, gave long prompts to engines in a slow spell, and took engines for slow after one.

First events, the wait for pending prefill, event gaps and the fastest engine are planned with slowness times the pace expected now; the ends of streams, MinStreamTime's included, with slowness times the mean pace. Learned slowness is divided by the mean pace over the stream, and the first-event timing by the mean of the paces at both ends. The margin for ends of streams still learns from undivided times. LearnedState has no pace.

MinStreamTime takes the time: its first event is at the pace expected now, as that of the plan is, and could exceed the plan otherwise. Its tests pass the time and are unchanged apart from that.

--- a/internal/sched/board/engine.go
+++ b/internal/sched/board/engine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/persimmonridge/persimmonridge/internal/sched/failure"
+	"github.com/persimmonridge/persimmonridge/internal/sched/pace"
 	"github.com/persimmonridge/persimmonridge/internal/sched/profile"
 )
 
@@ -52,6 +53,10 @@
 	prefillMs   float64
 	solePrefill bool
 	grantIndex  int
+	// paceAtGrant is the pace expected when the run was assigned, and excessAtStart the
+	// integral of the pace beyond the usual one at its first event.
+	paceAtGrant   float64
+	excessAtStart float64
 	// adopted runs were assigned by another scheduler. It is not known which other runs
 	// shared the engine with them, so they are not used to learn its speed.
 	adopted bool
@@ -60,17 +65,20 @@
 // engine is the scheduling state of one engine.
 type engine struct {
 	Upstream
-	// slowness scales the latencies of an ordinary engine. Prefill is scaled by the
-	// service's prefillFactor as well.
+	// slowness scales the latencies of an ordinary engine while this one works at its usual
+	// pace. Prefill is scaled by the service's prefillFactor as well.
 	slowness estimate
-	timing   *serviceTiming
-	runs     map[string]*run
+	// pace is by what factor work takes longer than usual at a moment.
+	pace   pace.Estimate
+	timing *serviceTiming
+	runs   map[string]*run
 	// grantCount is the number of runs assigned so far.
 	grantCount int
 	// prefillBacklog is the number of assigned prompt tokens that are not yet prefilled,
-	// and prefillUntil is when their prefill should be done.
+	// and prefillUntil is when their prefill should be done at the pace prefillPace.
 	prefillBacklog int
 	prefillUntil   time.Time
+	prefillPace    float64
 	// runMs is the integral of the number of running requests over time, in milliseconds,
 	// and assignedPrefillMs is the total prefill time assigned, in milliseconds of an ordinary
 	// engine. They show what a stream shared its engine with.
@@ -96,7 +104,7 @@
 
 func newEngine(now time.Time, u Upstream, timing *serviceTiming) *engine {
 	return &engine{
-		Upstream: u, slowness: estimate{factor: 1}, timing: timing, runs: make(map[string]*run), runMsAt: now, prefillUntil: now,
+		Upstream: u, slowness: estimate{factor: 1}, timing: timing, runs: make(map[string]*run), runMsAt: now, prefillUntil: now, prefillPace: 1,
 		failureRate: failure.New(failureWeight, failureHalfLife),
 	}
 }
@@ -159,29 +167,33 @@
 // firstEvent returns the estimated time to the first event of a prompt sent now.
 func (e *engine) firstEvent(now time.Time, prompt int) time.Duration {
 	running := e.running(now)
-	step := fromMs(profile.StepMs(running+1) * e.slowness.factor)
-	return e.timing.fixedLatency + e.prefillWait(now) + e.prefillTime(profile.PrefillMs(prompt, running)) + step
+	slowness := e.slownessAt(now)
+	step := fromMs(profile.StepMs(running+1) * slowness)
+	return e.timing.fixedLatency + e.prefillWait(now) + e.prefillTime(profile.PrefillMs(prompt, running), slowness) + step
 }
 
 // idleFirstEvent returns the time to the first event of a prompt on the idle engine.
-func (e *engine) idleFirstEvent(prompt int) time.Duration {
-	step := fromMs(profile.StepMs(1) * e.slowness.factor)
-	return e.timing.fixedLatency + e.prefillTime(profile.PrefillMs(prompt, 1)) + step
+func (e *engine) idleFirstEvent(now time.Time, prompt int) time.Duration {
+	slowness := e.slownessAt(now)
+	step := fromMs(profile.StepMs(1) * slowness)
+	return e.timing.fixedLatency + e.prefillTime(profile.PrefillMs(prompt, 1), slowness) + step
 }
 
 // decodeTime returns how long the engine takes to generate the tokens when all slots are
 // in use.
 func (e *engine) decodeTime(tokens float64) time.Duration {
-	return fromMs(tokens * profile.StepMs(e.Slots) * e.slowness.factor)
+	return fromMs(tokens * profile.StepMs(e.Slots) * e.meanSlowness())
 }
 
 // assign adds a run whose prompt is not prefilled yet.
 func (e *engine) assign(now time.Time, r *run) {
 	e.advanceRunMs(now)
+	e.updatePrefillPace(now)
 	e.grantCount++
+	r.paceAtGrant = e.pace.At(now)
 	r.prefillMs, r.solePrefill, r.grantIndex = profile.PrefillMs(r.prompt, len(e.runs)), e.prefillWait(now) == 0, e.grantCount
 	r.expectedAt = now.Add(e.firstEvent(now, r.prompt))
-	e.prefillUntil = now.Add(e.prefillWait(now) + e.prefillTime(r.prefillMs))
+	e.prefillUntil = now.Add(e.prefillWait(now) + e.prefillTime(r.prefillMs, e.slownessAt(now)))
 	e.assignedPrefillMs += r.prefillMs
 	e.prefillBacklog += r.prompt
 	e.runs[r.owner+"/"+r.id] = r
@@ -205,12 +217,13 @@
 	e.learnFirstEvent(now, r)
 	r.started, r.startedAt = true, now
 	e.lastFirstEvent = now
-	r.runMsAtStart, r.prefillMsAtStart = e.runMs, e.assignedPrefillMs
+	r.runMsAtStart, r.prefillMsAtStart, r.excessAtStart = e.runMs, e.assignedPrefillMs, e.pace.Excess(now)
 	e.finishPrefill(now, r)
 }
 
 // finishPrefill removes a run's prompt from the backlog once it is prefilled or canceled.
 func (e *engine) finishPrefill(now time.Time, r *run) {
+	e.updatePrefillPace(now)
 	e.prefillBacklog = max(0, e.prefillBacklog-r.prompt)
 	remainingMs := 0.0
 	for _, other := range e.runs {
@@ -218,7 +231,7 @@
 			remainingMs += profile.PrefillMs(other.prompt, len(e.runs))
 		}
 	}
-	until := now.Add(e.prefillTime(remainingMs))
+	until := now.Add(e.prefillTime(remainingMs, e.slownessAt(now)))
 	if until.Before(e.prefillUntil) {
 		e.prefillUntil = until
 	}
--- a/internal/sched/board/learned.go
+++ b/internal/sched/board/learned.go
@@ -87,7 +87,8 @@
 	t.fixedLatency = min(max(0, t.fixedLatency), maxFixedLatency)
 }
 
-// learnStream updates the slowness from the duration of a stream.
+// learnStream updates the slowness from the duration that a stream would have had at the
+// engine's usual pace.
 func (e *engine) learnStream(now time.Time, r *run, took time.Duration, tokens int) {
 	elapsed := ms(now.Sub(r.startedAt))
 	if r.adopted || tokens < minStreamTokens || elapsed <= 0 || took <= 0 {
@@ -98,19 +99,23 @@
 	decodeMs := float64(tokens) * (profile.BaseStepMs + profile.StepPerRunMs*concurrent)
 	ordinaryMs := decodeMs + (e.assignedPrefillMs-r.prefillMsAtStart)*e.timing.prefillFactor
 	weight := decodeMs / ordinaryMs * float64(tokens) / float64(tokens+halfWeightTokens)
-	e.slowness.observe(ms(took)/ordinaryMs, weight)
+	e.slowness.observe(ms(took)/e.meanPaceSince(now, r)/ordinaryMs, weight)
 }
 
 // learnFirstEvent updates the service's timing from the time to the first event, if no
 // other prefill was pending meanwhile. Some hardware generations decode as fast as others
 // but prefill half as fast; predicted from the decoding speed alone, the first event of a
 // long prompt would be expected too early.
+//
+// The pace in between is taken for the mean of the one expected at the grant and the one
+// stated with the first event: the engine states none while it prefills.
 func (e *engine) learnFirstEvent(now time.Time, r *run) {
 	if r.adopted || !r.solePrefill || r.grantIndex != e.grantCount || !e.slowness.known() {
 		return
 	}
-	prefill := e.prefillTime(r.prefillMs)
-	step := fromMs(profile.StepMs(len(e.runs)) * e.slowness.factor)
+	slowness := e.slowness.factor * (r.paceAtGrant + e.pace.At(now)) / 2
+	prefill := e.prefillTime(r.prefillMs, slowness)
+	step := fromMs(profile.StepMs(len(e.runs)) * slowness)
 	deviation := now.Sub(r.grantedAt) - e.timing.fixedLatency - step - prefill
 	e.timing.observe(deviation, prefill, r.prefillMs/(r.prefillMs+halfWeightPrefillMs))
 }
@@ -119,8 +124,8 @@
 // many ordinary observations. Network delays are rare and long.
 func clamp(x, limit float64) float64 { return min(max(x, -limit), limit) }
 
-// prefillTime returns how long the engine takes for a prefill that takes the given number
-// of milliseconds on an ordinary one.
-func (e *engine) prefillTime(ordinaryMs float64) time.Duration {
-	return fromMs(ordinaryMs * e.slowness.factor * e.timing.prefillFactor)
+// prefillTime returns how long the engine, at the given slowness, takes for a prefill that
+// takes the given number of milliseconds on an ordinary one.
+func (e *engine) prefillTime(ordinaryMs, slowness float64) time.Duration {
+	return fromMs(ordinaryMs * slowness * e.timing.prefillFactor)
 }
--- a/internal/sched/board/overrun.go
+++ b/internal/sched/board/overrun.go
@@ -72,7 +72,8 @@
 }
 
 // learnOverrun updates the overrun from a stream that completed after it generated the
-// tokens.
+// tokens. The time is not divided by the pace: a stream in a slow spell exceeds its plan,
+// which is for the mean pace, and the margin is to cover that.
 func (e *engine) learnOverrun(r *run, took time.Duration, tokens int) {
 	if e.slowness.known() && !r.adopted && tokens > 0 {
 		e.timing.overrun.observe(took, e.plannedStreamTime(tokens), e.decodeTime(float64(tokens)))
@@ -118,7 +119,7 @@
 		return true
 	}
 	for _, e := range s.byService[req.Service] {
-		if req.allows(e) && e.endsInTime(now, req, e.idleFirstEvent(req.PromptTokens)) {
+		if req.allows(e) && e.endsInTime(now, req, e.idleFirstEvent(now, req.PromptTokens)) {
 			return true
 		}
 	}
--- a/internal/sched/board/place.go
+++ b/internal/sched/board/place.go
@@ -34,8 +34,8 @@
 const noEngineLatency = time.Duration(math.MaxInt64 / 2)
 
 // slack returns how much longer the request may wait and still get its first event in time
-// from the fastest available engine, if that is idle. It is negative if no engine can meet
-// the deadline any more.
+// from the engine that is the fastest available one at present, if that is idle. It is
+// negative if no engine can meet the deadline any more.
 func (s *Scheduler) slack(now time.Time, req *SlotRequest) time.Duration {
 	return s.slackOn(now, req, s.fastest(now, req.Service))
 }
@@ -46,14 +46,14 @@
 	if fastest != nil && !req.allows(fastest) {
 		fastest = nil
 		for _, e := range s.byService[req.Service] {
-			if !now.Before(e.backoffUntil) && req.allows(e) && e.faster(fastest) {
+			if !now.Before(e.backoffUntil) && req.allows(e) && e.faster(now, fastest) {
 				fastest = e
 			}
 		}
 	}
 	firstEvent := noEngineLatency
 	if fastest != nil {
-		firstEvent = fastest.idleFirstEvent(req.PromptTokens)
+		firstEvent = fastest.idleFirstEvent(now, req.PromptTokens)
 	}
 	return req.NextEventDue.Sub(now) - networkMargin - firstEvent
 }
@@ -62,15 +62,16 @@
 func (s *Scheduler) fastest(now time.Time, service string) *engine {
 	var fastest *engine
 	for _, e := range s.byService[service] {
-		if !now.Before(e.backoffUntil) && e.faster(fastest) {
+		if !now.Before(e.backoffUntil) && e.faster(now, fastest) {
 			fastest = e
 		}
 	}
 	return fastest
 }
 
-func (e *engine) faster(other *engine) bool {
-	return other == nil || e.slowness.factor < other.slowness.factor
+// faster reports whether the engine is faster than the other one at the paces expected now.
+func (e *engine) faster(now time.Time, other *engine) bool {
+	return other == nil || e.slownessAt(now) < other.slownessAt(now)
 }
 
 // tryGrant assigns the request to the cheapest suitable engine, if there is one.
@@ -152,7 +153,7 @@
 	if firstEvent > available {
 		return 0, false
 	}
-	gap := profile.EventGapMs(max(1, e.TokensPerEvent), running+1, e.prefillBacklog+req.PromptTokens, e.timing.prefillFactor) * e.slowness.factor
+	gap := profile.EventGapMs(max(1, e.TokensPerEvent), running+1, e.prefillBacklog+req.PromptTokens, e.timing.prefillFactor) * e.slownessAt(now)
 	if running > 0 && req.EventGapTarget > 0 && gap > maxGapShare*ms(req.EventGapTarget) {
 		return 0, false
 	}
--- a/internal/sched/board/shortest_test.go
+++ b/internal/sched/board/shortest_test.go
@@ -21,7 +21,7 @@
 				for range 10 {
 					learnSlowness(b, "e0", slowness)
 				}
-				least := b.MinStreamTime("e0", 1000, tokens)
+				least := b.MinStreamTime(startTime.Add(time.Minute), "e0", 1000, tokens)
 				now := startTime.Add(time.Minute)
 				for _, e := range []board.EndConstraint{board.EndPreferred, board.EndRequired} {
 					req := newSlotRequest(now, "gateway", fmt.Sprint("end-", e))
@@ -39,9 +39,9 @@
 func TestLeastStreamTimeFollowsKnownSpeeds(t *testing.T) {
 	b := board.New()
 	b.SetUpstreams(startTime, newEngines(2, 12))
-	unknown := b.MinStreamTime("e0", 1000, 600)
-	require.Equal(t, unknown, b.MinStreamTime("not listed", 1000, 600))
+	unknown := b.MinStreamTime(startTime, "e0", 1000, 600)
+	require.Equal(t, unknown, b.MinStreamTime(startTime, "not listed", 1000, 600))
 	b.RestoreSpeeds([]board.Speed{{ID: "e0", Slowness: 2}})
-	require.Greater(t, b.MinStreamTime("e0", 1000, 600), 10*unknown)
-	require.Equal(t, unknown, b.MinStreamTime("e1", 1000, 600))
+	require.Greater(t, b.MinStreamTime(startTime, "e0", 1000, 600), 10*unknown)
+	require.Equal(t, unknown, b.MinStreamTime(startTime, "e1", 1000, 600))
 }
--- a/internal/sched/board/stats.go
+++ b/internal/sched/board/stats.go
@@ -19,6 +19,10 @@
 	// them.
 	Engines string
 	Unusual int
+	// Paces lists the paces of up to maxDescribedEngines of the engines whose pace differs
+	// from the usual one, the slowest first. Paced counts all of them.
+	Paces string
+	Paced int
 	// Services lists for each service by what factor prefill is slower than the decoding
 	// speed suggests, and the part of the first-event latency that does not depend on the
 	// engine.
@@ -53,6 +57,7 @@
 		engines = append(engines, text)
 	}
 	slices.Sort(engines)
+	stats.Paces, stats.Paced = s.describePaces(now)
 	stats.Unusual = len(engines)
 	stats.Engines = strings.Join(engines[:min(maxDescribedEngines, len(engines))], " ")
 	var services []string
--- a/internal/sched/granter/granter.go
+++ b/internal/sched/granter/granter.go
@@ -145,7 +145,7 @@
 func (g *Granter) MinStreamTime(upstream string, promptTokens, outputTokens int) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.scheduler.MinStreamTime(upstream, promptTokens, outputTokens)
+	return g.scheduler.MinStreamTime(g.now(), upstream, promptTokens, outputTokens)
 }
 
 // Submit grants a slot to the request, queues the request or refuses it.
