First events carry the engine's pace to the scheduler

PlaceStarted has the pace and its age already, and the scheduler ignored them. It now records them before it fills the engine.

--- a/internal/sched/granter/granter.go
+++ b/internal/sched/granter/granter.go
@@ -158,10 +158,29 @@
 	g.update(func(s *board.Scheduler, now time.Time) { s.Reconcile(now, owner, held) })
 }
 
-// Started records the first event of a run, and the number of requests that its engine
-// reported, or -1 if it reported none.
-func (g *Granter) Started(owner, id string, reported int) {
-	g.update(func(s *board.Scheduler, now time.Time) { s.Started(now, owner, id, reported) })
+// Load is what an engine reported with the first event of a run.
+type Load struct {
+	// Requests is the number of requests, or -1 if the engine reported none.
+	Requests int
+	// Pace is by what factor work takes longer than usual, or 0 if the engine stated none.
+	Pace float64
+	// Age is how long ago the report arrived.
+	Age time.Duration
+}
+
+// Started records the first event of a run, and what its engine reported.
+func (g *Granter) Started(owner, id string, load Load) {
+	g.update(func(s *board.Scheduler, now time.Time) {
+		s.RecordPace(now, owner, id, load.Pace, load.Age)
+		s.Started(now, owner, id, load.Requests)
+	})
+}
+
+// SlowEngines returns the number of engines whose work takes much longer than usual.
+func (g *Granter) SlowEngines() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.scheduler.SlowEngines(g.now())
 }
 
 // Release ends the use of a slot, or withdraws a waiting request.
--- a/internal/sched/permit/serve.go
+++ b/internal/sched/permit/serve.go
@@ -16,11 +16,7 @@
 	case *wire.Envelope_PlaceAsk:
 		g.Submit(decodeSlotRequest(now, owner, body.PlaceAsk))
 	case *wire.Envelope_PlaceStarted:
-		reported := -1
-		if body.PlaceStarted.LoadKnown {
-			reported = int(body.PlaceStarted.Running + body.PlaceStarted.Waiting)
-		}
-		g.Started(owner, body.PlaceStarted.Id, reported)
+		g.Started(owner, body.PlaceStarted.Id, decodeLoad(body.PlaceStarted))
 	case *wire.Envelope_PlaceEnded:
 		g.Release(owner, body.PlaceEnded.Id, decodeResult(body.PlaceEnded))
 	case *wire.Envelope_PlacesHeld:
@@ -31,6 +27,15 @@
 	return true
 }
 
+func decodeLoad(s *wire.PlaceStarted) granter.Load {
+	if !s.LoadKnown {
+		return granter.Load{Requests: -1}
+	}
+	return granter.Load{
+		Requests: int(s.Running + s.Waiting), Pace: float64(s.PacePercent) / 100, Age: time.Duration(s.LoadAgeMs) * time.Millisecond,
+	}
+}
+
 func decodeSlotRequest(now time.Time, owner string, a *wire.PlaceAsk) board.SlotRequest {
 	return board.SlotRequest{
 		Owner: owner, ID: a.Id, Number: a.Number, Service: a.Service, Domain: a.Domain, Tier: int(a.Tier),
