--- a/internal/role/gateway/metrics.go
+++ b/internal/role/gateway/metrics.go
@@ -61,6 +61,12 @@
 		}
 		return 0
 	})
+	gauge("engines_slow", "Engines whose work takes more than 1.5 times as long as usual, at the gateway that schedules.", func() float64 {
+		if g.peers.scheduler(g.now()) != g.settings.Name {
+			return 0
+		}
+		return float64(g.granter.SlowEngines())
+	})
 	gauge("upstreams", "Upstreams that are registered.", func() float64 { return float64(len(g.roster.All())) })
 	gauge("upstreams_warming_up", "Registered upstreams that may be warming up, so that they get few requests.", func() float64 { return float64(g.guard.warmUps.Cold(g.now())) })
 	gauge("upstreams_rate_limited", "Upstreams that have stated a rate limit.", func() float64 { return float64(g.guard.rates.Limited()) })
--- a/internal/sched/granter/granter.go
+++ b/internal/sched/granter/granter.go
@@ -72,9 +72,13 @@
 		}
 	})
 	if stats != nil {
-		g.logger.Info("requests wait", "waiting", stats.Waiting, "late", stats.Late,
+		attributes := []any{"waiting", stats.Waiting, "late", stats.Late,
 			"running", stats.Running, "slots", stats.Slots, "full", stats.Full, "idle", stats.Idle,
-			"unusual", stats.Unusual, "engines", stats.Engines, "services", stats.Services)
+			"unusual", stats.Unusual, "engines", stats.Engines, "services", stats.Services}
+		if stats.Paced > 0 {
+			attributes = append(attributes, "paced", stats.Paced, "paces", stats.Paces)
+		}
+		g.logger.Info("requests wait", attributes...)
 	}
 	return waiting
 }
