Load pattern of engines with uneven pace

On one deployment 15% of the engines take 2.5 times as long at any moment, for 600 ms, and no pattern had that. An emulated engine now has a pace that multiplies its step time and is stated with each first event. BoardWithoutPace is the same policy without the statements. The random numbers of other patterns are unchanged.

--- a/internal/trial/pattern/engine.go
+++ b/internal/trial/pattern/engine.go
@@ -30,6 +30,8 @@
 	domain   string
 	slots    int
 	slowness float64
+	// pace multiplies the step time at the moment; it is stated with each first event.
+	pace float64
 	// prefillFactor and firstEventDelay come from the EngineModel.
 	prefillFactor   float64
 	firstEventDelay time.Duration
@@ -69,7 +71,7 @@
 		before := float64(j.request.prompt-j.promptLeft-tokens) / 1000
 		milliseconds += (float64(tokens)/profile.PrefillTokensPerMs + profile.PrefillQuadraticMs*(after*after-before*before)) * e.slowness * e.prefillFactor
 	}
-	duration := time.Duration(milliseconds * float64(time.Millisecond))
+	duration := time.Duration(milliseconds * e.pace * float64(time.Millisecond))
 	return duration, e.decode(now.Add(duration))
 }
 
--- a/internal/trial/pattern/load.go
+++ b/internal/trial/pattern/load.go
@@ -142,6 +142,14 @@
 	Share        float64
 }
 
+// SlowSpells make each engine take Factor times as long for spells of a length, as the other
+// programs on its VM do. Share is the share of the engines in a spell at any moment. Engines
+// state their pace with each first event.
+type SlowSpells struct {
+	Share, Factor float64
+	Length        time.Duration
+}
+
 // failureLatency is the time until an engine responds with a failure.
 const failureLatency = 60 * time.Millisecond
 
@@ -156,6 +164,8 @@
 	Bursts   []Burst
 	Crashes  []Crash
 	Failures []FailurePeriod
+	// SlowSpells are spells of a slower pace; the zero value is the usual pace.
+	SlowSpells SlowSpells
 	// LongPromptShare is the share of the top tier's prompts that are ten times
 	// as long.
 	LongPromptShare float64
@@ -220,6 +230,10 @@
 	uniformFailures(5, 8, 1.1, 4*time.Second), uniformFailures(93, 8, 1.1, 4*time.Second), uniformFailures(600, 3, 1.3, 3000*time.Millisecond),
 	{Name: "answers-prevail", Description: "quick answers have become the larger part of the traffic, and all of it exceeds the capacity by half: three domains of engines with 11 slots", Duration: 14 * time.Second, Scale: 1.5,
 		Mix: [3]float64{1.74, 3.23, 1.69}, Domains: 3, Model: EngineModel{Count: 41, Slots: 11, PrefillFactor: 1, FirstEventDelay: profile.FixedLatency}},
+	{Name: "uneven-pace", Description: "15% of the engines take 2.5 times as long, for 600 ms each, and a burst takes all slots: three domains of engines with 11 slots", Duration: 14 * time.Second, Scale: 1,
+		Mix: [3]float64{1.74, 3.23, 1.69}, Bursts: []Burst{{At: 4 * time.Second, Duration: 6 * time.Second, Tier: -1, Factor: 1.5}},
+		SlowSpells: SlowSpells{Share: 0.15, Factor: 2.5, Length: 600 * time.Millisecond},
+		Domains:    3, Model: EngineModel{Count: 41, Slots: 11, PrefillFactor: 1, FirstEventDelay: profile.FixedLatency}},
 	{Name: "overload", Description: "sustained traffic beyond the capacity of the engines", Duration: 14 * time.Second, Scale: 1.5},
 }
 
--- a/internal/trial/pattern/play.go
+++ b/internal/trial/pattern/play.go
@@ -20,6 +20,8 @@
 	// crashes, failureStream the one that decides which requests fail.
 	workloadStream = 0x70617474
 	failureStream  = 0x6661696c
+	// paceStream selects the random stream that draws the times between slow spells.
+	paceStream = 0x70616365
 )
 
 // engineSlowness are the step time factors of the Atelier's engines; each factor
@@ -87,7 +89,7 @@
 	model := p.engineModel()
 	for i := range model.Count {
 		s.engines = append(s.engines, &engine{
-			id: "engine-" + strconv.Itoa(i), domain: domainName(i % max(1, p.Domains)), slots: model.Slots, slowness: engineSlowness[i%len(engineSlowness)],
+			id: "engine-" + strconv.Itoa(i), domain: domainName(i % max(1, p.Domains)), slots: model.Slots, slowness: engineSlowness[i%len(engineSlowness)], pace: 1,
 			prefillFactor: model.PrefillFactor, firstEventDelay: model.FirstEventDelay,
 		})
 	}
@@ -99,6 +101,12 @@
 	for _, c := range p.Crashes {
 		s.scheduleCrash(c, random)
 	}
+	if p.SlowSpells.Share > 0 {
+		spells := rand.New(rand.NewPCG(seed, paceStream))
+		for _, e := range s.engines {
+			s.scheduleSpells(e, spells)
+		}
+	}
 	s.schedule(startTime, s.tick)
 	s.run()
 	return summarize(p, requests)
@@ -138,6 +146,18 @@
 	}
 }
 
+// scheduleSpells schedules the slow spells of an engine, which begin at random times.
+func (s *simulation) scheduleSpells(e *engine, random *rand.Rand) {
+	spells := s.pattern.SlowSpells
+	meanPause := spells.Length.Seconds() * (1 - spells.Share) / spells.Share
+	setPace := func(pace float64) func(time.Time) { return func(time.Time) { e.pace = pace } }
+	for at := startTime; at.Before(startTime.Add(s.pattern.Duration)); at = at.Add(spells.Length) {
+		at = at.Add(time.Duration(random.ExpFloat64() * meanPause * float64(time.Second)))
+		s.schedule(at, setPace(spells.Factor))
+		s.schedule(at.Add(spells.Length), setPace(1))
+	}
+}
+
 // dispatch sends a request to an engine and reports whether the engine accepted
 // it.
 func (s *simulation) dispatch(now time.Time, e *engine, r *request) bool {
--- a/internal/trial/pattern/policy.go
+++ b/internal/trial/pattern/policy.go
@@ -16,10 +16,21 @@
 	requests   map[string]*request
 	engines    map[string]*engine
 	startedAt  map[string]time.Time
+	// ignoresPace withholds the paces that engines state from the board.
+	ignoresPace bool
 }
 
 // Board returns the policy that gateways use.
-func Board(s *simulation) Policy {
+func Board(s *simulation) Policy { return newBoardPolicy(s) }
+
+// BoardWithoutPace returns the same policy for engines that state no pace.
+func BoardWithoutPace(s *simulation) Policy {
+	b := newBoardPolicy(s)
+	b.ignoresPace = true
+	return b
+}
+
+func newBoardPolicy(s *simulation) *boardPolicy {
 	b := &boardPolicy{
 		simulation: s, board: board.New(), requests: make(map[string]*request),
 		engines: make(map[string]*engine), startedAt: make(map[string]time.Time),
@@ -72,6 +83,9 @@
 
 func (b *boardPolicy) started(now time.Time, e *engine, r *request) {
 	b.startedAt[r.id] = now
+	if !b.ignoresPace && b.simulation.pattern.SlowSpells.Share > 0 {
+		b.board.RecordPace(now, gatewayName, r.id, e.pace, 0)
+	}
 	b.board.Started(now, gatewayName, r.id, e.load())
 	b.applyVerdicts(now)
 }
