Plain upstreams that state a pace are chosen by expected time to finish

A gateway chose the upstream with the fewest requests per slot, whatever its pace.

If an upstream of the service has stated a pace within 10 s, two drawn at random are compared by pace times (1 + requests / slots), and a request is refused only if none of all is expected to finish it in time. The gateway's requests at the time of another gateway's sample are taken from a history of 320 ms. Responses that contradict the figures in them suspend refusals for two seconds. Engines that are chosen without a scheduler count at their pace, and keep the limit by part.

--- a/internal/sched/local/local.go
+++ b/internal/sched/local/local.go
@@ -1,16 +1,18 @@
-// Package local chooses an upstream from what this process alone knows: its own requests
-// and the load that upstreams reported in their responses. It serves plain services, and
-// engines while no scheduler can be asked.
+// Package local chooses an upstream by this process's own requests and the load that
+// upstreams reported in responses to it and, if they state a pace, to other gateways. It
+// serves plain services, and engines while no scheduler can be asked.
 package local
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
 	"github.com/persimmonridge/persimmonridge/internal/edge/flow"
 	"github.com/persimmonridge/persimmonridge/internal/sched/failure"
+	"github.com/persimmonridge/persimmonridge/internal/sched/load"
 	"github.com/persimmonridge/persimmonridge/internal/state/roster"
 	"github.com/persimmonridge/persimmonridge/internal/state/wait"
 )
@@ -65,6 +67,17 @@
 	failuresInRow    int
 	backoffUntil     time.Time
 	failureRate      failure.Rate
+	// history holds the past values of running. It is kept only for upstreams that are
+	// chosen by the samples of several gateways.
+	history *history
+}
+
+// addRunning changes the number of this process's requests at the upstream.
+func (s *upstreamState) addRunning(now time.Time, n int) {
+	s.running += n
+	if s.history != nil {
+		s.history.record(now, s.running)
+	}
 }
 
 // external returns the requests of other processes that the upstream reported recently.
@@ -91,13 +104,25 @@
 	states   map[string]*upstreamState
 	rotation uint64
 	limiter  Limiter
+	loads    *load.Table
+	observer Observer
+	// draw returns a random number below n.
+	draw func(n int) int
+	// usual holds, by service, what is known of the responses of upstreams that state a
+	// pace.
+	usual map[string]*usualResponse
+	// candidateBuffer and skippedBuffer are reused by candidates.
+	candidateBuffer, skippedBuffer []int
 	// lastPresent is when each service last had an upstream.
 	lastPresent map[string]time.Time
 }
 
 // New returns a chooser for a process in the failure domain.
 func New(domain string, ready func(service string) []roster.Upstream, processes func() int) *Chooser {
-	return &Chooser{domain: domain, readyUpstreams: ready, processCount: processes, states: make(map[string]*upstreamState), lastPresent: make(map[string]time.Time)}
+	return &Chooser{
+		domain: domain, readyUpstreams: ready, processCount: processes, states: make(map[string]*upstreamState),
+		lastPresent: make(map[string]time.Time), usual: make(map[string]*usualResponse), draw: rand.IntN, observer: noObserver{},
+	}
 }
 
 // SetLimiter sets the limiter. Without one, no upstream is limited.
@@ -129,22 +154,42 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.statesPace(now, upstreams) {
+		return c.pickByPace(now, upstreams, req)
+	}
 	best, found := c.cheapest(now, upstreams, req, false)
 	if !found {
 		best, found = c.cheapest(now, upstreams, req, true)
 	}
 	if !found {
-		if pause := c.shortestWait(now, upstreams, req); pause > 0 {
-			return nil, flow.RefusePlacement(pause, "all upstreams of the service that may get the request are warming up or take fewer requests")
-		}
-		return nil, flow.RefusePlacement(noUpstreamRetryAfter, "no upstream of the service is left to try")
+		return nil, c.refuseWithoutCandidate(now, upstreams, req)
 	}
 	state := c.state(best.ID)
 	if c.full(now, state, best, req) {
-		return nil, flow.RefusePlacement(fullRetryAfter, "all upstreams of the service are full")
+		return nil, c.refuseFull()
 	}
-	state.running++
-	return &placement{chooser: c, upstream: best}, nil
+	state.addRunning(now, 1)
+	return &placement{chooser: c, upstream: best, plain: !isGeneration(req)}, nil
+}
+
+// refuseWithoutCandidate returns the refusal of a request that none of the upstreams may get.
+func (c *Chooser) refuseWithoutCandidate(now time.Time, upstreams []roster.Upstream, req flow.PlacementRequest) error {
+	if pause := c.shortestWait(now, upstreams, req); pause > 0 {
+		c.observer.Refused("limited")
+		return flow.RefusePlacement(pause, "all upstreams of the service that may get the request are warming up or take fewer requests")
+	}
+	c.observer.Refused("no-upstream")
+	return flow.RefusePlacement(noUpstreamRetryAfter, "no upstream of the service is left to try")
+}
+
+func (c *Chooser) refuseFull() error {
+	c.observer.Refused("full")
+	return flow.RefusePlacement(fullRetryAfter, "all upstreams of the service are full")
+}
+
+// isGeneration reports whether the request runs on an engine.
+func isGeneration(req flow.PlacementRequest) bool {
+	return req.PromptTokens > 0 || req.OutputTokens > 0
 }
 
 // waitDeadline returns until when a request waits for an upstream of a service that has
@@ -181,7 +226,7 @@
 // part of them.
 func (c *Chooser) full(now time.Time, state *upstreamState, u roster.Upstream, req flow.PlacementRequest) bool {
 	limit := c.part(u)
-	if isGeneration := req.PromptTokens > 0 || req.OutputTokens > 0; !isGeneration && now.Sub(state.declinedAt) >= declineMemory {
+	if !isGeneration(req) && now.Sub(state.declinedAt) >= declineMemory {
 		limit = max(limit, float64(u.Slots)-state.external(now))
 	}
 	return float64(state.running) >= limit
@@ -200,18 +245,14 @@
 // that equal upstreams take turns.
 func (c *Chooser) cheapest(now time.Time, upstreams []roster.Upstream, req flow.PlacementRequest, includeSkipped bool) (roster.Upstream, bool) {
 	c.rotation++
-	rates := make([]float64, 0, len(upstreams))
-	for _, u := range upstreams {
-		rates = append(rates, c.state(u.ID).failureRate.At(now))
-	}
-	baseline := failure.Baseline(rates)
+	baseline := c.failureBaseline(now, upstreams)
 	var best roster.Upstream
 	var bestCost float64
 	found := false
 	for i := range upstreams {
 		u := upstreams[(uint64(i)+c.rotation)%uint64(len(upstreams))]
 		state := c.state(u.ID)
-		if !req.Allows(u) || c.wait(now, u) > 0 || (!includeSkipped && (now.Before(state.backoffUntil) || state.failureRate.At(now) > baseline+failureMargin)) {
+		if !c.mayGet(now, u, req) || (!includeSkipped && state.skipped(now, baseline)) {
 			continue
 		}
 		cost := c.cost(now, state, u)
@@ -222,6 +263,25 @@
 	return best, found
 }
 
+// failureBaseline returns the failure rate that is usual among the upstreams.
+func (c *Chooser) failureBaseline(now time.Time, upstreams []roster.Upstream) float64 {
+	rates := make([]float64, 0, len(upstreams))
+	for _, u := range upstreams {
+		rates = append(rates, c.state(u.ID).failureRate.At(now))
+	}
+	return failure.Baseline(rates)
+}
+
+// mayGet reports whether the upstream may get the request now.
+func (c *Chooser) mayGet(now time.Time, u roster.Upstream, req flow.PlacementRequest) bool {
+	return req.Allows(u) && c.wait(now, u) <= 0
+}
+
+// skipped reports whether the upstream is skipped because of failures.
+func (s *upstreamState) skipped(now time.Time, baseline float64) bool {
+	return now.Before(s.backoffUntil) || s.failureRate.At(now) > baseline+failureMargin
+}
+
 // wait returns how long it takes until this process may send a request to the upstream.
 func (c *Chooser) wait(now time.Time, u roster.Upstream) time.Duration {
 	if c.limiter == nil {
@@ -256,6 +316,14 @@
 type placement struct {
 	chooser  *Chooser
 	upstream roster.Upstream
+	// plain reports whether the upstream has no engine.
+	plain bool
+	// cost is the expected time to finish in units of usual work, 0 if the upstream was
+	// chosen otherwise.
+	cost                          float64
+	pickedAt, startedAt, deadline time.Time
+	// stated is the load that the upstream stated last.
+	stated exchange.Load
 }
 
 // Upstream implements flow.Placement.
@@ -267,19 +335,25 @@
 	defer p.chooser.mu.Unlock()
 	state := p.chooser.state(p.upstream.ID)
 	state.load, state.loadAt, state.ownRunningAtLoad = load, now, state.running
+	p.chooser.recordSample(now, p, load)
 }
 
 // AnswerStarted implements flow.Placement.
-func (p *placement) AnswerStarted(time.Time) {}
+func (p *placement) AnswerStarted(now time.Time) {
+	p.chooser.mu.Lock()
+	defer p.chooser.mu.Unlock()
+	p.startedAt = now
+}
 
 // Release implements flow.Placement.
 func (p *placement) Release(now time.Time, o flow.Outcome, _ int) {
 	p.chooser.mu.Lock()
 	defer p.chooser.mu.Unlock()
 	state := p.chooser.state(p.upstream.ID)
-	state.running--
+	state.addRunning(now, -1)
 	switch o {
 	case flow.Answered:
+		p.chooser.recordResponse(now, p)
 		state.failuresInRow = 0
 		state.failureRate.Succeeded(now)
 	case flow.Failed:
