Gateways exchange the load samples of plain upstreams

Each gateway used only what it received itself, and no pace.

Messages pass as those of the quota do.

--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -164,6 +164,7 @@
 	versionPicker     *rollout.Picker
 	rolloutController *rolloutController
 	speedStore        *speedStore
+	loads             *loadExchange
 	follower          *follow.Follower
 	// lastChange is the kv.Revision of the latest change that was applied, heartbeats
 	// excluded.
@@ -233,6 +234,9 @@
 	g.granter.SetLimiter(g.guard)
 	chooser := local.New(s.Domain, g.roster.Ready, g.peers.gatewayCount)
 	chooser.SetLimiter(g.guard)
+	g.loads = newLoadExchange(g)
+	chooser.SetLoads(g.loads.table)
+	chooser.SetObserver(g.loads)
 	g.permits = permit.New(permit.Dependencies{
 		Node: s.Name, Domain: s.Domain, Scheduler: g.peers.scheduler, Send: g.mesh.Send,
 		DeliverLocally: func(now time.Time, e *wire.Envelope) { permit.HandleMessage(now, g.granter, s.Name, e) },
@@ -288,6 +292,7 @@
 	group.Go(func() error { return g.mesh.Run(background) })
 	group.Go(func() error { return g.granter.Run(background) })
 	group.Go(func() error { return g.peers.reportQuota(background) })
+	group.Go(func() error { return g.loads.run(background) })
 	group.Go(func() error { return g.rolloutController.run(background) })
 	group.Go(func() error { return g.speedStore.run(background) })
 	group.Go(func() error { return (&standbySync{Gateway: g}).run(background) })
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -249,6 +249,8 @@
 		p.quota.ApplyTotals(now, quota.Totals{
 			LedgerRun: body.QuotaTotals.Run, OthersUsed: body.QuotaTotals.Others, Coverage: body.QuotaTotals.Part, AllJustStarted: body.QuotaTotals.Fresh,
 		})
+	case *wire.Envelope_LoadReport:
+		p.loads.receive(now, peer, body.LoadReport)
 	case *wire.Envelope_SnapshotAsk:
 		p.mesh.Send(peer, &wire.Envelope{Body: &wire.Envelope_Snapshot{Snapshot: p.buildSnapshot(body.SnapshotAsk)}})
 	case *wire.Envelope_SchedulerMemory:
@@ -269,6 +271,7 @@
 	p.stops.down(now, peer)
 	p.granter.OwnerDown(peer)
 	p.permits.GatewayDown(peer)
+	p.loads.table.PeerDown(peer)
 	p.permits.UpdateScheduler(now)
 }
 
