A request runs on an engine if its service has engines

Whether a request is for an engine was told from its token counts. A request for a plain service may state some, and one for an engine none: samples of engines would have been reported, and plain upstreams limited by part.

The gateway now tells the chooser which services have engines. The limit of services without a pace still follows the token counts, as before.

--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -235,7 +235,7 @@
 	chooser := local.New(s.Domain, g.roster.Ready, g.peers.gatewayCount)
 	chooser.SetLimiter(g.guard)
 	g.loads = newLoadExchange(g)
-	chooser.SetLoads(g.loads.table)
+	chooser.SetLoads(g.loads.table, g.loads.hasEngines)
 	chooser.SetObserver(g.loads)
 	g.permits = permit.New(permit.Dependencies{
 		Node: s.Name, Domain: s.Domain, Scheduler: g.peers.scheduler, Send: g.mesh.Send,
--- a/internal/role/gateway/loads.go
+++ b/internal/role/gateway/loads.go
@@ -75,6 +75,11 @@
 	return x
 }
 
+func (x *loadExchange) hasEngines(service string) bool {
+	s := x.service(service)
+	return s != nil && s.Engine != nil
+}
+
 // SampleUsed implements local.Observer.
 func (x *loadExchange) SampleUsed(age time.Duration) { x.sampleAge.Observe(age.Seconds()) }
 
--- a/internal/sched/local/local.go
+++ b/internal/sched/local/local.go
@@ -105,7 +105,9 @@
 	rotation uint64
 	limiter  Limiter
 	loads    *load.Table
-	observer Observer
+	// hasEngines reports whether a service has engines.
+	hasEngines func(service string) bool
+	observer   Observer
 	// draw returns a random number below n.
 	draw func(n int) int
 	// usual holds, by service, what is known of the responses of upstreams that state a
@@ -121,7 +123,8 @@
 func New(domain string, ready func(service string) []roster.Upstream, processes func() int) *Chooser {
 	return &Chooser{
 		domain: domain, readyUpstreams: ready, processCount: processes, states: make(map[string]*upstreamState),
-		lastPresent: make(map[string]time.Time), usual: make(map[string]*usualResponse), draw: rand.IntN, observer: noObserver{},
+		lastPresent: make(map[string]time.Time), usual: make(map[string]*usualResponse),
+		draw: rand.IntN, observer: noObserver{}, hasEngines: func(string) bool { return false },
 	}
 }
 
@@ -169,7 +172,7 @@
 		return nil, c.refuseFull()
 	}
 	state.addRunning(now, 1)
-	return &placement{chooser: c, upstream: best, plain: !isGeneration(req)}, nil
+	return &placement{chooser: c, upstream: best, plain: !c.hasEngines(req.Service)}, nil
 }
 
 // refuseWithoutCandidate returns the refusal of a request that none of the upstreams may get.
@@ -187,11 +190,6 @@
 	return flow.RefusePlacement(fullRetryAfter, "all upstreams of the service are full")
 }
 
-// isGeneration reports whether the request runs on an engine.
-func isGeneration(req flow.PlacementRequest) bool {
-	return req.PromptTokens > 0 || req.OutputTokens > 0
-}
-
 // waitDeadline returns until when a request waits for an upstream of a service that has
 // none.
 func (c *Chooser) waitDeadline(req flow.PlacementRequest) time.Time {
@@ -226,7 +224,7 @@
 // part of them.
 func (c *Chooser) full(now time.Time, state *upstreamState, u roster.Upstream, req flow.PlacementRequest) bool {
 	limit := c.part(u)
-	if !isGeneration(req) && now.Sub(state.declinedAt) >= declineMemory {
+	if isGeneration := req.PromptTokens > 0 || req.OutputTokens > 0; !isGeneration && now.Sub(state.declinedAt) >= declineMemory {
 		limit = max(limit, float64(u.Slots)-state.external(now))
 	}
 	return float64(state.running) >= limit
--- a/internal/sched/local/paced.go
+++ b/internal/sched/local/paced.go
@@ -41,11 +41,12 @@
 func (noObserver) SampleUsed(time.Duration) {}
 func (noObserver) Refused(string)           {}
 
-// SetLoads sets the table of load samples. Without one, paces are not used.
-func (c *Chooser) SetLoads(t *load.Table) {
+// SetLoads sets the table of load samples, without which paces are not used, and a function
+// that reports whether a service has engines, whose samples are not shared.
+func (c *Chooser) SetLoads(t *load.Table, hasEngines func(service string) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.loads = t
+	c.loads, c.hasEngines = t, hasEngines
 }
 
 // SetObserver sets the observer.
@@ -55,13 +56,6 @@
 	c.observer = o
 }
 
-// SetDraw sets the source of random numbers below n.
-func (c *Chooser) SetDraw(draw func(n int) int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.draw = draw
-}
-
 func process(u roster.Upstream) roster.Process {
 	return roster.Process{ID: u.ID, StartedAtMs: u.StartedAtMs}
 }
@@ -87,7 +81,8 @@
 		return nil, c.refuseWithoutCandidate(now, upstreams, req)
 	}
 	choose := c.cheaperOfTwo
-	if isGeneration(req) {
+	onEngine := c.hasEngines(req.Service)
+	if onEngine {
 		choose = c.cheapestWithRoom
 	} else {
 		c.loads.Used(now)
@@ -102,7 +97,7 @@
 	state := c.state(best.upstream.ID)
 	state.addRunning(now, 1)
 	return &placement{
-		chooser: c, upstream: best.upstream, plain: !isGeneration(req), cost: best.finish, pickedAt: now, deadline: req.Deadline,
+		chooser: c, upstream: best.upstream, plain: !onEngine, cost: best.finish, pickedAt: now, deadline: req.Deadline,
 	}, nil
 }
 
@@ -291,7 +286,7 @@
 	}
 	busy := float64(p.stated.Running+p.stated.Waiting) / float64(max(1, p.upstream.Slots))
 	expected := max(1, p.stated.Pace) * (1 + busy) * usual.seconds
-	if expected > p.deadline.Sub(p.pickedAt).Seconds() && took < contradictionShare*expected {
+	if !p.deadline.IsZero() && expected > p.deadline.Sub(p.pickedAt).Seconds() && took < contradictionShare*expected {
 		usual.contradictedAt = now
 	}
 	usual.seconds += usualWeight * (took/max(1, p.cost) - usual.seconds)
--- a/internal/sched/local/paced_load_test.go
+++ b/internal/sched/local/paced_load_test.go
@@ -170,3 +170,21 @@
 		})
 	}
 }
+
+// Guards against gateways that go on sending to an upstream that takes requests and answers
+// none, because its last sample was that of an idle one.
+func TestUpstreamThatAnswersNothingGetsFewRequests(t *testing.T) {
+	s := newSimulation(3, 1)
+	s.upstreams[0].pace = func(at time.Duration) float64 {
+		if at > time.Second && at < 5*time.Second {
+			return 1000
+		}
+		return 1
+	}
+	s.press(250)
+	s.run(time.Second)
+	s.reset()
+	s.run(4 * time.Second)
+	t.Logf("share %.3f, missed %.3f", s.share(0), s.missed())
+	require.LessOrEqual(t, s.share(0), 0.10)
+}
--- a/internal/sched/local/paced_test.go
+++ b/internal/sched/local/paced_test.go
@@ -23,7 +23,7 @@
 	ready := []roster.Upstream{{ID: "one", Service: "s", Slots: slots, StartedAtMs: 1}, {ID: "two", Service: "s", Slots: slots, StartedAtMs: 1}}
 	chooser := local.New("", func(string) []roster.Upstream { return ready }, func() int { return 20 })
 	table := load.New("g")
-	chooser.SetLoads(table)
+	chooser.SetLoads(table, local.NoEngines)
 	return chooser, table
 }
 
@@ -49,7 +49,7 @@
 	upstreams := func(string) []roster.Upstream { return ready }
 	gateways := func() int { return 4 }
 	before, after, table := local.New("a", upstreams, gateways), local.New("a", upstreams, gateways), load.New("g")
-	after.SetLoads(table)
+	after.SetLoads(table, local.NoEngines)
 	random := rand.New(rand.NewPCG(1, 2))
 	var held [][2]flow.Placement
 	now := time.Unix(1_000_000, 0)
@@ -115,20 +115,23 @@
 func TestFullUpstreamCausesNoRefusalBesideAnother(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	for _, c := range []struct {
-		name string
-		req  flow.PlacementRequest
-		want int
+		name    string
+		engines func(string) bool
+		tokens  int
+		want    int
 	}{
-		{"plain service", flow.PlacementRequest{}, 100},
+		{"plain service", local.NoEngines, 0, 100},
+		{"plain service, tokens stated", local.NoEngines, 1, 100},
 		// Of eight slots, one of 20 gateways may use three without a scheduler.
-		{"engines", flow.PlacementRequest{PromptTokens: 1}, 6},
+		{"engines", local.OnlyEngines, 1, 6},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			chooser, table := pair(t, 8)
+			chooser.SetLoads(table, c.engines)
 			table.Answered(now, []load.Sample{heard("one", now, 0, 0.5), heard("two", now, 0, 9)})
 			got := 0
 			for got < 100 {
-				p, err := chooser.Pick(context.Background(), now, flow.PlacementRequest{Service: "s", PromptTokens: c.req.PromptTokens})
+				p, err := chooser.Pick(context.Background(), now, flow.PlacementRequest{Service: "s", PromptTokens: c.tokens})
 				if err != nil {
 					require.ErrorContains(t, err, "full")
 					break
@@ -149,9 +152,12 @@
 	now := time.Unix(1_000_000, 0)
 	held := chooser.Hold(roster.Upstream{ID: "one", Slots: 8, StartedAtMs: 1})
 	held.ReportLoad(now, exchange.Load{Running: 1, Slots: 8, Pace: 2.5})
+	chooser.SetLoads(table, local.OnlyEngines)
 	chosen := pick(t, chooser, now, flow.PlacementRequest{PromptTokens: 1})
 	require.Equal(t, "two", chosen.Upstream().ID)
 	chosen.ReportLoad(now, exchange.Load{Running: 1, Slots: 8, Pace: 2.5})
+	withoutTokens := pick(t, chooser, now, flow.PlacementRequest{})
+	withoutTokens.ReportLoad(now, exchange.Load{Running: 1, Slots: 8, Pace: 2.5})
 	_, due := table.Report(now)
 	require.False(t, due)
 }
@@ -188,7 +194,7 @@
 	ready := []roster.Upstream{{ID: "one", Service: "s", Slots: 6, StartedAtMs: 2}, {ID: "two", Service: "s", Slots: 6, StartedAtMs: 1}}
 	chooser := local.New("", func(string) []roster.Upstream { return ready }, func() int { return 1 })
 	table := load.New("g")
-	chooser.SetLoads(table)
+	chooser.SetLoads(table, local.NoEngines)
 	table.Answered(now, []load.Sample{heard("one", now, 30, 9), heard("two", now, 2, 1)})
 	require.Equal(t, "one", pick(t, chooser, now, flow.PlacementRequest{}).Upstream().ID)
 }
@@ -203,7 +209,7 @@
 					ready[i] = roster.Upstream{ID: fmt.Sprint("upstream-", i), Service: "s", Slots: 6}
 				}
 				chooser := local.New("a", func(string) []roster.Upstream { return ready }, func() int { return 24 })
-				chooser.SetLoads(load.New("g"))
+				chooser.SetLoads(load.New("g"), local.NoEngines)
 				now := time.Unix(1_000_000, 0)
 				for i := range 4 * n {
 					p := chooser.Hold(ready[i%n])
--- a/internal/sched/local/plain_sim_test.go
+++ b/internal/sched/local/plain_sim_test.go
@@ -97,7 +97,7 @@
 	for i := range gateways {
 		table := load.New(fmt.Sprint("g", i))
 		chooser := local.New("a", func(string) []roster.Upstream { return ready }, func() int { return gateways })
-		chooser.SetLoads(table)
+		chooser.SetLoads(table, local.NoEngines)
 		chooser.SetObserver(observer{s})
 		chooser.SetDraw(s.random.IntN)
 		s.choosers, s.tables = append(s.choosers, chooser), append(s.tables, table)
