Board divides scarce slots among workspaces

With four workspaces of one tier and six engines of four slots, one that asks twelve times as much as each of the others takes most slots, and the others get a fifth of their requests served: the order of a rank depended on the due moment alone.

Among the requests of one rank for which an engine is suitable, the next slot now goes to the workspace with the least usage, and within it to the request that is due first. Requests that were sent before still go first, tiers and refused requests are ordered as before, and the preference for the engine's own failure domain applies within the chosen workspace. A full late queue refuses the last request of the workspace with the most usage. Whether the queue is too long counts the requests that would go before the new one: its own workspace's that are due no later, and as many of each other's as get slots first if slots become free now. Runs count for their workspace from grant to removal, adopted ones from the report of their gateway.

--- a/internal/sched/board/ask.go
+++ b/internal/sched/board/ask.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/persimmonridge/persimmonridge/internal/sched/division"
 )
 
 // SlotRequest is a request for a slot on an engine, made on behalf of a generation request.
@@ -41,6 +43,8 @@
 	// refusedBefore is set if the request was refused earlier. Its answer is late already,
 	// so it goes after all requests that can still be served in time.
 	refusedBefore bool
+	// account is that of the request's workspace.
+	account *division.Account
 }
 
 // Decision grants, queues or refuses a slot request. Upstream is empty unless a slot is
@@ -100,7 +104,7 @@
 
 // enqueue inserts the request in the order in which waiting requests are served: first
 // those that were sent before, last those that were refused before, then by tier and by
-// first-event deadline.
+// first-event deadline. Among requests of one rank, leastServed changes the order.
 func (s *Scheduler) enqueue(req *SlotRequest) {
 	at, _ := slices.BinarySearchFunc(s.waiting, req, compareRequests)
 	s.waiting = slices.Insert(s.waiting, at, req)
--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -8,6 +8,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/persimmonridge/persimmonridge/internal/sched/division"
 )
 
 // Upstream is an engine that may be assigned requests.
@@ -61,6 +63,10 @@
 	tierUses map[serviceTier]*tierUse
 	// turns counts the slots that were given to waiting requests.
 	turns uint64
+	// ledger holds the recent usage of each workspace.
+	ledger *division.Ledger
+	// otherWaiting is a buffer of countAhead.
+	otherWaiting []*division.Account
 }
 
 // New returns an empty scheduler.
@@ -70,6 +76,7 @@
 		byOwner:  make(map[string]map[string]struct{}),
 		refusals: make(refusals), restoredSpeeds: make(map[string]Speed), grantRates: make(map[rank]*grantRate), timings: make(map[string]*serviceTiming),
 		baselines: make(map[string]failureBaseline), tierUses: make(map[serviceTier]*tierUse),
+		ledger: division.NewLedger(),
 	}
 }
 
@@ -155,6 +162,7 @@
 		return
 	}
 	req.arrived = now
+	req.account = s.account(now, req.Service, req.Tier, req.Workspace)
 	// A gateway holds at most one slot per request. If this scheduler still counts an
 	// earlier one, it was released to another scheduler.
 	s.Release(now, request.Owner, request.ID, SlotResult{Outcome: Canceled})
--- a/internal/sched/board/board_bench_test.go
+++ b/internal/sched/board/board_bench_test.go
@@ -65,3 +65,36 @@
 		})
 	}
 }
+
+// BenchmarkDividedDecision is BenchmarkDecision with requests of sixteen workspaces, which
+// have used the engines unevenly.
+func BenchmarkDividedDecision(b *testing.B) {
+	const engines, slots, waiting, workspaces = 600, 8, 500, 16
+	full := board.New()
+	full.SetUpstreams(startTime, newEngines(engines, slots))
+	n := 0
+	submit := func(now time.Time) {
+		a := newSlotRequest(now, "gateway", strconv.Itoa(n))
+		a.NextEventDue, a.EventGapTarget, a.PromptTokens = now.Add(time.Hour), 0, 1
+		a.Workspace = strconv.Itoa(n % (n%workspaces + 1))
+		full.Submit(now, a)
+		n++
+	}
+	for range engines*slots + waiting {
+		submit(startTime)
+	}
+	now := startTime.Add(time.Second)
+	var running []string
+	for b.Loop() {
+		for _, d := range full.Decisions() {
+			full.Started(now, d.Owner, d.ID, -1)
+			if d.Upstream != "" {
+				running = append(running, d.ID)
+			}
+		}
+		submit(now)
+		now = now.Add(time.Millisecond)
+		full.Release(now, "gateway", running[0], answeredEnd)
+		running = running[1:]
+	}
+}
--- /dev/null
+++ b/internal/sched/board/divide.go
@@ -0,0 +1,96 @@
+package board
+
+import (
+	"time"
+
+	"github.com/persimmonridge/persimmonridge/internal/sched/division"
+)
+
+// account returns the account of a workspace in a tier of the service. Requests from
+// gateways of an earlier build have no workspace and share one.
+func (s *Scheduler) account(now time.Time, service string, tier int, workspace string) *division.Account {
+	return s.ledger.Account(now, division.Key{Service: service, Tier: tier, Workspace: workspace})
+}
+
+// leastServed returns the index of the request that gets the next slot of the engine, among
+// those of the rank of the one at the index, which is the first for which the engine is
+// suitable: the first of the workspace with the least usage. The engine must be suitable for
+// it, so that no slot stays free while a request waits that could use it.
+func (s *Scheduler) leastServed(now time.Time, e *engine, queue []*SlotRequest, index int, late bool, baseline float64) int {
+	first := queue[index]
+	if first.Resent {
+		return index
+	}
+	best, account, usage, compared := index, first.account, first.account.Usage(now), 0
+	for i := index + 1; i < len(queue) && compared < maxScanned; i++ {
+		req := queue[i]
+		if req.account == account || req.Service != first.Service {
+			continue
+		}
+		if req.Resent || req.Tier != first.Tier || req.refusedBefore != first.refusedBefore {
+			// The queue is in order of rank.
+			break
+		}
+		if other := req.account.Usage(now); other < usage {
+			compared++
+			if _, ok := s.cost(now, e, req, late, baseline); ok {
+				best, account, usage = i, req.account, other
+			}
+		}
+	}
+	return best
+}
+
+// lastInTurn returns the index of the request that would get a slot last: of those of the
+// last rank in the queue, the last of the workspace with the most usage.
+func (s *Scheduler) lastInTurn(now time.Time, queue []*SlotRequest) int {
+	index := len(queue) - 1
+	last := queue[index]
+	if last.Resent {
+		return index
+	}
+	account, usage := last.account, last.account.Usage(now)
+	for i := index - 1; i >= 0; i-- {
+		req := queue[i]
+		if req.account == account || req.Service != last.Service {
+			continue
+		}
+		if req.Resent || req.Tier != last.Tier || req.refusedBefore != last.refusedBefore {
+			break
+		}
+		if other := req.account.Usage(now); other > usage {
+			index, account, usage = i, req.account, other
+		}
+	}
+	return index
+}
+
+// countAhead returns the number of waiting requests of the same rank that go before the
+// request: those of its own workspace whose deadline is no later, and those of other
+// workspaces that get slots before all of these have theirs.
+func (s *Scheduler) countAhead(now time.Time, req *SlotRequest) int {
+	own := 0
+	others := s.otherWaiting[:0]
+	for _, other := range s.waiting {
+		if other.Resent || other.Tier != req.Tier || other.refusedBefore != req.refusedBefore || other.Service != req.Service {
+			continue
+		}
+		if other.account == req.account {
+			if !other.NextEventDue.After(req.NextEventDue) {
+				own++
+			}
+			continue
+		}
+		if other.account.Waiting == 0 {
+			others = append(others, other.account)
+		}
+		other.account.Waiting++
+	}
+	ahead := own
+	for _, account := range others {
+		ahead += req.account.GoBefore(now, own, account, account.Waiting)
+		account.Waiting = 0
+	}
+	s.otherWaiting = others
+	return ahead
+}
--- a/internal/sched/board/engine.go
+++ b/internal/sched/board/engine.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/persimmonridge/persimmonridge/internal/sched/division"
 	"github.com/persimmonridge/persimmonridge/internal/sched/failure"
 	"github.com/persimmonridge/persimmonridge/internal/sched/profile"
 )
@@ -38,7 +39,9 @@
 type run struct {
 	owner, id string
 	// number distinguishes this slot from others of the same request.
-	number           uint64
+	number uint64
+	// account is that of the request's workspace. It counts the slot until the run is removed.
+	account          *division.Account
 	prompt           int
 	grantedAt        time.Time
 	expectedAt       time.Time
@@ -228,6 +231,7 @@
 func (e *engine) remove(now time.Time, key string, r *run) {
 	e.advanceRunMs(now)
 	delete(e.runs, key)
+	r.account.Free(now)
 	if !r.started {
 		e.finishPrefill(now, r)
 	}
--- a/internal/sched/board/fill.go
+++ b/internal/sched/board/fill.go
@@ -35,8 +35,11 @@
 		}
 		if !late {
 			index = s.preferLowerTier(now, e, queue, index, baseline)
+			index = s.leastServed(now, e, queue, index, false, baseline)
 			index = s.preferDomain(now, e, queue, index, baseline)
 			s.recordQueueGrant(now, queue[index])
+		} else {
+			index = s.leastServed(now, e, queue, index, true, baseline)
 		}
 		s.grant(now, e, queue[index])
 		queue = slices.Delete(queue, index, index+1)
@@ -81,8 +84,8 @@
 }
 
 // preferDomain returns the index of a waiting request from the engine's own failure domain
-// that goes before the one at the index: one of the same rank. It returns the given index
-// if there is none. Traffic between failure domains is expensive and takes longer.
+// that goes before the one at the index: one of the same rank and workspace. It returns the
+// given index if there is none. Traffic between failure domains is expensive and takes longer.
 func (s *Scheduler) preferDomain(now time.Time, e *engine, queue []*SlotRequest, index int, baseline float64) int {
 	first := queue[index]
 	s.turns++
@@ -90,7 +93,7 @@
 		return index
 	}
 	local := s.nextFor(now, e, queue, false, baseline, func(req *SlotRequest) bool {
-		return req.Domain == e.Domain && !req.Resent && rankOf(req) == rankOf(first)
+		return req.Domain == e.Domain && !req.Resent && rankOf(req) == rankOf(first) && req.account == first.account
 	})
 	if local < 0 {
 		return index
--- a/internal/sched/board/late.go
+++ b/internal/sched/board/late.go
@@ -30,8 +30,9 @@
 	at, _ := slices.BinarySearchFunc(s.late, req, compareRequests)
 	s.late = slices.Insert(s.late, at, req)
 	if len(s.late) > s.maxLate(req.Service) {
-		last := s.late[len(s.late)-1]
-		s.late = s.late[:len(s.late)-1]
+		index := s.lastInTurn(now, s.late)
+		last := s.late[index]
+		s.late = slices.Delete(s.late, index, index+1)
 		s.refuse(now, last, "too many late requests waiting")
 		return
 	}
--- a/internal/sched/board/pace.go
+++ b/internal/sched/board/pace.go
@@ -20,7 +20,8 @@
 	minQueueShare = 0.05
 )
 
-// rank groups the waiting requests whose relative order depends on their deadlines only.
+// rank groups the waiting requests whose relative order depends only on their deadlines and
+// on what their workspaces used.
 type rank struct {
 	service       string
 	tier          int
@@ -68,7 +69,7 @@
 	if req.Resent || s.saturatedFor(now) < saturationThreshold {
 		return false
 	}
-	ahead := s.countAhead(req)
+	ahead := s.countAhead(now, req)
 	if float64(ahead) < minQueueShare*float64(s.slots(req.Service)) {
 		return false
 	}
@@ -78,15 +79,3 @@
 	}
 	return float64(ahead) > waitTolerance*perSecond*slack.Seconds()
 }
-
-// countAhead returns the number of waiting requests of the same rank whose deadline is no
-// later.
-func (s *Scheduler) countAhead(req *SlotRequest) int {
-	count := 0
-	for _, other := range s.waiting {
-		if !other.Resent && rankOf(other) == rankOf(req) && !other.NextEventDue.After(req.NextEventDue) {
-			count++
-		}
-	}
-	return count
-}
--- a/internal/sched/board/place.go
+++ b/internal/sched/board/place.go
@@ -168,8 +168,9 @@
 }
 
 func (s *Scheduler) grant(now time.Time, e *engine, req *SlotRequest) {
-	r := &run{owner: req.Owner, id: req.ID, number: req.Number, prompt: req.PromptTokens, grantedAt: now}
+	r := &run{owner: req.Owner, id: req.ID, number: req.Number, prompt: req.PromptTokens, grantedAt: now, account: req.account}
 	e.assign(now, r)
+	r.account.Take(now)
 	if e.WarmsUp {
 		e.grants.add(now, req.Owner)
 	}
--- a/internal/sched/board/sync.go
+++ b/internal/sched/board/sync.go
@@ -62,6 +62,8 @@
 		return
 	}
 	r := &run{owner: owner, id: h.ID, number: h.Number, prompt: h.PromptTokens, grantedAt: now, adopted: true}
+	r.account = s.account(now, e.Service, h.Tier, h.Workspace)
+	r.account.Take(now)
 	s.addRun(owner, k, e)
 	if h.Started {
 		e.adopt(now, r)
--- a/internal/sched/division/division.go
+++ b/internal/sched/division/division.go
@@ -35,6 +35,8 @@
 type Account struct {
 	Key
 	held int
+	// Waiting is for use by callers that count the waiting requests of each workspace.
+	Waiting int
 	// used is the decaying sum of the time that slots were held until at, in seconds.
 	used float64
 	at   time.Time
