Log and metrics show the workspaces that wait for slots

Operators could not tell which workspace presses and which is refused. `requests wait` now lists the workspaces of the requests that wait in time, with how many wait and how many slots they hold, and persimmonridge_workspace_places_total counts granted and refused placements by workspace on the gateway that asked. Both name 20 workspaces at most and take the rest as one.

--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -240,6 +240,7 @@
 		Ready: g.roster.Ready, Paused: g.guard.paused,
 		MinStreamTime: g.granter.MinStreamTime,
 		Silent:        g.peers.schedulerSilent, Service: g.service, Metrics: g.metrics, Logger: logger, Now: now,
+		PlacedFor: g.metrics.byWorkspace.placed,
 	})
 	g.versionPicker = rollout.NewPicker(g.permits)
 	g.rolloutController = newRolloutController(g)
--- a/internal/role/gateway/metrics.go
+++ b/internal/role/gateway/metrics.go
@@ -32,6 +32,7 @@
 	withheld          *prometheus.CounterVec
 	statements        *prometheus.CounterVec
 	crashes           *prometheus.CounterVec
+	byWorkspace       *workspaceCounts
 	registry          *prometheus.Registry
 }
 
@@ -102,7 +103,7 @@
 	registry.MustRegister(goCollector, collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	auto := promauto.With(registry)
 	return &metrics{
-		registry: registry,
+		registry: registry, byWorkspace: newWorkspaceCounts(auto),
 		requests: auto.NewCounterVec(prometheus.CounterOpts{
 			Name: "persimmonridge_requests_total", Help: "Callers' requests by what the caller was told.",
 		}, []string{"tier", "outcome"}),
--- a/internal/sched/board/divide.go
+++ b/internal/sched/board/divide.go
@@ -1,6 +1,11 @@
 package board
 
 import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/persimmonridge/persimmonridge/internal/sched/division"
@@ -94,3 +99,44 @@
 	s.otherWaiting = others
 	return ahead
 }
+
+// MaxNamedWorkspaces is the number of workspaces that logs and metrics name; the others count
+// as one.
+const MaxNamedWorkspaces = 20
+
+// describeWaiting lists the workspaces of the requests that wait in time.
+func (s *Scheduler) describeWaiting() string {
+	type entry struct {
+		name          string
+		waiting, held int
+	}
+	byName := make(map[string]*entry)
+	seen := make(map[*division.Account]bool)
+	for _, req := range s.waiting {
+		listed := byName[req.Workspace]
+		if listed == nil {
+			listed = &entry{name: cmp.Or(req.Workspace, "(none)")}
+			byName[req.Workspace] = listed
+		}
+		listed.waiting++
+		if !seen[req.account] {
+			seen[req.account] = true
+			listed.held += req.account.Held()
+		}
+	}
+	entries := slices.SortedFunc(maps.Values(byName), func(x, y *entry) int {
+		return cmp.Or(cmp.Compare(y.waiting, x.waiting), cmp.Compare(x.name, y.name))
+	})
+	if len(entries) > MaxNamedWorkspaces {
+		others := &entry{name: "(others)"}
+		for _, e := range entries[MaxNamedWorkspaces:] {
+			others.waiting, others.held = others.waiting+e.waiting, others.held+e.held
+		}
+		entries = append(entries[:MaxNamedWorkspaces], others)
+	}
+	texts := make([]string, 0, len(entries))
+	for _, e := range entries {
+		texts = append(texts, fmt.Sprintf("%s:%d/%d", e.name, e.waiting, e.held))
+	}
+	return strings.Join(texts, " ")
+}
--- a/internal/sched/board/stats.go
+++ b/internal/sched/board/stats.go
@@ -23,6 +23,10 @@
 	// speed suggests, and the part of the first-event latency that does not depend on the
 	// engine.
 	Services string
+	// Workspaces lists up to MaxNamedWorkspaces workspaces of the requests that wait in time,
+	// those with most first: how many wait, and how many slots the workspace holds in the
+	// same services and tiers. The others are listed as one.
+	Workspaces string
 }
 
 // maxDescribedEngines keeps the log record from growing with the fleet.
@@ -30,7 +34,7 @@
 
 // Stats returns a summary at the given time.
 func (s *Scheduler) Stats(now time.Time) Stats {
-	stats := Stats{Waiting: len(s.waiting), Late: len(s.late)}
+	stats := Stats{Waiting: len(s.waiting), Late: len(s.late), Workspaces: s.describeWaiting()}
 	var engines []string
 	for _, e := range s.engines {
 		running := e.running(now)
--- a/internal/sched/granter/granter.go
+++ b/internal/sched/granter/granter.go
@@ -74,7 +74,8 @@
 	if stats != nil {
 		g.logger.Info("requests wait", "waiting", stats.Waiting, "late", stats.Late,
 			"running", stats.Running, "slots", stats.Slots, "full", stats.Full, "idle", stats.Idle,
-			"unusual", stats.Unusual, "engines", stats.Engines, "services", stats.Services)
+			"unusual", stats.Unusual, "engines", stats.Engines, "services", stats.Services,
+			"workspaces", stats.Workspaces)
 	}
 	return waiting
 }
--- a/internal/sched/permit/permit.go
+++ b/internal/sched/permit/permit.go
@@ -86,8 +86,10 @@
 	// be nil.
 	Silent  func(now time.Time, scheduler string, since time.Time)
 	Metrics Metrics
-	Logger  *slog.Logger
-	Now     func() time.Time
+	// PlacedFor counts a placement that a workspace got or that was refused. It may be nil.
+	PlacedFor func(workspace string, granted bool)
+	Logger    *slog.Logger
+	Now       func() time.Time
 }
 
 // Metrics records the results of slot requests.
@@ -155,6 +157,15 @@
 
 // Pick implements flow.Picker.
 func (c *Client) Pick(ctx context.Context, now time.Time, req flow.PlacementRequest) (flow.Placement, error) {
+	placement, err := c.pick(ctx, now, req)
+	// A caller who left was not refused.
+	if c.PlacedFor != nil && (err == nil || ctx.Err() == nil) {
+		c.PlacedFor(req.Workspace, err == nil)
+	}
+	return placement, err
+}
+
+func (c *Client) pick(ctx context.Context, now time.Time, req flow.PlacementRequest) (flow.Placement, error) {
 	if c.Evacuated != nil && c.Evacuated(req.Service, req.Domains) {
 		return nil, flow.RefusePlacement(EvacuatedRetryAfter, EvacuatedReason)
 	}
