Local choice divides capacity among workspaces without a scheduler

Gateways choose upstreams of plain services themselves, and engines while no scheduler can be asked.

While a gateway refused a request of the service within the last second: - Engines: a workspace that holds its equal share or more leaves free what others below theirs recently used or were refused, up to their share. - Plain services: nothing is left free. Their upstreams queue requests for some milliseconds, so a workspace that recently used less than its equal part of what was used may send beyond the gateway's limit, up to two equal shares. Shares are formed within a tier. A tier leaves free what higher ones are kept, and only the highest tier that sends requests may exceed the limit. With a single workspace the choices are those without any.

Local.Hold gets the request, so that slots which a scheduler granted count for their workspace. Fakes of three tests follow.

--- a/internal/sched/division/division.go
+++ b/internal/sched/division/division.go
@@ -52,6 +52,15 @@
 	a.at = now
 }
 
+// NewAccount returns an account that belongs to no ledger.
+func NewAccount(now time.Time, key Key) *Account { return &Account{Key: key, at: now} }
+
+// Charge counts a slot as held for a time that ends now.
+func (a *Account) Charge(now time.Time, held time.Duration) {
+	a.advance(now)
+	a.used += held.Seconds()
+}
+
 // Take records that the workspace got a slot.
 func (a *Account) Take(now time.Time) {
 	a.advance(now)
@@ -94,7 +103,7 @@
 	l.expire(now)
 	a := l.accounts[key]
 	if a == nil {
-		a = &Account{Key: key, at: now}
+		a = NewAccount(now, key)
 		l.accounts[key] = a
 	}
 	a.advance(now)
--- a/internal/sched/local/local.go
+++ b/internal/sched/local/local.go
@@ -62,9 +62,11 @@
 	loadAt           time.Time
 	ownRunningAtLoad int
 	declinedAt       time.Time
-	failuresInRow    int
-	backoffUntil     time.Time
-	failureRate      failure.Rate
+	// ownRunningAtDecline is how many requests this process had there at declinedAt.
+	ownRunningAtDecline int
+	failuresInRow       int
+	backoffUntil        time.Time
+	failureRate         failure.Rate
 }
 
 // external returns the requests of other processes that the upstream reported recently.
@@ -93,11 +95,13 @@
 	limiter  Limiter
 	// lastPresent is when each service last had an upstream.
 	lastPresent map[string]time.Time
+	// sharings hold what the workspaces had of the capacity of each service.
+	sharings map[string]*sharing
 }
 
 // New returns a chooser for a process in the failure domain.
 func New(domain string, ready func(service string) []roster.Upstream, processes func() int) *Chooser {
-	return &Chooser{domain: domain, readyUpstreams: ready, processCount: processes, states: make(map[string]*upstreamState), lastPresent: make(map[string]time.Time)}
+	return &Chooser{domain: domain, readyUpstreams: ready, processCount: processes, states: make(map[string]*upstreamState), lastPresent: make(map[string]time.Time), sharings: make(map[string]*sharing)}
 }
 
 // SetLimiter sets the limiter. Without one, no upstream is limited.
@@ -139,12 +143,17 @@
 		}
 		return nil, flow.RefusePlacement(noUpstreamRetryAfter, "no upstream of the service is left to try")
 	}
-	state := c.state(best.ID)
-	if c.full(now, state, best, req) {
+	state, sharing := c.state(best.ID), c.sharing(now, req.Service)
+	usage := sharing.usageOf(now, req)
+	if c.full(now, state, best, req) && !c.mayExceed(now, sharing, upstreams, req) {
+		sharing.refuse(now, usage)
 		return nil, flow.RefusePlacement(fullRetryAfter, "all upstreams of the service are full")
 	}
-	state.running++
-	return &placement{chooser: c, upstream: best}, nil
+	if c.mustLeaveFree(now, sharing, upstreams, req) {
+		sharing.refuse(now, usage)
+		return nil, flow.RefusePlacement(fullRetryAfter, "what is left of the upstreams is kept for workspaces below their share")
+	}
+	return c.place(now, best, sharing, usage), nil
 }
 
 // waitDeadline returns until when a request waits for an upstream of a service that has
@@ -168,11 +177,18 @@
 }
 
 // Hold counts a request at an upstream that was chosen elsewhere.
-func (c *Chooser) Hold(u roster.Upstream) flow.Placement {
+func (c *Chooser) Hold(now time.Time, u roster.Upstream, req flow.PlacementRequest) flow.Placement {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	sharing := c.sharing(now, req.Service)
+	return c.place(now, u, sharing, sharing.usageOf(now, req))
+}
+
+// place counts a request at the upstream and for its workspace.
+func (c *Chooser) place(now time.Time, u roster.Upstream, s *sharing, used *usage) flow.Placement {
 	c.state(u.ID).running++
-	return &placement{chooser: c, upstream: u}
+	used.held.Take(now)
+	return &placement{chooser: c, upstream: u, sharing: s, usage: used, since: now}
 }
 
 // full reports whether this process has as many requests at the upstream as it may have:
@@ -180,11 +196,16 @@
 // here only while no scheduler can be asked, by all processes at once, so each keeps to its
 // part of them.
 func (c *Chooser) full(now time.Time, state *upstreamState, u roster.Upstream, req flow.PlacementRequest) bool {
+	return float64(state.running) >= c.limit(now, state, u, req)
+}
+
+// limit returns how many requests this process may have at the upstream.
+func (c *Chooser) limit(now time.Time, state *upstreamState, u roster.Upstream, req flow.PlacementRequest) float64 {
 	limit := c.part(u)
-	if isGeneration := req.PromptTokens > 0 || req.OutputTokens > 0; !isGeneration && now.Sub(state.declinedAt) >= declineMemory {
+	if !isGeneration(req) && now.Sub(state.declinedAt) >= declineMemory {
 		limit = max(limit, float64(u.Slots)-state.external(now))
 	}
-	return float64(state.running) >= limit
+	return limit
 }
 
 // part returns the requests that this process may have at the upstream whatever the others
@@ -256,6 +277,10 @@
 type placement struct {
 	chooser  *Chooser
 	upstream roster.Upstream
+	sharing  *sharing
+	usage    *usage
+	// since is when the request was placed.
+	since time.Time
 }
 
 // Upstream implements flow.Placement.
@@ -278,6 +303,7 @@
 	defer p.chooser.mu.Unlock()
 	state := p.chooser.state(p.upstream.ID)
 	state.running--
+	p.sharing.release(now, p.usage, p.since, o)
 	switch o {
 	case flow.Answered:
 		state.failuresInRow = 0
@@ -288,7 +314,7 @@
 	case flow.Interrupted:
 		state.failureRate.Broken(now)
 	case flow.Declined:
-		state.declinedAt = now
+		state.declinedAt, state.ownRunningAtDecline = now, state.running
 		state.failureRate.Failed(now)
 	case flow.Unreachable:
 		state.failuresInRow++
--- a/internal/sched/permit/pause_test.go
+++ b/internal/sched/permit/pause_test.go
@@ -24,7 +24,7 @@
 	held string
 }
 
-func (p *holdingPicker) Hold(u roster.Upstream) flow.Placement {
+func (p *holdingPicker) Hold(_ time.Time, u roster.Upstream, _ flow.PlacementRequest) flow.Placement {
 	p.held = u.ID
 	return fixedPlacement{}
 }
--- a/internal/sched/permit/permit.go
+++ b/internal/sched/permit/permit.go
@@ -56,7 +56,7 @@
 type Local interface {
 	flow.Picker
 	// Hold counts a request at an upstream that was chosen elsewhere.
-	Hold(u roster.Upstream) flow.Placement
+	Hold(now time.Time, u roster.Upstream, req flow.PlacementRequest) flow.Placement
 }
 
 // Dependencies are the dependencies of a Client.
@@ -226,7 +226,7 @@
 			// The grant was made when more time was left.
 			c.release(p, board.Canceled)
 		default:
-			return c.hold(c.Local.Hold(u), req, d.number), nil
+			return c.hold(c.Local.Hold(c.Now(), u, req), req, d.number), nil
 		}
 		req.ExcludedUpstreams = append(append([]string(nil), req.ExcludedUpstreams...), d.upstream)
 	}
--- a/internal/sched/permit/permit_test.go
+++ b/internal/sched/permit/permit_test.go
@@ -27,7 +27,9 @@
 func (fixedPicker) Pick(context.Context, time.Time, flow.PlacementRequest) (flow.Placement, error) {
 	return fixedPlacement{}, nil
 }
-func (fixedPicker) Hold(roster.Upstream) flow.Placement { return fixedPlacement{} }
+func (fixedPicker) Hold(time.Time, roster.Upstream, flow.PlacementRequest) flow.Placement {
+	return fixedPlacement{}
+}
 
 // fixedPlacement is a slot on the engine.
 type fixedPlacement struct{}
--- a/internal/sched/permit/replaced_random_test.go
+++ b/internal/sched/permit/replaced_random_test.go
@@ -217,7 +217,9 @@
 func (p localPicker) Pick(context.Context, time.Time, flow.PlacementRequest) (flow.Placement, error) {
 	return randomPlacement{upstream: listedEngine(fmt.Sprint("engine-", p.c.intN(randomEngines)))}, nil
 }
-func (localPicker) Hold(u roster.Upstream) flow.Placement { return randomPlacement{upstream: u} }
+func (localPicker) Hold(_ time.Time, u roster.Upstream, _ flow.PlacementRequest) flow.Placement {
+	return randomPlacement{upstream: u}
+}
 
 type randomPlacement struct {
 	fixedPlacement
