--- a/internal/sched/local/local.go
+++ b/internal/sched/local/local.go
@@ -64,9 +64,11 @@
 	loadAt           time.Time
 	ownRunningAtLoad int
 	declinedAt       time.Time
-	failuresInRow    int
-	backoffUntil     time.Time
-	failureRate      failure.Rate
+	// ownRunningAtDecline is how many requests this process had there at declinedAt.
+	ownRunningAtDecline int
+	failuresInRow       int
+	backoffUntil        time.Time
+	failureRate         failure.Rate
 	// history holds the past values of running. It is kept only for upstreams that are
 	// chosen by the samples of several gateways.
 	history *history
@@ -117,13 +119,15 @@
 	candidateBuffer, skippedBuffer []int
 	// lastPresent is when each service last had an upstream.
 	lastPresent map[string]time.Time
+	// sharings hold what the workspaces had of the capacity of each service.
+	sharings map[string]*sharing
 }
 
 // New returns a chooser for a process in the failure domain.
 func New(domain string, ready func(service string) []roster.Upstream, processes func() int) *Chooser {
 	return &Chooser{
 		domain: domain, readyUpstreams: ready, processCount: processes, states: make(map[string]*upstreamState),
-		lastPresent: make(map[string]time.Time), usual: make(map[string]*usualResponse),
+		lastPresent: make(map[string]time.Time), usual: make(map[string]*usualResponse), sharings: make(map[string]*sharing),
 		draw: rand.IntN, observer: noObserver{}, hasEngines: func(string) bool { return false },
 	}
 }
@@ -167,12 +171,17 @@
 	if !found {
 		return nil, c.refuseWithoutCandidate(now, upstreams, req)
 	}
-	state := c.state(best.ID)
-	if c.full(now, state, best, req) {
+	state, sharing := c.state(best.ID), c.sharing(now, req.Service)
+	usage := sharing.usageOf(now, req)
+	if c.full(now, state, best, req) && !c.mayExceed(now, sharing, upstreams, req) {
+		sharing.refuse(now, usage)
 		return nil, c.refuseFull()
 	}
-	state.addRunning(now, 1)
-	return &placement{chooser: c, upstream: best, plain: !c.hasEngines(req.Service)}, nil
+	if c.mustLeaveFree(now, sharing, upstreams, req) {
+		sharing.refuse(now, usage)
+		return nil, c.refuseForOthers()
+	}
+	return c.place(now, best, sharing, usage), nil
 }
 
 // refuseWithoutCandidate returns the refusal of a request that none of the upstreams may get.
@@ -190,6 +199,11 @@
 	return flow.RefusePlacement(fullRetryAfter, "all upstreams of the service are full")
 }
 
+func (c *Chooser) refuseForOthers() error {
+	c.observer.Refused("share")
+	return flow.RefusePlacement(fullRetryAfter, "what is left of the upstreams is kept for workspaces below their share")
+}
+
 // waitDeadline returns until when a request waits for an upstream of a service that has
 // none.
 func (c *Chooser) waitDeadline(req flow.PlacementRequest) time.Time {
@@ -211,11 +225,20 @@
 }
 
 // Hold counts a request at an upstream that was chosen elsewhere.
-func (c *Chooser) Hold(u roster.Upstream) flow.Placement {
+func (c *Chooser) Hold(now time.Time, u roster.Upstream, req flow.PlacementRequest) flow.Placement {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state(u.ID).running++
-	return &placement{chooser: c, upstream: u}
+	sharing := c.sharing(now, req.Service)
+	p := c.place(now, u, sharing, sharing.usageOf(now, req))
+	p.plain = false // only slots of engines are granted elsewhere
+	return p
+}
+
+// place counts a request at the upstream and for its workspace.
+func (c *Chooser) place(now time.Time, u roster.Upstream, s *sharing, used *usage) *placement {
+	c.state(u.ID).addRunning(now, 1)
+	used.held.Take(now)
+	return &placement{chooser: c, upstream: u, sharing: s, usage: used, since: now, plain: !c.hasEngines(u.Service)}
 }
 
 // full reports whether this process has as many requests at the upstream as it may have:
@@ -223,11 +246,16 @@
 // here only while no scheduler can be asked, by all processes at once, so each keeps to its
 // part of them.
 func (c *Chooser) full(now time.Time, state *upstreamState, u roster.Upstream, req flow.PlacementRequest) bool {
+	return float64(state.running) >= c.limit(now, state, u, req)
+}
+
+// limit returns how many requests this process may have at the upstream.
+func (c *Chooser) limit(now time.Time, state *upstreamState, u roster.Upstream, req flow.PlacementRequest) float64 {
 	limit := c.part(u)
-	if isGeneration := req.PromptTokens > 0 || req.OutputTokens > 0; !isGeneration && now.Sub(state.declinedAt) >= declineMemory {
+	if !isGeneration(req) && now.Sub(state.declinedAt) >= declineMemory {
 		limit = max(limit, float64(u.Slots)-state.external(now))
 	}
-	return float64(state.running) >= limit
+	return limit
 }
 
 // part returns the requests that this process may have at the upstream whatever the others
@@ -314,12 +342,16 @@
 type placement struct {
 	chooser  *Chooser
 	upstream roster.Upstream
+	sharing  *sharing
+	usage    *usage
+	// since is when the request was placed.
+	since time.Time
 	// plain reports whether the upstream has no engine.
 	plain bool
 	// cost is the expected time to finish in units of usual work, 0 if the upstream was
 	// chosen otherwise.
-	cost                          float64
-	pickedAt, startedAt, deadline time.Time
+	cost                float64
+	startedAt, deadline time.Time
 	// stated is the load that the upstream stated last.
 	stated exchange.Load
 }
@@ -349,6 +381,7 @@
 	defer p.chooser.mu.Unlock()
 	state := p.chooser.state(p.upstream.ID)
 	state.addRunning(now, -1)
+	p.sharing.release(now, p.usage, p.since, o)
 	switch o {
 	case flow.Answered:
 		p.chooser.recordResponse(now, p)
@@ -360,7 +393,7 @@
 	case flow.Interrupted:
 		state.failureRate.Broken(now)
 	case flow.Declined:
-		state.declinedAt = now
+		state.declinedAt, state.ownRunningAtDecline = now, state.running
 		state.failureRate.Failed(now)
 	case flow.Unreachable:
 		state.failuresInRow++
--- a/internal/sched/local/paced.go
+++ b/internal/sched/local/paced.go
@@ -80,25 +80,28 @@
 	if len(candidates) == 0 {
 		return nil, c.refuseWithoutCandidate(now, upstreams, req)
 	}
+	sharing := c.sharing(now, req.Service)
+	usage := sharing.usageOf(now, req)
 	choose := c.cheaperOfTwo
-	onEngine := c.hasEngines(req.Service)
-	if onEngine {
+	if c.hasEngines(req.Service) {
 		choose = c.cheapestWithRoom
 	} else {
 		c.loads.Used(now)
 	}
 	best, err := choose(now, upstreams, candidates, req)
+	if err == nil && c.mustLeaveFree(now, sharing, upstreams, req) {
+		err = c.refuseForOthers()
+	}
 	if err != nil {
+		sharing.refuse(now, usage)
 		return nil, err
 	}
 	if best.sampled {
 		c.observer.SampleUsed(best.age)
 	}
-	state := c.state(best.upstream.ID)
-	state.addRunning(now, 1)
-	return &placement{
-		chooser: c, upstream: best.upstream, plain: !onEngine, cost: best.finish, pickedAt: now, deadline: req.Deadline,
-	}, nil
+	p := c.place(now, best.upstream, sharing, usage)
+	p.cost, p.deadline = best.finish, req.Deadline
+	return p, nil
 }
 
 // candidates returns the indexes of the upstreams that may get the request. Those that are
@@ -278,7 +281,7 @@
 	if !p.startedAt.IsZero() {
 		now = p.startedAt
 	}
-	took := now.Sub(p.pickedAt).Seconds()
+	took := now.Sub(p.since).Seconds()
 	usual := c.usual[p.upstream.Service]
 	if usual == nil {
 		usual = &usualResponse{seconds: took / max(1, p.cost)}
@@ -286,7 +289,7 @@
 	}
 	busy := float64(p.stated.Running+p.stated.Waiting) / float64(max(1, p.upstream.Slots))
 	expected := max(1, p.stated.Pace) * (1 + busy) * usual.seconds
-	if !p.deadline.IsZero() && expected > p.deadline.Sub(p.pickedAt).Seconds() && took < contradictionShare*expected {
+	if !p.deadline.IsZero() && expected > p.deadline.Sub(p.since).Seconds() && took < contradictionShare*expected {
 		usual.contradictedAt = now
 	}
 	usual.seconds += usualWeight * (took/max(1, p.cost) - usual.seconds)
--- a/internal/sched/local/paced_test.go
+++ b/internal/sched/local/paced_test.go
@@ -150,7 +150,7 @@
 func TestSamplesOfEnginesAreNotReported(t *testing.T) {
 	chooser, table := pair(t, 8)
 	now := time.Unix(1_000_000, 0)
-	held := chooser.Hold(roster.Upstream{ID: "one", Slots: 8, StartedAtMs: 1})
+	held := chooser.Hold(now, roster.Upstream{ID: "one", Slots: 8, StartedAtMs: 1}, flow.PlacementRequest{})
 	held.ReportLoad(now, exchange.Load{Running: 1, Slots: 8, Pace: 2.5})
 	chooser.SetLoads(table, local.OnlyEngines)
 	chosen := pick(t, chooser, now, flow.PlacementRequest{PromptTokens: 1})
@@ -212,7 +212,7 @@
 				chooser.SetLoads(load.New("g"), local.NoEngines)
 				now := time.Unix(1_000_000, 0)
 				for i := range 4 * n {
-					p := chooser.Hold(ready[i%n])
+					p := chooser.Hold(now, ready[i%n], flow.PlacementRequest{})
 					p.ReportLoad(now, exchange.Load{Running: i % 7, Slots: 6, Pace: pace})
 					p.Release(now, flow.Answered, 0)
 				}
--- a/internal/sched/permit/permit.go
+++ b/internal/sched/permit/permit.go
@@ -61,7 +61,7 @@
 type Local interface {
 	flow.Picker
 	// Hold counts a request at an upstream that was chosen elsewhere.
-	Hold(u roster.Upstream) flow.Placement
+	Hold(now time.Time, u roster.Upstream, req flow.PlacementRequest) flow.Placement
 }
 
 // Dependencies are the dependencies of a Client.
@@ -94,8 +94,10 @@
 	// be nil.
 	Silent  func(now time.Time, scheduler string, since time.Time)
 	Metrics Metrics
-	Logger  *slog.Logger
-	Now     func() time.Time
+	// PlacedFor counts a placement that a workspace got or that was refused. It may be nil.
+	PlacedFor func(workspace string, granted bool)
+	Logger    *slog.Logger
+	Now       func() time.Time
 }
 
 // Metrics records the results of slot requests.
@@ -163,6 +165,15 @@
 
 // Pick implements flow.Picker.
 func (c *Client) Pick(ctx context.Context, now time.Time, req flow.PlacementRequest) (flow.Placement, error) {
+	placement, err := c.pick(ctx, now, req)
+	// A caller who left was not refused.
+	if c.PlacedFor != nil && (err == nil || ctx.Err() == nil) {
+		c.PlacedFor(req.Workspace, err == nil)
+	}
+	return placement, err
+}
+
+func (c *Client) pick(ctx context.Context, now time.Time, req flow.PlacementRequest) (flow.Placement, error) {
 	if c.Evacuated != nil && c.Evacuated(req.Service, req.Domains) {
 		return nil, flow.RefusePlacement(EvacuatedRetryAfter, EvacuatedReason)
 	}
@@ -223,7 +234,7 @@
 			// The grant was made when more time was left.
 			c.release(p, board.Canceled)
 		default:
-			return c.hold(c.Local.Hold(u), req, d.number), nil
+			return c.hold(c.Local.Hold(c.Now(), u, req), req, d.number), nil
 		}
 		req.ExcludedUpstreams = append(append([]string(nil), req.ExcludedUpstreams...), d.upstream)
 	}
