Quotas are charged when a request is sent

Cause: a request was charged its whole cost while it waited for a slot, and refunded when it was refused. Under overload two of three requests are refused, so that waiting requests used up quotas of workspaces below their limits.

Change: a request is checked at its arrival and charged once it has its slot, before its first byte is sent. Costs that wait count in the check by the fraction of such costs that recently got a slot: with enough slots in full, as before. A request whose bucket is empty by then gives the slot back and is answered 429. Retries and resumes are charged once; what gets no slot costs nothing. A new process waits for its totals in both steps. Two metrics: refusals by stage, and the 20 lowest levels.

TestQuotaIsChargedAndRefunded described a charge and a refund of a request for which there is no upstream. It is replaced by five tests: nothing is charged for that, a declined request is charged and refunded once, a request above the quota is refused without a placement, one with a slot gives it back, retries are charged once. The fixture's quota records each step.

--- a/internal/edge/flow/admit.go
+++ b/internal/edge/flow/admit.go
@@ -1,7 +1,6 @@
 package flow
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -11,7 +10,6 @@
 	"time"
 
 	"github.com/persimmonridge/persimmonridge/internal/state/catalog"
-	"github.com/persimmonridge/persimmonridge/internal/state/wait"
 )
 
 // admit looks up route, workspace and tier, and refuses requests that the
@@ -96,32 +94,3 @@
 		c.refuse(http.StatusBadRequest, 0, "malformed request body: "+err.Error())
 	}
 }
-
-func (c *call) chargeQuota(ctx context.Context) bool {
-	if c.workspace == nil || c.workspace.QuotaPerSecond <= 0 {
-		return true
-	}
-	cost := 1.0
-	if c.workspace.QuotaCountsTokens {
-		cost = c.workspace.DefaultTokens
-		if c.request.TokensStated {
-			cost = float64(c.request.PromptTokens + c.request.OutputTokens)
-		}
-	}
-	ok, retryAfter := c.Quota.Take(c.Now(), c.workspace, cost)
-	for !ok && c.Quota.Settles(c.Now()) {
-		wait.For(ctx, quotaPollInterval)
-		if ctx.Err() != nil {
-			c.expire(ctx)
-			return false
-		}
-		ok, retryAfter = c.Quota.Take(c.Now(), c.workspace, cost)
-	}
-	if !ok {
-		c.refuse(http.StatusTooManyRequests, retryAfter, fmt.Sprintf("quota of workspace %s exceeded: rate %.0f per second, burst %.0f, request cost %.0f",
-			c.workspace.Name, c.workspace.QuotaPerSecond, c.workspace.QuotaBurst, cost))
-		return false
-	}
-	c.chargedCost = cost
-	return true
-}
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -79,6 +79,8 @@
 	RequestFinished(route string, tier int, outcome string, took time.Duration)
 	// AttemptFinished counts an attempt by its outcome.
 	AttemptFinished(service string, o Outcome)
+	// QuotaRefused counts a request that a quota refused.
+	QuotaRefused(stage QuotaStage)
 	// FirstEventSent records the time to the first event of a stream.
 	FirstEventSent(tier int, took time.Duration)
 }
@@ -108,7 +110,11 @@
 	// withoutAllowance reports that the stream is placed where its estimated rest ends
 	// before the process exits, with no allowance for a longer one.
 	withoutAllowance bool
-	chargedCost      float64
+	// cost is the request's cost to its workspace's quota, chargedCost is what was charged,
+	// and queued reports that it waits for its first slot and is not charged yet.
+	cost        float64
+	chargedCost float64
+	queued      bool
 	// attempts counts the upstreams to which at least one byte was sent;
 	// mayHaveExecuted reports that one of them may have executed the request.
 	attempts int
@@ -179,9 +185,10 @@
 		c.endCrashing()
 		return
 	}
-	if !c.chargeQuota(ctx) {
+	if !c.checkQuota(ctx) {
 		return
 	}
+	defer c.dequeue(false)
 	c.attemptAll(ctx)
 }
 
@@ -218,6 +225,9 @@
 			placement.Release(c.Now(), Canceled, 0)
 			continue
 		}
+		if !c.chargeQuota(ctx, placement) {
+			return
+		}
 		if c.attempts == 0 && c.withheld == 0 {
 			c.Retries.Sent(now, service)
 		}
--- a/internal/edge/flow/request.go
+++ b/internal/edge/flow/request.go
@@ -207,7 +207,13 @@
 
 // Quota limits the cost of a workspace's requests.
 type Quota interface {
-	// Take charges the cost, or returns when to retry.
+	// Enqueue checks the cost of a request that arrives, which then counts as waiting
+	// for a slot until Dequeue, or returns when to retry.
+	Enqueue(now time.Time, w *catalog.Workspace, cost float64) (ok bool, retryAfter time.Duration)
+	// Dequeue ends the waiting of a request and records whether it got a slot.
+	Dequeue(now time.Time, w *catalog.Workspace, cost float64, placed bool)
+	// Take charges the cost of a request that is about to be sent, or returns when to
+	// retry.
 	Take(now time.Time, w *catalog.Workspace, cost float64) (ok bool, retryAfter time.Duration)
 	// Settles reports whether this process has just started and still waits for
 	// the fleet's usage totals.
--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -51,6 +51,8 @@
 	refilledAt time.Time
 	// used is the total that was taken here, which is reported to the ledger.
 	used float64
+	// waiting is what waits here for a slot and is not charged yet.
+	waiting waiting
 	// takenRecently is what was taken here since recentSince. It is limited
 	// while the bucket is low.
 	takenRecently float64
@@ -235,27 +237,38 @@
 	return l.coverage
 }
 
-// Take takes the cost from the workspace's bucket, or returns when to retry.
+// Take charges the cost to the workspace's bucket just before the request is sent, or
+// returns when to retry.
 func (l *Limiter) Take(now time.Time, w *catalog.Workspace, cost float64) (bool, time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	b := l.bucketAt(now, w)
+	if ok, retryAfter := l.covers(now, b, cost, 0); !ok {
+		return false, retryAfter
+	}
+	b.level -= cost
+	b.used += cost
+	b.takenRecently += cost
+	return true, 0
+}
+
+// covers reports whether the bucket covers the cost beside what is reserved, or returns
+// when to retry.
+func (l *Limiter) covers(now time.Time, b *bucket, cost, reserved float64) (bool, time.Duration) {
 	if l.firstRequest.IsZero() {
 		l.firstRequest = now
 	}
-	b := l.bucketAt(now, w)
+	w := b.workspace
 	// Small and large requests needed the same level, so that small ones do not
 	// starve large ones by taking each token as it is refilled.
 	needed := max(minNeededFraction*w.QuotaBurst, min(cost-l.maxDebt(w), maxNeededFraction*w.QuotaBurst))
 	if now.Sub(b.recentSince) > reportDelay {
 		b.takenRecently, b.recentSince = 0, now
 	}
-	if b.level < needed || !l.withinInterval(now, b, w) {
-		wait := time.Duration((needed - b.level) / w.QuotaPerSecond * float64(time.Second))
+	if b.level-reserved < needed || !l.withinInterval(now, b, w) {
+		wait := time.Duration((needed + reserved - b.level) / w.QuotaPerSecond * float64(time.Second))
 		return false, min(max(wait, minRetryAfter), maxRetryAfter)
 	}
-	b.level -= cost
-	b.used += cost
-	b.takenRecently += cost
 	return true, 0
 }
 
--- a/internal/role/gateway/metrics.go
+++ b/internal/role/gateway/metrics.go
@@ -32,11 +32,13 @@
 	withheld          *prometheus.CounterVec
 	statements        *prometheus.CounterVec
 	crashes           *prometheus.CounterVec
+	quotaRefusals     *prometheus.CounterVec
 	registry          *prometheus.Registry
 }
 
 // registerGauges registers the metrics that are read from the gateway on each scrape.
 func (m *metrics) registerGauges(g *Gateway) {
+	m.registry.MustRegister(newQuotaLevels(g.quota, g.now))
 	auto := promauto.With(m.registry)
 	gauge := func(name, help string, read func() float64) {
 		auto.NewGaugeFunc(prometheus.GaugeOpts{Name: "persimmonridge_" + name, Help: help}, read)
@@ -134,6 +136,9 @@
 		crashes: auto.NewCounterVec(prometheus.CounterOpts{
 			Name: "persimmonridge_crashes_total", Help: "Requests that an upstream was executing when it crashed, by who observed it.",
 		}, []string{"observer"}),
+		quotaRefusals: auto.NewCounterVec(prometheus.CounterOpts{
+			Name: "persimmonridge_quota_refusals_total", Help: "Requests that a quota refused, at their arrival or with a slot.",
+		}, []string{"stage"}),
 		firstEvent: auto.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "persimmonridge_first_event_seconds", Help: "Time from a request's arrival to its stream's first event.", Buckets: latencyBuckets,
 		}, []string{"tier"}),
@@ -170,3 +175,8 @@
 func (m *metrics) FirstEventSent(tier int, took time.Duration) {
 	m.firstEvent.WithLabelValues(strconv.Itoa(tier)).Observe(took.Seconds())
 }
+
+// QuotaRefused implements flow.Metrics.
+func (m *metrics) QuotaRefused(stage flow.QuotaStage) {
+	m.quotaRefusals.WithLabelValues(string(stage)).Inc()
+}
