Package memory bounds the bytes held in bodies and answers

Cause: a gateway has 184 to 536 MB, holds request bodies and answers without a bound, and is killed beyond its limit.

Change: memory.Account counts held bytes by kind and holder. The limit is a quarter of the process's memory limit: the Go runtime may use 0.6 of it and needs the rest of that for other data and garbage, and the kernel's socket buffers need the 0.4. Bodies get three quarters of the account, as answers cannot be refused; one holder gets half, one stream an eighth. Waiters are woken in order. Retry-After follows the bytes released lately (half-life 1 s), and refused requests are told to come back one after another.

--- /dev/null
+++ b/internal/limit/memory/memory.go
@@ -0,0 +1,219 @@
+// Package memory accounts for the bytes that a gateway holds in request bodies and answers,
+// and bounds them by a share of the memory limit of its process.
+package memory
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// share is the fraction of the process's memory limit that the account may hold. The Go
+	// runtime is limited to 0.6 of it (memoryLimitShare in cmd/persimmonridge). The
+	// remaining 0.35 of that is for the gateway's other data and for garbage, without which
+	// collections would be continuous. The 0.4 outside the runtime hold the bytes in
+	// transit in the kernel's socket buffers.
+	share = 0.25
+	// bodyShare is the fraction of the account that request bodies may use. Bodies can be
+	// refused and answers cannot, so the rest is left to answers.
+	bodyShare = 0.75
+	// holderShare is the fraction of the account that one holder may use.
+	holderShare = 0.5
+	// streamShare is the fraction of the account that one stream may use.
+	streamShare = 0.125
+	// roomShare is the fraction of the account below which a full account has room again.
+	// The distance to bodyShare prevents a change with each request.
+	roomShare = 0.5
+	// rateHalfLife is the time in which a released byte loses half of its weight in the
+	// rate of release.
+	rateHalfLife = time.Second
+	// minRetryAfter and maxRetryAfter bound the Retry-After of a refusal. Without any
+	// release lately, the rate says nothing, and maxRetryAfter applies.
+	minRetryAfter = 50 * time.Millisecond
+	maxRetryAfter = 5 * time.Second
+)
+
+// Kind is what held bytes belong to.
+type Kind int
+
+// Kinds of held bytes.
+const (
+	// Body is a request body.
+	Body Kind = iota
+	// Answer is an answer that is buffered as a whole.
+	Answer
+	// Stream is the part of a stream that was read ahead of its caller.
+	Stream
+	kindCount
+)
+
+var kindNames = [kindCount]string{"body", "answer", "stream"}
+
+// String returns the kind's name in metrics.
+func (k Kind) String() string { return kindNames[k] }
+
+// Kinds returns all kinds.
+func Kinds() []Kind { return []Kind{Body, Answer, Stream} }
+
+// Limit returns the limit of the account in a process with the memory limit.
+func Limit(processBytes int64) int64 { return int64(float64(processBytes) * share) }
+
+// Stats are the figures of an account.
+type Stats struct {
+	Limit int64
+	Held  [kindCount]int64
+	// Refused counts the requests that were refused for lack of memory, and ReadAhead the
+	// streams that were read ahead of their callers.
+	Refused, ReadAhead int64
+}
+
+// Account bounds the bytes held. Without a limit it is disabled and bounds nothing. It is
+// safe for concurrent use.
+type Account struct {
+	changed func(full bool, held, limit int64)
+
+	mu      sync.Mutex
+	limit   int64
+	held    int64
+	byKind  [kindCount]int64
+	holders map[string]int64
+	waiters []*waiter
+	full    bool
+	// freed is the sum of the bytes released until freedAt, decayed by rateHalfLife.
+	freed   float64
+	freedAt time.Time
+	// promised is when the last refused request was told to come back.
+	promised           time.Time
+	refused, readAhead int64
+}
+
+// waiter waits until a reservation can grow by need bytes.
+type waiter struct {
+	reservation *Reservation
+	need        int64
+	ready       chan struct{}
+}
+
+// New returns an account with the limit, which is disabled if the limit is 0. It calls
+// changed when it becomes full, and when it has room again; changed may be nil.
+func New(limit int64, changed func(full bool, held, limit int64)) *Account {
+	if changed == nil {
+		changed = func(bool, int64, int64) {}
+	}
+	return &Account{limit: limit, changed: changed, holders: make(map[string]int64)}
+}
+
+// SetLimit changes the limit. Bytes that are held beyond it stay.
+func (a *Account) SetLimit(limit int64) {
+	a.mu.Lock()
+	a.limit = limit
+	a.wakeLocked()
+	a.mu.Unlock()
+}
+
+// Enabled reports whether the account has a limit. A nil account has none.
+func (a *Account) Enabled() bool {
+	if a == nil {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.limit > 0
+}
+
+// Stats returns the account's figures.
+func (a *Account) Stats() Stats {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return Stats{Limit: a.limit, Held: a.byKind, Refused: a.refused, ReadAhead: a.readAhead}
+}
+
+// Open returns an empty reservation of the holder, which bounds what several reservations
+// of one caller have in total.
+func (a *Account) Open(kind Kind, holder string) *Reservation {
+	return &Reservation{account: a, kind: kind, holder: holder}
+}
+
+// CountReadAhead counts a stream that is read ahead of its caller.
+func (a *Account) CountReadAhead() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.readAhead++
+}
+
+// excessLocked returns by how much the account, the holder or the reservation would exceed
+// its bound if the reservation grew, at most 0 if it may grow. It also reports whether the
+// bound of the whole account is exceeded.
+func (a *Account) excessLocked(r *Reservation, n int64) (excess int64, total bool) {
+	if a.limit <= 0 {
+		return 0, false
+	}
+	limit := float64(a.limit)
+	bound := a.limit
+	if r.kind == Body {
+		bound = int64(bodyShare * limit)
+	}
+	excess = a.held + n - bound
+	total = excess > 0
+	excess = max(excess, a.holders[r.holder]+n-int64(holderShare*limit))
+	if r.kind == Stream {
+		excess = max(excess, r.held+n-int64(streamShare*limit))
+	}
+	return excess, total
+}
+
+// addLocked adds n bytes, which may be negative, to what the reservation holds.
+func (a *Account) addLocked(r *Reservation, n int64) {
+	r.held += n
+	a.held += n
+	a.byKind[r.kind] += n
+	a.holders[r.holder] += n
+	if a.holders[r.holder] == 0 {
+		delete(a.holders, r.holder)
+	}
+}
+
+// wakeLocked wakes the waiters for which there is room, in the order in which they came. A
+// waiter whose holder or reservation is at its bound does not hold up the others.
+func (a *Account) wakeLocked() {
+	kept, granted := a.waiters[:0], int64(0)
+	for _, w := range a.waiters {
+		if excess, _ := a.excessLocked(w.reservation, w.need+granted); excess > 0 {
+			kept = append(kept, w)
+			continue
+		}
+		granted += w.need
+		close(w.ready)
+	}
+	clear(a.waiters[len(kept):])
+	a.waiters = kept
+}
+
+// releaseLocked ends n bytes of the reservation. Only bytes that were of use count in the
+// rate of release. It reports whether a full account has room again.
+func (a *Account) releaseLocked(now time.Time, r *Reservation, n int64, used bool) (hasRoom bool) {
+	a.addLocked(r, -n)
+	if used {
+		a.freed = a.decayedLocked(now) + float64(n)
+		if now.After(a.freedAt) {
+			a.freedAt = now
+		}
+	}
+	a.wakeLocked()
+	if a.full && float64(a.held) <= roomShare*float64(a.limit) {
+		a.full = false
+		return true
+	}
+	return false
+}
+
+// decayedLocked returns the bytes released lately.
+func (a *Account) decayedLocked(now time.Time) float64 {
+	return a.freed * math.Exp2(-max(0, now.Sub(a.freedAt).Seconds())/rateHalfLife.Seconds())
+}
+
+// rateLocked returns the bytes that become free in a second.
+func (a *Account) rateLocked(now time.Time) float64 {
+	return a.decayedLocked(now) * math.Ln2 / rateHalfLife.Seconds()
+}
