Request bodies and buffered answers are charged to the memory account

Cause: a gateway reads any number of bodies and answers into memory.

Change: with an account that has a limit, a body is reserved before it is read, by its stated length or piece by piece. One that does not fit is refused with 503 before it runs, with the account's Retry-After. An answer that is buffered is reserved as it is read; without room, reading pauses for a second at most, then the answer is counted beyond the bound, as it must be delivered. Once the answer is read, the slot of the upstream and the body are released before the answer is written to a slow caller. What is held is released by a deferred call, also when the handler panics to close the connection. Without an account nothing changes.

Tests: an account filled by running requests refuses the next body before it is read, and the running ones are answered; chunked bodies; a caller that leaves within its body; an answer three times as large as the account; a slow caller of a plain service keeps no slot. Each ends with nothing held.

--- a/internal/edge/flow/admit.go
+++ b/internal/edge/flow/admit.go
@@ -62,11 +62,14 @@
 		c.refuseBody(&http.MaxBytesError{Limit: maxBytes})
 		return false
 	}
+	if !c.reserveStatedBody(r.ContentLength) {
+		return false
+	}
 	controller := http.NewResponseController(c.w)
 	if err := controller.SetReadDeadline(c.deadline); err != nil {
 		c.logger.Debug("could not set the read deadline", "err", err)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, r.Body, maxBytes))
+	body, err := c.readAllOfBody(http.MaxBytesReader(c.w, r.Body, maxBytes), r.ContentLength)
 	if err != nil {
 		c.refuseBody(err)
 		return false
@@ -85,6 +88,8 @@
 	var tooLarge *http.MaxBytesError
 	var connFailed *net.OpError
 	switch {
+	case errors.Is(err, errBodyDoesNotFit):
+		c.refuseForMemory(bodyPieceBytes)
 	case errors.As(err, &tooLarge):
 		c.refuse(http.StatusRequestEntityTooLarge, 0, "request body too large")
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"net/http"
 	"slices"
@@ -12,6 +11,7 @@
 
 	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
 	"github.com/persimmonridge/persimmonridge/internal/edge/ingress"
+	"github.com/persimmonridge/persimmonridge/internal/limit/memory"
 	"github.com/persimmonridge/persimmonridge/internal/state/catalog"
 )
 
@@ -71,6 +71,9 @@
 	// Domains returns the failure domains in the regions; if nil, no route or workspace
 	// may restrict its regions.
 	Domains func(regions []string) []string
+	// Memory bounds the bytes held in bodies and answers; if it is nil or has no limit,
+	// they are not bounded, and no stream is read ahead of its caller.
+	Memory *memory.Account
 }
 
 // Metrics records counts and latencies.
@@ -146,6 +149,9 @@
 	failedBody   []byte
 	progress     streamProgress
 	logger       *slog.Logger
+	held         heldMemory
+	// released reports that the placement of the last attempt was released.
+	released bool
 }
 
 // ServeHTTP implements http.Handler.
@@ -171,6 +177,8 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	c.openMemory(r)
+	defer c.closeMemory()
 	if !c.readBody(r) {
 		return
 	}
@@ -221,8 +229,9 @@
 		if c.attempts == 0 && c.withheld == 0 {
 			c.Retries.Sent(now, service)
 		}
+		c.released = false
 		outcome := c.attempt(ctx, placement)
-		placement.Release(c.Now(), outcome, c.streamedTokens())
+		c.release(placement, outcome)
 		c.Metrics.AttemptFinished(service, outcome)
 		if c.concluded(ctx, outcome) {
 			return
@@ -238,6 +247,15 @@
 	}
 }
 
+// release ends the placement of the last attempt, unless it was released before.
+func (c *call) release(placement Placement, outcome Outcome) {
+	if c.released {
+		return
+	}
+	c.released = true
+	placement.Release(c.Now(), outcome, c.streamedTokens())
+}
+
 // takeRetry charges a retry to the budget, unless one that was charged before was
 // not sent.
 func (c *call) takeRetry(service string) bool {
@@ -342,7 +360,7 @@
 	if success && c.route.Kind == catalog.Streaming {
 		return c.deliverStream(ctx, placement, answer)
 	}
-	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedAnswerBytes))
+	body, err := c.readAnswerBody(ctx, answer)
 	if err != nil {
 		answer.Close(false)
 		if ctx.Err() != nil {
@@ -363,12 +381,15 @@
 		return Failed
 	}
 	if success {
+		c.releaseBeforeWrite(placement, Answered)
 		c.writePlain(answer, body)
 		c.finish(outcomeAnswered, "upstream", placement.Upstream().ID)
 		return Answered
 	}
+	c.releaseFailedBody()
 	c.failedAnswer, c.failedBody = answer, body
 	if answer.Status < http.StatusInternalServerError || !c.mayRetry() {
+		c.releaseBeforeWrite(placement, Failed)
 		c.passFailedAnswer()
 	}
 	return Failed
