Streams are read ahead of callers who do not read for 250 ms

Cause: a caller that does not read blocks the write to it, the stream stays unread, and its upstream cuts it off after some seconds.

Change: with a memory account that has a limit, a timer is set before each write to a caller and stopped after it. If it fires, its goroutine reads on into a queue that is charged to the account, and hands the reader back when the caller has caught up. There is no other goroutine. Without room, reading pauses; the event that a caller waits for is passed on in any case. The upstream's slot is released, and a crash reported, when the upstream ends, not when the caller has read the rest. A stream that breaks off is resumed after the last event that was written to the caller.

Tests, in fake time with an upstream that cuts off what is unread for two seconds: callers that pause for five seconds, or often, get the whole stream in order; the same stream is cut off without an account; an upstream that breaks off, a caller that leaves and a process that stops while events wait; a full account; a burst of 40 slow readers beside callers who read at once.

--- a/internal/edge/flow/stream.go
+++ b/internal/edge/flow/stream.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
 )
@@ -43,11 +42,17 @@
 type event struct {
 	raw []byte
 	id  string
+	// reserved is the bytes that the event holds of the memory account.
+	reserved int64
 }
 
 // eventReader splits a stream into events. It never returns a partial event, as an
 // upstream leaves one that dies within an event.
-type eventReader struct{ reader *bufio.Reader }
+type eventReader struct {
+	reader *bufio.Reader
+	// grow is called before the current event grows by n bytes; it may be nil.
+	grow func(n int) error
+}
 
 func newEventReader(r io.Reader) *eventReader {
 	return &eventReader{reader: bufio.NewReaderSize(r, eventBufferBytes)}
@@ -59,6 +64,11 @@
 	var current event
 	for {
 		line, err := e.reader.ReadSlice('\n')
+		if e.grow != nil && len(line) > 0 {
+			if growErr := e.grow(len(line)); growErr != nil {
+				return event{}, growErr
+			}
+		}
 		current.raw = append(current.raw, line...)
 		if errors.Is(err, bufio.ErrBufferFull) {
 			if len(current.raw) > maxEventBytes {
@@ -89,40 +99,28 @@
 // deliverStream passes events on as they arrive. A stream that resumes one which
 // another upstream broke off continues the same answer.
 func (c *call) deliverStream(ctx context.Context, placement Placement, answer *exchange.Answer) Outcome {
-	reader := newEventReader(answer)
-	var eventAt time.Time
+	source := c.newStreamSource(ctx, placement, answer)
+	defer source.stop()
 	for {
-		next, err := reader.next()
-		if errors.Is(err, io.EOF) && c.events == 0 && answer.EndsWithConnection() {
-			err = errNoEvent
-		}
+		next, err := source.next()
 		if errors.Is(err, io.EOF) {
-			answer.Close(true)
 			c.endStream(answer)
-			c.recordServed(answer)
 			c.finish(outcomeAnswered, append(c.lastAttempt(), "load", answer.Load)...)
 			return Answered
 		}
 		if err != nil {
-			answer.Close(false)
-			return c.handleBrokenStream(ctx, placement, err)
-		}
-		c.events++
-		now := c.Now()
-		if c.events == 1 {
-			c.firstEvent, c.firstEventAt = now.Sub(c.sentAt), now
-			placement.AnswerStarted(now)
-			c.endSilence()
-		} else {
-			c.longestGap = max(c.longestGap, now.Sub(eventAt))
-			c.recordSurvival(now)
+			return source.outcome
 		}
-		eventAt = now
 		if c.delivered(next) {
+			source.drop(next)
 			continue
 		}
-		if err := c.passEvent(answer, next); err != nil {
+		source.beginWrite(next)
+		err = c.passEvent(answer, next)
+		source.endWrite(next)
+		if err != nil {
 			answer.Close(false)
+			source.stop()
 			c.progress.answered = true
 			c.finishDisconnected(c.disconnectOutcome(), append(c.lastAttempt(), "err", err)...)
 			return Canceled
@@ -173,13 +171,14 @@
 	c.progress.answered = true
 }
 
-func (c *call) handleBrokenStream(ctx context.Context, placement Placement, err error) Outcome {
+// handleBrokenStream records a stream that ended early, after the event with the ID.
+func (c *call) handleBrokenStream(ctx context.Context, placement Placement, after string, err error) Outcome {
 	if ctx.Err() != nil {
 		c.recordSilence(placement.Upstream())
 		return Canceled
 	}
 	c.connectionFailed(placement.Upstream().ID)
 	c.Crashes.Broke(c.Now(), placement.Upstream(), c.crashKey(), !c.hasLasted(c.Now()))
-	c.logger.Warn("stream broke off", append(c.crashDetails(), "upstream", placement.Upstream().ID, "after", c.progress.lastEventID, "err", err)...)
+	c.logger.Warn("stream broke off", append(c.crashDetails(), "upstream", placement.Upstream().ID, "after", after, "err", err)...)
 	return Interrupted
 }
