A body larger than the account does not make it full

Cause: one oversized body was reported as a full account, and the report of room came only with the next release of another request.

Tests: TestChangesAreReportedOnce has such a body and expects no report.

--- a/internal/limit/memory/memory_test.go
+++ b/internal/limit/memory/memory_test.go
@@ -163,6 +163,8 @@
 func TestChangesAreReportedOnce(t *testing.T) {
 	var changes []bool
 	a := memory.New(1000, func(full bool, _, _ int64) { changes = append(changes, full) })
+	require.False(t, a.Open(memory.Body, "b").Grow(2000))
+	require.Empty(t, changes, "a body that is too large does not fill the account")
 	r := a.Open(memory.Answer, "a")
 	r.Force(900)
 	for range 3 {
--- a/internal/limit/memory/reservation.go
+++ b/internal/limit/memory/reservation.go
@@ -23,7 +23,8 @@
 		a.mu.Unlock()
 		return true
 	}
-	becameFull := total && !a.full && !r.closed
+	// A body that is larger than the account does not fill it.
+	becameFull := total && !a.full && !r.closed && float64(a.held) > roomShare*float64(a.limit)
 	if becameFull {
 		a.full = true
 	}
