Memory is bounded where the settings list the contract

Cause: the memory account was used by no process.

Metrics show the bytes held by kind, the bound, refusals and streams read ahead; one line each says that the account became full and that it has room again.

--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/persimmonridge/persimmonridge/internal/fleet/mesh"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
 	"github.com/persimmonridge/persimmonridge/internal/limit/crash"
+	"github.com/persimmonridge/persimmonridge/internal/limit/memory"
 	"github.com/persimmonridge/persimmonridge/internal/limit/quota"
 	"github.com/persimmonridge/persimmonridge/internal/limit/retry"
 	"github.com/persimmonridge/persimmonridge/internal/limit/warmup"
@@ -86,7 +87,11 @@
 	GracePeriod                                                  time.Duration
 	// CPUCores is the share of one CPU core that the process may use; 0 means
 	// unknown.
-	CPUCores                  float64
+	CPUCores float64
+	// BoundMemory is set if callers may read slowly. The bytes held in bodies and answers are
+	// then bounded by a share of MemoryBytes, the memory limit of the process.
+	BoundMemory               bool
+	MemoryBytes               int64
 	Retry                     retry.Settings
 	ConfigKey, UpstreamPrefix string
 	OrderPrefix               string
@@ -169,6 +174,7 @@
 	// excluded.
 	lastChange atomic.Int64
 	metrics    *metrics
+	memory     *memory.Account
 	ingress    *ingress.Server
 	stop       atomic.Pointer[stopWindow]
 
@@ -245,13 +251,15 @@
 	g.rolloutController = newRolloutController(g)
 	g.speedStore = &speedStore{Gateway: g}
 	g.follower = g.newFollower()
+	g.memory = memory.New(s.heldBytesLimit(), g.logMemory)
 	g.metrics.registerGauges(g)
+	g.metrics.registerMemory(g.memory)
 	requests := flow.New(flow.Dependencies{
 		Headers: deps.Headers, Client: exchange.NewClient(g.pool, deps.AnswerHeaders, now), Catalog: g.catalog.Load,
 		Picker: g.versionPicker, Quota: g.quota, Retries: g.retryBudget, Crashes: g.crashes,
 		Metrics: g.metrics, Logger: logger, Now: now, ShutdownStatus: g.stopTimes,
 		OthersAccept:  func(shutdownNoticed bool) bool { return g.peers.othersAccept(now(), shutdownNoticed) },
-		NextAccepting: g.nextAccepting, Guard: g.guard, Domains: g.domainsIn,
+		NextAccepting: g.nextAccepting, Guard: g.guard, Domains: g.domainsIn, Memory: g.memory,
 	})
 	g.ingress = ingress.New(ingress.Dependencies{
 		Handler: requests, Catalog: g.catalog.Load, Metrics: g.metrics, Logger: logger, Now: now,
--- /dev/null
+++ b/internal/role/gateway/memory.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+
+	"github.com/persimmonridge/persimmonridge/internal/limit/memory"
+)
+
+// heldBytesLimit returns the limit of the memory account, 0 if memory is not bounded.
+func (s Settings) heldBytesLimit() int64 {
+	if !s.BoundMemory {
+		return 0
+	}
+	return memory.Limit(s.MemoryBytes)
+}
+
+// logMemory logs that the memory account became full, or has room again.
+func (g *Gateway) logMemory(full bool, held, limit int64) {
+	if full {
+		g.logger.Warn("memory for bodies and answers is full", "held", held, "limit", limit)
+		return
+	}
+	g.logger.Info("memory for bodies and answers has room again", "held", held, "limit", limit)
+}
+
+// registerMemory registers the metrics of the memory account.
+func (m *metrics) registerMemory(account *memory.Account) {
+	auto := promauto.With(m.registry)
+	for _, kind := range memory.Kinds() {
+		auto.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "persimmonridge_memory_held_bytes", Help: "Bytes held in request bodies, buffered answers and streams that were read ahead.",
+			ConstLabels: prometheus.Labels{"kind": kind.String()},
+		}, func() float64 { return float64(account.Stats().Held[kind]) })
+	}
+	auto.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "persimmonridge_memory_limit_bytes", Help: "Bound of the bytes held, 0 if there is none.",
+	}, func() float64 { return float64(account.Stats().Limit) })
+	auto.NewCounterFunc(prometheus.CounterOpts{
+		Name: "persimmonridge_memory_refused_total", Help: "Requests that were refused for lack of memory.",
+	}, func() float64 { return float64(account.Stats().Refused) })
+	auto.NewCounterFunc(prometheus.CounterOpts{
+		Name: "persimmonridge_streams_read_ahead_total", Help: "Streams that were read ahead of their callers.",
+	}, func() float64 { return float64(account.Stats().ReadAhead) })
+}
