Memory of a body of a higher tier is not taken by lower tiers

Cause: bodies were refused in the order in which they came, so that while the account was full a higher tier could be refused and a lower one get the room that became free next.

Change: for a second after a body of a tier was refused for lack of room in the account, bodies of lower tiers may use half of it in place of three quarters. Grow, Room and SetLimit take the time as an argument.

--- a/internal/edge/flow/ahead.go
+++ b/internal/edge/flow/ahead.go
@@ -250,7 +250,7 @@
 // whatever the account holds, as it is without reading ahead.
 func (s *streamSource) reserve(n int64) error {
 	for {
-		if s.reservation.Grow(n) {
+		if s.reservation.Grow(s.Now(), n) {
 			return nil
 		}
 		s.mu.Lock()
@@ -270,7 +270,7 @@
 }
 
 func (s *streamSource) awaitRoom(n int64) error {
-	ready, stop := s.reservation.Room(n)
+	ready, stop := s.reservation.Room(s.Now(), n)
 	defer stop()
 	select {
 	case <-ready:
--- a/internal/edge/flow/held.go
+++ b/internal/edge/flow/held.go
@@ -44,7 +44,7 @@
 	} else if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
 		c.held.holder = "host " + host
 	}
-	c.held.body = c.Memory.Open(memory.Body, c.held.holder)
+	c.held.body = c.Memory.OpenBody(c.held.holder, c.tier)
 	c.held.answer = c.Memory.Open(memory.Answer, c.held.holder)
 }
 
@@ -77,7 +77,7 @@
 // reserveStatedBody reserves the memory for a body of the stated length, or refuses the
 // request. A length below 0 is unknown.
 func (c *call) reserveStatedBody(length int64) bool {
-	if c.held.body == nil || length <= 0 || c.held.body.Grow(length) {
+	if c.held.body == nil || length <= 0 || c.held.body.Grow(c.Now(), length) {
 		return true
 	}
 	c.refuseForMemory(length)
@@ -99,7 +99,7 @@
 		return io.ReadAll(body)
 	}
 	reserve := func(n int64) error {
-		if !c.held.body.Grow(n) {
+		if !c.held.body.Grow(c.Now(), n) {
 			return errBodyDoesNotFit
 		}
 		return nil
@@ -117,8 +117,11 @@
 	pauseUntil, reserved := time.Time{}, int64(0)
 	body, err := readReserved(limited, -1, func(n int64) error {
 		reserved += n
-		for !c.held.answer.Grow(n) {
+		for {
 			now := c.Now()
+			if c.held.answer.Grow(now, n) {
+				return nil
+			}
 			if pauseUntil.IsZero() {
 				pauseUntil = now.Add(maxAnswerPause)
 			}
@@ -128,7 +131,6 @@
 			}
 			c.awaitAnswerRoom(ctx, n, pauseUntil.Sub(now))
 		}
-		return nil
 	})
 	if err != nil {
 		c.held.answer.Shrink(c.Now(), reserved)
@@ -144,7 +146,7 @@
 }
 
 func (c *call) awaitAnswerRoom(ctx context.Context, n int64, timeout time.Duration) {
-	ready, stop := c.held.answer.Room(n)
+	ready, stop := c.held.answer.Room(c.Now(), n)
 	defer stop()
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
--- a/internal/limit/memory/memory.go
+++ b/internal/limit/memory/memory.go
@@ -18,6 +18,11 @@
 	// bodyShare is the fraction of the account that request bodies may use. Bodies can be
 	// refused and answers cannot, so the rest is left to answers.
 	bodyShare = 0.75
+	// lowerTierShare is the fraction of the account that bodies of lower tiers may use for
+	// shedTime after a body of a higher tier was refused. Room that becomes free above it is
+	// left to the higher tier, which must not be shed before a lower one.
+	lowerTierShare = 0.5
+	shedTime       = time.Second
 	// holderShare is the fraction of the account that one holder may use.
 	holderShare = 0.5
 	// streamShare is the fraction of the account that one stream may use.
@@ -84,7 +89,11 @@
 	freed   float64
 	freedAt time.Time
 	// promised is when the last refused request was told to come back.
-	promised           time.Time
+	promised time.Time
+	// shedTier is the highest tier of which a body was refused for lack of room in the
+	// account, until shedUntil.
+	shedTier           int
+	shedUntil          time.Time
 	refused, readAhead int64
 }
 
@@ -105,10 +114,10 @@
 }
 
 // SetLimit changes the limit. Bytes that are held beyond it stay.
-func (a *Account) SetLimit(limit int64) {
+func (a *Account) SetLimit(now time.Time, limit int64) {
 	a.mu.Lock()
 	a.limit = limit
-	a.wakeLocked()
+	a.wakeLocked(now)
 	a.mu.Unlock()
 }
 
@@ -135,6 +144,12 @@
 	return &Reservation{account: a, kind: kind, holder: holder}
 }
 
+// OpenBody returns an empty reservation for a request body of a tier, of which 0 is the
+// highest.
+func (a *Account) OpenBody(holder string, tier int) *Reservation {
+	return &Reservation{account: a, kind: Body, holder: holder, tier: tier}
+}
+
 // CountReadAhead counts a stream that is read ahead of its caller.
 func (a *Account) CountReadAhead() {
 	a.mu.Lock()
@@ -145,7 +160,7 @@
 // excessLocked returns by how much the account, the holder or the reservation would exceed
 // its bound if the reservation grew, at most 0 if it may grow. It also reports whether the
 // bound of the whole account is exceeded.
-func (a *Account) excessLocked(r *Reservation, n int64) (excess int64, total bool) {
+func (a *Account) excessLocked(now time.Time, r *Reservation, n int64) (excess int64, total bool) {
 	if a.limit <= 0 {
 		return 0, false
 	}
@@ -153,6 +168,9 @@
 	bound := a.limit
 	if r.kind == Body {
 		bound = int64(bodyShare * limit)
+		if r.tier > a.shedTier && now.Before(a.shedUntil) {
+			bound = int64(lowerTierShare * limit)
+		}
 	}
 	excess = a.held + n - bound
 	total = excess > 0
@@ -176,10 +194,10 @@
 
 // wakeLocked wakes the waiters for which there is room, in the order in which they came. A
 // waiter whose holder or reservation is at its bound does not hold up the others.
-func (a *Account) wakeLocked() {
+func (a *Account) wakeLocked(now time.Time) {
 	kept, granted := a.waiters[:0], int64(0)
 	for _, w := range a.waiters {
-		if excess, _ := a.excessLocked(w.reservation, w.need+granted); excess > 0 {
+		if excess, _ := a.excessLocked(now, w.reservation, w.need+granted); excess > 0 {
 			kept = append(kept, w)
 			continue
 		}
@@ -200,7 +218,7 @@
 			a.freedAt = now
 		}
 	}
-	a.wakeLocked()
+	a.wakeLocked(now)
 	if a.full && float64(a.held) <= roomShare*float64(a.limit) {
 		a.full = false
 		return true
--- a/internal/limit/memory/reservation.go
+++ b/internal/limit/memory/reservation.go
@@ -8,16 +8,17 @@
 	account *Account
 	kind    Kind
 	holder  string
+	tier    int
 	// held and closed are guarded by the account's mutex.
 	held   int64
 	closed bool
 }
 
 // Grow reserves n more bytes, and reports whether there was room for them.
-func (r *Reservation) Grow(n int64) bool {
+func (r *Reservation) Grow(now time.Time, n int64) bool {
 	a := r.account
 	a.mu.Lock()
-	excess, total := a.excessLocked(r, n)
+	excess, total := a.excessLocked(now, r, n)
 	if excess <= 0 && !r.closed {
 		a.addLocked(r, n)
 		a.mu.Unlock()
@@ -72,21 +73,21 @@
 
 // Room returns a channel that is closed once the reservation may grow by n bytes. Another
 // one may take the room first. Stop ends the wait.
-func (r *Reservation) Room(n int64) (ready <-chan struct{}, stop func()) {
+func (r *Reservation) Room(now time.Time, n int64) (ready <-chan struct{}, stop func()) {
 	a := r.account
 	w := &waiter{reservation: r, need: n, ready: make(chan struct{})}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if excess, _ := a.excessLocked(r, n); excess <= 0 {
+	if excess, _ := a.excessLocked(now, r, n); excess <= 0 {
 		close(w.ready)
 		return w.ready, func() {}
 	}
 	a.waiters = append(a.waiters, w)
-	return w.ready, func() { a.forget(w) }
+	return w.ready, func() { a.forget(now, w) }
 }
 
 // forget removes a waiter. If it was woken and did not use the room, the next waiter is.
-func (a *Account) forget(w *waiter) {
+func (a *Account) forget(now time.Time, w *waiter) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for i, other := range a.waiters {
@@ -95,7 +96,7 @@
 			return
 		}
 	}
-	a.wakeLocked()
+	a.wakeLocked(now)
 }
 
 // Refuse counts a request that is refused because n more bytes do not fit, and returns when
@@ -107,12 +108,15 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.refused++
+	excess, total := a.excessLocked(now, r, n)
+	if total && (r.tier <= a.shedTier || !now.Before(a.shedUntil)) {
+		a.shedTier, a.shedUntil = r.tier, now.Add(shedTime)
+	}
 	latest := now.Add(maxRetryAfter)
 	rate := a.rateLocked(now)
 	if rate < 1 {
 		return maxRetryAfter
 	}
-	excess, _ := a.excessLocked(r, n)
 	at := now.Add(seconds(float64(excess) / rate))
 	if next := a.promised.Add(seconds(float64(n) / rate)); next.After(at) {
 		at = next
