Event gaps are planned at the mean pace at least

A stream outlasts the pace at which it was placed: planned with the pace now alone, gaps became too long when a slow spell began, as often as without any pace, for the learned slowness of before has the mean pace in it.

--- a/internal/sched/board/enginepace.go
+++ b/internal/sched/board/enginepace.go
@@ -49,8 +49,9 @@
 	return count
 }
 
-// slownessAt returns the slowness of the engine at the pace expected now. First events and
-// gaps between events are planned with it.
+// slownessAt returns the slowness of the engine at the pace expected now. First events are
+// planned with it. Gaps between events are planned with meanSlowness if that is larger: a
+// stream outlasts the pace at which it was placed.
 func (e *engine) slownessAt(now time.Time) float64 { return e.slowness.factor * e.pace.At(now) }
 
 // meanSlowness returns the slowness of the engine at its mean pace. The ends of streams are
--- a/internal/sched/board/enginepace_test.go
+++ b/internal/sched/board/enginepace_test.go
@@ -125,6 +125,17 @@
 	require.Equal(t, "e1", submitAndCancel(b, now, withTarget("old")))
 }
 
+// Guards against streams that are placed beside too many others while an engine is fast: they
+// outlast that pace, and the gaps between their events become too long.
+func TestEventGapIsPlannedAtTheMeanPaceAtLeast(t *testing.T) {
+	b := newPair()
+	now := statePaces(b, startTime, 20*time.Second, "e1", constantPace(slowPace))
+	statePace(b, now, "e1", 1, 0)
+	req := newSlotRequest(now, "gateway", "between spells")
+	req.ExcludedUpstreams, req.EventGapTarget = []string{"e0"}, 60*time.Millisecond
+	require.Empty(t, submitAndCancel(b, now, req))
+}
+
 // Guards against a stream that is planned by the pace of a moment: it lasts longer than
 // that, and would be refused an engine that ends it in time, or end late on another one.
 func TestEndOfAStreamIsPlannedByTheMeanPace(t *testing.T) {
--- a/internal/sched/board/place.go
+++ b/internal/sched/board/place.go
@@ -153,7 +153,7 @@
 	if firstEvent > available {
 		return 0, false
 	}
-	gap := profile.EventGapMs(max(1, e.TokensPerEvent), running+1, e.prefillBacklog+req.PromptTokens, e.timing.prefillFactor) * e.slownessAt(now)
+	gap := profile.EventGapMs(max(1, e.TokensPerEvent), running+1, e.prefillBacklog+req.PromptTokens, e.timing.prefillFactor) * max(e.slownessAt(now), e.meanSlowness())
 	if running > 0 && req.EventGapTarget > 0 && gap > maxGapShare*ms(req.EventGapTarget) {
 		return 0, false
 	}
--- a/internal/trial/pattern/load.go
+++ b/internal/trial/pattern/load.go
@@ -65,6 +65,8 @@
 	outputEstimate int
 	firstEventAt   time.Time
 	longestGap     time.Duration
+	// maxGap is the target for the longest gap between events.
+	maxGap time.Duration
 	// domain is the failure domain of the request's gateway, and remote reports that the
 	// request was sent to an engine of another one.
 	domain  string
@@ -118,7 +120,7 @@
 // inTime reports whether the request was served within its targets for the first
 // event and for the gap between events.
 func (r *request) inTime() bool {
-	return r.served() && r.firstEventAt.Sub(r.arrivedAt) <= r.class.firstEventTarget && r.longestGap <= r.class.maxGap
+	return r.served() && r.firstEventAt.Sub(r.arrivedAt) <= r.class.firstEventTarget && r.longestGap <= r.maxGap
 }
 
 func (r *request) served() bool { return !r.firstEventAt.IsZero() && !r.refused && !r.lost }
@@ -177,6 +179,8 @@
 	// Mix multiplies the arrival rates of the classes, in order of tier; the zero value
 	// leaves them as specified.
 	Mix [3]float64
+	// MaxGap replaces the classes' targets for the gap between events, unless it is 0.
+	MaxGap time.Duration
 	// Domains is the number of failure domains in which gateways and engines are; 0 stands
 	// for one.
 	Domains int
@@ -232,6 +236,7 @@
 		Mix: [3]float64{1.74, 3.23, 1.69}, Domains: 3, Model: EngineModel{Count: 41, Slots: 11, PrefillFactor: 1, FirstEventDelay: profile.FixedLatency}},
 	{Name: "uneven-pace", Description: "15% of the engines take 2.5 times as long, for 600 ms each, and a burst takes all slots: three domains of engines with 11 slots", Duration: 14 * time.Second, Scale: 1,
 		Mix: [3]float64{1.74, 3.23, 1.69}, Bursts: []Burst{{At: 4 * time.Second, Duration: 6 * time.Second, Tier: -1, Factor: 1.5}},
+		MaxGap:     400 * time.Millisecond,
 		SlowSpells: SlowSpells{Share: 0.15, Factor: 2.5, Length: 600 * time.Millisecond},
 		Domains:    3, Model: EngineModel{Count: 41, Slots: 11, PrefillFactor: 1, FirstEventDelay: profile.FixedLatency}},
 	{Name: "overload", Description: "sustained traffic beyond the capacity of the engines", Duration: 14 * time.Second, Scale: 1.5},
@@ -283,7 +288,10 @@
 }
 
 func (p Pattern) generateRequest(at time.Time, c *class, random *rand.Rand) *request {
-	r := &request{class: c, arrivedAt: at, domain: domainName(0)}
+	r := &request{class: c, arrivedAt: at, domain: domainName(0), maxGap: c.maxGap}
+	if p.MaxGap > 0 {
+		r.maxGap = p.MaxGap
+	}
 	if p.Domains > 1 {
 		r.domain = domainName(random.IntN(p.Domains))
 	}
--- a/internal/trial/pattern/policy.go
+++ b/internal/trial/pattern/policy.go
@@ -50,7 +50,7 @@
 	b.board.Submit(now, board.SlotRequest{
 		Owner: gatewayName, ID: r.id, Service: "tutor", Domain: r.domain, Tier: r.class.tier, NextEventDue: now.Add(r.class.firstEventTarget),
 		Fingerprint: r.fingerprint(),
-		Deadline:    r.arrivedAt.Add(r.class.timeout), PromptTokens: r.prompt, OutputTokens: r.outputEstimate, EventGapTarget: r.class.maxGap,
+		Deadline:    r.arrivedAt.Add(r.class.timeout), PromptTokens: r.prompt, OutputTokens: r.outputEstimate, EventGapTarget: r.maxGap,
 	})
 	b.applyVerdicts(now)
 }
