A failed write to a caller stops the reader before it closes the upstream

Cause: the upstream's connection was closed before the stream was marked as stopped, so that a goroutine that was reading ahead could take the closing for a crash.

Change: the stream is stopped first. A queued event is charged 128 bytes in place of 64 beside its own, as the queue grows by doubling.

Tests: TestFailedWriteToACallerIsNoCrash; it may pass without the change, as net/http ends the context when a write fails.

--- a/internal/edge/flow/ahead.go
+++ b/internal/edge/flow/ahead.go
@@ -16,8 +16,9 @@
 	// readAheadDelay is how long a write to a caller may block until the stream is read
 	// ahead of the caller. Upstreams cut off an answer that is unread for some seconds.
 	readAheadDelay = 250 * time.Millisecond
-	// queuedEventBytes is the memory that a queued event takes besides its bytes.
-	queuedEventBytes = 64
+	// queuedEventBytes is the memory that a queued event takes besides its bytes: 48 in a
+	// queue that grows by doubling, and its ID.
+	queuedEventBytes = 128
 )
 
 var errReadAheadStopped = errors.New("the caller's stream has ended")
--- a/internal/edge/flow/slow_fixture_test.go
+++ b/internal/edge/flow/slow_fixture_test.go
@@ -47,6 +47,9 @@
 	account *memory.Account
 	ingress *ingress.Server
 
+	// accepted is the gateway's side of the last caller's connection.
+	accepted net.Conn
+
 	statesMu sync.Mutex
 	// accountStates are the changes of the account between full and room.
 	accountStates []bool
@@ -94,7 +97,7 @@
 		listener, err := f.network.Listen(gatewayAddress)
 		require.NoError(t, err)
 		served := make(chan error, 1)
-		go func() { served <- f.ingress.Serve(listener) }()
+		go func() { served <- f.ingress.Serve(slowListener{Listener: listener, fixture: f}) }()
 		script(f)
 		f.shutDown(time.Minute)
 		require.NoError(t, <-served)
@@ -114,6 +117,23 @@
 	_ = f.ingress.Shutdown(ctx)
 }
 
+// slowListener records the connections that it accepts.
+type slowListener struct {
+	net.Listener
+	fixture *slowFixture
+}
+
+// Accept implements net.Listener.
+func (l slowListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	l.fixture.statesMu.Lock()
+	defer l.fixture.statesMu.Unlock()
+	if err == nil {
+		l.fixture.accepted = conn
+	}
+	return conn, err
+}
+
 type closedMetrics struct{}
 
 func (closedMetrics) ConnectionClosed(ingress.CloseReason) {}
--- a/internal/edge/flow/slow_stream_test.go
+++ b/internal/edge/flow/slow_stream_test.go
@@ -213,3 +213,26 @@
 		require.Zero(t, f.record().cutOff)
 	})
 }
+
+// Guards against an upstream that counts as crashed because the write to a caller failed while
+// another goroutine was reading from it: closing its connection ends that read.
+func TestFailedWriteToACallerIsNoCrash(t *testing.T) {
+	for seed := range 5 {
+		runSlow(t, ampleMemory, func(f *slowFixture) {
+			f.serveUpstream("one", func(w *upstreamWriter, _ *http.Request) { w.stream(1, eventCount, eventSize, 4*time.Millisecond) })
+			caller := f.send("/long/x", "key", "r1", "", "")
+			bubble.Sleep(time.Second + time.Duration(seed)*time.Millisecond/4)
+			// The gateway's side of the connection fails for writes alone, so that the
+			// request's context does not end first.
+			f.statesMu.Lock()
+			accepted := f.accepted
+			f.statesMu.Unlock()
+			require.NoError(t, accepted.SetWriteDeadline(time.Now()))
+			bubble.Sleep(100 * time.Millisecond)
+			require.Equal(t, []flow.Outcome{flow.Canceled}, f.record().outcomes)
+			require.Empty(t, f.record().crashes)
+			require.Zero(t, f.heldBytes())
+			_ = caller.Close()
+		})
+	}
+}
--- a/internal/edge/flow/stream.go
+++ b/internal/edge/flow/stream.go
@@ -119,8 +119,9 @@
 		err = c.passEvent(answer, next)
 		source.endWrite(next)
 		if err != nil {
-			answer.Close(false)
+			// A reader that is still reading must not take the closing for a crash.
 			source.stop()
+			answer.Close(false)
 			c.progress.answered = true
 			c.finishDisconnected(c.disconnectOutcome(), append(c.lastAttempt(), "err", err)...)
 			return Canceled
