Plain services are divided end to end

A fleet test at a plain service showed that a workspace below its share had as little as 0.84 of its requests served, and 0.82 at two slots an upstream: of few requests at one gateway, its recent usage is at times above an equal part by chance. It may now also send beyond the gateway's limit while it holds less than its equal share.

--- a/internal/role/gateway/division_test.go
+++ b/internal/role/gateway/division_test.go
@@ -85,7 +85,7 @@
 
 // pressWorkspaces makes calls of each workspace at random moments, at the given number a second,
 // and returns when all have ended. If asOne is set, all use the key of the first workspace.
-func (f *fleet) pressWorkspaces(during time.Duration, perSecond []float64, gatewaysCalled []int, asOne bool) servedByWorkspace {
+func (f *fleet) pressWorkspaces(during time.Duration, service dividedService, perSecond []float64, gatewaysCalled []int, asOne bool) servedByWorkspace {
 	result := servedByWorkspace{sent: map[string]int{}, served: map[string]int{}}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
@@ -105,10 +105,12 @@
 				events := dividedEvents - moreEvents + rng.IntN(2*moreEvents+1)
 				id := fmt.Sprintf("w%s-%d-%d", workspace, end.UnixNano(), n)
 				gateway := gatewaysCalled[n%len(gatewaysCalled)]
+				headers := map[string]string{"Api-Key": key}
+				if service.generation {
+					headers["X-Persimmonridge-Token-Counts"], headers["X-Persimmonridge-Length-Hint"] = "1000,100", strconv.Itoa(6*events)
+				}
 				wg.Go(func() {
-					o := f.callWithHeaders(gateway, fmt.Sprintf("/old/x?events=%d", events), id, strings.NewReader("body"), map[string]string{
-						"X-Persimmonridge-Token-Counts": "1000,100", "X-Persimmonridge-Length-Hint": strconv.Itoa(6 * events), "Api-Key": key,
-					})
+					o := f.callWithHeaders(gateway, fmt.Sprintf("/old/x?events=%d", events), id, strings.NewReader("body"), headers)
 					mu.Lock()
 					defer mu.Unlock()
 					result.sent[workspace]++
@@ -123,16 +125,31 @@
 	return result
 }
 
-// requireFleetDivides checks that the workspaces with the given keys, which ask for less than
-// their share, have 0.85 of their requests served, and that no fewer are served in all than if
-// all were of one workspace. The fault returns the gateways that are called after it.
+// dividedService is a service that is divided. Its upstreams hold up to a number of requests. The
+// requests of a generating one have token counts.
+type dividedService struct {
+	putConfig  func(f *fleet)
+	held       int
+	generation bool
+}
+
+var sixEngines = dividedService{(*fleet).putDividedConfig, dividedEngines * dividedSlots, true}
+
+// requireFleetDivides is requireDivides with six engines of four slots.
 func requireFleetDivides(t *testing.T, perSecond []float64, gatewaysCalled []int, fault func(f *fleet, called []int) (remaining []int), below ...string) {
+	requireDivides(t, sixEngines, perSecond, gatewaysCalled, fault, below...)
+}
+
+// requireDivides checks that the workspaces with the given keys, which ask for less than their
+// share, have 0.85 of their requests served, and that no fewer are served in all than if all were
+// of one workspace. The fault returns the gateways that are called after it.
+func requireDivides(t *testing.T, service dividedService, perSecond []float64, gatewaysCalled []int, fault func(f *fleet, called []int) (remaining []int), below ...string) {
 	const during = 8 * time.Second
 	serve := func(asOne bool) (result servedByWorkspace) {
 		runFleet(t, func(f *fleet) {
-			f.putDividedConfig()
-			f.pressWorkspaces(2*time.Second, perSecond, gatewaysCalled, asOne)
-			result = f.pressWorkspaces(during, perSecond, fault(f, gatewaysCalled), asOne)
+			service.putConfig(f)
+			f.pressWorkspaces(2*time.Second, service, perSecond, gatewaysCalled, asOne)
+			result = f.pressWorkspaces(during, service, perSecond, fault(f, gatewaysCalled), asOne)
 		})
 		return result
 	}
@@ -141,8 +158,8 @@
 	for _, workspace := range below {
 		require.GreaterOrEqual(t, divided.share(workspace), 0.85, "%s of %v", workspace, divided)
 	}
-	// The streams that the slots hold at the end are of unlike age.
-	require.GreaterOrEqual(t, divided.total()+dividedEngines*dividedSlots, asOne.total(), "divided %v, as one %v", divided, asOne)
+	// Those that the upstreams hold at the end are of unlike age.
+	require.GreaterOrEqual(t, divided.total()+service.held, asOne.total(), "divided %v, as one %v", divided, asOne)
 }
 
 // The streams of a second are three times what the engines serve. One workspace sends twelve
--- a/internal/sched/local/divide.go
+++ b/internal/sched/local/divide.go
@@ -149,8 +149,8 @@
 }
 
 // mayExceed reports whether the request may be sent though this process has as many requests
-// at the upstreams of its plain service as it may have: its workspace recently used less than
-// its equal share of what was used.
+// at the upstreams of its plain service as it may have: its workspace holds less than its
+// equal share, or recently used less than an equal part of what was used.
 // Such services queue requests for some milliseconds, so that the slot that becomes free next
 // is this workspace's, and none is left free for it. A tier below the highest that sends
 // requests may not, because the queue would delay the higher one.
@@ -176,7 +176,8 @@
 		capacity += c.limit(now, c.state(u.ID), u, req)
 	}
 	own := s.usages[division.Key{Tier: req.Tier, Workspace: req.Workspace}].held
-	return active > 1 && own.MeanHeld(now) < used/float64(active) && float64(own.Held()) < maxExcess*capacity/float64(active)
+	share, held := capacity/float64(active), float64(own.Held())
+	return active > 1 && (held < share || (held < maxExcess*share && own.MeanHeld(now) < used/float64(active)))
 }
 
 func isGeneration(req flow.PlacementRequest) bool {
