Refill of returning gateways is credited once in a window

When a gateway is covered by the totals again, the others credit the refill that was left to it, beyond what it used at most half a second's refill. That limit held for each return, so gateways that returned one after another each added as much, and a workspace exceeded the bound of eight seconds.

What is credited beyond the usage of others is now limited in total: the limit is available again once a window has passed without such a credit.

--- a/internal/limit/quota/totals.go
+++ b/internal/limit/quota/totals.go
@@ -18,9 +18,9 @@
 	// disconnected, which may use their part of the bucket. A scheduler that is taken for
 	// lost mostly is back by then.
 	homeTimeout = totalsTimeout
-	// maxUnmatched is the most refill that is credited for gateways that are covered again
-	// beyond what they used: the usage of a process that ended is not known, nor that
-	// before the first totals of a ledger.
+	// maxUnmatched is the most refill that is credited in a window for gateways that are
+	// covered again beyond what they used: the usage of a process that ended is not known,
+	// nor that before the first totals of a ledger.
 	maxUnmatched = 500 * time.Millisecond
 )
 
@@ -45,6 +45,9 @@
 	missed float64
 	// uncovered is the refill of gateways that its own ledger does not cover.
 	uncovered float64
+	// unmatched is what was credited beyond what others used, the last of it at unmatchedAt.
+	unmatched   float64
+	unmatchedAt time.Time
 }
 
 // add keeps back a part of a refill of which a fraction is credited.
@@ -93,7 +96,7 @@
 		refilled := max(0, b.workspace.QuotaPerSecond*now.Sub(b.createdAt).Seconds()*t.Coverage-b.refilled)
 		b.level += refilled
 		b.refilled += refilled
-		b.withheld = withheld{}
+		b.withheld.clear()
 	}
 	l.sharedCoverage = max(l.sharedCoverage, t.Coverage)
 }
@@ -207,7 +210,7 @@
 			b.withheld.missed = 0
 			if t.Coverage > l.homeCoverage {
 				part := (t.Coverage - l.homeCoverage) / (1 - l.homeCoverage)
-				b.creditUncovered(b.withheld.uncovered * part)
+				b.creditUncovered(now, l.options.Window, b.withheld.uncovered*part)
 			}
 		}
 		l.startHome(t)
@@ -216,9 +219,9 @@
 		// gateway returns to it alone.
 		for _, b := range l.buckets {
 			if returned {
-				b.withheld = withheld{uncovered: max(0, b.withheld.missed) + b.withheld.uncovered}
+				b.withheld.missed, b.withheld.uncovered = 0, max(0, b.withheld.missed)+b.withheld.uncovered
 			} else {
-				b.withheld = withheld{}
+				b.withheld.clear()
 			}
 		}
 		l.startHome(t)
@@ -253,7 +256,7 @@
 			continue
 		}
 		b.level += b.withheld.missed*t.Coverage - t.OthersUsed[name]
-		b.withheld = withheld{}
+		b.withheld.clear()
 	}
 }
 
@@ -283,7 +286,7 @@
 		if !last {
 			credit = min(credit, max(0, -b.level))
 		}
-		b.creditUncovered(credit)
+		b.creditUncovered(now, l.options.Window, credit)
 	}
 	if last {
 		l.settlesAt = time.Time{}
@@ -291,13 +294,26 @@
 }
 
 // creditUncovered credits refill that was left to gateways that are covered again. A level
-// below zero is what they used.
-func (b *bucket) creditUncovered(credit float64) {
+// below zero is what they used. The rest is limited in any window: gateways that are covered
+// again one after another would otherwise each add as much.
+func (b *bucket) creditUncovered(now time.Time, window time.Duration, credit float64) {
 	b.withheld.uncovered = max(0, b.withheld.uncovered-credit)
 	if b.level < 0 {
 		matched := min(credit, -b.level)
 		b.level += matched
 		credit -= matched
 	}
-	b.level += min(credit, b.workspace.QuotaPerSecond*maxUnmatched.Seconds())
+	h := &b.withheld
+	if now.Sub(h.unmatchedAt) >= window {
+		h.unmatched = 0
+	}
+	credit = min(credit, b.workspace.QuotaPerSecond*maxUnmatched.Seconds()-h.unmatched)
+	if credit > 0 {
+		b.level += credit
+		h.unmatched += credit
+		h.unmatchedAt = now
+	}
 }
+
+// clear drops what was kept back. What was credited in the window still counts.
+func (h *withheld) clear() { h.missed, h.uncovered = 0, 0 }
