Refusal of a chunked body counts the whole piece that does not fit

A body of unknown length is reserved in pieces that double. When a piece did not fit, the refusal counted the first piece of 8 KiB instead of the one that was missing. The Retry-After was then too short, and if 8 KiB did fit, no room was kept for a body of a higher tier that was refused.

The error now carries the size of the piece.

The new test refuses a body that lacks 98 KiB after 100 KiB became free within a second.

--- a/internal/edge/flow/admit.go
+++ b/internal/edge/flow/admit.go
@@ -85,9 +85,10 @@
 	c.w.Header().Set("Connection", "close")
 	var tooLarge *http.MaxBytesError
 	var connFailed *net.OpError
+	var doesNotFit bodyDoesNotFitError
 	switch {
-	case errors.Is(err, errBodyDoesNotFit):
-		c.refuseForMemory(bodyPieceBytes)
+	case errors.As(err, &doesNotFit):
+		c.refuseForMemory(doesNotFit.pieceBytes)
 	case errors.As(err, &tooLarge):
 		c.refuse(http.StatusRequestEntityTooLarge, 0, "request body too large")
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/edge/flow/held.go
+++ b/internal/edge/flow/held.go
@@ -22,7 +22,11 @@
 	maxAnswerPause = time.Second
 )
 
-var errBodyDoesNotFit = errors.New("request body does not fit into the memory")
+// bodyDoesNotFitError reports that the next piece of a body does not fit into the memory.
+type bodyDoesNotFitError struct{ pieceBytes int64 }
+
+// Error implements error.
+func (bodyDoesNotFitError) Error() string { return "request body does not fit into the memory" }
 
 // heldMemory is what a request holds of the memory account. Its fields are nil if the account
 // is disabled.
@@ -100,7 +104,7 @@
 	}
 	reserve := func(n int64) error {
 		if !c.held.body.Grow(c.Now(), n) {
-			return errBodyDoesNotFit
+			return bodyDoesNotFitError{pieceBytes: n}
 		}
 		return nil
 	}
--- a/internal/edge/flow/slow_body_test.go
+++ b/internal/edge/flow/slow_body_test.go
@@ -128,3 +128,25 @@
 		require.Equal(t, answer, body)
 	})
 }
+
+// Guards against a Retry-After, and room for higher tiers, that leave out most of what a
+// body of unknown length lacks: its next piece is larger than the first one. 98 KiB of it
+// are missing, and 100 KiB became free within the last second.
+func TestRefusedChunkedBodyLacksItsWholeNextPiece(t *testing.T) {
+	const piece = 128 << 10
+	runSlow(t, smallMemory, func(f *slowFixture) {
+		f.serveUpstream("one", answerOK(0))
+		filler := f.account.Open(memory.Answer, "others")
+		filler.Force(610 << 10)
+		defer func() { filler.Close(time.Now()) }()
+		filler.Force(100 << 10)
+		filler.Shrink(time.Now(), 100<<10)
+		body := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", 2*piece, strings.Repeat("x", 2*piece))
+		response, _, err := f.send("/pay/x", "key", "r1", "Transfer-Encoding: chunked\r\n", body).read()
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+		retryAfter, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+		require.NoError(t, err)
+		require.Greater(t, retryAfter, 1.0)
+	})
+}
