Refill during the wait counts in the check at arrival

The check at arrival compared the cost of all waiting requests with the level at that moment. They are charged later, and the bucket is refilled meanwhile. Once requests waited for longer than the burst lasts, a workspace below its limit was answered with 429 because of its own waiting requests.

The expected refill until the waiting requests have their slots is now subtracted from their cost. The expected wait follows from Little's law and is at most the time for which requests have been waiting. What is charged, and with it the bound, does not change.

The new test offers 0.8 of a quota at one gateway, whose requests wait 1, 2 or 3 s.

--- a/internal/limit/quota/waiting.go
+++ b/internal/limit/quota/waiting.go
@@ -22,7 +22,11 @@
 	// ended is the cost of requests that no longer wait, and placed the part of it whose
 	// requests got a slot; both decay.
 	ended, placed float64
-	decayedAt     time.Time
+	// waited is the cost multiplied by the seconds that it waited, and decays, too.
+	waited    float64
+	decayedAt time.Time
+	// since is when the first of the requests came that wait without a gap.
+	since time.Time
 }
 
 // weight returns what the waiting requests are expected to cost: only those that get a
@@ -33,6 +37,25 @@
 	return q.cost * (q.placed + prior) / (q.ended + prior)
 }
 
+// expectedWait returns the time after which a request that waits is expected to get its slot.
+// By Little's law, that is what waits divided by what ends in a second.
+func (q *waiting) expectedWait(now time.Time, burst float64) time.Duration {
+	q.decay(now)
+	if q.cost <= 0 {
+		return 0
+	}
+	seconds := q.waited / (q.ended + placedPrior*burst)
+	return min(now.Sub(q.since), time.Duration(seconds*float64(time.Second)))
+}
+
+func (q *waiting) begin(now time.Time, cost float64) {
+	q.decay(now)
+	if q.cost <= 0 {
+		q.since = now
+	}
+	q.cost += cost
+}
+
 func (q *waiting) end(now time.Time, cost float64, placed bool) {
 	q.decay(now)
 	q.cost = max(0, q.cost-cost)
@@ -47,6 +70,7 @@
 		remaining := math.Exp2(-elapsed.Seconds() / placedHalfLife.Seconds())
 		q.ended *= remaining
 		q.placed *= remaining
+		q.waited = q.waited*remaining + q.cost*(1-remaining)*placedHalfLife.Seconds()/math.Ln2
 		q.decayedAt = now
 	}
 }
@@ -58,9 +82,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.bucketAt(now, w)
-	ok, retryAfter := l.covers(now, b, cost, b.waiting.weight(now, w.QuotaBurst))
+	// What waits is charged over the time of a wait, in which the bucket is refilled.
+	refill := w.QuotaPerSecond * l.rateFraction(now) * b.waiting.expectedWait(now, w.QuotaBurst).Seconds()
+	ok, retryAfter := l.covers(now, b, cost, max(0, b.waiting.weight(now, w.QuotaBurst)-refill))
 	if ok {
-		b.waiting.cost += cost
+		b.waiting.begin(now, cost)
 	}
 	return ok, retryAfter
 }
--- a/internal/limit/quota/waiting_test.go
+++ b/internal/limit/quota/waiting_test.go
@@ -79,3 +79,21 @@
 	}
 	require.Zero(t, l.Used()[w.Name])
 }
+
+// Guards against refusing a workspace below its limit because its requests wait for longer
+// than its burst lasts: they are charged when they have their slots, and the quota is
+// refilled until then.
+func TestRequestsThatWaitLongDoNotUseUpTheQuota(t *testing.T) {
+	for _, gateways := range []int{1, 24} {
+		for _, waits := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second} {
+			for _, placed := range []float64{1, 1.0 / 3} {
+				s := newScenario(gateways, large())
+				s.weight, s.waits, s.placed = atOneGateway, waits, placed
+				s.load = func(time.Duration) float64 { return 0.8 }
+				r := s.run(1)
+				require.Zero(t, r.refused, "%d gateways, waits %v, placed %.2f, at %v", gateways, waits, placed, r.refusedAt)
+				require.Zero(t, r.refusedWithSlot, "%d gateways, waits %v, placed %.2f, at %v", gateways, waits, placed, r.refusedAt)
+			}
+		}
+	}
+}
