Repeated slot requests that come after their end get no slot

Cause: the withdrawal or release of a slot request goes over the first connection, and its repeated copy over the second. A copy that came after the end was granted a slot that no gateway held until the late grant had been returned, or it waited and took a turn. If the request had a newer slot request by then that waited, the copy removed that one.

Change: the scheduler keeps the numbers of slot requests that ended within repeatTTL, in two generations so that they expire without ticks.

--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -65,6 +65,8 @@
 	turns uint64
 	// refused holds the latest refusals, by run key, in case their slot requests come again.
 	refused map[string]refusedRequest
+	// ended holds the slot requests that ended lately, in case a copy of one comes late.
+	ended endedRequests
 	// ledger holds the recent usage of each workspace.
 	ledger *division.Ledger
 	// otherWaiting is a buffer of countAhead.
@@ -238,6 +240,9 @@
 // Release ends the use of a slot, or withdraws a waiting request.
 func (s *Scheduler) Release(now time.Time, owner, id string, end SlotResult) {
 	k := runKey(owner, id)
+	if end.Number != 0 {
+		s.ended.add(now, k, end.Number)
+	}
 	s.withdraw(owner, id, end.Number)
 	e := s.byRun[k]
 	if e == nil {
