Plain request is not refused while one upstream is not late

Cause: when the drawn upstreams were late, the search over all candidates preferred any cheaper one to one that was not known to be late. With an old sample (which is no reason for a refusal) before a cheaper recent one that was late, the request was refused; in the opposite order it was sent.

Change: the search takes the cheapest candidate that is not late, and refuses only if there is none.

Before, TestRequestIsNotRefusedForACheaperLateUpstream failed with "no upstream of the service is expected to finish in time". Now it passes, and so do the load tests of paced upstreams in the package, with unchanged bounds.

--- a/internal/sched/local/paced.go
+++ b/internal/sched/local/paced.go
@@ -213,12 +213,14 @@
 	if !c.late(now, best, req) {
 		return best, nil
 	}
+	// The draw found only a late one, so any that is not late is better, whatever its cost.
+	found := false
 	for _, i := range candidates {
-		if other := c.forecast(now, upstreams[i]); other.cost < best.cost || (c.late(now, best, req) && !c.late(now, other, req)) {
-			best = other
+		if other := c.forecast(now, upstreams[i]); !c.late(now, other, req) && (!found || other.cost < best.cost) {
+			best, found = other, true
 		}
 	}
-	if c.late(now, best, req) {
+	if !found {
 		c.observer.Refused("late")
 		return forecast{}, flow.RefusePlacement(fullRetryAfter, "no upstream of the service is expected to finish in time")
 	}
