Late request that displaces another gets its reply

Cause: when the queue of late requests was full and a new one went before one that waits, the other was refused and the new one was queued, but its gateway got no reply. After 40 ms the gateway took the scheduler for silent, chose an engine itself, beyond the slots that the scheduler counts, and counted the request towards the loss of the scheduler.

Change: the request that was queued gets the reply that it waits.

Before, TestLateRequestThatDisplacesAnotherGetsAReply failed: request 12 got no reply. Now it passes, with the package's tests of late, refused and divided requests.

--- a/internal/sched/board/late.go
+++ b/internal/sched/board/late.go
@@ -34,6 +34,9 @@
 		last := s.late[index]
 		s.late = slices.Delete(s.late, index, index+1)
 		s.refuse(now, last, "too many late requests waiting")
+		if last != req {
+			s.decide(req, Decision{Waiting: true})
+		}
 		return
 	}
 	if s.tryGrant(now, req, true) {
