Refusals kept for repetition expire after half a second

Cause: refusals that may be repeated are of use for repeatTTL, 500 ms, but were dropped only with the fingerprints of refused requests, every 8 s. With most requests refused, the scheduler kept some sixteen times as many as needed, each with its reason.

Change: they expire every repeatTTL.

Before, TestEndsAndRefusalsAreForgotten failed: more refusals were kept than come in twice repeatTTL. Now it passes.

--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -64,7 +64,8 @@
 	// turns counts the slots that were given to waiting requests.
 	turns uint64
 	// refused holds the latest refusals, by run key, in case their slot requests come again.
-	refused map[string]refusedRequest
+	refused          map[string]refusedRequest
+	refusedExpiredAt time.Time
 	// ended holds the slot requests that ended lately, in case a copy of one comes late.
 	ended endedRequests
 	// ledger holds the recent usage of each workspace.
@@ -343,8 +344,8 @@
 	if now.Sub(s.refusalsExpiredAt) > refusalTTL {
 		s.refusalsExpiredAt = now
 		s.refusals.expire(now)
-		s.forgetRefused(now)
 	}
+	s.forgetRefused(now)
 	var missed []*SlotRequest
 	fastest := make(map[string]*engine, len(s.byService))
 	for service := range s.byService {
--- a/internal/sched/board/repeat.go
+++ b/internal/sched/board/repeat.go
@@ -91,6 +91,10 @@
 }
 
 func (s *Scheduler) forgetRefused(now time.Time) {
+	if now.Sub(s.refusedExpiredAt) <= repeatTTL {
+		return
+	}
+	s.refusedExpiredAt = now
 	for k, r := range s.refused {
 		if now.Sub(r.at) > repeatTTL {
 			delete(s.refused, k)
