Messages go to the present address of a replaced node

Cause: a node that was replaced under its name at another address is known by both addresses for two minutes. Send, and SendAlternate like it, took the first match in the order of the map, so that a part of the messages to the node went to the former address and was lost.

Change: both take the peer that is not down, if there is one.

Before, TestMessagesGoToThePresentAddressOfANode failed: 7 of 16 messages arrived, on both connections.

--- a/internal/fleet/mesh/alternate.go
+++ b/internal/fleet/mesh/alternate.go
@@ -43,19 +43,17 @@
 	if m.group == nil || m.closed {
 		return false
 	}
-	for _, p := range m.peers {
-		if p.Node != node {
-			continue
-		}
-		a := newAlternate()
-		m.alternates[node] = a
-		m.group.Go(func() error {
-			m.runAlternate(m.ctx, node, p.address, a)
-			return nil
-		})
-		return a.enqueue(e)
+	p := m.peerLocked(node)
+	if p == nil {
+		return false
 	}
-	return false
+	a, address := newAlternate(), p.address
+	m.alternates[node] = a
+	m.group.Go(func() error {
+		m.runAlternate(m.ctx, node, address, a)
+		return nil
+	})
+	return a.enqueue(e)
 }
 
 // ReplyAlternate queues a message for the node on its alternate, if there is one.
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -293,12 +293,24 @@
 func (m *Mesh) Send(node string, envelope *wire.Envelope) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	p := m.peerLocked(node)
+	return p != nil && p.cancel != nil && enqueue(p, envelope)
+}
+
+// peerLocked returns the peer that is the node, or nil. If the node was replaced under its
+// name and has another address now, the former peer is known for a while, but down.
+func (m *Mesh) peerLocked(node string) *peer {
+	var down *peer
 	for _, p := range m.peers {
-		if p.Node == node {
-			return p.cancel != nil && enqueue(p, envelope)
+		if p.Node != node {
+			continue
+		}
+		if !p.down {
+			return p
 		}
+		down = p
 	}
-	return false
+	return down
 }
 
 func enqueue(p *peer, envelope *wire.Envelope) bool {
