Every refusal is repeated, also that of all waiting requests

Cause: the refusal of all waiting requests of a service, and that of a request whose gateway stops too soon, were not kept for repetition. A copy of the slot request that came later was queued, though its gateway had answered the caller and does not withdraw refused requests.

Change: all refusals are kept for repeatTTL.

Before, TestRepeatedSlotRequestAfterTheRefusalOfAllDoesNotWait failed: the request waited. Now it passes.

--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -177,7 +177,7 @@
 		return
 	}
 	if !s.canEndInTime(now, req) {
-		s.decide(req, Decision{Reason: "gateway stops before any engine could complete the stream"})
+		s.decideRefusal(now, req, Decision{Reason: "gateway stops before any engine could complete the stream"})
 		return
 	}
 	if slack := s.slack(now, req); slack >= 0 {
@@ -329,7 +329,7 @@
 			return false
 		}
 		s.refusals.add(now, req.Fingerprint)
-		s.decide(req, Decision{RetryAfter: retryAfter, Reason: reason})
+		s.decideRefusal(now, req, Decision{RetryAfter: retryAfter, Reason: reason})
 		return true
 	}
 	s.waiting = slices.DeleteFunc(s.waiting, refuse)
--- a/internal/sched/board/overtaken_test.go
+++ b/internal/sched/board/overtaken_test.go
@@ -65,3 +65,22 @@
 	require.Len(t, decisions, 1)
 	require.Equal(t, uint64(3), decisions[0].Number)
 }
+
+// Guards against a request that waits again, without a gateway that waits for it, because its
+// repeated copy comes after all waiting requests of its service were refused.
+func TestRepeatedSlotRequestAfterTheRefusalOfAllDoesNotWait(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	b := newOneSlotScheduler(now)
+	b.Submit(now, newNumberedRequest(now, "runs", 1))
+	req := newNumberedRequest(now, "waits", 2)
+	b.Submit(now, req)
+	b.RefuseWaiting(now, func(string, []string) bool { return true }, 2*time.Second, "evacuated")
+	b.Decisions()
+	req.Repeated = true
+	b.Submit(now, req)
+	require.False(t, b.Waiting())
+	decisions := b.Decisions()
+	require.Len(t, decisions, 1)
+	require.Equal(t, "evacuated", decisions[0].Reason)
+	require.Equal(t, 2*time.Second, decisions[0].RetryAfter)
+}
--- a/internal/sched/board/refusals.go
+++ b/internal/sched/board/refusals.go
@@ -54,7 +54,12 @@
 	s.recordTierRefusal(now, req)
 	reason = fmt.Sprintf("%s (%d waiting, %d late, %d slots, saturated for %s)",
 		reason, len(s.waiting), len(s.late), s.slots(req.Service), s.saturatedFor(now).Round(time.Millisecond))
-	d := Decision{RetryAfter: s.retryAfter(now), Reason: reason}
+	s.decideRefusal(now, req, Decision{RetryAfter: s.retryAfter(now), Reason: reason})
+}
+
+// decideRefusal refuses the request, and keeps the refusal in case its slot request comes
+// again.
+func (s *Scheduler) decideRefusal(now time.Time, req *SlotRequest, d Decision) {
 	s.refused[runKey(req.Owner, req.ID)] = refusedRequest{number: req.Number, decision: d, at: now}
 	s.decide(req, d)
 }
