--- a/internal/edge/flow/quota.go
+++ b/internal/edge/flow/quota.go
@@ -14,9 +14,9 @@
 type QuotaStage string
 
 const (
-	// QuotaAtArrival: the request has just arrived.
+	// QuotaAtArrival is the check of a request that has just arrived.
 	QuotaAtArrival QuotaStage = "arrival"
-	// QuotaAtSend: the request has its slot and was not sent.
+	// QuotaAtSend is the check of a request that has its slot and was not sent.
 	QuotaAtSend QuotaStage = "slot"
 )
 
--- a/internal/edge/flow/slow_fixture_test.go
+++ b/internal/edge/flow/slow_fixture_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -330,7 +331,7 @@
 	var text strings.Builder
 	for {
 		_, err := io.CopyN(&text, response.Body, int64(part))
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return text.String(), nil
 		}
 		if err != nil {
--- a/internal/role/gateway/division_plain_test.go
+++ b/internal/role/gateway/division_plain_test.go
@@ -12,14 +12,13 @@
 )
 
 const (
-	// plainUpstreams upstreams of plainSlots slots work for plainWork on each request and have
-	// a queue of plainQueue requests. The work takes longer than usual so that fewer calls
+	// dividedPlainUpstreams upstreams of dividedPlainSlots slots work for dividedPlainWork on each request and have
+	// a queue of dividedPlainQueue requests. The work takes longer than usual so that fewer calls
 	// are needed to fill them.
-	plainUpstreams = 3
-	plainSlots     = 6
-	plainQueue     = 4 * plainSlots
-	plainWork      = 300 * time.Millisecond
-	loadHeader     = "X-Persimmonridge-Instance-Load"
+	dividedPlainUpstreams = 3
+	dividedPlainSlots     = 6
+	dividedPlainQueue     = 4 * dividedPlainSlots
+	dividedPlainWork      = 300 * time.Millisecond
 )
 
 // putDividedPlainConfig puts a configuration with four workspaces and a plain service.
@@ -28,41 +27,41 @@
 	for _, key := range dividedWorkspaces {
 		tenants = append(tenants, fmt.Sprintf(`{"name":"workspace-%s","apiKeys":[%q]}`, key, key))
 	}
-	for i := range plainUpstreams {
+	for i := range dividedPlainUpstreams {
 		address := fmt.Sprintf("10.0.3.%d:80", i+1)
 		f.serve(address, f.plainUpstream(address))
 		f.store.Put("servers/plain-"+strconv.Itoa(i), fmt.Sprintf(
-			`{"service":"plain","address":%q,"zone":"a","version":"v1","slots":%d,"state":"ready"}`, address, plainSlots))
+			`{"service":"plain","address":%q,"zone":"a","version":"v1","slots":%d,"state":"ready"}`, address, dividedPlainSlots))
 	}
 	f.store.Put("op/config", fmt.Sprintf(`{"version":2,
 		"routes":[{"name":"r","hostname":"h","prefix":"/old/","kind":"idempotent","timeoutMs":15000,"targetLatencyMs":600,
 			"service":"plain","maxAttempts":2}],
 		"services":[{"name":"plain","slots":%d}],
 		"limits":{"maxBodyBytes":4194304,"idleTimeoutMs":15000},
-		"tenants":[%s]}`, plainSlots, strings.Join(tenants, ",")))
+		"tenants":[%s]}`, dividedPlainSlots, strings.Join(tenants, ",")))
 	bubble.Sleep(2 * time.Second)
 }
 
 // plainUpstream works on as many requests as it has slots, queues some and declines the others.
 func (f *fleet) plainUpstream(name string) http.Handler {
-	slots := make(chan struct{}, plainSlots)
+	slots := make(chan struct{}, dividedPlainSlots)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.mu.Lock()
 		present := f.running[name]
-		declined := present >= plainSlots+plainQueue
+		declined := present >= dividedPlainSlots+dividedPlainQueue
 		if !declined {
 			f.running[name]++
 		}
 		f.mu.Unlock()
 		w.Header().Set(attemptIDHeader, r.Header.Get(attemptIDHeader))
-		w.Header().Set(loadHeader, fmt.Sprintf("%d,%d,%d", min(present, plainSlots), max(0, present-plainSlots), plainSlots))
+		w.Header().Set(loadHeader, fmt.Sprintf("%d,%d,%d", min(present, dividedPlainSlots), max(0, present-dividedPlainSlots), dividedPlainSlots))
 		if declined {
 			w.Header().Set(notExecutedHeader, "1")
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
 		slots <- struct{}{}
-		bubble.Sleep(plainWork)
+		bubble.Sleep(dividedPlainWork)
 		<-slots
 		f.mu.Lock()
 		f.running[name]--
@@ -83,7 +82,7 @@
 	}
 }
 
-var plainService = dividedService{(*fleet).putDividedPlainConfig, plainUpstreams * (plainSlots + plainQueue), false}
+var plainService = dividedService{(*fleet).putDividedPlainConfig, dividedPlainUpstreams * (dividedPlainSlots + dividedPlainQueue), false}
 
 // The requests are three times as many as the upstreams serve.
 var (
--- a/internal/role/gateway/enginepace_test.go
+++ b/internal/role/gateway/enginepace_test.go
@@ -11,7 +11,7 @@
 	"github.com/persimmonridge/persimmonridge/internal/proof/bubble"
 )
 
-// loadHeader is the response header in which engines state their load and pace.
+// loadHeader is the response header in which upstreams state their load and pace.
 const loadHeader = "X-Persimmonridge-Instance-Load"
 
 // slowEngines returns the metric of each gateway.
--- a/internal/role/gateway/workspaces_internal_test.go
+++ b/internal/role/gateway/workspaces_internal_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
@@ -17,7 +18,7 @@
 		m.byWorkspace.placed(strconv.Itoa(i), i%2 == 0)
 	}
 	response := httptest.NewRecorder()
-	m.handler().ServeHTTP(response, httptest.NewRequest("GET", "/metrics", nil))
+	m.handler().ServeHTTP(response, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	text := response.Body.String()
 	require.Equal(t, 22, strings.Count(text, "\npersimmonridge_workspace_places_total{"))
 	for _, line := range []string{
--- a/internal/sched/load/load.go
+++ b/internal/sched/load/load.go
@@ -187,7 +187,7 @@
 	defer t.mu.Unlock()
 	samples = t.since(now, t.reported, func(e *entry) bool { return e.origin == t.node })
 	recentlyUsed := !t.usedAt.IsZero() && now.Sub(t.usedAt) < MaxAge
-	if len(samples) == 0 && !(recentlyUsed && now.Sub(t.reportedAt) >= emptyReportInterval) {
+	if len(samples) == 0 && (!recentlyUsed || now.Sub(t.reportedAt) < emptyReportInterval) {
 		return nil, false
 	}
 	t.reported, t.reportedAt = t.number, now
--- a/internal/sched/local/paced.go
+++ b/internal/sched/local/paced.go
@@ -156,7 +156,7 @@
 	}
 	c.expect(&f, state.running, others, view.Pace)
 	if known && !f.fresh {
-		c.allowTrial(&f, state, others, view.Pace)
+		c.allowTrial(&f, state, view.Pace)
 	}
 	return f
 }
@@ -164,7 +164,7 @@
 // allowTrial changes the forecast of an upstream whose sample is too old for its counts to be
 // used. If it was busy or slow, it gets one request at a time, and only in some choices, until
 // a new sample arrives.
-func (c *Chooser) allowTrial(f *forecast, state *upstreamState, others, pace float64) {
+func (c *Chooser) allowTrial(f *forecast, state *upstreamState, pace float64) {
 	switch {
 	case f.finish < trialCost:
 		c.expect(f, state.running, 0, pace)
