A late request that displaces another is told that it waits

Cause: when the late queue was full, the scheduler refused the last request in the order and returned, also if that was not the new one. The new one stayed in the queue without a reply. Its gateway takes the scheduler for silent after 40 ms. The scheduler's own gateway sends no second copy that would be answered. Since the queue drops the workspace with the most usage first, the dropped request often is another than the new one.

Change: only a new request that is itself refused ends there. Another one is tried on the engines and told that it waits, as with room in the queue.

Test: TestLateRequestThatDisplacesAnotherIsToldThatItWaits got no decision for the new request before, and Waiting after.

--- a/internal/sched/board/divide_test.go
+++ b/internal/sched/board/divide_test.go
@@ -185,3 +185,25 @@
 		require.Equal(t, decide(""), decide("w"), "seed %d", seed)
 	}
 }
+
+// Guards against a late request that takes the place of another in the full late queue and gets
+// no reply: its gateway would take the scheduler for silent and choose an engine itself.
+func TestLateRequestThatDisplacesAnotherIsToldThatItWaits(t *testing.T) {
+	b := board.New()
+	b.SetUpstreams(startTime, newEngines(1, 8))
+	for i := range 8 {
+		b.Submit(startTime, newWorkspaceRequest(startTime, "holder"+strconv.Itoa(i), "large", i))
+	}
+	b.Decisions()
+	now := startTime.Add(time.Second)
+	waiting := make(map[string]bool)
+	for i, workspace := range []string{"large", "large", "small"} {
+		req := newWorkspaceRequest(now, workspace+strconv.Itoa(i), workspace, i)
+		req.NextEventDue = now.Add(time.Duration(i-10) * time.Millisecond)
+		b.Submit(now, req)
+		for _, d := range b.Decisions() {
+			waiting[d.ID] = d.Waiting
+		}
+	}
+	require.Equal(t, map[string]bool{"large0": true, "large1": false, "small2": true}, waiting)
+}
--- a/internal/sched/board/late.go
+++ b/internal/sched/board/late.go
@@ -18,10 +18,10 @@
 	maxLateShare = 0.25
 )
 
-// enqueueLate queues a late request for a spare slot, or refuses the last one in the order
-// if the queue is full. While all slots go to requests that can be served in time, it
-// refuses the request at once: holding it would only keep its caller from retrying at a
-// better time.
+// enqueueLate queues a late request for a spare slot. If the queue is full, it refuses the
+// last one in the order, which may be another than the new one. While all slots go to
+// requests that can be served in time, it refuses the request at once: holding it would
+// only keep its caller from retrying at a better time.
 func (s *Scheduler) enqueueLate(now time.Time, req *SlotRequest) {
 	if s.saturatedFor(now) > saturationThreshold {
 		s.refuse(now, req, "too late to be served in time, and timely requests are waiting")
@@ -34,7 +34,9 @@
 		last := s.late[index]
 		s.late = slices.Delete(s.late, index, index+1)
 		s.refuse(now, last, "too many late requests waiting")
-		return
+		if last == req {
+			return
+		}
 	}
 	if s.tryGrant(now, req, true) {
 		s.late = slices.DeleteFunc(s.late, func(other *SlotRequest) bool { return other == req })
