A grant replaces a slot that was reported while its request waited

Cause: a gateway's report of its slots may arrive after its next slot request for the same generation request, as the two may use different connections. The scheduler adds the reported slot while the newer slot request waits. The grant then overwrote the record of that slot: on another engine it stayed in use until the engine left, and on the same engine it counted for its workspace for good, since the run was replaced without Free.

Change: a grant first removes a slot that its request is recorded with.

Test: TestGrantReplacesASlotReportedAfterItsSlotRequest showed one slot in use after all were released (two engines) and 3 slots held by a workspace in place of 2 (one engine) before; it passes after.

--- a/internal/sched/board/place.go
+++ b/internal/sched/board/place.go
@@ -169,6 +169,7 @@
 }
 
 func (s *Scheduler) grant(now time.Time, e *engine, req *SlotRequest) {
+	s.dropReported(now, req)
 	r := &run{owner: req.Owner, id: req.ID, number: req.Number, prompt: req.PromptTokens, grantedAt: now, account: req.account}
 	e.assign(now, r)
 	r.account.Take(now)
@@ -179,3 +180,17 @@
 	s.addRun(req.Owner, runKey(req.Owner, req.ID), e)
 	s.decide(req, Decision{Upstream: e.ID})
 }
+
+// dropReported removes an earlier slot of the request that its gateway reported while the
+// request waited. The gateway abandoned it, and holds at most one slot per request.
+func (s *Scheduler) dropReported(now time.Time, req *SlotRequest) {
+	k := runKey(req.Owner, req.ID)
+	e := s.byRun[k]
+	if e == nil {
+		return
+	}
+	if r := e.runs[k]; r != nil {
+		e.remove(now, k, r)
+	}
+	s.dropRun(req.Owner, k)
+}
--- a/internal/sched/board/sync_test.go
+++ b/internal/sched/board/sync_test.go
@@ -91,3 +91,35 @@
 
 	require.Equal(t, 2, countGranted(b.Decisions()))
 }
+
+// Guards against a slot that stays in use, and counts for its workspace, because a report of it
+// arrives after the gateway's next slot request for the same generation request. They may come
+// on different connections.
+func TestGrantReplacesASlotReportedAfterItsSlotRequest(t *testing.T) {
+	for _, engines := range [][]board.Upstream{newEngines(2, 1), newEngines(1, 2)} {
+		b := board.New()
+		b.SetUpstreams(startTime, engines)
+		for _, id := range []string{"x", "y"} {
+			b.Submit(startTime, newWorkspaceRequest(startTime, id, "w", 0))
+			b.Started(startTime, "gateway", id, -1)
+		}
+		moved := newWorkspaceRequest(startTime, "moved", "w", 1)
+		moved.Number = 2
+		b.Submit(startTime, moved)
+		b.Decisions()
+		reported := board.HeldSlot{ID: "moved", Number: 1, Upstream: "e0", Workspace: "w", Started: true}
+		b.Reconcile(startTime, "gateway", []board.HeldSlot{{ID: "x", Upstream: "e0"}, {ID: "y", Upstream: engines[len(engines)-1].ID}, reported})
+
+		now := startTime.Add(100 * time.Millisecond)
+		b.Release(now, "gateway", "x", board.SlotResult{Outcome: board.Canceled})
+		b.Release(now, "gateway", "y", board.SlotResult{Outcome: board.Canceled})
+		require.Equal(t, 1, countGranted(b.Decisions()))
+		b.Release(now, "gateway", "moved", board.SlotResult{Outcome: board.Canceled, Number: 2})
+		require.Zero(t, b.Stats(now).Running, "%d engines", len(engines))
+
+		for _, id := range []string{"x2", "y2", "waits"} {
+			b.Submit(now, newWorkspaceRequest(now, id, "w", 2))
+		}
+		require.Equal(t, "w:1/2", b.Stats(now).Workspaces, "%d engines", len(engines))
+	}
+}
