Plain services that state a pace are divided among workspaces

Cause: the choice by pace and the division were merged by hand. The division at plain services works through the gateway's limit at an upstream, which the choice by pace does not use, and mustLeaveFree covers generation requests only. So nothing divided the capacity of plain services that state a pace, while those that state three values are divided.

Change: for a second after a refusal for lack of capacity, a request of a workspace with the mean usage of its tier or more is refused where 1.5 times the slots are asked for already, unless another upstream has room. Lower tiers leave the whole queue while a higher one does so. Nothing changes without such a refusal, with one workspace, or for requests that were sent before.

The work served in all is checked in place of the number of requests, which differs by chance with their lengths. TestDivisionInAHigherTierLeavesNoRoomToALowerOne failed with the same threshold for lower tiers. TestRoomAtAnUpstreamThatWasNotDrawnIsUsed fails if only the drawn upstreams are considered.

--- a/internal/sched/local/divide.go
+++ b/internal/sched/local/divide.go
@@ -19,6 +19,11 @@
 	// maxExcess bounds the requests that a workspace may have at upstreams that are full, in
 	// equal shares. Requests in the queues of upstreams count, too.
 	maxExcess = 2
+	// sharedQueue is the number of requests at an upstream that states its pace, in slots,
+	// from which workspaces with more usage than others leave its queue to these. All slots
+	// are in use then, also if some of the requests have just ended. At 2, a queue that is no
+	// longer than the slots would be full first.
+	sharedQueue = 1.5
 )
 
 // usage is what a workspace had in a tier of a service.
@@ -36,6 +41,9 @@
 	usages map[division.Key]*usage
 	// shortAt is when a request was last refused for lack of capacity.
 	shortAt time.Time
+	// queueLeftAt is when a request of a tier was last refused to leave room in the queue of
+	// an upstream to other workspaces.
+	queueLeftAt map[int]time.Time
 	// meanHold is the mean time that a request takes.
 	meanHold  time.Duration
 	expiredAt time.Time
@@ -45,7 +53,7 @@
 func (c *Chooser) sharing(now time.Time, service string) *sharing {
 	s := c.sharings[service]
 	if s == nil {
-		s = &sharing{usages: make(map[division.Key]*usage)}
+		s = &sharing{usages: make(map[division.Key]*usage), queueLeftAt: make(map[int]time.Time)}
 		c.sharings[service] = s
 	}
 	if now.Sub(s.expiredAt) >= usageMemory {
@@ -179,6 +187,53 @@
 	return active > 1 && own.MeanHeld(now) < used/float64(active) && float64(own.Held()) < maxExcess*capacity/float64(active)
 }
 
+// mustLeaveQueue reports whether the request would take room that workspaces with less usage
+// need in the queue of an upstream that states its pace. This process has no limit at such an
+// upstream of a plain service, so that the requests of one workspace would fill the queue.
+// Requests of a tier below one whose workspaces recently left each other room leave all of the
+// queue.
+func (c *Chooser) mustLeaveQueue(now time.Time, s *sharing, f forecast, req flow.PlacementRequest) bool {
+	if req.Resent || isGeneration(req) || len(s.usages) < 2 || now.Sub(s.shortAt) >= shortageMemory {
+		return false
+	}
+	slots := float64(max(1, f.upstream.Slots))
+	if f.requests < slots {
+		return false
+	}
+	for tier, at := range s.queueLeftAt {
+		if tier < req.Tier && now.Sub(at) < shortageMemory {
+			return true
+		}
+	}
+	if f.requests < sharedQueue*slots {
+		return false
+	}
+	active, used := 0, 0.0
+	for key, u := range s.usages {
+		if key.Tier == req.Tier && now.Sub(u.sentAt) < shortageMemory {
+			active++
+			used += u.held.MeanHeld(now)
+		}
+	}
+	own := s.usages[division.Key{Tier: req.Tier, Workspace: req.Workspace}].held
+	return active > 1 && own.MeanHeld(now) >= used/float64(active)
+}
+
+// leaveQueue returns the forecast at the upstream to use if the request may not take room in the
+// queue of the drawn one: one that was not drawn may have room outside its queue.
+func (c *Chooser) leaveQueue(now time.Time, s *sharing, drawn forecast, upstreams []roster.Upstream, candidates []int, req flow.PlacementRequest) (forecast, error) {
+	if !c.mustLeaveQueue(now, s, drawn, req) {
+		return drawn, nil
+	}
+	for _, i := range candidates {
+		if f := c.forecast(now, upstreams[i]); !c.late(now, f, req) && !c.mustLeaveQueue(now, s, f, req) {
+			return f, nil
+		}
+	}
+	s.queueLeftAt[req.Tier] = now
+	return forecast{}, c.refuseForOthers()
+}
+
 func isGeneration(req flow.PlacementRequest) bool {
 	return req.PromptTokens > 0 || req.OutputTokens > 0
 }
--- a/internal/sched/local/divide_load_test.go
+++ b/internal/sched/local/divide_load_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
 	"github.com/persimmonridge/persimmonridge/internal/edge/flow"
+	"github.com/persimmonridge/persimmonridge/internal/sched/load"
 	"github.com/persimmonridge/persimmonridge/internal/sched/local"
 	"github.com/persimmonridge/persimmonridge/internal/state/roster"
 )
@@ -25,7 +26,11 @@
 	perSecond float64
 }
 
-type servedShare struct{ asked, served int }
+type servedShare struct {
+	asked, served int
+	// work is the time that the served requests take.
+	work time.Duration
+}
 
 func (s servedShare) share() float64 { return float64(s.served) / float64(s.asked) }
 
@@ -42,6 +47,8 @@
 	seconds          int
 	seed             uint64
 	anonymous        bool
+	// statesPace is set if the upstreams state their pace, which is the usual one.
+	statesPace bool
 }
 
 // upstream is an emulated upstream.
@@ -69,6 +76,11 @@
 	var choosers []*local.Chooser
 	for range m.gateways {
 		choosers = append(choosers, local.New("a", func(string) []roster.Upstream { return ready }, func() int { return m.gateways }))
+		if m.statesPace {
+			draws := rand.New(rand.NewPCG(m.seed, uint64(len(choosers))))
+			choosers[len(choosers)-1].SetLoads(load.New("gateway"), local.NoEngines)
+			choosers[len(choosers)-1].SetDraw(draws.IntN)
+		}
 	}
 	results := make(map[string]servedShare)
 	next := make([]time.Time, len(m.load))
@@ -86,7 +98,7 @@
 				return false
 			}
 			s.upstream.running--
-			s.placement.ReportLoad(now, exchange.Load{Running: min(s.upstream.running, m.slots), Waiting: max(0, s.upstream.running-m.slots), Slots: m.slots})
+			s.placement.ReportLoad(now, m.stated(s.upstream.running))
 			s.placement.Release(now, flow.Answered, 0)
 			return true
 		})
@@ -105,6 +117,7 @@
 				r.asked++
 				if s, ok := m.send(t, now, choosers[int(n)%m.called], ups, req, length); ok {
 					r.served++
+					r.work += length
 					running = append(running, s)
 				}
 				results[l.workspace] = r
@@ -114,6 +127,15 @@
 	return results
 }
 
+// stated returns the load that an upstream with the number of requests states.
+func (m emulation) stated(requests int) exchange.Load {
+	l := exchange.Load{Running: min(requests, m.slots), Waiting: max(0, requests-m.slots), Slots: m.slots}
+	if m.statesPace {
+		l.Pace = 1
+	}
+	return l
+}
+
 // send sends the request, and once more if an upstream declines it.
 func (m emulation) send(t *testing.T, now time.Time, c *local.Chooser, ups map[string]*upstream, req flow.PlacementRequest, length time.Duration) (sent, bool) {
 	for range 2 {
@@ -124,7 +146,7 @@
 		id := p.Upstream().ID
 		u := ups[id]
 		if u.running >= m.slots+m.queue {
-			p.ReportLoad(now, exchange.Load{Running: m.slots, Waiting: m.queue, Slots: m.slots})
+			p.ReportLoad(now, m.stated(u.running))
 			p.Release(now, flow.Declined, 0)
 			req.ExcludedUpstreams, req.Resent = append(req.ExcludedUpstreams, id), true
 			continue
@@ -153,6 +175,13 @@
 	return m
 }
 
+// pacedService is a load of a plain service whose upstreams state their pace.
+func pacedService(load []pressed) emulation {
+	m := plainService(load)
+	m.statesPace = true
+	return m
+}
+
 func engines(load []pressed) emulation {
 	return emulation{load: load, upstreams: 6, slots: 4, mean: 1200 * time.Millisecond, generation: true, gateways: 3, seconds: 30}
 }
@@ -196,6 +225,76 @@
 	t.Run("two press", func(t *testing.T) { requireDivided(t, plainService(twoPress), "c", "d") })
 }
 
+// Guards against a workspace that takes nearly all of a plain service whose upstreams state their
+// pace, for which gateways have no limit of their own, also if its queue is short.
+func TestPlainServiceThatStatesItsPaceIsDividedAmongWorkspaces(t *testing.T) {
+	for _, queue := range []int{24, 6} {
+		one, two := pacedService(onePresses), pacedService(twoPress)
+		one.queue, two.queue = queue, queue
+		t.Run("one presses", func(t *testing.T) { requireWorkDivided(t, one, "b", "c", "d") })
+		t.Run("two press", func(t *testing.T) { requireWorkDivided(t, two, "c", "d") })
+	}
+}
+
+// requireWorkDivided checks the same as requireDivided, but by the work of the requests that are
+// served: their number differs by chance, because the requests are of unlike length.
+func requireWorkDivided(t *testing.T, m emulation, below ...string) {
+	for _, m.called = range []int{m.gateways, 1} {
+		divided := m.run(t)
+		byDue := m
+		byDue.anonymous = true
+		alone := byDue.run(t)
+		for _, name := range below {
+			assert.GreaterOrEqual(t, divided[name].share(), 0.85, "%s of %v, callers at %d gateways", name, divided, m.called)
+		}
+		held := time.Duration(m.upstreams*(m.slots+m.queue)) * m.mean
+		assert.GreaterOrEqual(t, totalWork(divided)+held, totalWork(alone), "%v, without workspaces %v, callers at %d gateways", divided, alone, m.called)
+	}
+}
+
+func totalWork(results map[string]servedShare) time.Duration {
+	total := time.Duration(0)
+	for _, r := range results {
+		total += r.work
+	}
+	return total
+}
+
+// Guards against workspaces of a lower tier that get the room which workspaces of a higher tier
+// leave each other in the queues of upstreams that state their pace.
+func TestDivisionInAHigherTierLeavesNoRoomToALowerOne(t *testing.T) {
+	for _, load := range [][]pressed{
+		{{"a", 0, 48}, {"b", 0, 4}, {"c", 2, 4}, {"d", 2, 4}},
+		{{"a", 0, 30}, {"b", 0, 20}, {"c", 2, 8}},
+		{{"a", 0, 40}, {"c", 2, 10}, {"d", 2, 10}},
+	} {
+		m := pacedService(load)
+		for _, m.called = range []int{m.gateways, 1} {
+			results := m.run(t)
+			byDue := m
+			byDue.anonymous = true
+			alone := byDue.run(t)
+			for _, l := range load {
+				if l.tier == 2 {
+					// Choices differ by chance.
+					const chance = 0.05
+					require.LessOrEqual(t, results[l.workspace].share(), alone[l.workspace].share()+chance, "%v, without workspaces %v", results, alone)
+				}
+			}
+		}
+	}
+}
+
+// Guards against a workspace that is alone at a plain service that states its pace and is kept
+// from a part of it.
+func TestSingleWorkspaceAtAServiceThatStatesItsPaceIsServedAsWithoutAny(t *testing.T) {
+	m := pacedService([]pressed{{"a", 0, 60}})
+	m.called = m.gateways
+	byDue := m
+	byDue.anonymous = true
+	require.Equal(t, byDue.run(t), m.run(t))
+}
+
 // Guards against a workspace that takes nearly all engines while no scheduler can be asked.
 func TestEnginesAreDividedAmongWorkspacesWithoutAScheduler(t *testing.T) {
 	t.Run("one presses", func(t *testing.T) { requireDivided(t, engines(onePresses), "b", "c", "d") })
@@ -263,3 +362,36 @@
 	_, err = pick(3400*time.Millisecond, "large")
 	require.NoError(t, err, "small has sent nothing for a second")
 }
+
+// Guards against a refusal for the sake of other workspaces while an upstream that was not drawn
+// has free slots.
+func TestRoomAtAnUpstreamThatWasNotDrawnIsUsed(t *testing.T) {
+	ready := make([]roster.Upstream, 3)
+	for i := range ready {
+		ready[i] = roster.Upstream{ID: strconv.Itoa(i), Service: "s", Slots: 6, StartedAtMs: 1}
+	}
+	chooser := local.New("a", func(string) []roster.Upstream { return ready }, func() int { return 3 })
+	chooser.SetLoads(load.New("gateway"), local.NoEngines)
+	excludedBut := func(i int) []string { return slices.Delete([]string{"0", "1", "2"}, i, i+1) }
+	pick := func(workspace string, excluded []string, draws ...int) (flow.Placement, error) {
+		chooser.SetDraw(func(int) int {
+			drawn := draws[0]
+			draws = draws[1:]
+			return drawn
+		})
+		return chooser.Pick(t.Context(), startTime, flow.PlacementRequest{Service: "s", Workspace: workspace, ExcludedUpstreams: excluded})
+	}
+	for i, stated := range []exchange.Load{{Running: 6, Waiting: 24, Pace: 1}, {Running: 6, Waiting: 24, Pace: 1}, {Running: 1, Pace: 1}} {
+		p, err := pick("large", excludedBut(i), 0)
+		require.NoError(t, err)
+		p.ReportLoad(startTime, stated)
+		if i == 0 {
+			p.Release(startTime, flow.Declined, 0)
+		}
+	}
+	_, err := pick("small", nil, 0, 0)
+	require.NoError(t, err)
+	p, err := pick("large", nil, 0, 0)
+	require.NoError(t, err)
+	require.Equal(t, "2", p.Upstream().ID)
+}
--- a/internal/sched/local/paced.go
+++ b/internal/sched/local/paced.go
@@ -89,6 +89,9 @@
 		c.loads.Used(now)
 	}
 	best, err := choose(now, upstreams, candidates, req)
+	if err == nil {
+		best, err = c.leaveQueue(now, sharing, best, upstreams, candidates, req)
+	}
 	if err == nil && c.mustLeaveFree(now, sharing, upstreams, req) {
 		err = c.refuseForOthers()
 	}
@@ -132,6 +135,8 @@
 	// finish is the expected time to finish, in units of usual work, and cost is finish
 	// and the cost of another failure domain.
 	finish, cost float64
+	// requests is the number of requests that are expected at the upstream.
+	requests float64
 	// sampled reports whether there is a sample of the upstream, age is its age, and fresh
 	// reports whether its counts are used.
 	sampled, fresh bool
@@ -175,7 +180,8 @@
 
 func (c *Chooser) expect(f *forecast, own int, others, pace float64) {
 	slots := float64(max(1, f.upstream.Slots))
-	f.finish = pace * (1 + (float64(own)+others)/slots)
+	f.requests = float64(own) + others
+	f.finish = pace * (1 + f.requests/slots)
 	f.cost = f.finish
 	if f.upstream.Domain != c.domain {
 		f.cost += crossDomainCost / slots
