Engines that cannot be reached are no capacity to divide

Cause: without a scheduler, a gateway counted the slots of engines that it skips after failed connections as free. With a crashed engine in the list, nothing was kept for workspaces below their share, whose need is less than its slots.

Change: mustLeaveFree leaves out engines that are skipped after failed connections. Engines that are skipped for their failure rate still count: that rate also rises by requests that they decline when they are full.

Test: TestUnreachableUpstreamIsNoCapacityToDivide gave the slot to the workspace above its share before, and keeps it after.

--- a/internal/sched/local/divide.go
+++ b/internal/sched/local/divide.go
@@ -144,6 +144,9 @@
 	capacity, held := 0.0, 0.0
 	for _, u := range upstreams {
 		state := c.state(u.ID)
+		if now.Before(state.backoffUntil) {
+			continue // it cannot be reached
+		}
 		limit := c.limit(now, state, u, req)
 		if now.Sub(state.declinedAt) < declineMemory {
 			// The upstream took no more than this.
--- a/internal/sched/local/divide_load_test.go
+++ b/internal/sched/local/divide_load_test.go
@@ -395,3 +395,38 @@
 	require.NoError(t, err)
 	require.Equal(t, "2", p.Upstream().ID)
 }
+
+// Guards against upstreams that cannot be reached and count as free: while a quarter of the
+// engines is down, nothing would be kept for workspaces below their share.
+func TestUnreachableUpstreamIsNoCapacityToDivide(t *testing.T) {
+	ready := []roster.Upstream{{ID: "one", Slots: 8}, {ID: "down", Slots: 8}}
+	chooser := local.New("a", func(string) []roster.Upstream { return ready }, func() int { return 4 })
+	pick := func(at time.Duration, workspace string, excluded ...string) (flow.Placement, error) {
+		req := flow.PlacementRequest{Service: "s", Workspace: workspace, PromptTokens: 1, ExcludedUpstreams: excluded}
+		return chooser.Pick(t.Context(), startTime.Add(at), req)
+	}
+	var small, large []flow.Placement
+	for p, err := pick(0, "small", "down"); err == nil; p, err = pick(0, "small", "down") {
+		small = append(small, p)
+	}
+	for range 5 {
+		p, err := pick(2*time.Second, "small", "one")
+		require.NoError(t, err)
+		p.Release(startTime.Add(2*time.Second), flow.Unreachable, 0)
+	}
+	for _, p := range small {
+		p.Release(startTime.Add(2*time.Second), flow.Answered, 0)
+	}
+	for p, err := pick(3100*time.Millisecond, "large"); err == nil; p, err = pick(3100*time.Millisecond, "large") {
+		large = append(large, p)
+	}
+	require.Len(t, large, len(small), "what small does not use is lent")
+	_, err := pick(3100*time.Millisecond, "small")
+	require.Error(t, err)
+
+	large[0].Release(startTime.Add(3200*time.Millisecond), flow.Answered, 0)
+	_, err = pick(3300*time.Millisecond, "large")
+	require.Error(t, err, "the slot is kept")
+	_, err = pick(3300*time.Millisecond, "small")
+	require.NoError(t, err)
+}
