A second connection ends when its peer is down

What is queued while it closes is no longer reported as sent. Found by the review; the test of the connection covers the peer's end.

--- a/internal/fleet/mesh/alternate.go
+++ b/internal/fleet/mesh/alternate.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -17,10 +19,17 @@
 // lost delays all that follows on its connection by a retransmission timeout, some 200 ms;
 // messages that cannot wait for that are sent again here. It is opened when it is first
 // needed and closed after readTimeout without a message.
-type alternate struct{ queue chan *wire.Envelope }
+type alternate struct {
+	queue chan *wire.Envelope
+	// ended is closed when the peer is down.
+	ended chan struct{}
+}
+
+// errPeerDown ends an alternate whose peer is down.
+var errPeerDown = errors.New("the peer is down")
 
 func newAlternate() *alternate {
-	return &alternate{queue: make(chan *wire.Envelope, alternateQueueLength)}
+	return &alternate{queue: make(chan *wire.Envelope, alternateQueueLength), ended: make(chan struct{})}
 }
 
 func (a *alternate) enqueue(e *wire.Envelope) bool {
@@ -66,13 +75,16 @@
 
 // runAlternate opens an alternate and serves it until it ends.
 func (m *Mesh) runAlternate(ctx context.Context, node, address string, a *alternate) {
-	defer m.removeAlternate(node, a)
+	defer func() {
+		// What is queued until here is lost with the session.
+		m.removeAlternate(node, a)
+		m.alternatePool.CloseSession(address)
+	}()
 	stream, err := m.alternatePool.Open(ctx, address)
 	if err != nil {
 		m.logger.Debug("no alternate connection to peer", "peer", node, "err", err)
 		return
 	}
-	defer m.alternatePool.CloseSession(address)
 	if err := stream.Send(m.now().Add(writeTimeout), &wire.Envelope{Body: &wire.Envelope_Hello{Hello: &wire.Hello{Node: m.node}}}); err != nil {
 		m.logger.Debug("alternate connection to peer lost", "peer", node, "err", err)
 		return
@@ -98,6 +110,18 @@
 	}
 }
 
+// peerDown notifies the handler that a peer's process has failed, exited or restarted, and
+// ends the alternate with it, which may hang for as long as readTimeout otherwise.
+func (m *Mesh) peerDown(now time.Time, node string) {
+	m.mu.Lock()
+	if a := m.alternates[node]; a != nil {
+		delete(m.alternates, node)
+		close(a.ended)
+	}
+	m.mu.Unlock()
+	m.handler.PeerDown(now, node)
+}
+
 // exchange sends the queued messages of an alternate and handles those of the peer, until
 // the stream ends.
 func (m *Mesh) exchange(ctx context.Context, node string, stream *link.Stream, a *alternate) {
@@ -117,6 +141,8 @@
 			select {
 			case <-ctx.Done():
 				return ctx.Err()
+			case <-a.ended:
+				return errPeerDown
 			case envelope := <-a.queue:
 				if err := stream.Send(m.now().Add(writeTimeout), envelope); err != nil {
 					return err
--- a/internal/fleet/mesh/alternate_test.go
+++ b/internal/fleet/mesh/alternate_test.go
@@ -92,6 +92,7 @@
 
 		stop(b)
 		bubble.Sleep(time.Second)
+		require.False(t, a.mesh.ReplyAlternate("b:1", message("gone")), "it ends with the peer's process")
 		b, heardByB = start("b:1")
 		bubble.Sleep(3 * time.Second)
 		require.True(t, a.mesh.SendAlternate("b:1", message("next")))
--- a/internal/fleet/mesh/heard.go
+++ b/internal/fleet/mesh/heard.go
@@ -46,7 +46,7 @@
 	first := p != nil && !p.isStaleRun(now, g.Run, timeout) && p.markExited(from, g.Run)
 	m.mu.Unlock()
 	if first {
-		m.handler.PeerDown(now, from.node)
+		m.peerDown(now, from.node)
 	}
 	return first
 }
@@ -76,7 +76,7 @@
 	}
 	m.mu.Unlock()
 	if restarted {
-		m.handler.PeerDown(now, from.node)
+		m.peerDown(now, from.node)
 	}
 	m.handler.HandleGossip(now, from.node, g)
 	return p, recovered, restarted
@@ -140,7 +140,7 @@
 	}
 	m.mu.Unlock()
 	for _, node := range down {
-		m.handler.PeerDown(now, node)
+		m.peerDown(now, node)
 	}
 	return slices.DeleteFunc(down, func(node string) bool { return disconnected[node] })
 }
