--- a/internal/role/gateway/division_plain_test.go
+++ b/internal/role/gateway/division_plain_test.go
@@ -76,8 +76,8 @@
 func TestGatewaysDividePlainServicesAmongWorkspaces(t *testing.T) {
 	for name, called := range map[string][]int{"callers spread": allGateways, "callers at one gateway": oneGateway} {
 		t.Run(name, func(t *testing.T) {
-			t.Run("one presses", func(t *testing.T) { requireDivides(t, plainService, onePlainPresses, called, noFault, "b", "c", "d") })
-			t.Run("two press", func(t *testing.T) { requireDivides(t, plainService, twoPlainPress, called, noFault, "c", "d") })
+			t.Run("one overloads", func(t *testing.T) { requireDivides(t, plainService, onePlainOverloads, called, noFault, "b", "c", "d") })
+			t.Run("two overload", func(t *testing.T) { requireDivides(t, plainService, twoPlainOverload, called, noFault, "c", "d") })
 		})
 	}
 }
@@ -86,6 +86,6 @@
 
 // The requests are three times as many as the upstreams serve.
 var (
-	onePlainPresses = []float64{144, 12, 12, 12}
-	twoPlainPress   = []float64{90, 54, 12, 12}
+	onePlainOverloads = []float64{144, 12, 12, 12}
+	twoPlainOverload   = []float64{90, 54, 12, 12}
 )
--- a/internal/role/gateway/division_test.go
+++ b/internal/role/gateway/division_test.go
@@ -165,8 +165,8 @@
 // The streams of a second are three times what the engines serve. One workspace sends twelve
 // times as many as each of the others, or two of them send that together.
 var (
-	onePresses  = []float64{57.6, 4.8, 4.8, 4.8}
-	twoPress    = []float64{36, 21.6, 4.8, 4.8}
+	oneOverloads  = []float64{57.6, 4.8, 4.8, 4.8}
+	twoOverload    = []float64{36, 21.6, 4.8, 4.8}
 	allGateways = []int{0, 1, 2}
 	oneGateway  = []int{1}
 )
@@ -176,8 +176,8 @@
 func TestSchedulerDividesSlotsAmongWorkspaces(t *testing.T) {
 	for name, called := range map[string][]int{"callers spread": allGateways, "callers at one gateway": oneGateway} {
 		t.Run(name, func(t *testing.T) {
-			t.Run("one presses", func(t *testing.T) { requireFleetDivides(t, onePresses, called, noFault, "b", "c", "d") })
-			t.Run("two press", func(t *testing.T) { requireFleetDivides(t, twoPress, called, noFault, "c", "d") })
+			t.Run("one overloads", func(t *testing.T) { requireFleetDivides(t, oneOverloads, called, noFault, "b", "c", "d") })
+			t.Run("two overload", func(t *testing.T) { requireFleetDivides(t, twoOverload, called, noFault, "c", "d") })
 		})
 	}
 }
@@ -200,8 +200,8 @@
 func TestSlotsAreDividedAfterTheLossOfTheScheduler(t *testing.T) {
 	for name, called := range map[string][]int{"callers spread": allGateways, "callers at one gateway": oneGateway} {
 		t.Run(name, func(t *testing.T) {
-			t.Run("one presses", func(t *testing.T) { requireFleetDivides(t, onePresses, called, loseScheduler, "b", "c", "d") })
-			t.Run("two press", func(t *testing.T) { requireFleetDivides(t, twoPress, called, loseScheduler, "c", "d") })
+			t.Run("one overloads", func(t *testing.T) { requireFleetDivides(t, oneOverloads, called, loseScheduler, "b", "c", "d") })
+			t.Run("two overload", func(t *testing.T) { requireFleetDivides(t, twoOverload, called, loseScheduler, "c", "d") })
 		})
 	}
 }
--- a/internal/sched/board/divide_load_test.go
+++ b/internal/sched/board/divide_load_test.go
@@ -14,8 +14,8 @@
 	"github.com/persimmonridge/persimmonridge/internal/sched/board"
 )
 
-// pressing is the load of one workspace: requests a second of a tier.
-type pressing struct {
+// offeredLoad is the load of one workspace: requests a second of a tier.
+type offeredLoad struct {
 	workspace string
 	tier      int
 	perSecond float64
@@ -48,7 +48,7 @@
 // emulation plays random arrivals of several workspaces against a scheduler. Streams start
 // after 100 ms and last the given time in the mean.
 type emulation struct {
-	load      []pressing
+	load      []offeredLoad
 	engines   int
 	slots     int
 	mean      time.Duration
@@ -169,7 +169,7 @@
 // of four slots serve in streams of 1.2 s.
 func fourWorkspaces() emulation {
 	return emulation{
-		load:    []pressing{{"a", 0, 48}, {"b", 0, 4}, {"c", 0, 4}, {"d", 0, 4}},
+		load:    []offeredLoad{{"a", 0, 48}, {"b", 0, 4}, {"c", 0, 4}, {"d", 0, 4}},
 		engines: 6, slots: 4, mean: 1100 * time.Millisecond, seconds: 60,
 	}
 }
@@ -197,10 +197,10 @@
 	requireDivided(t, fourWorkspaces(), "b", "c", "d")
 }
 
-// Guards against workspaces that press together and take the share of those that do not.
+// Guards against workspaces that overload the service together and take the share of those that do not.
 func TestWorkspacesBelowTheirShareAreServedBesideSeveralThatPress(t *testing.T) {
 	m := fourWorkspaces()
-	m.load = []pressing{{"a", 0, 30}, {"b", 0, 20}, {"c", 0, 4}, {"d", 0, 4}}
+	m.load = []offeredLoad{{"a", 0, 30}, {"b", 0, 20}, {"c", 0, 4}, {"d", 0, 4}}
 	requireDivided(t, m, "c", "d")
 }
 
@@ -215,7 +215,7 @@
 // gets all of it, as without a workspace.
 func TestLoneWorkspaceUsesAllCapacity(t *testing.T) {
 	m := fourWorkspaces()
-	m.load = []pressing{{"a", 0, 48}}
+	m.load = []offeredLoad{{"a", 0, 48}}
 	requireDivided(t, m)
 }
 
@@ -223,7 +223,7 @@
 // goes to those that ask for more, in equal parts (max-min).
 func TestDemandIsMetUpToAnEqualLevel(t *testing.T) {
 	m := fourWorkspaces()
-	m.load = []pressing{{"a", 0, 40}, {"b", 0, 20}, {"c", 0, 3}, {"d", 0, 1.5}}
+	m.load = []offeredLoad{{"a", 0, 40}, {"b", 0, 20}, {"c", 0, 3}, {"d", 0, 1.5}}
 	results := m.run()
 	for _, name := range []string{"c", "d"} {
 		require.GreaterOrEqual(t, results[name].share(), 0.85, "%v", results)
@@ -241,7 +241,7 @@
 		rng := rand.New(rand.NewPCG(seed, 3))
 		m := emulation{engines: 1 + rng.IntN(6), slots: 1 + rng.IntN(6), mean: 400 * time.Millisecond, seconds: 10, seed: seed}
 		for i := range 2 + rng.IntN(6) {
-			m.load = append(m.load, pressing{workspace: strconv.Itoa(i), tier: rng.IntN(2) * 2, perSecond: 1 + 40*rng.Float64()*rng.Float64()})
+			m.load = append(m.load, offeredLoad{workspace: strconv.Itoa(i), tier: rng.IntN(2) * 2, perSecond: 1 + 40*rng.Float64()*rng.Float64()})
 		}
 		edge += m.engines * m.slots
 		m.inspect = func(now time.Time, waiting map[string]board.SlotRequest, held int) {
@@ -276,7 +276,7 @@
 // because it used more.
 func TestHigherTierThatPressesGoesBeforeALowerOne(t *testing.T) {
 	m := fourWorkspaces()
-	m.load = []pressing{{"a", 0, 18}, {"b", 2, 4}, {"c", 2, 4}, {"d", 2, 4}}
+	m.load = []offeredLoad{{"a", 0, 18}, {"b", 2, 4}, {"c", 2, 4}, {"d", 2, 4}}
 	results := m.run()
 	m.anonymous = true
 	byDue := m.run()
--- a/internal/sched/local/divide_load_test.go
+++ b/internal/sched/local/divide_load_test.go
@@ -19,8 +19,8 @@
 
 var startTime = time.Unix(1_000_000, 0)
 
-// pressed is the load of one workspace: requests a second of a tier.
-type pressed struct {
+// offeredLoad is the load of one workspace: requests a second of a tier.
+type offeredLoad struct {
 	workspace string
 	tier      int
 	perSecond float64
@@ -38,7 +38,7 @@
 // scheduler. The upstreams decline what they have neither a slot nor room in their queue for,
 // and a declined request is sent once more.
 type emulation struct {
-	load             []pressed
+	load             []offeredLoad
 	upstreams        int
 	slots, queue     int
 	mean             time.Duration
@@ -166,7 +166,7 @@
 
 // plainService is a load of a plain service, and engines one of engines without a scheduler: the
 // requests are three times what the upstreams serve.
-func plainService(load []pressed) emulation {
+func plainService(load []offeredLoad) emulation {
 	m := emulation{upstreams: 3, slots: 6, queue: 24, mean: 15 * time.Millisecond, gateways: 3, seconds: 5}
 	for _, l := range load {
 		l.perSecond *= 60
@@ -176,22 +176,22 @@
 }
 
 // pacedService is a load of a plain service whose upstreams state their pace.
-func pacedService(load []pressed) emulation {
+func pacedService(load []offeredLoad) emulation {
 	m := plainService(load)
 	// Two seconds, some 2,400 served requests, keep the tests short under the race detector.
 	m.statesPace, m.seconds = true, 2
 	return m
 }
 
-func engines(load []pressed) emulation {
+func engines(load []offeredLoad) emulation {
 	return emulation{load: load, upstreams: 6, slots: 4, mean: 1200 * time.Millisecond, generation: true, gateways: 3, seconds: 30}
 }
 
 var (
-	// onePresses is the load of the page: one of four workspaces asks twelve times as much as
-	// each of the others. In twoPress, two of them ask that together.
-	onePresses = []pressed{{"a", 0, 48}, {"b", 0, 4}, {"c", 0, 4}, {"d", 0, 4}}
-	twoPress   = []pressed{{"a", 0, 30}, {"b", 0, 20}, {"c", 0, 4}, {"d", 0, 4}}
+	// oneOverloads is the load of the page: one of four workspaces asks twelve times as much as
+	// each of the others. In twoOverload, two of them ask that together.
+	oneOverloads = []offeredLoad{{"a", 0, 48}, {"b", 0, 4}, {"c", 0, 4}, {"d", 0, 4}}
+	twoOverload  = []offeredLoad{{"a", 0, 30}, {"b", 0, 20}, {"c", 0, 4}, {"d", 0, 4}}
 )
 
 // requireDivided checks, with callers at the given number of gateways, that workspaces that ask
@@ -222,18 +222,18 @@
 
 // Guards against a workspace that takes nearly all of a plain service because it asks for most.
 func TestPlainServiceIsDividedAmongWorkspaces(t *testing.T) {
-	t.Run("one presses", func(t *testing.T) { requireDivided(t, plainService(onePresses), "b", "c", "d") })
-	t.Run("two press", func(t *testing.T) { requireDivided(t, plainService(twoPress), "c", "d") })
+	t.Run("one overloads", func(t *testing.T) { requireDivided(t, plainService(oneOverloads), "b", "c", "d") })
+	t.Run("two overload", func(t *testing.T) { requireDivided(t, plainService(twoOverload), "c", "d") })
 }
 
 // Guards against a workspace that takes nearly all of a plain service whose upstreams state their
 // pace, for which gateways have no limit of their own, also if its queue is short.
 func TestPlainServiceThatStatesItsPaceIsDividedAmongWorkspaces(t *testing.T) {
 	for _, queue := range []int{24, 6} {
-		one, two := pacedService(onePresses), pacedService(twoPress)
+		one, two := pacedService(oneOverloads), pacedService(twoOverload)
 		one.queue, two.queue = queue, queue
-		t.Run("one presses", func(t *testing.T) { requireWorkDivided(t, one, "b", "c", "d") })
-		t.Run("two press", func(t *testing.T) { requireWorkDivided(t, two, "c", "d") })
+		t.Run("one overloads", func(t *testing.T) { requireWorkDivided(t, one, "b", "c", "d") })
+		t.Run("two overload", func(t *testing.T) { requireWorkDivided(t, two, "c", "d") })
 	}
 }
 
@@ -264,7 +264,7 @@
 // Guards against workspaces of a lower tier that get the room which workspaces of a higher tier
 // leave each other in the queues of upstreams that state their pace.
 func TestDivisionInAHigherTierLeavesNoRoomToALowerOne(t *testing.T) {
-	for _, load := range [][]pressed{
+	for _, load := range [][]offeredLoad{
 		{{"a", 0, 48}, {"b", 0, 4}, {"c", 2, 4}, {"d", 2, 4}},
 		{{"a", 0, 30}, {"b", 0, 20}, {"c", 2, 8}},
 		{{"a", 0, 40}, {"c", 2, 10}, {"d", 2, 10}},
@@ -289,7 +289,7 @@
 // Guards against a workspace that is alone at a plain service that states its pace and is kept
 // from a part of it.
 func TestSingleWorkspaceAtAServiceThatStatesItsPaceIsServedAsWithoutAny(t *testing.T) {
-	m := pacedService([]pressed{{"a", 0, 60}})
+	m := pacedService([]offeredLoad{{"a", 0, 60}})
 	m.called = m.gateways
 	byDue := m
 	byDue.anonymous = true
@@ -298,14 +298,14 @@
 
 // Guards against a workspace that takes nearly all engines while no scheduler can be asked.
 func TestEnginesAreDividedAmongWorkspacesWithoutAScheduler(t *testing.T) {
-	t.Run("one presses", func(t *testing.T) { requireDivided(t, engines(onePresses), "b", "c", "d") })
-	t.Run("two press", func(t *testing.T) { requireDivided(t, engines(twoPress), "c", "d") })
+	t.Run("one overloads", func(t *testing.T) { requireDivided(t, engines(oneOverloads), "b", "c", "d") })
+	t.Run("two overload", func(t *testing.T) { requireDivided(t, engines(twoOverload), "c", "d") })
 }
 
 // Guards against workspaces of a lower tier that are served in place of one of a higher tier that
 // presses.
 func TestHigherTierThatPressesIsNotShedBeforeALowerOne(t *testing.T) {
-	load := []pressed{{"a", 0, 48}, {"b", 0, 4}, {"c", 2, 4}, {"d", 2, 4}}
+	load := []offeredLoad{{"a", 0, 48}, {"b", 0, 4}, {"c", 2, 4}, {"d", 2, 4}}
 	for name, m := range map[string]emulation{"plain service": plainService(load), "engines": engines(load)} {
 		for _, m.called = range []int{m.gateways, 1} {
 			byDue := m
@@ -322,7 +322,7 @@
 
 // Guards against choices that change for a single workspace: they are those without any.
 func TestChoicesWithASingleWorkspaceAreAsWithoutAny(t *testing.T) {
-	for _, m := range []emulation{plainService([]pressed{{"a", 0, 60}}), engines([]pressed{{"a", 0, 60}})} {
+	for _, m := range []emulation{plainService([]offeredLoad{{"a", 0, 60}}), engines([]offeredLoad{{"a", 0, 60}})} {
 		m.called = m.gateways
 		byDue := m
 		byDue.anonymous = true
--- a/internal/sched/local/paced_load_test.go
+++ b/internal/sched/local/paced_load_test.go
@@ -42,7 +42,7 @@
 			}
 			c.prepare(s)
 			s.upstreams[0].fill(c.others)
-			s.press(c.rate)
+			s.offer(c.rate)
 			s.run(time.Second)
 			s.reset()
 			s.run(10 * time.Second)
@@ -136,7 +136,7 @@
 					return c.state(l, at)
 				}
 			}
-			s.press(250)
+			s.offer(250)
 			s.run(2 * time.Second)
 			s.reset()
 			s.run(10 * time.Second)
@@ -162,7 +162,7 @@
 				}
 				return 1
 			}
-			s.press(250)
+			s.offer(250)
 			s.run(10*time.Second + c.within)
 			s.reset()
 			s.run(2 * time.Second)
@@ -181,7 +181,7 @@
 		}
 		return 1
 	}
-	s.press(250)
+	s.offer(250)
 	s.run(time.Second)
 	s.reset()
 	s.run(4 * time.Second)
--- a/internal/sched/local/plain_sim_test.go
+++ b/internal/sched/local/plain_sim_test.go
@@ -145,10 +145,10 @@
 	})
 }
 
-// press sends requests at random times, spread over the gateways.
-func (s *simulation) press(perSecond float64) {
+// offer sends requests at random times, spread over the gateways.
+func (s *simulation) offer(perSecond float64) {
 	s.after(time.Duration(s.random.ExpFloat64()/perSecond*float64(time.Second)), func() {
-		s.press(perSecond)
+		s.offer(perSecond)
 		s.requests++
 		s.send(s.random.IntN(len(s.choosers)), s.now, nil)
 	})
@@ -273,7 +273,7 @@
 func (s *simulation) slowShare(t *testing.T, perSecond float64, turns int) float64 {
 	t.Helper()
 	require.Equal(t, s.start, s.now)
-	s.press(perSecond)
+	s.offer(perSecond)
 	toSlow, total := 0, 0
 	for i := range turns {
 		before, requests := slices.Clone(s.sent), s.requests
