--- a/internal/role/gateway/division_test.go
+++ b/internal/role/gateway/division_test.go
@@ -83,9 +83,9 @@
 	return total
 }
 
-// pressWorkspaces makes calls of each workspace at random moments, at the given number a second,
+// callWorkspaces makes calls of each workspace at random moments, at the given number a second,
 // and returns when all have ended. If asOne is set, all use the key of the first workspace.
-func (f *fleet) pressWorkspaces(during time.Duration, service dividedService, perSecond []float64, gatewaysCalled []int, asOne bool) servedByWorkspace {
+func (f *fleet) callWorkspaces(during time.Duration, service dividedService, perSecond []float64, gatewaysCalled []int, asOne bool) servedByWorkspace {
 	result := servedByWorkspace{sent: map[string]int{}, served: map[string]int{}}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
@@ -148,8 +148,8 @@
 	serve := func(asOne bool) (result servedByWorkspace) {
 		runFleet(t, func(f *fleet) {
 			service.putConfig(f)
-			f.pressWorkspaces(2*time.Second, service, perSecond, gatewaysCalled, asOne)
-			result = f.pressWorkspaces(during, service, perSecond, fault(f, gatewaysCalled), asOne)
+			f.callWorkspaces(2*time.Second, service, perSecond, gatewaysCalled, asOne)
+			result = f.callWorkspaces(during, service, perSecond, fault(f, gatewaysCalled), asOne)
 		})
 		return result
 	}
