Soak: uneven pace, competing workspaces and slow readers

A stand-in cuts off a stream that is unread for 1 s.

No request may be answered 429, slow streams must arrive whole, and all workspaces are served in the end. The check of slow streams excuses less than that of other calls, whose excuses last 4 s longer than a fault and hold nearly all the time where upstreams crash under requests: only what hit the gateway or the upstream during the stream, and a stop that began before it, count.

--- a/internal/trial/soak/backend_test.go
+++ b/internal/trial/soak/backend_test.go
@@ -115,6 +115,8 @@
 	store      registry
 	// disruptions are the times in which faults make it lose requests or answers.
 	disruptions disruptions
+	// uneven is true if the time that work takes varies.
+	uneven bool
 
 	mu            sync.Mutex
 	id            string
@@ -219,6 +221,8 @@
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	attempt := r.Header.Get(attemptHeader)
 	u.requestLog.recordReceiver(attempt, u)
+	// The deadline of a slow stream before on this connection no longer applies.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 	id, up := u.identity()
 	body, err := io.ReadAll(r.Body)
 	if err != nil || !up {
@@ -226,7 +230,8 @@
 	}
 	names := platform.AnswerHeaders()
 	w.Header().Set(names.RequestID, attempt)
-	w.Header().Set(names.Load, fmt.Sprintf("%d,0,%d", u.running.Load(), slots))
+	_, pace := u.pace()
+	w.Header().Set(names.Load, fmt.Sprintf("%d,0,%d%s", u.running.Load(), slots, pace))
 	if r.Header.Get(instanceHeader) != id {
 		w.Header().Set(names.NotExecuted, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -268,7 +273,7 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	if strings.HasPrefix(r.URL.Path, "/stream") || strings.HasPrefix(r.URL.Path, "/once") {
+	if strings.HasPrefix(r.URL.Path, "/stream") || strings.HasPrefix(r.URL.Path, "/once") || r.URL.Path == slowStream.path {
 		u.stream(w, r, attempt, mode == truncating && affected)
 	} else {
 		u.plain(w, r, attempt, mode == truncating && affected)
@@ -279,7 +284,8 @@
 }
 
 func (u *upstream) plain(w http.ResponseWriter, r *http.Request, attempt string, truncate bool) {
-	pause(r.Context(), responseTime)
+	pace, _ := u.pace()
+	pause(r.Context(), time.Duration(pace*float64(responseTime)))
 	answer := expectedAnswer(attempt)
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
 	if truncate {
@@ -298,11 +304,12 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for i := from + 1; i <= streamEvents; i++ {
-		pause(r.Context(), eventInterval)
+		pace, _ := u.pace()
+		pause(r.Context(), time.Duration(pace*float64(eventInterval)))
 		if r.Context().Err() != nil {
 			panic(http.ErrAbortHandler)
 		}
-		text := eventText(attempt, i)
+		text := strings.TrimSuffix(eventText(attempt, i), "\n\n") + limitUnread(w, r) + "\n\n"
 		if truncate && i == streamEvents/2 {
 			_, _ = io.WriteString(w, text[:len(text)/2])
 			panic(http.ErrAbortHandler)
--- a/internal/trial/soak/caller_test.go
+++ b/internal/trial/soak/caller_test.go
@@ -47,6 +47,8 @@
 	// notConnected is true if the connection could not be opened, so that the call
 	// reached no process.
 	notConnected bool
+	// key is the API key of the caller.
+	key string
 	// prompted is true if a stream names the parts of its prompt.
 	prompted bool
 }
@@ -57,6 +59,7 @@
 	testbed *testbed
 	number  int
 	gateway int
+	key     string
 	random  *rand.Rand
 	conn    net.Conn
 	reader  *bufio.Reader
@@ -67,7 +70,7 @@
 
 func newCaller(tb *testbed, number int) *caller {
 	return &caller{
-		testbed: tb, number: number, gateway: number % gateways,
+		testbed: tb, number: number, gateway: number % gateways, key: tb.apiKey(number),
 		random: rand.New(rand.NewPCG(tb.seed, uint64(number)+1000)),
 	}
 }
@@ -93,7 +96,7 @@
 // it; a request that is sent at the same time is not sent again.
 func (c *caller) call(k kind, path string) call {
 	c.sent++
-	result := call{id: fmt.Sprintf("%016x", c.testbed.seed<<40|uint64(c.number)<<24|uint64(c.sent)), kind: k, path: path, gateway: c.gateway, sent: time.Now(), prompted: c.testbed.seed >= crashesFromSeed}
+	result := call{id: fmt.Sprintf("%016x", c.testbed.seed<<40|uint64(c.number)<<24|uint64(c.sent)), kind: k, path: path, gateway: c.gateway, sent: time.Now(), prompted: c.testbed.seed >= crashesFromSeed, key: c.key}
 	if c.conn != nil {
 		result.idleBefore = result.sent.Sub(c.lastUsedAt)
 	}
@@ -113,9 +116,12 @@
 			result.notConnected = true
 			return err
 		}
+		if tcp, ok := conn.(*net.TCPConn); ok && result.kind == slowStream {
+			_ = tcp.SetReadBuffer(slowReadBuffer)
+		}
 		c.conn, c.reader = conn, bufio.NewReader(conn)
 	}
-	if err := c.conn.SetDeadline(result.sent.Add(callerTimeout)); err != nil {
+	if err := c.conn.SetDeadline(result.sent.Add(result.kind.timeout())); err != nil {
 		return err
 	}
 	if _, err := io.WriteString(c.conn, result.requestText()); err != nil {
@@ -126,8 +132,7 @@
 		return err
 	}
 	result.status = response.StatusCode
-	body, err := io.ReadAll(response.Body)
-	result.body = string(body)
+	result.body, err = c.readBody(result.kind, response.Body)
 	if err != nil {
 		return err
 	}
@@ -139,8 +144,8 @@
 
 func (c *call) requestText() string {
 	headers := []string{
-		c.kind.method + " " + c.path + " HTTP/1.1", "Host: h", attemptHeader + ": " + c.id, "Api-Key: key",
-		fmt.Sprintf("X-Persimmonridge-Deadline-Ms: %d", callerTimeout.Milliseconds()),
+		c.kind.method + " " + c.path + " HTTP/1.1", "Host: h", attemptHeader + ": " + c.id, "Api-Key: " + c.key,
+		fmt.Sprintf("X-Persimmonridge-Deadline-Ms: %d", c.kind.timeout().Milliseconds()),
 	}
 	if c.kind.stream {
 		headers = append(headers, "X-Persimmonridge-Token-Counts: 200,160", "X-Persimmonridge-Length-Hint: 100")
--- a/internal/trial/soak/config_test.go
+++ b/internal/trial/soak/config_test.go
@@ -38,7 +38,7 @@
 		extraRoutes = 1 + r.IntN(maxExtraRoutes)
 	}
 	next.submittedAt = time.Now()
-	tb.store.Put("op/config", configDocument(next, extraRoutes, tb.playsWarmUps()))
+	tb.store.Put("op/config", tb.configDocument(next, extraRoutes))
 	next.storedAt = time.Now()
 	tb.mu.Lock()
 	tb.versions = append(tb.versions, next)
@@ -91,7 +91,7 @@
 	return tb.versions[index].idleLimit
 }
 
-func configDocument(v configVersion, extraRoutes int, warmUps bool) string {
+func (tb *testbed) configDocument(v configVersion, extraRoutes int) string {
 	route := `{"name":%q,"hostname":"h","prefix":%q,"kind":%q,"timeoutMs":3000,"targetLatencyMs":500,"service":%q,"maxAttempts":2,"streamResume":%t,"gapAimMs":250}`
 	routes := []string{
 		fmt.Sprintf(route, "book", "/book/", "non_idempotent", "desk", false),
@@ -100,16 +100,20 @@
 		fmt.Sprintf(route, "once", "/once/", "streaming", "tutor", false),
 		fmt.Sprintf(route, "version", versionPath(v.version), "idempotent", "desk", false),
 	}
+	if tb.hardLoad() {
+		slowRoute := strings.Replace(route, "3000", fmt.Sprint(slowTimeout.Milliseconds()), 1)
+		routes = append(routes, fmt.Sprintf(slowRoute, "slow", "/slow/", "streaming", "tutor", false))
+	}
 	for i := range extraRoutes {
 		routes = append(routes, fmt.Sprintf(route, fmt.Sprintf("more-%d", i), fmt.Sprintf("/more-%d/", i), "idempotent", "desk", false))
 	}
 	warmUp := ""
-	if warmUps {
+	if tb.playsWarmUps() {
 		warmUp = fmt.Sprintf(`,"coldStartS":%g,"coldPerS":%d`, warmUpTime.Seconds(), warmUpPerSecond)
 	}
 	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"tutor","engine":{"slots":%d,"stride":6}%s},{"name":"desk"%s}],
-		"limits":{"maxBodyBytes":4194304,"idleTimeoutMs":%d},"tenants":[{"name":"studio","apiKeys":["key"]}]}`,
-		v.version, strings.Join(routes, ","), slots, warmUp, warmUp, v.idleLimit.Milliseconds())
+		"limits":{"maxBodyBytes":4194304,"idleTimeoutMs":%d},"tenants":[%s]}`,
+		v.version, strings.Join(routes, ","), slots, warmUp, warmUp, v.idleLimit.Milliseconds(), tb.workspaceDocument())
 }
 
 func versionPath(version int) string { return fmt.Sprintf("/version-%d/", version) }
--- a/internal/trial/soak/process_test.go
+++ b/internal/trial/soak/process_test.go
@@ -24,6 +24,7 @@
 // does.
 type gatewayProcess struct {
 	name, address string
+	contracts     string // JSON list
 	binary        string
 	settingsPath  string
 	storeAddress  string
@@ -61,7 +62,10 @@
 	g := &gatewayProcess{
 		name: name, address: tb.address(1 + i), binary: tb.binary, storeAddress: storeAddress, log: log, report: tb.report,
 		settingsPath: filepath.Join(tb.folder, name+".json"), done: make(chan struct{}), retryBudgetSlack: 50,
-		endDisruption: func() {},
+		endDisruption: func() {}, contracts: "[]",
+	}
+	if tb.hardLoad() {
+		g.contracts = `["pressure"]`
 	}
 	for j := range gateways {
 		g.seeds = append(g.seeds, tb.address(1+j)+":8229")
@@ -76,9 +80,9 @@
 		"listen":{"frontend":"%[2]s:8221","readiness":"%[2]s:8224","control":"%[2]s:8229"},
 		"internalPortRange":[7600,7615],"seeds":[%q,%q,%q],"limits":{"memoryMb":200},
 		"bounds":{"graceS":%g,"configApplyMs":2000,"retryBudgetRatio":0.2,"retryBudgetSlack":%d,"budgetWindowS":10,"quotaSlack":140000,"coldOver":%g,"coldSlack":%d},
-		"platform":{"address":%q}}`,
+		"platform":{"address":%q},"contracts":%s}`,
 		g.name, g.address, g.seeds[0], g.seeds[1], g.seeds[2], stopGrace.Seconds(), g.retryBudgetSlack,
-		warmUpFactor, warmUpSlack, g.storeAddress)
+		warmUpFactor, warmUpSlack, g.storeAddress, g.contracts)
 	next := g.settingsPath + ".next"
 	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
 		return err
--- a/internal/trial/soak/soak_test.go
+++ b/internal/trial/soak/soak_test.go
@@ -65,10 +65,13 @@
 	tb.run()
 	require.NoError(t, tb.close())
 	tb.check()
-	served, metClosed := 0, 0
+	served, metClosed, slow := 0, 0, 0
 	for _, c := range tb.calls {
 		if c.err == nil && c.status == 200 {
 			served++
+			if c.kind == slowStream {
+				slow++
+			}
 		}
 		if tb.metClosedConnection(c) {
 			metClosed++
@@ -78,8 +81,8 @@
 	for _, f := range tb.faults {
 		names = append(names, fmt.Sprintf("%s@%.1f", f.name, f.from.Sub(tb.startedAt).Seconds()))
 	}
-	t.Logf("%d calls, %d served, %d met a closed connection; %d versions; %s; logs in %s",
-		len(tb.calls), served, metClosed, len(tb.versions), strings.Join(names, " "), folder)
+	t.Logf("%d calls, %d served (%d slow streams), %d met a closed connection; %d versions; %s; logs in %s",
+		len(tb.calls), served, slow, metClosed, len(tb.versions), strings.Join(names, " "), folder)
 	tb.removeLogsIfPassed()
 	require.Empty(t, tb.findings, "logs are in %s", folder)
 }
--- a/internal/trial/soak/testbed_test.go
+++ b/internal/trial/soak/testbed_test.go
@@ -169,7 +169,7 @@
 		if err != nil {
 			return err
 		}
-		u.crashUnder = tb.crashUnder
+		u.crashUnder, u.uneven = tb.crashUnder, tb.hardLoad()
 		tb.upstreams = append(tb.upstreams, u)
 	}
 	return nil
@@ -289,6 +289,14 @@
 	if tb.seed >= crashesFromSeed {
 		background.Go(tb.sendCrashing)
 	}
+	recoveryChecks := 1
+	if tb.hardLoad() {
+		background.Go(tb.surge)
+		for i := range gateways {
+			running.Go(newCaller(tb, 300+i).runSlow)
+		}
+		recoveryChecks = workspaces
+	}
 	tb.injectFaults()
 	background.Wait()
 	tb.restarts.Wait()
@@ -296,7 +304,10 @@
 	<-time.After(recoveryTime)
 	close(tb.stopCallers)
 	running.Wait()
-	tb.checkRecovery()
+	for i := range recoveryChecks {
+		running.Go(func() { tb.checkRecovery(100 + i*gateways) })
+	}
+	running.Wait()
 }
 
 func (tb *testbed) heartbeats() {
@@ -371,17 +382,18 @@
 	}
 }
 
-// checkRecovery checks that all gateways serve all kinds of requests again.
-func (tb *testbed) checkRecovery() {
+// checkRecovery checks that all gateways serve all kinds of requests again, from one
+// caller at each. The numbers of the callers, which choose their workspaces, begin with firstCaller.
+func (tb *testbed) checkRecovery(firstCaller int) {
 	for i := range gateways {
-		c := newCaller(tb, 100+i)
+		c := newCaller(tb, firstCaller+i)
 		c.gateway = i
 		for _, k := range kinds {
 			for range 3 {
 				result := c.call(k, k.path)
 				tb.recordCall(result)
 				if result.err != nil || result.status != http.StatusOK {
-					tb.report(fmt.Sprintf("%s after all faults were cleared: %s got status %d, error %v (%s)", tb.processes[i].name, k.name, result.status, result.err, result.id))
+					tb.report(fmt.Sprintf("%s after all faults were cleared: %s of %s got status %d, error %v (%s)", tb.processes[i].name, k.name, c.key, result.status, result.err, result.id))
 				}
 			}
 		}
--- a/internal/trial/soak/verify_test.go
+++ b/internal/trial/soak/verify_test.go
@@ -20,6 +20,7 @@
 	for _, c := range tb.calls {
 		tb.checkExecutions(c)
 		tb.checkAnswer(c)
+		tb.checkQuota(c)
 		tb.checkForwarded(c)
 		tb.checkAnswered(c)
 		tb.checkDrained(c)
@@ -30,6 +31,7 @@
 	tb.checkCrashing()
 	for _, p := range tb.probes {
 		tb.checkForwarded(p)
+		tb.checkQuota(p)
 		tb.checkVersion(p)
 	}
 }
@@ -67,7 +69,8 @@
 	if c.err == nil && c.status == http.StatusOK && !c.complete() {
 		tb.reportCall(c, "got status 200 with an incomplete or foreign answer: %q", c.body)
 	}
-	if !c.isEventPrefix() {
+	// A large event may be torn if the gateway was killed. checkSlow checks these calls.
+	if !c.isEventPrefix() && (c.kind != slowStream || c.err == nil) {
 		tb.reportCall(c, "got a stream with an incomplete or foreign event: %q", c.body)
 	}
 	switch c.status {
@@ -79,6 +82,10 @@
 // checkAnswered checks that a call was answered if its gateway was affected by no
 // fault other than planned stops. Calls that met a closed connection are excepted.
 func (tb *testbed) checkAnswered(c call) {
+	if c.kind == slowStream {
+		tb.checkSlow(c)
+		return
+	}
 	if c.err == nil || c.notConnected || tb.disturbed(c, true) {
 		return
 	}
