--- a/internal/role/gateway/division_plain_test.go
+++ b/internal/role/gateway/division_plain_test.go
@@ -87,5 +87,5 @@
 // The requests are three times as many as the upstreams serve.
 var (
 	onePlainOverloads = []float64{144, 12, 12, 12}
-	twoPlainOverload   = []float64{90, 54, 12, 12}
+	twoPlainOverload  = []float64{90, 54, 12, 12}
 )
--- a/internal/role/gateway/division_test.go
+++ b/internal/role/gateway/division_test.go
@@ -165,10 +165,10 @@
 // The streams of a second are three times what the engines serve. One workspace sends twelve
 // times as many as each of the others, or two of them send that together.
 var (
-	oneOverloads  = []float64{57.6, 4.8, 4.8, 4.8}
-	twoOverload    = []float64{36, 21.6, 4.8, 4.8}
-	allGateways = []int{0, 1, 2}
-	oneGateway  = []int{1}
+	oneOverloads = []float64{57.6, 4.8, 4.8, 4.8}
+	twoOverload  = []float64{36, 21.6, 4.8, 4.8}
+	allGateways  = []int{0, 1, 2}
+	oneGateway   = []int{1}
 )
 
 // Guards against a workspace that takes nearly all slots because it sends most requests, while a
