--- a/internal/edge/flow/admit.go
+++ b/internal/edge/flow/admit.go
@@ -1,7 +1,6 @@
 package flow
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -11,7 +10,6 @@
 	"time"
 
 	"github.com/persimmonridge/persimmonridge/internal/state/catalog"
-	"github.com/persimmonridge/persimmonridge/internal/state/wait"
 )
 
 // admit looks up route, workspace and tier, and refuses requests that the
@@ -62,11 +60,14 @@
 		c.refuseBody(&http.MaxBytesError{Limit: maxBytes})
 		return false
 	}
+	if !c.reserveStatedBody(r.ContentLength) {
+		return false
+	}
 	controller := http.NewResponseController(c.w)
 	if err := controller.SetReadDeadline(c.deadline); err != nil {
 		c.logger.Debug("could not set the read deadline", "err", err)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, r.Body, maxBytes))
+	body, err := c.readAllOfBody(http.MaxBytesReader(c.w, r.Body, maxBytes), r.ContentLength)
 	if err != nil {
 		c.refuseBody(err)
 		return false
@@ -84,7 +85,10 @@
 	c.w.Header().Set("Connection", "close")
 	var tooLarge *http.MaxBytesError
 	var connFailed *net.OpError
+	var doesNotFit bodyDoesNotFitError
 	switch {
+	case errors.As(err, &doesNotFit):
+		c.refuseForMemory(doesNotFit.pieceBytes)
 	case errors.As(err, &tooLarge):
 		c.refuse(http.StatusRequestEntityTooLarge, 0, "request body too large")
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -96,32 +100,3 @@
 		c.refuse(http.StatusBadRequest, 0, "malformed request body: "+err.Error())
 	}
 }
-
-func (c *call) chargeQuota(ctx context.Context) bool {
-	if c.workspace == nil || c.workspace.QuotaPerSecond <= 0 {
-		return true
-	}
-	cost := 1.0
-	if c.workspace.QuotaCountsTokens {
-		cost = c.workspace.DefaultTokens
-		if c.request.TokensStated {
-			cost = float64(c.request.PromptTokens + c.request.OutputTokens)
-		}
-	}
-	ok, retryAfter := c.Quota.Take(c.Now(), c.workspace, cost)
-	for !ok && c.Quota.Settles(c.Now()) {
-		wait.For(ctx, quotaPollInterval)
-		if ctx.Err() != nil {
-			c.expire(ctx)
-			return false
-		}
-		ok, retryAfter = c.Quota.Take(c.Now(), c.workspace, cost)
-	}
-	if !ok {
-		c.refuse(http.StatusTooManyRequests, retryAfter, fmt.Sprintf("quota of workspace %s exceeded: rate %.0f per second, burst %.0f, request cost %.0f",
-			c.workspace.Name, c.workspace.QuotaPerSecond, c.workspace.QuotaBurst, cost))
-		return false
-	}
-	c.chargedCost = cost
-	return true
-}
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"net/http"
 	"slices"
@@ -12,6 +11,7 @@
 
 	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
 	"github.com/persimmonridge/persimmonridge/internal/edge/ingress"
+	"github.com/persimmonridge/persimmonridge/internal/limit/memory"
 	"github.com/persimmonridge/persimmonridge/internal/state/catalog"
 )
 
@@ -71,6 +71,9 @@
 	// Domains returns the failure domains in the regions; if nil, no route or workspace
 	// may restrict its regions.
 	Domains func(regions []string) []string
+	// Memory bounds the bytes held in bodies and answers; if it is nil or has no limit,
+	// they are not bounded, and no stream is read ahead of its caller.
+	Memory *memory.Account
 }
 
 // Metrics records counts and latencies.
@@ -79,6 +82,8 @@
 	RequestFinished(route string, tier int, outcome string, took time.Duration)
 	// AttemptFinished counts an attempt by its outcome.
 	AttemptFinished(service string, o Outcome)
+	// QuotaRefused counts a request that a quota refused.
+	QuotaRefused(stage QuotaStage)
 	// FirstEventSent records the time to the first event of a stream.
 	FirstEventSent(tier int, took time.Duration)
 }
@@ -108,7 +113,11 @@
 	// withoutAllowance reports that the stream is placed where its estimated rest ends
 	// before the process exits, with no allowance for a longer one.
 	withoutAllowance bool
-	chargedCost      float64
+	// cost is the request's cost to its workspace's quota, chargedCost is what was charged,
+	// and queued reports that it waits for its first slot and is not charged yet.
+	cost        float64
+	chargedCost float64
+	queued      bool
 	// attempts counts the upstreams to which at least one byte was sent;
 	// mayHaveExecuted reports that one of them may have executed the request.
 	attempts int
@@ -146,6 +155,9 @@
 	failedBody   []byte
 	progress     streamProgress
 	logger       *slog.Logger
+	held         heldMemory
+	// released reports that the placement of the last attempt was released.
+	released bool
 }
 
 // ServeHTTP implements http.Handler.
@@ -171,6 +183,8 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	c.openMemory(r)
+	defer c.closeMemory()
 	if !c.readBody(r) {
 		return
 	}
@@ -179,9 +193,10 @@
 		c.endCrashing()
 		return
 	}
-	if !c.chargeQuota(ctx) {
+	if !c.checkQuota(ctx) {
 		return
 	}
+	defer c.dequeue(false)
 	c.attemptAll(ctx)
 }
 
@@ -218,11 +233,15 @@
 			placement.Release(c.Now(), Canceled, 0)
 			continue
 		}
+		if !c.chargeQuota(ctx, placement) {
+			return
+		}
 		if c.attempts == 0 && c.withheld == 0 {
 			c.Retries.Sent(now, service)
 		}
+		c.released = false
 		outcome := c.attempt(ctx, placement)
-		placement.Release(c.Now(), outcome, c.streamedTokens())
+		c.release(placement, outcome)
 		c.Metrics.AttemptFinished(service, outcome)
 		if c.concluded(ctx, outcome) {
 			return
@@ -238,6 +257,15 @@
 	}
 }
 
+// release ends the placement of the last attempt, unless it was released before.
+func (c *call) release(placement Placement, outcome Outcome) {
+	if c.released {
+		return
+	}
+	c.released = true
+	placement.Release(c.Now(), outcome, c.streamedTokens())
+}
+
 // takeRetry charges a retry to the budget, unless one that was charged before was
 // not sent.
 func (c *call) takeRetry(service string) bool {
@@ -342,7 +370,7 @@
 	if success && c.route.Kind == catalog.Streaming {
 		return c.deliverStream(ctx, placement, answer)
 	}
-	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedAnswerBytes))
+	body, err := c.readAnswerBody(ctx, answer)
 	if err != nil {
 		answer.Close(false)
 		if ctx.Err() != nil {
@@ -363,12 +391,15 @@
 		return Failed
 	}
 	if success {
+		c.releaseBeforeWrite(placement, Answered)
 		c.writePlain(answer, body)
 		c.finish(outcomeAnswered, "upstream", placement.Upstream().ID)
 		return Answered
 	}
+	c.releaseFailedBody()
 	c.failedAnswer, c.failedBody = answer, body
 	if answer.Status < http.StatusInternalServerError || !c.mayRetry() {
+		c.releaseBeforeWrite(placement, Failed)
 		c.passFailedAnswer()
 	}
 	return Failed
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/persimmonridge/persimmonridge/internal/fleet/mesh"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
 	"github.com/persimmonridge/persimmonridge/internal/limit/crash"
+	"github.com/persimmonridge/persimmonridge/internal/limit/memory"
 	"github.com/persimmonridge/persimmonridge/internal/limit/quota"
 	"github.com/persimmonridge/persimmonridge/internal/limit/retry"
 	"github.com/persimmonridge/persimmonridge/internal/limit/warmup"
@@ -86,7 +87,11 @@
 	GracePeriod                                                  time.Duration
 	// CPUCores is the share of one CPU core that the process may use; 0 means
 	// unknown.
-	CPUCores                  float64
+	CPUCores float64
+	// BoundMemory is set if callers may read slowly. The bytes held in bodies and answers are
+	// then bounded by a share of MemoryBytes, the memory limit of the process.
+	BoundMemory               bool
+	MemoryBytes               int64
 	Retry                     retry.Settings
 	ConfigKey, UpstreamPrefix string
 	OrderPrefix               string
@@ -164,11 +169,13 @@
 	versionPicker     *rollout.Picker
 	rolloutController *rolloutController
 	speedStore        *speedStore
+	loads             *loadExchange
 	follower          *follow.Follower
 	// lastChange is the kv.Revision of the latest change that was applied, heartbeats
 	// excluded.
 	lastChange atomic.Int64
 	metrics    *metrics
+	memory     *memory.Account
 	ingress    *ingress.Server
 	stop       atomic.Pointer[stopWindow]
 
@@ -233,6 +240,9 @@
 	g.granter.SetLimiter(g.guard)
 	chooser := local.New(s.Domain, g.roster.Ready, g.peers.gatewayCount)
 	chooser.SetLimiter(g.guard)
+	g.loads = newLoadExchange(g)
+	chooser.SetLoads(g.loads.table, g.loads.hasEngines)
+	chooser.SetObserver(g.loads)
 	g.permits = permit.New(permit.Dependencies{
 		Node: s.Name, Domain: s.Domain, Scheduler: g.peers.scheduler, Send: g.mesh.Send, SendAlternate: g.mesh.SendAlternate,
 		DeliverLocally: func(now time.Time, e *wire.Envelope) { permit.HandleMessage(now, g.granter, s.Name, e) },
@@ -240,18 +250,21 @@
 		Ready: g.roster.Ready, Paused: g.guard.paused,
 		MinStreamTime: g.granter.MinStreamTime,
 		Silent:        g.peers.schedulerSilent, Service: g.service, Metrics: g.metrics, Logger: logger, Now: now,
+		PlacedFor: g.metrics.byWorkspace.placed,
 	})
 	g.versionPicker = rollout.NewPicker(g.permits)
 	g.rolloutController = newRolloutController(g)
 	g.speedStore = &speedStore{Gateway: g}
 	g.follower = g.newFollower()
+	g.memory = memory.New(s.heldBytesLimit(), g.logMemory)
 	g.metrics.registerGauges(g)
+	g.metrics.registerMemory(g.memory)
 	requests := flow.New(flow.Dependencies{
 		Headers: deps.Headers, Client: exchange.NewClient(g.pool, deps.AnswerHeaders, now), Catalog: g.catalog.Load,
 		Picker: g.versionPicker, Quota: g.quota, Retries: g.retryBudget, Crashes: g.crashes,
 		Metrics: g.metrics, Logger: logger, Now: now, ShutdownStatus: g.stopTimes,
 		OthersAccept:  func(shutdownNoticed bool) bool { return g.peers.othersAccept(now(), shutdownNoticed) },
-		NextAccepting: g.nextAccepting, Guard: g.guard, Domains: g.domainsIn,
+		NextAccepting: g.nextAccepting, Guard: g.guard, Domains: g.domainsIn, Memory: g.memory,
 	})
 	g.ingress = ingress.New(ingress.Dependencies{
 		Handler: requests, Catalog: g.catalog.Load, Metrics: g.metrics, Logger: logger, Now: now,
@@ -288,6 +301,7 @@
 	group.Go(func() error { return g.mesh.Run(background) })
 	group.Go(func() error { return g.granter.Run(background) })
 	group.Go(func() error { return g.peers.reportQuota(background) })
+	group.Go(func() error { return g.loads.run(background) })
 	group.Go(func() error { return g.rolloutController.run(background) })
 	group.Go(func() error { return g.speedStore.run(background) })
 	group.Go(func() error { return (&standbySync{Gateway: g}).run(background) })
--- a/internal/role/gateway/metrics.go
+++ b/internal/role/gateway/metrics.go
@@ -32,11 +32,14 @@
 	withheld          *prometheus.CounterVec
 	statements        *prometheus.CounterVec
 	crashes           *prometheus.CounterVec
+	byWorkspace       *workspaceCounts
+	quotaRefusals     *prometheus.CounterVec
 	registry          *prometheus.Registry
 }
 
 // registerGauges registers the metrics that are read from the gateway on each scrape.
 func (m *metrics) registerGauges(g *Gateway) {
+	m.registry.MustRegister(newQuotaLevels(g.quota, g.now))
 	auto := promauto.With(m.registry)
 	gauge := func(name, help string, read func() float64) {
 		auto.NewGaugeFunc(prometheus.GaugeOpts{Name: "persimmonridge_" + name, Help: help}, read)
@@ -61,6 +64,12 @@
 		}
 		return 0
 	})
+	gauge("engines_slow", "Engines whose work takes more than 1.5 times as long as usual, at the gateway that schedules.", func() float64 {
+		if g.peers.scheduler(g.now()) != g.settings.Name {
+			return 0
+		}
+		return float64(g.granter.SlowEngines())
+	})
 	gauge("upstreams", "Upstreams that are registered.", func() float64 { return float64(len(g.roster.All())) })
 	gauge("upstreams_warming_up", "Registered upstreams that may be warming up, so that they get few requests.", func() float64 { return float64(g.guard.warmUps.Cold(g.now())) })
 	gauge("upstreams_rate_limited", "Upstreams that have stated a rate limit.", func() float64 { return float64(g.guard.rates.Limited()) })
@@ -102,7 +111,7 @@
 	registry.MustRegister(goCollector, collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	auto := promauto.With(registry)
 	return &metrics{
-		registry: registry,
+		registry: registry, byWorkspace: newWorkspaceCounts(auto),
 		requests: auto.NewCounterVec(prometheus.CounterOpts{
 			Name: "persimmonridge_requests_total", Help: "Callers' requests by what the caller was told.",
 		}, []string{"tier", "outcome"}),
@@ -134,6 +143,9 @@
 		crashes: auto.NewCounterVec(prometheus.CounterOpts{
 			Name: "persimmonridge_crashes_total", Help: "Requests that an upstream was executing when it crashed, by who observed it.",
 		}, []string{"observer"}),
+		quotaRefusals: auto.NewCounterVec(prometheus.CounterOpts{
+			Name: "persimmonridge_quota_refusals_total", Help: "Requests that a quota refused, at their arrival or with a slot.",
+		}, []string{"stage"}),
 		firstEvent: auto.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "persimmonridge_first_event_seconds", Help: "Time from a request's arrival to its stream's first event.", Buckets: latencyBuckets,
 		}, []string{"tier"}),
@@ -170,3 +182,8 @@
 func (m *metrics) FirstEventSent(tier int, took time.Duration) {
 	m.firstEvent.WithLabelValues(strconv.Itoa(tier)).Observe(took.Seconds())
 }
+
+// QuotaRefused implements flow.Metrics.
+func (m *metrics) QuotaRefused(stage flow.QuotaStage) {
+	m.quotaRefusals.WithLabelValues(string(stage)).Inc()
+}
--- a/internal/sched/board/board.go
+++ b/internal/sched/board/board.go
@@ -8,6 +8,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/persimmonridge/persimmonridge/internal/sched/division"
 )
 
 // Upstream is an engine that may be assigned requests.
@@ -62,7 +64,14 @@
 	// turns counts the slots that were given to waiting requests.
 	turns uint64
 	// refused holds the latest refusals, by run key, in case their slot requests come again.
-	refused map[string]refusedRequest
+	refused          map[string]refusedRequest
+	refusedExpiredAt time.Time
+	// ended holds the slot requests that ended lately, in case a copy of one comes late.
+	ended endedRequests
+	// ledger holds the recent usage of each workspace.
+	ledger *division.Ledger
+	// otherWaiting is a buffer of countAhead.
+	otherWaiting []*division.Account
 }
 
 // New returns an empty scheduler.
@@ -72,6 +81,7 @@
 		byOwner:  make(map[string]map[string]struct{}),
 		refusals: make(refusals), restoredSpeeds: make(map[string]Speed), grantRates: make(map[rank]*grantRate), timings: make(map[string]*serviceTiming),
 		baselines: make(map[string]failureBaseline), tierUses: make(map[serviceTier]*tierUse), refused: make(map[string]refusedRequest),
+		ledger: division.NewLedger(),
 	}
 }
 
@@ -157,6 +167,7 @@
 		return
 	}
 	req.arrived = now
+	req.account = s.account(now, req.Service, req.Tier, req.Workspace)
 	// A gateway holds at most one slot per request. If this scheduler still counts an
 	// earlier one, it was released to another scheduler.
 	s.Release(now, request.Owner, request.ID, SlotResult{Outcome: Canceled})
@@ -166,7 +177,7 @@
 		return
 	}
 	if !s.canEndInTime(now, req) {
-		s.decide(req, Decision{Reason: "gateway stops before any engine could complete the stream"})
+		s.decideRefusal(now, req, Decision{Reason: "gateway stops before any engine could complete the stream"})
 		return
 	}
 	if slack := s.slack(now, req); slack >= 0 {
@@ -230,6 +241,9 @@
 // Release ends the use of a slot, or withdraws a waiting request.
 func (s *Scheduler) Release(now time.Time, owner, id string, end SlotResult) {
 	k := runKey(owner, id)
+	if end.Number != 0 {
+		s.ended.add(now, k, end.Number)
+	}
 	s.withdraw(owner, id, end.Number)
 	e := s.byRun[k]
 	if e == nil {
@@ -315,7 +329,7 @@
 			return false
 		}
 		s.refusals.add(now, req.Fingerprint)
-		s.decide(req, Decision{RetryAfter: retryAfter, Reason: reason})
+		s.decideRefusal(now, req, Decision{RetryAfter: retryAfter, Reason: reason})
 		return true
 	}
 	s.waiting = slices.DeleteFunc(s.waiting, refuse)
@@ -330,8 +344,8 @@
 	if now.Sub(s.refusalsExpiredAt) > refusalTTL {
 		s.refusalsExpiredAt = now
 		s.refusals.expire(now)
-		s.forgetRefused(now)
 	}
+	s.forgetRefused(now)
 	var missed []*SlotRequest
 	fastest := make(map[string]*engine, len(s.byService))
 	for service := range s.byService {
--- a/internal/sched/board/stats.go
+++ b/internal/sched/board/stats.go
@@ -19,10 +19,18 @@
 	// them.
 	Engines string
 	Unusual int
+	// Paces lists the paces of up to maxDescribedEngines of the engines whose pace differs
+	// from the usual one, the slowest first. Paced counts all of them.
+	Paces string
+	Paced int
 	// Services lists for each service by what factor prefill is slower than the decoding
 	// speed suggests, and the part of the first-event latency that does not depend on the
 	// engine.
 	Services string
+	// Workspaces lists up to MaxNamedWorkspaces workspaces of the requests that wait in time,
+	// those with most first: how many wait, and how many slots the workspace holds in the
+	// same services and tiers. The others are listed as one.
+	Workspaces string
 }
 
 // maxDescribedEngines keeps the log record from growing with the fleet.
@@ -30,7 +38,7 @@
 
 // Stats returns a summary at the given time.
 func (s *Scheduler) Stats(now time.Time) Stats {
-	stats := Stats{Waiting: len(s.waiting), Late: len(s.late)}
+	stats := Stats{Waiting: len(s.waiting), Late: len(s.late), Workspaces: s.describeWaiting()}
 	var engines []string
 	for _, e := range s.engines {
 		running := e.running(now)
@@ -53,6 +61,7 @@
 		engines = append(engines, text)
 	}
 	slices.Sort(engines)
+	stats.Paces, stats.Paced = s.describePaces(now)
 	stats.Unusual = len(engines)
 	stats.Engines = strings.Join(engines[:min(maxDescribedEngines, len(engines))], " ")
 	var services []string
--- a/internal/sched/local/local.go
+++ b/internal/sched/local/local.go
@@ -1,16 +1,18 @@
-// Package local chooses an upstream from what this process alone knows: its own requests
-// and the load that upstreams reported in their responses. It serves plain services, and
-// engines while no scheduler can be asked.
+// Package local chooses an upstream by this process's own requests and the load that
+// upstreams reported in responses to it and, if they state a pace, to other gateways. It
+// serves plain services, and engines while no scheduler can be asked.
 package local
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
 	"github.com/persimmonridge/persimmonridge/internal/edge/flow"
 	"github.com/persimmonridge/persimmonridge/internal/sched/failure"
+	"github.com/persimmonridge/persimmonridge/internal/sched/load"
 	"github.com/persimmonridge/persimmonridge/internal/state/roster"
 	"github.com/persimmonridge/persimmonridge/internal/state/wait"
 )
@@ -62,9 +64,22 @@
 	loadAt           time.Time
 	ownRunningAtLoad int
 	declinedAt       time.Time
-	failuresInRow    int
-	backoffUntil     time.Time
-	failureRate      failure.Rate
+	// ownRunningAtDecline is how many requests this process had there at declinedAt.
+	ownRunningAtDecline int
+	failuresInRow       int
+	backoffUntil        time.Time
+	failureRate         failure.Rate
+	// history holds the past values of running. It is kept only for upstreams that are
+	// chosen by the samples of several gateways.
+	history *history
+}
+
+// addRunning changes the number of this process's requests at the upstream.
+func (s *upstreamState) addRunning(now time.Time, n int) {
+	s.running += n
+	if s.history != nil {
+		s.history.record(now, s.running)
+	}
 }
 
 // external returns the requests of other processes that the upstream reported recently.
@@ -91,13 +106,30 @@
 	states   map[string]*upstreamState
 	rotation uint64
 	limiter  Limiter
+	loads    *load.Table
+	// hasEngines reports whether a service has engines.
+	hasEngines func(service string) bool
+	observer   Observer
+	// draw returns a random number below n.
+	draw func(n int) int
+	// usual holds, by service, what is known of the responses of upstreams that state a
+	// pace.
+	usual map[string]*usualResponse
+	// candidateBuffer and skippedBuffer are reused by candidates.
+	candidateBuffer, skippedBuffer []int
 	// lastPresent is when each service last had an upstream.
 	lastPresent map[string]time.Time
+	// sharings hold what the workspaces had of the capacity of each service.
+	sharings map[string]*sharing
 }
 
 // New returns a chooser for a process in the failure domain.
 func New(domain string, ready func(service string) []roster.Upstream, processes func() int) *Chooser {
-	return &Chooser{domain: domain, readyUpstreams: ready, processCount: processes, states: make(map[string]*upstreamState), lastPresent: make(map[string]time.Time)}
+	return &Chooser{
+		domain: domain, readyUpstreams: ready, processCount: processes, states: make(map[string]*upstreamState),
+		lastPresent: make(map[string]time.Time), usual: make(map[string]*usualResponse), sharings: make(map[string]*sharing),
+		draw: rand.IntN, observer: noObserver{}, hasEngines: func(string) bool { return false },
+	}
 }
 
 // SetLimiter sets the limiter. Without one, no upstream is limited.
@@ -129,22 +161,47 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.statesPace(now, upstreams) {
+		return c.pickByPace(now, upstreams, req)
+	}
 	best, found := c.cheapest(now, upstreams, req, false)
 	if !found {
 		best, found = c.cheapest(now, upstreams, req, true)
 	}
 	if !found {
-		if pause := c.shortestWait(now, upstreams, req); pause > 0 {
-			return nil, flow.RefusePlacement(pause, "all upstreams of the service that may get the request are warming up or take fewer requests")
-		}
-		return nil, flow.RefusePlacement(noUpstreamRetryAfter, "no upstream of the service is left to try")
+		return nil, c.refuseWithoutCandidate(now, upstreams, req)
+	}
+	state, sharing := c.state(best.ID), c.sharing(now, req.Service)
+	usage := sharing.usageOf(now, req)
+	if c.full(now, state, best, req) && !c.mayExceed(now, sharing, upstreams, req) {
+		sharing.refuse(now, usage)
+		return nil, c.refuseFull()
 	}
-	state := c.state(best.ID)
-	if c.full(now, state, best, req) {
-		return nil, flow.RefusePlacement(fullRetryAfter, "all upstreams of the service are full")
+	if c.mustLeaveFree(now, sharing, upstreams, req) {
+		sharing.refuse(now, usage)
+		return nil, c.refuseForOthers()
+	}
+	return c.place(now, best, sharing, usage), nil
+}
+
+// refuseWithoutCandidate returns the refusal of a request that none of the upstreams may get.
+func (c *Chooser) refuseWithoutCandidate(now time.Time, upstreams []roster.Upstream, req flow.PlacementRequest) error {
+	if pause := c.shortestWait(now, upstreams, req); pause > 0 {
+		c.observer.Refused("limited")
+		return flow.RefusePlacement(pause, "all upstreams of the service that may get the request are warming up or take fewer requests")
 	}
-	state.running++
-	return &placement{chooser: c, upstream: best}, nil
+	c.observer.Refused("no-upstream")
+	return flow.RefusePlacement(noUpstreamRetryAfter, "no upstream of the service is left to try")
+}
+
+func (c *Chooser) refuseFull() error {
+	c.observer.Refused("full")
+	return flow.RefusePlacement(fullRetryAfter, "all upstreams of the service are full")
+}
+
+func (c *Chooser) refuseForOthers() error {
+	c.observer.Refused("share")
+	return flow.RefusePlacement(fullRetryAfter, "what is left of the upstreams is kept for workspaces below their share")
 }
 
 // waitDeadline returns until when a request waits for an upstream of a service that has
@@ -168,11 +225,20 @@
 }
 
 // Hold counts a request at an upstream that was chosen elsewhere.
-func (c *Chooser) Hold(u roster.Upstream) flow.Placement {
+func (c *Chooser) Hold(now time.Time, u roster.Upstream, req flow.PlacementRequest) flow.Placement {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state(u.ID).running++
-	return &placement{chooser: c, upstream: u}
+	sharing := c.sharing(now, req.Service)
+	p := c.place(now, u, sharing, sharing.usageOf(now, req))
+	p.plain = false // only slots of engines are granted elsewhere
+	return p
+}
+
+// place counts a request at the upstream and for its workspace.
+func (c *Chooser) place(now time.Time, u roster.Upstream, s *sharing, used *usage) *placement {
+	c.state(u.ID).addRunning(now, 1)
+	used.held.Take(now)
+	return &placement{chooser: c, upstream: u, sharing: s, usage: used, since: now, plain: !c.hasEngines(u.Service)}
 }
 
 // full reports whether this process has as many requests at the upstream as it may have:
@@ -180,11 +246,16 @@
 // here only while no scheduler can be asked, by all processes at once, so each keeps to its
 // part of them.
 func (c *Chooser) full(now time.Time, state *upstreamState, u roster.Upstream, req flow.PlacementRequest) bool {
+	return float64(state.running) >= c.limit(now, state, u, req)
+}
+
+// limit returns how many requests this process may have at the upstream.
+func (c *Chooser) limit(now time.Time, state *upstreamState, u roster.Upstream, req flow.PlacementRequest) float64 {
 	limit := c.part(u)
-	if isGeneration := req.PromptTokens > 0 || req.OutputTokens > 0; !isGeneration && now.Sub(state.declinedAt) >= declineMemory {
+	if !isGeneration(req) && now.Sub(state.declinedAt) >= declineMemory {
 		limit = max(limit, float64(u.Slots)-state.external(now))
 	}
-	return float64(state.running) >= limit
+	return limit
 }
 
 // part returns the requests that this process may have at the upstream whatever the others
@@ -200,18 +271,14 @@
 // that equal upstreams take turns.
 func (c *Chooser) cheapest(now time.Time, upstreams []roster.Upstream, req flow.PlacementRequest, includeSkipped bool) (roster.Upstream, bool) {
 	c.rotation++
-	rates := make([]float64, 0, len(upstreams))
-	for _, u := range upstreams {
-		rates = append(rates, c.state(u.ID).failureRate.At(now))
-	}
-	baseline := failure.Baseline(rates)
+	baseline := c.failureBaseline(now, upstreams)
 	var best roster.Upstream
 	var bestCost float64
 	found := false
 	for i := range upstreams {
 		u := upstreams[(uint64(i)+c.rotation)%uint64(len(upstreams))]
 		state := c.state(u.ID)
-		if !req.Allows(u) || c.wait(now, u) > 0 || (!includeSkipped && (now.Before(state.backoffUntil) || state.failureRate.At(now) > baseline+failureMargin)) {
+		if !c.mayGet(now, u, req) || (!includeSkipped && state.skipped(now, baseline)) {
 			continue
 		}
 		cost := c.cost(now, state, u)
@@ -222,6 +289,25 @@
 	return best, found
 }
 
+// failureBaseline returns the failure rate that is usual among the upstreams.
+func (c *Chooser) failureBaseline(now time.Time, upstreams []roster.Upstream) float64 {
+	rates := make([]float64, 0, len(upstreams))
+	for _, u := range upstreams {
+		rates = append(rates, c.state(u.ID).failureRate.At(now))
+	}
+	return failure.Baseline(rates)
+}
+
+// mayGet reports whether the upstream may get the request now.
+func (c *Chooser) mayGet(now time.Time, u roster.Upstream, req flow.PlacementRequest) bool {
+	return req.Allows(u) && c.wait(now, u) <= 0
+}
+
+// skipped reports whether the upstream is skipped because of failures.
+func (s *upstreamState) skipped(now time.Time, baseline float64) bool {
+	return now.Before(s.backoffUntil) || s.failureRate.At(now) > baseline+failureMargin
+}
+
 // wait returns how long it takes until this process may send a request to the upstream.
 func (c *Chooser) wait(now time.Time, u roster.Upstream) time.Duration {
 	if c.limiter == nil {
@@ -256,6 +342,18 @@
 type placement struct {
 	chooser  *Chooser
 	upstream roster.Upstream
+	sharing  *sharing
+	usage    *usage
+	// since is when the request was placed.
+	since time.Time
+	// plain reports whether the upstream has no engine.
+	plain bool
+	// cost is the expected time to finish in units of usual work, 0 if the upstream was
+	// chosen otherwise.
+	cost                float64
+	startedAt, deadline time.Time
+	// stated is the load that the upstream stated last.
+	stated exchange.Load
 }
 
 // Upstream implements flow.Placement.
@@ -267,19 +365,26 @@
 	defer p.chooser.mu.Unlock()
 	state := p.chooser.state(p.upstream.ID)
 	state.load, state.loadAt, state.ownRunningAtLoad = load, now, state.running
+	p.chooser.recordSample(now, p, load)
 }
 
 // AnswerStarted implements flow.Placement.
-func (p *placement) AnswerStarted(time.Time) {}
+func (p *placement) AnswerStarted(now time.Time) {
+	p.chooser.mu.Lock()
+	defer p.chooser.mu.Unlock()
+	p.startedAt = now
+}
 
 // Release implements flow.Placement.
 func (p *placement) Release(now time.Time, o flow.Outcome, _ int) {
 	p.chooser.mu.Lock()
 	defer p.chooser.mu.Unlock()
 	state := p.chooser.state(p.upstream.ID)
-	state.running--
+	state.addRunning(now, -1)
+	p.sharing.release(now, p.usage, p.since, o)
 	switch o {
 	case flow.Answered:
+		p.chooser.recordResponse(now, p)
 		state.failuresInRow = 0
 		state.failureRate.Succeeded(now)
 	case flow.Failed:
@@ -288,7 +393,7 @@
 	case flow.Interrupted:
 		state.failureRate.Broken(now)
 	case flow.Declined:
-		state.declinedAt = now
+		state.declinedAt, state.ownRunningAtDecline = now, state.running
 		state.failureRate.Failed(now)
 	case flow.Unreachable:
 		state.failuresInRow++
