Observe the link of a gateway's VM

Lines and metrics could not tell whether a gateway chooses engines without the scheduler because its link is full: the bytes sent and received are counted and compared with the capacity that the settings state, a full link is logged, a request's line has the time in which its body arrived if that is 20 ms or more, and the line of a choice without the scheduler says why.

--- a/cmd/persimmonridge/gateway.go
+++ b/cmd/persimmonridge/gateway.go
@@ -99,9 +99,10 @@
 		Name: node.Name, Domain: node.Domain, CallerAddress: node.CallerAddress, ReadinessAddress: node.ReadinessAddress,
 		LinkAddress: node.LinkAddress, MetricsAddress: node.MetricsAddress, SeedAddresses: node.SeedAddresses, GracePeriod: node.GracePeriod, ConfigApplyLimit: node.ConfigApplyLimit,
 		CPUCores: node.CPUCores, BoundMemory: node.BoundMemory, MemoryBytes: node.MemoryBytes,
-		Retry:     retry.Settings{Ratio: node.RetryRatio, Slack: node.RetrySlack, Window: node.RetryWindow},
-		Quota:     quota.Options{StartFull: node.Bootstrap, Slack: node.QuotaSlack, ExcessFraction: node.QuotaExcessFraction, Window: node.QuotaWindow},
-		ConfigKey: platform.ConfigPrefix, UpstreamPrefix: platform.UpstreamPrefix, OrderPrefix: platform.RolloutPrefix,
+		LinkBytesPerSecond: node.LinkBytesPerSecond,
+		Retry:              retry.Settings{Ratio: node.RetryRatio, Slack: node.RetrySlack, Window: node.RetryWindow},
+		Quota:              quota.Options{StartFull: node.Bootstrap, Slack: node.QuotaSlack, ExcessFraction: node.QuotaExcessFraction, Window: node.QuotaWindow},
+		ConfigKey:          platform.ConfigPrefix, UpstreamPrefix: platform.UpstreamPrefix, OrderPrefix: platform.RolloutPrefix,
 		EvacuationPrefix: platform.EvacuationPrefix, Regions: node.Regions,
 		WarmUp: warmup.Limit{Factor: node.WarmUpFactor, Slack: node.WarmUpSlack},
 	}
--- a/internal/edge/flow/admit.go
+++ b/internal/edge/flow/admit.go
@@ -67,6 +67,7 @@
 	if err := controller.SetReadDeadline(c.deadline); err != nil {
 		c.logger.Debug("could not set the read deadline", "err", err)
 	}
+	began := c.Now()
 	body, err := c.readAllOfBody(http.MaxBytesReader(c.w, r.Body, maxBytes), r.ContentLength)
 	if err != nil {
 		c.refuseBody(err)
@@ -75,7 +76,7 @@
 	if err := controller.SetReadDeadline(time.Time{}); err != nil {
 		c.logger.Debug("could not set the read deadline", "err", err)
 	}
-	c.request.Body = body
+	c.request.Body, c.bodyTime = body, c.Now().Sub(began)
 	return true
 }
 
--- a/internal/edge/flow/ending.go
+++ b/internal/edge/flow/ending.go
@@ -93,6 +93,10 @@
 	}
 }
 
+// slowBodyTime is the time for a body to arrive from which it is logged. A body of 12 KB takes
+// 10 ms on a link of 10 Mbit/s that carries nothing else.
+const slowBodyTime = 20 * time.Millisecond
+
 // finish counts the request and logs its outcome. Successful requests are logged
 // at the lowest level, so that the log's rate limit drops them first.
 func (c *call) finish(outcome string, details ...any) {
@@ -106,6 +110,9 @@
 	if c.workspace != nil {
 		args = append(args, "workspace", c.workspace.Name)
 	}
+	if c.bodyTime >= slowBodyTime {
+		args = append(args, "body", c.bodyTime)
+	}
 	if len(c.triedUpstreams) > 0 {
 		args = append(args, "tried", slices.Clone(c.triedUpstreams))
 	}
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -108,8 +108,10 @@
 	tier      int
 	arrivedAt time.Time
 	deadline  time.Time
-	shutdown  shutdownWindow
-	exitPlan  exitPlan
+	// bodyTime is how long the body took to arrive.
+	bodyTime time.Duration
+	shutdown shutdownWindow
+	exitPlan exitPlan
 	// withoutAllowance reports that the stream is placed where its estimated rest ends
 	// before the process exits, with no allowance for a longer one.
 	withoutAllowance bool
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -90,8 +90,10 @@
 	CPUCores float64
 	// BoundMemory is set if callers may read slowly. The bytes held in bodies and answers are
 	// then bounded by a share of MemoryBytes, the memory limit of the process.
-	BoundMemory               bool
-	MemoryBytes               int64
+	BoundMemory bool
+	MemoryBytes int64
+	// LinkBytesPerSecond is what the VM's link carries in each direction; 0 means unknown.
+	LinkBytesPerSecond        float64
 	Retry                     retry.Settings
 	ConfigKey, UpstreamPrefix string
 	OrderPrefix               string
@@ -176,6 +178,7 @@
 	lastChange atomic.Int64
 	metrics    *metrics
 	memory     *memory.Account
+	link       *linkLoad
 	ingress    *ingress.Server
 	stop       atomic.Pointer[stopWindow]
 
@@ -218,8 +221,10 @@
 		// The start time distinguishes successive processes on one VM.
 		runID: uint64(now().UnixNano()), startedAt: now(),
 		roster: roster.New(), ledger: quota.NewLedger(), metrics: newMetrics(),
-		pool: exchange.NewPool(deps.Dialer.DialContext),
 	}
+	g.link = newLinkLoad(g, s.LinkBytesPerSecond)
+	dialer := g.link.meter.Dialer(deps.Dialer)
+	g.pool = exchange.NewPool(dialer.DialContext)
 	g.processID = g.runID ^ xxhash.Sum64String(s.Name)
 	g.grace.Store(int64(s.GracePeriod))
 	g.store = meter.New(deps.Store, g.metrics.StoreCall)
@@ -234,7 +239,7 @@
 	g.crashTracker = crash.New(func() { g.mesh.GossipNow() })
 	g.crashes = newCrashWatch(g)
 	g.crashStore = newCrashStore(g)
-	g.mesh = mesh.New(s.Name, s.LinkAddress, g.runID, deps.Dialer, g.peers, logger, now)
+	g.mesh = mesh.New(s.Name, s.LinkAddress, g.runID, dialer, g.peers, logger, now)
 	g.peers.isHub = g.mesh.IsHub
 	g.granter = granter.New(now, g.peers.deliverDecision, logger)
 	g.granter.SetLimiter(g.guard)
@@ -259,6 +264,7 @@
 	g.memory = memory.New(s.heldBytesLimit(), g.logMemory)
 	g.metrics.registerGauges(g)
 	g.metrics.registerMemory(g.memory)
+	g.metrics.registerLink(g.link)
 	requests := flow.New(flow.Dependencies{
 		Headers: deps.Headers, Client: exchange.NewClient(g.pool, deps.AnswerHeaders, now), Catalog: g.catalog.Load,
 		Picker: g.versionPicker, Quota: g.quota, Retries: g.retryBudget, Crashes: g.crashes,
@@ -294,6 +300,7 @@
 	if err != nil {
 		return err
 	}
+	callers, links = g.link.meter.Listener(callers), g.link.meter.Listener(links)
 	server := link.Serve(links, g.mesh.Serve)
 	for _, address := range g.settings.SeedAddresses {
 		g.mesh.AddPeer(g.now(), address)
@@ -309,6 +316,7 @@
 	group.Go(func() error { return g.peers.register(background) })
 	group.Go(func() error { return g.follower.Run(background) })
 	group.Go(func() error { return g.sweep(background) })
+	group.Go(func() error { return g.link.run(background) })
 	group.Go(func() error { return g.crashes.run(background) })
 	group.Go(func() error { return g.crashStore.run(background) })
 	group.Go(func() error {
--- /dev/null
+++ b/internal/role/gateway/linkload.go
@@ -0,0 +1,95 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+
+	"github.com/persimmonridge/persimmonridge/internal/limit/bandwidth"
+)
+
+const (
+	// linkSampleInterval is how often the load of the link is sampled. A body of 72 KB takes
+	// 60 ms on a link of 10 Mbit/s, so that shorter intervals would mostly show single bodies.
+	linkSampleInterval = 100 * time.Millisecond
+	// linkFullShare is the share of the capacity above which the link counts as full in the
+	// log, and linkFreeShare that below which it does not any more. Queues grow beyond any
+	// bound near 1; the samples of a full link vary by a tenth.
+	linkFullShare = 0.85
+	linkFreeShare = 0.6
+)
+
+// linkLoad follows the load of the link of this gateway's VM.
+type linkLoad struct {
+	*Gateway
+	meter bandwidth.Meter
+
+	mu   sync.Mutex
+	load *bandwidth.Load
+	full bool
+}
+
+func newLinkLoad(g *Gateway, bytesPerSecond float64) *linkLoad {
+	return &linkLoad{Gateway: g, load: bandwidth.NewLoad(bytesPerSecond)}
+}
+
+// run samples the load until the context ends.
+func (l *linkLoad) run(ctx context.Context) error {
+	ticker := time.NewTicker(linkSampleInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			l.sample(l.now())
+		}
+	}
+}
+
+func (l *linkLoad) sample(now time.Time) {
+	l.mu.Lock()
+	l.load.Sample(now, &l.meter)
+	sent, received, highest := l.load.Used(bandwidth.Sent), l.load.Used(bandwidth.Received), l.load.Highest()
+	before := l.full
+	l.full = highest >= linkFullShare || (before && highest > linkFreeShare)
+	full := l.full
+	l.mu.Unlock()
+	switch {
+	case full && !before:
+		l.logger.Warn("link is full", "sent", sent, "received", received)
+	case before && !full:
+		l.logger.Info("link has room again", "sent", sent, "received", received)
+	}
+}
+
+// setCapacity changes the capacity of the link.
+func (l *linkLoad) setCapacity(bytesPerSecond float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.load.SetCapacity(bytesPerSecond)
+}
+
+// used returns the share of the capacity that was used lately in a direction.
+func (l *linkLoad) used(d bandwidth.Direction) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.load.Used(d)
+}
+
+// registerLink registers the metrics of the link.
+func (m *metrics) registerLink(l *linkLoad) {
+	auto := promauto.With(m.registry)
+	for _, d := range bandwidth.Directions() {
+		labels := prometheus.Labels{"direction": d.String()}
+		auto.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "persimmonridge_link_used_ratio", Help: "Share of the link's capacity used lately, 0 if the capacity is unknown.", ConstLabels: labels,
+		}, func() float64 { return l.used(d) })
+		auto.NewCounterFunc(prometheus.CounterOpts{
+			Name: "persimmonridge_link_bytes_total", Help: "Bytes of callers, upstreams and peers on the link, with estimated headers of packets.", ConstLabels: labels,
+		}, func() float64 { return float64(l.meter.Total(d)) })
+	}
+}
--- a/internal/sched/permit/permit.go
+++ b/internal/sched/permit/permit.go
@@ -182,7 +182,7 @@
 		return c.pickUnpaused(ctx, now, req)
 	}
 	var giveUpAt time.Time
-	moved := false
+	moved, why := false, "no scheduler"
 	for attempt := range maxSchedulers {
 		if !c.mayEnd(c.Now(), &req, "") {
 			return nil, refuseBeforeExit()
@@ -209,6 +209,7 @@
 			return nil, flow.RefusePlacement(0, "the caller left or the deadline passed")
 		}
 		if d.timedOut {
+			why = "no reply"
 			break
 		}
 		if d.replaced || (!ok && moved) {
@@ -220,6 +221,7 @@
 		}
 		moved = false
 		if !ok || d.lost {
+			why = "lost"
 			continue
 		}
 		if d.upstream == "" {
@@ -238,13 +240,13 @@
 		}
 		req.ExcludedUpstreams = append(append([]string(nil), req.ExcludedUpstreams...), d.upstream)
 	}
-	return c.pickLocally(ctx, req)
+	return c.pickLocally(ctx, req, why)
 }
 
 // pickLocally chooses an engine without the scheduler. The slot is held like a granted
 // one, so that the scheduler learns of it.
-func (c *Client) pickLocally(ctx context.Context, req flow.PlacementRequest) (flow.Placement, error) {
-	c.Logger.Debug("choosing without the scheduler", "id", req.ID)
+func (c *Client) pickLocally(ctx context.Context, req flow.PlacementRequest, why string) (flow.Placement, error) {
+	c.Logger.Debug("choosing without the scheduler", "id", req.ID, "why", why)
 	chosen, err := c.pickToEnd(ctx, c.Now(), req)
 	if err != nil {
 		return nil, err
