Failing: callers at one of 21 gateways with a slow link, and its part of engines

Its slot requests are late behind bodies, so that it chooses engines by itself, of which it owns a twenty-first. The two parts have tests of their own; a stand-in of a VM's link delays connections by each other's bytes.

--- a/internal/role/gateway/fleet_test.go
+++ b/internal/role/gateway/fleet_test.go
@@ -32,6 +32,8 @@
 	gateways          = 3
 	engines           = 4
 	slots             = 2
+	// linkPort ends the addresses at which gateways accept each other.
+	linkPort = ":81"
 	// longPath is the path of a stream of longEvents events; others have three.
 	longPath   = "/old/long"
 	longEvents = 60
@@ -39,8 +41,12 @@
 
 // fleet is a set of gateways and engines and a store on an in-memory network.
 type fleet struct {
-	t        *testing.T
-	network  *network.Network
+	t       *testing.T
+	network *network.Network
+	// size is the number of gateways, and slots that of each engine.
+	size, slots int
+	// links holds the links of the gateways that have one of limited bandwidth.
+	links    map[int]*network.Link
 	store    *standin.Store
 	cancels  []context.CancelFunc
 	stopOnce []*sync.Once
@@ -71,7 +77,7 @@
 // one gateway can be cut off from the store.
 func storeAddress(i int) string  { return fmt.Sprintf("10.0.9.%d:80", i+1) }
 func callerAddress(i int) string { return fmt.Sprintf("10.0.0.%d:80", i+1) }
-func linkAddress(i int) string   { return fmt.Sprintf("10.0.0.%d:81", i+1) }
+func linkAddress(i int) string   { return fmt.Sprintf("10.0.0.%d%s", i+1, linkPort) }
 func engineAddress(i int) string { return fmt.Sprintf("10.0.1.%d:80", i+1) }
 
 // runFleet starts a fleet in fake time, runs the script and stops the fleet.
@@ -81,28 +87,31 @@
 
 // runLoggedFleet is runFleet with the logger of all gateways.
 func runLoggedFleet(t *testing.T, logger *slog.Logger, script func(f *fleet)) {
+	playFleet(t, &fleet{size: gateways, slots: slots, logger: logger}, script)
+}
+
+// playFleet is runFleet with a fleet of the given size, slots, links and logger.
+func playFleet(t *testing.T, f *fleet, script func(f *fleet)) {
 	bubble.Run(t, func(t *testing.T) {
-		f := &fleet{
-			t: t, logger: logger, network: network.New(), store: standin.NewStore(),
-			broken: map[string]bool{}, peakLoad: map[string]int{}, running: map[string]int{},
-			arrivals: map[string][]time.Time{}, stated: map[string]map[string]string{},
-			refuses: map[string]bool{}, senders: map[string][]string{},
-		}
-		for i := range gateways {
+		f.t, f.network, f.store = t, network.New(), standin.NewStore()
+		f.broken, f.peakLoad, f.running = map[string]bool{}, map[string]int{}, map[string]int{}
+		f.arrivals, f.stated = map[string][]time.Time{}, map[string]map[string]string{}
+		f.refuses, f.senders = map[string]bool{}, map[string][]string{}
+		for i := range f.size {
 			f.serve(storeAddress(i), f.store)
 		}
 		for i := range engines {
 			f.serve(engineAddress(i), f.engine(engineAddress(i)))
 			f.store.Put("servers/engine-"+strconv.Itoa(i), fmt.Sprintf(
-				`{"service":"tutor","address":%q,"zone":"a","version":"v1","slots":%d,"state":"ready"}`, engineAddress(i), slots))
+				`{"service":"tutor","address":%q,"zone":"a","version":"v1","slots":%d,"state":"ready"}`, engineAddress(i), f.slots))
 		}
 		f.putConfig(1, "/old/")
-		for i := range gateways {
+		for i := range f.size {
 			f.start(i)
 		}
 		bubble.Sleep(2 * time.Second)
 		script(f)
-		for i := range gateways {
+		for i := range f.size {
 			f.stop(i)
 		}
 		for _, server := range f.servers {
@@ -183,7 +192,7 @@
 			"service":"tutor","maxAttempts":2,"streamResume":true,"gapAimMs":250}],
 		"services":[{"name":"tutor","engine":{"slots":%d,"stride":6}}],
 		"limits":{"maxBodyBytes":4194304,"idleTimeoutMs":15000},
-		"tenants":[{"name":"studio","apiKeys":["key"]}]}`, version, prefix, slots))
+		"tenants":[{"name":"studio","apiKeys":["key"]}]}`, version, prefix, f.slots))
 }
 
 func (f *fleet) start(i int) {
@@ -200,16 +209,26 @@
 	g := gateway.New(gateway.Dependencies{
 		Settings: settings, Store: platform.NewStore(storeAddress(i), f.network.DialContext), Decoder: platform.Decoder{},
 		Headers: platform.Headers{}, AnswerHeaders: platform.AnswerHeaders(), Dialer: f.dialer(i),
-		Listen: func(_, address string) (net.Listener, error) { return f.network.Listen(address) },
+		Listen: func(_, address string) (net.Listener, error) { return f.listen(i, address) },
 		Logger: f.logger.With("node", settings.Name), Now: time.Now,
 	})
 	go func() { exit <- g.Run(ctx) }()
 	return g
 }
 
+// listen opens a listener of the gateway.
+func (f *fleet) listen(i int, address string) (net.Listener, error) {
+	l, err := f.network.Listen(address)
+	if err != nil || f.links[i] == nil {
+		return l, err
+	}
+	return f.links[i].Listener(l), nil
+}
+
 func (f *fleet) settings(i int) gateway.Settings {
 	return gateway.Settings{
-		Name: "gateway-" + strconv.Itoa(i), Domain: "a", CallerAddress: callerAddress(i), LinkAddress: linkAddress(i),
+		LinkBytesPerSecond: f.links[i].BytesPerSecond(),
+		Name:               "gateway-" + strconv.Itoa(i), Domain: "a", CallerAddress: callerAddress(i), LinkAddress: linkAddress(i),
 		ReadinessAddress: fmt.Sprintf("10.0.0.%d:82", i+1), MetricsAddress: fmt.Sprintf("10.0.0.%d:83", i+1),
 		GracePeriod: 8 * time.Second, ConfigApplyLimit: 2 * time.Second, Quota: quota.Options{StartFull: true},
 		Retry:     retry.Settings{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
--- a/internal/role/gateway/silent_scheduler_test.go
+++ b/internal/role/gateway/silent_scheduler_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -19,7 +20,10 @@
 // either direction, as when the VM loses power.
 type dialer struct {
 	network *network.Network
+	link    *network.Link
 	severed atomic.Bool
+	// severedPeers is set while connections to other gateways are severed.
+	severedPeers atomic.Bool
 }
 
 // dialer returns the dialer of a gateway.
@@ -30,7 +34,7 @@
 		f.dialers = make(map[int]*dialer)
 	}
 	if f.dialers[i] == nil {
-		f.dialers[i] = &dialer{network: f.network}
+		f.dialers[i] = &dialer{network: f.network, link: f.links[i]}
 	}
 	return f.dialers[i]
 }
@@ -40,25 +44,33 @@
 	if err != nil {
 		return nil, err
 	}
-	return &severableConn{Conn: conn, dialer: d}, nil
+	if d.link != nil {
+		conn = d.link.Conn(conn)
+	}
+	return &severableConn{Conn: conn, dialer: d, toPeer: strings.HasSuffix(address, linkPort)}, nil
 }
 
 type severableConn struct {
 	net.Conn
 	dialer *dialer
+	toPeer bool
+}
+
+func (c *severableConn) severed() bool {
+	return c.dialer.severed.Load() || (c.toPeer && c.dialer.severedPeers.Load())
 }
 
 func (c *severableConn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
-		if err != nil || !c.dialer.severed.Load() {
+		if err != nil || !c.severed() {
 			return n, err
 		}
 	}
 }
 
 func (c *severableConn) Write(p []byte) (int, error) {
-	if c.dialer.severed.Load() {
+	if c.severed() {
 		return len(p), nil
 	}
 	return c.Conn.Write(p)
