A gateway without the scheduler's reply keeps the share of engines that it had

Callers saw 503 (all upstreams of the service are full) beside idle engines while most of them connected to one of 21 gateways: where the scheduler's reply was late, the gateway chose by itself, and could use 20 of 48 slots of which it had just been granted 36. The part of an engine that each gateway owns assumes that callers are spread. What a gateway held in the last ten seconds was granted by one scheduler, so that the others had the rest at that time; it may now go on with that share.

--- a/internal/sched/local/divide.go
+++ b/internal/sched/local/divide.go
@@ -39,6 +39,8 @@
 // sharing holds what the workspaces had of the capacity of one service.
 type sharing struct {
 	usages map[division.Key]*usage
+	// held is the number of slots that this process holds, chosen here or elsewhere.
+	held peak
 	// shortAt is when a request was last refused for lack of capacity.
 	shortAt time.Time
 	// queueLeftAt is when a request of a tier was last refused to leave room in the queue of
@@ -85,6 +87,7 @@
 // an upstream declined lacked capacity there.
 func (s *sharing) release(now time.Time, u *usage, since time.Time, o flow.Outcome) {
 	u.held.Free(now)
+	s.changeHeld(now, -1)
 	if o == flow.Declined {
 		s.refuse(now, u)
 	}
@@ -97,6 +100,18 @@
 	s.meanHold += time.Duration(holdWeight * float64(now.Sub(since)-s.meanHold))
 }
 
+// changeHeld changes the number of slots that this process holds.
+func (s *sharing) changeHeld(now time.Time, n int) { s.held.record(now, s.held.latest+n) }
+
+// heldShare returns the share of the upstreams' slots that this process held lately.
+func (s *sharing) heldShare(now time.Time, upstreams []roster.Upstream) float64 {
+	total := 0
+	for _, u := range upstreams {
+		total += u.Slots
+	}
+	return min(1, float64(s.held.recent(now))/float64(max(1, total)))
+}
+
 // reserved returns how many slots the request must leave free: what workspaces below their
 // equal share recently used or were refused and do not hold now. A workspace below its own
 // share leaves none to others of its tier. Higher tiers are left what they are kept, so that
@@ -137,7 +152,7 @@
 
 // mustLeaveFree reports whether the request would take capacity that workspaces below their
 // share need. Requests that were sent before go first of all.
-func (c *Chooser) mustLeaveFree(now time.Time, s *sharing, upstreams []roster.Upstream, req flow.PlacementRequest) bool {
+func (c *Chooser) mustLeaveFree(now time.Time, s *sharing, upstreams []roster.Upstream, req flow.PlacementRequest, lately float64) bool {
 	if req.Resent || !isGeneration(req) || len(s.usages) < 2 || now.Sub(s.shortAt) >= shortageMemory {
 		return false
 	}
@@ -147,7 +162,7 @@
 		if now.Before(state.backoffUntil) {
 			continue // it cannot be reached
 		}
-		limit := c.limit(now, state, u, req)
+		limit := c.limit(now, state, u, req, lately)
 		if now.Sub(state.declinedAt) < declineMemory {
 			// The upstream took no more than this.
 			limit = min(limit, float64(max(state.ownRunningAtDecline, state.running)))
@@ -184,7 +199,7 @@
 	}
 	capacity := 0.0
 	for _, u := range upstreams {
-		capacity += c.limit(now, c.state(u.ID), u, req)
+		capacity += c.limit(now, c.state(u.ID), u, req, 0)
 	}
 	own := s.usages[division.Key{Tier: req.Tier, Workspace: req.Workspace}].held
 	share, held := capacity/float64(active), float64(own.Held())
--- a/internal/sched/local/local.go
+++ b/internal/sched/local/local.go
@@ -173,11 +173,12 @@
 	}
 	state, sharing := c.state(best.ID), c.sharing(now, req.Service)
 	usage := sharing.usageOf(now, req)
-	if c.full(now, state, best, req) && !c.mayExceed(now, sharing, upstreams, req) {
+	lately := sharing.heldShare(now, upstreams)
+	if float64(state.running) >= c.limit(now, state, best, req, lately) && !c.mayExceed(now, sharing, upstreams, req) {
 		sharing.refuse(now, usage)
 		return nil, c.refuseFull()
 	}
-	if c.mustLeaveFree(now, sharing, upstreams, req) {
+	if c.mustLeaveFree(now, sharing, upstreams, req, lately) {
 		sharing.refuse(now, usage)
 		return nil, c.refuseForOthers()
 	}
@@ -238,21 +239,21 @@
 func (c *Chooser) place(now time.Time, u roster.Upstream, s *sharing, used *usage) *placement {
 	c.state(u.ID).addRunning(now, 1)
 	used.held.Take(now)
+	s.changeHeld(now, 1)
 	return &placement{chooser: c, upstream: u, sharing: s, usage: used, since: now, plain: !c.hasEngines(u.Service)}
 }
 
-// full reports whether this process has as many requests at the upstream as it may have:
-// what the other processes leave of its slots, but no less than its part. Engines are chosen
-// here only while no scheduler can be asked, by all processes at once, so each keeps to its
-// part of them.
-func (c *Chooser) full(now time.Time, state *upstreamState, u roster.Upstream, req flow.PlacementRequest) bool {
-	return float64(state.running) >= c.limit(now, state, u, req)
-}
-
-// limit returns how many requests this process may have at the upstream.
-func (c *Chooser) limit(now time.Time, state *upstreamState, u roster.Upstream, req flow.PlacementRequest) float64 {
+// limit returns how many requests this process may have at the upstream: what the other
+// processes leave of its slots, but no less than its part. Engines are chosen here only while no
+// scheduler can be asked, possibly by all processes at once, so each keeps to its part of them,
+// or to the share of all slots that it had lately: the others had the rest.
+func (c *Chooser) limit(now time.Time, state *upstreamState, u roster.Upstream, req flow.PlacementRequest, lately float64) float64 {
 	limit := c.part(u)
-	if !isGeneration(req) && now.Sub(state.declinedAt) >= declineMemory {
+	switch {
+	case now.Sub(state.declinedAt) < declineMemory:
+	case isGeneration(req):
+		limit = max(limit, lately*float64(u.Slots))
+	default:
 		limit = max(limit, float64(u.Slots)-state.external(now))
 	}
 	return limit
--- a/internal/sched/local/paced.go
+++ b/internal/sched/local/paced.go
@@ -92,7 +92,7 @@
 	if err == nil {
 		best, err = c.leaveQueue(now, sharing, best, upstreams, candidates, req)
 	}
-	if err == nil && c.mustLeaveFree(now, sharing, upstreams, req) {
+	if err == nil && c.mustLeaveFree(now, sharing, upstreams, req, sharing.heldShare(now, upstreams)) {
 		err = c.refuseForOthers()
 	}
 	if err != nil {
@@ -246,11 +246,13 @@
 // cheapestWithRoom returns the cheapest engine that is not full.
 func (c *Chooser) cheapestWithRoom(now time.Time, upstreams []roster.Upstream, candidates []int, req flow.PlacementRequest) (forecast, error) {
 	c.rotation++
+	lately := c.sharing(now, req.Service).heldShare(now, upstreams)
 	var best forecast
 	found := false
 	for i := range candidates {
 		u := upstreams[candidates[(uint64(i)+c.rotation)%uint64(len(candidates))]]
-		if c.full(now, c.state(u.ID), u, req) {
+		state := c.state(u.ID)
+		if float64(state.running) >= c.limit(now, state, u, req, lately) {
 			continue
 		}
 		if f := c.forecast(now, u); !found || f.cost < best.cost {
