A gateway closes new connections unread while its link is full

Callers whose balancer sends most new connections to one gateway got 503, 408, 504, cut streams and late answers: on a link of 10 Mbit/s the slot requests and bodies of 200 requests a second wait behind each other. Trials with the load of the link in the log show 0.88 to 1.13 of the capacity used, with the processor charged and not.

A gateway now follows the load of its link against the capacity that the settings state. Above 0.6 it takes a part of its callers' new connections and closes the others with nothing read, so that these callers meet another gateway at once; it goes on taking some, and takes all while most of the gateways that it hears stop, are not ready, or take few themselves, which gossip tells. Shedding by 503 would need the request to be read first, over the link that is full, and a refusal by readiness moves all callers to the next small gateway.

--- a/internal/edge/ingress/conn.go
+++ b/internal/edge/ingress/conn.go
@@ -217,13 +217,33 @@
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
-	raw, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		now := l.server.Now()
+		if take := l.server.Take; take != nil && !take(now) {
+			l.server.reject(raw)
+			continue
+		}
+		c := &Conn{Conn: raw, server: l.server, idleSince: now}
+		l.server.track(c)
+		return c, nil
+	}
+}
+
+// reject closes a connection of which nothing was read.
+func (s *Server) reject(c net.Conn) {
+	s.Metrics.ConnectionClosed(CloseBusy)
+	if resettable, ok := c.(interface{ SetLinger(seconds int) error }); ok {
+		// A reset stops a caller that is still sending its request. Without it, the
+		// connection ends a little later.
+		_ = resettable.SetLinger(0)
+	}
+	if err := c.Close(); err != nil {
+		s.Logger.Debug("could not close a connection that was not taken", "err", err)
 	}
-	c := &Conn{Conn: raw, server: l.server, idleSince: l.server.Now()}
-	l.server.track(c)
-	return c, nil
 }
 
 // Close implements net.Listener.
--- a/internal/edge/ingress/fixture_test.go
+++ b/internal/edge/ingress/fixture_test.go
@@ -28,7 +28,7 @@
 )
 
 // closedCounts counts the connections that the server closed by reason.
-type closedCounts struct{ idle, inFlight atomic.Int64 }
+type closedCounts struct{ idle, inFlight, busy atomic.Int64 }
 
 // ConnectionClosed implements ingress.Metrics.
 func (c *closedCounts) ConnectionClosed(reason ingress.CloseReason) {
@@ -37,6 +37,8 @@
 		c.idle.Add(1)
 	case ingress.CloseInFlight:
 		c.inFlight.Add(1)
+	case ingress.CloseBusy:
+		c.busy.Add(1)
 	}
 }
 
@@ -56,6 +58,8 @@
 	delay time.Duration
 
 	accepted atomic.Int64
+	// busy is set while the server takes no new connections.
+	busy atomic.Bool
 
 	mu        sync.Mutex
 	readPaths map[string]bool
@@ -77,6 +81,7 @@
 		f.server = ingress.New(ingress.Dependencies{
 			Handler: http.HandlerFunc(f.serve), Catalog: f.catalog.Load, Metrics: &f.closedConns,
 			Logger: slog.New(slog.DiscardHandler), Now: time.Now,
+			Take: func(time.Time) bool { return !f.busy.Load() },
 		})
 		listener, err := f.network.Listen(listenAddress)
 		require.NoError(t, err)
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -52,6 +52,8 @@
 	CloseIdle CloseReason = "idle"
 	// CloseInFlight: a request was in flight, and its caller still connected.
 	CloseInFlight CloseReason = "in-flight"
+	// CloseBusy: the connection was new and not taken.
+	CloseBusy CloseReason = "busy"
 )
 
 // Metrics counts closed connections of callers.
@@ -68,6 +70,9 @@
 	Metrics Metrics
 	Logger  *slog.Logger
 	Now     func() time.Time
+	// Take reports whether a new connection is taken. The others are closed at once, with
+	// nothing read. If it is nil, all are taken.
+	Take func(now time.Time) bool
 }
 
 // Server is an HTTP server for callers.
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -89,7 +89,9 @@
 	Rank int64
 	// Ready peers have a configuration; Leaving ones are shutting down.
 	Ready, Leaving bool
-	LastHeard      time.Time
+	// TakesFew is set while the peer closes many new connections of callers unread.
+	TakesFew  bool
+	LastHeard time.Time
 	// HearsUs is set if the peer receives gossip from this process.
 	HearsUs bool
 }
--- a/internal/limit/bandwidth/meter.go
+++ b/internal/limit/bandwidth/meter.go
@@ -128,6 +128,14 @@
 	raw syscall.Conn
 }
 
+// SetLinger sets what Close does with bytes that were not sent, as that of net.TCPConn.
+func (c *meteredConn) SetLinger(seconds int) error {
+	if conn, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return conn.SetLinger(seconds)
+	}
+	return errors.ErrUnsupported
+}
+
 // SyscallConn implements syscall.Conn.
 func (c *rawConn) SyscallConn() (syscall.RawConn, error) { return c.raw.SyscallConn() }
 
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -273,7 +273,7 @@
 		NextAccepting: g.nextAccepting, Guard: g.guard, Domains: g.domainsIn, Memory: g.memory,
 	})
 	g.ingress = ingress.New(ingress.Dependencies{
-		Handler: requests, Catalog: g.catalog.Load, Metrics: g.metrics, Logger: logger, Now: now,
+		Handler: requests, Catalog: g.catalog.Load, Metrics: g.metrics, Logger: logger, Now: now, Take: g.takesConnection,
 	})
 	return g
 }
@@ -355,6 +355,11 @@
 	return err
 }
 
+// takesConnection reports whether a new connection of a caller is taken.
+func (g *Gateway) takesConnection(now time.Time) bool {
+	return g.stopping() || g.link.intake.Take(now)
+}
+
 func (g *Gateway) serveReadiness(w http.ResponseWriter, _ *http.Request) {
 	if g.stopping() || g.catalog.Load() == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/role/gateway/linkload.go
+++ b/internal/role/gateway/linkload.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	"github.com/persimmonridge/persimmonridge/internal/limit/bandwidth"
+	"github.com/persimmonridge/persimmonridge/internal/limit/intake"
 )
 
 const (
@@ -25,7 +26,8 @@
 // linkLoad follows the load of the link of this gateway's VM.
 type linkLoad struct {
 	*Gateway
-	meter bandwidth.Meter
+	meter  bandwidth.Meter
+	intake *intake.Limiter
 
 	mu   sync.Mutex
 	load *bandwidth.Load
@@ -33,7 +35,7 @@
 }
 
 func newLinkLoad(g *Gateway, bytesPerSecond float64) *linkLoad {
-	return &linkLoad{Gateway: g, load: bandwidth.NewLoad(bytesPerSecond)}
+	return &linkLoad{Gateway: g, intake: intake.New(), load: bandwidth.NewLoad(bytesPerSecond)}
 }
 
 // run samples the load until the context ends.
@@ -58,11 +60,13 @@
 	l.full = highest >= linkFullShare || (before && highest > linkFreeShare)
 	full := l.full
 	l.mu.Unlock()
+	l.intake.Sampled(now, highest, l.peers.othersTakeCallers(now))
+	intake := l.intake.Share()
 	switch {
 	case full && !before:
-		l.logger.Warn("link is full", "sent", sent, "received", received)
+		l.logger.Warn("link is full", "sent", sent, "received", received, "intake", intake)
 	case before && !full:
-		l.logger.Info("link has room again", "sent", sent, "received", received)
+		l.logger.Info("link has room again", "sent", sent, "received", received, "intake", intake)
 	}
 }
 
@@ -83,6 +87,9 @@
 // registerLink registers the metrics of the link.
 func (m *metrics) registerLink(l *linkLoad) {
 	auto := promauto.With(m.registry)
+	auto.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "persimmonridge_intake_share", Help: "Share of callers' new connections that are taken; the others are closed unread, as the link is full.",
+	}, l.intake.Share)
 	for _, d := range bandwidth.Directions() {
 		labels := prometheus.Labels{"direction": d.String()}
 		auto.NewGaugeFunc(prometheus.GaugeOpts{
--- a/internal/role/gateway/metrics.go
+++ b/internal/role/gateway/metrics.go
@@ -132,7 +132,7 @@
 		}, []string{"call", "result"}),
 		connectionsClosed: auto.NewCounterVec(prometheus.CounterOpts{
 			Name: "persimmonridge_caller_connections_closed_total",
-			Help: "Callers' connections that this process closed as idle, or with a request in flight.",
+			Help: "Callers' connections that this process closed as idle, with a request in flight, or new and unread as it is busy.",
 		}, []string{"reason"}),
 		withheld: auto.NewCounterVec(prometheus.CounterOpts{
 			Name: "persimmonridge_sends_withheld_total", Help: "Sends to upstreams that were withheld at the last moment, by reason.",
