--- a/internal/role/gateway/fleet_test.go
+++ b/internal/role/gateway/fleet_test.go
@@ -325,7 +325,7 @@
 
 // scheduler returns the gateway that grants engine slots.
 func (f *fleet) scheduler() int {
-	for i := range gateways {
+	for i := range f.size {
 		if f.schedules(i) {
 			return i
 		}
