Hubs tell how many gateways take callers

A small gateway hears its hubs, which are the largest and rarely full. While most small gateways have full links at the same time, each would send its callers to the next: a caller whose retry is closed unread, too, is lost. Hubs hear all and now tell the percentage that takes nearly all callers; new connections are closed unread only while it is above half.

--- a/internal/fleet/mesh/heard.go
+++ b/internal/fleet/mesh/heard.go
@@ -67,7 +67,7 @@
 	recovered = p.down || p.Run == 0
 	p.Peer = Peer{
 		Node: from.node, Address: from.address, Domain: from.domain, Run: g.Run, Rank: g.Rank,
-		Ready: g.Ready, Leaving: g.Leaving, TakesFew: g.TakesFew, LastHeard: now, HearsUs: g.HearsYou,
+		Ready: g.Ready, Leaving: g.Leaving, TakesFew: g.TakesFew, TakingPercent: g.TakingPercent, LastHeard: now, HearsUs: g.HearsYou,
 	}
 	p.down, p.exited, p.selectedUs = false, false, g.WantsYou
 	p.recordUnavailable(g.Unavailable, restarted)
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -90,8 +90,11 @@
 	// Ready peers have a configuration; Leaving ones are shutting down.
 	Ready, Leaving bool
 	// TakesFew is set while the peer closes many new connections of callers unread.
-	TakesFew  bool
-	LastHeard time.Time
+	TakesFew bool
+	// TakingPercent is the percentage of the gateways that the peer hears that take nearly all
+	// callers, 0 if it is no hub.
+	TakingPercent uint32
+	LastHeard     time.Time
 	// HearsUs is set if the peer receives gossip from this process.
 	HearsUs bool
 }
--- a/internal/role/gateway/linkload.go
+++ b/internal/role/gateway/linkload.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
+	"github.com/persimmonridge/persimmonridge/internal/fleet/mesh"
 	"github.com/persimmonridge/persimmonridge/internal/limit/bandwidth"
 	"github.com/persimmonridge/persimmonridge/internal/limit/intake"
 )
@@ -60,7 +61,7 @@
 	l.full = highest >= linkFullShare || (before && highest > linkFreeShare)
 	full := l.full
 	l.mu.Unlock()
-	l.intake.Sampled(now, highest, l.peers.othersTakeCallers(now))
+	l.intake.Sampled(now, highest, mostTakeCallers(l.mesh.Alive(now)))
 	intake := l.intake.Share()
 	switch {
 	case full && !before:
@@ -70,6 +71,43 @@
 	}
 }
 
+// takesCallers reports whether a gateway takes nearly all callers that come to it.
+func takesCallers(p mesh.Peer) bool { return p.Ready && !p.Leaving && !p.TakesFew }
+
+// takingPercent returns the percentage of this gateway and those that it hears that take nearly
+// all callers, 1 at least.
+func takingPercent(heard []mesh.Peer, ownTakes bool) uint32 {
+	taking := 0
+	if ownTakes {
+		taking++
+	}
+	for _, p := range heard {
+		if takesCallers(p) {
+			taking++
+		}
+	}
+	return uint32(max(1, 100*taking/(len(heard)+1)))
+}
+
+// mostTakeCallers reports whether most of the gateways take nearly all callers that come to them:
+// of all gateways by what hubs say, or of those that are heard if none of them is a hub.
+func mostTakeCallers(heard []mesh.Peer) bool {
+	taking, reports, sum := 0, 0, uint32(0)
+	for _, p := range heard {
+		if takesCallers(p) {
+			taking++
+		}
+		if p.TakingPercent > 0 {
+			reports++
+			sum += p.TakingPercent
+		}
+	}
+	if reports > 0 {
+		return sum > uint32(50*reports)
+	}
+	return 2*taking > len(heard)
+}
+
 // setCapacity changes the capacity of the link.
 func (l *linkLoad) setCapacity(bytesPerSecond float64) {
 	l.mu.Lock()
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -209,6 +209,9 @@
 	g.Ready = g.ConfigVersion > 0
 	g.Leaving = p.stopping()
 	g.TakesFew = p.link.intake.TakesFew()
+	if p.isHub() {
+		g.TakingPercent = takingPercent(p.mesh.Alive(now), !g.TakesFew && g.Ready && !g.Leaving)
+	}
 	g.Domain = p.settings.Domain
 	p.fillRevisions(g)
 	p.guard.fillGossip(now, g)
@@ -355,18 +358,6 @@
 	return stopNoticed && outside.Accepting > 0
 }
 
-// othersTakeCallers reports whether most of the gateways that are heard take nearly all callers.
-func (p *peers) othersTakeCallers(now time.Time) bool {
-	heard := p.mesh.Alive(now)
-	taking := 0
-	for _, peer := range heard {
-		if peer.Ready && !peer.Leaving && !peer.TakesFew {
-			taking++
-		}
-	}
-	return 2*taking > len(heard)
-}
-
 // candidate is a gateway that may be the scheduler. The zero value stands for none.
 type candidate struct {
 	node     string
