The share of new connections that a gateway takes is exact

A share of 0.9 took one in two connections, since what was left of one was cut off: callers were sent elsewhere more often than the link needs.

--- a/internal/limit/bandwidth/meter.go
+++ b/internal/limit/bandwidth/meter.go
@@ -123,11 +123,6 @@
 	return errors.ErrUnsupported
 }
 
-type rawConn struct {
-	*meteredConn
-	raw syscall.Conn
-}
-
 // SetLinger sets what Close does with bytes that were not sent, as that of net.TCPConn.
 func (c *meteredConn) SetLinger(seconds int) error {
 	if conn, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
@@ -136,6 +131,11 @@
 	return errors.ErrUnsupported
 }
 
+type rawConn struct {
+	*meteredConn
+	raw syscall.Conn
+}
+
 // SyscallConn implements syscall.Conn.
 func (c *rawConn) SyscallConn() (syscall.RawConn, error) { return c.raw.SyscallConn() }
 
--- a/internal/limit/intake/intake.go
+++ b/internal/limit/intake/intake.go
@@ -61,7 +61,7 @@
 func (l *Limiter) Take(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.credit = min(1, l.credit+l.share)
+	l.credit += l.share
 	if l.credit < 1 && now.Sub(l.takenAt) < maxIdle {
 		return false
 	}
--- a/internal/limit/intake/intake_test.go
+++ b/internal/limit/intake/intake_test.go
@@ -138,3 +138,20 @@
 		})
 	}
 }
+
+// Guards against a gateway that closes half of its new connections when it should close one in
+// ten.
+func TestShareOfConnectionsIsTaken(t *testing.T) {
+	limiter, now := intake.New(), time.Unix(1_000_000, 0)
+	for _, load := range []float64{0.65, 0.8, 1} {
+		now = now.Add(time.Second)
+		limiter.Sampled(now, load, true)
+		taken := 0
+		for range 1000 {
+			if limiter.Take(now) {
+				taken++
+			}
+		}
+		require.InDelta(t, 1000*limiter.Share(), taken, 2, "load %v", load)
+	}
+}
