A link without a stated capacity has no load

Where the settings stop stating a capacity, the load kept its last value: a gateway whose link was full at that moment went on closing its callers' new connections for ever.

--- a/internal/limit/bandwidth/meter.go
+++ b/internal/limit/bandwidth/meter.go
@@ -161,7 +161,10 @@
 	l.at = now
 	for _, d := range Directions() {
 		total := m.Total(d)
-		if !first && elapsed > 0 && l.capacity > 0 {
+		switch {
+		case l.capacity <= 0:
+			l.used[d] = 0
+		case !first && elapsed > 0:
 			used := float64(total-l.totals[d]) / elapsed / l.capacity
 			l.used[d] += newestWeight * (used - l.used[d])
 		}
--- a/internal/limit/bandwidth/meter_test.go
+++ b/internal/limit/bandwidth/meter_test.go
@@ -81,3 +81,21 @@
 	require.InDelta(t, 0.5, load.Highest(), 0.01)
 	require.Zero(t, unknown.Highest())
 }
+
+// Guards against a link that counts as full for ever once its settings no longer state a
+// capacity, so that callers' connections go on being closed.
+func TestLoadWithoutACapacityEnds(t *testing.T) {
+	var meter bandwidth.Meter
+	_, dialed := connected(t, new(bandwidth.Meter), &meter)
+	now := time.Unix(1_000_000, 0)
+	load := bandwidth.NewLoad(1)
+	load.Sample(now, &meter)
+	_, err := dialed.Write(make([]byte, 1000))
+	require.NoError(t, err)
+	now = now.Add(time.Second)
+	load.Sample(now, &meter)
+	require.Positive(t, load.Highest())
+	load.SetCapacity(0)
+	load.Sample(now.Add(time.Second), &meter)
+	require.Zero(t, load.Highest())
+}
