Plays of few gateways check what the first ones did

The reproduction lasts 18 s again as when it failed, and 0.99 is asked again; where one stream in eight breaks off, of the seven that do not.

--- a/internal/role/gateway/few_gateways_test.go
+++ b/internal/role/gateway/few_gateways_test.go
@@ -118,6 +118,8 @@
 	// breaks is set if some streams break off at their upstream and are resumed at another, and
 	// plain if upstreams have no engines.
 	breaks, plain bool
+	// long is set if the phases last twice as long.
+	long bool
 }
 
 // play returns what became of the callers before and after most of them came to the busy gateway.
@@ -128,14 +130,18 @@
 			g.prepare(f)
 		}
 		load := askLoad{perSecond: regionPerSecond, bodyBytes: regionBodyBytes, breaks: g.breaks, plain: g.plain}
-		f.ask(time.Second, load)
-		before = f.ask(2*time.Second, load)
+		unit := time.Second
+		if g.long {
+			unit = 2 * time.Second
+		}
+		f.ask(2*unit, load)
+		before = f.ask(2*unit, load)
 		load.concentrated = true
-		f.ask(2*time.Second, load)
+		f.ask(2*unit, load)
 		if g.disturb != nil {
 			g.disturb(f)
 		}
-		during = f.ask(4*time.Second, load)
+		during = f.ask(3*unit, load)
 		f.store.SetFault(standin.None)
 	})
 	return before, during
@@ -147,7 +153,12 @@
 	t.Helper()
 	before, during := g.play(t)
 	t.Logf("served at the first attempt that was read: %.2f before, %.2f during, not: %v", before.share(), during.share(), during.why)
-	require.GreaterOrEqual(t, before.share(), 0.95, "%v", before.why)
+	spread := 0.99
+	if g.breaks {
+		// A stream that breaks off may lack a retry.
+		spread *= 7.0 / 8
+	}
+	require.GreaterOrEqual(t, before.share(), spread, "%v", before.why)
 	require.GreaterOrEqual(t, during.share(), 0.75*before.share(), "%v", during.why)
 }
 
@@ -155,7 +166,7 @@
 // gateway whose link cannot carry them: its slot requests are late behind bodies, and bodies
 // arrive too late.
 func TestCallersAtOneGatewayWithASlowLinkAreServed(t *testing.T) {
-	fewGateways{links: map[int]*network.Link{busyGateway: network.NewLink(slowLinkBytesPerSecond)}}.requireServed(t)
+	fewGateways{links: map[int]*network.Link{busyGateway: network.NewLink(slowLinkBytesPerSecond)}, long: true}.requireServed(t)
 }
 
 // putFewConfig puts a configuration with fields of the route, the service and the workspace.
