A refusal puts a request behind others of its own workspace only

What callers saw: while one workspace overloads the engines, requests of a workspace below its share wait to the last moment and are refused, though it has the least usage and slots go to the overloading one meanwhile.

Now the order by earlier refusals applies within a workspace, and the usage decides between workspaces. The full late queue and the length of the queue follow. With one workspace, or none, nothing changes: callers who can be in time still go first (TestReturnedCallersGoAfterThoseWhoCanBeInTime). What is refused in the half second after a change of scheduler stays as it was.

The new test of the board failed before (the returned request got the last slot).

--- a/internal/sched/board/ask.go
+++ b/internal/sched/board/ask.go
@@ -46,7 +46,8 @@
 	// queued is set once the request has been told that it waits.
 	queued bool
 	// refusedBefore is set if the request was refused earlier. Its answer is late already,
-	// so it goes after all requests that can still be served in time.
+	// so it goes after all requests that can still be served in time, but for those of
+	// workspaces with more usage.
 	refusedBefore bool
 	// account is that of the request's workspace.
 	account *division.Account
@@ -111,7 +112,7 @@
 
 // enqueue inserts the request in the order in which waiting requests are served: first
 // those that were sent before, last those that were refused before, then by tier and by
-// first-event deadline. Among requests of one rank, leastServed changes the order.
+// first-event deadline. Among requests of one service and tier, leastServed changes the order.
 func (s *Scheduler) enqueue(req *SlotRequest) {
 	at, _ := slices.BinarySearchFunc(s.waiting, req, compareRequests)
 	s.waiting = slices.Insert(s.waiting, at, req)
--- a/internal/sched/board/divide.go
+++ b/internal/sched/board/divide.go
@@ -18,9 +18,11 @@
 }
 
 // leastServed returns the index of the request that gets the next slot of the engine, among
-// those of the rank of the one at the index, which is the first for which the engine is
-// suitable: the first of the workspace with the least usage. The engine must be suitable for
-// it, so that no slot stays free while a request waits that could use it.
+// those of the service and tier of the one at the index, which is the first for which the
+// engine is suitable: the first of the workspace with the least usage. A refusal puts a request
+// behind others of its own workspace only: otherwise a workspace that always has new requests
+// would keep those that come back to another one from all slots. The engine must be suitable
+// for the request, so that no slot stays free while a request waits that could use it.
 func (s *Scheduler) leastServed(now time.Time, e *engine, queue []*SlotRequest, index int, late bool, baseline float64) int {
 	first := queue[index]
 	if first.Resent {
@@ -29,13 +31,9 @@
 	best, account, usage, compared := index, first.account, first.account.Usage(now), 0
 	for i := index + 1; i < len(queue) && compared < maxScanned; i++ {
 		req := queue[i]
-		if req.account == account || req.Service != first.Service {
+		if req.account == account || req.Service != first.Service || req.Tier != first.Tier {
 			continue
 		}
-		if req.Resent || req.Tier != first.Tier || req.refusedBefore != first.refusedBefore {
-			// The queue is in order of rank.
-			break
-		}
 		if other := req.account.Usage(now); other < usage {
 			compared++
 			if _, ok := s.cost(now, e, req, late, baseline); ok {
@@ -47,7 +45,7 @@
 }
 
 // lastInTurn returns the index of the request that would get a slot last: of those of the
-// last rank in the queue, the last of the workspace with the most usage.
+// service and tier that are last in the queue, the last of the workspace with the most usage.
 func (s *Scheduler) lastInTurn(now time.Time, queue []*SlotRequest) int {
 	index := len(queue) - 1
 	last := queue[index]
@@ -57,12 +55,12 @@
 	account, usage := last.account, last.account.Usage(now)
 	for i := index - 1; i >= 0; i-- {
 		req := queue[i]
-		if req.account == account || req.Service != last.Service {
-			continue
-		}
-		if req.Resent || req.Tier != last.Tier || req.refusedBefore != last.refusedBefore {
+		if req.Resent {
 			break
 		}
+		if req.account == account || req.Service != last.Service || req.Tier != last.Tier {
+			continue
+		}
 		if other := req.account.Usage(now); other > usage {
 			index, account, usage = i, req.account, other
 		}
@@ -70,18 +68,18 @@
 	return index
 }
 
-// countAhead returns the number of waiting requests of the same rank that go before the
-// request: those of its own workspace whose deadline is no later, and those of other
-// workspaces that get slots before all of these have theirs.
+// countAhead returns the number of waiting requests of the same service and tier that go before
+// the request: those of its own workspace and rank whose deadline is no later, and those of
+// other workspaces that get slots before all of these have theirs.
 func (s *Scheduler) countAhead(now time.Time, req *SlotRequest) int {
 	own := 0
 	others := s.otherWaiting[:0]
 	for _, other := range s.waiting {
-		if other.Resent || other.Tier != req.Tier || other.refusedBefore != req.refusedBefore || other.Service != req.Service {
+		if other.Resent || other.Tier != req.Tier || other.Service != req.Service {
 			continue
 		}
 		if other.account == req.account {
-			if !other.NextEventDue.After(req.NextEventDue) {
+			if other.refusedBefore == req.refusedBefore && !other.NextEventDue.After(req.NextEventDue) {
 				own++
 			}
 			continue
--- a/internal/sched/board/divide_test.go
+++ b/internal/sched/board/divide_test.go
@@ -80,6 +80,22 @@
 	require.Equal(t, []string{"resent", "higher", "lower"}, grantOrder(b, startTime, 500*time.Millisecond, lower, higher, resent))
 }
 
+// Guards against a workspace whose new requests keep those that come back to another one, which
+// was refused once, from all slots.
+func TestReturnedRequestsWaitBehindTheirOwnWorkspaceOnly(t *testing.T) {
+	b := newHeldScheduler(startTime, "large")
+	returned := newWorkspaceRequest(startTime, "returned", "small", 0)
+	returned.Fingerprint, returned.NextEventDue = 7, startTime.Add(time.Millisecond)
+	b.Submit(startTime, returned)
+	require.Equal(t, 0, countGranted(b.Decisions()))
+
+	later := startTime.Add(100 * time.Millisecond)
+	returned.Number, returned.NextEventDue = 2, later.Add(time.Minute)
+	require.Equal(t, []string{"new", "returned", "large0", "large1"}, grantOrder(b, later, 100*time.Millisecond,
+		newWorkspaceRequest(later, "large0", "large", 1), newWorkspaceRequest(later, "large1", "large", 2),
+		newWorkspaceRequest(later, "new", "small", 3), returned))
+}
+
 // Guards against usage in one tier that counts in another.
 func TestUsageCountsByTier(t *testing.T) {
 	b := newHeldScheduler(startTime, "large")
