Gateways lend each other their parts of limits

What callers saw: while most of them come to one gateway, and upstreams state rate limits or warm up, most are refused though the upstreams would take their requests.

Cause: each gateway owns a fixed part of what an upstream takes, so that the sum holds without messages, and the parts of gateways without callers stay unused.

A gateway that needs more now asks the scheduler's gateway four times a second, which asks the others, and these lend what they have not sent. A loan lives for a second, which the borrower counts from its question and the lender from its answer; the lender does without it until the borrower's last requests no longer count. So the sum holds for any delays and losses, and without the scheduler each has its own part as before. Restarted and new gateways own nothing for a second longer, as the former process may have lent its part.

Worse: callers who move every second or so.

--- a/internal/limit/ratelimit/ratelimit.go
+++ b/internal/limit/ratelimit/ratelimit.go
@@ -46,6 +46,7 @@
 	Statement
 	parts share.Parts
 	sent  share.History
+	loans share.Loans
 }
 
 // Limiter decides how many requests a gateway may send to an upstream that has stated a
@@ -151,9 +152,12 @@
 	return u
 }
 
-// allowanceLocked returns how many requests the gateway may send to the upstream in a time.
-func (l *Limiter) allowanceLocked(gateways share.Gateways, gateway string, u *upstream) (requests int, within time.Duration) {
+// ownLocked returns how many requests to the upstream the gateway owns in a time.
+func (l *Limiter) ownLocked(gateways share.Gateways, gateway string, u *upstream) (requests int, within time.Duration) {
 	total, within := division(u.PerSecond, len(gateways.IDs))
+	if !gateways.Joined {
+		return 0, within
+	}
 	if !u.parts.Current(total, gateways) {
 		u.parts = share.Divide(total, u.Upstream, gateways)
 	}
@@ -173,15 +177,18 @@
 		return 0
 	}
 	gateways := l.gateways(now)
-	if !gateways.Joined {
+	own, within := l.ownLocked(gateways, gateway, u)
+	allowed := u.loans.Allowance(now, own)
+	switch {
+	case allowed > 0:
+		return u.sent.Free(now, within, allowed)
+	case own > 0:
+		return share.LoanLife + within
+	case !gateways.Joined:
 		return joinDelay
 	}
-	allowed, within := l.allowanceLocked(gateways, gateway, u)
-	if allowed == 0 {
-		// Other gateways own the limit; a longer pause would tell callers nothing.
-		return longestWindow
-	}
-	return u.sent.Free(now, within, allowed)
+	// Other gateways own the limit; a longer pause would tell callers nothing.
+	return longestWindow
 }
 
 // Take reports whether this gateway may send a request to the upstream's process now, and
@@ -199,6 +206,45 @@
 	return true
 }
 
+// Wanted returns how many requests to the upstream's process beyond its own part a gateway
+// needs that sends it a number per second.
+func (l *Limiter) Wanted(now time.Time, gateway, id string, startedAtMs int64, perSecond float64) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	u := l.limitedLocked(id, startedAtMs)
+	if u == nil {
+		return 0
+	}
+	own, within := l.ownLocked(l.gateways(now), gateway, u)
+	return share.Wanted(perSecond, own, within)
+}
+
+// Lend lends a part of what this gateway owns of the upstream's limit and has not sent, and
+// returns the number of requests.
+func (l *Limiter) Lend(now time.Time, gateway, id string, borrower uint64, wanted int) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	u := l.upstreams[id]
+	if u == nil || !u.Limited {
+		return 0
+	}
+	own, within := l.ownLocked(l.gateways(now), gateway, u)
+	if within > longestWindow {
+		return 0
+	}
+	return u.loans.Lend(now, borrower, wanted, own-u.sent.Count(now, within), within)
+}
+
+// Borrow records what another gateway lent of its part of the upstream's limit in reply to a
+// question that was asked at a time.
+func (l *Limiter) Borrow(id, lender string, requests int, askedAt time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if u := l.upstreams[id]; u != nil && u.Limited {
+		u.loans.Borrow(lender, requests, askedAt)
+	}
+}
+
 // Limited returns the number of upstreams that have stated a limit.
 func (l *Limiter) Limited() int {
 	l.mu.Lock()
--- a/internal/limit/warmup/guard.go
+++ b/internal/limit/warmup/guard.go
@@ -59,6 +59,7 @@
 	goneAt time.Time
 	parts  share.Parts
 	sent   share.History
+	loans  share.Loans
 }
 
 // Guard decides how many requests a gateway may send to an upstream that may be warming
@@ -204,8 +205,8 @@
 	return u.parts.Of(gateway, u.ID), true
 }
 
-// ownAllowanceLocked is allowanceLocked for this gateway itself.
-func (g *Guard) ownAllowanceLocked(now time.Time, gateway string, u *upstream) (requests int, limited bool) {
+// ownLocked is allowanceLocked for this gateway itself, without loans.
+func (g *Guard) ownLocked(now time.Time, gateway string, u *upstream) (requests int, limited bool) {
 	requests, limited = g.allowanceLocked(now, gateway, u)
 	if limited && !g.deps.Gateways(now).Joined {
 		requests = 0
@@ -213,6 +214,49 @@
 	return requests, limited
 }
 
+// ownAllowanceLocked is how many requests this gateway may send in a Window.
+func (g *Guard) ownAllowanceLocked(now time.Time, gateway string, u *upstream) (requests int, limited bool) {
+	if requests, limited = g.ownLocked(now, gateway, u); !limited {
+		return 0, false
+	}
+	return u.loans.Allowance(now, requests), true
+}
+
+// Wanted returns how many requests to the upstream beyond its own part a gateway needs that
+// sends it a number per second.
+func (g *Guard) Wanted(now time.Time, gateway, id string, perSecond float64) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	own, limited := g.ownLocked(now, gateway, g.upstreams[id])
+	if !limited {
+		return 0
+	}
+	return share.Wanted(perSecond, own, Window)
+}
+
+// Lend lends a part of what this gateway owns and has not sent, and returns the number of
+// requests.
+func (g *Guard) Lend(now time.Time, gateway, id string, borrower uint64, wanted int) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	u := g.upstreams[id]
+	own, limited := g.ownLocked(now, gateway, u)
+	if !limited {
+		return 0
+	}
+	return u.loans.Lend(now, borrower, wanted, own-u.sent.Count(now, Window), Window)
+}
+
+// Borrow records what another gateway lent of its part in reply to a question that was asked at
+// a time.
+func (g *Guard) Borrow(id, lender string, requests int, askedAt time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if u := g.upstreams[id]; u != nil {
+		u.loans.Borrow(lender, requests, askedAt)
+	}
+}
+
 // Tolerance returns how many requests the upstream tolerates from all gateways in a Window
 // while it warms up, and whether its service states that.
 func (g *Guard) Tolerance(id string) (requests int, limited bool) {
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -157,6 +157,7 @@
 	upstreams         *upstreamView
 	evacuations       *evacuations
 	guard             *sendGuard
+	partLoans         *partLoans
 	regions           atomic.Pointer[map[string]string]
 	pool              *exchange.Pool
 	quota             *quota.Limiter
@@ -243,6 +244,7 @@
 	g.peers.isHub = g.mesh.IsHub
 	g.granter = granter.New(now, g.peers.deliverDecision, logger)
 	g.granter.SetLimiter(g.guard)
+	g.partLoans = newPartLoans(g)
 	chooser := local.New(s.Domain, g.roster.Ready, g.peers.gatewayCount)
 	chooser.SetLimiter(g.guard)
 	g.loads = newLoadExchange(g)
@@ -267,7 +269,7 @@
 	g.metrics.registerLink(g.link)
 	requests := flow.New(flow.Dependencies{
 		Headers: deps.Headers, Client: exchange.NewClient(g.pool, deps.AnswerHeaders, now), Catalog: g.catalog.Load,
-		Picker: g.versionPicker, Quota: g.quota, Retries: g.retryBudget, Crashes: g.crashes,
+		Picker: demandPicker{g.versionPicker, g.partLoans}, Quota: g.quota, Retries: g.retryBudget, Crashes: g.crashes,
 		Metrics: g.metrics, Logger: logger, Now: now, ShutdownStatus: g.stopTimes,
 		OthersAccept:  func(shutdownNoticed bool) bool { return g.peers.othersAccept(now(), shutdownNoticed) },
 		NextAccepting: g.nextAccepting, Guard: g.guard, Domains: g.domainsIn, Memory: g.memory,
@@ -309,6 +311,7 @@
 	group.Go(func() error { return g.granter.Run(background) })
 	group.Go(func() error { return g.peers.reportQuota(background) })
 	group.Go(func() error { return g.loads.run(background) })
+	group.Go(func() error { return g.partLoans.run(background) })
 	group.Go(func() error { return g.rolloutController.run(background) })
 	group.Go(func() error { return g.speedStore.run(background) })
 	group.Go(func() error { return (&standbySync{Gateway: g}).run(background) })
--- a/internal/role/gateway/ratelimit_test.go
+++ b/internal/role/gateway/ratelimit_test.go
@@ -30,13 +30,21 @@
 // requireLimited checks that the engine got at most what its limit tolerates in any
 // limitWindow after a time, and that it was not left idle.
 func (f *fleet) requireLimited(engine int, since time.Time, perSecond float64) {
+	f.t.Helper()
+	arrivals := f.requireWithinLimit(engine, since, perSecond)
+	expected := perSecond * time.Since(since).Seconds()
+	require.GreaterOrEqual(f.t, float64(len(arrivals)), expected/3, "a limited engine must not be left idle")
+}
+
+// requireWithinLimit checks that the engine got at most what its limit tolerates in any
+// limitWindow after a time, and returns when it got a request.
+func (f *fleet) requireWithinLimit(engine int, since time.Time, perSecond float64) []time.Time {
 	f.t.Helper()
 	arrivals, bound := f.arrivalsSince(engine, since), limitBound(perSecond)
 	for i := bound; i < len(arrivals); i++ {
 		require.GreaterOrEqual(f.t, arrivals[i].Sub(arrivals[i-bound]), limitWindow, "engine %d got %d requests", engine, len(arrivals))
 	}
-	expected := perSecond * time.Since(since).Seconds()
-	require.GreaterOrEqual(f.t, float64(len(arrivals)), expected/3, "a limited engine must not be left idle")
+	return arrivals
 }
 
 // Guards against upstreams in need that get as many requests as before from gateways that
--- a/internal/role/gateway/sendguard.go
+++ b/internal/role/gateway/sendguard.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/persimmonridge/persimmonridge/internal/limit/cooldown"
+	"github.com/persimmonridge/persimmonridge/internal/limit/lending"
 	"github.com/persimmonridge/persimmonridge/internal/limit/ratelimit"
 	"github.com/persimmonridge/persimmonridge/internal/limit/share"
 	"github.com/persimmonridge/persimmonridge/internal/limit/warmup"
@@ -56,8 +57,8 @@
 	s.refreshLocked(now)
 	set := s.set
 	// A new gateway is known to all others once they had the time to read a change. One that
-	// has restarted may have used its part of a window just before.
-	age := now.Sub(s.startedAt)
+	// has restarted may have used its part of a window just before. Either part may be lent.
+	age := now.Sub(s.startedAt) - share.LoanLife
 	set.Joined = age >= warmup.Window && (s.joined || age >= s.settings.ConfigApplyLimit)
 	return set
 }
@@ -136,7 +137,11 @@
 
 // Allowance implements board.Limiter.
 func (s *sendGuard) Allowance(now time.Time, owner, upstream string) (requests int, limited bool) {
-	return s.warmUps.Allowance(now, s.address(now, owner), upstream)
+	requests, limited = s.warmUps.Allowance(now, s.address(now, owner), upstream)
+	if limited {
+		requests = s.partLoans.broker.Allowance(now, owner, lending.Limit{Upstream: upstream, WarmUp: true}, requests)
+	}
+	return requests, limited
 }
 
 // Tolerance implements board.Limiter.
