Soak: most callers come to one gateway, then to another

The fault soak spread its callers evenly over the three gateways, so that none needed a loan of another's parts, and none had most of the load.

--- a/internal/trial/soak/caller_test.go
+++ b/internal/trial/soak/caller_test.go
@@ -79,6 +79,7 @@
 func (c *caller) run() {
 	defer c.closeConnection()
 	for !c.testbed.stopping() {
+		c.converge()
 		k := kinds[c.random.IntN(len(kinds))]
 		c.testbed.recordCall(c.call(k, k.path))
 		<-time.After(time.Duration(5+c.random.IntN(60)) * time.Millisecond)
--- a/internal/trial/soak/load_test.go
+++ b/internal/trial/soak/load_test.go
@@ -89,6 +89,7 @@
 			running.Go(func() {
 				defer c.closeConnection()
 				for time.Now().Before(end) {
+					c.converge()
 					k := kinds[c.random.IntN(len(kinds))]
 					tb.recordCall(c.call(k, k.path))
 					<-time.After(randomDuration(c.random, 10*time.Millisecond, 40*time.Millisecond))
--- a/internal/trial/soak/testbed_test.go
+++ b/internal/trial/soak/testbed_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -69,6 +70,8 @@
 	requestLog    *requestLog
 	startedAt     time.Time
 	faultsEndAt   time.Time
+	// busiest is the number, from 1, of the gateway that most callers come to, or 0.
+	busiest atomic.Int64
 
 	// storeLinks are the relays between the gateways and the store.
 	storeLinks []*relay.Relay
@@ -289,6 +292,9 @@
 	if tb.seed >= crashesFromSeed {
 		background.Go(tb.sendCrashing)
 	}
+	if tb.seed >= convergeFromSeed {
+		background.Go(tb.convergeCallers)
+	}
 	recoveryChecks := 1
 	if tb.hardLoad() {
 		background.Go(tb.surge)
