Loans: other lenders are asked each time, and further upstreams

Found on reading the diff of the loans. The lender to begin with moved by 32, so that in a fleet of 17 or 33 gateways, or of three, it stayed the same: a gateway that wants one request would have asked the same two again and again, though others own the parts. It moves by the number that was asked now. The test fails with the former step (eight others of 1, 2, 8, 16, 20, 32, 33, 64 and 300: two of them were asked).

A gateway that needs parts of more than 64 limits asked for the first 64 of a service each time; now each message has the next ones. Not covered by a test of its own.

A line tells each ten seconds that a gateway borrows, with the number of limits and the scheduler, so that a gateway without loans for want of a scheduler shows.

--- a/internal/limit/lending/lending.go
+++ b/internal/limit/lending/lending.go
@@ -4,6 +4,7 @@
 package lending
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -67,10 +68,11 @@
 		return nil
 	}
 	slices.Sort(others)
-	b.turn = (b.turn + maxLenders) % len(others)
+	b.turn %= len(others)
 	lenders := slices.Concat(others[b.turn:], others[:b.turn])
 	lenders = lenders[:min(len(lenders), maxLenders)]
 	divided := make(map[string]Requests)
+	most := 0
 	for limit, requests := range wanted {
 		var willing []string
 		for _, lender := range lenders {
@@ -79,6 +81,7 @@
 			}
 		}
 		willing = willing[:min(len(willing), lendersPerRequest*requests)]
+		most = max(most, len(willing))
 		for _, lender := range willing {
 			if divided[lender] == nil {
 				divided[lender] = make(Requests)
@@ -86,6 +89,8 @@
 			divided[lender][limit] = (requests + len(willing) - 1) / len(willing)
 		}
 	}
+	// Others are asked next time. If none of these lends, all of them are passed over.
+	b.turn += cmp.Or(most, len(lenders))
 	return divided
 }
 
--- a/internal/limit/lending/lending_test.go
+++ b/internal/limit/lending/lending_test.go
@@ -1,6 +1,7 @@
 package lending_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -32,24 +33,24 @@
 // Guards against a large fleet in which each gateway asks all others, and against one that
 // asks the same few again and again.
 func TestFewGatewaysAreAskedEachTime(t *testing.T) {
-	b := lending.NewBroker()
-	var others []string
-	for i := range 300 {
-		others = append(others, string(rune('a'+i)))
-	}
-	asked := make(map[string]bool)
-	for i := range 20 {
-		divided := b.Divide(start.Add(time.Duration(i)*time.Second), "borrower", lending.Requests{cold: 100, stated: 1}, others)
-		require.LessOrEqual(t, len(divided), 32)
-		few := 0
-		for lender, part := range divided {
-			asked[lender] = true
-			few += part[stated]
+	for _, count := range []int{1, 2, 8, 16, 20, 32, 33, 64, 300} {
+		b := lending.NewBroker()
+		var others []string
+		for i := range count {
+			others = append(others, fmt.Sprint("gateway-", i))
+		}
+		asked := make(map[string]bool)
+		for i := range count {
+			divided := b.Divide(start.Add(time.Duration(i)*time.Second), "borrower", lending.Requests{stated: 1}, others)
+			require.Len(t, divided, min(count, 2))
+			for lender := range divided {
+				asked[lender] = true
+			}
 		}
-		require.Equal(t, 2, few)
+		require.Len(t, asked, count, "each is asked in its turn")
+		require.Len(t, b.Divide(start, "borrower", lending.Requests{cold: 100, stated: 1}, others), min(count, 32))
 	}
-	require.Greater(t, len(asked), 200)
-	require.Empty(t, b.Divide(start, "borrower", lending.Requests{cold: 1}, nil))
+	require.Empty(t, lending.NewBroker().Divide(start, "borrower", lending.Requests{cold: 1}, nil))
 }
 
 // Guards against a scheduler that grants a borrower only its own part, or a lender what it has
--- a/internal/role/gateway/lending.go
+++ b/internal/role/gateway/lending.go
@@ -21,6 +21,8 @@
 	borrowInterval = share.LoanLife / 4
 	// demandWindow is the time over which the requests for a service are counted.
 	demandWindow = 500 * time.Millisecond
+	// borrowLogInterval bounds the log lines of a gateway that borrows.
+	borrowLogInterval = 10 * time.Second
 	// maxPartsWanted bounds the limits in one message.
 	maxPartsWanted = 64
 )
@@ -37,6 +39,8 @@
 	// askedAt holds the times of the latest requests for loans, by number.
 	askedAt map[uint64]time.Time
 	number  uint64
+	// loggedAt is when a line last told that this gateway borrows.
+	loggedAt time.Time
 
 	requests *prometheus.CounterVec
 }
@@ -86,7 +90,14 @@
 func (p *partLoans) borrow(now time.Time) {
 	wanted := p.wanted(now)
 	scheduler := p.peers.scheduler(now)
-	if len(wanted) == 0 || scheduler == "" {
+	if len(wanted) == 0 {
+		return
+	}
+	if now.Sub(p.loggedAt) >= borrowLogInterval {
+		p.loggedAt = now
+		p.logger.Info("borrows parts of limits", "limits", len(wanted), "scheduler", scheduler)
+	}
+	if scheduler == "" {
 		return
 	}
 	ask := &wire.PartsAsk{Run: p.processID, Number: p.nextNumber(now), Parts: encodeParts(wanted)}
@@ -124,6 +135,7 @@
 		}
 		perSecond[service] = float64(count) / demandWindow.Seconds()
 	}
+	first := int(p.number) * maxPartsWanted
 	p.mu.Unlock()
 	wanted := make(lending.Requests)
 	if p.guard.warmUps.Cold(now)+p.guard.rates.Limited() == 0 {
@@ -131,11 +143,16 @@
 	}
 	for service, rate := range perSecond {
 		ready := p.roster.Ready(service)
-		for _, u := range ready {
+		each := rate / float64(max(1, len(ready)))
+		for i := range ready {
 			if len(wanted) >= maxPartsWanted {
 				return wanted
 			}
-			each := rate / float64(len(ready))
+			u := ready[i]
+			if len(ready) > maxPartsWanted {
+				// Each message has the next ones.
+				u = ready[(first+i)%len(ready)]
+			}
 			if n := p.guard.warmUps.Wanted(now, p.settings.LinkAddress, u.ID, each); n > 0 {
 				wanted[lending.Limit{Upstream: u.ID, WarmUp: true}] = n
 			}
@@ -147,8 +164,8 @@
 	return wanted
 }
 
-// asked handles a request for loans, of the peer itself or passed on by it.
-func (p *partLoans) asked(now time.Time, peer string, ask *wire.PartsAsk) {
+// handleAsk handles a request for loans, of the peer itself or passed on by it.
+func (p *partLoans) handleAsk(now time.Time, peer string, ask *wire.PartsAsk) {
 	if ask.Borrower == "" {
 		p.passOn(now, peer, ask)
 		return
@@ -174,7 +191,7 @@
 		if lender != p.settings.Name {
 			p.mesh.Send(lender, &wire.Envelope{Body: &wire.Envelope_PartsAsk{PartsAsk: part}})
 		} else if lent := p.lend(now, part); lent != nil {
-			p.lent(now, lender, lent)
+			p.handleLoan(now, lender, lent)
 		}
 	}
 }
@@ -198,15 +215,15 @@
 	return &wire.PartsLent{Run: ask.Run, Number: ask.Number, Borrower: ask.Borrower, Parts: encodeParts(lent)}
 }
 
-// lent handles a loan that a peer has made or passes on.
-func (p *partLoans) lent(now time.Time, peer string, lent *wire.PartsLent) {
+// handleLoan handles a loan that a peer has made or passes on.
+func (p *partLoans) handleLoan(now time.Time, peer string, lent *wire.PartsLent) {
 	if lent.Borrower == "" {
-		p.borrowed(now, lent.Lender, lent)
+		p.receiveLoan(now, lent.Lender, lent)
 		return
 	}
 	p.broker.Lent(now, lent.Borrower, lent.Run, peer, decodeParts(lent.Parts))
 	if lent.Borrower == p.settings.Name {
-		p.borrowed(now, peer, lent)
+		p.receiveLoan(now, peer, lent)
 		return
 	}
 	p.mesh.Send(lent.Borrower, &wire.Envelope{Body: &wire.Envelope_PartsLent{PartsLent: &wire.PartsLent{
@@ -214,8 +231,8 @@
 	}}})
 }
 
-// borrowed records a loan to this process. One that answers no recent request may be over.
-func (p *partLoans) borrowed(now time.Time, lender string, lent *wire.PartsLent) {
+// receiveLoan records a loan to this process. One that answers no recent request may be over.
+func (p *partLoans) receiveLoan(now time.Time, lender string, lent *wire.PartsLent) {
 	p.mu.Lock()
 	askedAt, known := p.askedAt[lent.Number]
 	p.mu.Unlock()
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -256,9 +256,9 @@
 	case *wire.Envelope_LoadReport:
 		p.loads.receive(now, peer, body.LoadReport)
 	case *wire.Envelope_PartsAsk:
-		p.partLoans.asked(now, peer, body.PartsAsk)
+		p.partLoans.handleAsk(now, peer, body.PartsAsk)
 	case *wire.Envelope_PartsLent:
-		p.partLoans.lent(now, peer, body.PartsLent)
+		p.partLoans.handleLoan(now, peer, body.PartsLent)
 	case *wire.Envelope_SnapshotAsk:
 		p.mesh.Send(peer, &wire.Envelope{Body: &wire.Envelope_Snapshot{Snapshot: p.buildSnapshot(body.SnapshotAsk)}})
 	case *wire.Envelope_SchedulerMemory:
