A request that waits for another slot in a stop is answered before the exit

Cause, by its gateway's log: an upstream may have executed the stream, so it was placed again though it may be cut off, and waited at a scheduler for a slot. The wait of streams that must end before the exit is over 40 ms before it, so that a refusal still reaches the caller; that of all others was over with the process. Then it asked three times more in the same millisecond and was cut.

Now the wait of each request whose deadline is the exit ends 40 ms before it, no engine is chosen without the scheduler in that time, and a request that cannot be refused as not executed is answered (502) in place of one more attempt. Waits for an upstream that takes fewer requests end then, too.

--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -216,6 +216,10 @@
 			c.refuseForShutdown()
 			return
 		}
+		if !c.mayBeRefused() && c.exitsBeforeAttempt(now) {
+			c.giveUp("this process exits")
+			return
+		}
 		if c.crashesUpstreams() {
 			c.endCrashing()
 			return
--- a/internal/edge/flow/request.go
+++ b/internal/edge/flow/request.go
@@ -115,7 +115,9 @@
 	PromptTokens int
 	OutputTokens int
 	PromptParts  []PromptPart
-	// EndConstraint states whether Deadline is the exit of this process.
+	// UntilExit is set if Deadline is the exit of this process, and EndConstraint states
+	// whether the stream must end by then.
+	UntilExit     bool
 	EndConstraint EndConstraint
 	// ExcludedUpstreams lists the IDs of upstreams that were already tried.
 	ExcludedUpstreams []string
@@ -130,6 +132,14 @@
 	Domains []string
 }
 
+// WaitDeadline returns until when the request may wait for a slot.
+func (a *PlacementRequest) WaitDeadline() time.Time {
+	if a.UntilExit || a.EndConstraint != EndUnconstrained {
+		return a.Deadline.Add(-refusalTime)
+	}
+	return a.Deadline
+}
+
 // AllowsDomain reports whether an upstream of the failure domain may serve the request.
 func (a *PlacementRequest) AllowsDomain(domain string) bool {
 	return a.Domains == nil || slices.Contains(a.Domains, domain)
--- a/internal/edge/flow/shutdown.go
+++ b/internal/edge/flow/shutdown.go
@@ -98,6 +98,16 @@
 	return c.shutdown.started() && judged && c.shutdown.exitAt.Before(c.deadline) && !c.mayHaveExecuted
 }
 
+// refusalTime is how long before the exit of this process a request is given up that waits for
+// an upstream, so that the answer still reaches the caller.
+const refusalTime = 40 * time.Millisecond
+
+// exitsBeforeAttempt reports whether the process exits before an attempt that begins now could
+// have an answer.
+func (c *call) exitsBeforeAttempt(now time.Time) bool {
+	return c.shutdown.started() && !now.Before(c.shutdown.exitAt.Add(-refusalTime))
+}
+
 // limitToExit restricts the placement if the process exits before the request's
 // deadline. Only what surely ends in time is placed then, by the most tokens that the
 // request states: an estimate of the length, whatever margin is added, is no bound. The
@@ -107,7 +117,7 @@
 	if !c.shutdown.started() || !c.lengthKnown() || !c.shutdown.exitAt.Before(req.Deadline) {
 		return
 	}
-	req.Deadline = c.shutdown.exitAt
+	req.Deadline, req.UntilExit = c.shutdown.exitAt, true
 	if c.withoutAllowance {
 		return
 	}
--- a/internal/edge/flow/shutdown_test.go
+++ b/internal/edge/flow/shutdown_test.go
@@ -45,6 +45,36 @@
 	}
 }
 
+// noSecondSlot is a Picker that has a request wait for its second slot until it gives up.
+type noSecondSlot struct{ *fixture }
+
+func (n noSecondSlot) Pick(ctx context.Context, now time.Time, a flow.PlacementRequest) (flow.Placement, error) {
+	if !a.Resent {
+		return n.fixture.Pick(ctx, now, a)
+	}
+	n.mu.Lock()
+	n.placementRequests = append(n.placementRequests, a)
+	n.mu.Unlock()
+	time.Sleep(time.Until(a.WaitDeadline()))
+	return nil, flow.RefusePlacement(0, "no slot became free")
+}
+
+// Guards against a stream that an upstream may have executed, and that waits for another slot
+// until the process exits, so that its caller gets no answer at all.
+func TestStreamThatWaitsForASecondSlotIsAnsweredBeforeTheExit(t *testing.T) {
+	f := newFixture(t)
+	f.picker = noSecondSlot{f}
+	f.start()
+	f.addUpstream("one", "HTTP/1.1 200")
+	f.shutdownSince, f.otherAccepts = time.Now().Add(-6*time.Second), true
+	f.headers = map[string]string{"X-Persimmonridge-Token-Counts": "10,10", "X-Persimmonridge-Length-Hint": "2"}
+	response, _, err := f.call("/long/x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, response.StatusCode)
+	require.Len(t, f.placementRequests, 2, "another slot would be of no use")
+	require.True(t, f.placementRequests[1].WaitDeadline().Before(f.placementRequests[1].Deadline))
+}
+
 // stopsWhilePicking is a Picker during whose first call a shutdown begins.
 type stopsWhilePicking struct{ *fixture }
 
--- a/internal/sched/permit/pause.go
+++ b/internal/sched/permit/pause.go
@@ -37,7 +37,7 @@
 		if pause == 0 {
 			return unpaused, nil
 		}
-		if pause > maxPauseWait || now.Add(pause).After(req.NextEventDue) || ctx.Err() != nil {
+		if pause > maxPauseWait || now.Add(pause).After(earliest(req.NextEventDue, req.WaitDeadline())) || ctx.Err() != nil {
 			return req, flow.RefusePlacement(pause, "all upstreams of the service that may get the request take fewer requests")
 		}
 		wait.For(ctx, min(pause, pausePollInterval))
--- a/internal/sched/permit/pending.go
+++ b/internal/sched/permit/pending.go
@@ -93,7 +93,7 @@
 	defer firstReply.Stop()
 	repeat := time.NewTimer(repeatAfter)
 	defer repeat.Stop()
-	timeout := time.NewTimer(earliest(p.waitDeadline(), giveUpAt).Sub(c.Now()))
+	timeout := time.NewTimer(earliest(p.request.WaitDeadline(), giveUpAt).Sub(c.Now()))
 	defer timeout.Stop()
 	for {
 		select {
@@ -127,18 +127,6 @@
 	}
 }
 
-// refusalTime is how long before the exit of this process a request is given up whose stream
-// must end before, so that its refusal still reaches the caller.
-const refusalTime = 40 * time.Millisecond
-
-// waitDeadline returns until when the request may wait for a slot.
-func (p *pendingRequest) waitDeadline() time.Time {
-	if p.request.EndConstraint == flow.EndRequired {
-		return p.request.Deadline.Add(-refusalTime)
-	}
-	return p.request.Deadline
-}
-
 // settledScheduler returns the scheduler, or "" if there is none. If it has just replaced
 // another one, the slots of this gateway are reported to it first, and it is returned once
 // the other gateways should have reported theirs.
--- a/internal/sched/permit/permit.go
+++ b/internal/sched/permit/permit.go
@@ -220,6 +220,10 @@
 			continue
 		}
 		moved = false
+		if !ok && req.UntilExit && !c.Now().Before(req.WaitDeadline()) {
+			// What is left of the time serves the refusal.
+			return nil, refuseBeforeExit()
+		}
 		if !ok || d.lost {
 			why = "lost"
 			continue
--- a/internal/sched/permit/stop_test.go
+++ b/internal/sched/permit/stop_test.go
@@ -24,6 +24,8 @@
 	// replies, if any.
 	scheduler                 string
 	queuedAfter, grantedAfter time.Duration
+	// untilExit is set if the deadline of requests is the exit of the process.
+	untilExit bool
 }
 
 func newStopPicks(plain bool) *stopPicks {
@@ -66,7 +68,7 @@
 	now := time.Now()
 	placement, err := p.client.Pick(t.Context(), now, flow.PlacementRequest{
 		ID: "one", Service: "s", Route: &catalog.Route{}, PromptTokens: 1000, OutputTokens: told,
-		NextEventDue: now.Add(600 * time.Millisecond), Deadline: now.Add(remaining), EndConstraint: e,
+		NextEventDue: now.Add(600 * time.Millisecond), Deadline: now.Add(remaining), EndConstraint: e, UntilExit: p.untilExit,
 	})
 	if err == nil {
 		placement.Release(time.Now(), flow.Canceled, 0)
@@ -129,14 +131,19 @@
 }
 
 // Guards against a request that waits for a slot until the process exits, so that its
-// refusal does not reach the caller.
+// refusal does not reach the caller: also one that upstreams may have executed, which is
+// placed even if it may be cut off.
 func TestRequestThatWaitsInAStopIsRefusedBeforeTheExit(t *testing.T) {
-	bubble.Run(t, func(t *testing.T) {
-		const remaining = 800 * time.Millisecond
-		p := newStopPicks(false)
-		p.queuedAfter = 5 * time.Millisecond
-		began := time.Now()
-		require.Error(t, p.pick(t, 10, remaining, flow.EndRequired))
-		require.LessOrEqual(t, time.Since(began), remaining-20*time.Millisecond)
-	})
+	for _, e := range []flow.EndConstraint{flow.EndRequired, flow.EndPreferred, flow.EndUnconstrained} {
+		t.Run(e.String(), func(t *testing.T) {
+			bubble.Run(t, func(t *testing.T) {
+				const remaining = 800 * time.Millisecond
+				p := newStopPicks(false)
+				p.queuedAfter, p.untilExit = 5*time.Millisecond, true
+				began := time.Now()
+				require.Error(t, p.pick(t, 10, remaining, e))
+				require.LessOrEqual(t, time.Since(began), remaining-20*time.Millisecond)
+			})
+		})
+	}
 }
