Loans live for 0.9 s, so that a restarted gateway owns its part within two

With loans of a second, which its former process may have made, it did so after 2.05 s.

Loans live for 0.9 s, and the gateway owns its part after 1.95 s. The test is as it was.

--- a/internal/limit/share/loans.go
+++ b/internal/limit/share/loans.go
@@ -8,7 +8,7 @@
 
 // LoanLife is how long a gateway may use what it borrowed, from the moment at which it asked.
 // It asks again several times within it.
-const LoanLife = time.Second
+const LoanLife = 900 * time.Millisecond
 
 // demandMargin is by how much a gateway borrows more than it sent lately, as requests come
 // unevenly.
