A request that finds upstreams full beside withheld ones tries once more

What callers saw: callers come back together when the rest is over that upstreams of a plain service asked for, and one of six is refused, "all upstreams of the service are full", though upstreams are idle.

Cause, by the gateways' lines: after a rest an upstream gets one request at a time, and a gateway has room for one or two at each. A request that has been chosen for an upstream to which another one is just sent is withheld and holds its place for an instant; one that comes in this instant finds all places held, and no upstream paused yet, so it was refused at once. Those that come a moment later wait until the first is served.

While upstreams state limits or rests, a choice that finds no room is made once more after 10 ms, by when the sent and the withheld ones are told apart. Without such statements nothing changes.

--- a/internal/limit/cooldown/cooldown.go
+++ b/internal/limit/cooldown/cooldown.go
@@ -107,6 +107,14 @@
 	return count
 }
 
+// Known returns the number of upstreams whose rest is not known to be over: those that rest,
+// and those that get a request now and then until one is served.
+func (t *Tracker) Known() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.rests)
+}
+
 // Forget drops the rests that are over of processes that are no longer registered, or not
 // the latest under their ID.
 func (t *Tracker) Forget(now time.Time, isCurrent func(id string, startedAtMs int64) bool) {
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -254,7 +254,7 @@
 		Node: s.Name, Domain: s.Domain, Scheduler: g.peers.scheduler, Send: g.mesh.Send, SendAlternate: g.mesh.SendAlternate,
 		DeliverLocally: func(now time.Time, e *wire.Envelope) { permit.HandleMessage(now, g.granter, s.Name, e) },
 		Local:          chooser, Upstream: g.roster.Get, Evacuated: g.roster.Evacuated,
-		Ready: g.roster.Ready, Paused: g.guard.paused,
+		Ready: g.roster.Ready, Paused: g.guard.paused, MayWithhold: g.guard.mayWithhold,
 		MinStreamTime: g.granter.MinStreamTime,
 		Silent:        g.peers.schedulerSilent, Service: g.service, Metrics: g.metrics, Logger: logger, Now: now,
 		PlacedFor: g.metrics.byWorkspace.placed,
--- a/internal/role/gateway/statements.go
+++ b/internal/role/gateway/statements.go
@@ -130,6 +130,10 @@
 	return shortest
 }
 
+// mayWithhold reports whether requests may be withheld from upstreams at the last moment for
+// what these stated.
+func (s *sendGuard) mayWithhold() bool { return s.rates.Limited()+s.rests.Known() > 0 }
+
 // paused returns the upstreams of the service that may get no request of this gateway now
 // by what they stated themselves, which the scheduler may not know. It knows of warm-ups.
 func (s *sendGuard) paused(now time.Time, service string) []permit.Pause {
--- a/internal/sched/permit/pause.go
+++ b/internal/sched/permit/pause.go
@@ -45,9 +45,10 @@
 }
 
 // pickUnpaused chooses an upstream without a scheduler. Other requests may have been sent to
-// the last one that was not paused since this request found it so.
+// the last one that was not paused since this request found it so. If none has room, those
+// that have it may be withheld from upstreams that will be paused: it is tried once more.
 func (c *Client) pickUnpaused(ctx context.Context, now time.Time, req flow.PlacementRequest) (flow.Placement, error) {
-	for ; ; now = c.Now() {
+	for triedAgain := false; ; now = c.Now() {
 		if _, err := c.awaitUnpaused(ctx, now, req); err != nil {
 			return nil, err
 		}
@@ -55,9 +56,14 @@
 		if err == nil || ctx.Err() != nil || c.Paused == nil {
 			return chosen, err
 		}
-		if _, pause := c.withoutPaused(c.Now(), req); pause == 0 {
+		if _, pause := c.withoutPaused(c.Now(), req); pause > 0 {
+			continue
+		}
+		if triedAgain || c.MayWithhold == nil || !c.MayWithhold() {
 			return nil, err
 		}
+		triedAgain = true
+		wait.For(ctx, pausePollInterval)
 	}
 }
 
--- a/internal/sched/permit/permit.go
+++ b/internal/sched/permit/permit.go
@@ -87,6 +87,9 @@
 	Ready func(service string) []roster.Upstream
 	// Paused returns those that may get no request of this gateway now. It may be nil.
 	Paused func(now time.Time, service string) []Pause
+	// MayWithhold reports whether a request may be withheld from the upstream that was chosen for
+	// it. It may be nil.
+	MayWithhold func() bool
 	// MinStreamTime returns how long the idle upstream takes from the send of a prompt to
 	// the last of its output tokens. If it is nil, all upstreams count as the fastest.
 	MinStreamTime func(upstream string, promptTokens, outputTokens int) time.Duration
