Messages between gateways are counted by kind

What grows with the fleet could not be told apart: the link's bytes were counted as a whole. Each gateway now counts messages and bytes by kind, direction and whether they cross a failure domain, as metrics and in a log line a minute.

--- a/internal/fleet/mesh/alternate.go
+++ b/internal/fleet/mesh/alternate.go
@@ -102,6 +102,16 @@
 	m.exchange(ctx, node, stream, a)
 }
 
+// domainOf returns the failure domain of the node, empty while it is unknown.
+func (m *Mesh) domainOf(node string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p := m.peerLocked(node); p != nil {
+		return p.effectiveDomain()
+	}
+	return ""
+}
+
 func (m *Mesh) removeAlternate(node string, a *alternate) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -132,6 +142,7 @@
 			if err != nil {
 				return err
 			}
+			m.observeReceived(envelope, m.domainOf(node))
 			m.handler.HandleMessage(m.now(), node, envelope)
 		}
 	})
@@ -147,6 +158,9 @@
 				if err := stream.Send(m.now().Add(writeTimeout), envelope); err != nil {
 					return err
 				}
+				if m.traffic != nil {
+					m.traffic.MessageSent(envelope, m.domainOf(node))
+				}
 			}
 		}
 	})
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -149,6 +149,8 @@
 	alternatePool *link.Pool
 	logger        *slog.Logger
 	now           func() time.Time
+	// traffic may be nil.
+	traffic TrafficObserver
 
 	// notifyMu is held from a change of a peer's state until the handler has been
 	// notified, so that notifications arrive in the order of the changes. It is
@@ -281,6 +283,7 @@
 			m.logger.Info("connection to peer lost", "peer", p.address, "err", err)
 			return
 		}
+		m.observeSent(p, batch...)
 	}
 }
 
@@ -347,11 +350,13 @@
 		now := m.now()
 		if g := envelope.GetGossip(); g != nil {
 			from.update(g)
+			m.observeReceived(envelope, from.domain)
 			if from.node != "" {
 				m.handleGossip(now, from, g)
 			}
 			continue
 		}
+		m.observeReceived(envelope, from.domain)
 		if from.node != "" {
 			m.handler.HandleMessage(now, from.node, envelope)
 		}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -167,6 +167,7 @@
 	crashStore        *crashStore
 	peers             *peers
 	mesh              *mesh.Mesh
+	peerTraffic       *peerTraffic
 	granter           *granter.Granter
 	permits           *permit.Client
 	versionPicker     *rollout.Picker
@@ -241,6 +242,8 @@
 	g.crashes = newCrashWatch(g)
 	g.crashStore = newCrashStore(g)
 	g.mesh = mesh.New(s.Name, s.LinkAddress, g.runID, dialer, g.peers, logger, now)
+	g.peerTraffic = newPeerTraffic(g)
+	g.mesh.SetTrafficObserver(g.peerTraffic)
 	g.peers.isHub = g.mesh.IsHub
 	g.granter = granter.New(now, g.peers.deliverDecision, logger)
 	g.granter.SetLimiter(g.guard)
@@ -320,6 +323,7 @@
 	group.Go(func() error { return g.follower.Run(background) })
 	group.Go(func() error { return g.sweep(background) })
 	group.Go(func() error { return g.link.run(background) })
+	group.Go(func() error { return g.peerTraffic.run(background) })
 	group.Go(func() error { return g.crashes.run(background) })
 	group.Go(func() error { return g.crashStore.run(background) })
 	group.Go(func() error {
