Gateways follow the quotas of the workspaces that they serve

The scheduler answered ten reports a second of each gateway with the usage of all workspaces, and each report had all of them as well: at 356 gateways and 333 workspaces 27 MB a second each way, more than its link carries.

With more than 32 workspaces a gateway now follows those that it has served in the last five seconds. A report states the usage that the ledger has not acknowledged, and the totals the followed workspaces whose usage has changed. The ledger keeps the level of the whole fleet and tells it to a gateway that begins to serve a workspace; a request for a slot goes out meanwhile, a plain one waits for one answer. A new ledger takes levels over from the gateways. With up to 32 workspaces all stays as it was, also on the wire.

TestQuotaLevelsAreThoseOfTheLowestWorkspaces has 50 workspaces, whose levels are now known only once a request came; it sends one for each, and asks what it asked before.

--- a/internal/edge/flow/quota.go
+++ b/internal/edge/flow/quota.go
@@ -70,10 +70,10 @@
 }
 
 // awaitQuota checks or charges the cost. It repeats that while a newly started process
-// waits for the usage totals of the fleet.
+// waits for the usage totals of the fleet, or a gateway for the level of the workspace.
 func (c *call) awaitQuota(ctx context.Context, try quotaCheck) (bool, time.Duration) {
 	ok, retryAfter := try(c.Now(), c.workspace, c.cost)
-	for !ok && c.Quota.Settles(c.Now()) {
+	for !ok && c.Quota.Settles(c.Now(), c.workspace) {
 		wait.For(ctx, quotaPollInterval)
 		if ctx.Err() != nil {
 			return false, 0
--- a/internal/edge/flow/quota_test.go
+++ b/internal/edge/flow/quota_test.go
@@ -54,7 +54,7 @@
 	return true, 0
 }
 
-func (f *fixture) Settles(time.Time) bool {
+func (f *fixture) Settles(time.Time, *catalog.Workspace) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.pendingQuotaRequests--
--- a/internal/edge/flow/request.go
+++ b/internal/edge/flow/request.go
@@ -225,9 +225,9 @@
 	// Take charges the cost of a request that is about to be sent, or returns when to
 	// retry.
 	Take(now time.Time, w *catalog.Workspace, cost float64) (ok bool, retryAfter time.Duration)
-	// Settles reports whether this process has just started and still waits for
-	// the fleet's usage totals.
-	Settles(now time.Time) bool
+	// Settles reports whether this process has just started and still waits for the
+	// fleet's usage totals, or for the level of the workspace.
+	Settles(now time.Time, w *catalog.Workspace) bool
 	// Return refunds the cost of a request that was not executed.
 	Return(w *catalog.Workspace, cost float64)
 }
--- a/internal/limit/quota/ledger.go
+++ b/internal/limit/quota/ledger.go
@@ -11,6 +11,11 @@
 	mu       sync.Mutex
 	totals   map[string]float64
 	gateways map[string]*gatewayUsage
+	levels   fleetLevels
+	// reporting and fresh were counted over all gateways at countedAt.
+	reporting int
+	fresh     bool
+	countedAt time.Time
 }
 
 // gatewayUsage is the usage of one gateway.
@@ -26,19 +31,30 @@
 	used       map[string]float64
 	reportedAt time.Time
 	age        time.Duration
+	// selective gateways are told only of the workspaces that they follow, which are kept
+	// by the time until which they do.
+	selective bool
+	follows   map[string]time.Time
+	// told is the usage at others in the totals with the number.
+	told   map[string]float64
+	number uint64
 }
 
 // justStartedAge is the age up to which a process counts as just started. After a
 // restart of all gateways, the first and the last one are connected within 1.5 s.
 const justStartedAge = 3 * time.Second
 
+// countInterval is how long the count of reporting gateways is used: it takes a look at all
+// of them, and each gets totals several times a second.
+const countInterval = 10 * time.Millisecond
+
 // maxReportDelay is the longest time that a report is on its way: the receiver closes a
 // stream on which nothing arrives for that long.
 const maxReportDelay = 10 * time.Second
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{totals: make(map[string]float64), gateways: make(map[string]*gatewayUsage)}
+	return &Ledger{totals: make(map[string]float64), gateways: make(map[string]*gatewayUsage), levels: newFleetLevels()}
 }
 
 // Report is the usage at one gateway.
@@ -48,6 +64,17 @@
 	Age time.Duration
 	// Used is what each workspace has used there since the process started.
 	Used map[string]float64
+	// Selective reports state only the usage that the ledger has not acknowledged, counted
+	// from when the gateway turned to the ledger unless its process has just started. They
+	// are numbered, and answered with the totals of the workspaces that the gateway follows.
+	Selective bool
+	Number    uint64
+	// Heard is the number of the last totals that arrived, 0 for none.
+	Heard uint64
+	// Follows are workspaces that the gateway follows, and Needs those whose level it asks
+	// for. Levels are those of the others, for a ledger that may know none.
+	Follows, Needs []string
+	Levels         map[string]float64
 }
 
 // Totals is the usage at all other gateways, as it is sent to one gateway.
@@ -62,6 +89,15 @@
 	// AllJustStarted reports that all gateways that the totals cover have just started,
 	// and that OthersUsed includes all that they used.
 	AllJustStarted bool
+	// Number counts the answers to selective reports, and Answers is the number of the
+	// report. OthersUsed then holds the workspaces that the gateway follows and whose usage
+	// has changed since the totals that it heard.
+	Number, Answers uint64
+	// Levels holds the fleet's level of each workspace for which the gateway asked, and
+	// OwnUsed what the ledger knows of its own usage of it.
+	Levels, OwnUsed map[string]float64
+	// WithoutLevels is set if the ledger is of an earlier build, which knows no levels.
+	WithoutLevels bool
 }
 
 // Report records a gateway's usage. A late report of a former process is ignored, and so
@@ -73,13 +109,18 @@
 	gateway := l.gateways[node]
 	first := gateway == nil
 	if first {
-		gateway = &gatewayUsage{used: make(map[string]float64)}
+		gateway = &gatewayUsage{used: make(map[string]float64), follows: make(map[string]time.Time)}
 		l.gateways[node] = gateway
 	}
+	l.levels.resume(now, r.Age)
+	if now.Sub(gateway.reportedAt) > totalsTimeout {
+		l.countedAt = time.Time{}
+	}
 	startedAt := now.Add(-r.Age)
 	switch {
 	case first || gateway.run != r.Run && !gateway.isFormer(now, r.Run, startedAt):
 		gateway.run, gateway.startedAt, gateway.lastReport = r.Run, startedAt, make(map[string]float64)
+		gateway.told, gateway.follows = nil, make(map[string]time.Time)
 	case gateway.run != r.Run:
 		return
 	case startedAt.Before(gateway.startedAt):
@@ -92,9 +133,17 @@
 		if first && r.Age > justStartedAge {
 			continue
 		}
+		if r.Selective {
+			// A count below the last one is that of a gateway that took this ledger for
+			// another process, and counts anew.
+			delta = max(0, delta)
+		}
 		gateway.used[workspace] += delta
 		l.totals[workspace] += delta
+		l.levels.charge(now, workspace, delta)
 	}
+	l.levels.learn(now, r.Levels)
+	gateway.follow(now, r)
 }
 
 // isFormer reports whether a report of another process than the current one is late: its
@@ -115,21 +164,33 @@
 func (l *Ledger) Totals(now time.Time, node string, run uint64, known int) Totals {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	reporting, fresh := 0, true
-	for _, gateway := range l.gateways {
-		if now.Sub(gateway.reportedAt) <= totalsTimeout {
-			reporting++
-			fresh = fresh && gateway.age <= justStartedAge
-		}
-	}
+	coverage, fresh := l.coverage(now, known)
 	others := make(map[string]float64, len(l.totals))
-	for workspace, count := range l.totals {
-		ownUsed := 0.0
-		if gateway := l.gateways[node]; gateway != nil {
-			ownUsed = gateway.used[workspace]
+	for workspace := range l.totals {
+		others[workspace] = l.othersUsed(l.gateways[node], workspace)
+	}
+	return Totals{LedgerRun: run, OthersUsed: others, Coverage: coverage, AllJustStarted: fresh}
+}
+
+// coverage returns the fraction of the known gateways that report, and whether all of them
+// have just started.
+func (l *Ledger) coverage(now time.Time, known int) (fraction float64, fresh bool) {
+	if elapsed := now.Sub(l.countedAt); elapsed < 0 || elapsed >= countInterval {
+		l.reporting, l.fresh, l.countedAt = 0, true, now
+		for _, gateway := range l.gateways {
+			if now.Sub(gateway.reportedAt) <= totalsTimeout {
+				l.reporting++
+				l.fresh = l.fresh && gateway.age <= justStartedAge
+			}
 		}
-		others[workspace] = count - ownUsed
 	}
-	coverage := min(1, float64(reporting)/float64(max(1, known)))
-	return Totals{LedgerRun: run, OthersUsed: others, Coverage: coverage, AllJustStarted: fresh && reporting > 0}
+	return min(1, float64(l.reporting)/float64(max(1, known))), l.fresh && l.reporting > 0
+}
+
+// othersUsed returns the usage of a workspace at all gateways but one, which may be nil.
+func (l *Ledger) othersUsed(gateway *gatewayUsage, workspace string) float64 {
+	if gateway == nil {
+		return l.totals[workspace]
+	}
+	return l.totals[workspace] - gateway.used[workspace]
 }
--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -5,6 +5,7 @@
 package quota
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -64,6 +65,10 @@
 	// createdAt is when the bucket was created, and refilled what was added since.
 	createdAt time.Time
 	refilled  float64
+	// pending is set until the ledger has told the level, and requestedAt is when a
+	// request last needed it.
+	pending     bool
+	requestedAt time.Time
 	// withheld is what this gateway keeps back of the level while it lacks totals of all
 	// gateways.
 	withheld withheld
@@ -80,8 +85,18 @@
 	// gatewayCount returns the number of known gateways.
 	gatewayCount func() int
 
-	mu      sync.Mutex
-	buckets map[string]*bucket
+	mu sync.Mutex
+	// buckets holds the buckets of the workspaces whose level is known, and pending those
+	// of which the ledger has told no level yet.
+	buckets, pending map[string]*bucket
+	// selective is set if there are too many workspaces to follow the usage of all of them.
+	// formerUsed is then what was used here of those that are not followed, and changed
+	// holds those whose usage has changed since the last report.
+	selective  bool
+	formerUsed map[string]float64
+	changed    map[string]struct{}
+	// wake signals that a level is needed.
+	wake chan struct{}
 	// othersUsed is the usage of the other gateways in the last totals, and
 	// ledgerRun the run of the ledger that they came from.
 	othersUsed map[string]float64
@@ -142,7 +157,10 @@
 // New returns a limiter without workspaces. Known returns the number of known
 // gateways.
 func New(options Options, known func() int) *Limiter {
-	return &Limiter{gatewayCount: known, options: options, buckets: make(map[string]*bucket), othersUsed: make(map[string]float64)}
+	return &Limiter{
+		gatewayCount: known, options: options, buckets: make(map[string]*bucket), pending: make(map[string]*bucket),
+		formerUsed: make(map[string]float64), changed: make(map[string]struct{}), wake: make(chan struct{}, 1), othersUsed: make(map[string]float64),
+	}
 }
 
 // SetOptions changes the deployment's settings for quotas.
@@ -152,12 +170,19 @@
 	l.options = options
 }
 
-// AddWorkspaces creates buckets for the workspaces that have a quota. If a bucket
-// is created only at the first request of a workspace, it lacks what the other gateways
-// refilled and used before.
+// AddWorkspaces creates buckets for the workspaces that have a quota, unless they are too
+// many to follow all of them. If a bucket is created only at the first request of a
+// workspace, the ledger must tell its level: it lacks what the other gateways refilled and
+// used before.
 func (l *Limiter) AddWorkspaces(now time.Time, workspaces []catalog.Workspace) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if limited := countLimited(workspaces); limited > maxAlwaysFollowed {
+		l.selective = true
+	}
+	if l.selective {
+		return
+	}
 	for i := range workspaces {
 		if w := &workspaces[i]; w.QuotaPerSecond > 0 {
 			l.bucketAt(now, w)
@@ -167,6 +192,9 @@
 
 func (l *Limiter) bucketAt(now time.Time, w *catalog.Workspace) *bucket {
 	b := l.buckets[w.Name]
+	if b == nil && l.selective {
+		return l.pendingAt(now, w)
+	}
 	if b == nil {
 		b = &bucket{level: l.initialLevel(w), refilledAt: now, createdAt: now, recentSince: now, charged: l.othersUsed[w.Name]}
 		l.buckets[w.Name] = b
@@ -233,6 +261,14 @@
 	return now.Sub(l.totalsAt) > after
 }
 
+// maxTotalsAge returns up to which age the last totals tell what others use.
+func (l *Limiter) maxTotalsAge() time.Duration {
+	if l.selective {
+		return reportDelay + idleReportInterval - ReportInterval
+	}
+	return reportDelay
+}
+
 // initialLevel returns the level of a new bucket: an even part or, shortly after a
 // restart of all gateways, what the others left of the shared level. Later, their
 // usage has long been refilled, and does not tell what is left.
@@ -245,12 +281,15 @@
 	return max(part, start*l.sharedCoverage-l.othersUsed[w.Name])
 }
 
-// Settles reports whether the process is new and still waits for the fleet's totals.
-// A request that exceeds this gateway's part should be held for that time instead of
-// refused.
-func (l *Limiter) Settles(now time.Time) bool {
+// Settles reports whether the process is new and still waits for the fleet's totals, or
+// waits for the level of the workspace. A request that exceeds this gateway's part should be
+// held for that time instead of refused.
+func (l *Limiter) Settles(now time.Time, w *catalog.Workspace) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if b := l.pending[w.Name]; b != nil && b.awaitsLevel(now) {
+		return true
+	}
 	complete := !l.totalsAt.IsZero() && l.coverage >= startupCoverage
 	return !l.options.StartFull && !complete && now.Sub(l.firstRequest) < startupWait
 }
@@ -270,12 +309,17 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.bucketAt(now, w)
+	b.requestedAt = now
+	if b.awaitsLevel(now) {
+		return false, minRetryAfter
+	}
 	if ok, retryAfter := l.covers(now, b, cost, 0); !ok {
 		return false, retryAfter
 	}
 	b.level -= cost
 	b.used += cost
 	b.takenRecently += cost
+	l.changed[w.Name] = struct{}{}
 	return true, 0
 }
 
@@ -314,7 +358,7 @@
 // together must not take more than the bucket holds before they know each other's
 // usage. A single request is always allowed.
 func (l *Limiter) withinInterval(now time.Time, b *bucket, w *catalog.Workspace) bool {
-	overdue := l.totalsOverdue(now, reportDelay) || now.Before(l.unknownUntil)
+	overdue := l.totalsOverdue(now, l.maxTotalsAge()) || now.Before(l.unknownUntil)
 	if b.level > w.QuotaBurst/2 && !overdue {
 		return true
 	}
@@ -335,8 +379,10 @@
 func (l *Limiter) Return(w *catalog.Workspace, cost float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	b := l.buckets[w.Name]
+	l.changed[w.Name] = struct{}{}
+	b := l.bucketOf(w.Name)
 	if b == nil {
+		l.formerUsed[w.Name] -= cost
 		return
 	}
 	b.level = min(b.level+cost, w.QuotaBurst)
@@ -347,7 +393,11 @@
 func (l *Limiter) Used() map[string]float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	used := make(map[string]float64, len(l.buckets))
+	used := make(map[string]float64, len(l.buckets)+len(l.formerUsed))
+	maps.Copy(used, l.formerUsed)
+	for name, b := range l.pending {
+		used[name] = b.used
+	}
 	for name, b := range l.buckets {
 		used[name] = b.used
 	}
--- a/internal/limit/quota/restart_test.go
+++ b/internal/limit/quota/restart_test.go
@@ -46,7 +46,7 @@
 		switch {
 		case ok:
 			taken += request.cost
-		case limiter.Settles(now):
+		case limiter.Settles(now, w):
 			held = append(held, request)
 		default:
 			refused++
@@ -132,7 +132,7 @@
 		f.exchangeReports(later.Add(at))
 	}
 	now := later.Add(time.Second)
-	require.False(t, restarted.Settles(now))
+	require.False(t, restarted.Settles(now, w))
 	ok, _ := restarted.Take(now, w, 10_000)
 	require.True(t, ok)
 }
@@ -144,11 +144,11 @@
 	k := quota.New(quota.Options{Slack: slack, ExcessFraction: excessFraction, Window: window}, func() int { return 68 })
 	ok, _ := k.Take(start, w, 10_000)
 	require.False(t, ok)
-	require.True(t, k.Settles(start))
-	require.True(t, k.Settles(start.Add(200*time.Millisecond)))
-	require.False(t, k.Settles(start.Add(300*time.Millisecond)))
+	require.True(t, k.Settles(start, w))
+	require.True(t, k.Settles(start.Add(200*time.Millisecond), w))
+	require.False(t, k.Settles(start.Add(300*time.Millisecond), w))
 	k.ApplyTotals(start.Add(100*time.Millisecond), quota.Totals{LedgerRun: 1, Coverage: 1, AllJustStarted: true})
-	require.False(t, k.Settles(start.Add(100*time.Millisecond)))
+	require.False(t, k.Settles(start.Add(100*time.Millisecond), w))
 }
 
 // delayedReport is a report of gateway "a" that arrives at a time after the start.
--- a/internal/limit/quota/scenario_test.go
+++ b/internal/limit/quota/scenario_test.go
@@ -201,7 +201,7 @@
 func (r *scenarioRun) request(now time.Time, i int, cost float64) {
 	limiter := r.limiters[i]
 	if ok, _ := limiter.Enqueue(now, r.workspace, cost); !ok {
-		if limiter.Settles(now) {
+		if limiter.Settles(now, r.workspace) {
 			r.schedule(now.Sub(start)+2*scenarioTick, func(now time.Time) { r.request(now, i, cost) })
 			return
 		}
--- a/internal/limit/quota/totals.go
+++ b/internal/limit/quota/totals.go
@@ -26,7 +26,9 @@
 
 // ledgerTotals is the usage of the other gateways in the last totals of a ledger.
 type ledgerTotals struct {
-	run        uint64
+	run uint64
+	// selective is set if totals state only the workspaces that this gateway follows.
+	selective  bool
 	othersUsed map[string]float64
 	// charged is up to where the usage that this ledger states is charged, on the scale
 	// of a bucket's charged. What was charged by another ledger's totals lies beyond.
@@ -74,6 +76,7 @@
 		l.creditWithheld(now, t, before, l.lastTotals(t.LedgerRun).returned)
 	}
 	l.ledgerRun, l.othersUsed, l.coverage, l.totalsAt = t.LedgerRun, t.OthersUsed, t.Coverage, now
+	l.applyLevels(now, t)
 	for _, b := range l.buckets {
 		b.isolated = false
 		b.level = min(b.level, l.maxLevel(b))
@@ -140,7 +143,13 @@
 	if !ok {
 		charged = b.charged
 	}
-	charged += count - k.othersUsed[name]
+	before, stated := k.othersUsed[name]
+	if k.selective && !stated {
+		// The workspace was not followed when the ledger was heard last.
+		k.charged[name] = b.charged
+		return 0
+	}
+	charged += count - before
 	others := charged - b.charged
 	if now.Before(k.completeAt) {
 		if !k.returned {
@@ -163,7 +172,7 @@
 	if len(l.ledgers) == maxLedgers {
 		l.ledgers = l.ledgers[1:]
 	}
-	first := &ledgerTotals{run: t.LedgerRun, othersUsed: t.OthersUsed, charged: make(map[string]float64, len(l.buckets))}
+	first := &ledgerTotals{run: t.LedgerRun, selective: l.selective, othersUsed: t.OthersUsed, charged: make(map[string]float64, len(l.buckets))}
 	for name, b := range l.buckets {
 		first.charged[name] = b.charged
 	}
--- a/internal/limit/quota/waiting.go
+++ b/internal/limit/quota/waiting.go
@@ -82,6 +82,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.bucketAt(now, w)
+	b.requestedAt = now
+	if b.awaitsLevel(now) {
+		// The level arrives before the slot, and is checked then.
+		b.waiting.begin(now, cost)
+		return true, 0
+	}
 	// What waits is charged over the time of a wait, in which the bucket is refilled.
 	refill := w.QuotaPerSecond * l.rateFraction(now) * b.waiting.expectedWait(now, w.QuotaBurst).Seconds()
 	ok, retryAfter := l.covers(now, b, cost, max(0, b.waiting.weight(now, w.QuotaBurst)-refill))
@@ -96,7 +102,7 @@
 func (l *Limiter) Dequeue(now time.Time, w *catalog.Workspace, cost float64, placed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if b := l.buckets[w.Name]; b != nil {
+	if b := l.bucketOf(w.Name); b != nil {
 		b.waiting.end(now, cost, placed)
 	}
 }
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -162,6 +162,7 @@
 	pool              *exchange.Pool
 	quota             *quota.Limiter
 	ledger            *quota.Ledger
+	quotaReports      *quotaReports
 	crashTracker      *crash.Tracker
 	crashes           *crashWatch
 	crashStore        *crashStore
@@ -238,6 +239,8 @@
 	g.guard = newSendGuard(g, s.WarmUp)
 	g.peers = &peers{Gateway: g, rank: unranked, stops: newPeerStops(), storeReachedAt: make(map[string]time.Time), silentSince: make(map[string]time.Time)}
 	g.quota = quota.New(s.Quota, g.peers.gatewayCount)
+	g.ledger.SetOptions(s.Quota)
+	g.quotaReports = &quotaReports{Gateway: g, reporter: quota.NewReporter(g.quota, g.runID, g.startedAt)}
 	g.crashTracker = crash.New(func() { g.mesh.GossipNow() })
 	g.crashes = newCrashWatch(g)
 	g.crashStore = newCrashStore(g)
@@ -312,7 +315,7 @@
 	}
 	group.Go(func() error { return g.mesh.Run(background) })
 	group.Go(func() error { return g.granter.Run(background) })
-	group.Go(func() error { return g.peers.reportQuota(background) })
+	group.Go(func() error { return g.quotaReports.run(background) })
 	group.Go(func() error { return g.loads.run(background) })
 	group.Go(func() error { return g.partLoans.run(background) })
 	group.Go(func() error { return g.rolloutController.run(background) })
--- a/internal/role/gateway/ledger_internal_test.go
+++ b/internal/role/gateway/ledger_internal_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/persimmonridge/persimmonridge/internal/limit/quota"
 )
 
 // Guards against totals of two ledgers that are compared as those of one: a gateway that
@@ -16,7 +18,8 @@
 	now := time.Unix(1_000_000, 0)
 	run := func(name string) uint64 {
 		g := New(Dependencies{Settings: Settings{Name: name}, Dialer: &net.Dialer{}, Logger: slog.New(slog.DiscardHandler), Now: func() time.Time { return now }})
-		return g.peers.quotaTotals(now, "peer").LedgerRun
+		totals, _ := g.quotaReports.answer(now, "peer", quota.Report{Run: 1})
+		return totals.LedgerRun
 	}
 	require.NotEqual(t, run("one"), run("two"))
 }
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -13,7 +13,6 @@
 
 	"github.com/persimmonridge/persimmonridge/internal/fleet/mesh"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
-	"github.com/persimmonridge/persimmonridge/internal/limit/quota"
 	"github.com/persimmonridge/persimmonridge/internal/sched/board"
 	"github.com/persimmonridge/persimmonridge/internal/sched/permit"
 	"github.com/persimmonridge/persimmonridge/internal/state/kv"
@@ -30,9 +29,6 @@
 	// schedulerCacheTTL is how long the selected scheduler is cached: every request and
 	// every gossip message looks it up, and a hub selects among hundreds of peers.
 	schedulerCacheTTL = 5 * time.Millisecond
-	// quotaReportInterval is how often quota use is reported to the scheduler. The
-	// gateways together may exceed a quota by what is used within one interval.
-	quotaReportInterval = 100 * time.Millisecond
 )
 
 // member is a gateway's registration in the store.
@@ -245,14 +241,9 @@
 	case *wire.Envelope_MoveState:
 		p.rolloutController.applyState(body.MoveState.Service, body.MoveState.State, body.MoveState.Revision, peer)
 	case *wire.Envelope_QuotaReport:
-		p.ledger.Report(now, peer, quota.Report{
-			Run: body.QuotaReport.Run, Age: time.Duration(body.QuotaReport.AgeMs) * time.Millisecond, Used: body.QuotaReport.Used,
-		})
-		p.mesh.Send(peer, quotaMessage(p.quotaTotals(now, peer)))
+		p.quotaReports.receive(now, peer, body.QuotaReport)
 	case *wire.Envelope_QuotaTotals:
-		p.quota.ApplyTotals(now, quota.Totals{
-			LedgerRun: body.QuotaTotals.Run, OthersUsed: body.QuotaTotals.Others, Coverage: body.QuotaTotals.Part, AllJustStarted: body.QuotaTotals.Fresh,
-		})
+		p.quotaReports.apply(now, peer, body.QuotaTotals)
 	case *wire.Envelope_LoadReport:
 		p.loads.receive(now, peer, body.LoadReport)
 	case *wire.Envelope_PartsAsk:
@@ -429,37 +420,6 @@
 	}
 }
 
-// reportQuota reports the workspaces' use on this gateway to the scheduler until the
-// context ends; the scheduler answers with their use on the other gateways.
-func (p *peers) reportQuota(ctx context.Context) error {
-	for ctx.Err() == nil {
-		now := p.now()
-		report := quota.Report{Run: p.runID, Age: now.Sub(p.startedAt), Used: p.quota.Used()}
-		switch scheduler := p.scheduler(now); scheduler {
-		case "":
-		case p.settings.Name:
-			p.ledger.Report(now, p.settings.Name, report)
-			p.quota.ApplyTotals(now, p.quotaTotals(now, p.settings.Name))
-		default:
-			p.mesh.Send(scheduler, &wire.Envelope{Body: &wire.Envelope_QuotaReport{QuotaReport: &wire.QuotaReport{
-				Run: report.Run, AgeMs: uint32(report.Age.Milliseconds()), Used: report.Used,
-			}}})
-		}
-		wait.For(ctx, quotaReportInterval)
-	}
-	return nil
-}
-
-func (p *peers) quotaTotals(now time.Time, node string) quota.Totals {
-	return p.ledger.Totals(now, node, p.processID, p.gatewayCount())
-}
-
-func quotaMessage(t quota.Totals) *wire.Envelope {
-	return &wire.Envelope{Body: &wire.Envelope_QuotaTotals{QuotaTotals: &wire.QuotaTotals{
-		Run: t.LedgerRun, Part: t.Coverage, Others: t.OthersUsed, Fresh: t.AllJustStarted,
-	}}}
-}
-
 // setStoreLost sets whether the store fails to answer this gateway, which its gossip
 // reports to peers.
 func (p *peers) setStoreLost(lost bool) {
--- a/internal/role/gateway/quotalevels_internal_test.go
+++ b/internal/role/gateway/quotalevels_internal_test.go
@@ -22,6 +22,13 @@
 		workspaces = append(workspaces, catalog.Workspace{Name: fmt.Sprintf("w%02d", i), QuotaPerSecond: 100, QuotaBurst: 100})
 	}
 	limiter.AddWorkspaces(now, workspaces)
+	// So many are followed at their first request only, and the ledger tells their levels.
+	levels := map[string]float64{}
+	for i := range workspaces {
+		limiter.Enqueue(now, &workspaces[i], 1)
+		levels[workspaces[i].Name] = 100
+	}
+	limiter.ApplyTotals(now, quota.Totals{LedgerRun: 1, Coverage: 1, Levels: levels})
 	limiter.Take(now, &workspaces[33], 90)
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(newQuotaLevels(limiter, func() time.Time { return now }))
@@ -29,7 +36,7 @@
 	require.NoError(t, err)
 	require.Len(t, families, 1)
 	require.Len(t, families[0].Metric, maxQuotaLevels)
-	levels := map[string]float64{}
+	clear(levels)
 	for _, m := range families[0].Metric {
 		levels[m.Label[0].GetValue()] = m.Gauge.GetValue()
 	}
--- a/internal/role/gateway/reload.go
+++ b/internal/role/gateway/reload.go
@@ -15,6 +15,7 @@
 	}
 	g.retryBudget.SetSettings(next.Retry)
 	g.quota.SetOptions(next.Quota)
+	g.ledger.SetOptions(next.Quota)
 	g.memory.SetLimit(g.now(), next.heldBytesLimit())
 	g.link.setCapacity(next.LinkBytesPerSecond)
 	g.regions.Store(&next.Regions)
--- a/internal/role/gateway/views.go
+++ b/internal/role/gateway/views.go
@@ -66,6 +66,7 @@
 		return false
 	}
 	g.quota.AddWorkspaces(g.now(), next.Workspaces())
+	g.ledger.SetWorkspaces(next.Workspaces())
 	g.catalog.Store(next)
 	g.peers.invalidateScheduler()
 	g.rawConfig.Store(&raw)
