Only hubs read the store in a large fleet

From 32 gateways on, those that are no hubs ask a hub for what has changed since the revision that they know, at once when gossip tells of a change and else each 0.3 of the time in which a configuration must be in force. A hub passes on all that it has read but heartbeats and the speeds of engines; large values are compressed. Without a hub that the store answers they ask the store themselves, when it does not answer no more often together than the hubs. In a fleet of 40 gateways in fake time 8 read the store, 40 before.

--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -55,6 +55,11 @@
 	// peers which poll more often. The gateway still applies a configuration in time
 	// if none of them reports it.
 	peerInformedPauseShare = 0.7
+	// hubRetryPause is the longest pause between two calls to a store that does not answer,
+	// and maxOtherRetryPause that of gateways that are no hubs of a large fleet: a
+	// configuration is in force in time even if they hear of the store's return from nobody.
+	hubRetryPause      = 200 * time.Millisecond
+	maxOtherRetryPause = 3 * time.Second
 	// sweepInterval is how often idle connections and expired upstreams are
 	// dropped.
 	sweepInterval = 250 * time.Millisecond
@@ -176,6 +181,7 @@
 	speedStore        *speedStore
 	loads             *loadExchange
 	follower          *follow.Follower
+	relay             *storeRelay
 	// lastChange is the kv.Revision of the latest change that was applied, heartbeats
 	// excluded.
 	lastChange atomic.Int64
@@ -268,6 +274,7 @@
 	g.versionPicker = rollout.NewPicker(g.permits)
 	g.rolloutController = newRolloutController(g)
 	g.speedStore = &speedStore{Gateway: g}
+	g.relay = newStoreRelay(g)
 	g.follower = g.newFollower()
 	g.memory = memory.New(s.heldBytesLimit(), g.logMemory)
 	g.metrics.registerGauges(g)
@@ -434,6 +441,17 @@
 	return pause
 }
 
+// storeRetryPause returns the longest pause between two looks for a store that does not answer.
+// Hubs notice its return soon and tell the others, whose calls together are therefore no more
+// frequent in a large fleet.
+func (g *Gateway) storeRetryPause() time.Duration {
+	count := g.peers.gatewayCount()
+	if count < minRelayedFleet || g.mesh.IsHub() {
+		return hubRetryPause
+	}
+	return min(hubRetryPause*time.Duration(count)/8, maxOtherRetryPause)
+}
+
 // newFollower returns the follower that keeps the configuration, the upstreams, the
 // other gateways, the rollouts, the engine speeds and what crashes upstreams in step with
 // the store.
@@ -448,10 +466,14 @@
 		{Prefix: rolloutStatePrefix, View: stateView{g.rolloutController}},
 		{Prefix: speedsKey, View: g.speedStore},
 		{Prefix: crashCausePrefix, View: g.crashStore},
+		// It states up to where the others have applied changes.
+		{View: g.relay.log},
 	}
 	return follow.New(g.store, views, follow.Options{
+		Relay:      g.relay,
 		WatchPause: g.storePollPause, WatchTimeout: g.settings.ConfigApplyLimit,
-		OnLost: func(time.Time) { g.peers.setStoreLost(true) },
+		MaxRetryPause: g.storeRetryPause,
+		OnLost:        func(time.Time) { g.peers.setStoreLost(true) },
 		OnRegained: func(now time.Time) {
 			g.roster.StoreRegained(now)
 			g.peers.setStoreLost(false)
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -251,10 +251,18 @@
 	case *wire.Envelope_PartsLent:
 		p.partLoans.handleLoan(now, peer, body.PartsLent)
 	case *wire.Envelope_SnapshotAsk:
+		if body.SnapshotAsk.Relay != 0 {
+			p.mesh.Send(peer, p.relay.answer(body.SnapshotAsk))
+			return
+		}
 		p.mesh.Send(peer, &wire.Envelope{Body: &wire.Envelope_Snapshot{Snapshot: p.buildSnapshot(body.SnapshotAsk)}})
 	case *wire.Envelope_SchedulerMemory:
 		p.applySchedulerMemory(now, peer, body.SchedulerMemory)
 	case *wire.Envelope_Snapshot:
+		if body.Snapshot.Relay != 0 {
+			p.relay.receive(body.Snapshot)
+			return
+		}
 		p.applySnapshot(now, peer, body.Snapshot)
 	default:
 		permit.HandleMessage(now, p.granter, peer, e)
@@ -267,6 +275,7 @@
 	delete(p.storeReachedAt, peer)
 	p.schedulerCachedAt = time.Time{}
 	p.mu.Unlock()
+	p.relay.peerDown(peer)
 	p.stops.down(now, peer)
 	p.granter.OwnerDown(peer)
 	p.permits.GatewayDown(peer)
@@ -428,6 +437,13 @@
 	p.storeLost = lost
 }
 
+// storeAnswers reports whether the store answers this gateway.
+func (p *peers) storeAnswers() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.storeLost
+}
+
 // gatewayCount returns how many gateways share the fleet-wide limits. Gateways that
 // are registered but have sent no gossip yet count: after a restart of all of them,
 // each would otherwise take the whole limit for itself.
--- a/internal/role/gateway/snapshots.go
+++ b/internal/role/gateway/snapshots.go
@@ -38,12 +38,13 @@
 	// A list of another era than the peer's is no base for its changes.
 	request := &wire.SnapshotAsk{RosterAfter: known.NumberIn(g.StoreEra), RosterAfterEra: known.Era()}
 	peerRoster, peerChange := kv.At(g.StoreEra, g.RosterRevision), kv.At(g.StoreEra, g.ChangeRevision)
-	p.mu.Lock()
-	if g.StoreAnswers {
-		p.storeReachedAt[peer] = now
-	} else {
-		delete(p.storeReachedAt, peer)
+	if p.relay.reported(now, peer, peerChange) {
+		p.noteStore(now, peer, g.StoreAnswers)
+		p.follower.Wake(peerChange)
+		return
 	}
+	p.noteStore(now, peer, g.StoreAnswers)
+	p.mu.Lock()
 	// While the store answers, the configuration is read from it: a peer that sent a
 	// large configuration to a whole fleet would fall behind on its other messages.
 	configBehind, configBehindFor := p.configLag.observe(now, version, g.ConfigVersion)
@@ -67,6 +68,28 @@
 	}
 }
 
+// noteStore records whether the store answers a peer.
+func (p *peers) noteStore(now time.Time, peer string, answers bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if answers {
+		p.storeReachedAt[peer] = now
+		if p.storeLost {
+			p.follower.Retry()
+		}
+	} else {
+		delete(p.storeReachedAt, peer)
+	}
+}
+
+// reachesStore reports whether the peer stated lately that the store answers it.
+func (p *peers) reachesStore(now time.Time, peer string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	reported, ok := p.storeReachedAt[peer]
+	return ok && now.Sub(reported) < storeReachedTTL
+}
+
 // lag tracks the highest revision that peers have reported, and since when this
 // gateway has been behind.
 type lag struct {
--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -11,6 +11,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/persimmonridge/persimmonridge/internal/state/kv"
+	"github.com/persimmonridge/persimmonridge/internal/state/relay"
 	"github.com/persimmonridge/persimmonridge/internal/state/wait"
 )
 
@@ -35,14 +36,30 @@
 	Apply(now time.Time, changes kv.Changes)
 }
 
+// Relay passes on what a peer has read from the store.
+type Relay interface {
+	// Usable reports whether a peer is there to be asked.
+	Usable(now time.Time) bool
+	// Since returns the changes after a revision, which may be later than the last ones. It
+	// fails with kv.Compacted if this process must read the whole range from the store.
+	Since(ctx context.Context, after kv.Revision) (relay.Changes, error)
+	// Pause returns the pause between two questions. Wake ends it.
+	Pause() time.Duration
+}
+
 // Options configure a Follower.
 type Options struct {
+	// Relay is used in place of watches while it is usable; it may be nil.
+	Relay  Relay
 	Prefix string
 	// WatchPause returns the pause between a watch that found changes and the next one,
 	// so that keys which change many times a second cost few calls. Wake ends the pause.
 	WatchPause func() time.Duration
 	// WatchTimeout is how long a watch waits for changes; 0 means one second.
 	WatchTimeout time.Duration
+	// MaxRetryPause returns the longest pause after failed calls; nil means a fifth of a
+	// second. Retry ends it.
+	MaxRetryPause func() time.Duration
 	// OnLost and OnRegained are called when calls begin to fail and when the first
 	// one succeeds again. They may be nil.
 	OnLost     func(now time.Time)
@@ -84,6 +101,14 @@
 	}
 }
 
+// Retry ends the pause after failed calls: the store probably answers again.
+func (f *Follower) Retry() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
 // read returns the revision up to which the view is up to date.
 func (f *Follower) read() kv.Revision { return kv.Revision(f.readRevision.Load()) }
 
@@ -119,6 +144,13 @@
 // whole time-out although the store has returned.
 func (f *Follower) watch(ctx context.Context, after kv.Revision) (answered bool) {
 	for ctx.Err() == nil {
+		if relayed, err := f.relay(ctx, after); errorx.IsOfType(err, kv.Compacted) {
+			return true
+		} else if err == nil {
+			after = max(after, relayed)
+			answered = true
+			continue
+		}
 		timeout := f.options.WatchTimeout
 		if f.storeLost {
 			timeout = 0
@@ -140,15 +172,44 @@
 			f.view.Apply(f.now(), changes)
 		}
 		if len(changes.Events) > 0 {
-			f.pause(ctx)
+			f.pause(ctx, f.options.WatchPause())
 		}
 	}
 	return answered
 }
 
-// pause waits before the next watch until Wake ends the pause.
-func (f *Follower) pause(ctx context.Context) {
-	timer := time.NewTimer(f.options.WatchPause())
+// errNoRelay means that no peer is there to be asked.
+var errNoRelay = kv.Unavailable.New("no peer passes on what it reads from the store")
+
+// relay applies what a peer passes on, and returns the revision up to which that is complete.
+// If it fails, the store is to be asked.
+func (f *Follower) relay(ctx context.Context, after kv.Revision) (kv.Revision, error) {
+	if f.options.Relay == nil || !f.options.Relay.Usable(f.now()) {
+		return 0, errNoRelay
+	}
+	changes, err := f.options.Relay.Since(ctx, after)
+	if err != nil {
+		f.logger.Debug("no changes from a peer", "after", after, "err", err)
+		return 0, err
+	}
+	f.callSucceeded()
+	if changes.Partial {
+		f.view.Apply(f.now(), kv.Changes{Events: changes.Events, Revision: changes.Revision})
+	} else if changes.Revision > after {
+		snapshot := kv.Snapshot{Revision: changes.Revision}
+		for _, e := range changes.Events {
+			snapshot.Items = append(snapshot.Items, e.Item)
+		}
+		f.view.Replace(f.now(), snapshot)
+	}
+	f.readRevision.Store(int64(max(after, changes.Revision)))
+	f.pause(ctx, f.options.Relay.Pause())
+	return changes.Revision, nil
+}
+
+// pause waits before the next call until Wake or Retry ends the pause.
+func (f *Follower) pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -180,6 +241,10 @@
 			f.options.OnLost(f.now())
 		}
 	}
-	f.retryPause = min(max(2*f.retryPause, minRetryPause), maxRetryPause)
-	wait.For(ctx, f.retryPause)
+	longest := maxRetryPause
+	if f.options.MaxRetryPause != nil {
+		longest = f.options.MaxRetryPause()
+	}
+	f.retryPause = min(max(2*f.retryPause, minRetryPause), longest)
+	f.pause(ctx, f.retryPause)
 }
