Hubs tell how the lists of gateways change

Each hub sent each gateway the whole list of those that it hears, and of those that accept no callers, whenever one of them changed: the square of the fleet with each change, 9 KB to each of 356 gateways for one that restarts. With more than 32 entries it now sends what is new since the last message, and a twenty-fourth of the others with each message that has its identity; of the gateways that accept no callers it sends the change from the list that the receiver has, by checksum. A receiver that missed a change asks for the whole list, and gateways of earlier builds get it as before.

A message to a gateway looked for it among all peers; now by its name.

--- a/internal/fleet/mesh/availability.go
+++ b/internal/fleet/mesh/availability.go
@@ -1,11 +1,8 @@
 package mesh
 
 import (
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
 )
 
@@ -73,29 +70,6 @@
 	return addresses, reported
 }
 
-// unavailableGateways returns the gateways that do not accept callers, with a checksum,
-// or nil if this process may not hear all gateways.
-func (m *Mesh) unavailableGateways(now time.Time, timeout time.Duration) (*wire.Unavailable, uint64) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if !m.hub || now.Sub(m.hubSince) <= timeout {
-		return nil, 0
-	}
-	list := &wire.Unavailable{}
-	for address, p := range m.peers {
-		if !p.acceptsCallers(now, timeout) {
-			list.Addresses = append(list.Addresses, address)
-		}
-	}
-	slices.Sort(list.Addresses)
-	digest := xxhash.New()
-	for _, address := range list.Addresses {
-		_, _ = digest.WriteString(address) // a digest's Write never fails
-		_, _ = digest.Write([]byte{0})
-	}
-	return list, digest.Sum64()
-}
-
 // alive reports whether the peer was heard within the timeout and has not exited.
 func (p *peer) alive(now time.Time, timeout time.Duration) bool {
 	return p.Node != "" && !p.exited && now.Sub(p.LastHeard) < timeout
@@ -140,21 +114,6 @@
 	return p.advertisedDomain
 }
 
-// recordUnavailable replaces the peer's report, if there is a new one. A restarted peer
-// has reported nothing yet.
-func (p *peer) recordUnavailable(list *wire.Unavailable, restarted bool) {
-	if restarted {
-		p.unavailable = nil
-	}
-	if list == nil {
-		return
-	}
-	p.unavailable = make(map[string]struct{}, len(list.Addresses))
-	for _, address := range list.Addresses {
-		p.unavailable[address] = struct{}{}
-	}
-}
-
 // recordKnown records which gateways a peer hears. One that nobody has heard, such as a
 // seed address of a VM that is gone, is on no hub's list either.
 func (m *Mesh) recordKnown(heard []*wire.Heard) {
--- a/internal/fleet/mesh/heard.go
+++ b/internal/fleet/mesh/heard.go
@@ -65,12 +65,18 @@
 	}
 	restarted = p.Run != 0 && p.Run != g.Run
 	recovered = p.down || p.Run == 0
+	rankChanged := p.Rank != g.Rank
 	p.Peer = Peer{
 		Node: from.node, Address: from.address, Domain: from.domain, Run: g.Run, Rank: g.Rank,
 		Ready: g.Ready, Leaving: g.Leaving, TakesFew: g.TakesFew, TakingPercent: g.TakingPercent, LastHeard: now, HearsUs: g.HearsYou,
 	}
 	p.down, p.exited, p.selectedUs = false, false, g.WantsYou
-	p.recordUnavailable(g.Unavailable, restarted)
+	m.byNode[p.Node] = p
+	if recovered || restarted || rankChanged {
+		m.heardVersion++
+		p.heardVersion = m.heardVersion
+	}
+	p.recordUnavailable(g, restarted)
 	if m.group != nil && !m.closed {
 		m.updateSenderLocked(now, p, timeout)
 	}
@@ -136,6 +142,9 @@
 				p.cancel()
 			}
 			delete(m.peers, address)
+			if m.byNode[p.Node] == p {
+				delete(m.byNode, p.Node)
+			}
 		}
 	}
 	m.mu.Unlock()
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -36,10 +36,7 @@
 	// identityEvery is the number of gossip messages per one that carries the
 	// sender's identity, the evacuations and, if changed, the list of peers that it
 	// hears. The first message on a stream carries all of them.
-	identityEvery = 10
-	// heardPeersEvery is the number of gossip messages per one that carries the
-	// list of heard peers even if it has not changed.
-	heardPeersEvery   = 50
+	identityEvery     = 10
 	minGossipInterval = 20 * time.Millisecond
 	// removeAfter is how long a peer is kept that is neither heard nor advertised.
 	removeAfter = 2 * time.Minute
@@ -116,8 +113,15 @@
 	// advertisedDomain is the failure domain reported by the store.
 	advertisedDomain string
 	// unavailable holds the addresses of the gateways that do not accept callers, as
-	// the peer reported last; it is nil if the peer has reported none.
-	unavailable map[string]struct{}
+	// the peer reported last, with the checksum of that list; it is nil if the peer has
+	// reported none. needsUnavailable is set if a change of it was missed.
+	unavailable      map[string]struct{}
+	unavailableSum   uint64
+	needsUnavailable bool
+	// readsChanges is set if the peer reads changes of the list.
+	readsChanges bool
+	// heardVersion is the version at which the peer was last heard anew.
+	heardVersion uint64
 	// known is set once another peer has reported that it hears this one: a hub can
 	// list as unavailable only what it knows.
 	known bool
@@ -135,6 +139,8 @@
 	sentHeardSum, sentCrashSum, sentUnavailableSum uint64
 	sentRateLimitsSum, sentLeavingSum              uint64
 	sentDownSum, sentClearedSum                    uint64
+	// sentHeardVersion is the version up to which the peer was told who is heard.
+	sentHeardVersion uint64
 	// sentEvacuated are the evacuated failure domains that were last sent to the peer.
 	sentEvacuated []string
 }
@@ -157,11 +163,16 @@
 	// locked before mu.
 	notifyMu sync.Mutex
 
-	mu     sync.Mutex
-	peers  map[string]*peer
-	ctx    context.Context
-	group  *errgroup.Group
-	closed bool
+	mu    sync.Mutex
+	peers map[string]*peer
+	// byNode holds the peers that were heard, by name.
+	byNode map[string]*peer
+	// heardVersion counts how often a peer was heard anew.
+	heardVersion uint64
+	unavailable  unavailableLists
+	ctx          context.Context
+	group        *errgroup.Group
+	closed       bool
 	// exiting is sent in the last gossip message.
 	exiting bool
 	// rank is this process's rank; hub is set if it is a hub, since hubSince.
@@ -180,7 +191,7 @@
 	return &Mesh{
 		node: node, address: address, run: run, handler: handler, logger: logger, now: now,
 		pool: link.NewPool(dialer, nil, link.WithDialTimeout(dialTimeout)), alternatePool: link.NewPool(dialer, nil, link.WithDialTimeout(dialTimeout)),
-		alternates: make(map[string]*alternate), peers: make(map[string]*peer), rank: unknownRank, hub: true, wake: make(chan struct{}, 1),
+		alternates: make(map[string]*alternate), peers: make(map[string]*peer), byNode: make(map[string]*peer), rank: unknownRank, hub: true, wake: make(chan struct{}, 1),
 	}
 }
 
@@ -293,7 +304,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	drain(p.queue)
-	p.gossipsSent, p.sentUnavailableSum = 0, 0
+	p.gossipsSent, p.sentUnavailableSum, p.sentHeardVersion = 0, 0, 0
 }
 
 // Send queues a message for the node. It reports whether messages are being sent to
@@ -308,6 +319,9 @@
 // peerLocked returns the peer that is the node, or nil. If the node was replaced under its
 // name and has another address now, the former peer is known for a while, but down.
 func (m *Mesh) peerLocked(node string) *peer {
+	if p := m.byNode[node]; p != nil && p.Node == node && !p.down {
+		return p
+	}
 	var down *peer
 	for _, p := range m.peers {
 		if p.Node != node {
--- a/internal/fleet/mesh/tell.go
+++ b/internal/fleet/mesh/tell.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"cmp"
 	"encoding/binary"
 	"slices"
 	"time"
@@ -18,14 +17,12 @@
 type gossipState struct {
 	now                 time.Time
 	gossip              *wire.Gossip
-	heard               []*wire.Heard
-	heardSum            uint64
+	heard               heardPeers
 	rateLimitsSum       uint64
 	leavingSum          uint64
 	downSum, clearedSum uint64
 	// unavailable is nil unless this process is a hub and knows all gateways.
-	unavailable     *wire.Unavailable
-	unavailableSum  uint64
+	unavailable     *unavailableList
 	livenessTimeout time.Duration
 }
 
@@ -33,16 +30,10 @@
 	now := m.now()
 	state := gossipState{now: now, gossip: &wire.Gossip{Run: m.run}, heard: m.heardPeers(now), livenessTimeout: m.livenessTimeout()}
 	m.handler.FillGossip(now, state.gossip)
-	heardDigest := xxhash.New()
-	for _, heard := range state.heard {
-		_, _ = heardDigest.WriteString(heard.Address) // a digest's Write never fails
-		_, _ = heardDigest.Write([]byte{0})
-	}
-	state.heardSum = heardDigest.Sum64()
 	state.rateLimitsSum = rateLimitsSum(state.gossip.RateLimits)
 	state.leavingSum = leavingSum(state.gossip.LeavingUpstreams)
 	state.downSum, state.clearedSum = downSum(state.gossip.DownProcesses), clearedSum(state.gossip.CrashClearances)
-	state.unavailable, state.unavailableSum = m.unavailableGateways(now, state.livenessTimeout)
+	state.unavailable = m.unavailableGateways(now, state.livenessTimeout)
 	return state
 }
 
@@ -103,16 +94,6 @@
 	return sum
 }
 
-// heardPeers returns the peers that are alive, in order of address.
-func (m *Mesh) heardPeers(now time.Time) []*wire.Heard {
-	var heard []*wire.Heard
-	for _, p := range m.Alive(now) {
-		heard = append(heard, &wire.Heard{Address: p.Address, Rank: p.Rank})
-	}
-	slices.SortFunc(heard, func(x, y *wire.Heard) int { return cmp.Compare(x.Address, y.Address) })
-	return heard
-}
-
 // gossipToAll queues a gossip message for every peer that has a sender.
 func (m *Mesh) gossipToAll() {
 	state := m.currentGossip()
@@ -162,16 +143,15 @@
 		gossip.CrashClearances, p.sentClearedSum = state.gossip.CrashClearances, state.clearedSum
 	}
 	if p.gossipsSent%identityEvery == 0 {
-		gossip.Node, gossip.Address, gossip.Domain = m.node, m.address, state.gossip.Domain
-		if p.gossipsSent%heardPeersEvery == 0 || state.heardSum != p.sentHeardSum {
-			gossip.Known, p.sentHeardSum = state.heard, state.heardSum
-		}
+		gossip.Node, gossip.Address, gossip.Domain, gossip.ReadsChanges = m.node, m.address, state.gossip.Domain, true
+		gossip.Known = state.heard.news(p)
 	}
 	if crashes := p.newCrashes(state.gossip.Crashes); len(crashes) > 0 {
 		gossip.Crashes, p.sentCrashSum = crashes, crashSum(crashes[len(crashes)-1])
 	}
-	if state.unavailable != nil && state.unavailableSum != p.sentUnavailableSum {
-		gossip.Unavailable, p.sentUnavailableSum = state.unavailable, state.unavailableSum
+	gossip.NeedsUnavailable = p.needsUnavailable
+	if state.unavailable != nil && state.unavailable.sum != p.sentUnavailableSum {
+		m.unavailable.tell(gossip, p, state.unavailable)
 	}
 	p.gossipsSent++
 	enqueue(p, &wire.Envelope{Body: &wire.Envelope_Gossip{Gossip: gossip}})
