--- a/internal/fleet/mesh/membership_test.go
+++ b/internal/fleet/mesh/membership_test.go
@@ -1,6 +1,7 @@
 package mesh_test
 
 import (
+	"log/slog"
 	"sync"
 	"testing"
 	"time"
@@ -134,3 +135,15 @@
 		}
 	})
 }
+
+// Guards against a queue for each gateway of the fleet at each gateway, though it sends to
+// its hubs alone.
+func TestPeerWithoutMessagesHoldsNoQueue(t *testing.T) {
+	m := mesh.New("a", "a:1", 1, network.New(), nil, slog.New(slog.DiscardHandler), time.Now)
+	added := testing.Benchmark(func(b *testing.B) {
+		for i := range b.N {
+			m.AddPeer(time.Now(), gatewayName(i))
+		}
+	})
+	require.Less(t, added.AllocedBytesPerOp(), int64(4<<10))
+}
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -100,8 +100,9 @@
 	Peer
 	// address never changes, so the sender goroutine reads it without the lock.
 	address string
-	// queue holds the messages to send. A nil message closes the stream, so that the
-	// sender opens a new one.
+	// queue holds the messages to send, from when the first sender is started: most gateways
+	// of a large fleet send to few. A nil message closes the stream, so that the sender opens
+	// a new one.
 	queue chan *wire.Envelope
 	// cancel stops the sender goroutine; it is nil if there is none.
 	cancel context.CancelFunc
@@ -231,7 +232,7 @@
 		p.lastAdvertised = now
 		return
 	}
-	p = &peer{Peer: Peer{Address: address}, address: address, queue: make(chan *wire.Envelope, sendQueueLength), lastAdvertised: now, advertisedRank: unknownRank}
+	p = &peer{Peer: Peer{Address: address}, address: address, lastAdvertised: now, advertisedRank: unknownRank}
 	m.peers[address] = p
 	m.GossipNow()
 }
@@ -239,6 +240,9 @@
 func (m *Mesh) startSenderLocked(p *peer) {
 	ctx, cancel := context.WithCancel(m.ctx)
 	p.cancel = cancel
+	if p.queue == nil {
+		p.queue = make(chan *wire.Envelope, sendQueueLength)
+	}
 	m.group.Go(func() error {
 		m.runSender(ctx, p)
 		return nil
