Gateways that start get their list from a hub

The scheduler of a large fleet keeps the hubs in one key. A gateway that starts reads it first; if it isn't on it, it waits for a hub that is ready, at most 0.7 s, and gets the list from it, compressed once for all. Requests that arrive meanwhile wait for the configuration, for 0.4 s and a quarter of their time at most. Without such a key nothing changes but one read of the store at the start.

--- a/internal/edge/flow/admit.go
+++ b/internal/edge/flow/admit.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -10,12 +11,28 @@
 	"time"
 
 	"github.com/persimmonridge/persimmonridge/internal/state/catalog"
+	"github.com/persimmonridge/persimmonridge/internal/state/wait"
 )
 
+// awaitCatalog returns the configuration. Shortly after the start of the process it waits for
+// the first one.
+func (c *call) awaitCatalog(ctx context.Context) *catalog.Catalog {
+	longest := configurationWait
+	if c.request.Timeout > 0 {
+		longest = min(longest, time.Duration(configurationWaitShare*float64(c.request.Timeout)))
+	}
+	current := c.Catalog()
+	for current == nil && c.ConfigurationDue != nil && c.ConfigurationDue(c.Now()) && c.Now().Sub(c.arrivedAt) < longest && ctx.Err() == nil {
+		wait.For(ctx, startPollInterval)
+		current = c.Catalog()
+	}
+	return current
+}
+
 // admit looks up route, workspace and tier, and refuses requests that the
 // configuration does not allow.
-func (c *call) admit() bool {
-	c.catalog = c.Catalog()
+func (c *call) admit(ctx context.Context) bool {
+	c.catalog = c.awaitCatalog(ctx)
 	if c.catalog == nil {
 		c.refuse(http.StatusServiceUnavailable, unconfiguredRetryAfter, "no configuration loaded yet")
 		return false
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -36,9 +36,14 @@
 	// make progress again. Callers abandon a stream after two seconds of silence;
 	// the difference is spent on detecting the failure of the first upstream.
 	resumeWithin = 1200 * time.Millisecond
-	// quotaPollInterval is how often a held request retries the quota while a
-	// newly started process waits for the usage totals of the fleet.
-	quotaPollInterval = 10 * time.Millisecond
+	// startPollInterval is how often a held request looks again while a newly started
+	// process waits for the usage totals of the fleet, or for its configuration.
+	startPollInterval = 10 * time.Millisecond
+	// configurationWait is how long a request waits for the first configuration of a process
+	// that has just started, at most configurationWaitShare of the time that its caller
+	// waits. A caller that is refused instead returns after unconfiguredRetryAfter.
+	configurationWait      = 400 * time.Millisecond
+	configurationWaitShare = 0.25
 	// defaultTimeout applies if neither the caller nor the route sets a timeout.
 	defaultTimeout = time.Minute
 )
@@ -66,6 +71,9 @@
 	// NextAccepting returns when a process that shuts down is expected to have started
 	// again, if no other one accepts callers. It may be nil.
 	NextAccepting func(now time.Time) time.Time
+	// ConfigurationDue reports that this process has just started and will have a
+	// configuration within some 100 ms; nil means no.
+	ConfigurationDue func(now time.Time) bool
 	// Guard may be nil, which admits every request.
 	Guard SendGuard
 	// Domains returns the failure domains in the regions; if nil, no route or workspace
@@ -168,7 +176,7 @@
 	c := &call{Handler: h, w: w, request: h.Headers.Read(r), arrivedAt: now, conn: ingress.ConnOf(r.Context())}
 	c.logger = h.Logger.With("id", c.request.ID)
 	c.checkShutdown()
-	if !c.admit() {
+	if !c.admit(r.Context()) {
 		return
 	}
 	timeout := c.route.Timeout
--- a/internal/edge/flow/quota.go
+++ b/internal/edge/flow/quota.go
@@ -74,7 +74,7 @@
 func (c *call) awaitQuota(ctx context.Context, try quotaCheck) (bool, time.Duration) {
 	ok, retryAfter := try(c.Now(), c.workspace, c.cost)
 	for !ok && c.Quota.Settles(c.Now(), c.workspace) {
-		wait.For(ctx, quotaPollInterval)
+		wait.For(ctx, startPollInterval)
 		if ctx.Err() != nil {
 			return false, 0
 		}
--- a/internal/fleet/mesh/hubs.go
+++ b/internal/fleet/mesh/hubs.go
@@ -120,6 +120,36 @@
 	}
 }
 
+// LowestRanked returns the usable peers of lowest rank, which are the hubs of the others beside
+// this process.
+func (m *Mesh) LowestRanked(now time.Time) []Peer {
+	timeout := m.livenessTimeout()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var usable []*peer
+	for _, p := range m.peers {
+		if p.usable(now, timeout) {
+			usable = append(usable, p)
+		}
+	}
+	slices.SortFunc(usable, (*peer).compareRank)
+	lowest := make([]Peer, 0, hubCount-1)
+	for _, p := range usable[:min(hubCount-1, len(usable))] {
+		lowest = append(lowest, p.Peer)
+	}
+	return lowest
+}
+
+// HubFor returns for how long this process has been a hub, 0 if it is none.
+func (m *Mesh) HubFor(now time.Time) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.hub {
+		return 0
+	}
+	return now.Sub(m.hubSince)
+}
+
 // IsHub reports whether this process is a hub: all others exchange gossip with it, so
 // it hears every process that is alive.
 func (m *Mesh) IsHub() bool {
--- a/internal/role/gateway/crashes_restart_test.go
+++ b/internal/role/gateway/crashes_restart_test.go
@@ -71,10 +71,10 @@
 
 // restartAll restarts all gateways at once.
 func (f *fleet) restartAll() {
-	for i := range gateways {
+	for i := range f.size {
 		f.cancels[i]()
 	}
-	for i := range gateways {
+	for i := range f.size {
 		f.restart(i)
 	}
 }
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -41,25 +41,6 @@
 )
 
 const (
-	// The pause between two watches of the store is minStorePollPause plus
-	// storePollPausePerPeer for each known peer, up to maxStorePollPause. Upstream
-	// heartbeats change keys many times a second, so watching without a pause would
-	// cost a call for each. A draining upstream and a new configuration must be
-	// seen within two seconds even by a gateway that receives no gossip. The more
-	// gateways poll, the sooner one of them sees a change and gossips it.
-	minStorePollPause     = 500 * time.Millisecond
-	storePollPausePerPeer = 30 * time.Millisecond
-	maxStorePollPause     = 1200 * time.Millisecond
-	// peerInformedPauseShare is the pause, as a share of the time in which a
-	// configuration must be applied, of a gateway that receives gossip from several
-	// peers which poll more often. The gateway still applies a configuration in time
-	// if none of them reports it.
-	peerInformedPauseShare = 0.7
-	// hubRetryPause is the longest pause between two calls to a store that does not answer,
-	// and maxOtherRetryPause that of gateways that are no hubs of a large fleet: a
-	// configuration is in force in time even if they hear of the store's return from nobody.
-	hubRetryPause      = 200 * time.Millisecond
-	maxOtherRetryPause = 3 * time.Second
 	// sweepInterval is how often idle connections and expired upstreams are
 	// dropped.
 	sweepInterval = 250 * time.Millisecond
@@ -182,6 +163,7 @@
 	loads             *loadExchange
 	follower          *follow.Follower
 	relay             *storeRelay
+	hubList           *hubList
 	// lastChange is the kv.Revision of the latest change that was applied, heartbeats
 	// excluded.
 	lastChange atomic.Int64
@@ -274,7 +256,7 @@
 	g.versionPicker = rollout.NewPicker(g.permits)
 	g.rolloutController = newRolloutController(g)
 	g.speedStore = &speedStore{Gateway: g}
-	g.relay = newStoreRelay(g)
+	g.relay, g.hubList = newStoreRelay(g), &hubList{Gateway: g}
 	g.follower = g.newFollower()
 	g.memory = memory.New(s.heldBytesLimit(), g.logMemory)
 	g.metrics.registerGauges(g)
@@ -285,7 +267,7 @@
 		Picker: demandPicker{g.versionPicker, g.partLoans}, Quota: g.quota, Retries: g.retryBudget, Crashes: g.crashes,
 		Metrics: g.metrics, Logger: logger, Now: now, ShutdownStatus: g.stopTimes,
 		OthersAccept:  func(shutdownNoticed bool) bool { return g.peers.othersAccept(now(), shutdownNoticed) },
-		NextAccepting: g.nextAccepting, Guard: g.guard, Domains: g.domainsIn, Memory: g.memory,
+		NextAccepting: g.nextAccepting, ConfigurationDue: g.hubList.configurationDue, Guard: g.guard, Domains: g.domainsIn, Memory: g.memory,
 	})
 	g.ingress = ingress.New(ingress.Dependencies{
 		Handler: requests, Catalog: g.catalog.Load, Metrics: g.metrics, Logger: logger, Now: now, Take: g.takesConnection,
@@ -334,6 +316,7 @@
 	group.Go(func() error { return g.sweep(background) })
 	group.Go(func() error { return g.link.run(background) })
 	group.Go(func() error { return g.peerTraffic.run(background) })
+	group.Go(func() error { return g.hubList.run(background) })
 	group.Go(func() error { return g.crashes.run(background) })
 	group.Go(func() error { return g.crashStore.run(background) })
 	group.Go(func() error {
@@ -432,55 +415,6 @@
 	return nil
 }
 
-// storePollPause returns the pause before the next watch of the store.
-func (g *Gateway) storePollPause() time.Duration {
-	pause := min(minStorePollPause+time.Duration(g.mesh.PeerCount())*storePollPausePerPeer, maxStorePollPause)
-	if g.peers.peersPollStore(g.now()) {
-		return max(pause, time.Duration(peerInformedPauseShare*float64(g.settings.ConfigApplyLimit)))
-	}
-	return pause
-}
-
-// storeRetryPause returns the longest pause between two looks for a store that does not answer.
-// Hubs notice its return soon and tell the others, whose calls together are therefore no more
-// frequent in a large fleet.
-func (g *Gateway) storeRetryPause() time.Duration {
-	count := g.peers.gatewayCount()
-	if count < minRelayedFleet || g.mesh.IsHub() {
-		return hubRetryPause
-	}
-	return min(hubRetryPause*time.Duration(count)/8, maxOtherRetryPause)
-}
-
-// newFollower returns the follower that keeps the configuration, the upstreams, the
-// other gateways, the rollouts, the engine speeds and what crashes upstreams in step with
-// the store.
-func (g *Gateway) newFollower() *follow.Follower {
-	views := follow.Mux{
-		// Evacuations come first: no upstream is used before they are known.
-		{Prefix: g.settings.EvacuationPrefix, View: g.evacuations},
-		{Prefix: g.settings.ConfigKey, View: &configView{gateway: g}},
-		{Prefix: g.settings.UpstreamPrefix, View: g.upstreams},
-		{Prefix: memberPrefix, View: g.peers},
-		{Prefix: g.settings.OrderPrefix, View: orderView{g.rolloutController}},
-		{Prefix: rolloutStatePrefix, View: stateView{g.rolloutController}},
-		{Prefix: speedsKey, View: g.speedStore},
-		{Prefix: crashCausePrefix, View: g.crashStore},
-		// It states up to where the others have applied changes.
-		{View: g.relay.log},
-	}
-	return follow.New(g.store, views, follow.Options{
-		Relay:      g.relay,
-		WatchPause: g.storePollPause, WatchTimeout: g.settings.ConfigApplyLimit,
-		MaxRetryPause: g.storeRetryPause,
-		OnLost:        func(time.Time) { g.peers.setStoreLost(true) },
-		OnRegained: func(now time.Time) {
-			g.roster.StoreRegained(now)
-			g.peers.setStoreLost(false)
-		},
-	}, g.logger, g.now)
-}
-
 // recordChange records the revision of a change that was applied. Hubs gossip it
 // at once.
 func (g *Gateway) recordChange(revision kv.Revision) {
--- a/internal/role/gateway/relay.go
+++ b/internal/role/gateway/relay.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/persimmonridge/persimmonridge/internal/fleet/link"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/mesh"
@@ -35,8 +36,12 @@
 	// relayTimeout is how long an answer is awaited. The complete list of a large fleet takes
 	// a tenth of a second on a link of 20 Mbit/s.
 	relayTimeout = 800 * time.Millisecond
-	// relaySilence is how long a hub that did not answer is passed over.
+	// relaySilence is how long a hub that did not answer is passed over, and relayRefusal one
+	// that had nothing to pass on, as it has just started.
 	relaySilence = 5 * time.Second
+	relayRefusal = 50 * time.Millisecond
+	// hubSettleTime is how long a gateway is a hub until it reads the store itself.
+	hubSettleTime = 2 * time.Second
 	// maxRelayJitter spreads the questions after a change: all gateways hear of it at once,
 	// and the hubs within some 100 ms.
 	maxRelayJitter = 100 * time.Millisecond
@@ -62,6 +67,8 @@
 	changes     map[string]kv.Revision
 	// deflated holds the compressed values of the latest large items.
 	deflated map[string]deflatedValue
+	// whole is the complete list, compressed.
+	whole deflatedValue
 }
 
 type deflatedValue struct {
@@ -78,9 +85,18 @@
 	}
 }
 
+// readsStore reports whether this gateway is a hub for long enough to read the store: a
+// process that has just started takes itself for one until it hears enough others.
+func (r *storeRelay) readsStore(now time.Time) bool {
+	r.mu.Lock()
+	relayed := r.relayed
+	r.mu.Unlock()
+	return r.mesh.IsHub() && (!relayed || r.mesh.HubFor(now) > hubSettleTime)
+}
+
 // Usable implements follow.Relay.
 func (r *storeRelay) Usable(now time.Time) bool {
-	if r.mesh.IsHub() {
+	if r.readsStore(now) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		return r.relayed
@@ -88,6 +104,23 @@
 	return r.peers.gatewayCount() >= minRelayedFleet && r.choose(now) != ""
 }
 
+// First implements follow.Relay.
+func (r *storeRelay) First(ctx context.Context) (relay.Changes, error) {
+	if listed, own := r.hubList.read(ctx); !listed || own {
+		return relay.Changes{}, kv.Unavailable.New("no hubs are listed, or this gateway is one; read the store")
+	}
+	for until := r.now().Add(firstRelayTimeout); r.now().Before(until) && ctx.Err() == nil; wait.For(ctx, firstRelayPoll) {
+		hub := r.choose(r.now())
+		if hub == "" {
+			continue
+		}
+		if changes, err := r.ask(ctx, hub, 0); err == nil {
+			return changes, nil
+		}
+	}
+	return relay.Changes{}, kv.Unavailable.New("no hub passed on what it reads in %s; read the store", firstRelayTimeout)
+}
+
 // Pause implements follow.Relay.
 func (r *storeRelay) Pause() time.Duration {
 	return min(maxRelayPause, time.Duration(relayPauseShare*float64(r.settings.ConfigApplyLimit)))
@@ -96,7 +129,7 @@
 // Since implements follow.Relay. A gateway that becomes a hub reads the store, also for what
 // only hubs need.
 func (r *storeRelay) Since(ctx context.Context, after kv.Revision) (relay.Changes, error) {
-	if r.mesh.IsHub() {
+	if r.readsStore(r.now()) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.relayed = false
@@ -107,15 +140,20 @@
 	if hub == "" {
 		return relay.Changes{}, kv.Unavailable.New("no hub reads the store; ask the store")
 	}
+	return r.ask(ctx, hub, after)
+}
+
+// ask asks a hub for the changes after a revision.
+func (r *storeRelay) ask(ctx context.Context, hub string, after kv.Revision) (relay.Changes, error) {
 	r.mu.Lock()
 	r.number++
-	number := r.number
+	ask := &wire.SnapshotAsk{Relay: r.number, RosterAfter: after.Number(), RosterAfterEra: after.Era()}
 	select {
 	case <-r.answers:
 	default:
 	}
 	r.mu.Unlock()
-	ask := &wire.SnapshotAsk{Relay: number, RosterAfter: after.Number(), RosterAfterEra: after.Era()}
+	silence := relaySilence
 	if r.mesh.Send(hub, &wire.Envelope{Body: &wire.Envelope_SnapshotAsk{SnapshotAsk: ask}}) {
 		timer := time.NewTimer(relayTimeout)
 		defer timer.Stop()
@@ -129,11 +167,12 @@
 				r.mu.Unlock()
 				return changes, nil
 			}
+			silence = relayRefusal
 		case <-timer.C:
 		}
 	}
 	r.mu.Lock()
-	r.silentUntil[hub] = r.now().Add(relaySilence)
+	r.silentUntil[hub] = r.now().Add(silence)
 	r.mu.Unlock()
 	return relay.Changes{}, kv.Unavailable.New("hub %s passes on nothing; ask the store", hub)
 }
@@ -145,7 +184,7 @@
 	r.changes[peer] = max(r.changes[peer], change)
 	relayed := r.relayed
 	r.mu.Unlock()
-	return relayed && !r.mesh.IsHub() && r.Usable(now)
+	return relayed && !r.readsStore(now) && r.Usable(now)
 }
 
 // peerDown forgets a peer.
@@ -219,16 +258,44 @@
 // on nothing.
 func (r *storeRelay) answer(ask *wire.SnapshotAsk) *wire.Envelope {
 	answer := &wire.Snapshot{Relay: ask.Relay}
-	if r.mesh.IsHub() && r.peers.storeAnswers() {
-		changes := r.changesSince(kv.At(ask.RosterAfterEra, ask.RosterAfter))
-		answer.RosterEra, answer.RosterRevision, answer.Partial = changes.Revision.Era(), changes.Revision.Number(), changes.Partial
-		for _, e := range changes.Events {
-			answer.Roster = append(answer.Roster, r.encode(e))
-		}
+	r.mu.Lock()
+	relayed := r.relayed
+	r.mu.Unlock()
+	if r.mesh.IsHub() && !relayed && r.peers.storeAnswers() {
+		answer = r.snapshot(kv.At(ask.RosterAfterEra, ask.RosterAfter))
+		answer.Relay = ask.Relay
 	}
 	return &wire.Envelope{Body: &wire.Envelope_Snapshot{Snapshot: answer}}
 }
 
+// snapshot returns the changes after a revision in encoded form. The complete list is
+// compressed, once for all gateways that start at the same time.
+func (r *storeRelay) snapshot(after kv.Revision) *wire.Snapshot {
+	changes := r.changesSince(after)
+	answer := &wire.Snapshot{RosterEra: changes.Revision.Era(), RosterRevision: changes.Revision.Number(), Partial: changes.Partial}
+	r.mu.Lock()
+	if !changes.Partial && r.whole.revision == changes.Revision && changes.Revision != 0 {
+		defer r.mu.Unlock()
+		return &wire.Snapshot{Deflated: r.whole.value}
+	}
+	r.mu.Unlock()
+	for _, e := range changes.Events {
+		answer.Roster = append(answer.Roster, r.encode(e))
+	}
+	if changes.Partial || changes.Revision == 0 {
+		return answer
+	}
+	raw, err := proto.Marshal(answer)
+	if err != nil {
+		r.logger.Error("list for a gateway could not be encoded", "err", err)
+		return answer
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.whole = deflatedValue{revision: changes.Revision, value: deflate(raw)}
+	return &wire.Snapshot{Deflated: r.whole.value}
+}
+
 // changesSince returns the changes of all keys that are passed on.
 func (r *storeRelay) changesSince(after kv.Revision) relay.Changes {
 	changes := r.log.Since(after)
@@ -272,6 +339,17 @@
 // decode returns the changes in a hub's answer. It fails if the hub passes on nothing, or
 // what can't be read.
 func (r *storeRelay) decode(hub string, answer *wire.Snapshot) (relay.Changes, bool) {
+	if len(answer.Deflated) > 0 {
+		raw, err := inflate(answer.Deflated)
+		answer = &wire.Snapshot{}
+		if err == nil {
+			err = proto.Unmarshal(raw, answer)
+		}
+		if err != nil {
+			r.logger.Warn("list from a hub ignored", "hub", hub, "err", err)
+			return relay.Changes{}, false
+		}
+	}
 	if answer.RosterRevision == 0 {
 		return relay.Changes{}, false
 	}
@@ -294,7 +372,7 @@
 func deflate(value []byte) []byte {
 	var compressed bytes.Buffer
 	// Neither the level is invalid nor does a write to a buffer fail.
-	writer, _ := flate.NewWriter(&compressed, flate.DefaultCompression)
+	writer, _ := flate.NewWriter(&compressed, flate.BestSpeed)
 	_, _ = writer.Write(value)
 	_ = writer.Close()
 	return compressed.Bytes()
--- a/internal/role/gateway/relay_test.go
+++ b/internal/role/gateway/relay_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -119,3 +120,43 @@
 		}
 	})
 }
+
+// Guards against many gateways that start at once and share the store's link, each for the
+// list of all upstreams.
+func TestGatewaysThatStartGetTheirListFromAHub(t *testing.T) {
+	playRelayedFleet(t, func(f *fleet) {
+		f.heartbeats(allReady, 5*time.Second)
+		f.restart(relayedFleet - 1)
+		bubble.Sleep(time.Second)
+		require.Equal(t, 1, f.storeCalls(relayedFleet-1, "range"), "the list of hubs")
+		require.Zero(t, f.storeCalls(relayedFleet-1, "watch"))
+		require.Equal(t, http.StatusOK, f.call(relayedFleet-1, "/old/x", "one").status)
+		f.restartAll()
+		bubble.Sleep(time.Second)
+		whole := 0
+		for i := range f.size {
+			require.Equal(t, http.StatusOK, f.call(i, "/old/x", fmt.Sprint("all", i)).status, "gateway %d", i)
+			if f.storeCalls(i, "range") > 1 {
+				whole++
+			}
+		}
+		require.LessOrEqual(t, whole, 2*8, "those that were hubs, and those that are now")
+	})
+}
+
+// Guards against requests that are refused while a gateway that has just started is about to
+// have its configuration.
+func TestRequestsWaitForTheConfigurationAtTheStartOfAGateway(t *testing.T) {
+	playRelayedFleet(t, func(f *fleet) {
+		f.heartbeats(allReady, 5*time.Second)
+		f.restartAll()
+		bubble.Sleep(time.Millisecond)
+		outcomes := make([]outcome, engines*slots)
+		var callers sync.WaitGroup
+		for i := range outcomes {
+			callers.Go(func() { outcomes[i] = f.call(relayedFleet-1-i, "/old/x", fmt.Sprint(i)) })
+		}
+		callers.Wait()
+		require.Equal(t, len(outcomes), countServed(outcomes), "%+v", outcomes)
+	})
+}
--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -38,6 +38,9 @@
 
 // Relay passes on what a peer has read from the store.
 type Relay interface {
+	// First returns all that exists, for a process that has just started. If it fails, the
+	// store is read.
+	First(ctx context.Context) (relay.Changes, error)
 	// Usable reports whether a peer is there to be asked.
 	Usable(now time.Time) bool
 	// Since returns the changes after a revision, which may be later than the last ones. It
@@ -115,6 +118,12 @@
 // Run follows the range until the context ends.
 func (f *Follower) Run(ctx context.Context) error {
 	gapPause := time.Duration(0)
+	if f.options.Relay != nil {
+		if changes, err := f.options.Relay.First(ctx); err == nil {
+			f.applyRelayed(0, changes)
+			f.watch(ctx, changes.Revision)
+		}
+	}
 	for ctx.Err() == nil {
 		snapshot, err := f.store.Range(ctx, f.options.Prefix)
 		if err != nil {
@@ -193,6 +202,13 @@
 		return 0, err
 	}
 	f.callSucceeded()
+	f.applyRelayed(after, changes)
+	f.pause(ctx, f.options.Relay.Pause())
+	return changes.Revision, nil
+}
+
+// applyRelayed applies what a peer passed on after a revision.
+func (f *Follower) applyRelayed(after kv.Revision, changes relay.Changes) {
 	if changes.Partial {
 		f.view.Apply(f.now(), kv.Changes{Events: changes.Events, Revision: changes.Revision})
 	} else if changes.Revision > after {
@@ -203,8 +219,6 @@
 		f.view.Replace(f.now(), snapshot)
 	}
 	f.readRevision.Store(int64(max(after, changes.Revision)))
-	f.pause(ctx, f.options.Relay.Pause())
-	return changes.Revision, nil
 }
 
 // pause waits before the next call until Wake or Retry ends the pause.
