--- a/internal/role/gateway/metrics.go
+++ b/internal/role/gateway/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -28,6 +29,7 @@
 	places            *prometheus.CounterVec
 	placeWait         *prometheus.HistogramVec
 	storeCalls        *prometheus.CounterVec
+	storeCallSum      atomic.Uint64
 	connectionsClosed *prometheus.CounterVec
 	withheld          *prometheus.CounterVec
 	statements        *prometheus.CounterVec
@@ -171,7 +173,13 @@
 }
 
 // StoreCall counts a call to the key-value store.
-func (m *metrics) StoreCall(call, result string) { m.storeCalls.WithLabelValues(call, result).Inc() }
+func (m *metrics) StoreCall(call, result string) {
+	m.storeCalls.WithLabelValues(call, result).Inc()
+	m.storeCallSum.Add(1)
+}
+
+// storeCallCount returns the number of calls to the key-value store so far.
+func (m *metrics) storeCallCount() uint64 { return m.storeCallSum.Load() }
 
 // ConnectionClosed implements ingress.Metrics.
 func (m *metrics) ConnectionClosed(reason ingress.CloseReason) {
--- a/internal/role/gateway/peertraffic.go
+++ b/internal/role/gateway/peertraffic.go
@@ -15,8 +15,13 @@
 	"github.com/persimmonridge/persimmonridge/internal/state/wait"
 )
 
-// trafficLogInterval is how often the traffic with peers is logged by kind.
-const trafficLogInterval = time.Minute
+const (
+	// trafficLogInterval is how often the traffic with peers is logged by kind.
+	trafficLogInterval = time.Minute
+	// firstTrafficLog is when it is logged first: by then the process has read the store and
+	// knows its peers, which is what a start costs.
+	firstTrafficLog = 15 * time.Second
+)
 
 // peerTraffic counts the messages exchanged with other gateways. It implements
 // mesh.TrafficObserver and prometheus.Collector.
@@ -66,8 +71,8 @@
 
 // run logs the counts of each kind until the context ends.
 func (t *peerTraffic) run(ctx context.Context) error {
-	for wait.For(ctx, trafficLogInterval); ctx.Err() == nil; wait.For(ctx, trafficLogInterval) {
-		t.logger.Info("traffic with peers since the start", "bytes/messages", t.summary())
+	for wait.For(ctx, firstTrafficLog); ctx.Err() == nil; wait.For(ctx, trafficLogInterval) {
+		t.logger.Info("traffic with peers since the start", "bytes/messages", t.summary(), "store-calls", t.metrics.storeCallCount())
 	}
 	return nil
 }
