A store that turns a gateway away is not called with each gossip

A gateway that starts and can't read the list of hubs reads it again, and takes a hub that its peers know of.

--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -86,6 +86,8 @@
 	schedulerCachedAt time.Time
 	// storeReachedAt holds, by peer, when it last reported that the store answers it.
 	storeReachedAt map[string]time.Time
+	// storeRetriedAt is when a peer's report last ended a pause after failed calls.
+	storeRetriedAt time.Time
 	// silentSince holds the schedulers that reply to no slot request, and since when. They
 	// are not selected until they are heard again.
 	silentSince map[string]time.Time
--- a/internal/role/gateway/relay.go
+++ b/internal/role/gateway/relay.go
@@ -104,14 +104,19 @@
 	return r.peers.gatewayCount() >= minRelayedFleet && r.choose(now) != ""
 }
 
-// First implements follow.Relay.
+// First implements follow.Relay. If the store does not answer, a hub that peers know of may
+// still pass on what it has read.
 func (r *storeRelay) First(ctx context.Context) (relay.Changes, error) {
-	if listed, own := r.hubList.read(ctx); !listed || own {
-		return relay.Changes{}, kv.Unavailable.New("no hubs are listed, or this gateway is one; read the store")
-	}
-	for until := r.now().Add(firstRelayTimeout); r.now().Before(until) && ctx.Err() == nil; wait.For(ctx, firstRelayPoll) {
+	listed, readAt := r.hubList.read(ctx), r.now()
+	for until := readAt.Add(firstRelayTimeout); r.now().Before(until) && ctx.Err() == nil; wait.For(ctx, firstRelayPoll) {
+		if now := r.now(); listed == listUnknown && now.Sub(readAt) >= hubListRetry {
+			listed, readAt = r.hubList.read(ctx), now
+		}
+		if listed == notListed || listed == listedHere {
+			return relay.Changes{}, kv.Unavailable.New("no hubs are listed, or this gateway is one; read the store")
+		}
 		hub := r.choose(r.now())
-		if hub == "" {
+		if hub == "" || (listed == listUnknown && r.peers.gatewayCount() < minRelayedFleet) {
 			continue
 		}
 		if changes, err := r.ask(ctx, hub, 0); err == nil {
--- a/internal/role/gateway/snapshots.go
+++ b/internal/role/gateway/snapshots.go
@@ -68,13 +68,16 @@
 	}
 }
 
-// noteStore records whether the store answers a peer.
+// noteStore records whether the store answers a peer. When it answers one again, it is asked
+// here without waiting, too.
 func (p *peers) noteStore(now time.Time, peer string, answers bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if answers {
+		_, answered := p.storeReachedAt[peer]
 		p.storeReachedAt[peer] = now
-		if p.storeLost {
+		if p.storeLost && !answered && now.Sub(p.storeRetriedAt) >= hubRetryPause {
+			p.storeRetriedAt = now
 			p.follower.Retry()
 		}
 	} else {
