--- a/internal/role/gateway/fleet_test.go
+++ b/internal/role/gateway/fleet_test.go
@@ -55,6 +55,8 @@
 	nodes    []*gateway.Gateway
 	logger   *slog.Logger
 	dialers  map[int]*dialer
+	// turnedAway holds the gateways that the store turns away.
+	turnedAway map[int]bool
 
 	mu sync.Mutex
 	// broken holds the IDs of requests that an engine broke off once.
@@ -96,9 +98,10 @@
 		f.t, f.network, f.store = t, network.New(), standin.NewStore()
 		f.broken, f.peakLoad, f.running = map[string]bool{}, map[string]int{}, map[string]int{}
 		f.arrivals, f.stated = map[string][]time.Time{}, map[string]map[string]string{}
+		f.turnedAway = map[int]bool{}
 		f.refuses, f.senders = map[string]bool{}, map[string][]string{}
 		for i := range f.size {
-			f.serve(storeAddress(i), f.store)
+			f.serve(storeAddress(i), f.storeOf(i))
 		}
 		for i := range engines {
 			f.serve(engineAddress(i), f.engine(engineAddress(i)))
@@ -120,6 +123,29 @@
 	})
 }
 
+// storeOf returns the store as one gateway reaches it: it may turn that one away.
+func (f *fleet) storeOf(i int) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.mu.Lock()
+		away := f.turnedAway[i]
+		f.mu.Unlock()
+		if away {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		f.store.ServeHTTP(w, r)
+	})
+}
+
+// turnAway makes the store turn gateways away, or serve them again.
+func (f *fleet) turnAway(away bool, gateways ...int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, i := range gateways {
+		f.turnedAway[i] = away
+	}
+}
+
 func (f *fleet) serve(address string, handler http.Handler) {
 	listener, err := f.network.Listen(address)
 	require.NoError(f.t, err)
--- a/internal/role/gateway/relay_test.go
+++ b/internal/role/gateway/relay_test.go
@@ -167,18 +167,14 @@
 	playRelayedFleet(t, func(f *fleet) {
 		f.heartbeats(allReady, 3*time.Second)
 		const hub, other = 0, relayedFleet - 1
-		f.network.Vanish(storeAddress(hub))
-		f.network.Vanish(storeAddress(other))
-		f.network.Silence(storeAddress(hub))
-		f.network.Silence(storeAddress(other))
+		f.turnAway(true, hub, other)
 		bubble.Sleep(2 * time.Second)
 		before := []int{f.allStoreCalls(hub), f.allStoreCalls(other)}
 		bubble.Sleep(10 * time.Second)
 		// A hub looks for the store five times a second; the other needs it for its lease alone.
 		require.LessOrEqual(t, f.allStoreCalls(hub)-before[0], 10*5+10)
 		require.LessOrEqual(t, f.allStoreCalls(other)-before[1], 10)
-		f.network.Restore(storeAddress(hub))
-		f.network.Restore(storeAddress(other))
+		f.turnAway(false, hub, other)
 		bubble.Sleep(2 * time.Second)
 	})
 }
