--- a/internal/limit/quota/selective_test.go
+++ b/internal/limit/quota/selective_test.go
@@ -315,3 +315,75 @@
 	}
 	require.WithinDuration(t, start.Add(10*time.Second), last, 300*time.Millisecond)
 }
+
+// Guards against a sequence of splits, lost messages and restarts that lets a workspace which
+// is followed at its first request only exceed the bound.
+func TestNoSequenceExceedsTheBoundOfAFollowedWorkspace(t *testing.T) {
+	for seed := range uint64(10) {
+		f := newSelectiveFleet(40)
+		f.rng = rand.New(rand.NewPCG(seed, 11))
+		half := func(at time.Duration) int { return int(at / (500 * time.Millisecond)) }
+		var most, others, lossy, load [64]int
+		for i := range most {
+			most[i] = []int{0, 0, 0, 0, 1, noLedger}[f.rng.IntN(6)]
+			others[i] = []int{0, 0, 0, 1, 1, noLedger}[f.rng.IntN(6)]
+			lossy[i] = []int{0, 0, 3}[f.rng.IntN(3)]
+			load[i] = []int{0, 1, 1, 3, 12}[f.rng.IntN(5)]
+		}
+		group := f.rng.IntN(f.size)
+		f.ledgerOf = func(at time.Duration, i int) int {
+			if i < group {
+				return others[half(at)]
+			}
+			return most[half(at)]
+		}
+		f.loses = func(at time.Duration, _ int) bool { return lossy[half(at)] > 0 && f.rng.IntN(lossy[half(at)]) == 0 }
+		backlog := 0.0
+		offer := func(now time.Time) {
+			for backlog += float64(load[half(f.now)]) * f.workspaces[0].QuotaPerSecond * scenarioTick.Seconds(); backlog > 0; backlog -= 2000 {
+				f.request(now, f.rng.IntN(f.size), 0, 2000)
+			}
+		}
+		f.play(6*time.Second, offer)
+		options := f.options
+		options.StartFull = false
+		for range f.size / 4 {
+			f.startProcess(start.Add(f.now), f.rng.IntN(f.size), options)
+		}
+		f.play(6*time.Second, offer)
+		w := &f.workspaces[0]
+		require.LessOrEqual(t, f.most(w.Name), bound(w), "seed %d", seed)
+	}
+}
+
+// Guards against a gateway that refuses by its even part while the scheduler runs an earlier
+// build, which tells no levels and reads reports with what has changed.
+func TestGatewayServesBesideASchedulerOfAnEarlierBuild(t *testing.T) {
+	f := newSelectiveFleet(100)
+	former, run := quota.NewLedger(), uint64(99)
+	exchange := func(now time.Time, i int) {
+		r := f.reporters[i].Report(now, "scheduler")
+		former.Report(now, fmt.Sprint(i), quota.Report{Run: r.Run, Age: r.Age, Used: r.Used})
+		f.reporters[i].Apply(now, "scheduler", former.Totals(now, fmt.Sprint(i), run, f.size))
+	}
+	for i := range f.size {
+		exchange(start, i)
+	}
+	w := &f.workspaces[0]
+	taken := 0.0
+	for n := range 40 {
+		now := start.Add(time.Duration(n) * reportInterval)
+		ok, _ := f.limiters[1].Take(now, w, 2000)
+		if !ok {
+			require.True(t, f.limiters[1].Settles(now, w))
+			exchange(now, 1)
+			ok, _ = f.limiters[1].Take(now, w, 2000)
+		}
+		require.True(t, ok)
+		taken += 2000
+		for i := range f.size {
+			exchange(now, i)
+		}
+	}
+	require.InDelta(t, taken, former.Totals(start.Add(4*time.Second), "0", run, f.size).OthersUsed[w.Name], 0)
+}
