--- a/internal/role/gateway/upstreams.go
+++ b/internal/role/gateway/upstreams.go
@@ -12,6 +12,10 @@
 // for changes.
 const maxRememberedRemovals = 512
 
+// maxLoggedChanges bounds the lines about upstreams that changed together. When a large fleet
+// of them registers, each gateway would write one for each.
+const maxLoggedChanges = 64
+
 // upstreamView applies upstream registrations from the store or from a peer to the
 // roster, and keeps them in encoded form to pass them on to peers. It implements
 // follow.View.
@@ -128,21 +132,25 @@
 	for i, e := range c.Events {
 		lastIndex[e.Key] = i
 	}
-	changed := false
+	changed := 0
 	for i, e := range c.Events {
-		if lastIndex[e.Key] == i {
-			changed = v.applyEvent(now, e) || changed
+		if lastIndex[e.Key] == i && v.applyEvent(now, e, changed < maxLoggedChanges) {
+			changed++
 		}
 	}
+	if changed > maxLoggedChanges {
+		v.gateway.logger.Info("further upstreams changed", "count", changed-maxLoggedChanges, "revision", c.Revision)
+	}
 	v.gateway.roster.AdvanceRevision(c.Revision)
 	v.gateway.guard.warmUps.Listed(now)
-	if changed {
+	if changed > 0 {
 		v.gateway.publishEngines()
 	}
 }
 
-// applyEvent applies one event and reports whether it is more than a heartbeat.
-func (v *upstreamView) applyEvent(now time.Time, e kv.Event) (changed bool) {
+// applyEvent applies one event and reports whether it is more than a heartbeat. Such an event
+// gets a line in the log if logged is set.
+func (v *upstreamView) applyEvent(now time.Time, e kv.Event, logged bool) (changed bool) {
 	v.mu.Lock()
 	newer := v.isNewerLocked(e)
 	v.mu.Unlock()
@@ -152,7 +160,9 @@
 	g := v.gateway
 	id := g.decoder.UpstreamID(e.Key)
 	if e.Deleted {
-		g.logger.Info("upstream gone", "upstream", id, "revision", e.Revision)
+		if logged {
+			g.logger.Info("upstream gone", "upstream", id, "revision", e.Revision)
+		}
 		g.recordChange(e.Revision)
 		v.mu.Lock()
 		defer v.mu.Unlock()
@@ -177,8 +187,10 @@
 		changed = true
 	} else if old, ok := g.roster.Get(id); !ok || !old.EqualExceptHeartbeat(u) {
 		changed = true
-		g.logger.Info("upstream changed", "upstream", id, "service", u.Service, "address", u.Address,
-			"state", u.State, "version", u.Version, "born", u.StartedAtMs, "warm-up", u.WarmUpRemaining, "revision", e.Revision)
+		if logged {
+			g.logger.Info("upstream changed", "upstream", id, "service", u.Service, "address", u.Address,
+				"state", u.State, "version", u.Version, "born", u.StartedAtMs, "warm-up", u.WarmUpRemaining, "revision", e.Revision)
+		}
 		g.recordChange(e.Revision)
 	}
 	v.mu.Lock()
