A hub that is late does not turn all it serves to the store at once

By reckoning each gateway whose hub doesn't answer in 0.8 s reads the heartbeats of all upstreams from the store, 0.7 MB a second, and 300 of them more than its link carries, which makes it late for the hubs; not traced. Other hubs are now asked for 0.4 of the time in which a configuration must be in force, before the store is.

--- a/internal/limit/quota/answer.go
+++ b/internal/limit/quota/answer.go
@@ -11,7 +11,6 @@
 
 // follow records which workspaces the gateway follows.
 func (g *gatewayUsage) follow(now time.Time, r Report) {
-	g.selective = r.Selective
 	if !r.Selective {
 		return
 	}
--- a/internal/limit/quota/ledger.go
+++ b/internal/limit/quota/ledger.go
@@ -31,10 +31,9 @@
 	used       map[string]float64
 	reportedAt time.Time
 	age        time.Duration
-	// selective gateways are told only of the workspaces that they follow, which are kept
-	// by the time until which they do.
-	selective bool
-	follows   map[string]time.Time
+	// follows holds the workspaces that a gateway with selective reports follows, and until
+	// when it is told of them.
+	follows map[string]time.Time
 	// told is the usage at others in the totals with the number.
 	told   map[string]float64
 	number uint64
--- a/internal/role/gateway/relay.go
+++ b/internal/role/gateway/relay.go
@@ -33,6 +33,9 @@
 	// warming up need lists that are at most four seconds old.
 	relayPauseShare = 0.3
 	maxRelayPause   = 1500 * time.Millisecond
+	// relayPatienceShare is the share of that time in which further hubs are asked when one
+	// does not answer, before the store is. What the store then tells is still in time.
+	relayPatienceShare = 0.4
 	// relayTimeout is how long an answer is awaited. The complete list of a large fleet takes
 	// a tenth of a second on a link of 20 Mbit/s.
 	relayTimeout = 800 * time.Millisecond
@@ -136,6 +139,11 @@
 	return min(maxRelayPause, time.Duration(relayPauseShare*float64(r.settings.ConfigApplyLimit)))
 }
 
+// Patience implements follow.Relay.
+func (r *storeRelay) Patience() time.Duration {
+	return r.Pause() + time.Duration(relayPatienceShare*float64(r.settings.ConfigApplyLimit))
+}
+
 // Since implements follow.Relay. A gateway that becomes a hub reads the store, also for what
 // only hubs need.
 func (r *storeRelay) Since(ctx context.Context, after kv.Revision) (relay.Changes, error) {
--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -48,6 +48,9 @@
 	Since(ctx context.Context, after kv.Revision) (relay.Changes, error)
 	// Pause returns the pause between two questions. Wake ends it.
 	Pause() time.Duration
+	// Patience returns how long peers that are there may fail to answer until the store is
+	// asked. If all that they serve turned to the store at once, it would be too slow for them.
+	Patience() time.Duration
 }
 
 // Options configure a Follower.
@@ -78,6 +81,8 @@
 	now        func() time.Time
 	storeLost  bool
 	retryPause time.Duration
+	// relayedAt is when a peer last passed on what it read.
+	relayedAt time.Time
 
 	// readRevision is the kv.Revision up to which the view is up to date.
 	readRevision atomic.Int64
@@ -159,6 +164,9 @@
 			after = max(after, relayed)
 			answered = true
 			continue
+		} else if !errorx.IsOfType(err, noRelay) && f.now().Sub(f.relayedAt) < f.options.Relay.Patience() {
+			f.pause(ctx, minRetryPause)
+			continue
 		}
 		timeout := f.options.WatchTimeout
 		if f.storeLost {
@@ -187,14 +195,14 @@
 	return answered
 }
 
-// errNoRelay means that no peer is there to be asked.
-var errNoRelay = kv.Unavailable.New("no peer passes on what it reads from the store")
+// noRelay means that no peer is there to be asked.
+var noRelay = kv.Unavailable.NewSubtype("no-relay")
 
 // relay applies what a peer passes on, and returns the revision up to which that is complete.
 // If it fails, the store is to be asked.
 func (f *Follower) relay(ctx context.Context, after kv.Revision) (kv.Revision, error) {
 	if f.options.Relay == nil || !f.options.Relay.Usable(f.now()) {
-		return 0, errNoRelay
+		return 0, noRelay.New("no peer passes on what it reads; ask the store")
 	}
 	changes, err := f.options.Relay.Since(ctx, after)
 	if err != nil {
@@ -219,6 +227,7 @@
 		f.view.Replace(f.now(), snapshot)
 	}
 	f.readRevision.Store(int64(max(after, changes.Revision)))
+	f.relayedAt = f.now()
 }
 
 // pause waits before the next call until Wake or Retry ends the pause.
