--- a/internal/role/gateway/relay_test.go
+++ b/internal/role/gateway/relay_test.go
@@ -1,3 +1,5 @@
+//go:build !race
+
 package gateway_test
 
 import (
