A ledger keeps its levels over a silence of its gateway

A scheduler that heard no reports for a second took all buckets as full when it was heard again, and told that to gateways that began to serve a workspace; only a ledger of a new process was told the levels that others know.

The ledger keeps its levels, refilled, and charges what the reports tell.

--- a/internal/limit/quota/fleetlevels.go
+++ b/internal/limit/quota/fleetlevels.go
@@ -7,11 +7,11 @@
 )
 
 const (
-	// ledgerPause is the time without reports after which a ledger's levels are taken as
-	// unknown: another gateway was the scheduler meanwhile.
+	// ledgerPause is the time without reports after which a ledger resumes: another gateway
+	// may have been the scheduler meanwhile.
 	ledgerPause = time.Second
 	// learnTime is how long a ledger that resumes takes over levels from gateways that
-	// followed the ledger before it. All report within it.
+	// turned to it from another one. All report within it.
 	learnTime = time.Second
 )
 
@@ -19,6 +19,8 @@
 type fleetLevel struct {
 	level      float64
 	refilledAt time.Time
+	// learnedAt is when a level was last taken over.
+	learnedAt time.Time
 }
 
 // fleetLevels holds the buckets of the whole fleet at a ledger, which tells them to gateways
@@ -56,11 +58,11 @@
 	}
 }
 
-// resume forgets all levels if there were no reports for a while. Age is how long the process
-// of the gateway that reports has run.
+// resume records a report. The ledger resumes if there was none for a while; its levels were
+// refilled meanwhile, and what was used is in the reports. Age is how long the process of the
+// gateway that reports has run.
 func (f *fleetLevels) resume(now time.Time, age time.Duration) {
 	if now.Sub(f.reportedAt) > ledgerPause {
-		clear(f.levels)
 		f.resumedAt, f.fresh = now, true
 	}
 	f.fresh = f.fresh && age <= justStartedAge
@@ -98,14 +100,18 @@
 	}
 }
 
-// learn takes over the levels that a gateway knows from the ledger before.
+// learn takes over the levels that a gateway knows from another ledger: the lowest of those
+// that are told since this one resumed.
 func (f *fleetLevels) learn(now time.Time, levels map[string]float64) {
 	if now.Sub(f.resumedAt) > learnTime {
 		return
 	}
 	for name, level := range levels {
 		if b := f.bucket(now, name); b != nil {
-			b.level = min(b.level, level)
+			if b.learnedAt.Before(f.resumedAt) {
+				b.level = level
+			}
+			b.level, b.learnedAt = min(b.level, level), now
 		}
 	}
 }
--- a/internal/limit/quota/ledger.go
+++ b/internal/limit/quota/ledger.go
@@ -139,7 +139,10 @@
 		}
 		gateway.used[workspace] += delta
 		l.totals[workspace] += delta
-		l.levels.charge(now, workspace, delta)
+		if len(r.Levels) == 0 {
+			// Otherwise the levels include it.
+			l.levels.charge(now, workspace, delta)
+		}
 	}
 	l.levels.learn(now, r.Levels)
 	gateway.follow(now, r)
--- a/internal/limit/quota/reporter.go
+++ b/internal/limit/quota/reporter.go
@@ -85,7 +85,7 @@
 	v := r.view(now, node)
 	if r.current != node {
 		r.current = node
-		v.heard, v.statedAt = 0, time.Time{}
+		v.heard, v.statedAt, v.levelsTold = 0, time.Time{}, false
 	}
 	v.lastUsed = now
 	r.number++
--- a/internal/limit/quota/selective_test.go
+++ b/internal/limit/quota/selective_test.go
@@ -387,3 +387,36 @@
 	}
 	require.InDelta(t, taken, former.Totals(start.Add(4*time.Second), "0", run, f.size).OthersUsed[w.Name], 0)
 }
+
+// Guards against a scheduler that was silent for seconds, takes all buckets as full and tells
+// that to gateways to which callers have moved meanwhile.
+func TestBoundHoldsWhenCallersMoveAfterASilenceOfTheScheduler(t *testing.T) {
+	for _, silence := range []time.Duration{1200 * time.Millisecond, 2 * time.Second} {
+		f := newSelectiveFleet(100)
+		// The bucket takes ten seconds to fill, so that the pause does not explain a full one.
+		f.workspaces[0].QuotaBurst = 10 * f.workspaces[0].QuotaPerSecond
+		for i := range f.ledgers {
+			f.startLedger(i)
+		}
+		const busy = 2 * time.Second
+		f.ledgerOf = func(at time.Duration, _ int) int {
+			if at >= busy && at < busy+silence {
+				return noLedger
+			}
+			return 0
+		}
+		backlog := 0.0
+		f.play(busy+silence+6*time.Second, func(now time.Time) {
+			for backlog += 30 * f.workspaces[0].QuotaPerSecond * scenarioTick.Seconds(); backlog > 0; backlog -= 2000 {
+				gateway := f.rng.IntN(f.size / 2)
+				if f.now >= busy+silence+300*time.Millisecond {
+					gateway += f.size / 2
+				}
+				f.request(now, gateway, 0, 2000)
+			}
+		})
+		w := &f.workspaces[0]
+		t.Logf("silence of %s: %.0f of %.0f", silence, f.most(w.Name), bound(w))
+		require.LessOrEqual(t, f.most(w.Name), bound(w), "silence of %s", silence)
+	}
+}
