Review: a bad version is not taken back after the store came back older

Rollout states are ordered by revision without the era, so the write of `reverted` is refused and not tried again.

--- a/review/harness/backend.go
+++ b/review/harness/backend.go
@@ -30,6 +30,9 @@
 	id      string
 	service string
 	address string
+	version string
+	// failing reports that the next answer is a failure; it may be nil.
+	failing func() bool
 	// work returns how long a request takes.
 	work func() time.Duration
 	// spoil may do something with a connection whose request is next to be answered, or after
@@ -60,7 +63,7 @@
 }
 
 func (b *bed) newBackend(service, id string, work func() time.Duration) *backend {
-	return &backend{bed: b, id: id, service: service, work: work, slots: make(chan struct{}, backendSlots), runs: make(map[string]int)}
+	return &backend{version: "v1", bed: b, id: id, service: service, work: work, slots: make(chan struct{}, backendSlots), runs: make(map[string]int)}
 }
 
 // start listens, and registers the back end in the store every heartbeat.
@@ -83,7 +86,7 @@
 	go func() {
 		for sequence := 1; ; sequence++ {
 			s.bed.store.put("servers/"+s.id, map[string]any{
-				"service": s.service, "address": s.address, "zone": zone, "version": "v1", "slots": backendSlots,
+				"service": s.service, "address": s.address, "zone": zone, "version": s.version, "slots": backendSlots,
 				"state": "ready", "coldRemainingMs": 0, "sequence": sequence, "born": born,
 			})
 			time.Sleep(heartbeat)
@@ -142,6 +145,10 @@
 	if s.spoil != nil && s.spoil(c, id) {
 		return nil
 	}
+	if s.failing != nil && s.failing() {
+		s.bed.record.write("%s answers %s with 500", s.id, id)
+		return s.send(c, id, http.StatusInternalServerError, fmt.Sprintf("X-Persimmonridge-Response-Seal: %s.%s\r\n", s.id, id), "failed")
+	}
 	body := "done " + id + " " + strings.Repeat("x", 700)
 	err := s.send(c, id, http.StatusOK, fmt.Sprintf("X-Persimmonridge-Response-Seal: %s.%s\r\n", s.id, id), body)
 	s.bed.record.write("%s answers %s with 200", s.id, id)
--- a/review/harness/bed.go
+++ b/review/harness/bed.go
@@ -88,7 +88,7 @@
 
 // freePorts returns a port from which portsOfGateway ports are free on the gateways' addresses.
 func freePorts() (int, error) {
-	for base := 21000; base < 30000; base += 100 {
+	for base := 21000 + 100*(os.Getpid()%50); base < 30000; base += 100 {
 		if portsFree(base) {
 			return base, nil
 		}
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -23,7 +23,7 @@
 		fmt.Fprintln(os.Stderr, "usage: harness CASE GATEWAY-PROGRAM RECORD-FILE")
 		os.Exit(exitNotRun)
 	}
-	cases := map[string]func(*bed, bool) (bool, error){"unrelated-refusal": unrelatedRefusal, "endless-garbage": endlessGarbage}
+	cases := map[string]func(*bed, bool) (bool, error){"unrelated-refusal": unrelatedRefusal, "endless-garbage": endlessGarbage, "older-store": olderStore}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"sort"
@@ -39,6 +40,19 @@
 	history  []storeItem
 	leases   map[int64]*storeLease
 	lastID   int64
+	// era is the value of the Store-Era header, 0 for a store that sends none.
+	era int64
+	// away is set while the store answers nothing.
+	away bool
+	// compacted is the revision up to which there is no history.
+	compacted int64
+	kept      *storeCopy
+}
+
+// storeCopy is a copy of the store's content from which it may come back.
+type storeCopy struct {
+	revision int64
+	items    map[string]storeItem
 }
 
 func newStore() *store {
@@ -59,11 +73,55 @@
 	mux.HandleFunc("POST /-/kv-lease", s.serveLease)
 	mux.HandleFunc("POST /-/kv-keep/{id}", s.serveKeep)
 	mux.HandleFunc("DELETE /-/kv-lease-end/{id}", s.serveLeaseEnd)
-	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
+	s.server = &http.Server{Handler: s.gate(mux), ReadHeaderTimeout: time.Minute}
 	go func() { _ = s.server.Serve(l) }()
 	return nil
 }
 
+// gate answers nothing while the store is away, and states the era.
+func (s *store) gate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		away, era := s.away, s.era
+		s.mu.Unlock()
+		if away {
+			panic(http.ErrAbortHandler)
+		}
+		if era > 0 {
+			w.Header().Set("Store-Era", strconv.FormatInt(era, 10))
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// keep takes a copy of the content.
+func (s *store) keep() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.kept = &storeCopy{revision: s.revision, items: maps.Clone(s.items)}
+}
+
+// leave makes the store answer nothing, until comeBack. Waiting watches end without an answer.
+func (s *store) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+	s.notifyLocked()
+}
+
+// comeBack restores the copy. What was written since is gone, leases too.
+func (s *store) comeBack() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision, s.items, s.compacted, s.history = s.kept.revision, s.kept.items, s.kept.revision, nil
+	for _, l := range s.leases {
+		l.timer.Stop()
+	}
+	s.leases = make(map[int64]*storeLease)
+	s.era++
+	s.away = false
+}
+
 func (s *store) close() { _ = s.server.Close() }
 
 // put writes a key as the operator and the back ends do.
@@ -74,6 +132,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.away {
+		return
+	}
 	s.revision++
 	s.putLocked(key, raw, 0)
 	s.notifyLocked()
@@ -150,7 +211,7 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		events, revision, changed := []storeItem{}, s.revision, s.changed
+		events, revision, changed, away, gone := []storeItem{}, s.revision, s.changed, s.away, after < s.compacted || after > s.revision
 		first := sort.Search(len(s.history), func(i int) bool { return s.history[i].Revision > after })
 		for _, item := range s.history[first:] {
 			if strings.HasPrefix(item.Key, query.Get("prefix")) {
@@ -158,6 +219,13 @@
 			}
 		}
 		s.mu.Unlock()
+		if away {
+			panic(http.ErrAbortHandler)
+		}
+		if gone {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		body := map[string]any{"events": events, "storeRevision": revision}
 		if len(events) > 0 {
 			reply(w, http.StatusOK, body)
