A rollout's state is written until the store has it, and its revisions have eras

Cause: the state that a gateway had decided was taken for the one in the store. The write that takes a version back was refused once, as it was made on the condition of a revision that the store had lost; the deciding gateway then held the state "reverted", after which nothing is decided any more. The restored state, which has the right condition, was ignored: revisions were compared by number without their era.

Evidence: in the log of the case in fake time all gateways note the new era, none reads the restored state, and the scheduler logs phase=reverted with a conflict (412) once and nothing more. So the fault was found, and its write was neither done nor repeated.

Why this works: rollout.Record keeps the order, the stored state with its revision and era, and the state in force apart. The scheduler writes whatever is in force and not in the store at each step. A condition of a former era is a conflict in the client of the store. An end of a rollout outlives a copy that lacks it, and another gateway writes it again if the scheduler does not know it. Orders continue over eras.

The same without a drill: a write that failed for any reason was never repeated.

--- a/internal/observe/meter/meter.go
+++ b/internal/observe/meter/meter.go
@@ -61,7 +61,7 @@
 }
 
 // Commit implements kv.Store.
-func (s *Store) Commit(ctx context.Context, t kv.Transaction) (int64, error) {
+func (s *Store) Commit(ctx context.Context, t kv.Transaction) (kv.Revision, error) {
 	revision, err := s.store.Commit(ctx, t)
 	s.record("commit", err)
 	return revision, err
--- a/internal/role/gateway/crashstore.go
+++ b/internal/role/gateway/crashstore.go
@@ -210,7 +210,7 @@
 	s.logger.Info("causes of crashes written to the store", "added", len(transaction.Puts), "deleted", len(transaction.Deletes), "revision", revision)
 	now := s.now()
 	for _, put := range transaction.Puts {
-		s.load(now, kv.Item{Key: put.Key, Value: put.Value, Revision: kv.At(0, revision)})
+		s.load(now, kv.Item{Key: put.Key, Value: put.Value, Revision: revision})
 	}
 	for _, key := range transaction.Deletes {
 		s.end(key)
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -60,7 +60,7 @@
 	// CheckEvacuation returns an error if an evacuation order cannot be read.
 	CheckEvacuation(key string, raw []byte) error
 	// Order decodes an operator's order to roll out another version of a service.
-	Order(key string, raw []byte, revision int64) (rollout.Order, error)
+	Order(key string, raw []byte, revision kv.Revision) (rollout.Order, error)
 	// Status encodes the status of a rollout that operators read.
 	Status(service string, s rollout.State) (key string, value []byte, err error)
 }
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -241,7 +241,7 @@
 	case *wire.Envelope_MoveReport:
 		p.rolloutController.receiveReport(peer, body.MoveReport)
 	case *wire.Envelope_MoveState:
-		p.rolloutController.applyState(body.MoveState.Service, body.MoveState.State, body.MoveState.Revision, peer)
+		p.rolloutController.receiveState(peer, body.MoveState)
 	case *wire.Envelope_QuotaReport:
 		p.quotaReports.receive(now, peer, body.QuotaReport)
 	case *wire.Envelope_QuotaTotals:
--- a/internal/role/gateway/rollouts.go
+++ b/internal/role/gateway/rollouts.go
@@ -3,10 +3,15 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/joomcode/errorx"
+
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
 	"github.com/persimmonridge/persimmonridge/internal/state/kv"
 	"github.com/persimmonridge/persimmonridge/internal/state/wait"
@@ -19,6 +24,10 @@
 	// rolloutStepInterval is how often results are reported and rollouts are evaluated:
 	// a faulty version must be abandoned within seconds.
 	rolloutStepInterval = 200 * time.Millisecond
+	// Gateways that do not schedule write the end of a rollout that the store lost between
+	// minLostStateDelay and maxLostStateDelay after they see that it lacks it.
+	minLostStateDelay = time.Second
+	maxLostStateDelay = 3 * time.Second
 )
 
 // rolloutController applies operators' rollout orders and rollout states, reports the
@@ -26,17 +35,40 @@
 type rolloutController struct {
 	*Gateway
 
-	// mu is held while a state is applied, so that none replaces a later one.
 	mu sync.Mutex
-	// orders, stateRevisions and judges are keyed by service.
-	orders         map[string]rollout.Order
-	stateRevisions map[string]int64
-	judges         map[string]*rollout.Judge
+	// rollouts is keyed by service.
+	rollouts map[string]*serviceRollout
+	// era is the latest era in which the store was read.
+	era int64
+}
+
+// serviceRollout is the rollout of one service.
+type serviceRollout struct {
+	record rollout.Record
+	judge  *rollout.Judge
+	// lostSince is since when the end of the rollout is missing from the store.
+	lostSince time.Time
 }
 
 func newRolloutController(g *Gateway) *rolloutController {
-	return &rolloutController{
-		Gateway: g, orders: make(map[string]rollout.Order), stateRevisions: make(map[string]int64), judges: make(map[string]*rollout.Judge),
+	return &rolloutController{Gateway: g, rollouts: make(map[string]*serviceRollout)}
+}
+
+// rolloutLocked returns the rollout of the service. The caller holds c.mu.
+func (c *rolloutController) rolloutLocked(service string) *serviceRollout {
+	r := c.rollouts[service]
+	if r == nil {
+		r = &serviceRollout{}
+		c.rollouts[service] = r
+	}
+	return r
+}
+
+// publishLocked puts the state of the record in force. The caller holds c.mu, so that none
+// replaces a later one.
+func (c *rolloutController) publishLocked(service string, r *serviceRollout) {
+	if state, known := r.record.Current(); known {
+		c.versionPicker.SetState(service, state)
 	}
 }
 
@@ -44,44 +76,51 @@
 type orderView struct{ *rolloutController }
 
 // Replace implements follow.View.
-func (v orderView) Replace(_ time.Time, s kv.Snapshot) {
+func (v orderView) Replace(now time.Time, s kv.Snapshot) {
 	for _, item := range s.Items {
-		v.applyOrder(item)
+		v.applyOrder(now, item)
 	}
 }
 
 // Apply implements follow.View.
-func (v orderView) Apply(_ time.Time, c kv.Changes) {
+func (v orderView) Apply(now time.Time, c kv.Changes) {
 	for _, e := range c.Events {
 		if !e.Deleted {
-			v.applyOrder(e.Item)
+			v.applyOrder(now, e.Item)
 			v.recordChange(e.Revision)
 		}
 	}
 }
 
 // applyOrder applies a rollout order unless a later one is known.
-func (c *rolloutController) applyOrder(item kv.Item) {
-	order, err := c.decoder.Order(item.Key, item.Value, item.Revision.Number())
+func (c *rolloutController) applyOrder(now time.Time, item kv.Item) {
+	order, err := c.decoder.Order(item.Key, item.Value, item.Revision)
 	if err != nil {
 		c.logger.Warn("rollout order ignored", "err", err)
 		return
 	}
 	c.mu.Lock()
-	known := c.orders[order.Service]
-	newer := order.Revision > known.Revision
-	if newer {
-		c.orders[order.Service] = order
-		c.judges[order.Service] = rollout.NewJudge(order.Revision)
-		if state, ok := c.versionPicker.State(order.Service); !ok || state.Order < order.Revision {
-			// A share of 0 keeps requests away from the target until the rollout
-			// has begun: its upstreams may register before the first share is set.
-			c.versionPicker.SetState(order.Service, rollout.State{Order: order.Revision, Target: order.Target, Phase: rollout.Running})
+	r := c.rolloutLocked(order.Service)
+	change := r.record.ApplyOrder(now, order)
+	switch change {
+	case rollout.OrderReplaced:
+		r.judge = rollout.NewJudge(order.Revision.Number())
+		c.publishLocked(order.Service, r)
+	case rollout.OrderRepeated:
+		r.judge.Renumber(order.Revision.Number())
+		if state, known := r.record.Current(); known {
+			c.versionPicker.Renumber(order.Service, state)
 		}
+	case rollout.OrderIgnored:
 	}
 	c.mu.Unlock()
-	if newer {
+	switch change {
+	case rollout.OrderReplaced:
 		c.logger.Info("rollout order received", "service", order.Service, "target", order.Target, "duration", order.Duration, "revision", order.Revision)
+	case rollout.OrderRepeated:
+		c.logger.Info("rollout order read in a new era of the store; the rollout continues", "service", order.Service, "target", order.Target,
+			"era", order.Revision.Era(), "revision", order.Revision)
+	case rollout.OrderIgnored:
 	}
 }
 
@@ -90,8 +129,19 @@
 
 // Replace implements follow.View.
 func (v stateView) Replace(_ time.Time, s kv.Snapshot) {
+	listed := make(map[string]bool, len(s.Items))
 	for _, item := range s.Items {
-		v.applyState(strings.TrimPrefix(item.Key, rolloutStatePrefix), item.Value, item.Revision.Number(), "store")
+		service := strings.TrimPrefix(item.Key, rolloutStatePrefix)
+		listed[service] = true
+		v.applyState(service, item.Value, item.Revision, "store")
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.era = max(v.era, s.Revision.Era())
+	for service, r := range v.rollouts {
+		if !listed[service] {
+			r.record.ApplyAbsence(s.Revision)
+		}
 	}
 }
 
@@ -99,33 +149,47 @@
 func (v stateView) Apply(_ time.Time, c kv.Changes) {
 	for _, e := range c.Events {
 		if !e.Deleted {
-			v.applyState(strings.TrimPrefix(e.Key, rolloutStatePrefix), e.Value, e.Revision.Number(), "store")
+			v.applyState(strings.TrimPrefix(e.Key, rolloutStatePrefix), e.Value, e.Revision, "store")
 		}
 	}
 }
 
-// applyState applies a rollout state unless a later state or a later order is known.
-func (c *rolloutController) applyState(service string, raw []byte, revision int64, from string) {
+// receiveState applies a rollout state that a peer wrote. A peer of an earlier build states no
+// era; it means the present one.
+func (c *rolloutController) receiveState(peer string, message *wire.MoveState) {
+	c.mu.Lock()
+	era := message.Era
+	if era == 0 {
+		era = c.era
+	}
+	c.mu.Unlock()
+	c.applyState(message.Service, message.State, kv.At(era, message.Revision), peer)
+}
+
+// applyState applies a rollout state in the store unless a later one is known.
+func (c *rolloutController) applyState(service string, raw []byte, revision kv.Revision, from string) {
 	var state rollout.State
 	if err := json.Unmarshal(raw, &state); err != nil {
 		c.logger.Warn("rollout state ignored", "service", service, "from", from, "err", err)
 		return
 	}
 	c.mu.Lock()
-	newer := revision > c.stateRevisions[service]
-	if newer {
-		c.stateRevisions[service] = revision
-	}
-	current := newer && state.Order >= c.orders[service].Revision
-	if current {
-		c.versionPicker.SetState(service, state)
+	r := c.rolloutLocked(service)
+	news := r.record.ApplyStored(state, revision)
+	if news {
+		c.publishLocked(service, r)
 	}
+	current, _ := r.record.Current()
 	c.mu.Unlock()
-	if !current {
-		return
+	switch {
+	case !news:
+	case current == state:
+		c.logger.Info("move", "service", service, "target", state.Target, "phase", state.Phase, "share", state.Share,
+			"why", state.Why, "revision", revision, "from", from)
+	default:
+		c.logger.Info("rollout state in the store is not in force", "service", service, "target", state.Target, "phase", state.Phase,
+			"era", revision.Era(), "revision", revision, "from", from, "in-force", current.Phase, "in-force-target", current.Target)
 	}
-	c.logger.Info("move", "service", service, "target", state.Target, "phase", state.Phase, "share", state.Share,
-		"why", state.Why, "revision", revision, "from", from)
 }
 
 // run reports results to the scheduler and, on the scheduler itself, advances the
@@ -133,18 +197,31 @@
 func (c *rolloutController) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		now := c.now()
+		c.replaceLostOrders(now)
 		scheduler := c.peers.scheduler(now)
 		for service, report := range c.versionPicker.Reports() {
 			c.sendReport(scheduler, service, report)
 		}
-		if scheduler == c.settings.Name {
-			c.stepAll(ctx, now)
-		}
+		c.stepAll(ctx, now, scheduler == c.settings.Name)
 		wait.For(ctx, rolloutStepInterval)
 	}
 	return nil
 }
 
+// replaceLostOrders puts orders in force that the store has in place of lost ones.
+func (c *rolloutController) replaceLostOrders(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for service, r := range c.rollouts {
+		if r.record.Advance(now) {
+			order := r.record.Order()
+			r.judge = rollout.NewJudge(order.Revision.Number())
+			c.publishLocked(service, r)
+			c.logger.Info("rollout order was not written again; an earlier one is in force", "service", service, "target", order.Target, "revision", order.Revision)
+		}
+	}
+}
+
 func (c *rolloutController) sendReport(scheduler, service string, report rollout.Report) {
 	if scheduler == c.settings.Name {
 		c.recordReport(c.settings.Name, service, report)
@@ -172,45 +249,66 @@
 func (c *rolloutController) recordReport(node, service string, report rollout.Report) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if judge := c.judges[service]; judge != nil {
-		judge.AddReport(node, report)
+	if r := c.rollouts[service]; r != nil && r.judge != nil {
+		r.judge.AddReport(node, report)
 	}
 }
 
-// stepAll advances every rollout whose order is known.
-func (c *rolloutController) stepAll(ctx context.Context, now time.Time) {
+// stepAll advances every rollout whose order is known, on the scheduler. Elsewhere it writes
+// only what the store has lost.
+func (c *rolloutController) stepAll(ctx context.Context, now time.Time, scheduling bool) {
 	c.mu.Lock()
-	orders := make([]rollout.Order, 0, len(c.orders))
-	for _, order := range c.orders {
-		orders = append(orders, order)
-	}
+	services := slices.Collect(maps.Keys(c.rollouts))
 	c.mu.Unlock()
-	for _, order := range orders {
-		c.step(ctx, now, order)
+	for _, service := range services {
+		if state, changed := c.next(now, service, scheduling); changed {
+			c.commitState(ctx, service, state)
+		}
 	}
 }
 
-func (c *rolloutController) step(ctx context.Context, now time.Time, order rollout.Order) {
-	state, known := c.versionPicker.State(order.Service)
-	if !known || state.Order != order.Revision || state.BeganMs == 0 {
-		c.commitState(ctx, order.Service, rollout.Begin(now, order))
-		return
-	}
+// next returns the state that the service's rollout should have in the store, and whether it
+// has another one there.
+func (c *rolloutController) next(now time.Time, service string, scheduling bool) (rollout.State, bool) {
 	c.mu.Lock()
-	observed := rollout.Observed{Fault: c.judges[order.Service].Fault()}
-	c.mu.Unlock()
-	for _, u := range c.roster.Ready(order.Service) {
-		observed.Ready = observed.Ready || u.Version == order.Target
+	defer c.mu.Unlock()
+	r := c.rollouts[service]
+	order := r.record.Order()
+	current, _ := r.record.Current()
+	if !r.record.Lost() {
+		r.lostSince = time.Time{}
+	} else if r.lostSince.IsZero() {
+		r.lostSince = now
 	}
-	if next, changed := rollout.Step(now, order, state, observed); changed {
-		c.commitState(ctx, order.Service, next)
+	switch {
+	case !r.record.Decidable():
+		return rollout.State{}, false
+	case !scheduling:
+		return current, !r.lostSince.IsZero() && now.Sub(r.lostSince) >= c.lostStateDelay()
+	case !r.record.Begun():
+		return rollout.Begin(now, order), true
 	}
+	observed := rollout.Observed{Fault: r.judge.Fault()}
+	for _, u := range c.roster.Ready(service) {
+		observed.Ready = observed.Ready || u.Version == order.Target
+	}
+	next, _ := rollout.Step(now, order, current, observed)
+	stored, _ := r.record.Stored()
+	return next, next != stored
+}
+
+// lostStateDelay is how long this gateway leaves it to the scheduler to write again what the
+// store lost. It differs by gateway, so that one of them writes it and the others hear of it.
+func (c *rolloutController) lostStateDelay() time.Duration {
+	part := float64(xxhash.Sum64String(c.settings.Name)>>11) / (1 << 53)
+	return minLostStateDelay + time.Duration(part*float64(maxLostStateDelay-minLostStateDelay))
 }
 
 // commitState writes a rollout state and its status for operators to the store, on
 // the condition that no other state was written since. A scheduler that was paused,
 // or one of two schedulers that do not see each other, therefore cannot undo what the
-// other wrote: the condition of the later write fails.
+// other wrote: the condition of the later write fails. The state is then decided again, by
+// what the store says.
 func (c *rolloutController) commitState(ctx context.Context, service string, state rollout.State) {
 	value, err := json.Marshal(state)
 	if err != nil {
@@ -223,23 +321,33 @@
 		return
 	}
 	c.mu.Lock()
-	knownRevision := c.stateRevisions[service]
+	_, known := c.rollouts[service].record.Stored()
 	c.mu.Unlock()
 	revision, err := c.store.Commit(ctx, kv.Transaction{
-		Conditions: []kv.Condition{{Key: rolloutStatePrefix + service, Revision: knownRevision}},
+		Conditions: []kv.Condition{{Key: rolloutStatePrefix + service, Revision: known}},
 		Puts:       []kv.Put{{Key: rolloutStatePrefix + service, Value: value}, {Key: statusKey, Value: status}},
 	})
 	if err != nil {
-		c.logger.Warn("rollout state not written to the store", "service", service, "phase", state.Phase, "err", err)
+		c.logger.Warn("rollout state not written to the store; it is decided again", "service", service, "phase", state.Phase,
+			"known-era", known.Era(), "known-revision", known, "err", err)
+		if errorx.IsOfType(err, kv.Conflict) {
+			c.follower.Retry()
+		}
 		if state.Phase == rollout.Reverted {
 			// This gateway stops using a faulty version at once, even during a store
 			// outage.
-			c.versionPicker.SetState(service, state)
+			c.mu.Lock()
+			r := c.rollouts[service]
+			r.record.ApplyUnstored(state)
+			c.publishLocked(service, r)
+			c.mu.Unlock()
 		}
 		return
 	}
 	c.applyState(service, value, revision, c.settings.Name)
-	message := &wire.Envelope{Body: &wire.Envelope_MoveState{MoveState: &wire.MoveState{Service: service, Revision: revision, State: value}}}
+	message := &wire.Envelope{Body: &wire.Envelope_MoveState{MoveState: &wire.MoveState{
+		Service: service, Era: revision.Era(), Revision: revision.Number(), State: value,
+	}}}
 	for _, peer := range c.mesh.Peers() {
 		c.mesh.Send(peer.Node, message)
 	}
--- a/internal/role/gateway/rollouts_internal_test.go
+++ b/internal/role/gateway/rollouts_internal_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/persimmonridge/persimmonridge/internal/state/kv"
 	"github.com/persimmonridge/persimmonridge/internal/version/rollout"
 )
 
@@ -23,13 +24,13 @@
 		return value
 	}
 	running, reverted := encode(rollout.Running), encode(rollout.Reverted)
-	for revision := int64(1); revision < 20_000; revision += 2 {
+	for revision := kv.Revision(1); revision < 20_000; revision += 2 {
 		var wg sync.WaitGroup
 		wg.Go(func() { controller.applyState("s", running, revision, "store") })
 		wg.Go(func() { controller.applyState("s", reverted, revision+1, "peer") })
 		wg.Wait()
 		state, known := controller.versionPicker.State("s")
 		require.True(t, known)
-		require.Equal(t, rollout.Reverted, state.Phase, "revision %d", revision)
+		require.Equal(t, rollout.Reverted, state.Phase, "revision %d", revision.Number())
 	}
 }
--- a/internal/role/gateway/speeds.go
+++ b/internal/role/gateway/speeds.go
@@ -125,7 +125,7 @@
 		s.logger.Info("engine speeds not written to the store", "engines", len(entries), "err", err)
 		return true
 	}
-	s.load(kv.Item{Key: speedsKey, Value: value, Revision: kv.At(0, revision)})
+	s.load(kv.Item{Key: speedsKey, Value: value, Revision: revision})
 	return true
 }
 
--- a/internal/state/kv/kv.go
+++ b/internal/state/kv/kv.go
@@ -58,11 +58,12 @@
 	Revision Revision
 }
 
-// Condition requires that a key was last changed at the revision of this number; 0
-// requires that the key does not exist.
+// Condition requires that a key was last changed at the revision; 0 requires that the key
+// does not exist. A revision of an era that has ended never holds: its number may have been
+// assigned again.
 type Condition struct {
 	Key      string
-	Revision int64
+	Revision Revision
 }
 
 // Put writes a key; the key is attached to a lease unless Lease is 0.
@@ -88,8 +89,8 @@
 	// them for at most the given time. When the era of the revision has ended, Watch fails
 	// with Compacted.
 	Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) (Changes, error)
-	// Commit applies the transaction and returns the number of its revision.
-	Commit(ctx context.Context, t Transaction) (int64, error)
+	// Commit applies the transaction and returns its revision.
+	Commit(ctx context.Context, t Transaction) (Revision, error)
 	// Grant returns a new lease and the TTL that the store granted.
 	Grant(ctx context.Context, ttl time.Duration) (lease int64, granted time.Duration, err error)
 	// Keep renews a lease.
--- a/internal/version/rollout/judge.go
+++ b/internal/version/rollout/judge.go
@@ -42,6 +42,9 @@
 	return &Judge{order: order, reports: make(map[string]Report), watch: evidence.NewWatch(), test: evidence.NewTest(falseAlarmRate, missRate)}
 }
 
+// Renumber continues with the same order under another revision.
+func (j *Judge) Renumber(order int64) { j.order = order }
+
 // AddReport stores a gateway's report. Counts are totals, so a later report makes up for
 // a lost one.
 func (j *Judge) AddReport(node string, r Report) {
--- a/internal/version/rollout/picker.go
+++ b/internal/version/rollout/picker.go
@@ -35,6 +35,16 @@
 	p.states[service] = s
 }
 
+// Renumber continues a service's move, which keeps its counts, under another order's revision.
+func (p *Picker) Renumber(service string, s State) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if tally := p.tallies[service]; tally != nil {
+		tally.order = s.Order
+		p.states[service] = s
+	}
+}
+
 // State returns the state of a service's move.
 func (p *Picker) State(service string) (State, bool) {
 	p.mu.Lock()
--- a/internal/version/rollout/rollout.go
+++ b/internal/version/rollout/rollout.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/persimmonridge/persimmonridge/internal/state/kv"
 	"github.com/persimmonridge/persimmonridge/internal/version/evidence"
 )
 
@@ -17,7 +18,7 @@
 	Target   string
 	Duration time.Duration
 	// Revision is the order's revision in the store; a later order replaces it.
-	Revision int64
+	Revision kv.Revision
 }
 
 // Phase is the phase of a move.
@@ -32,7 +33,9 @@
 
 // State is the stored state of a move.
 type State struct {
+	// Order is the number of the order's revision, and Era its era, 0 in states of earlier builds.
 	Order int64 `json:"order"`
+	Era   int64 `json:"era,omitempty"`
 	// Target is the version to which the traffic moves.
 	Target string `json:"target"`
 	Phase  Phase  `json:"phase"`
@@ -75,7 +78,9 @@
 
 // Begin returns the state at the start of a move.
 func Begin(now time.Time, o Order) State {
-	return State{Order: o.Revision, Target: o.Target, Phase: Running, Share: stages[0].share, BeganMs: now.UnixMilli(), Why: "ordered"}
+	s := o.awaited()
+	s.Share, s.BeganMs, s.Why = stages[0].share, now.UnixMilli(), "ordered"
+	return s
 }
 
 // Step returns the next state of a move and whether it differs from s.
--- a/internal/version/rollout/rollout_test.go
+++ b/internal/version/rollout/rollout_test.go
@@ -34,7 +34,7 @@
 }
 
 func (m simulation) run() result {
-	judge := rollout.NewJudge(order.Revision)
+	judge := rollout.NewJudge(order.Revision.Number())
 	state := rollout.Begin(start, order)
 	sides := map[bool]*rollout.Entry{true: {Target: true, Route: "r"}, false: {Route: "r"}}
 	got := result{}
@@ -75,7 +75,7 @@
 			entries := []rollout.Entry{*sides[true], *sides[false]}
 			entries[0].Buckets = append([]uint32(nil), entries[0].Buckets...)
 			entries[1].Buckets = append([]uint32(nil), entries[1].Buckets...)
-			judge.AddReport("gateway", rollout.Report{Order: order.Revision, Entries: entries})
+			judge.AddReport("gateway", rollout.Report{Order: order.Revision.Number(), Entries: entries})
 			next, changed := rollout.Step(start.Add(at), order, state, rollout.Observed{Fault: judge.Fault(), Ready: m.ready})
 			if changed && next.Phase != rollout.Running {
 				got.endedAt = at
