Learned speeds that the store lost are written again

After the store came back from an older copy, the scheduler took its speeds for stored, and ignored what the store had: revisions were compared without their era. After a restart of all gateways its successor assigned long streams to slow engines until it had learned them again.

The view now forgets what a later list does not have, and compares revisions with their era. The test fails on: the key stays empty for 8 s after the drill; it passes now, also after a second drill.

--- a/internal/role/gateway/era_test.go
+++ b/internal/role/gateway/era_test.go
@@ -211,3 +211,21 @@
 		}
 	})
 }
+
+// Guards against a scheduler that takes its learned speeds for stored although the store lost
+// them, so that the next one begins without them.
+func TestEngineSpeedsAreWrittenAgainAfterTheStoreLostThem(t *testing.T) {
+	runFleet(t, func(f *fleet) {
+		olderCopy := f.store.Copy()
+		f.callAll(engines*slots, "/old/x")
+		bubble.Sleep(2 * time.Second)
+		written := f.store.Value("engine-speeds")
+		require.NotEmpty(t, written)
+		for range 2 {
+			f.comeBack(olderCopy)
+			require.Empty(t, f.store.Value("engine-speeds"))
+			bubble.Sleep(8 * time.Second)
+			require.Equal(t, written, f.store.Value("engine-speeds"))
+		}
+	})
+}
--- a/internal/role/gateway/speeds.go
+++ b/internal/role/gateway/speeds.go
@@ -43,11 +43,16 @@
 
 	mu       sync.Mutex
 	stored   map[string]engineSpeed
-	revision int64
+	revision kv.Revision
 }
 
 // Replace implements follow.View.
 func (s *speedStore) Replace(_ time.Time, snapshot kv.Snapshot) {
+	s.mu.Lock()
+	if len(snapshot.Items) == 0 && snapshot.Revision > s.revision {
+		s.stored, s.revision = nil, snapshot.Revision
+	}
+	s.mu.Unlock()
 	for _, item := range snapshot.Items {
 		s.load(item)
 	}
@@ -76,9 +81,9 @@
 		speeds = append(speeds, board.Speed{ID: e.ID, StartedAtMs: e.Born, Slowness: e.Slowness})
 	}
 	s.mu.Lock()
-	known := item.Revision.Number() <= s.revision
+	known := item.Revision <= s.revision
 	if !known {
-		s.stored, s.revision = stored, item.Revision.Number()
+		s.stored, s.revision = stored, item.Revision
 	}
 	s.mu.Unlock()
 	if known {
