A cause of crashes outlives a store's copy that lacks it

After the store came back from a copy without a refusal, gateways that had it from the store took it for deleted, as if an upstream had served the request, and sent it to upstreams again until it had crashed as many.

In a list of a later era a missing key is only no longer stored, and the scheduler writes it again; a key that goes in the same era still ends its refusal.

--- a/internal/role/gateway/crashstore.go
+++ b/internal/role/gateway/crashstore.go
@@ -80,6 +80,8 @@
 
 	mu     sync.Mutex
 	stored map[string]crash.Refusal
+	// era is the era of the store in which all was last read.
+	era int64
 }
 
 func newCrashStore(g *Gateway) *crashStore {
@@ -94,9 +96,16 @@
 		s.load(now, item)
 	}
 	s.mu.Lock()
+	restored := snapshot.Revision.Era() > s.era
+	s.era = max(s.era, snapshot.Revision.Era())
 	var ended []string
 	for key := range s.stored {
-		if !listed[key] {
+		switch {
+		case listed[key]:
+		case restored:
+			// The store's copy lacks it, and no upstream has served it. It is written again.
+			delete(s.stored, key)
+		default:
 			ended = append(ended, key)
 		}
 	}
