The head of an upstream's answer is bounded, and bytes that are no answer end at once

Cause: http.ReadResponse on a bare connection reads a line of any length, and header lines of any number, into memory; its error quotes the whole line, which was wrapped and logged. Evidence: on, with the address space limited to 4 GB, one connection that never ends its status line, a header line or a name made the process run out of memory (allocations of 590 to 740 MB in one block), so that neither the number of connections nor the log is needed for it.

A head has at most 32 KiB and 256 lines, counted on the connection below the buffer, so that a body that arrives with its head is not counted. An answer to another request is skipped only if its body is short. An error quotes at most 120 bytes. The request counts as one that may have run, as before.

--- a/internal/edge/exchange/exchange.go
+++ b/internal/edge/exchange/exchange.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"math"
 	"net"
@@ -133,6 +132,7 @@
 	now  func() time.Time
 	// reusable reports that the connection may be reused after the body.
 	reusable bool
+	length   int64
 	// endsWithConnection reports that the body has neither a length nor chunks.
 	endsWithConnection bool
 	closed             atomic.Bool
@@ -247,6 +247,7 @@
 		// An upstream that answers before the whole body was sent takes what
 		// follows for the rest of it, so the connection must not be reused.
 		reusable:           bodySent && !response.Close,
+		length:             response.ContentLength,
 		endsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
 	}
 	// An executed request may be answered 429 for its caller's sake alone.
@@ -288,48 +289,14 @@
 	return buffered.Flush()
 }
 
-// errNoByte means that the connection ended before one byte of an answer.
-var errNoByte = errors.New("the connection ended before the answer")
-
-// readAnswer reads the header of the answer to the request with the ID. It skips
-// answers to other requests, which a faulty upstream sends late.
-func (c *Client) readAnswer(conn *conn, request *http.Request, id string) (*http.Response, error) {
-	if _, err := conn.reader.Peek(1); err != nil {
-		return nil, fmt.Errorf("%w: %w", errNoByte, err)
-	}
-	unrelated, informational := 0, 0
-	for {
-		response, err := http.ReadResponse(conn.reader, request)
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode < http.StatusOK {
-			informational++
-			if informational > maxInformationalAnswers {
-				return nil, errors.New("too many 1xx answers")
-			}
-			continue
-		}
-		answerID := response.Header.Get(c.names.RequestID)
-		if answerID == id || (answerID == "" && response.Header.Get(c.names.Seal) == "") {
-			response.Close = response.Close || unrelated > 0
-			return response, nil
-		}
-		unrelated++
-		if unrelated > maxUnrelatedAnswers || response.ContentLength < 0 {
-			return nil, errors.New("received an answer to another request")
-		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
-			return nil, err
-		}
-	}
-}
-
 // Read reads the answer's body. It returns io.EOF only at the actual end of the body.
 // A body without a length ends when the connection is closed, but not when it is
 // reset.
 func (a *Answer) Read(p []byte) (int, error) { return a.body.Read(p) }
 
+// Length returns the stated length of the body, or -1.
+func (a *Answer) Length() int64 { return a.length }
+
 // EndsWithConnection reports whether the end of the body is that of the connection.
 func (a *Answer) EndsWithConnection() bool { return a.endsWithConnection }
 
--- a/internal/edge/exchange/pool.go
+++ b/internal/edge/exchange/pool.go
@@ -31,6 +31,7 @@
 type conn struct {
 	net.Conn
 	address   string
+	head      *headLimit
 	reader    *bufio.Reader
 	idleUntil time.Time
 	idleSince time.Time
@@ -76,7 +77,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	head := &headLimit{Conn: raw}
+	return &conn{Conn: raw, address: address, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}, nil
 }
 
 // Check opens a connection to the address, which is kept for a request, and returns an
