Answers and events without end hold a bounded amount, and never look complete

Cause: io.LimitReader ends without an error, and buffers were bounded one by one only.

An answer that is no stream now fails beyond 16 MiB. Up to 64 KiB each are always buffered; more takes from a budget that all share, and what finds no room there is passed on as it comes, so that no sound answer is lost. Where memory is accounted for slow callers, the same takes the place of bytes forced beyond the bound. Once a part is passed on the request is not sent again, and a broken answer ends the caller's connection. Load reports of upstreams have a bounded head, too.

--- a/internal/edge/flow/ahead.go
+++ b/internal/edge/flow/ahead.go
@@ -61,7 +61,7 @@
 }
 
 func (c *call) newStreamSource(ctx context.Context, placement Placement, answer *exchange.Answer) *streamSource {
-	s := &streamSource{call: c, ctx: ctx, placement: placement, answer: answer, reader: newEventReader(answer), lastID: c.progress.lastEventID}
+	s := &streamSource{call: c, ctx: ctx, placement: placement, answer: answer, reader: newEventReader(answer, c.Unfinished), lastID: c.progress.lastEventID}
 	if c.held.memory != nil {
 		s.changed.L = &s.mu
 		s.resume = make(chan struct{}, 1)
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net/http"
 	"slices"
@@ -82,6 +83,9 @@
 	// Memory bounds the bytes held in bodies and answers; if it is nil or has no limit,
 	// they are not bounded, and no stream is read ahead of its caller.
 	Memory *memory.Account
+	// Unfinished bounds what answers and events of streams hold until they are complete,
+	// beyond smallAnswerBytes each; nil bounds nothing.
+	Unfinished *memory.Budget
 }
 
 // Metrics records counts and latencies.
@@ -385,14 +389,11 @@
 		return c.deliverStream(ctx, placement, answer)
 	}
 	body, err := c.readAnswerBody(ctx, answer)
+	if errors.Is(err, errNoRoomForAnswer) {
+		return c.passUnfinished(ctx, placement, answer, body)
+	}
 	if err != nil {
-		answer.Close(false)
-		if ctx.Err() != nil {
-			return Canceled
-		}
-		c.Crashes.Broke(c.Now(), placement.Upstream(), c.crashKey(), true)
-		c.logger.Warn("answer truncated", append(c.crashDetails(), "upstream", placement.Upstream().ID, "err", err)...)
-		return Interrupted
+		return c.handleTruncated(ctx, placement, answer, err)
 	}
 	answer.Close(true)
 	placement.AnswerStarted(c.Now())
@@ -419,15 +420,23 @@
 	return Failed
 }
 
+// handleTruncated ends an attempt whose answer broke off, or has no end.
+func (c *call) handleTruncated(ctx context.Context, placement Placement, answer *exchange.Answer, err error) Outcome {
+	answer.Close(false)
+	if ctx.Err() != nil {
+		return Canceled
+	}
+	c.Crashes.Broke(c.Now(), placement.Upstream(), c.crashKey(), true)
+	c.logger.Warn("answer truncated", append(c.crashDetails(), "upstream", placement.Upstream().ID, "err", err)...)
+	return Interrupted
+}
+
 // passFailedAnswer passes the last error response of an upstream on unchanged.
 func (c *call) passFailedAnswer() {
 	c.writePlain(c.failedAnswer, c.failedBody)
 	c.finish("upstream failure", "status", c.failedAnswer.Status)
 }
 
-// maxBufferedAnswerBytes is the most bytes of an answer that is buffered as a whole.
-const maxBufferedAnswerBytes = 16 << 20
-
 func (c *call) writePlain(answer *exchange.Answer, body []byte) {
 	c.Headers.Caller(answer.Header, c.w.Header())
 	c.w.WriteHeader(answer.Status)
@@ -440,7 +449,7 @@
 // mayRetry reports whether the route allows another attempt after one that may
 // have been executed.
 func (c *call) mayRetry() bool {
-	return c.route.Repeatable() && c.attempts < c.route.MaxAttempts && !c.progress.answered
+	return c.route.Repeatable() && c.attempts < c.route.MaxAttempts && !c.progress.answered && !c.progress.unfinished
 }
 
 // concluded reports whether the request is over after an attempt, and answers it
--- a/internal/edge/flow/flow_test.go
+++ b/internal/edge/flow/flow_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
 	"github.com/persimmonridge/persimmonridge/internal/edge/flow"
+	"github.com/persimmonridge/persimmonridge/internal/limit/memory"
 	"github.com/persimmonridge/persimmonridge/internal/state/catalog"
 	"github.com/persimmonridge/persimmonridge/internal/state/roster"
 	"github.com/persimmonridge/persimmonridge/platform"
@@ -65,6 +66,8 @@
 	guard *guard
 	// domains holds the failure domains of each region.
 	domains map[string][]string
+	// unfinished is nil unless a test sets it and starts again.
+	unfinished *memory.Budget
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -108,7 +111,7 @@
 	if f.guard != nil {
 		handler.Guard = f.guard
 	}
-	handler.Domains = f.domainsIn
+	handler.Domains, handler.Unfinished = f.domainsIn, f.unfinished
 	f.server = httptest.NewServer(handler)
 	f.t.Cleanup(f.server.Close)
 	f.t.Cleanup(func() { require.NoError(f.t, pool.Close()) })
--- a/internal/edge/flow/held.go
+++ b/internal/edge/flow/held.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +14,14 @@
 )
 
 const (
+	// maxAnswerBytes is the most bytes of an answer that is no stream. The answer of a faulty
+	// upstream may have no end.
+	maxAnswerBytes = 16 << 20
+	// smallAnswerBytes is what an answer, or an event of a stream, may hold whatever others
+	// hold. It is far above the usual size of either.
+	smallAnswerBytes = 64 << 10
+	// copyBufferBytes is the buffer through which the rest of a large answer is passed on.
+	copyBufferBytes = 16 << 10
 	// bodyPieceBytes is the first piece that is reserved for a body or an answer of unknown
 	// length. Each further one doubles what is reserved.
 	bodyPieceBytes = 8 << 10
@@ -34,8 +43,16 @@
 	memory       *memory.Account
 	holder       string
 	body, answer *memory.Reservation
+	// unfinished is what the request's answers have of the budget for unfinished ones.
+	unfinished int64
 }
 
+var (
+	// errNoRoomForAnswer means that the rest of an answer is to be passed on unbuffered.
+	errNoRoomForAnswer = errors.New("no memory for the rest of the answer")
+	errAnswerTooLong   = fmt.Errorf("answer exceeds %d bytes", maxAnswerBytes)
+)
+
 // openMemory opens the reservations of the request. Their holder is the workspace, or the
 // caller's host if there is none.
 func (c *call) openMemory(r *http.Request) {
@@ -58,6 +75,8 @@
 	if c.held.answer != nil {
 		c.held.answer.Close(c.Now())
 	}
+	c.Unfinished.Return(c.held.unfinished)
+	c.held.unfinished = 0
 }
 
 // releaseBody drops the request's body, which is not sent again.
@@ -112,36 +131,61 @@
 }
 
 // readAnswerBody reads an answer that is passed on as a whole. While there is no room for it,
-// reading pauses, but an answer is never given up for lack of memory.
+// reading pauses, but an answer is never given up for lack of memory: the error is then
+// errNoRoomForAnswer, and the rest can be read from the answer.
 func (c *call) readAnswerBody(ctx context.Context, answer *exchange.Answer) ([]byte, error) {
-	limited := io.LimitReader(answer, maxBufferedAnswerBytes)
+	if answer.Length() > maxAnswerBytes {
+		return nil, errAnswerTooLong
+	}
+	limited := &limitedAnswer{reader: answer}
 	if c.held.answer == nil {
-		return io.ReadAll(limited)
+		return c.readUnfinished(limited)
 	}
 	pauseUntil, reserved := time.Time{}, int64(0)
 	body, err := readReserved(limited, -1, func(n int64) error {
-		reserved += n
 		for {
 			now := c.Now()
 			if c.held.answer.Grow(now, n) {
+				reserved += n
 				return nil
 			}
 			if pauseUntil.IsZero() {
 				pauseUntil = now.Add(maxAnswerPause)
 			}
-			if !now.Before(pauseUntil) || ctx.Err() != nil {
-				c.held.answer.Force(n)
-				return nil
+			if now.Before(pauseUntil) && ctx.Err() == nil {
+				c.awaitAnswerRoom(ctx, n, pauseUntil.Sub(now))
+				continue
+			}
+			if reserved >= smallAnswerBytes {
+				return errNoRoomForAnswer
 			}
-			c.awaitAnswerRoom(ctx, n, pauseUntil.Sub(now))
+			c.held.answer.Force(n)
+			reserved += n
+			return nil
 		}
 	})
-	if err != nil {
+	if err != nil && !errors.Is(err, errNoRoomForAnswer) {
 		c.held.answer.Shrink(c.Now(), reserved)
 	}
 	return body, err
 }
 
+// readUnfinished reads an answer within the budget for unfinished ones.
+func (c *call) readUnfinished(answer io.Reader) ([]byte, error) {
+	size := int64(0)
+	return readReserved(answer, -1, func(n int64) error {
+		size += n
+		if size <= smallAnswerBytes {
+			return nil
+		}
+		if !c.Unfinished.Take(n) {
+			return errNoRoomForAnswer
+		}
+		c.held.unfinished += n
+		return nil
+	})
+}
+
 // releaseFailedBody releases the memory of a failed answer that another one replaces.
 func (c *call) releaseFailedBody() {
 	if c.held.answer != nil {
@@ -161,6 +205,63 @@
 	}
 }
 
+// limitedAnswer fails when an answer that is no stream exceeds its maximum.
+type limitedAnswer struct {
+	reader io.Reader
+	read   int
+}
+
+// Read implements io.Reader.
+func (l *limitedAnswer) Read(p []byte) (int, error) {
+	n, err := l.reader.Read(p)
+	l.read += n
+	if l.read > maxAnswerBytes {
+		return 0, errAnswerTooLong
+	}
+	return n, err
+}
+
+// passUnfinished passes on an answer for whose rest there is no memory. From the first byte on,
+// the request cannot be sent again. An answer that breaks off ends the caller's connection.
+func (c *call) passUnfinished(ctx context.Context, placement Placement, answer *exchange.Answer, begun []byte) Outcome {
+	success := answer.Status >= 200 && answer.Status < 300
+	if c.progress.opened || (!success && answer.Status >= http.StatusInternalServerError && c.mayRetry()) {
+		answer.Close(false)
+		return Failed
+	}
+	placement.AnswerStarted(c.Now())
+	c.progress.opened, c.progress.unfinished = true, true
+	c.Headers.Caller(answer.Header, c.w.Header())
+	c.w.WriteHeader(answer.Status)
+	rest := &limitedAnswer{reader: answer, read: len(begun)}
+	buffer := make([]byte, copyBufferBytes)
+	for piece := begun; ; {
+		if _, err := c.w.Write(piece); err != nil {
+			answer.Close(false)
+			c.progress.answered = true
+			c.finishDisconnected(c.disconnectOutcome(), append(c.lastAttempt(), "err", err)...)
+			return Canceled
+		}
+		n, err := rest.Read(buffer)
+		piece = buffer[:n]
+		if errors.Is(err, io.EOF) && n == 0 {
+			break
+		}
+		if err != nil && !errors.Is(err, io.EOF) {
+			return c.handleTruncated(ctx, placement, answer, err)
+		}
+	}
+	answer.Close(true)
+	c.progress.answered = true
+	if success {
+		c.recordServed(answer)
+		c.finish(outcomeAnswered, "upstream", placement.Upstream().ID)
+		return Answered
+	}
+	c.finish("upstream failure", "status", answer.Status)
+	return Failed
+}
+
 // readReserved reads to the end. If the length is known, it is reserved already; otherwise
 // reserve is called before the buffer grows by n bytes.
 func readReserved(r io.Reader, length int64, reserve func(n int64) error) ([]byte, error) {
@@ -176,7 +277,7 @@
 			}
 			more := max(bodyPieceBytes, cap(data))
 			if err := reserve(int64(more)); err != nil {
-				return nil, err
+				return data, err
 			}
 			grown := make([]byte, len(data), cap(data)+more)
 			copy(grown, data)
--- a/internal/edge/flow/stream.go
+++ b/internal/edge/flow/stream.go
@@ -5,11 +5,14 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 
 	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
+	"github.com/persimmonridge/persimmonridge/internal/limit/memory"
 )
 
 const (
@@ -19,7 +22,8 @@
 )
 
 var (
-	errEventTooLong = errors.New("stream event exceeds 1 MiB")
+	errEventTooLong   = errors.New("stream event exceeds 1 MiB")
+	errNoRoomForEvent = fmt.Errorf("no memory for a stream event of more than %d bytes", smallAnswerBytes)
 	// errNoEvent is the error of a stream whose connection ended before an event, as that of
 	// an upstream that crashes.
 	errNoEvent = errors.New("stream ended before its first event")
@@ -36,6 +40,8 @@
 	lastEventNumber int64
 	// events is the number of events that were passed on.
 	events int
+	// unfinished reports that a part of an answer that is no stream was passed on.
+	unfinished bool
 }
 
 // event is one event of a stream, including the blank line that ends it.
@@ -50,18 +56,22 @@
 // upstream leaves one that dies within an event.
 type eventReader struct {
 	reader *bufio.Reader
+	// unfinished bounds what incomplete events hold beyond smallAnswerBytes each.
+	unfinished *memory.Budget
 	// grow is called before the current event grows by n bytes; it may be nil.
 	grow func(n int) error
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(r, eventBufferBytes)}
+func newEventReader(r io.Reader, unfinished *memory.Budget) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(r, eventBufferBytes), unfinished: unfinished}
 }
 
 // next returns the next event, io.EOF after the last one, or io.ErrUnexpectedEOF
 // if the stream ended within an event.
 func (e *eventReader) next() (event, error) {
 	var current event
+	taken := int64(0)
+	defer func() { e.unfinished.Return(taken) }()
 	for {
 		line, err := e.reader.ReadSlice('\n')
 		if e.grow != nil && len(line) > 0 {
@@ -69,6 +79,14 @@
 				return event{}, growErr
 			}
 		}
+		if len(current.raw)+len(line) > cap(current.raw) && len(current.raw) >= smallAnswerBytes {
+			more := int64(cap(current.raw))
+			if !e.unfinished.Take(more) {
+				return event{}, errNoRoomForEvent
+			}
+			taken += more
+			current.raw = slices.Grow(current.raw, int(more))
+		}
 		current.raw = append(current.raw, line...)
 		if errors.Is(err, bufio.ErrBufferFull) {
 			if len(current.raw) > maxEventBytes {
--- a/internal/limit/memory/memory.go
+++ b/internal/limit/memory/memory.go
@@ -10,11 +10,16 @@
 
 const (
 	// share is the fraction of the process's memory limit that the account may hold. The Go
-	// runtime is limited to 0.6 of it (memoryLimitShare in cmd/persimmonridge). The
-	// remaining 0.35 of that is for the gateway's other data and for garbage, without which
+	// runtime is limited to 0.6 of it (memoryLimitShare in cmd/persimmonridge). What remains
+	// of that besides unfinishedShare is for the gateway's other data and for garbage, without which
 	// collections would be continuous. The 0.4 outside the runtime hold the bytes in
 	// transit in the kernel's socket buffers.
 	share = 0.25
+	// unfinishedShare is the fraction of the process's memory limit that unfinished answers and
+	// events may hold beyond a small size each, and defaultUnfinishedBytes the bound if the
+	// limit is unknown.
+	unfinishedShare        = 1.0 / 16
+	defaultUnfinishedBytes = 16 << 20
 	// bodyShare is the fraction of the account that request bodies may use. Bodies can be
 	// refused and answers cannot, so the rest is left to answers.
 	bodyShare = 0.75
@@ -64,6 +69,15 @@
 // Limit returns the limit of the account in a process with the memory limit.
 func Limit(processBytes int64) int64 { return int64(float64(processBytes) * share) }
 
+// UnfinishedLimit returns the bound of what unfinished answers hold in a process with the memory
+// limit, which is 0 if it is unknown.
+func UnfinishedLimit(processBytes int64) int64 {
+	if processBytes <= 0 {
+		return defaultUnfinishedBytes
+	}
+	return int64(float64(processBytes) * unfinishedShare)
+}
+
 // Stats are the figures of an account.
 type Stats struct {
 	Limit int64
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -172,6 +172,7 @@
 	lastChange atomic.Int64
 	metrics    *metrics
 	memory     *memory.Account
+	unfinished *memory.Budget
 	link       *linkLoad
 	ingress    *ingress.Server
 	stop       atomic.Pointer[stopWindow]
@@ -263,14 +264,15 @@
 	g.follower = g.newFollower()
 	g.memory = memory.New(s.heldBytesLimit(), g.logMemory)
 	g.metrics.registerGauges(g)
-	g.metrics.registerMemory(g.memory)
+	g.unfinished = memory.NewBudget(memory.UnfinishedLimit(s.MemoryBytes))
+	g.metrics.registerMemory(g.memory, g.unfinished)
 	g.metrics.registerLink(g.link)
 	requests := flow.New(flow.Dependencies{
 		Headers: deps.Headers, Client: exchange.NewClient(g.pool, deps.AnswerHeaders, now), Catalog: g.catalog.Load,
 		Picker: demandPicker{g.versionPicker, g.partLoans}, Quota: g.quota, Retries: g.retryBudget, Crashes: g.crashes,
 		Metrics: g.metrics, Logger: logger, Now: now, ShutdownStatus: g.stopTimes,
 		OthersAccept:  func(shutdownNoticed bool) bool { return g.peers.othersAccept(now(), shutdownNoticed) },
-		NextAccepting: g.nextAccepting, ConfigurationDue: g.hubList.configurationDue, Guard: g.guard, Domains: g.domainsIn, Memory: g.memory,
+		NextAccepting: g.nextAccepting, ConfigurationDue: g.hubList.configurationDue, Guard: g.guard, Domains: g.domainsIn, Memory: g.memory, Unfinished: g.unfinished,
 	})
 	g.ingress = ingress.New(ingress.Dependencies{
 		Handler: requests, Catalog: g.catalog.Load, Metrics: g.metrics, Logger: logger, Now: now, Take: g.takesConnection,
--- a/internal/role/gateway/memory.go
+++ b/internal/role/gateway/memory.go
@@ -24,9 +24,13 @@
 	g.logger.Info("memory for bodies and answers has room again", "held", held, "limit", limit)
 }
 
-// registerMemory registers the metrics of the memory account.
-func (m *metrics) registerMemory(account *memory.Account) {
+// registerMemory registers the metrics of the memory account and of the budget for unfinished
+// answers.
+func (m *metrics) registerMemory(account *memory.Account, unfinished *memory.Budget) {
 	auto := promauto.With(m.registry)
+	auto.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "persimmonridge_memory_unfinished_bytes", Help: "Bytes held in large answers and events of streams that are not complete.",
+	}, func() float64 { return float64(unfinished.Taken()) })
 	for _, kind := range memory.Kinds() {
 		auto.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "persimmonridge_memory_held_bytes", Help: "Bytes held in request bodies, buffered answers and streams that were read ahead.",
--- a/internal/trial/soak/backend_test.go
+++ b/internal/trial/soak/backend_test.go
@@ -126,6 +126,7 @@
 	drainingSince time.Time
 	coldUntil     time.Time
 	failureMode   atomic.Int32
+	endless       atomic.Bool
 	need          atomic.Pointer[need]
 	running       atomic.Int32
 	// crashUnder is called when a request crashes the upstream.
@@ -267,6 +268,9 @@
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
+	if u.answerEndlessly(w, attempt) {
+		return
+	}
 	id, _ := u.identity()
 	affected := xxhash.Sum64String(attempt+id)%2 == 0
 	if mode == failing && affected {
--- a/internal/trial/soak/testbed_test.go
+++ b/internal/trial/soak/testbed_test.go
@@ -295,6 +295,10 @@
 	if tb.seed >= convergeFromSeed {
 		background.Go(tb.convergeCallers)
 	}
+	if tb.seed >= endlessFromSeed {
+		background.Go(tb.sendEndlessly)
+		background.Go(tb.watchMemory)
+	}
 	recoveryChecks := 1
 	if tb.hardLoad() {
 		background.Go(tb.surge)
--- a/internal/upstream/engine/engine.go
+++ b/internal/upstream/engine/engine.go
@@ -23,6 +23,8 @@
 	// loadTimeout and maxLoadReport limit the time and size of a load report.
 	loadTimeout   = time.Second
 	maxLoadReport = 64 << 10
+	// maxHeadBytes bounds the head of an answer, which may have no end.
+	maxHeadBytes = 32 << 10
 	// readBufferSize is the maximum number of bytes per read.
 	readBufferSize = 16 << 10
 	// eventStreamType is the content type of streamed answers.
@@ -105,9 +107,10 @@
 // and cannot be stale.
 func New(base string, now func() time.Time, dialer Dialer) *Client {
 	transport := &http.Transport{
-		DialContext:        dialer.DialContext,
-		DisableKeepAlives:  true,
-		DisableCompression: true,
+		DialContext:            dialer.DialContext,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return &Client{base: base, dialer: dialer, http: &http.Client{Transport: transport, CheckRedirect: noRedirect}, now: now}
 }
