A refusal without an ID on a kept connection is not that of the request

An upstream that sends a refusal without an ID after a complete answer had the next request on the connection sent to a second upstream, while the first one ran it.

Cause: an answer with neither an ID nor a seal was taken for the one that is expected, and its "not executed" was believed.

Why this works: on a kept connection such an answer is passed over, as those with another ID are, and the request's own answer is read behind it, for at most a second. On a new connection nothing can precede it.

--- a/internal/edge/exchange/head.go
+++ b/internal/edge/exchange/head.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"time"
 )
 
 const (
@@ -18,6 +19,9 @@
 	// maxUnrelatedBytes is the most bytes of the body of an answer to another request that are
 	// read to reach the expected answer.
 	maxUnrelatedBytes = 1 << 20
+	// maxStrayDelay is how long the answer is awaited after one without an ID. It may have been
+	// the answer after all, of an upstream that states no ID in a failure.
+	maxStrayDelay = time.Second
 	// maxQuotedBytes is how much of what an upstream sent an error quotes.
 	maxQuotedBytes = 120
 	// answerStart begins each answer.
@@ -80,11 +84,18 @@
 			continue
 		}
 		answerID := response.Header.Get(c.names.RequestID)
-		if answerID == id || (answerID == "" && response.Header.Get(c.names.Seal) == "") {
+		isAnonymous := answerID == "" && response.Header.Get(c.names.Seal) == ""
+		// On a kept connection, an answer without an ID may be what an upstream sent after the
+		// answer to an earlier request. It must not tell that this one was not executed.
+		if answerID == id || (isAnonymous && !conn.reused) {
 			response.Close = response.Close || unrelated > 0
 			return response, nil
 		}
 		unrelated++
+		if isAnonymous {
+			timer := time.AfterFunc(maxStrayDelay, func() { closeQuietly(conn) })
+			defer timer.Stop()
+		}
 		if unrelated > maxUnrelatedAnswers || response.ContentLength < 0 || response.ContentLength > maxUnrelatedBytes {
 			return nil, errors.New("received an answer to another request")
 		}
