Tests of request handling: the fakes may be used by several requests at once

The product is not concerned. What the fakes record has a lock of its own now; no check changes. A first try with the fixture's lock made slow_body_test.go wait for itself, as it holds that lock.

--- a/internal/edge/flow/flow_test.go
+++ b/internal/edge/flow/flow_test.go
@@ -37,6 +37,8 @@
 	upstreams []roster.Upstream
 	headers   map[string]string
 
+	// fakes guards what the fakes record; other locks may be held.
+	fakes             sync.Mutex
 	mu                sync.Mutex
 	executed          []string
 	placementRequests []flow.PlacementRequest
@@ -179,6 +181,8 @@
 
 // Pick implements flow.Picker. It returns the upstreams in their order.
 func (f *fixture) Pick(_ context.Context, _ time.Time, a flow.PlacementRequest) (flow.Placement, error) {
+	f.fakes.Lock()
+	defer f.fakes.Unlock()
 	f.placementRequests = append(f.placementRequests, a)
 	if len(a.ExcludedUpstreams) >= len(f.upstreams) {
 		return nil, flow.RefusePlacement(1500*time.Millisecond, "none left")
@@ -204,6 +208,8 @@
 func (retries) Sent(time.Time, string) {}
 
 func (r retries) Take(time.Time, string) bool {
+	r.fixture.fakes.Lock()
+	defer r.fixture.fakes.Unlock()
 	r.fixture.retryBudget--
 	return r.fixture.retryBudget >= 0
 }
--- a/internal/edge/flow/stale_test.go
+++ b/internal/edge/flow/stale_test.go
@@ -88,24 +88,39 @@
 func (f *fixture) Sent(time.Time, roster.Upstream, flow.CrashKey) (done func()) { return func() {} }
 
 func (f *fixture) Broke(_ time.Time, upstream roster.Upstream, _ flow.CrashKey, _ bool) {
-	f.crashReports = append(f.crashReports, upstream.ID+" broke")
+	f.report(upstream.ID + " broke")
 }
 
 func (f *fixture) Down(_ time.Time, upstream roster.Upstream) {
-	f.crashReports = append(f.crashReports, upstream.ID+" down")
+	f.report(upstream.ID + " down")
 }
 
 func (f *fixture) Unanswered(_ time.Time, upstream roster.Upstream, _ flow.CrashKey) {
-	f.crashReports = append(f.crashReports, upstream.ID+" unanswered")
+	f.report(upstream.ID + " unanswered")
 }
 
-func (f *fixture) Served(time.Time, flow.CrashKey) { f.served++ }
+func (f *fixture) report(text string) {
+	f.fakes.Lock()
+	defer f.fakes.Unlock()
+	f.crashReports = append(f.crashReports, text)
+}
+
+func (f *fixture) Served(time.Time, flow.CrashKey) {
+	f.fakes.Lock()
+	defer f.fakes.Unlock()
+	f.served++
+}
 
 func (f *fixture) Survived(time.Time, flow.CrashKey) {}
 
 func (f *fixture) WhenBlocked(_ flow.CrashKey, blocked func()) (stop func()) {
-	f.whenBlocked = blocked
-	return func() { f.whenBlocked = nil }
+	set := func(blocked func()) {
+		f.fakes.Lock()
+		defer f.fakes.Unlock()
+		f.whenBlocked = blocked
+	}
+	set(blocked)
+	return func() { set(nil) }
 }
 
 func (f *fixture) requireStatus(path string, want int) {
