review: case 7, a cut watch keeps departed upstreams beyond the drain

The follower takes a cut watch for an outage of the store and the next response for its return.

Workers of the stand-in write their heartbeats at the same moments, so that a watch waits for part of the time; unused fields of the driver are removed.

--- a/review/harness-2/bed.go
+++ b/review/harness-2/bed.go
@@ -62,7 +62,6 @@
 	cut      bool
 	healed   chan struct{}
 	conns    map[net.Conn]struct{}
-	wrote    atomic.Int64
 }
 
 func newLink(target string) (*link, error) {
@@ -217,20 +216,22 @@
 	gone                 atomic.Bool
 	failShare            atomic.Uint64 // in thousandths
 	sequence             atomic.Int64
-	drainAcknowledged    atomic.Int64
 	work                 time.Duration
 }
 
-func (b *bed) newWorker(service, version, zone string, work time.Duration) *worker {
+func (b *bed) newWorker(version, zone string) *worker {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
-	w := &worker{bed: b, id: fmt.Sprintf("i-%08x", rand.Uint32()), service: service, version: version, zone: zone, listener: l, slots: make(chan struct{}, 12), work: work}
+	w := &worker{bed: b, id: fmt.Sprintf("i-%08x", rand.Uint32()), service: "xano55b", version: version, zone: zone, listener: l, slots: make(chan struct{}, 12), work: 20 * time.Millisecond}
 	w.state.Store("ready")
 	w.server = &http.Server{Handler: w}
 	go func() { _ = w.server.Serve(l) }()
 	w.register()
 	go func() {
-		for range time.Tick(heartbeat) {
+		for {
+			// All workers write at the same moments, as if they had started together.
+			now := time.Now()
+			time.Sleep(now.Truncate(heartbeat).Add(heartbeat).Sub(now))
 			if w.gone.Load() {
 				return
 			}
--- a/review/harness-2/cases.go
+++ b/review/harness-2/cases.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
@@ -15,7 +16,7 @@
 const host = "ficu95.example"
 
 // config is a small configuration: one route with a key, to which idle routes are added.
-func config(version int, keys []string, idle int, extra ...map[string]any) map[string]any {
+func config(version int, keys []string, idle int) map[string]any {
 	route := func(name, prefix string) map[string]any {
 		return map[string]any{"name": name, "hostname": host, "prefix": prefix, "kind": "non_idempotent", "timeoutMs": 1000, "targetLatencyMs": 150,
 			"priority": 2, "service": "xano55b", "maxAttempts": 1, "public": false, "sessionAffinity": false, "streamResume": false}
@@ -24,9 +25,6 @@
 	for i := range idle {
 		routes = append(routes, route(fmt.Sprintf("r-idle%05d", i), fmt.Sprintf("/idle%05d/", i)))
 	}
-	for i := range extra {
-		routes = append(routes, extra[i])
-	}
 	return map[string]any{
 		"version": version, "routes": routes,
 		"services": []map[string]any{{"name": "xano55b", "healthCheck": "/health", "maxConnections": 110}},
@@ -43,7 +41,7 @@
 	b.put("op/config", config(1, keys, idle))
 	var workers []*worker
 	for i := range 4 {
-		workers = append(workers, b.newWorker("xano55b", "v1", string(rune('a'+i%3)), 20*time.Millisecond))
+		workers = append(workers, b.newWorker("v1", string(rune('a'+i%3))))
 	}
 	b.startAll()
 	var n atomic.Int64
@@ -110,7 +108,7 @@
 func rolloutBed(b *bed, perSecond float64, duration time.Duration) (target []*worker, ordered time.Time) {
 	b.put("op/config", config(1, []string{"key-kept"}, 8))
 	for i := range 6 {
-		b.newWorker("xano55b", "v1", string(rune('a'+i%3)), 20*time.Millisecond)
+		b.newWorker("v1", string(rune('a'+i%3)))
 	}
 	b.startAll()
 	b.load(perSecond, time.Second, func() request {
@@ -120,7 +118,7 @@
 	ordered = b.put("op/rollout/xano55b", map[string]any{"service": "xano55b", "target": "v2", "durationS": duration.Seconds()})
 	time.Sleep(1500 * time.Millisecond)
 	for i := range 6 {
-		target = append(target, b.newWorker("xano55b", "v2", string(rune('a'+i%3)), 20*time.Millisecond))
+		target = append(target, b.newWorker("v2", string(rune('a'+i%3))))
 	}
 	return target, ordered
 }
@@ -263,7 +261,7 @@
 	b.put("op/config", config(1, []string{"key-kept"}, 8))
 	var workers []*worker
 	for i := range 2 {
-		workers = append(workers, b.newWorker("xano55b", "v1", string(rune('a'+i%3)), 20*time.Millisecond))
+		workers = append(workers, b.newWorker("v1", string(rune('a'+i%3))))
 	}
 	b.startAll()
 	b.load(300, time.Second, func() request {
@@ -276,16 +274,16 @@
 	}
 	time.Sleep(2 * time.Second)
 	removed := make(map[string]time.Time)
-	for i := range 8 {
+	for i := range 16 {
 		// The new worker starts first.
-		workers = append(workers, b.newWorker("xano55b", "v1", string(rune('a'+i%3)), 20*time.Millisecond))
-		time.Sleep(1500 * time.Millisecond)
+		workers = append(workers, b.newWorker("v1", string(rune('a'+i%3))))
+		time.Sleep(300*time.Millisecond + rand.N(1200*time.Millisecond))
 		w := workers[i]
 		w.gone.Store(true)
 		b.store.Remove("servers/" + w.id)
 		removed[w.id] = time.Now()
-		b.record.line("the entry of worker %s is removed; it serves on for 4 s", w.id)
-		time.Sleep(4 * time.Second)
+		b.record.line("the entry of worker %s is removed; it serves on for 3 s", w.id)
+		time.Sleep(3 * time.Second)
 		_ = w.server.Close()
 	}
 	b.stopped.Store(true)
