Retries are counted by service and logged once a second

A caller whose request was not repeated got 'retry budget exhausted', and nothing told what the budget held, which repeats it had allowed, of how many requests and divided by how many gateways. The hypotheses on repeats beyond the budget could not be told apart. Two metrics and a line have it now; no decision changes.

--- a/internal/limit/retry/retry.go
+++ b/internal/limit/retry/retry.go
@@ -3,6 +3,8 @@
 package retry
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -48,6 +50,22 @@
 	tokens     float64
 	refilledAt time.Time
 	requests   requestWindow
+	counted    Counts
+}
+
+// Counts is what a process has counted of a service since it started.
+type Counts struct {
+	// Requests are first attempts, Allowed the retries that were charged, and Refused
+	// those that the budget did not cover.
+	Requests, Allowed, Refused int
+}
+
+// Account is the state of the budget of one service.
+type Account struct {
+	Service string
+	Counts
+	// Left is how many retries may be sent at once now.
+	Left float64
 }
 
 // requestWindow counts requests in halves of a window. The two latest halves cover at
@@ -120,6 +138,7 @@
 	defer b.mu.Unlock()
 	s := b.refilledBudget(now, service)
 	s.requests.current++
+	s.counted.Requests++
 	s.tokens = min(s.tokens+earnedFraction*b.settings.Ratio, b.maxSaved(s))
 }
 
@@ -129,8 +148,22 @@
 	defer b.mu.Unlock()
 	s := b.refilledBudget(now, service)
 	if s.tokens < 1 {
+		s.counted.Refused++
 		return false
 	}
 	s.tokens--
+	s.counted.Allowed++
 	return true
 }
+
+// Accounts returns the state of all services, in order of name.
+func (b *Budget) Accounts(now time.Time) []Account {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	accounts := make([]Account, 0, len(b.services))
+	for _, service := range slices.Sorted(maps.Keys(b.services)) {
+		s := b.refilledBudget(now, service)
+		accounts = append(accounts, Account{Service: service, Counts: s.counted, Left: s.tokens})
+	}
+	return accounts
+}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -127,6 +127,7 @@
 	decoder         Decoder
 	omittedLogLines func() (sampled, dropped int64)
 	retryBudget     *retry.Budget
+	retryAccounts   *retryAccounts
 	listen          func(network, address string) (net.Listener, error)
 	logger          *slog.Logger
 	now             func() time.Time
@@ -267,6 +268,7 @@
 	g.unfinished = memory.NewBudget(memory.UnfinishedLimit(s.MemoryBytes))
 	g.metrics.registerMemory(g.memory, g.unfinished)
 	g.metrics.registerLink(g.link)
+	g.retryAccounts = newRetryAccounts(g)
 	requests := flow.New(flow.Dependencies{
 		Headers: deps.Headers, Client: exchange.NewClient(g.pool, deps.AnswerHeaders, now), Catalog: g.catalog.Load,
 		Picker: demandPicker{g.versionPicker, g.partLoans}, Quota: g.quota, Retries: g.retryBudget, Crashes: g.crashes,
@@ -400,6 +402,7 @@
 			now := g.now()
 			g.pool.CloseExpired(now)
 			g.logOmittedLines(now)
+			g.retryAccounts.log(now)
 			g.evacuations.expire(now)
 			g.guard.forget(now)
 			overdue := g.roster.Overdue(now)
