--- a/internal/edge/flow/flow_test.go
+++ b/internal/edge/flow/flow_test.go
@@ -55,7 +55,9 @@
 	// are known.
 	pendingQuotaRequests int
 	retryBudget          int
-	blocked              bool
+	// requestsCounted is how many requests were told to the budget.
+	requestsCounted int
+	blocked         bool
 	// whenBlocked is what the handler wants called when its request becomes blocked.
 	whenBlocked  func()
 	crashReports []string
@@ -205,7 +207,11 @@
 // retries implements flow.RetryBudget with the fixture's budget.
 type retries struct{ fixture *fixture }
 
-func (retries) Sent(time.Time, string) {}
+func (r retries) Sent(time.Time, string) {
+	r.fixture.fakes.Lock()
+	defer r.fixture.fakes.Unlock()
+	r.fixture.requestsCounted++
+}
 
 func (r retries) Take(time.Time, string) bool {
 	r.fixture.fakes.Lock()
@@ -380,6 +386,19 @@
 	require.Len(t, f.executed, 1)
 }
 
+// Guards against a share of retries that grows with each upstream that refuses a connection: the
+// request was counted anew for each of them.
+func TestRequestIsCountedOnceHoweverManyUpstreamsRefuseConnections(t *testing.T) {
+	f := newFixture(t)
+	for _, name := range []string{"one", "two", "three"} {
+		f.addUnreachable(name)
+	}
+	f.addUpstream("four", successAnswer)
+	f.requireStatus("/read/x", http.StatusOK)
+	require.Equal(t, 1, f.requestsCounted)
+	require.Equal(t, 10, f.retryBudget, "nothing was sent twice")
+}
+
 func TestRoutingAndAuthentication(t *testing.T) {
 	f := newFixture(t)
 	f.addUpstream("one", successAnswer)
--- a/internal/limit/retry/retry_test.go
+++ b/internal/limit/retry/retry_test.go
@@ -1,12 +1,14 @@
 package retry_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/persimmonridge/persimmonridge/internal/limit/retry"
+	"github.com/persimmonridge/persimmonridge/internal/proof/repeats"
 )
 
 // Every request to a service fails for thirty seconds and asks for a retry. Over five
@@ -87,6 +89,27 @@
 	}
 }
 
+// Guards against a limit that is exceeded where few requests come, though no process starts: what
+// was saved of the slack and what is refilled in a window add up.
+func TestSlackIsNotSpentTwiceWithFewRequests(t *testing.T) {
+	settings := retry.Settings{Ratio: 0.2, Slack: 54, Window: 10 * time.Second}
+	b := retry.New(settings, func() int { return 1 })
+	log := repeats.NewLog()
+	start := time.Unix(1_000_000, 0)
+	const perSecond = 2
+	for i := range 60 * perSecond {
+		now := start.Add(time.Duration(i) * time.Second / perSecond)
+		log.Sent(now)
+		b.Sent(now, "s")
+		log.Arrived(now, fmt.Sprint(i))
+		for now.Sub(start) > 30*time.Second && b.Take(now, "s") {
+			log.Arrived(now, fmt.Sprint(i))
+		}
+	}
+	worst := log.Worst(repeats.Limit{Ratio: settings.Ratio, Slack: settings.Slack, Window: settings.Window})
+	require.False(t, worst.Exceeds(), "%d repeats of %d requests, %.1f are allowed", worst.Repeats, worst.Requests, worst.Allowed)
+}
+
 // Retries that were earned by traffic must expire after it has ended.
 func TestSavedRetriesExpire(t *testing.T) {
 	b := retry.New(retry.Settings{Ratio: 0.2, Slack: 0, Window: 10 * time.Second}, func() int { return 1 })
--- a/internal/role/gateway/fleet_test.go
+++ b/internal/role/gateway/fleet_test.go
@@ -55,6 +55,8 @@
 	nodes    []*gateway.Gateway
 	logger   *slog.Logger
 	dialers  map[int]*dialer
+	// sockets holds, by gateway, the listeners and accepted connections of its process.
+	sockets map[int]*sockets
 	// relayedFleet is the setting of the gateways.
 	relayedFleet int
 	// turnedAway holds the gateways that the store turns away.
@@ -75,6 +77,10 @@
 	// of the requests in arrivals.
 	refuses map[string]bool
 	senders map[string][]string
+	// resets is set while engines reset all requests, and observe is called with each request
+	// that reaches an engine, if it is not nil.
+	resets  bool
+	observe func(at time.Time, id string)
 }
 
 // storeAddress returns the store's address for one gateway; each has its own, so that
@@ -169,13 +175,19 @@
 			w.Header().Set(header, value)
 		}
 		f.senders[name] = append(f.senders[name], r.Header.Get(attemptIDHeader))
-		refuses := f.refuses[name]
+		refuses, resets, observe := f.refuses[name], f.resets, f.observe
 		f.mu.Unlock()
 		defer func() {
 			f.mu.Lock()
 			f.running[name]--
 			f.mu.Unlock()
 		}()
+		if observe != nil {
+			observe(time.Now(), r.Header.Get(attemptIDHeader))
+		}
+		if resets {
+			panic(http.ErrAbortHandler)
+		}
 		w.Header().Set(attemptIDHeader, r.Header.Get(attemptIDHeader))
 		if refuses {
 			w.Header().Set(notExecutedHeader, "1")
@@ -233,22 +245,33 @@
 
 // run starts a gateway's process.
 func (f *fleet) run(ctx context.Context, i int) *gateway.Gateway {
-	settings, exit := f.settings(i), f.exits[i]
+	settings, exit, process := f.settings(i), f.exits[i], &sockets{}
+	f.mu.Lock()
+	if f.sockets == nil {
+		f.sockets = make(map[int]*sockets)
+	}
+	f.sockets[i] = process
+	f.mu.Unlock()
 	g := gateway.New(gateway.Dependencies{
 		Settings: settings, Store: platform.NewStore(storeAddress(i), f.network.DialContext), Decoder: platform.Decoder{},
 		Headers: platform.Headers{}, AnswerHeaders: platform.AnswerHeaders(), Dialer: f.dialer(i),
-		Listen: func(_, address string) (net.Listener, error) { return f.listen(i, address) },
+		Listen: func(_, address string) (net.Listener, error) { return f.listen(i, process, address) },
 		Logger: f.logger.With("node", settings.Name), Now: time.Now,
 	})
 	go func() { exit <- g.Run(ctx) }()
 	return g
 }
 
-// listen opens a listener of the gateway.
-func (f *fleet) listen(i int, address string) (net.Listener, error) {
+// listen opens a listener of the gateway's process.
+func (f *fleet) listen(i int, process *sockets, address string) (net.Listener, error) {
 	l, err := f.network.Listen(address)
-	if err != nil || f.links[i] == nil {
-		return l, err
+	if err != nil {
+		return nil, err
+	}
+	l = &socketListener{Listener: l, sockets: process}
+	process.add(l)
+	if f.links[i] == nil {
+		return l, nil
 	}
 	return f.links[i].Listener(l), nil
 }
