Requests are counted and retries are charged when they are sent

Callers' requests were repeated beyond the budget in two ways that need no restart. A retry was charged when it was decided, and could wait for a slot: those of fifteen seconds were sent in one, 190 of 150 allowed (TestRetriesThatWaitedCountWhenTheyAreSent, with the former charge).

Each send passes one place now, immediately before its first byte: the first one counts the request, each further one charges a retry, whatever made it necessary. A retry is reserved when it is decided, so that a request does not wait for a slot in vain, and released if it is not sent.

TestRequestOnAStaleConnectionToACrashedUpstream: the route with one attempt sends nothing more, so its budget is as before the request (10, was 9); the other one sends once more (9). Both figures are checked now.

--- a/internal/edge/flow/attempt.go
+++ b/internal/edge/flow/attempt.go
@@ -29,7 +29,6 @@
 		if errorx.IsOfType(err, exchange.NotSent) {
 			return c.handleUpstreamGone(ctx, upstream, err)
 		}
-		c.resends++
 	}
 	if err != nil {
 		return c.handleNoAnswer(ctx, placement, err)
@@ -71,6 +70,7 @@
 
 // send sends the request to the upstream once.
 func (c *call) send(ctx context.Context, upstream roster.Upstream, newConnection bool) (*exchange.Answer, error) {
+	c.admittedSend = false
 	workspace := ""
 	if c.workspace != nil {
 		workspace = c.workspace.Name
@@ -78,14 +78,19 @@
 	header := c.Headers.Upstream(c.request, Attempt{
 		UpstreamID: upstream.ID, Workspace: workspace, TimeLeft: c.deadline.Sub(c.Now()), LastEventID: c.progress.lastEventID,
 	})
-	return c.Client.Do(ctx, upstream.Address, exchange.Request{
+	answer, err := c.Client.Do(ctx, upstream.Address, exchange.Request{
 		Method: c.request.Method, Target: c.request.Target, Host: c.request.Host, Header: header,
 		Body: c.request.Body, ID: c.request.ID, NonIdempotent: !c.route.Repeatable(), NewConnection: newConnection,
 		Admit: func() bool { return c.admitted(upstream) },
 	})
+	if c.admittedSend && errorx.IsOfType(err, exchange.NotSent) {
+		c.sends--
+	}
+	return answer, err
 }
 
-// admitted reports whether the upstream may get the request now, and counts it.
+// admitted reports whether the upstream may get the request now, and counts it. It is called
+// immediately before the request is written.
 func (c *call) admitted(upstream roster.Upstream) bool {
 	reason := ""
 	switch {
@@ -94,6 +99,9 @@
 	case c.Guard != nil:
 		reason = c.Guard.Admit(c.Now(), upstream)
 	}
+	if reason == "" && !c.beginSend() {
+		reason = budgetExhausted
+	}
 	if reason != "" {
 		c.logger.Info("request withheld from upstream", "upstream", upstream.ID, "why", reason)
 	}
@@ -101,18 +109,17 @@
 }
 
 // maySendOnNewConnection reports whether a request that failed on a stale connection
-// may be sent to the same upstream again, and charges this to the retry budget. It is
+// may be sent to the same upstream again, which the retry budget must allow. It is
 // no attempt at another upstream, which MaxAttempts limits. The upstream may have
 // executed the request, so the route must allow another execution.
 func (c *call) maySendOnNewConnection(ctx context.Context, err error) bool {
-	return errorx.IsOfType(err, exchange.Stale) && ctx.Err() == nil && c.route.Repeatable() && c.takeRetry(c.targetService())
+	return errorx.IsOfType(err, exchange.Stale) && ctx.Err() == nil && c.route.Repeatable() && c.reserveRetry(c.targetService())
 }
 
 // handleUpstreamGone ends an attempt whose kept connection ended and whose upstream
 // accepts no new one: it may have crashed while it executed the request.
 func (c *call) handleUpstreamGone(ctx context.Context, upstream roster.Upstream, err error) Outcome {
 	c.attempts++
-	c.retryTaken = true
 	if ctx.Err() != nil {
 		return Canceled
 	}
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -135,11 +135,16 @@
 	// attempts counts the upstreams to which at least one byte was sent;
 	// mayHaveExecuted reports that one of them may have executed the request.
 	attempts int
-	// resends counts the further sends to an upstream after a stale connection.
-	resends int
-	// retryTaken reports that a retry was charged to the budget and not sent.
-	retryTaken  bool
-	unreachable int
+	// sends counts the sends that began, on new connections to the same upstream, too.
+	// counted reports that the retry budget knows of the request, admittedSend that the
+	// present send was admitted, reserved that a retry is reserved, and overBudget that one
+	// was not admitted for want of a budget.
+	sends        int
+	counted      bool
+	admittedSend bool
+	reserved     bool
+	overBudget   bool
+	unreachable  int
 	// withheld counts the placements that were withdrawn because their upstream may get no
 	// request at the moment, and withheldFrom is the upstream of the last one.
 	withheld        int
@@ -217,6 +222,7 @@
 // attemptAll sends the request until it is answered or no attempt is left.
 func (c *call) attemptAll(ctx context.Context) {
 	service := c.targetService()
+	defer c.releaseRetry(service)
 	for {
 		now := c.Now()
 		if now.After(c.deadline) || ctx.Err() != nil {
@@ -254,9 +260,6 @@
 		if !c.chargeQuota(ctx, placement) {
 			return
 		}
-		if c.attempts == 0 && c.withheld == 0 {
-			c.Retries.Sent(now, service)
-		}
 		c.released = false
 		outcome := c.attempt(ctx, placement)
 		c.release(placement, outcome)
@@ -268,8 +271,8 @@
 			continue
 		}
 		c.triedUpstreams = append(c.triedUpstreams, placement.Upstream().ID)
-		if outcome != Unreachable && !c.takeRetry(service) {
-			c.giveUp("retry budget exhausted")
+		if outcome != Unreachable && !c.reserveRetry(service) {
+			c.giveUp(budgetExhausted)
 			return
 		}
 	}
@@ -284,16 +287,6 @@
 	placement.Release(c.Now(), outcome, c.streamedTokens())
 }
 
-// takeRetry charges a retry to the budget, unless one that was charged before was
-// not sent.
-func (c *call) takeRetry(service string) bool {
-	if c.retryTaken {
-		c.retryTaken = false
-		return true
-	}
-	return c.Retries.Take(c.Now(), service)
-}
-
 // streamedTokens returns the tokens that the last attempt streamed after its
 // first event.
 func (c *call) streamedTokens() int {
@@ -464,6 +457,10 @@
 	}
 	switch o {
 	case Withheld:
+		if c.overBudget {
+			c.giveUp(budgetExhausted)
+			return true
+		}
 		if c.withheld <= maxWithheld {
 			return false
 		}
--- a/internal/edge/flow/request.go
+++ b/internal/edge/flow/request.go
@@ -240,12 +240,17 @@
 	Return(w *catalog.Workspace, cost float64)
 }
 
-// RetryBudget limits how often requests are sent again.
+// RetryBudget limits how often requests are sent again. What counts is when they are sent: a
+// retry may wait for a slot until then.
 type RetryBudget interface {
-	// Sent records the first attempt of a request to the service.
+	// Sent records the first send of a request to the service.
 	Sent(now time.Time, service string)
-	// Take reports whether a retry is allowed, and charges it to the budget.
-	Take(now time.Time, service string) bool
+	// Reserve reports whether a retry is allowed, and sets it aside until Spend or Release.
+	Reserve(now time.Time, service string) bool
+	// Spend charges a reserved retry that is about to be sent, and reports whether it still may be.
+	Spend(now time.Time, service string) bool
+	// Release ends the reservation of a retry that is not sent.
+	Release(service string)
 }
 
 // CrashKey is what identifies a request among those that crash upstreams.
--- a/internal/limit/retry/retry.go
+++ b/internal/limit/retry/retry.go
@@ -47,16 +47,21 @@
 
 // serviceBudget holds the retries that may be spent on a service.
 type serviceBudget struct {
-	tokens     float64
+	tokens float64
+	// reserved is how many of the tokens are set aside.
+	reserved   int
 	refilledAt time.Time
 	requests   requestWindow
 	counted    Counts
 }
 
+// free returns how many tokens are not set aside.
+func (s *serviceBudget) free() float64 { return s.tokens - float64(s.reserved) }
+
 // Counts is what a process has counted of a service since it started.
 type Counts struct {
-	// Requests are first attempts, Allowed the retries that were charged, and Refused
-	// those that the budget did not cover.
+	// Requests are first sends, Allowed the retries that were reserved, and Refused those
+	// that the budget did not cover.
 	Requests, Allowed, Refused int
 }
 
@@ -132,7 +137,7 @@
 	return s
 }
 
-// Sent records the first attempt of a request to the service.
+// Sent records the first send of a request to the service.
 func (b *Budget) Sent(now time.Time, service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -142,20 +147,44 @@
 	s.tokens = min(s.tokens+earnedFraction*b.settings.Ratio, b.maxSaved(s))
 }
 
-// Take reports whether a retry is allowed, and charges it.
-func (b *Budget) Take(now time.Time, service string) bool {
+// Reserve reports whether a retry is allowed, and sets it aside until Spend or Release.
+func (b *Budget) Reserve(now time.Time, service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.refilledBudget(now, service)
+	if s.free() < 1 {
+		s.counted.Refused++
+		return false
+	}
+	s.reserved++
+	s.counted.Allowed++
+	return true
+}
+
+// Spend charges a reserved retry that is about to be sent. It reports whether it still may
+// be: what was saved may have expired since.
+func (b *Budget) Spend(now time.Time, service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.refilledBudget(now, service)
+	s.reserved--
 	if s.tokens < 1 {
 		s.counted.Refused++
 		return false
 	}
 	s.tokens--
-	s.counted.Allowed++
 	return true
 }
 
+// Release ends the reservation of a retry that is not sent.
+func (b *Budget) Release(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.services[service]; s != nil {
+		s.reserved--
+	}
+}
+
 // Accounts returns the state of all services, in order of name.
 func (b *Budget) Accounts(now time.Time) []Account {
 	b.mu.Lock()
@@ -163,7 +192,7 @@
 	accounts := make([]Account, 0, len(b.services))
 	for _, service := range slices.Sorted(maps.Keys(b.services)) {
 		s := b.refilledBudget(now, service)
-		accounts = append(accounts, Account{Service: service, Counts: s.counted, Left: s.tokens})
+		accounts = append(accounts, Account{Service: service, Counts: s.counted, Left: max(0, s.free())})
 	}
 	return accounts
 }
