A process saves retries from its start on, and no window gets more than the limit

Cause: the account of retries was full at a process's first request to a service. The same parts, 0.7 saved and 0.35 refilled, exceed the slack without a start where few requests come (59 of 58).

A process saves nothing before its start now. What the processes of a VM send in a window is at most what the first had saved and what all of them were given since, which no start increases; saved and refilled slack add up to 0.9. Requests are counted in tenths of a window in place of halves, so that nearly all of the window's share may be saved.

--- a/internal/limit/retry/retry.go
+++ b/internal/limit/retry/retry.go
@@ -10,20 +10,24 @@
 )
 
 const (
-	// usedSlackFraction is the fraction of the fleet's slack that is used. The rest
-	// covers attempts that an upstream counts and this process does not, and
-	// differences between windows.
-	usedSlackFraction = 0.7
-	// earnedFraction is the fraction of the share that requests earn as they are
-	// sent, and savedFraction the fraction that may be saved for many simultaneous
-	// retries. In any window a process spends at most what it had saved and what it
-	// earned, so the sum of the two is less than 1.
+	// Of its part of the fleet's slack, a process saves up to savedSlack, and gets
+	// refilledSlack of it anew in each window. Of the share that requests earn, earnedShare
+	// comes as they are sent, and savedShare may be saved.
+	//
+	// What a process sends in a window is at most what it had saved and what it got since.
+	// A process saves nothing before its start, so processes that follow one another on a
+	// VM get no more in a window than one that lives, and both pairs add up to less than 1.
+	// The rest covers differences between the windows of processes and those of upstreams.
 	//
 	// Saving is needed because engines that crash break all their streams at once:
 	// with a part of the slack alone, each of 25 gateways could resume only three of
 	// about seven broken streams, while the fleet had used 1/50 of its limit.
-	earnedFraction = 0.5
-	savedFraction  = 0.4
+	savedSlack    = 0.5
+	refilledSlack = 0.4
+	earnedShare   = 0.5
+	savedShare    = 0.4
+	// intervals is the number of intervals of a window in which requests are counted.
+	intervals = 10
 )
 
 // Settings is the limit for the whole fleet: in any Window, the retries to a service
@@ -34,18 +38,23 @@
 	Window time.Duration
 }
 
-// Budget is one process's part of the limit. Its own requests earn their share, and
-// the slack is divided evenly among the known processes. It is safe for concurrent
-// use.
+// Ownership is the part of the fleet's slack that a process owns.
+type Ownership interface {
+	// Part returns the fraction that the process owns, and since when.
+	Part(now time.Time) (fraction float64, since time.Time)
+}
+
+// Budget is one process's part of the limit. Its own requests earn their share, and it has
+// its part of the slack. It is safe for concurrent use.
 type Budget struct {
 	settings  Settings
-	processes func() int
+	ownership Ownership
 
 	mu       sync.Mutex
 	services map[string]*serviceBudget
 }
 
-// serviceBudget holds the retries that may be spent on a service.
+// serviceBudget holds the retries that may be sent to a service.
 type serviceBudget struct {
 	tokens float64
 	// reserved is how many of the tokens are set aside.
@@ -73,33 +82,38 @@
 	Left float64
 }
 
-// requestWindow counts requests in halves of a window. The two latest halves cover at
-// least half a window and never more than a whole one.
+// requestWindow counts the requests of the latest window in intervals of it. The intervals
+// cover between nine tenths of a window and a whole one.
 type requestWindow struct {
-	// halfStart is when the current half began.
-	halfStart         time.Time
-	previous, current float64
+	counts [intervals]int
+	// latest is the present interval, which began at latestStart.
+	latest      int
+	latestStart time.Time
+	sum         int
 }
 
-// advance moves to the half that contains the time.
+// advance moves to the interval that contains the time.
 func (r *requestWindow) advance(now time.Time, window time.Duration) {
-	half := window / 2
-	switch elapsed := now.Sub(r.halfStart); {
-	case elapsed < half:
-	case elapsed < 2*half:
-		r.previous, r.current = r.current, 0
-		r.halfStart = r.halfStart.Add(half)
-	default:
-		r.previous, r.current = 0, 0
-		r.halfStart = now
+	length := max(1, window/intervals)
+	if now.Sub(r.latestStart) >= 2*window {
+		*r = requestWindow{latestStart: now}
+	}
+	for now.Sub(r.latestStart) >= length {
+		r.latest = (r.latest + 1) % intervals
+		r.latestStart = r.latestStart.Add(length)
+		r.sum -= r.counts[r.latest]
+		r.counts[r.latest] = 0
 	}
 }
 
-func (r *requestWindow) count() float64 { return r.previous + r.current }
+func (r *requestWindow) add() {
+	r.counts[r.latest]++
+	r.sum++
+}
 
-// New returns a budget. Processes returns how many processes share the slack.
-func New(s Settings, processes func() int) *Budget {
-	return &Budget{settings: s, processes: processes, services: make(map[string]*serviceBudget)}
+// New returns a budget of which nothing is saved.
+func New(s Settings, ownership Ownership) *Budget {
+	return &Budget{settings: s, ownership: ownership, services: make(map[string]*serviceBudget)}
 }
 
 // SetSettings changes the limit.
@@ -109,42 +123,42 @@
 	b.settings = s
 }
 
-// slackShare returns this process's part of the slack, which is what an idle process
-// may save.
-func (b *Budget) slackShare() float64 {
-	return usedSlackFraction * b.settings.Slack / float64(max(1, b.processes()))
-}
-
-// maxSaved returns the retries that a process may have saved.
-func (b *Budget) maxSaved(s *serviceBudget) float64 {
-	return b.slackShare() + savedFraction*b.settings.Ratio*s.requests.count()
-}
-
-// refilledBudget returns the service's budget, refilled from the slack. The refill of
-// the slack takes two windows, so that no single window gets it twice.
+// refilledBudget returns the service's budget, refilled from the slack since the process
+// owns its part.
 func (b *Budget) refilledBudget(now time.Time, service string) *serviceBudget {
+	fraction, since := b.ownership.Part(now)
+	slack := fraction * b.settings.Slack
 	s := b.services[service]
 	if s == nil {
-		s = &serviceBudget{tokens: b.slackShare(), refilledAt: now}
+		s = &serviceBudget{refilledAt: since}
 		b.services[service] = s
 	}
 	s.requests.advance(now, b.settings.Window)
+	if since.After(s.refilledAt) {
+		s.refilledAt = since
+	}
 	if elapsed := now.Sub(s.refilledAt); elapsed > 0 {
-		s.tokens += b.slackShare() * elapsed.Seconds() / (2 * b.settings.Window.Seconds())
+		s.tokens += refilledSlack * slack * elapsed.Seconds() / b.settings.Window.Seconds()
 		s.refilledAt = now
 	}
-	s.tokens = min(s.tokens, b.maxSaved(s))
+	s.tokens = min(s.tokens, b.maxSaved(slack, s))
 	return s
 }
 
+// maxSaved returns the retries that a process with its part of the slack may have saved.
+func (b *Budget) maxSaved(slack float64, s *serviceBudget) float64 {
+	return savedSlack*slack + savedShare*b.settings.Ratio*float64(s.requests.sum)
+}
+
 // Sent records the first send of a request to the service.
 func (b *Budget) Sent(now time.Time, service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.refilledBudget(now, service)
-	s.requests.current++
+	s.requests.add()
 	s.counted.Requests++
-	s.tokens = min(s.tokens+earnedFraction*b.settings.Ratio, b.maxSaved(s))
+	fraction, _ := b.ownership.Part(now)
+	s.tokens = min(s.tokens+earnedShare*b.settings.Ratio, b.maxSaved(fraction*b.settings.Slack, s))
 }
 
 // Reserve reports whether a retry is allowed, and sets it aside until Spend or Release.
--- a/internal/limit/retry/retry_test.go
+++ b/internal/limit/retry/retry_test.go
@@ -11,6 +11,12 @@
 	"github.com/persimmonridge/persimmonridge/internal/proof/repeats"
 )
 
+// owner owns an even part of the slack of a number of processes, and had the time to save it.
+type owner int
+
+// Part implements retry.Ownership.
+func (o owner) Part(time.Time) (float64, time.Time) { return 1 / float64(o), time.Unix(999_000, 0) }
+
 // take sends a retry at once if it is allowed.
 func take(b *retry.Budget, now time.Time) bool { return b.Reserve(now, "s") && b.Spend(now, "s") }
 
@@ -21,7 +27,7 @@
 	settings := retry.Settings{Ratio: 0.2, Slack: 56, Window: 10 * time.Second}
 	var gateways []*retry.Budget
 	for range 5 {
-		gateways = append(gateways, retry.New(settings, func() int { return 5 }))
+		gateways = append(gateways, retry.New(settings, owner(5)))
 	}
 	start := time.Unix(1_000_000, 0)
 	var retries []time.Time
@@ -51,7 +57,7 @@
 // Three retries used up its savings, while the fleet had spent 1/50 of its limit.
 func TestStreamsOfEnginesThatCrashTogetherMayBeRetried(t *testing.T) {
 	settings := retry.Settings{Ratio: 0.2, Slack: 90, Window: 10 * time.Second}
-	b := retry.New(settings, func() int { return 25 })
+	b := retry.New(settings, owner(25))
 	start := time.Unix(1_000_000, 0)
 	const perSecond = 12
 	for i := range 10 * perSecond {
@@ -70,7 +76,7 @@
 	settings := retry.Settings{Ratio: 0.2, Slack: 90, Window: 10 * time.Second}
 	var gateways []*retry.Budget
 	for range 25 {
-		gateways = append(gateways, retry.New(settings, func() int { return 25 }))
+		gateways = append(gateways, retry.New(settings, owner(25)))
 	}
 	start := time.Unix(1_000_000, 0)
 	const perSecond = 500
@@ -96,7 +102,7 @@
 // was saved of the slack and what is refilled in a window add up.
 func TestSlackIsNotSpentTwiceWithFewRequests(t *testing.T) {
 	settings := retry.Settings{Ratio: 0.2, Slack: 54, Window: 10 * time.Second}
-	b := retry.New(settings, func() int { return 1 })
+	b := retry.New(settings, owner(1))
 	log := repeats.NewLog()
 	start := time.Unix(1_000_000, 0)
 	const perSecond = 2
@@ -115,7 +121,7 @@
 
 // Retries that were earned by traffic must expire after it has ended.
 func TestSavedRetriesExpire(t *testing.T) {
-	b := retry.New(retry.Settings{Ratio: 0.2, Slack: 0, Window: 10 * time.Second}, func() int { return 1 })
+	b := retry.New(retry.Settings{Ratio: 0.2, Slack: 0, Window: 10 * time.Second}, owner(1))
 	start := time.Unix(1_000_000, 0)
 	for i := range 100 {
 		b.Sent(start.Add(time.Duration(i)*10*time.Millisecond), "s")
@@ -128,7 +134,7 @@
 // a slot after they were allowed: they count when they are sent.
 func TestRetriesThatWaitedCountWhenTheyAreSent(t *testing.T) {
 	settings := retry.Settings{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}
-	b, log := retry.New(settings, func() int { return 1 }), repeats.NewLog()
+	b, log := retry.New(settings, owner(1)), repeats.NewLog()
 	start := time.Unix(1_000_000, 0)
 	waiting, id := 0, 0
 	const perSecond, full = 50, 15 * time.Second
@@ -153,7 +159,7 @@
 
 // Guards against retries that are never allowed again because those that were reserved were not sent.
 func TestReservedRetryThatIsNotSentIsAllowedToAnother(t *testing.T) {
-	b := retry.New(retry.Settings{Ratio: 0, Slack: 10, Window: 10 * time.Second}, func() int { return 1 })
+	b := retry.New(retry.Settings{Ratio: 0, Slack: 10, Window: 10 * time.Second}, owner(1))
 	now := time.Unix(1_000_000, 0)
 	reserved := 0
 	for b.Reserve(now, "s") {
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -225,12 +225,12 @@
 	g.grace.Store(int64(s.GracePeriod))
 	g.store = meter.New(deps.Store, g.metrics.StoreCall)
 	g.omittedLogLines = deps.OmittedLogLines
-	g.retryBudget = retry.New(s.Retry, func() int { return g.peers.gatewayCount() })
 	g.regions.Store(&s.Regions)
 	g.upstreams = newUpstreamView(g)
 	g.evacuations = &evacuations{Gateway: g}
 	g.guard = newSendGuard(g, s.WarmUp)
 	g.peers = &peers{Gateway: g, rank: unranked, stops: newPeerStops(), storeReachedAt: make(map[string]time.Time), silentSince: make(map[string]time.Time)}
+	g.retryBudget = retry.New(s.Retry, g.peers)
 	g.quota = quota.New(s.Quota, g.peers.gatewayCount)
 	g.ledger.SetOptions(s.Quota)
 	g.quotaReports = &quotaReports{Gateway: g, reporter: quota.NewReporter(g.quota, g.runID, g.startedAt)}
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -450,3 +450,8 @@
 // are registered but have sent no gossip yet count: after a restart of all of them,
 // each would otherwise take the whole limit for itself.
 func (p *peers) gatewayCount() int { return p.mesh.PeerCount() + 1 }
+
+// Part implements retry.Ownership.
+func (p *peers) Part(time.Time) (fraction float64, since time.Time) {
+	return 1 / float64(p.gatewayCount()), p.startedAt
+}
