A process owns a part of the slack only while the others count it

Two or more gateways that did not hear each other for two minutes forgot each other, and each divided the fleet's slack by those it still knew: 269 repeats of 130 allowed with four gateways, without any start. Regions lose each other for minutes several times a year.

The gateways that count are those that are registered in the store or known to the mesh, so that a lost link changes nothing while both sides reach the store. A process owns its part while its registration's lease is valid by its own clock, and once the others had the time to learn of a new registration or to lose theirs; one that follows another on its VM is counted already. One that does not reach the store for ten seconds keeps what its own requests earn.

The registration moved to a file of its own.

--- a/internal/limit/retry/retry.go
+++ b/internal/limit/retry/retry.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// Of its part of the fleet's slack, a process saves up to savedSlack, and gets
-	// refilledSlack of it anew in each window. Of the share that requests earn, earnedShare
-	// comes as they are sent, and savedShare may be saved.
+	// Of the fleet's slack, a process that owns a part of it saves up to savedSlack of its
+	// part, and gets refilledSlack of it anew in each window. Of the share that requests
+	// earn, earnedShare comes as they are sent, and savedShare may be saved.
 	//
 	// What a process sends in a window is at most what it had saved and what it got since.
 	// A process saves nothing before its start, so processes that follow one another on a
@@ -40,7 +40,8 @@
 
 // Ownership is the part of the fleet's slack that a process owns.
 type Ownership interface {
-	// Part returns the fraction that the process owns, and since when.
+	// Part returns the fraction that the process owns, and since when; it is 0 if other
+	// processes may divide the slack without this one.
 	Part(now time.Time) (fraction float64, since time.Time)
 }
 
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/persimmonridge/persimmonridge/internal/edge/ingress"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/dial"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/link"
+	"github.com/persimmonridge/persimmonridge/internal/fleet/membership"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/mesh"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
 	"github.com/persimmonridge/persimmonridge/internal/limit/crash"
@@ -157,6 +158,7 @@
 	crashes           *crashWatch
 	crashStore        *crashStore
 	peers             *peers
+	membership        *membership.Membership
 	mesh              *mesh.Mesh
 	peerTraffic       *peerTraffic
 	granter           *granter.Granter
@@ -225,6 +227,7 @@
 	g.grace.Store(int64(s.GracePeriod))
 	g.store = meter.New(deps.Store, g.metrics.StoreCall)
 	g.omittedLogLines = deps.OmittedLogLines
+	g.membership = membership.New(s.settleTime())
 	g.regions.Store(&s.Regions)
 	g.upstreams = newUpstreamView(g)
 	g.evacuations = &evacuations{Gateway: g}
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -2,28 +2,20 @@
 
 import (
 	"cmp"
-	"context"
 	"encoding/json"
 	"maps"
 	"math"
 	"sync"
 	"time"
 
-	"github.com/joomcode/errorx"
-
 	"github.com/persimmonridge/persimmonridge/internal/fleet/mesh"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
 	"github.com/persimmonridge/persimmonridge/internal/sched/board"
 	"github.com/persimmonridge/persimmonridge/internal/sched/permit"
 	"github.com/persimmonridge/persimmonridge/internal/state/kv"
-	"github.com/persimmonridge/persimmonridge/internal/state/wait"
 )
 
 const (
-	// memberLeaseTTL is how long a gateway that crashed stays registered.
-	memberLeaseTTL = 10 * time.Second
-	// memberRenewInterval allows for two lost renewals.
-	memberRenewInterval = 3 * time.Second
 	// unranked is the rank of a gateway that has not read its own registration yet.
 	unranked = math.MaxInt64
 	// schedulerCacheTTL is how long the selected scheduler is cached: every request and
@@ -31,40 +23,6 @@
 	schedulerCacheTTL = 5 * time.Millisecond
 )
 
-// member is a gateway's registration in the store.
-type member struct {
-	Address string `json:"address"`
-	Run     uint64 `json:"run"`
-	// CPUHalvings is n for a gateway that may use about 1/2^n of one core.
-	CPUHalvings int64 `json:"halvings,omitempty"`
-	// Domain is the gateway's failure domain.
-	Domain string `json:"domain,omitempty"`
-}
-
-const (
-	// maxCPUHalvings bounds a member's CPUHalvings.
-	maxCPUHalvings = 8
-	// cpuHalvingsShift places CPUHalvings above any store revision in a rank.
-	cpuHalvingsShift = 48
-)
-
-// cpuHalvings returns how many times one core must be halved to get the CPU share,
-// rounded; it is 0 if the share is unknown.
-func cpuHalvings(cpuShare float64) int64 {
-	if cpuShare <= 0 {
-		return 0
-	}
-	return int64(min(max(math.Round(-math.Log2(cpuShare)), 0), maxCPUHalvings))
-}
-
-// rank returns the rank of a member whose key was created at the given revision; the
-// lowest rank comes first. Scheduling and being a hub cost a VM many times the CPU
-// time of serving callers, so gateways with more CPU come first, and among equals
-// the one that was registered first.
-func (m member) rank(createdRevision int64) int64 {
-	return min(max(m.CPUHalvings, 0), maxCPUHalvings)<<cpuHalvingsShift | createdRevision
-}
-
 // peers handles the exchange with the other gateways. It implements mesh.Handler, and
 // follow.View for the list of gateways in the store.
 type peers struct {
@@ -96,27 +54,32 @@
 
 // Replace implements follow.View.
 func (p *peers) Replace(now time.Time, s kv.Snapshot) {
+	addresses := make(map[string]string, len(s.Items))
 	for _, item := range s.Items {
-		p.applyMember(now, item)
+		if m, ok := p.applyMember(now, item); ok {
+			addresses[item.Key] = m.Address
+		}
 	}
+	p.membership.Replace(addresses)
 }
 
 // Apply implements follow.View.
 func (p *peers) Apply(now time.Time, c kv.Changes) {
 	for _, e := range c.Events {
-		if !e.Deleted {
-			p.applyMember(now, e.Item)
+		if e.Deleted {
+			p.membership.Remove(e.Key)
+		} else if m, ok := p.applyMember(now, e.Item); ok {
+			p.membership.Add(e.Key, m.Address)
 		}
 	}
 }
 
 // applyMember adds a registered gateway to the mesh, or takes this gateway's own rank
-// from its registration.
-func (p *peers) applyMember(now time.Time, item kv.Item) {
-	var m member
+// from its registration. It returns the registration, unless that can't be read.
+func (p *peers) applyMember(now time.Time, item kv.Item) (m member, ok bool) {
 	if err := json.Unmarshal(item.Value, &m); err != nil {
 		p.logger.Warn("gateway registration ignored", "key", item.Key, "err", err)
-		return
+		return member{}, false
 	}
 	if item.Key == memberPrefix+p.settings.Name {
 		// A gateway that loses the store for longer than its lease is registered
@@ -128,69 +91,13 @@
 		p.mu.Unlock()
 		if m.Run != p.runID {
 			p.guard.listedBefore()
+			p.membership.Succeeds()
 		}
-		return
+		return m, true
 	}
 	p.mesh.AddRankedPeer(now, m.Address, m.rank(item.CreatedRevision))
 	p.mesh.SetDomain(m.Address, m.Domain)
-}
-
-// memberPrefix is the prefix of the gateways' registrations in the store.
-const memberPrefix = "gateways/"
-
-// register keeps the gateway registered in the store until the context ends.
-func (p *peers) register(ctx context.Context) error {
-	value, err := json.Marshal(member{Address: p.settings.LinkAddress, Run: p.runID, CPUHalvings: cpuHalvings(p.settings.CPUCores), Domain: p.settings.Domain})
-	if err != nil {
-		return err
-	}
-	lease, registered := int64(0), false
-	for ctx.Err() == nil {
-		if !registered {
-			lease, registered = p.registerOnce(ctx, lease, value)
-		} else if err := p.store.Keep(ctx, lease); errorx.IsOfType(err, kv.LeaseEnded) {
-			lease, registered = 0, false
-			continue
-		}
-		pause := memberRenewInterval
-		if !registered {
-			pause = memberRenewInterval / 6
-		}
-		wait.For(ctx, pause)
-	}
-	if lease != 0 {
-		releaseCtx, cancel := context.WithTimeout(context.Background(), leaseReleaseTimeout)
-		defer cancel()
-		if err := p.store.Release(releaseCtx, lease); err != nil {
-			p.logger.Info("gateway lease not released; it will expire", "err", err)
-		}
-	}
-	return nil
-}
-
-// leaseReleaseTimeout bounds the last store call of a stopping process.
-const leaseReleaseTimeout = 200 * time.Millisecond
-
-// registerOnce registers the gateway under the lease, or under a new one if that is
-// 0. It returns the lease and whether the registration was written. A write that got
-// no answer may still be carried out, even after a later one, so it is repeated under
-// the same lease: all of them then write the same.
-func (p *peers) registerOnce(ctx context.Context, lease int64, value []byte) (int64, bool) {
-	if lease == 0 {
-		var err error
-		if lease, _, err = p.store.Grant(ctx, memberLeaseTTL); err != nil {
-			return 0, false
-		}
-	}
-	_, err := p.store.Commit(ctx, kv.Transaction{Puts: []kv.Put{{Key: memberPrefix + p.settings.Name, Value: value, Lease: lease}}})
-	if err == nil {
-		return lease, true
-	}
-	p.logger.Info("gateway not registered in the store yet", "err", err)
-	if errorx.IsOfType(err, kv.LeaseEnded) {
-		return 0, false
-	}
-	return lease, false
+	return m, true
 }
 
 // FillGossip implements mesh.Handler.
@@ -449,9 +356,18 @@
 // gatewayCount returns how many gateways share the fleet-wide limits. Gateways that
 // are registered but have sent no gossip yet count: after a restart of all of them,
 // each would otherwise take the whole limit for itself.
-func (p *peers) gatewayCount() int { return p.mesh.PeerCount() + 1 }
+// Those that are registered count even if they have been silent for longer than the mesh
+// remembers them: gateways that do not reach each other would otherwise each take the parts
+// of the others.
+func (p *peers) gatewayCount() int {
+	return max(p.mesh.PeerCount()+1, len(p.guard.gateways(p.now()).IDs))
+}
 
 // Part implements retry.Ownership.
-func (p *peers) Part(time.Time) (fraction float64, since time.Time) {
-	return 1 / float64(p.gatewayCount()), p.startedAt
+func (p *peers) Part(now time.Time) (fraction float64, since time.Time) {
+	since, owns := p.membership.Owns(now)
+	if !owns {
+		return 0, since
+	}
+	return 1 / float64(p.gatewayCount()), since
 }
--- /dev/null
+++ b/internal/role/gateway/registration.go
@@ -0,0 +1,147 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"math"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/persimmonridge/persimmonridge/internal/state/kv"
+	"github.com/persimmonridge/persimmonridge/internal/state/wait"
+)
+
+const (
+	// memberLeaseTTL is how long a gateway that crashed stays registered.
+	memberLeaseTTL = 10 * time.Second
+	// memberRenewInterval allows for two lost renewals.
+	memberRenewInterval = 3 * time.Second
+)
+
+// member is a gateway's registration in the store.
+type member struct {
+	Address string `json:"address"`
+	Run     uint64 `json:"run"`
+	// CPUHalvings is n for a gateway that may use about 1/2^n of one core.
+	CPUHalvings int64 `json:"halvings,omitempty"`
+	// Domain is the gateway's failure domain.
+	Domain string `json:"domain,omitempty"`
+}
+
+const (
+	// maxCPUHalvings bounds a member's CPUHalvings.
+	maxCPUHalvings = 8
+	// cpuHalvingsShift places CPUHalvings above any store revision in a rank.
+	cpuHalvingsShift = 48
+)
+
+// settleTime returns how long a new registration counts for less than others. The others learn
+// of it as soon as of a configuration, unless they do not reach the store; then they lose their
+// own. When the whole fleet starts for the first time there is none that was cut off before.
+func (s Settings) settleTime() time.Duration {
+	if s.Quota.StartFull {
+		return s.ConfigApplyLimit
+	}
+	return memberLeaseTTL + s.ConfigApplyLimit
+}
+
+// cpuHalvings returns how many times one core must be halved to get the CPU share,
+// rounded; it is 0 if the share is unknown.
+func cpuHalvings(cpuShare float64) int64 {
+	if cpuShare <= 0 {
+		return 0
+	}
+	return int64(min(max(math.Round(-math.Log2(cpuShare)), 0), maxCPUHalvings))
+}
+
+// rank returns the rank of a member whose key was created at the given revision; the
+// lowest rank comes first. Scheduling and being a hub cost a VM many times the CPU
+// time of serving callers, so gateways with more CPU come first, and among equals
+// the one that was registered first.
+func (m member) rank(createdRevision int64) int64 {
+	return min(max(m.CPUHalvings, 0), maxCPUHalvings)<<cpuHalvingsShift | createdRevision
+}
+
+// memberPrefix is the prefix of the gateways' registrations in the store.
+const memberPrefix = "gateways/"
+
+// register keeps the gateway registered in the store until the context ends.
+func (p *peers) register(ctx context.Context) error {
+	value, err := json.Marshal(member{Address: p.settings.LinkAddress, Run: p.runID, CPUHalvings: cpuHalvings(p.settings.CPUCores), Domain: p.settings.Domain})
+	if err != nil {
+		return err
+	}
+	var r registration
+	for ctx.Err() == nil {
+		if !r.written {
+			r = p.registerOnce(ctx, r, value)
+		} else if r = p.renew(ctx, r); !r.written {
+			continue
+		}
+		pause := memberRenewInterval
+		if !r.written {
+			pause = memberRenewInterval / 6
+		}
+		wait.For(ctx, pause)
+	}
+	if r.lease != 0 {
+		releaseCtx, cancel := context.WithTimeout(context.Background(), leaseReleaseTimeout)
+		defer cancel()
+		if err := p.store.Release(releaseCtx, r.lease); err != nil {
+			p.logger.Info("gateway lease not released; it will expire", "err", err)
+		}
+	}
+	return nil
+}
+
+// leaseReleaseTimeout bounds the last store call of a stopping process.
+const leaseReleaseTimeout = 200 * time.Millisecond
+
+// registration is the state of this gateway's registration in the store.
+type registration struct {
+	// lease is 0 if there is none; ttl is how long it lasts after a renewal.
+	lease int64
+	ttl   time.Duration
+	// grantedAt is when the lease was asked for, and written reports that the registration
+	// was written under it.
+	grantedAt time.Time
+	written   bool
+}
+
+// registerOnce registers the gateway under the lease, or under a new one if there is
+// none. A write that got no answer may still be carried out, even after a later one, so it
+// is repeated under the same lease: all of them then write the same.
+func (p *peers) registerOnce(ctx context.Context, r registration, value []byte) registration {
+	if r.lease == 0 {
+		var err error
+		r.grantedAt = p.now()
+		if r.lease, r.ttl, err = p.store.Grant(ctx, memberLeaseTTL); err != nil {
+			return registration{}
+		}
+	}
+	_, err := p.store.Commit(ctx, kv.Transaction{Puts: []kv.Put{{Key: memberPrefix + p.settings.Name, Value: value, Lease: r.lease}}})
+	if err == nil {
+		r.written = true
+		p.membership.Registered(p.now(), r.grantedAt.Add(r.ttl))
+		return r
+	}
+	p.logger.Info("gateway not registered in the store yet", "err", err)
+	if errorx.IsOfType(err, kv.LeaseEnded) {
+		return registration{}
+	}
+	return r
+}
+
+// renew renews the lease of the registration. If that has ended, so has the registration.
+func (p *peers) renew(ctx context.Context, r registration) registration {
+	askedAt := p.now()
+	err := p.store.Keep(ctx, r.lease)
+	switch {
+	case err == nil:
+		p.membership.Renewed(askedAt.Add(r.ttl))
+	case errorx.IsOfType(err, kv.LeaseEnded):
+		return registration{}
+	}
+	return r
+}
--- a/internal/role/gateway/repeats_test.go
+++ b/internal/role/gateway/repeats_test.go
@@ -119,6 +119,10 @@
 		for i := range repeatsGateways {
 			p.dialer(i).severedPeers.Store(words[1] == "severed")
 		}
+	case "store-turns-away":
+		for _, word := range words[1:] {
+			p.turnAway(true, p.gateways(word)...)
+		}
 	case "store":
 		p.store.SetFault(map[string]standin.Fault{"away": standin.NoResponse, "back": standin.None}[words[1]])
 	default:
--- a/internal/role/gateway/retryaccounts_internal_test.go
+++ b/internal/role/gateway/retryaccounts_internal_test.go
@@ -19,6 +19,8 @@
 		Settings: Settings{Name: "edge-1", Retry: retry.Settings{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}},
 		Logger:   slog.New(slog.NewTextHandler(&lines, nil)), Now: func() time.Time { return now },
 	})
+	g.membership.Replace(nil)
+	g.membership.Registered(now, now.Add(2*time.Minute))
 	now = now.Add(time.Minute) // in which the slack is refilled
 	g.retryBudget.Sent(now, "quiet")
 	for range 30 {
--- a/internal/role/gateway/sendguard.go
+++ b/internal/role/gateway/sendguard.go
@@ -50,7 +50,7 @@
 	return warmup.Service{Time: service.WarmUpTime, PerSecond: service.WarmUpPerSecond}
 }
 
-// gateways returns the addresses of all known gateways.
+// gateways returns the addresses of all gateways that are registered or known to the mesh.
 func (s *sendGuard) gateways(now time.Time) share.Gateways {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -76,7 +76,7 @@
 		return
 	}
 	addresses, byNode := s.mesh.Addresses()
-	addresses = append(addresses, s.settings.LinkAddress)
+	addresses = append(append(addresses, s.membership.Addresses()...), s.settings.LinkAddress)
 	byNode[s.settings.Name] = s.settings.LinkAddress
 	slices.Sort(addresses)
 	addresses = slices.Compact(addresses)
