What a start assumes of quotas is assumed once in a window

Cause: a new process knows no usage, and assumes what was refilled in the pause and a third of the allowed excess, so that callers below their quotas are served. The third was meant for two starts in a window, not for any number.

A process reads the registration of the former one now, before it replaces it (one refused write and one small read more per start, none if the former one released its lease), and assumes no excess if that one had started within the window, or while it is not known.

It also tells reliably that a gateway is known from a process before, which the list of gateways told only if it was read before the registration.

--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -16,9 +16,9 @@
 	// minRestartPause is the shortest time without any usage when all processes
 	// restart; pauses of half a second and more were observed.
 	minRestartPause = 500 * time.Millisecond
-	// restartExcessFraction is the fraction of the allowed excess that one restart
-	// of all gateways may use up. Two restarts may occur in one window, and the
-	// rest covers what gateways take before they know each other's usage.
+	// restartExcessFraction is the fraction of the allowed excess that a restart of
+	// all gateways may use up. The rest covers what gateways take before they know
+	// each other's usage, and a former process that ran for less than a window.
 	restartExcessFraction = 1.0 / 3
 	// maxNeededFraction is the most of the burst that one request needs in the
 	// bucket. Otherwise a request that costs more than the burst would never be
@@ -141,15 +141,21 @@
 	// workspace may use in a Window.
 	ExcessFraction float64
 	Window         time.Duration
+	// StartedAgain states that the former process of this gateway may have started within the
+	// Window, too. The fleet has then used what it may assume at a start.
+	StartedAgain bool
 }
 
 // restartLevel returns the level of a workspace's bucket that all newly started
 // processes together assume, as they do not know what was used before. It is at most
-// what was refilled while nothing ran, plus a part of the allowed excess. With less,
-// callers below their quotas are refused in the second after a restart of all
-// gateways.
+// what was refilled while nothing ran, plus a part of the allowed excess, once in a
+// Window. With less, callers below their quotas are refused in the second after a
+// restart of all gateways.
 func (o Options) restartLevel(w *catalog.Workspace) float64 {
 	refilled := w.QuotaPerSecond * minRestartPause.Seconds()
+	if o.StartedAgain {
+		return min(w.QuotaBurst, refilled)
+	}
 	allowedExcess := o.ExcessFraction * (w.QuotaPerSecond*o.Window.Seconds() + w.QuotaBurst)
 	return min(w.QuotaBurst, refilled+restartExcessFraction*allowedExcess)
 }
@@ -163,11 +169,23 @@
 	}
 }
 
-// SetOptions changes the deployment's settings for quotas.
+// SetOptions changes the deployment's settings for quotas, or what is known of the former
+// process.
 func (l *Limiter) SetOptions(options Options) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	before := l.options
 	l.options = options
+	if !before.StartedAgain || options.StartedAgain || options.StartFull {
+		return
+	}
+	part := l.sharedCoverage
+	if part == 0 {
+		part = 1 / float64(max(1, l.gatewayCount()))
+	}
+	for _, b := range l.buckets {
+		b.level += part * (options.restartLevel(b.workspace) - before.restartLevel(b.workspace))
+	}
 }
 
 // AddWorkspaces creates buckets for the workspaces that have a quota, unless they are too
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -141,24 +141,27 @@
 	// configMu is held while a configuration is activated.
 	configMu sync.Mutex
 	// enginesMu is held while the engine list is read and passed to the granter.
-	enginesMu         sync.Mutex
-	catalog           atomic.Pointer[catalog.Catalog]
-	rawConfig         atomic.Pointer[[]byte]
-	roster            *roster.Roster
-	upstreams         *upstreamView
-	evacuations       *evacuations
-	guard             *sendGuard
-	partLoans         *partLoans
-	regions           atomic.Pointer[map[string]string]
-	pool              *exchange.Pool
-	quota             *quota.Limiter
-	ledger            *quota.Ledger
-	quotaReports      *quotaReports
-	crashTracker      *crash.Tracker
-	crashes           *crashWatch
-	crashStore        *crashStore
-	peers             *peers
-	membership        *membership.Membership
+	enginesMu    sync.Mutex
+	catalog      atomic.Pointer[catalog.Catalog]
+	rawConfig    atomic.Pointer[[]byte]
+	roster       *roster.Roster
+	upstreams    *upstreamView
+	evacuations  *evacuations
+	guard        *sendGuard
+	partLoans    *partLoans
+	regions      atomic.Pointer[map[string]string]
+	pool         *exchange.Pool
+	quota        *quota.Limiter
+	ledger       *quota.Ledger
+	quotaReports *quotaReports
+	crashTracker *crash.Tracker
+	crashes      *crashWatch
+	crashStore   *crashStore
+	peers        *peers
+	membership   *membership.Membership
+	// former is the registration of the former process, zero if there was none, and nil while
+	// that is not known.
+	former            atomic.Pointer[member]
 	mesh              *mesh.Mesh
 	peerTraffic       *peerTraffic
 	granter           *granter.Granter
@@ -235,7 +238,7 @@
 	g.peers = &peers{Gateway: g, rank: unranked, stops: newPeerStops(), storeReachedAt: make(map[string]time.Time), silentSince: make(map[string]time.Time)}
 	g.retryBudget = retry.New(s.Retry, g.peers)
 	g.quota = quota.New(s.Quota, g.peers.gatewayCount)
-	g.ledger.SetOptions(s.Quota)
+	g.setQuotaOptions(s.Quota)
 	g.quotaReports = &quotaReports{Gateway: g, reporter: quota.NewReporter(g.quota, g.runID, g.startedAt)}
 	g.crashTracker = crash.New(func() { g.mesh.GossipNow() })
 	g.crashes = newCrashWatch(g)
--- a/internal/role/gateway/registration.go
+++ b/internal/role/gateway/registration.go
@@ -8,6 +8,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/persimmonridge/persimmonridge/internal/limit/quota"
 	"github.com/persimmonridge/persimmonridge/internal/state/kv"
 	"github.com/persimmonridge/persimmonridge/internal/state/wait"
 )
@@ -107,6 +108,8 @@
 	// was written under it.
 	grantedAt time.Time
 	written   bool
+	// checked is set once it is known whether a former process was registered.
+	checked bool
 }
 
 // registerOnce registers the gateway under the lease, or under a new one if there is
@@ -117,22 +120,73 @@
 		var err error
 		r.grantedAt = p.now()
 		if r.lease, r.ttl, err = p.store.Grant(ctx, memberLeaseTTL); err != nil {
-			return registration{}
+			return registration{checked: r.checked}
 		}
 	}
-	_, err := p.store.Commit(ctx, kv.Transaction{Puts: []kv.Put{{Key: memberPrefix + p.settings.Name, Value: value, Lease: r.lease}}})
-	if err == nil {
-		r.written = true
+	t := kv.Transaction{Puts: []kv.Put{{Key: p.memberKey(), Value: value, Lease: r.lease}}}
+	if !r.checked {
+		// The first write must not replace what the former process wrote before that is read.
+		t.Conditions = []kv.Condition{{Key: p.memberKey()}}
+	}
+	_, err := p.store.Commit(ctx, t)
+	if !r.checked && errorx.IsOfType(err, kv.Conflict) {
+		if r.checked = p.readFormer(ctx); r.checked {
+			return p.registerOnce(ctx, r, value)
+		}
+	}
+	switch {
+	case err == nil:
+		if !r.checked {
+			p.succeed(member{})
+		}
+		r.written, r.checked = true, true
 		p.membership.Registered(p.now(), r.grantedAt.Add(r.ttl))
 		return r
+	case errorx.IsOfType(err, kv.LeaseEnded):
+		r = registration{checked: r.checked}
 	}
 	p.logger.Info("gateway not registered in the store yet", "err", err)
-	if errorx.IsOfType(err, kv.LeaseEnded) {
-		return registration{}
-	}
 	return r
 }
 
+func (p *peers) memberKey() string { return memberPrefix + p.settings.Name }
+
+// readFormer reads the registration of the former process, if it has not ended meanwhile. It
+// reports whether the store answered.
+func (p *peers) readFormer(ctx context.Context) bool {
+	list, err := p.store.Range(ctx, p.memberKey())
+	if err != nil {
+		return false
+	}
+	var former member
+	for _, item := range list.Items {
+		if item.Key == p.memberKey() && json.Unmarshal(item.Value, &former) != nil {
+			p.logger.Warn("registration of the former process ignored", "key", item.Key)
+		}
+	}
+	p.succeed(former)
+	return true
+}
+
+// succeed takes over from the former process, of which the zero member is none.
+func (p *peers) succeed(former member) {
+	if former.Run != 0 && former.Run != p.runID {
+		p.guard.listedBefore()
+		p.membership.Succeeds()
+	}
+	p.former.Store(&former)
+	p.setQuotaOptions(p.settings.Quota)
+}
+
+// setQuotaOptions sets the options for quotas, which depend on how long the former process had
+// run. While that is not known, it may have started just before.
+func (g *Gateway) setQuotaOptions(options quota.Options) {
+	former := g.former.Load()
+	options.StartedAgain = former == nil || g.startedAt.Sub(time.Unix(0, int64(former.Run))) < options.Window
+	g.quota.SetOptions(options)
+	g.ledger.SetOptions(options)
+}
+
 // renew renews the lease of the registration. If that has ended, so has the registration.
 func (p *peers) renew(ctx context.Context, r registration) registration {
 	askedAt := p.now()
@@ -141,7 +195,7 @@
 	case err == nil:
 		p.membership.Renewed(askedAt.Add(r.ttl))
 	case errorx.IsOfType(err, kv.LeaseEnded):
-		return registration{}
+		return registration{checked: true}
 	}
 	return r
 }
--- a/internal/role/gateway/reload.go
+++ b/internal/role/gateway/reload.go
@@ -14,8 +14,7 @@
 		g.logger.Warn("settings changed that need a restart", "callers", next.CallerAddress, "links", next.LinkAddress)
 	}
 	g.retryBudget.SetSettings(next.Retry)
-	g.quota.SetOptions(next.Quota)
-	g.ledger.SetOptions(next.Quota)
+	g.setQuotaOptions(next.Quota)
 	g.memory.SetLimit(g.now(), next.heldBytesLimit())
 	g.link.setCapacity(next.LinkBytesPerSecond)
 	g.regions.Store(&next.Regions)
