Gateways that start again own a small part of stated rate limits for a window

A process owned its part of a stated limit 1.9 s after its start, though its former process may have sent the same part just before, and the limit counts over up to four seconds.

Until its former process no longer counts, a gateway owns a quarter of its part, which is what an upstream tolerates beyond what it states.

--- a/internal/limit/ratelimit/ratelimit.go
+++ b/internal/limit/ratelimit/ratelimit.go
@@ -155,7 +155,8 @@
 // ownLocked returns how many requests to the upstream the gateway owns in a time.
 func (l *Limiter) ownLocked(gateways share.Gateways, gateway string, u *upstream) (requests int, within time.Duration) {
 	total, within := division(u.PerSecond, len(gateways.IDs))
-	if !gateways.Joined {
+	total = gateways.Owned(total, within)
+	if total == 0 {
 		return 0, within
 	}
 	if !u.parts.Current(total, gateways) {
--- a/internal/limit/ratelimit/ratelimit_test.go
+++ b/internal/limit/ratelimit/ratelimit_test.go
@@ -17,7 +17,7 @@
 var start = time.Unix(1_000_000, 0)
 
 func gateways(count int) func(time.Time) share.Gateways {
-	g := share.Gateways{Version: uint64(count), Joined: true}
+	g := share.Gateways{Version: uint64(count), Joined: true, Age: time.Hour}
 	for i := range count {
 		g.IDs = append(g.IDs, fmt.Sprint("gateway-", i))
 	}
@@ -67,6 +67,54 @@
 	})
 }
 
+// Guards against processes that each send their part of a limit within the time in which the
+// upstream counts: of gateways that start again, once or in a series, at once or one by one.
+func TestGatewaysThatStartAgainStayWithinTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 40).Draw(t, "gateways")
+		perSecond := rapid.Float64Range(0, 40).Draw(t, "limit")
+		type process struct {
+			limiter   *ratelimit.Limiter
+			startedAt time.Time
+		}
+		processes := make([]*process, count)
+		known := gateways(count)
+		begin := func(now time.Time, i int) {
+			p := &process{startedAt: now}
+			p.limiter = ratelimit.New(uint64(i), func(now time.Time) share.Gateways {
+				g := known(now)
+				g.Age = now.Sub(p.startedAt)
+				g.Joined = g.Age >= time.Second+share.LoanLife
+				return g
+			})
+			p.limiter.Stated(now, "u", 1, perSecond)
+			processes[i] = p
+		}
+		for i := range count {
+			begin(start.Add(-time.Hour), i)
+		}
+		now, sent := start, []time.Time{}
+		for range rapid.IntRange(1, 60).Draw(t, "bursts") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2500).Draw(t, "pause")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "start") {
+				first := rapid.IntRange(0, count-1).Draw(t, "first")
+				for i := range rapid.SampledFrom([]int{1, count}).Draw(t, "started") {
+					begin(now, (first+i)%count)
+				}
+			}
+			for i, p := range processes {
+				for p.limiter.Take(now, fmt.Sprint("gateway-", i), "u", 1) {
+					sent = append(sent, now)
+				}
+			}
+		}
+		bound := int(math.Ceil(1.5*perSecond*4 + 5))
+		for i := bound; i < len(sent); i++ {
+			require.GreaterOrEqual(t, sent[i].Sub(sent[i-bound]), 4*time.Second, "%d gateways, %v a second", count, perSecond)
+		}
+	})
+}
+
 // Guards against a limited upstream that is left idle because the parts of its limit are
 // rounded down, or because few gateways own one.
 func TestLimitedUpstreamGetsMostOfItsLimit(t *testing.T) {
--- a/internal/limit/share/share.go
+++ b/internal/limit/share/share.go
@@ -5,6 +5,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -16,6 +17,24 @@
 	// Joined is set once all others know this gateway. Until then they divide its part
 	// among themselves, and it owns nothing.
 	Joined bool
+	// Age is how long this gateway's process has run.
+	Age time.Duration
+}
+
+// youngDivisor divides what gateways own that have just started. An upstream tolerates that
+// much more than it states.
+const youngDivisor = 4
+
+// Owned returns how many of a total of requests in a time the gateways own if all have started
+// when this one has: the former processes may have sent all of them just before.
+func (g Gateways) Owned(total int, within time.Duration) int {
+	switch {
+	case !g.Joined:
+		return 0
+	case g.Age < within+LoanLife:
+		return total / youngDivisor
+	}
+	return total
 }
 
 // Parts divides a number of requests to one upstream among the gateways: each owns the
--- a/internal/role/gateway/registration.go
+++ b/internal/role/gateway/registration.go
@@ -178,11 +178,19 @@
 	p.setQuotaOptions(p.settings.Quota)
 }
 
-// setQuotaOptions sets the options for quotas, which depend on how long the former process had
-// run. While that is not known, it may have started just before.
-func (g *Gateway) setQuotaOptions(options quota.Options) {
+// formerAge returns how long the former process had run when this one started, 0 while that is
+// not known. One that is no longer registered ended long ago.
+func (g *Gateway) formerAge() time.Duration {
 	former := g.former.Load()
-	options.StartedAgain = former == nil || g.startedAt.Sub(time.Unix(0, int64(former.Run))) < options.Window
+	if former == nil {
+		return 0
+	}
+	return g.startedAt.Sub(time.Unix(0, int64(former.Run)))
+}
+
+// setQuotaOptions sets the options for quotas, which depend on the former process.
+func (g *Gateway) setQuotaOptions(options quota.Options) {
+	options.StartedAgain = g.formerAge() < options.Window
 	g.quota.SetOptions(options)
 	g.ledger.SetOptions(options)
 }
--- a/internal/role/gateway/sendguard.go
+++ b/internal/role/gateway/sendguard.go
@@ -58,7 +58,8 @@
 	set := s.set
 	// A new gateway is known to all others once they had the time to read a change. One that
 	// has restarted may have used its part of a window just before. Either part may be lent.
-	age := now.Sub(s.startedAt) - share.LoanLife
+	set.Age = now.Sub(s.startedAt)
+	age := set.Age - share.LoanLife
 	set.Joined = age >= warmup.Window && (s.joined || age >= s.settings.ConfigApplyLimit)
 	return set
 }
