The soak counts repeats, and plays starts in series beside bad answers

It counts them by the rule as written now, from what callers sent and upstreams received, for each service and in any ten seconds, by the largest slack that any gateway has had. A caller whose connection is refused waits for 0.3 s there.

--- a/internal/trial/soak/backend_test.go
+++ b/internal/trial/soak/backend_test.go
@@ -44,6 +44,10 @@
 	trailingBytes
 	// unresponsive upstreams answer nothing.
 	unresponsive
+	// erring upstreams answer nearly all requests with a failure, and resetting ones reset
+	// their connections.
+	erring
+	resetting
 )
 
 // requestLog records which upstreams received and executed each request, by
@@ -54,10 +58,11 @@
 	executions map[string][]execution
 	// arrivals are the requests that reached upstreams which stated a need.
 	arrivals []arrival
+	repeats  repeatLogs
 }
 
 func newRequestLog() *requestLog {
-	return &requestLog{receivers: make(map[string][]*upstream), executions: make(map[string][]execution)}
+	return &requestLog{receivers: make(map[string][]*upstream), executions: make(map[string][]execution), repeats: newRepeatLogs()}
 }
 
 // execution is one execution of a request by an upstream.
@@ -69,6 +74,7 @@
 }
 
 func (l *requestLog) recordReceiver(id string, u *upstream) {
+	l.repeats[u.service].Arrived(time.Now(), id)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.receivers[id] = append(l.receivers[id], u)
@@ -126,9 +132,11 @@
 	drainingSince time.Time
 	coldUntil     time.Time
 	failureMode   atomic.Int32
-	endless       atomic.Bool
-	need          atomic.Pointer[need]
-	running       atomic.Int32
+	// bad is the failure mode while all upstreams answer badly.
+	bad     atomic.Int32
+	endless atomic.Bool
+	need    atomic.Pointer[need]
+	running atomic.Int32
 	// crashUnder is called when a request crashes the upstream.
 	crashUnder func(u *upstream)
 	conns      map[net.Conn]struct{}
@@ -272,6 +280,13 @@
 		return
 	}
 	id, _ := u.identity()
+	if bad := failureMode(u.bad.Load()); bad.answersBadly(attempt, id) {
+		if bad == resetting {
+			panic(http.ErrAbortHandler)
+		}
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	affected := xxhash.Sum64String(attempt+id)%2 == 0
 	if mode == failing && affected {
 		w.WriteHeader(http.StatusInternalServerError)
--- a/internal/trial/soak/caller_test.go
+++ b/internal/trial/soak/caller_test.go
@@ -81,7 +81,11 @@
 	for !c.testbed.stopping() {
 		c.converge()
 		k := kinds[c.random.IntN(len(kinds))]
-		c.testbed.recordCall(c.call(k, k.path))
+		result := c.call(k, k.path)
+		c.testbed.recordCall(result)
+		if result.notConnected && c.testbed.plays(badAnswersFromSeed) {
+			<-time.After(reconnectPause)
+		}
 		<-time.After(time.Duration(5+c.random.IntN(60)) * time.Millisecond)
 	}
 }
@@ -97,7 +101,7 @@
 // it; a request that is sent at the same time is not sent again.
 func (c *caller) call(k kind, path string) call {
 	c.sent++
-	result := call{id: fmt.Sprintf("%016x", c.testbed.seed<<40|uint64(c.number)<<24|uint64(c.sent)), kind: k, path: path, gateway: c.gateway, sent: time.Now(), prompted: c.testbed.seed >= crashesFromSeed, key: c.key}
+	result := call{id: fmt.Sprintf("%016x", c.testbed.seed<<40|uint64(c.number)<<24|uint64(c.sent)), kind: k, path: path, gateway: c.gateway, sent: time.Now(), prompted: c.testbed.plays(crashesFromSeed), key: c.key}
 	if c.conn != nil {
 		result.idleBefore = result.sent.Sub(c.lastUsedAt)
 	}
--- a/internal/trial/soak/fault_test.go
+++ b/internal/trial/soak/fault_test.go
@@ -92,7 +92,7 @@
 }
 
 func changeSettings(tb *testbed, r *rand.Rand) {
-	tb.processes[r.IntN(gateways)].updateSettings(40+r.IntN(20), r.IntN(2) == 0)
+	tb.processes[r.IntN(gateways)].updateSettings(slackChangeBase+r.IntN(slackChangeRange), r.IntN(2) == 0)
 }
 
 func killMost(tb *testbed, r *rand.Rand) {
--- a/internal/trial/soak/load_test.go
+++ b/internal/trial/soak/load_test.go
@@ -36,7 +36,7 @@
 
 var slowStream = kind{name: "slow", method: http.MethodPost, path: "/slow/x", stream: true}
 
-func (tb *testbed) hardLoad() bool { return tb.seed >= hardLoadFromSeed }
+func (tb *testbed) hardLoad() bool { return tb.plays(hardLoadFromSeed) }
 
 // apiKey returns the key of a caller, whose workspace is chosen by its number.
 func (tb *testbed) apiKey(number int) string {
--- a/internal/trial/soak/process_test.go
+++ b/internal/trial/soak/process_test.go
@@ -40,7 +40,10 @@
 	// may take longer than stopGrace.
 	wasPaused        bool
 	paused           bool
+	retryRatio       float64
 	retryBudgetSlack int
+	// largestSlack is the largest retryBudgetSlack so far.
+	largestSlack int
 	// logOffset is the size of the log file when the process was started.
 	logOffset       int64
 	stopRequestedAt time.Time
@@ -61,7 +64,7 @@
 	}
 	g := &gatewayProcess{
 		name: name, address: tb.address(1 + i), binary: tb.binary, storeAddress: storeAddress, log: log, report: tb.report,
-		settingsPath: filepath.Join(tb.folder, name+".json"), done: make(chan struct{}), retryBudgetSlack: 50,
+		settingsPath: filepath.Join(tb.folder, name+".json"), done: make(chan struct{}), retryRatio: tb.retryRatio(), retryBudgetSlack: initialSlack,
 		endDisruption: func() {}, contracts: "[]",
 	}
 	if tb.hardLoad() {
@@ -79,9 +82,9 @@
 	text := fmt.Sprintf(`{"nodeName":%q,"zone":"a","ip":%q,"bootstrap":true,
 		"listen":{"frontend":"%[2]s:8221","readiness":"%[2]s:8224","control":"%[2]s:8229"},
 		"internalPortRange":[7600,7615],"seeds":[%q,%q,%q],"limits":{"memoryMb":200},
-		"bounds":{"graceS":%g,"configApplyMs":2000,"retryBudgetRatio":0.2,"retryBudgetSlack":%d,"budgetWindowS":10,"quotaSlack":140000,"coldOver":%g,"coldSlack":%d},
+		"bounds":{"graceS":%g,"configApplyMs":2000,"retryBudgetRatio":%g,"retryBudgetSlack":%d,"budgetWindowS":%g,"quotaSlack":140000,"coldOver":%g,"coldSlack":%d},
 		"platform":{"address":%q},"contracts":%s}`,
-		g.name, g.address, g.seeds[0], g.seeds[1], g.seeds[2], stopGrace.Seconds(), g.retryBudgetSlack,
+		g.name, g.address, g.seeds[0], g.seeds[1], g.seeds[2], stopGrace.Seconds(), g.retryRatio, g.retryBudgetSlack, retryWindow.Seconds(),
 		warmUpFactor, warmUpSlack, g.storeAddress, g.contracts)
 	next := g.settingsPath + ".next"
 	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
@@ -229,7 +232,7 @@
 // updateSettings changes the settings file and optionally sends SIGHUP.
 func (g *gatewayProcess) updateSettings(retryBudgetSlack int, sendHangup bool) {
 	g.mu.Lock()
-	g.retryBudgetSlack = retryBudgetSlack
+	g.retryBudgetSlack, g.largestSlack = retryBudgetSlack, max(g.largestSlack, retryBudgetSlack)
 	err := g.writeSettings()
 	g.mu.Unlock()
 	if err != nil {
--- a/internal/trial/soak/testbed_test.go
+++ b/internal/trial/soak/testbed_test.go
@@ -222,6 +222,15 @@
 	tb.calls = append(tb.calls, c)
 }
 
+// plays reports whether the seed plays what begins with another seed. From badAnswersFromSeed on
+// each second seed plays nothing else of that, so that many requests are repeated.
+func (tb *testbed) plays(fromSeed uint64) bool {
+	if tb.seed >= badAnswersFromSeed && tb.seed%2 == 0 {
+		return fromSeed == badAnswersFromSeed
+	}
+	return tb.seed >= fromSeed
+}
+
 func (tb *testbed) stopping() bool {
 	select {
 	case <-tb.stopCallers:
@@ -286,19 +295,22 @@
 	if tb.playsWarmUps() {
 		background.Go(tb.evacuate)
 	}
-	if tb.seed >= needsFromSeed {
+	if tb.plays(needsFromSeed) {
 		background.Go(tb.stateNeeds)
 	}
-	if tb.seed >= crashesFromSeed {
+	if tb.plays(crashesFromSeed) {
 		background.Go(tb.sendCrashing)
 	}
-	if tb.seed >= convergeFromSeed {
+	if tb.plays(convergeFromSeed) {
 		background.Go(tb.convergeCallers)
 	}
-	if tb.seed >= endlessFromSeed {
+	if tb.plays(endlessFromSeed) {
 		background.Go(tb.sendEndlessly)
 		background.Go(tb.watchMemory)
 	}
+	if tb.plays(badAnswersFromSeed) {
+		background.Go(tb.answerBadly)
+	}
 	recoveryChecks := 1
 	if tb.hardLoad() {
 		background.Go(tb.surge)
--- a/internal/trial/soak/verify_test.go
+++ b/internal/trial/soak/verify_test.go
@@ -29,6 +29,7 @@
 	tb.checkWarmUps()
 	tb.checkNeeds()
 	tb.checkCrashing()
+	tb.checkRepeats()
 	for _, p := range tb.probes {
 		tb.checkForwarded(p)
 		tb.checkQuota(p)
--- a/internal/trial/soak/warmup_test.go
+++ b/internal/trial/soak/warmup_test.go
@@ -38,7 +38,7 @@
 	from, until time.Time
 }
 
-func (tb *testbed) playsWarmUps() bool { return tb.seed >= warmUpsFromSeed }
+func (tb *testbed) playsWarmUps() bool { return tb.plays(warmUpsFromSeed) }
 
 // startsCold records that an upstream was started and is cold, and returns until when.
 func (tb *testbed) startsCold(upstream string) time.Time {
