--- a/internal/dispatch/budget/budget.go
+++ b/internal/dispatch/budget/budget.go
@@ -25,6 +25,12 @@
 	return &Bucket{perSecond: perSecond, capacity: capacity, tokens: capacity}
 }
 
+// NewEmpty is New with an empty bucket, which is refilled from now on. Processes that start
+// again and again together get no more from theirs than one that lives.
+func NewEmpty(now time.Time, perSecond, capacity float64) *Bucket {
+	return &Bucket{perSecond: perSecond, capacity: capacity, lastRefill: now}
+}
+
 // Take removes cost tokens and returns true if at least reserve tokens remain
 // afterwards. Low-priority callers pass a reserve to leave the last tokens to
 // high-priority ones.
--- a/internal/dispatch/budget/budget_test.go
+++ b/internal/dispatch/budget/budget_test.go
@@ -32,6 +32,18 @@
 	require.False(t, b.Take(start.Add(time.Second), 1, 0))
 }
 
+// Guards against a burst of retries at each start of a process: what was saved is saved anew.
+func TestEmptyBucketIsRefilledFromItsStart(t *testing.T) {
+	b := budget.NewEmpty(start, 1, 5)
+	require.False(t, b.Take(start, 1, 0))
+	require.False(t, b.Take(start.Add(900*time.Millisecond), 1, 0))
+	require.True(t, b.Take(start.Add(time.Second), 1, 0))
+	for range 5 {
+		require.True(t, b.Take(start.Add(time.Minute), 1, 0))
+	}
+	require.False(t, b.Take(start.Add(time.Minute), 1, 0))
+}
+
 func TestReserveIsLeftToHighPriority(t *testing.T) {
 	b := budget.New(0, 4)
 	require.True(t, b.Take(start, 1, 2))
--- a/internal/proof/repeats/repeats.go
+++ b/internal/proof/repeats/repeats.go
@@ -19,12 +19,12 @@
 type Log struct {
 	mu       sync.Mutex
 	requests []time.Time
-	repeats  []time.Time
-	arrived  map[string]struct{}
+	// arrivals holds when each request arrived, by its ID.
+	arrivals map[string][]time.Time
 }
 
 // NewLog returns an empty log.
-func NewLog() *Log { return &Log{arrived: make(map[string]struct{})} }
+func NewLog() *Log { return &Log{arrivals: make(map[string][]time.Time)} }
 
 // Sent records a request that a caller sends. Each attempt of a caller is a request.
 func (l *Log) Sent(at time.Time) {
@@ -37,10 +37,18 @@
 func (l *Log) Arrived(at time.Time, id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, again := l.arrived[id]; again {
-		l.repeats = append(l.repeats, at)
+	l.arrivals[id] = append(l.arrivals[id], at)
+}
+
+// repeatsLocked returns the arrivals beyond the first of each request, in order of time.
+func (l *Log) repeatsLocked() []time.Time {
+	var repeats []time.Time
+	for _, times := range l.arrivals {
+		sorted := slices.SortedFunc(slices.Values(times), time.Time.Compare)
+		repeats = append(repeats, sorted[1:]...)
 	}
-	l.arrived[id] = struct{}{}
+	slices.SortFunc(repeats, time.Time.Compare)
+	return repeats
 }
 
 // Span is a window and what was counted in it.
@@ -61,7 +69,7 @@
 func (l *Log) Worst(limit Limit) Span {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	requests, repeats := slices.SortedFunc(slices.Values(l.requests), time.Time.Compare), slices.SortedFunc(slices.Values(l.repeats), time.Time.Compare)
+	requests, repeats := slices.SortedFunc(slices.Values(l.requests), time.Time.Compare), l.repeatsLocked()
 	var worst Span
 	for i, at := range repeats {
 		for _, from := range []time.Time{at, at.Add(-limit.Window)} {
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -101,7 +101,7 @@
 		changed:  control.NewSignal(),
 		suspects: suspect.New(),
 		forecast: forecast.New(),
-		retries:  budget.New(retryRate, retryBurst),
+		retries:  budget.NewEmpty(now(), retryRate, retryBurst),
 		listener: callers,
 		dialer:   &net.Dialer{Timeout: dialTimeout},
 		ctx:      ctx, cancel: cancel,
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -75,7 +76,7 @@
 	running    int
 	server     *http.Server
 	closed     bool
-	runs       map[string]int
+	runs       map[string][]time.Time
 	crashes    int
 	tokens     int
 	reported   Load
@@ -98,7 +99,7 @@
 	e := &Engine{
 		settings: settings, prefillCounter: prefillCounter, address: listener.Addr().String(),
 		random: rand.New(rand.NewPCG(settings.Seed, 1)), cache: newCache(settings.CacheTokens),
-		runs: make(map[string]int), prefillSlot: make(chan struct{}, 1),
+		runs: make(map[string][]time.Time), prefillSlot: make(chan struct{}, 1),
 	}
 	e.serve(listener)
 	return e
@@ -132,11 +133,18 @@
 func (e *Engine) Runs() map[string]int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	copied := make(map[string]int, len(e.runs))
-	for id, count := range e.runs {
-		copied[id] = count
+	counts := make(map[string]int, len(e.runs))
+	for id, runs := range e.runs {
+		counts[id] = len(runs)
 	}
-	return copied
+	return counts
+}
+
+// RunTimes returns when the runs of each request began, by request ID.
+func (e *Engine) RunTimes() map[string][]time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return maps.Clone(e.runs)
 }
 
 // Close stops the engine and waits until its goroutines have ended.
@@ -330,7 +338,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.running++
-	e.runs[id]++
+	e.runs[id] = append(e.runs[id], time.Now())
 	if e.faults.CrashOn != "" && strings.Contains(p.body, e.faults.CrashOn) {
 		e.wg.Go(func() {
 			time.Sleep(2 * e.settings.TokenGap)
--- a/internal/trial/chaos/chaos.go
+++ b/internal/trial/chaos/chaos.go
@@ -44,6 +44,7 @@
 	for range 4 + random.IntN(10) {
 		s.Events = append(s.Events, drawEvents(random, lastFailure)...)
 	}
+	s.Events = append(s.Events, drawStarts(rand.New(rand.NewPCG(seed, 4)), lastFailure)...)
 	s.Events = append(s.Events, scenario.Event{At: scenario.Duration(lastFailure), Action: scenario.StoreFaults}, scenario.Event{At: scenario.Duration(lastFailure), Action: scenario.EngineFaults, Target: "tutor"})
 	sort.SliceStable(s.Events, func(i, j int) bool { return s.Events[i].At < s.Events[j].At })
 	return s
@@ -93,6 +94,33 @@
 	return []scenario.Event{{At: at, Action: scenario.EngineFaults, Target: tutor, Engine: faults}, {At: end, Action: scenario.EngineFaults, Target: tutor}}
 }
 
+// drawStarts draws a series of starts of entries, of one again and again, of one after the other
+// or of all at once, while engines answer most requests badly.
+func drawStarts(random *rand.Rand, lastFailure time.Duration) []scenario.Event {
+	from := time.Second + drawDuration(random, lastFailure/2)
+	until := min(lastFailure, from+5*time.Second+drawDuration(random, 15*time.Second))
+	gap := 500*time.Millisecond + drawDuration(random, 2*time.Second)
+	how, one := random.IntN(3), random.IntN(randomEntries)
+	events := []scenario.Event{
+		{At: scenario.Duration(from), Action: scenario.EngineFaults, Target: "tutor", Engine: engine.Faults{FailShare: 0.95}},
+		{At: scenario.Duration(until), Action: scenario.EngineFaults, Target: "tutor"},
+	}
+	for n, at := 0, from+gap; at < until-gap; n, at = n+1, at+gap {
+		started := []int{one}
+		switch how {
+		case 1:
+			started = []int{n % randomEntries}
+		case 2:
+			started = []int{0, 0, 0}
+		}
+		for _, entry := range started {
+			events = append(events, scenario.Event{At: scenario.Duration(at), Action: scenario.KillEntry, Entry: entry},
+				scenario.Event{At: scenario.Duration(at + gap/4), Action: scenario.AddEntry})
+		}
+	}
+	return events
+}
+
 // drawPause returns up to 12 s, twice the time that an entry waits for a lost agent.
 func drawPause(random *rand.Rand) scenario.Duration {
 	return scenario.Duration(drawDuration(random, 12*time.Second))
--- a/internal/trial/load/load.go
+++ b/internal/trial/load/load.go
@@ -118,6 +118,9 @@
 	return &Callers{plan: plan, urls: urls, client: &http.Client{Transport: transport}}
 }
 
+// StartedAt returns when the load began.
+func (c *Callers) StartedAt() time.Time { return c.startedAt }
+
 // Samples returns the requests that have ended so far.
 func (c *Callers) Samples() []Sample {
 	c.mu.Lock()
--- a/internal/trial/scenario/check.go
+++ b/internal/trial/scenario/check.go
@@ -20,6 +20,7 @@
 		addFailure(true, "invariant %s broken by request %s: %s", breach.Name(), breach.RequestID(), breach.Detail())
 	}
 	addFailure(r.Report.DoubledActions > 0, "%d actions doubled", r.Report.DoubledActions)
+	addFailure(r.Repeats.Exceeds(), "engines got %d repeats of %d requests in %s, %.1f are allowed", r.Repeats.Repeats, r.Repeats.Requests, repeatWindow, r.Repeats.Allowed)
 	addFailure(len(r.RunTwice) > 0, "requests run twice on one engine: %v", r.RunTwice)
 	for _, s := range r.Samples {
 		addFailure(s.Outcome == load.Wrong, "wrong answer to request %s of %s sent after %s: %s", s.RequestID, s.Action, s.SentAfter, s.Fault)
--- a/internal/trial/scenario/run.go
+++ b/internal/trial/scenario/run.go
@@ -14,6 +14,7 @@
 
 	"github.com/persimmonridge/persimmonridge/examples"
 	"github.com/persimmonridge/persimmonridge/internal/proof/invariant"
+	"github.com/persimmonridge/persimmonridge/internal/proof/repeats"
 	"github.com/persimmonridge/persimmonridge/internal/role/entry"
 	"github.com/persimmonridge/persimmonridge/internal/standin/engine"
 	"github.com/persimmonridge/persimmonridge/internal/trial/fleet"
@@ -54,8 +55,11 @@
 	VerdictReason  string
 	NewVersionRuns int
 	TotalRuns      int
-	Injected       map[Action]int
-	RunTwice       []string
+	// Repeats is the window in which engines got most runs beyond the first of each request,
+	// against what the entries may send.
+	Repeats  repeats.Span
+	Injected map[Action]int
+	RunTwice []string
 	// FalselyNotRun are the requests that were refused as not run although they ran.
 	FalselyNotRun []string
 	// TailFailures are the requests sent from Expect.TailFrom on that were not
@@ -73,7 +77,9 @@
 	mu             sync.Mutex
 	injected       map[Action]int
 	crasherResults []string
-	tasks          sync.WaitGroup
+	// mostEntries is the largest number of entries at a time.
+	mostEntries int
+	tasks       sync.WaitGroup
 }
 
 // Run runs a script on the network and returns what was observed.
@@ -96,7 +102,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &runner{script: script, network: network, site: site, rules: spec.Rules, injected: make(map[Action]int)}
+	r := &runner{script: script, network: network, site: site, rules: spec.Rules, injected: make(map[Action]int), mostEntries: spec.Entries}
 	if err := r.addNewVersion(spec); err != nil {
 		return nil, err
 	}
@@ -145,6 +151,7 @@
 		r.injected[event.Action]++
 		r.mu.Unlock()
 		r.inject(event)
+		r.mostEntries = max(r.mostEntries, len(r.site.Entries()))
 	}
 }
 
@@ -302,6 +309,7 @@
 		r.collectEngine(name, result, runCounts)
 	}
 	r.collectFailures(result, runCounts)
+	result.Repeats = r.collectRepeats(callers.StartedAt(), samples)
 	if entries := r.site.Entries(); len(entries) > 0 {
 		for _, move := range entries[0].Status().Moves {
 			result.Verdict, result.VerdictReason = move.Verdict, move.Why
