Changes that are too large for one response are read in pages

The client cut a response at 4 MiB without an error. What it could not decode counted as a store that does not answer, and the same changes were asked for again until the store dropped its history. Such a response is an error of its own now, on which the follower reads the range.

--- a/internal/observe/meter/meter.go
+++ b/internal/observe/meter/meter.go
@@ -30,6 +30,7 @@
 	kv.Conflict:    "conflict",
 	kv.LeaseEnded:  "lease-ended",
 	kv.Refused:     "refused",
+	kv.TooLarge:    "too-large",
 }
 
 func (s *Store) record(call string, err error) {
--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -177,6 +177,10 @@
 			f.logger.Info("store history compacted; reading the range again", "prefix", f.options.Prefix, "after", after, "err", err)
 			return answered
 		}
+		if errorx.IsOfType(err, kv.TooLarge) {
+			f.logger.Warn("changes too large for one response; reading the range again", "prefix", f.options.Prefix, "after", after, "err", err)
+			return true
+		}
 		if err != nil {
 			f.callFailed(ctx, err)
 			continue
--- a/internal/state/follow/follow_test.go
+++ b/internal/state/follow/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"log/slog"
 	"strings"
 	"sync"
@@ -26,6 +27,8 @@
 	events          []kv.Event
 	silent          bool
 	calls           int
+	// maxEvents is the most events that the client reads of a response, 0 for any number.
+	maxEvents int
 }
 
 func newStore() *store { return &store{changed: make(chan struct{}), revision: 1} }
@@ -98,7 +101,11 @@
 				changes.Events = append(changes.Events, e)
 			}
 		}
+		tooLarge := s.maxEvents > 0 && len(changes.Events) > s.maxEvents
 		s.mu.Unlock()
+		if tooLarge {
+			return kv.Changes{}, kv.TooLarge.New("too many events")
+		}
 		if compacted {
 			return kv.Changes{}, kv.Compacted.New("history compacted")
 		}
@@ -299,3 +306,21 @@
 		require.Contains(t, log.String(), "era=2 revision=400 former-era=1 former-revision=501")
 	})
 }
+
+// Guards against changes that no gateway ever reads: a response that exceeds the client's limit
+// was asked for again as it was until the store dropped its history.
+func TestRangeIsReadWhenChangesAreTooLarge(t *testing.T) {
+	runFollower(t, func(s *store, v *view, _ *follow.Follower) {
+		advance(time.Second)
+		s.update(func() { s.maxEvents = 3 })
+		for i := range 5 {
+			s.put(fmt.Sprint("large-", i))
+		}
+		written := time.Now()
+		advance(time.Second)
+		require.WithinDuration(t, written, v.firstSeen("large-4"), watchPause)
+		s.takeCallCount()
+		advance(10 * time.Second)
+		require.LessOrEqual(t, s.takeCallCount(), 10, "the range is read once")
+	})
+}
--- a/internal/state/kv/kv.go
+++ b/internal/state/kv/kv.go
@@ -17,6 +17,9 @@
 	// Unavailable means that the store did not answer, or rejects the calls of this
 	// process for now. A write may still be carried out later.
 	Unavailable = namespace.NewType("unavailable")
+	// TooLarge means that the response exceeds what the client reads. The same call gets the
+	// same response, a range gets it in pages.
+	TooLarge = namespace.NewType("too-large")
 	// Compacted means that the history after the requested revision was compacted, or that
 	// it belongs to an era that has ended. The whole range must be read again.
 	Compacted = namespace.NewType("compacted")
