A watch that is cut while it waits is no outage of the store

The end of any call counted as the loss of the store, and the next answer as its return, after which a ready upstream whose registration is missing is kept for 2.2 s.

After a watch whose connection ended, the store is asked at once without waiting; only if that fails, too, is it lost.

--- a/internal/state/follow/follow.go
+++ b/internal/state/follow/follow.go
@@ -81,6 +81,10 @@
 	now        func() time.Time
 	storeLost  bool
 	retryPause time.Duration
+	// cut is set after a watch whose connection ended while it waited, and cutPause is the
+	// pause after the next one.
+	cut      bool
+	cutPause time.Duration
 	// relayedAt is when a peer last passed on what it read.
 	relayedAt time.Time
 
@@ -169,7 +173,7 @@
 			continue
 		}
 		timeout := f.options.WatchTimeout
-		if f.storeLost {
+		if f.storeLost || f.cut {
 			timeout = 0
 		}
 		changes, err := f.store.Watch(ctx, f.options.Prefix, after, timeout)
@@ -181,10 +185,23 @@
 			f.logger.Warn("changes too large for one response; reading the range again", "prefix", f.options.Prefix, "after", after, "err", err)
 			return true
 		}
+		if errorx.IsOfType(err, kv.Cut) && timeout > 0 {
+			// Only a call that does not wait tells whether the store answers.
+			f.cut = true
+			f.cutPause = min(2*f.cutPause, maxRetryPause)
+			f.pause(ctx, f.cutPause)
+			f.cutPause = max(f.cutPause, minRetryPause)
+			continue
+		}
 		if err != nil {
+			f.cut = false
 			f.callFailed(ctx, err)
 			continue
 		}
+		if !f.cut {
+			f.cutPause = 0
+		}
+		f.cut = false
 		f.callSucceeded()
 		answered = true
 		after = max(after, changes.Revision)
--- a/internal/state/follow/follow_test.go
+++ b/internal/state/follow/follow_test.go
@@ -27,6 +27,10 @@
 	events          []kv.Event
 	silent          bool
 	calls           int
+	// cutAfter is how long a watch may wait until its connection is cut, 0 for any time, and
+	// refuses is set while all connections are cut at once.
+	cutAfter time.Duration
+	refuses  bool
 	// maxEvents is the most events that the client reads of a response, 0 for any number.
 	maxEvents int
 }
@@ -62,8 +66,11 @@
 func (s *store) beginCall(ctx context.Context, wait time.Duration) error {
 	s.mu.Lock()
 	s.calls++
-	silent := s.silent
+	silent, refuses := s.silent, s.refuses
 	s.mu.Unlock()
+	if refuses {
+		return kv.Cut.New("connection refused")
+	}
 	if !silent {
 		return nil
 	}
@@ -91,6 +98,12 @@
 	if err := s.beginCall(ctx, wait); err != nil {
 		return kv.Changes{}, err
 	}
+	s.mu.Lock()
+	cut := s.cutAfter > 0 && s.cutAfter < wait
+	if cut {
+		wait = s.cutAfter
+	}
+	s.mu.Unlock()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -116,6 +129,9 @@
 		case <-ctx.Done():
 			return kv.Changes{}, kv.Unavailable.Wrap(ctx.Err(), "watch canceled")
 		case <-timer.C:
+			if cut {
+				return kv.Changes{}, kv.Cut.New("connection closed")
+			}
 			return changes, nil
 		case <-changed:
 		}
@@ -169,10 +185,15 @@
 
 // runFollower runs a follower and the script in fake time.
 func runFollower(t *testing.T, script func(s *store, v *view, f *follow.Follower)) {
+	runFollowerWith(t, follow.Options{}, script)
+}
+
+// runFollowerWith is runFollower with further options.
+func runFollowerWith(t *testing.T, options follow.Options, script func(s *store, v *view, f *follow.Follower)) {
 	synctest.Test(t, func(t *testing.T) {
 		s, v := newStore(), &view{seenAt: make(map[string]time.Time)}
 		ctx, cancel := context.WithCancel(t.Context())
-		options := follow.Options{WatchTimeout: 2 * time.Second, WatchPause: func() time.Duration { return watchPause }}
+		options.WatchTimeout, options.WatchPause = 2*time.Second, func() time.Duration { return watchPause }
 		f := follow.New(s, v, options, slog.New(slog.DiscardHandler), time.Now)
 		done := make(chan error, 1)
 		go func() { done <- f.Run(ctx) }()
@@ -324,3 +345,29 @@
 		require.LessOrEqual(t, s.takeCallCount(), 10, "the range is read once")
 	})
 }
+
+// Guards against a watch that is cut while it waits and is taken for an outage of the store, in
+// which upstreams whose registrations are removed are kept.
+func TestCutWatchIsNoOutage(t *testing.T) {
+	lost, regained := 0, 0
+	options := follow.Options{OnLost: func(time.Time) { lost++ }, OnRegained: func(time.Time) { regained++ }}
+	runFollowerWith(t, options, func(s *store, v *view, _ *follow.Follower) {
+		advance(time.Second)
+		s.update(func() { s.cutAfter = 50 * time.Millisecond })
+		advance(10 * time.Second)
+		s.takeCallCount()
+		advance(10 * time.Second)
+		require.LessOrEqual(t, s.takeCallCount(), 100, "calls are paused")
+		s.put("meanwhile")
+		written := time.Now()
+		advance(time.Second)
+		require.WithinDuration(t, written, v.firstSeen("meanwhile"), 300*time.Millisecond)
+		require.Zero(t, lost)
+		s.update(func() { s.refuses = true })
+		advance(time.Second)
+		require.Equal(t, 1, lost, "all calls are cut")
+		s.update(func() { s.refuses = false })
+		advance(time.Second)
+		require.Equal(t, 1, regained)
+	})
+}
--- a/internal/state/kv/kv.go
+++ b/internal/state/kv/kv.go
@@ -17,6 +17,9 @@
 	// Unavailable means that the store did not answer, or rejects the calls of this
 	// process for now. A write may still be carried out later.
 	Unavailable = namespace.NewType("unavailable")
+	// Cut is an Unavailable of a call whose connection ended before its response was
+	// complete. A store that answers may cut a watch that waits.
+	Cut = Unavailable.NewSubtype("cut")
 	// TooLarge means that the response exceeds what the client reads. The same call gets the
 	// same response, a range gets it in pages.
 	TooLarge = namespace.NewType("too-large")
