What is written for all is written by a gateway that the store answers

Whoever is heard and ranks first schedules, and the scheduler wrote for all, though its gossip said that the store does not answer it.

The keeper writes now: the first in rank of those that are heard and that the store answers, or the scheduler if there is none. It decides on rollouts, and keeps what crashes upstreams and the list of hubs.

The fixture's gateways reach the store through their own dialer, so that one that is severed or killed does not go on writing.

--- a/internal/role/gateway/crashstore.go
+++ b/internal/role/gateway/crashstore.go
@@ -152,11 +152,11 @@
 	}
 }
 
-// run stores what crashes upstreams while this gateway is the scheduler.
+// run stores what crashes upstreams while this gateway is the keeper.
 func (s *crashStore) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		pause := crashCauseInterval
-		if s.peers.scheduler(s.now()) == s.settings.Name && !s.write(ctx) {
+		if s.peers.keeper(s.now()) == s.settings.Name && !s.write(ctx) {
 			pause = crashCauseRetryDelay
 		}
 		wait.For(ctx, pause)
--- a/internal/role/gateway/fleet_test.go
+++ b/internal/role/gateway/fleet_test.go
@@ -253,7 +253,7 @@
 	f.sockets[i] = process
 	f.mu.Unlock()
 	g := gateway.New(gateway.Dependencies{
-		Settings: settings, Store: platform.NewStore(storeAddress(i), f.network.DialContext), Decoder: platform.Decoder{},
+		Settings: settings, Store: platform.NewStore(storeAddress(i), f.dialer(i).dialStore), Decoder: platform.Decoder{},
 		Headers: platform.Headers{}, AnswerHeaders: platform.AnswerHeaders(), Dialer: f.dialer(i),
 		Listen: func(_, address string) (net.Listener, error) { return f.listen(i, process, address) },
 		Logger: f.logger.With("node", settings.Name), Now: time.Now,
--- a/internal/role/gateway/hublist.go
+++ b/internal/role/gateway/hublist.go
@@ -78,13 +78,13 @@
 	return hubs
 }
 
-// run writes the list while this gateway is the scheduler of a large fleet. Two gateways that
+// run writes the list while this gateway is the keeper of a large fleet. Two gateways that
 // both take themselves for it may overwrite each other's list; either is usable.
 func (h *hubList) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		wait.For(ctx, hubListInterval)
 		now := h.now()
-		if !h.isLargeFleet() || h.peers.scheduler(now) != h.settings.Name || h.stopping() {
+		if !h.isLargeFleet() || h.peers.keeper(now) != h.settings.Name || h.stopping() {
 			continue
 		}
 		if hubs := h.present(now); h.differs(hubs) {
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -235,6 +235,26 @@
 	return best.node
 }
 
+// keeper returns the gateway that writes to the store on behalf of all: the scheduler or, while
+// the store does not answer it, the next one that it answers. Without any it is the scheduler.
+func (p *peers) keeper(now time.Time) string {
+	var best candidate
+	if p.catalog.Load() != nil && p.storeAnswers() {
+		p.mu.Lock()
+		best = candidate{node: p.settings.Name, rank: p.rank, stopping: p.stopping()}
+		p.mu.Unlock()
+	}
+	for _, other := range p.candidates(now) {
+		if p.reachesStore(now, other.node) && other.precedes(best) {
+			best = other
+		}
+	}
+	if best.node == "" {
+		return p.scheduler(now)
+	}
+	return best.node
+}
+
 // candidates returns the other gateways that may be the scheduler.
 func (p *peers) candidates(now time.Time) []candidate {
 	var all []candidate
--- a/internal/role/gateway/rollouts.go
+++ b/internal/role/gateway/rollouts.go
@@ -24,14 +24,14 @@
 	// rolloutStepInterval is how often results are reported and rollouts are evaluated:
 	// a faulty version must be abandoned within seconds.
 	rolloutStepInterval = 200 * time.Millisecond
-	// Gateways that do not schedule write the end of a rollout that the store lost between
+	// Gateways that are not the keeper write the end of a rollout that the store lost between
 	// minLostStateDelay and maxLostStateDelay after they see that it lacks it.
 	minLostStateDelay = time.Second
 	maxLostStateDelay = 3 * time.Second
 )
 
 // rolloutController applies operators' rollout orders and rollout states, reports the
-// results of requests to the scheduler and, on the scheduler, advances the rollouts.
+// results of requests to the keeper and, on the keeper, advances the rollouts.
 type rolloutController struct {
 	*Gateway
 
@@ -192,17 +192,17 @@
 	}
 }
 
-// run reports results to the scheduler and, on the scheduler itself, advances the
-// rollouts until the context ends.
+// run reports results to the keeper and, on the keeper itself, advances the rollouts until
+// the context ends.
 func (c *rolloutController) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		now := c.now()
 		c.replaceLostOrders(now)
-		scheduler := c.peers.scheduler(now)
-		for service, report := range c.versionPicker.Reports(now, scheduler) {
-			c.sendReport(now, scheduler, service, report)
+		keeper := c.peers.keeper(now)
+		for service, report := range c.versionPicker.Reports(now, keeper) {
+			c.sendReport(now, keeper, service, report)
 		}
-		c.stepAll(ctx, now, scheduler == c.settings.Name)
+		c.stepAll(ctx, now, keeper == c.settings.Name)
 		wait.For(ctx, rolloutStepInterval)
 	}
 	return nil
@@ -222,13 +222,13 @@
 	}
 }
 
-func (c *rolloutController) sendReport(now time.Time, scheduler, service string, report rollout.Report) {
-	if scheduler == c.settings.Name {
+func (c *rolloutController) sendReport(now time.Time, keeper, service string, report rollout.Report) {
+	if keeper == c.settings.Name {
 		report.Run = c.runID
 		c.recordReport(now, c.settings.Name, service, report)
 		return
 	}
-	c.mesh.Send(scheduler, &wire.Envelope{Body: &wire.Envelope_MoveReport{MoveReport: encodeReport(service, c.runID, report)}})
+	c.mesh.Send(keeper, &wire.Envelope{Body: &wire.Envelope_MoveReport{MoveReport: encodeReport(service, c.runID, report)}})
 }
 
 func (c *rolloutController) recordReport(now time.Time, node, service string, report rollout.Report) {
@@ -239,14 +239,14 @@
 	}
 }
 
-// stepAll advances every rollout whose order is known, on the scheduler. Elsewhere it writes
-// only what the store has lost.
-func (c *rolloutController) stepAll(ctx context.Context, now time.Time, scheduling bool) {
+// stepAll advances every rollout whose order is known, on the keeper. Elsewhere it writes only
+// what the store has lost.
+func (c *rolloutController) stepAll(ctx context.Context, now time.Time, deciding bool) {
 	c.mu.Lock()
 	services := slices.Collect(maps.Keys(c.rollouts))
 	c.mu.Unlock()
 	for _, service := range services {
-		if state, changed := c.next(now, service, scheduling); changed {
+		if state, changed := c.next(now, service, deciding); changed {
 			c.commitState(ctx, service, state)
 		}
 	}
@@ -254,7 +254,7 @@
 
 // next returns the state that the service's rollout should have in the store, and whether it
 // has another one there.
-func (c *rolloutController) next(now time.Time, service string, scheduling bool) (rollout.State, bool) {
+func (c *rolloutController) next(now time.Time, service string, deciding bool) (rollout.State, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.rollouts[service]
@@ -268,7 +268,7 @@
 	switch {
 	case !r.record.Decidable():
 		return rollout.State{}, false
-	case !scheduling:
+	case !deciding:
 		return current, !r.lostSince.IsZero() && now.Sub(r.lostSince) >= c.lostStateDelay()
 	case !r.record.Begun():
 		return rollout.Begin(now, order), true
@@ -297,7 +297,7 @@
 		"former-runs", failures.Baseline().Runs(), "former-failures", failures.Baseline().Failures())
 }
 
-// lostStateDelay is how long this gateway leaves it to the scheduler to write again what the
+// lostStateDelay is how long this gateway leaves it to the keeper to write again what the
 // store lost. It differs by gateway, so that one of them writes it and the others hear of it.
 func (c *rolloutController) lostStateDelay() time.Duration {
 	part := float64(xxhash.Sum64String(c.settings.Name)>>11) / (1 << 53)
@@ -305,8 +305,8 @@
 }
 
 // commitState writes a rollout state and its status for operators to the store, on
-// the condition that no other state was written since. A scheduler that was paused,
-// or one of two schedulers that do not see each other, therefore cannot undo what the
+// the condition that no other state was written since. A keeper that was paused,
+// or one of two keepers that do not see each other, therefore cannot undo what the
 // other wrote: the condition of the later write fails. The state is then decided again, by
 // what the store says.
 func (c *rolloutController) commitState(ctx context.Context, service string, state rollout.State) {
--- a/internal/role/gateway/silent_scheduler_test.go
+++ b/internal/role/gateway/silent_scheduler_test.go
@@ -50,6 +50,15 @@
 	return &severableConn{Conn: conn, dialer: d, toPeer: strings.HasSuffix(address, linkPort)}, nil
 }
 
+// dialStore opens a connection to the store, which the VM's link does not limit.
+func (d *dialer) dialStore(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := d.network.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &severableConn{Conn: conn, dialer: d}, nil
+}
+
 type severableConn struct {
 	net.Conn
 	dialer *dialer
