A version is completed on evidence, not for want of any

The counts of its runs were gone with the processes, and completion asked only whether anything speaks against the version.

It is completed if a process has counted its runs since before the last share, or if thirty of its runs are known; otherwise the last share is held until 0.95 of the time, and then the version is taken back. A version that fails a tenth of its requests shows in thirty runs with a probability of 0.95.

--- a/internal/role/gateway/rollout_duty_test.go
+++ b/internal/role/gateway/rollout_duty_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/persimmonridge/persimmonridge/internal/proof/bubble"
 )
 
 // Guards against a bad version that is used on as the gateway that decides on rollouts cannot
@@ -27,3 +29,51 @@
 		})
 	}
 }
+
+// killAll kills all gateways, which start again after a pause.
+func (p *rolloutPlay) killAll(pause time.Duration) {
+	for i := range p.size {
+		p.dialer(i).severed.Store(true)
+	}
+	bubble.Sleep(pause)
+	for i := range p.size {
+		p.kill(i)
+	}
+}
+
+// Guards against a bad version that is completed as all gateways start again late in its rollout
+// and nothing is known against it any more.
+func TestBadVersionIsNotCompletedAfterAllGatewaysStartAgain(t *testing.T) {
+	for name, c := range map[string]struct{ bad, killed time.Duration }{
+		"they are back at the end": {32900 * time.Millisecond, 33300 * time.Millisecond},
+		"they are back after it":   {33500 * time.Millisecond, 33800 * time.Millisecond},
+		"they are back before it":  {29 * time.Second, 29300 * time.Millisecond},
+		"early":                    {20 * time.Second, 20300 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			playRollout(t, func(p *rolloutPlay) {
+				p.at(c.bad)
+				p.turnBad()
+				p.at(c.killed)
+				p.killAll(1500 * time.Millisecond)
+				p.awaitState("reverted", 15*time.Second)
+				p.requireNone("v2")
+			})
+		})
+	}
+}
+
+// Guards against a sound version that is taken back for want of evidence, as all gateways start
+// again in its rollout.
+func TestSoundVersionIsCompletedAfterAllGatewaysStartAgain(t *testing.T) {
+	for _, killed := range []time.Duration{10 * time.Second, 24 * time.Second, 31 * time.Second} {
+		t.Run(killed.String(), func(t *testing.T) {
+			playRollout(t, func(p *rolloutPlay) {
+				p.at(killed)
+				p.killAll(1500 * time.Millisecond)
+				p.awaitState("complete", rolloutTime)
+				p.requireNone("v1")
+			})
+		})
+	}
+}
--- a/internal/role/gateway/rollouts.go
+++ b/internal/role/gateway/rollouts.go
@@ -279,7 +279,7 @@
 			upstreams++
 		}
 	}
-	observed := rollout.Observed{Judgement: r.judge.Judge(now, upstreams), Ready: upstreams > 0}
+	observed := rollout.Observed{Judgement: r.judge.Judge(now, upstreams), Ready: upstreams > 0, Since: r.judge.Since(now)}
 	next, changed := rollout.Step(now, order, current, observed)
 	if changed {
 		c.logJudgement(service, next, observed.Judgement)
--- a/internal/version/rollout/judge.go
+++ b/internal/version/rollout/judge.go
@@ -29,7 +29,7 @@
 // Report holds the counts of one process for a move since the process started.
 type Report struct {
 	Order int64
-	// Run identifies the process.
+	// Run identifies the process: it is when that started, in Unix nanoseconds.
 	Run     uint64
 	Entries []Entry
 	// Samples are the target's latest measurements.
@@ -86,10 +86,24 @@
 	j.reports[node] = r
 }
 
+// Since returns when the first of the reporting processes started, the present time if none has
+// reported.
+func (j *Judge) Since(now time.Time) time.Time {
+	since := now
+	for _, r := range j.reports {
+		if startedAt := time.Unix(0, int64(r.Run)); startedAt.Before(since) {
+			since = startedAt
+		}
+	}
+	return since
+}
+
 // Judgement is the evidence on a target.
 type Judgement struct {
 	Failures evidence.Finding
 	Slowness evidence.Slowness
+	// Runs is how many runs of the target were observed.
+	Runs uint64
 	// Doubt reports that the evidence speaks against the target, though it may be chance.
 	Doubt bool
 }
@@ -117,17 +131,18 @@
 	if j.bad.IsBad() {
 		return j.bad
 	}
-	board := evidence.NewBoard()
+	board, runs := evidence.NewBoard(), uint64(0)
 	for _, r := range j.reports {
 		for _, entry := range r.Entries {
 			side := sideOld
 			if entry.Target {
 				side = sideTarget
+				runs += entry.Runs
 			}
 			board.Set(side, entry.Route, board.Get(side, entry.Route).Add(evidence.FromCounts(entry.Runs, entry.Failures, nil)))
 		}
 	}
-	judgement := Judgement{Failures: j.watch.Update(board, sideOld, sideTarget), Slowness: j.slowdown.Evaluate(now, upstreams)}
+	judgement := Judgement{Failures: j.watch.Update(board, sideOld, sideTarget), Slowness: j.slowdown.Evaluate(now, upstreams), Runs: runs}
 	if judgement.Failures.Verdict() != evidence.BadFailures {
 		judgement.Failures = j.test.Judge(board, sideOld, sideTarget)
 	}
--- a/internal/version/rollout/rollout.go
+++ b/internal/version/rollout/rollout.go
@@ -61,6 +61,10 @@
 	// giveUpFraction is the fraction of the duration after which a move is reverted if
 	// the target has no upstream, or the evidence still speaks against it.
 	giveUpFraction = 0.95
+	// enoughRuns is how many runs of the target must have been observed if the evidence of the
+	// last share was lost. A version that fails a tenth of its requests shows in one of them
+	// with a probability of 0.95.
+	enoughRuns = 30
 	// doubtLogRatio is the log-likelihood ratio, 20 to 1, from which a target is not taken for
 	// sound yet.
 	doubtLogRatio = 3.0
@@ -76,6 +80,16 @@
 	Judgement Judgement
 	// Ready reports whether any upstream of the target can be chosen.
 	Ready bool
+	// Since is from when on any process has counted its runs. What others counted before is
+	// gone with them.
+	Since time.Time
+}
+
+// suffices reports whether the target was observed for long enough not to be taken for sound on
+// nothing: for the whole of the last share, or in a number of runs.
+func (o Observed) suffices(order Order, s State) bool {
+	lastShare := time.UnixMilli(s.BeganMs).Add(time.Duration(stages[len(stages)-2].until * float64(order.Duration)))
+	return !o.Since.After(lastShare) || o.Judgement.Runs >= enoughRuns
 }
 
 // Begin returns the state at the start of a move.
@@ -94,12 +108,15 @@
 		return s.end(Reverted, 0, observed.Judgement.why()), true
 	}
 	elapsed := float64(now.UnixMilli()-s.BeganMs) / float64(max(1, o.Duration.Milliseconds()))
-	if elapsed >= completeFraction && observed.Ready && !observed.Judgement.Doubt {
+	if elapsed >= completeFraction && observed.Ready && !observed.Judgement.Doubt && observed.suffices(o, s) {
 		return s.end(Complete, 1, "nothing speaks against the version"), true
 	}
 	if elapsed >= giveUpFraction && !observed.Ready {
 		return s.end(Reverted, 0, "no upstream of the version is there"), true
 	}
+	if elapsed >= giveUpFraction && !observed.Judgement.Doubt {
+		return s.end(Reverted, 0, "what was known of the version is lost, and too few requests show that it is sound"), true
+	}
 	if elapsed >= giveUpFraction {
 		return s.end(Reverted, 0, "the requests so far speak against the version"), true
 	}
