Read once more: sends of a request as one state, a limit without a window, a truthful pause

A budget without a window states no limit, which held only by the arithmetic of 0/0 (new test). A fixture logs how a killed process ended.

--- a/internal/edge/flow/attempt.go
+++ b/internal/edge/flow/attempt.go
@@ -70,7 +70,7 @@
 
 // send sends the request to the upstream once.
 func (c *call) send(ctx context.Context, upstream roster.Upstream, newConnection bool) (*exchange.Answer, error) {
-	c.admittedSend = false
+	c.sending.admitted = false
 	workspace := ""
 	if c.workspace != nil {
 		workspace = c.workspace.Name
@@ -83,8 +83,8 @@
 		Body: c.request.Body, ID: c.request.ID, NonIdempotent: !c.route.Repeatable(), NewConnection: newConnection,
 		Admit: func() bool { return c.admitted(upstream) },
 	})
-	if c.admittedSend && errorx.IsOfType(err, exchange.NotSent) {
-		c.sends--
+	if c.sending.admitted && errorx.IsOfType(err, exchange.NotSent) {
+		c.sending.begun--
 	}
 	return answer, err
 }
--- a/internal/edge/flow/ending.go
+++ b/internal/edge/flow/ending.go
@@ -106,7 +106,7 @@
 		route = c.route.Name
 	}
 	c.Metrics.RequestFinished(route, c.tier, outcome, took)
-	args := []any{"outcome", outcome, "route", route, "tier", c.tier, "took", took, "sends", c.sends}
+	args := []any{"outcome", outcome, "route", route, "tier", c.tier, "took", took, "sends", c.sending.begun}
 	if c.workspace != nil {
 		args = append(args, "workspace", c.workspace.Name)
 	}
@@ -117,7 +117,7 @@
 		args = append(args, "tried", slices.Clone(c.triedUpstreams))
 	}
 	level := slog.LevelWarn
-	if outcome == outcomeAnswered && c.sends <= 1 && !c.late(took) {
+	if outcome == outcomeAnswered && c.sending.begun <= 1 && !c.late(took) {
 		level = slog.LevelDebug
 	}
 	c.logger.Log(context.Background(), level, "request", append(args, details...)...)
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -134,17 +134,9 @@
 	queued      bool
 	// attempts counts the upstreams to which at least one byte was sent;
 	// mayHaveExecuted reports that one of them may have executed the request.
-	attempts int
-	// sends counts the sends that began, on new connections to the same upstream, too.
-	// counted reports that the retry budget knows of the request, admittedSend that the
-	// present send was admitted, reserved that a retry is reserved, and overBudget that one
-	// was not admitted for want of a budget.
-	sends        int
-	counted      bool
-	admittedSend bool
-	reserved     bool
-	overBudget   bool
-	unreachable  int
+	attempts    int
+	sending     sendState
+	unreachable int
 	// withheld counts the placements that were withdrawn because their upstream may get no
 	// request at the moment, and withheldFrom is the upstream of the last one.
 	withheld        int
@@ -457,7 +449,7 @@
 	}
 	switch o {
 	case Withheld:
-		if c.overBudget {
+		if c.sending.overBudget {
 			c.giveUp(budgetExhausted)
 			return true
 		}
--- a/internal/limit/ratelimit/ratelimit.go
+++ b/internal/limit/ratelimit/ratelimit.go
@@ -187,6 +187,8 @@
 		return share.LoanLife + within
 	case !gateways.Joined:
 		return joinDelay
+	case gateways.YoungFor(within) > 0:
+		return min(longestWindow, gateways.YoungFor(within))
 	}
 	// Other gateways own the limit; a longer pause would tell callers nothing.
 	return longestWindow
--- a/internal/limit/retry/retry.go
+++ b/internal/limit/retry/retry.go
@@ -31,13 +31,15 @@
 )
 
 // Settings is the limit for the whole fleet: in any Window, the retries to a service
-// must not exceed Ratio times its requests plus Slack.
+// must not exceed Ratio times its requests plus Slack. Without a Window there is no limit.
 type Settings struct {
 	Ratio  float64
 	Slack  float64
 	Window time.Duration
 }
 
+func (s Settings) unlimited() bool { return s.Window <= 0 }
+
 // Ownership is the part of the fleet's slack that a process owns.
 type Ownership interface {
 	// Part returns the fraction that the process owns, and since when; it is 0 if other
@@ -138,7 +140,7 @@
 	if since.After(s.refilledAt) {
 		s.refilledAt = since
 	}
-	if elapsed := now.Sub(s.refilledAt); elapsed > 0 {
+	if elapsed := now.Sub(s.refilledAt); elapsed > 0 && !b.settings.unlimited() {
 		s.tokens += refilledSlack * slack * elapsed.Seconds() / b.settings.Window.Seconds()
 		s.refilledAt = now
 	}
@@ -167,7 +169,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.refilledBudget(now, service)
-	if s.free() < 1 {
+	if s.free() < 1 && !b.settings.unlimited() {
 		s.counted.Refused++
 		return false
 	}
@@ -183,7 +185,7 @@
 	defer b.mu.Unlock()
 	s := b.refilledBudget(now, service)
 	s.reserved--
-	if s.tokens < 1 {
+	if s.tokens < 1 && !b.settings.unlimited() {
 		s.counted.Refused++
 		return false
 	}
--- a/internal/limit/retry/retry_test.go
+++ b/internal/limit/retry/retry_test.go
@@ -172,3 +172,13 @@
 	require.True(t, b.Spend(now, "s"))
 	require.False(t, b.Reserve(now, "s"), "one was sent and the others are reserved")
 }
+
+func TestWithoutAWindowThereIsNoLimit(t *testing.T) {
+	b := retry.New(retry.Settings{}, owner(1))
+	now := time.Unix(1_000_000, 0)
+	for range 100 {
+		b.Sent(now, "s")
+		require.True(t, take(b, now))
+		now = now.Add(time.Second)
+	}
+}
--- a/internal/limit/share/share.go
+++ b/internal/limit/share/share.go
@@ -31,12 +31,18 @@
 	switch {
 	case !g.Joined:
 		return 0
-	case g.Age < within+LoanLife:
+	case g.YoungFor(within) > 0:
 		return total / youngDivisor
 	}
 	return total
 }
 
+// YoungFor returns how long what the former process has sent may still count, if requests
+// count for the given time.
+func (g Gateways) YoungFor(within time.Duration) time.Duration {
+	return max(0, within+LoanLife-g.Age)
+}
+
 // Parts divides a number of requests to one upstream among the gateways: each owns the
 // same number of requests, and what cannot be divided evenly goes to those with the lowest
 // hashes with the upstream. A gateway more or less in the set changes the parts of few
--- a/internal/role/gateway/kill_test.go
+++ b/internal/role/gateway/kill_test.go
@@ -58,7 +58,7 @@
 	f.mu.Unlock()
 	killed.close()
 	f.cancels[i]()
-	go func() { <-exit }()
+	go func() { f.logger.Info("killed process ended", "err", <-exit) }()
 	f.dialer(i).severedPeers.Store(severedPeers)
 	ctx, cancel := context.WithCancel(f.t.Context())
 	f.cancels[i], f.stopOnce[i], f.exits[i] = cancel, &sync.Once{}, make(chan error, 1)
--- a/internal/version/rollout/rollout.go
+++ b/internal/version/rollout/rollout.go
@@ -1,6 +1,6 @@
 // Package rollout moves a service's traffic to another version on the operators'
-// order, a small share at a time, and reverts the move if the version is bad. The
-// gateway that runs the scheduler decides; all gateways follow the state it writes.
+// order, a small share at a time, and reverts the move if the version is bad. One
+// gateway decides, and all follow the state that it writes.
 package rollout
 
 import (
