--- a/internal/role/gateway/registration.go
+++ b/internal/role/gateway/registration.go
@@ -168,9 +168,13 @@
 	return true
 }
 
-// succeed takes over from the former process, of which the zero member is none.
+// succeed takes over from the former process, of which the zero member is none. This process
+// finds its own registration if the answer to the first write was lost, and had no former one.
 func (p *peers) succeed(former member) {
-	if former.Run != 0 && former.Run != p.runID {
+	if former.Run == p.runID {
+		former = member{}
+	}
+	if former.Run != 0 {
 		p.guard.listedBefore()
 		p.membership.Succeeds()
 	}
