Callers of HTTP/1.0 can tell an answer that broke off from a whole one

Callers of HTTP/1.0 got a stream that broke off as one that looks whole: status 200, the first events, and an ordinary end of the connection. So did those whose answer was passed on for want of memory. Such callers get neither chunks nor, for a stream, a length; the end of the connection alone tells the end of the answer, and net/http closes an aborted connection like any other. It was the same at an entry, and at the exit of a gateway.

From the first byte of an answer without a length to its last one, the connection is now set to be reset when it is closed, also by the end of the process. Answers that are not streams state their length, which net/http does for short ones alone. An answer that cannot be written any further is aborted; the handler returned, and relied on the connection to stay broken.

The stand-in network resets connections now; it could not before.

--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/persimmonridge/persimmonridge/internal/caller/connection"
 	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
 	"github.com/persimmonridge/persimmonridge/internal/edge/ingress"
 	"github.com/persimmonridge/persimmonridge/internal/limit/memory"
@@ -112,7 +113,9 @@
 	*Handler
 	w http.ResponseWriter
 	// conn is the caller's connection, which may be nil.
-	conn      *ingress.Conn
+	conn *ingress.Conn
+	// ending is how the caller is told the end of its answer.
+	ending    connection.Ending
 	request   Request
 	catalog   *catalog.Catalog
 	route     *catalog.Route
@@ -174,7 +177,7 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := h.Now()
-	c := &call{Handler: h, w: w, request: h.Headers.Read(r), arrivedAt: now, conn: ingress.ConnOf(r.Context())}
+	c := &call{Handler: h, w: w, request: h.Headers.Read(r), arrivedAt: now, conn: ingress.ConnOf(r.Context()), ending: connection.EndingOf(r)}
 	c.logger = h.Logger.With("id", c.request.ID)
 	c.checkShutdown()
 	if !c.admit(r.Context()) {
@@ -209,6 +212,10 @@
 	}
 	defer c.dequeue(false)
 	c.attemptAll(ctx)
+	if c.progress.aborted {
+		// A handler that returns would end the answer as if it were complete.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // attemptAll sends the request until it is answered or no attempt is left.
@@ -405,32 +412,6 @@
 	return Failed
 }
 
-// handleTruncated ends an attempt whose answer broke off, or has no end.
-func (c *call) handleTruncated(ctx context.Context, placement Placement, answer *exchange.Answer, err error) Outcome {
-	answer.Close(false)
-	if ctx.Err() != nil {
-		return Canceled
-	}
-	c.Crashes.Broke(c.Now(), placement.Upstream(), c.crashKey(), true)
-	c.logger.Warn("answer truncated", append(c.crashDetails(), "upstream", placement.Upstream().ID, "err", err)...)
-	return Interrupted
-}
-
-// passFailedAnswer passes the last error response of an upstream on unchanged.
-func (c *call) passFailedAnswer() {
-	c.writePlain(c.failedAnswer, c.failedBody)
-	c.finish("upstream failure", "status", c.failedAnswer.Status)
-}
-
-func (c *call) writePlain(answer *exchange.Answer, body []byte) {
-	c.Headers.Caller(answer.Header, c.w.Header())
-	c.w.WriteHeader(answer.Status)
-	if _, err := c.w.Write(body); err != nil {
-		c.logger.Info("caller disconnected while the answer was written", "err", err)
-	}
-	c.progress.answered = true
-}
-
 // mayRetry reports whether the route allows another attempt after one that may
 // have been executed.
 func (c *call) mayRetry() bool {
--- a/internal/edge/flow/flow_test.go
+++ b/internal/edge/flow/flow_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/persimmonridge/persimmonridge/internal/caller/connection"
 	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
 	"github.com/persimmonridge/persimmonridge/internal/edge/flow"
 	"github.com/persimmonridge/persimmonridge/internal/limit/memory"
@@ -116,7 +117,9 @@
 		handler.Guard = f.guard
 	}
 	handler.Domains, handler.Unfinished = f.domainsIn, f.unfinished
-	f.server = httptest.NewServer(handler)
+	f.server = httptest.NewUnstartedServer(handler)
+	f.server.Config.ConnContext = connection.NewContext
+	f.server.Start()
 	f.t.Cleanup(f.server.Close)
 	f.t.Cleanup(func() { require.NoError(f.t, pool.Close()) })
 }
--- a/internal/edge/flow/held.go
+++ b/internal/edge/flow/held.go
@@ -230,17 +230,20 @@
 		return Failed
 	}
 	placement.AnswerStarted(c.Now())
+	if answer.Length() < 0 {
+		if err := c.ending.Begin(); err != nil {
+			return c.handleUnwritable(answer, err)
+		}
+	}
 	c.progress.opened, c.progress.unfinished = true, true
 	c.Headers.Caller(answer.Header, c.w.Header())
+	c.stateLength(answer.Length())
 	c.w.WriteHeader(answer.Status)
 	rest := &limitedAnswer{reader: answer, read: len(begun)}
 	buffer := make([]byte, copyBufferBytes)
 	for piece := begun; ; {
 		if _, err := c.w.Write(piece); err != nil {
-			answer.Close(false)
-			c.progress.answered = true
-			c.finishDisconnected(c.disconnectOutcome(), append(c.lastAttempt(), "err", err)...)
-			return Canceled
+			return c.handleUnwritable(answer, err)
 		}
 		n, err := rest.Read(buffer)
 		piece = buffer[:n]
@@ -251,6 +254,9 @@
 			return c.handleTruncated(ctx, placement, answer, err)
 		}
 	}
+	if err := c.ending.Complete(); err != nil {
+		return c.handleUnwritable(answer, err)
+	}
 	answer.Close(true)
 	c.progress.answered = true
 	if success {
--- a/internal/edge/flow/stream.go
+++ b/internal/edge/flow/stream.go
@@ -34,6 +34,8 @@
 	// opened reports that the header of a stream was sent, answered that the answer is
 	// complete.
 	opened, answered bool
+	// aborted reports that the answer ends early because it cannot be written.
+	aborted bool
 	// lastEventID is the ID of the last event that was passed on, and lastEventNumber
 	// its value if it is a number.
 	lastEventID     string
@@ -122,7 +124,9 @@
 	for {
 		next, err := source.next()
 		if errors.Is(err, io.EOF) {
-			c.endStream(answer)
+			if err := c.endStream(answer); err != nil {
+				return c.handleUnwritable(answer, err)
+			}
 			c.finish(outcomeAnswered, append(c.lastAttempt(), "load", answer.Load)...)
 			return Answered
 		}
@@ -139,14 +143,19 @@
 		if err != nil {
 			// A reader that is still reading must not take the closing for a crash.
 			source.stop()
-			answer.Close(false)
-			c.progress.answered = true
-			c.finishDisconnected(c.disconnectOutcome(), append(c.lastAttempt(), "err", err)...)
-			return Canceled
+			return c.handleUnwritable(answer, err)
 		}
 	}
 }
 
+// handleUnwritable ends a request whose answer cannot be written any further.
+func (c *call) handleUnwritable(answer *exchange.Answer, err error) Outcome {
+	answer.Close(false)
+	c.progress.answered, c.progress.aborted = true, true
+	c.finishDisconnected(c.disconnectOutcome(), append(c.lastAttempt(), "err", err)...)
+	return Canceled
+}
+
 // delivered reports whether the caller already has the event; a resumed stream may
 // repeat some.
 func (c *call) delivered(e event) bool {
@@ -157,18 +166,24 @@
 	return err == nil && number <= c.progress.lastEventNumber
 }
 
-func (c *call) openStream(answer *exchange.Answer) {
+func (c *call) openStream(answer *exchange.Answer) error {
 	if c.progress.opened {
-		return
+		return nil
+	}
+	if err := c.ending.Begin(); err != nil {
+		return err
 	}
 	c.progress.opened = true
 	c.Headers.Caller(answer.Header, c.w.Header())
 	c.w.WriteHeader(answer.Status)
 	c.Metrics.FirstEventSent(c.tier, c.Now().Sub(c.arrivedAt))
+	return nil
 }
 
 func (c *call) passEvent(answer *exchange.Answer, e event) error {
-	c.openStream(answer)
+	if err := c.openStream(answer); err != nil {
+		return err
+	}
 	if _, err := c.w.Write(e.raw); err != nil {
 		return err
 	}
@@ -185,9 +200,12 @@
 	return nil
 }
 
-func (c *call) endStream(answer *exchange.Answer) {
-	c.openStream(answer)
+func (c *call) endStream(answer *exchange.Answer) error {
+	if err := c.openStream(answer); err != nil {
+		return err
+	}
 	c.progress.answered = true
+	return c.ending.Complete()
 }
 
 // handleBrokenStream records a stream that ended early, after the event with the ID.
--- a/internal/edge/ingress/conn.go
+++ b/internal/edge/ingress/conn.go
@@ -7,6 +7,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/persimmonridge/persimmonridge/internal/caller/connection"
 )
 
 const (
@@ -136,6 +138,14 @@
 	return errors.ErrUnsupported
 }
 
+// SetLinger sets what Close does with bytes that were not sent, as that of net.TCPConn.
+func (c *Conn) SetLinger(seconds int) error {
+	if conn, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return conn.SetLinger(seconds)
+	}
+	return errors.ErrUnsupported
+}
+
 // ClosedInFlight reports whether this process closed the connection while a request
 // was in flight.
 func (c *Conn) ClosedInFlight() bool {
@@ -253,7 +263,7 @@
 
 // withConn stores the connection in the contexts of its requests.
 func withConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, contextKey{}, c)
+	return context.WithValue(connection.NewContext(ctx, c), contextKey{}, c)
 }
 
 // ConnOf returns the connection of the request with the context, or nil.
--- a/internal/role/entry/attempt.go
+++ b/internal/role/entry/attempt.go
@@ -344,13 +344,13 @@
 	a.dispatched()
 	r := result{outcome: end.GetOutcome(), detail: end.GetDetail()}
 	switch {
-	case end.GetOutcome() == wire.End_OUTCOME_ANSWERED && end.GetLength() == a.output.offset:
-		a.output.begin()
-		r.ending = answered
-	case a.output.started:
-		r.ending = broken
+	case end.GetOutcome() != wire.End_OUTCOME_ANSWERED || end.GetLength() != a.output.offset:
+		r.ending = a.failedOrBroken()
 	default:
-		r.ending = failedEarly
+		r.ending = answered
+		if err := a.output.complete(); err != nil {
+			r.ending, r.detail = a.failedOrBroken(), err.Error()
+		}
 	}
 	if end.GetOutcome() == wire.End_OUTCOME_UPSTREAM_LOST {
 		a.entry.recordCrash(end.GetCrash())
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/persimmonridge/persimmonridge/internal/caller/connection"
 	"github.com/persimmonridge/persimmonridge/internal/config/changelog"
 	"github.com/persimmonridge/persimmonridge/internal/config/settings"
 	"github.com/persimmonridge/persimmonridge/internal/dispatch/budget"
@@ -128,7 +129,10 @@
 	e.follower = changelog.Follow(e.log, e.store, e.logger)
 	e.poller = vmlist.Poll(e.settings.VMListURL(), e.dialer, e.logger, e.replaceVMs)
 	e.peers = link.Serve(peers, e.servePeer)
-	e.http = &http.Server{Handler: e.handler(), ReadHeaderTimeout: headerTimeout, ErrorLog: slog.NewLogLogger(e.logger.Handler(), slog.LevelDebug)}
+	e.http = &http.Server{
+		Handler: e.handler(), ReadHeaderTimeout: headerTimeout, ConnContext: connection.NewContext,
+		ErrorLog: slog.NewLogLogger(e.logger.Handler(), slog.LevelDebug),
+	}
 	e.wg.Go(func() {
 		if err := e.http.Serve(e.listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			e.logger.Error("HTTP server for callers failed", "error", err.Error())
--- a/internal/role/entry/keyed.go
+++ b/internal/role/entry/keyed.go
@@ -221,9 +221,14 @@
 	}
 	c.output.setHead(&wire.Head{Status: answer.GetStatus(), Headers: answer.GetHeaders()})
 	c.output.recorder = nil
-	c.output.begin()
+	if err := c.output.begin(); err != nil {
+		return refusal.New(refusal.Unfinished, refusal.MayHaveRun, "an earlier attempt with this key ran, and its response cannot be sent: "+err.Error(), "check whether it took effect")
+	}
 	if err := c.output.write(&wire.Data{Bytes: answer.GetBody()}); err != nil {
 		return callerGoneRefusal
 	}
+	if err := c.output.complete(); err != nil {
+		return callerGoneRefusal
+	}
 	return nil
 }
--- a/internal/role/entry/output.go
+++ b/internal/role/entry/output.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/persimmonridge/persimmonridge/internal/caller/connection"
 	"github.com/persimmonridge/persimmonridge/internal/caller/request"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
 	"github.com/persimmonridge/persimmonridge/internal/proof/invariant"
@@ -23,6 +24,7 @@
 type output struct {
 	requestID  string
 	writer     http.ResponseWriter
+	ending     connection.Ending
 	control    *http.ResponseController
 	invariants *invariant.Recorder
 	now        func() time.Time
@@ -42,8 +44,8 @@
 	overflow bool
 }
 
-func newOutput(id string, w http.ResponseWriter, invariants *invariant.Recorder, now func() time.Time) *output {
-	return &output{requestID: id, writer: w, control: http.NewResponseController(w), invariants: invariants, now: now}
+func newOutput(id string, w http.ResponseWriter, ending connection.Ending, invariants *invariant.Recorder, now func() time.Time) *output {
+	return &output{requestID: id, writer: w, ending: ending, control: http.NewResponseController(w), invariants: invariants, now: now}
 }
 
 // setHead keeps the response head until the first byte is written, up to which
@@ -65,7 +67,9 @@
 	if !o.invariants.Check(data.GetOffset() == o.offset, invariant.AnswerContiguous, o.requestID, "chunk does not start at the end of the previous one") {
 		return errGap
 	}
-	o.begin()
+	if err := o.begin(); err != nil {
+		return err
+	}
 	o.offset += uint64(len(data.GetBytes()))
 	o.events += bytes.Count(data.GetBytes(), []byte("data:"))
 	if o.recorder != nil {
@@ -91,12 +95,23 @@
 	return int(o.offset / bytesPerToken)
 }
 
+// complete ends a response of which everything was written.
+func (o *output) complete() error {
+	if err := o.begin(); err != nil {
+		return err
+	}
+	return o.ending.Complete()
+}
+
 // begin writes the head, once. It is called before each chunk and before the
 // end of the response, and extends the write deadline each time.
-func (o *output) begin() {
+func (o *output) begin() error {
 	_ = o.control.SetWriteDeadline(o.now().Add(writeTimeout))
 	if o.started {
-		return
+		return nil
+	}
+	if err := o.ending.Begin(); err != nil {
+		return err
 	}
 	o.started = true
 	o.firstAt = o.now()
@@ -111,6 +126,7 @@
 		status = http.StatusOK
 	}
 	o.writer.WriteHeader(status)
+	return nil
 }
 
 func (r *recorder) add(p []byte) {
--- a/internal/role/entry/output_test.go
+++ b/internal/role/entry/output_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/persimmonridge/persimmonridge/internal/caller/connection"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
 	"github.com/persimmonridge/persimmonridge/internal/proof/bubble"
 	"github.com/persimmonridge/persimmonridge/internal/proof/invariant"
@@ -22,11 +23,12 @@
 		n := network.New()
 		listener, err := n.Listen("a:1")
 		require.NoError(t, err)
-		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			o := newOutput("id", w, invariant.New(slog.New(slog.DiscardHandler)), time.Now)
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			o := newOutput("id", w, connection.EndingOf(r), invariant.New(slog.New(slog.DiscardHandler)), time.Now)
+			o.setHead(&wire.Head{Status: http.StatusOK})
 			_ = o.write(&wire.Data{Bytes: []byte("whole")})
 			bubble.Sleep(writeTimeout + time.Second)
-			o.begin()
+			_ = o.complete()
 		})}
 		go func() { _ = server.Serve(listener) }()
 		client := &http.Client{Transport: &http.Transport{DialContext: n.DialContext, DisableKeepAlives: true}}
--- a/internal/role/entry/serve.go
+++ b/internal/role/entry/serve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/persimmonridge/persimmonridge/internal/action/outcome"
+	"github.com/persimmonridge/persimmonridge/internal/caller/connection"
 	"github.com/persimmonridge/persimmonridge/internal/caller/refusal"
 	"github.com/persimmonridge/persimmonridge/internal/caller/request"
 	"github.com/persimmonridge/persimmonridge/internal/config/document"
@@ -67,7 +68,7 @@
 		return
 	}
 	c := &call{entry: e, request: q, doc: doc, outcome: outcome.New(id, e.invariants)}
-	c.output = newOutput(id, w, e.invariants, e.now)
+	c.output = newOutput(id, w, connection.EndingOf(r), e.invariants, e.now)
 	e.metrics.inFlight.Inc()
 	defer e.metrics.inFlight.Dec()
 	refused = c.run(r.Context())
--- a/internal/standin/network/conn.go
+++ b/internal/standin/network/conn.go
@@ -5,6 +5,8 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -18,6 +20,8 @@
 	in      *pipe
 	out     *pipe
 	peer    *conn
+	// reset reports that closing the connection resets it.
+	reset atomic.Bool
 }
 
 func newConnPair(n *Network, to string) (near, far *conn) {
@@ -37,12 +41,21 @@
 // Close implements net.Conn. Writes fail before a blocked read returns: the reader
 // could otherwise cause a write that still reaches the peer.
 func (c *conn) Close() error {
+	if c.reset.Load() {
+		c.out.reset()
+	}
 	c.out.closeWrite()
 	c.in.closeRead()
 	c.network.removeConn(c)
 	return nil
 }
 
+// SetLinger sets that Close resets the connection, for 0 seconds, or not.
+func (c *conn) SetLinger(seconds int) error {
+	c.reset.Store(seconds == 0)
+	return nil
+}
+
 // CloseWrite closes the sending side only; the peer reads the end and may still write.
 func (c *conn) CloseWrite() error {
 	c.out.closeWrite()
@@ -91,6 +104,7 @@
 	data        []byte
 	writeClosed bool
 	readClosed  bool
+	isReset     bool
 	silent      bool
 	// frozenUntil is the time until which data is held back; none is lost.
 	frozenUntil   time.Time
@@ -145,6 +159,8 @@
 			p.data = p.data[n:]
 			p.changed.Broadcast()
 			return n, nil
+		case p.isReset && !p.silent:
+			return 0, syscall.ECONNRESET
 		case p.writeClosed && !p.silent:
 			return 0, io.EOF
 		}
@@ -185,6 +201,13 @@
 	p.changed.Broadcast()
 }
 
+// reset makes the reader get an error after the buffered data, in place of EOF.
+func (p *pipe) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.isReset = true
+}
+
 // closeWrite closes the writer's end; the reader gets the buffered data, then EOF.
 func (p *pipe) closeWrite() {
 	p.mu.Lock()
--- a/internal/standin/network/conn_internal_test.go
+++ b/internal/standin/network/conn_internal_test.go
@@ -1,7 +1,9 @@
 package network
 
 import (
+	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -28,3 +30,22 @@
 	_, err = near.Write([]byte("x"))
 	require.Error(t, err)
 }
+
+// Guards against a connection that is closed to be reset and ends as if nothing were missing.
+func TestClosingResetsAConnectionWithoutLinger(t *testing.T) {
+	near, far := newConnPair(New(), "a:1")
+	_, err := far.Write([]byte("part"))
+	require.NoError(t, err)
+	require.NoError(t, far.SetLinger(0))
+	require.NoError(t, far.Close())
+	data, err := io.ReadAll(near)
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+	require.Equal(t, "part", string(data))
+
+	near, far = newConnPair(New(), "a:1")
+	require.NoError(t, far.SetLinger(0))
+	require.NoError(t, far.SetLinger(-1))
+	require.NoError(t, far.Close())
+	_, err = io.ReadAll(near)
+	require.NoError(t, err)
+}
--- a/internal/standin/network/link.go
+++ b/internal/standin/network/link.go
@@ -115,6 +115,11 @@
 	}
 }
 
+// SetLinger sets what Close does with bytes that were not sent, as that of net.TCPConn.
+func (c *linkConn) SetLinger(seconds int) error {
+	return c.Conn.(interface{ SetLinger(seconds int) error }).SetLinger(seconds)
+}
+
 // CloseWrite closes the sending side only.
 func (c *linkConn) CloseWrite() error {
 	return c.Conn.(interface{ CloseWrite() error }).CloseWrite()
