A success without a length and without a body is not taken for whole

An upstream that stops right after the head of an answer that states no length ends its connection as one does whose answer is empty. The gateway passed such an answer on with a length of 0, and an agent reported the run as answered, with an event stream, too. RFC 9112 tells such an answer complete, and asks servers to state a length; streams that end so before their first event were taken for broken at the gateway already.

A 2xx that states no length and whose connection ends before the first byte of its body is now a broken answer: a read is sent to another upstream within its limits, a payment gets a 502, and an agent's run fails. Answers to HEAD, 204, other statuses and answers with a byte of a body are as before.

Failed before: two cases of TestAnswerThatBreaksOffLooksWholeToNoCaller with either version of HTTP, three of engine.TestBodyThatBreaksOffIsNoAnswer.

--- a/internal/edge/exchange/exchange.go
+++ b/internal/edge/exchange/exchange.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"github.com/persimmonridge/persimmonridge/internal/upstream/framing"
 )
 
 var namespace = errorx.NewNamespace("exchange")
@@ -248,7 +250,7 @@
 		// follows for the rest of it, so the connection must not be reused.
 		reusable:           bodySent && !response.Close,
 		length:             response.ContentLength,
-		endsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
+		endsWithConnection: framing.EndsWithConnection(response),
 	}
 	// An executed request may be answered 429 for its caller's sake alone.
 	if answer.Status == http.StatusServiceUnavailable || (answer.Status == http.StatusTooManyRequests && answer.NotExecuted) {
--- a/internal/edge/flow/breakoff_test.go
+++ b/internal/edge/flow/breakoff_test.go
@@ -165,6 +165,8 @@
 		"large answer without a size":  {"/pay/x", head + "\r\n" + large + resetMark},
 		"small answer of stated size":  {"/pay/x", head + "Content-Length: 3\r\n\r\nok"},
 		"small answer without a size":  {"/pay/x", head + "\r\nok" + resetMark},
+		"answer without its body":      {"/pay/x", head + "\r\n"},
+		"read without its body":        {"/read/x", head + "\r\n"},
 		"read of which a half arrived": {"/read/x", head + "Content-Length: 4\r\n\r\nok"},
 	} {
 		for _, version := range versions {
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -15,6 +15,7 @@
 	"github.com/persimmonridge/persimmonridge/internal/edge/ingress"
 	"github.com/persimmonridge/persimmonridge/internal/limit/memory"
 	"github.com/persimmonridge/persimmonridge/internal/state/catalog"
+	"github.com/persimmonridge/persimmonridge/internal/upstream/framing"
 )
 
 const (
@@ -381,6 +382,9 @@
 		return c.deliverStream(ctx, placement, answer)
 	}
 	body, err := c.readAnswerBody(ctx, answer)
+	if err == nil {
+		err = framing.CheckEnd(answer.Status, answer.EndsWithConnection(), int64(len(body)))
+	}
 	if errors.Is(err, errNoRoomForAnswer) {
 		return c.passUnfinished(ctx, placement, answer, body)
 	}
--- a/internal/upstream/engine/engine.go
+++ b/internal/upstream/engine/engine.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
+	"github.com/persimmonridge/persimmonridge/internal/upstream/framing"
 )
 
 const (
@@ -139,7 +140,11 @@
 	sink.SetHead(&wire.Head{Status: uint32(response.StatusCode), Headers: headerFields(response.Header)})
 	result := Result{sent: true, status: response.StatusCode}
 	isEventStream := strings.HasPrefix(response.Header.Get("Content-Type"), eventStreamType)
-	result.tokens, err = c.copyBody(ctx, response.Body, sink, observer, isEventStream)
+	body := &countingReader{reader: response.Body}
+	result.tokens, err = c.copyBody(ctx, body, sink, observer, isEventStream)
+	if err == nil {
+		err = framing.CheckEnd(response.StatusCode, framing.EndsWithConnection(response), body.bytes)
+	}
 	if err != nil {
 		return c.failedResult(ctx, err, result)
 	}
@@ -147,6 +152,19 @@
 	return result
 }
 
+// countingReader counts the bytes of an answer's body.
+type countingReader struct {
+	reader io.Reader
+	bytes  int64
+}
+
+// Read implements io.Reader.
+func (r *countingReader) Read(p []byte) (int, error) {
+	n, err := r.reader.Read(p)
+	r.bytes += int64(n)
+	return n, err
+}
+
 func (c *Client) copyBody(ctx context.Context, body io.Reader, sink Sink, observer Observer, isEventStream bool) (int, error) {
 	tokens := 0
 	buffer := make([]byte, readBufferSize)
--- /dev/null
+++ b/internal/upstream/engine/engine_test.go
@@ -0,0 +1,134 @@
+package engine_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
+	"github.com/persimmonridge/persimmonridge/internal/upstream/engine"
+)
+
+// resetMark at the end of an upstream's text makes it reset the connection.
+const resetMark = "RESET"
+
+// sink records an answer.
+type sink struct {
+	head *wire.Head
+	body strings.Builder
+}
+
+// SetHead implements engine.Sink.
+func (s *sink) SetHead(head *wire.Head) { s.head = head }
+
+// Write implements engine.Sink.
+func (s *sink) Write(_ context.Context, p []byte) error {
+	s.body.Write(p)
+	return nil
+}
+
+type observer struct{}
+
+// FirstToken implements engine.Observer.
+func (observer) FirstToken(time.Time) {}
+
+// Tokens implements engine.Observer.
+func (observer) Tokens(time.Time, int) {}
+
+// run makes one call to an upstream that sends the text and ends the connection.
+func run(t *testing.T, text string) (engine.Result, *sink) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	text, reset := strings.CutSuffix(text, resetMark)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err == nil {
+			_, _ = io.Copy(io.Discard, request.Body)
+			_, _ = io.WriteString(conn, text)
+		}
+		if reset {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
+		_ = conn.Close()
+	}()
+	s := &sink{}
+	call := engine.NewCall("r1", http.MethodPost, "/x", nil, []byte("body"))
+	return engine.New("http://"+listener.Addr().String(), time.Now, &net.Dialer{}).Run(t.Context(), call, s, observer{}), s
+}
+
+// Guards against an answer whose head broke off that is taken for one with an empty body.
+func TestHeadThatBreaksOffIsNoAnswer(t *testing.T) {
+	data, err := os.ReadFile("../../edge/exchange/testdata/heads.txt")
+	require.NoError(t, err)
+	headers := strings.NewReplacer("@id", "Request-Id: r1", "@seal", "Seal: s", "@not-executed", "Not-Run: 1", "@load", "Load: 1", "\n", "\r\n")
+	for _, section := range strings.Split(string(data), "-- ")[1:] {
+		name, text, _ := strings.Cut(section, " --\n")
+		if strings.Contains(text, "@other-id") {
+			continue // Each call has a connection of its own.
+		}
+		head := headers.Replace(text)
+		for _, ending := range []string{"", resetMark} {
+			t.Run(name+" "+ending, func(t *testing.T) {
+				t.Parallel()
+				for cut := range len(head) {
+					result, s := run(t, head[:cut]+ending)
+					require.Equal(t, wire.End_OUTCOME_FAILED, result.Outcome(), "cut after %d bytes", cut)
+					require.Nil(t, s.head, "cut after %d bytes", cut)
+					require.True(t, result.Sent())
+				}
+			})
+		}
+	}
+}
+
+// Guards against a body that broke off, or of which nothing came, and looks whole.
+func TestBodyThatBreaksOffIsNoAnswer(t *testing.T) {
+	const head, event = "HTTP/1.1 200 OK\r\n", "data: a\r\n\r\n"
+	for name, text := range map[string]string{
+		"stated length":             head + "Content-Length: 4\r\n\r\nok",
+		"chunks":                    head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+		"within a chunk":            head + "Transfer-Encoding: chunked\r\n\r\n9\r\nok",
+		"reset without a length":    head + "\r\nok" + resetMark,
+		"no body":                   head + "\r\n",
+		"no body, version 1.0":      "HTTP/1.0 200 OK\r\n\r\n",
+		"stream without events":     head + "Content-Type: text/event-stream\r\n\r\n",
+		"reset stream":              head + "Content-Type: text/event-stream\r\n\r\n" + event + resetMark,
+		"stream in chunks, no last": head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n", len(event), event),
+	} {
+		t.Run(name, func(t *testing.T) {
+			result, _ := run(t, text)
+			require.Equal(t, wire.End_OUTCOME_FAILED, result.Outcome())
+		})
+	}
+}
+
+func TestWholeAnswers(t *testing.T) {
+	for text, body := range map[string]string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok":                                 "ok",
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n":                                   "",
+		"HTTP/1.1 200 OK\r\n\r\nok":                                                      "ok",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n":      "ok",
+		"HTTP/1.1 204 No Content\r\n\r\n":                                                "",
+		"HTTP/1.1 404 Not Found\r\n\r\n":                                                 "",
+		"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok": "ok",
+	} {
+		result, s := run(t, text)
+		require.Equal(t, wire.End_OUTCOME_ANSWERED, result.Outcome(), "%q: %s", text, result.Detail())
+		require.Equal(t, body, s.body.String())
+	}
+}
