An entry makes up no success for an answer without a head

If the end of a run reached an entry without the head of its answer, or a stored answer without a status was replayed, the caller got a 200 with an empty body. No agent of today sends that; a message that is lost or one of another build would. The caller is now told that the outcome is not known.

TestAnswerWithoutAHeadIsNoSuccess: answered with status 200 before.

--- a/internal/role/entry/attempt.go
+++ b/internal/role/entry/attempt.go
@@ -21,6 +21,7 @@
 var (
 	errCallerGone = errors.New("caller disconnected")
 	errGap        = errors.New("response from the agent has a gap")
+	errNoHead     = errors.New("response from the agent has no head")
 	errRetry      = errors.New("upstream failed before the response started")
 )
 
--- a/internal/role/entry/output.go
+++ b/internal/role/entry/output.go
@@ -110,6 +110,9 @@
 	if o.started {
 		return nil
 	}
+	if o.head.GetStatus() == 0 {
+		return errNoHead
+	}
 	if err := o.ending.Begin(); err != nil {
 		return err
 	}
@@ -121,11 +124,7 @@
 	}
 	header.Set(request.HeaderRequestID, o.requestID)
 	header.Set("X-Ran", "ran")
-	status := int(o.head.GetStatus())
-	if status == 0 {
-		status = http.StatusOK
-	}
-	o.writer.WriteHeader(status)
+	o.writer.WriteHeader(int(o.head.GetStatus()))
 	return nil
 }
 
--- a/internal/role/entry/output_test.go
+++ b/internal/role/entry/output_test.go
@@ -4,12 +4,15 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/persimmonridge/persimmonridge/internal/action/outcome"
 	"github.com/persimmonridge/persimmonridge/internal/caller/connection"
+	"github.com/persimmonridge/persimmonridge/internal/caller/refusal"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
 	"github.com/persimmonridge/persimmonridge/internal/proof/bubble"
 	"github.com/persimmonridge/persimmonridge/internal/proof/invariant"
@@ -42,3 +45,21 @@
 		require.Equal(t, "whole", string(body))
 	})
 }
+
+// Guards against a success that an entry makes up: the end of a run, or a stored answer, that
+// has no head.
+func TestAnswerWithoutAHeadIsNoSuccess(t *testing.T) {
+	recorder := httptest.NewRecorder()
+	o := newOutput("id", recorder, connection.Ending{}, invariant.New(slog.New(slog.DiscardHandler)), time.Now)
+	a := &attempt{output: o, dispatched: func() {}}
+	require.Equal(t, failedEarly, a.ended(&wire.End{Outcome: wire.End_OUTCOME_ANSWERED}).ending)
+	require.ErrorIs(t, o.write(&wire.Data{Bytes: []byte("body")}), errNoHead)
+	require.False(t, o.started)
+
+	c := &call{output: o, outcome: outcome.New("id", invariant.New(slog.New(slog.DiscardHandler)))}
+	refused := c.replay(&wire.StoredAnswer{Outcome: wire.End_OUTCOME_ANSWERED, Whole: true})
+	require.NotNil(t, refused)
+	require.Equal(t, refusal.MayHaveRun, refused.Ran())
+	require.False(t, o.started)
+	require.Empty(t, recorder.Header())
+}
