A gateway whose writes the store does not answer leaves them to another

A store that answers a gateway's reads and refuses, cuts or does not answer its writes left the duty where it was: the rollout of a bad version stayed running for as long as the writes failed. And reads tell late: a watch that waits for a store that has fallen silent ends only after its time-out, up to 5.8 s at a limit of 5 s.

A write for all that gets no answer now tells it, too: its gateway says so in gossip, and the next in rank that the store answers writes for the next three seconds. If the writes of all fail, it is the scheduler, as before.

--- a/internal/fleet/mesh/tell.go
+++ b/internal/fleet/mesh/tell.go
@@ -123,7 +123,7 @@
 	gossip := &wire.Gossip{
 		Run: state.gossip.Run, Rank: state.gossip.Rank, Ready: state.gossip.Ready, Leaving: state.gossip.Leaving,
 		ConfigVersion: state.gossip.ConfigVersion, StoreEra: state.gossip.StoreEra, RosterRevision: state.gossip.RosterRevision,
-		TakesFew: state.gossip.TakesFew, TakingPercent: state.gossip.TakingPercent, StoreAnswers: state.gossip.StoreAnswers, ChangeRevision: state.gossip.ChangeRevision,
+		TakesFew: state.gossip.TakesFew, TakingPercent: state.gossip.TakingPercent, StoreAnswers: state.gossip.StoreAnswers, WritesFail: state.gossip.WritesFail, ChangeRevision: state.gossip.ChangeRevision,
 		HearsYou: p.Node != "" && state.now.Sub(p.LastHeard) < state.livenessTimeout, WantsYou: p.selected, Gone: m.exiting,
 	}
 	if p.gossipsSent%identityEvery == 0 || !slices.Equal(state.gossip.Evacuated, p.sentEvacuated) {
--- a/internal/role/gateway/crashstore.go
+++ b/internal/role/gateway/crashstore.go
@@ -204,6 +204,7 @@
 	if len(transaction.Puts) > 0 {
 		lease, _, err := s.store.Grant(ctx, life)
 		if err != nil {
+			s.peers.noteWrite(s.now(), err)
 			s.logger.Info("causes of crashes not written to the store", "err", err)
 			return false
 		}
@@ -211,7 +212,7 @@
 			transaction.Puts[i].Lease = lease
 		}
 	}
-	revision, err := s.store.Commit(ctx, transaction)
+	revision, err := s.peers.commitForAll(ctx, transaction)
 	if err != nil {
 		s.logger.Info("causes of crashes not written to the store", "err", err)
 		return false
--- a/internal/role/gateway/fleet_test.go
+++ b/internal/role/gateway/fleet_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -57,10 +58,14 @@
 	dialers  map[int]*dialer
 	// sockets holds, by gateway, the listeners and accepted connections of its process.
 	sockets map[int]*sockets
+	// configApply is the setting of the gateways, two seconds if it is 0.
+	configApply time.Duration
 	// relayedFleet is the setting of the gateways.
 	relayedFleet int
 	// turnedAway holds the gateways that the store turns away.
 	turnedAway map[int]bool
+	// writeFaults holds how the store fails the writes of gateways whose reads it answers.
+	writeFaults map[int]writeFault
 
 	mu sync.Mutex
 	// broken holds the IDs of requests that an engine broke off once.
@@ -106,7 +111,7 @@
 		f.t, f.network, f.store = t, network.New(), standin.NewStore()
 		f.broken, f.peakLoad, f.running = map[string]bool{}, map[string]int{}, map[string]int{}
 		f.arrivals, f.stated = map[string][]time.Time{}, map[string]map[string]string{}
-		f.turnedAway = map[int]bool{}
+		f.turnedAway, f.writeFaults = map[int]bool{}, map[int]writeFault{}
 		f.refuses, f.senders = map[string]bool{}, map[string][]string{}
 		for i := range f.size {
 			f.serve(storeAddress(i), f.storeOf(i))
@@ -135,16 +140,44 @@
 func (f *fleet) storeOf(i int) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.mu.Lock()
-		away := f.turnedAway[i]
+		away, fault := f.turnedAway[i], f.writeFaults[i]
 		f.mu.Unlock()
-		if away {
+		if r.Method == http.MethodGet {
+			fault = writesWork
+		}
+		switch {
+		case away || fault == writesRefused:
 			w.WriteHeader(http.StatusServiceUnavailable)
-			return
+		case fault == writesUnanswered:
+			// The end of the connection is noticed only after the body.
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		case fault == writesCut:
+			panic(http.ErrAbortHandler)
+		default:
+			f.store.ServeHTTP(w, r)
 		}
-		f.store.ServeHTTP(w, r)
 	})
 }
 
+// writeFault is how the store fails writes.
+type writeFault int
+
+const (
+	writesWork writeFault = iota
+	writesRefused
+	writesUnanswered
+	writesCut
+)
+
+// failWrites sets how the store fails the writes of a gateway.
+func (f *fleet) failWrites(gateway int, fault writeFault) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.writeFaults[gateway] = fault
+}
+
 // turnAway makes the store turn gateways away, or serve them again.
 func (f *fleet) turnAway(away bool, gateways ...int) {
 	f.mu.Lock()
@@ -282,7 +315,7 @@
 		Name:               "gateway-" + strconv.Itoa(i), Domain: "a", CallerAddress: callerAddress(i), LinkAddress: linkAddress(i),
 		ReadinessAddress: fmt.Sprintf("10.0.0.%d:82", i+1), MetricsAddress: fmt.Sprintf("10.0.0.%d:83", i+1),
 		RelayedFleet: f.relayedFleet,
-		GracePeriod:  8 * time.Second, ConfigApplyLimit: 2 * time.Second, Quota: quota.Options{StartFull: true},
+		GracePeriod:  8 * time.Second, ConfigApplyLimit: cmp.Or(f.configApply, 2*time.Second), Quota: quota.Options{StartFull: true},
 		Retry:     retry.Settings{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 		ConfigKey: platform.ConfigPrefix, UpstreamPrefix: platform.UpstreamPrefix, OrderPrefix: platform.RolloutPrefix,
 		EvacuationPrefix: platform.EvacuationPrefix, Regions: map[string]string{"a": "north", "b": "south"},
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -235,7 +235,7 @@
 	g.upstreams = newUpstreamView(g)
 	g.evacuations = &evacuations{Gateway: g}
 	g.guard = newSendGuard(g, s.WarmUp)
-	g.peers = &peers{Gateway: g, rank: unranked, stops: newPeerStops(), storeReachedAt: make(map[string]time.Time), silentSince: make(map[string]time.Time)}
+	g.peers = &peers{Gateway: g, rank: unranked, stops: newPeerStops(), storeReachedAt: make(map[string]time.Time), peerWritesFail: make(map[string]bool), silentSince: make(map[string]time.Time)}
 	g.retryBudget = retry.New(s.Retry, g.peers)
 	g.quota = quota.New(s.Quota, g.peers.gatewayCount)
 	g.setQuotaOptions(s.Quota)
--- a/internal/role/gateway/hublist.go
+++ b/internal/role/gateway/hublist.go
@@ -117,7 +117,7 @@
 		h.logger.Error("list of hubs could not be encoded", "err", err)
 		return
 	}
-	if _, err := h.store.Commit(ctx, kv.Transaction{Puts: []kv.Put{{Key: hubListKey, Value: value}}}); err != nil {
+	if _, err := h.peers.commitForAll(ctx, kv.Transaction{Puts: []kv.Put{{Key: hubListKey, Value: value}}}); err != nil {
 		h.logger.Info("list of hubs not written to the store", "err", err)
 		return
 	}
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -44,6 +44,10 @@
 	schedulerCachedAt time.Time
 	// storeReachedAt holds, by peer, when it last reported that the store answers it.
 	storeReachedAt map[string]time.Time
+	// writeFailedAt is when the store last failed to answer a write on behalf of all gateways,
+	// zero if it answered since, and peerWritesFail holds the peers that report such a failure.
+	writeFailedAt  time.Time
+	peerWritesFail map[string]bool
 	// storeRetriedAt is when a peer's report last ended a pause after failed calls.
 	storeRetriedAt time.Time
 	// silentSince holds the schedulers that reply to no slot request, and since when. They
@@ -107,6 +111,7 @@
 	g.Rank = p.rank
 	g.StoreAnswers = !p.storeLost
 	p.mu.Unlock()
+	g.WritesFail = p.writesFail(now)
 	p.crashes.fillGossip(now, g)
 	if c := p.catalog.Load(); c != nil {
 		g.ConfigVersion = c.Version()
@@ -133,6 +138,7 @@
 	p.evacuations.applyGossip(now, g)
 	p.guard.applyGossip(now, peer, g)
 	p.requestMissing(now, peer, g)
+	p.notePeerWrites(peer, g.WritesFail)
 	if g.Leaving {
 		// The successor of a scheduler must hear of the held slots at once.
 		p.invalidateScheduler()
@@ -182,6 +188,7 @@
 func (p *peers) PeerDown(now time.Time, peer string) {
 	p.mu.Lock()
 	delete(p.storeReachedAt, peer)
+	delete(p.peerWritesFail, peer)
 	p.schedulerCachedAt = time.Time{}
 	p.mu.Unlock()
 	p.relay.peerDown(peer)
@@ -235,26 +242,6 @@
 	return best.node
 }
 
-// keeper returns the gateway that writes to the store on behalf of all: the scheduler or, while
-// the store does not answer it, the next one that it answers. Without any it is the scheduler.
-func (p *peers) keeper(now time.Time) string {
-	var best candidate
-	if p.catalog.Load() != nil && p.storeAnswers() {
-		p.mu.Lock()
-		best = candidate{node: p.settings.Name, rank: p.rank, stopping: p.stopping()}
-		p.mu.Unlock()
-	}
-	for _, other := range p.candidates(now) {
-		if p.reachesStore(now, other.node) && other.precedes(best) {
-			best = other
-		}
-	}
-	if best.node == "" {
-		return p.scheduler(now)
-	}
-	return best.node
-}
-
 // candidates returns the other gateways that may be the scheduler.
 func (p *peers) candidates(now time.Time) []candidate {
 	var all []candidate
--- a/internal/role/gateway/rollout_duty_test.go
+++ b/internal/role/gateway/rollout_duty_test.go
@@ -1,9 +1,13 @@
 package gateway_test
 
 import (
+	"fmt"
+	"log/slog"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"github.com/persimmonridge/persimmonridge/internal/proof/bubble"
 )
 
@@ -30,6 +34,75 @@
 	}
 }
 
+// requireTakenBackInTime checks that the bad version gets no request later than the time in which
+// a rollout is taken back after its 50th bad answer.
+func (p *rolloutPlay) requireTakenBackInTime(bad time.Time) {
+	p.t.Helper()
+	const badAnswers, rollback = 50, 5 * time.Second
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var answers []time.Time
+	for _, at := range p.runs["v2"] {
+		if !at.Before(bad) {
+			answers = append(answers, at)
+		}
+	}
+	require.NotEmpty(p.t, answers)
+	if len(answers) <= badAnswers {
+		return
+	}
+	late := 0
+	for _, at := range answers {
+		if at.Sub(answers[badAnswers-1]) > rollback {
+			late++
+		}
+	}
+	require.Zero(p.t, late, "requests of %d to the bad version more than %s after its %dth bad answer", len(answers), rollback, badAnswers)
+}
+
+// Guards against a rollout that is kept by a gateway whose reads the store answers and whose
+// writes fail.
+func TestBadVersionIsTakenBackWhileTheWritesOfTheSchedulerFail(t *testing.T) {
+	for name, fault := range map[string]writeFault{"refused": writesRefused, "unanswered": writesUnanswered, "cut": writesCut} {
+		t.Run(name, func(t *testing.T) {
+			playRollout(t, func(p *rolloutPlay) {
+				p.at(29 * time.Second)
+				p.failWrites(p.scheduler(), fault)
+				bad := time.Now()
+				p.turnBad()
+				p.awaitState("reverted", 15*time.Second)
+				p.requireNone("v2")
+				p.requireTakenBackInTime(bad)
+				p.failWrites(p.scheduler(), writesWork)
+			})
+		})
+	}
+}
+
+// Guards against a rollout that is kept by a gateway for as long as its watch waits for a store
+// that has fallen silent.
+func TestBadVersionIsTakenBackAsTheStoreFallsSilentForTheScheduler(t *testing.T) {
+	for _, c := range []struct{ configApply, early time.Duration }{
+		{2 * time.Second, 0}, {2 * time.Second, time.Second}, {5 * time.Second, 0}, {5 * time.Second, time.Second},
+	} {
+		t.Run(fmt.Sprintf("watches of %s, %s before", c.configApply, c.early), func(t *testing.T) {
+			played := &fleet{size: gateways, slots: slots, logger: slog.New(slog.DiscardHandler), configApply: c.configApply}
+			playRolloutOf(t, played, func(p *rolloutPlay) {
+				p.at(29*time.Second - c.early)
+				scheduler := p.scheduler()
+				p.network.Vanish(storeAddress(scheduler))
+				p.at(29 * time.Second)
+				bad := time.Now()
+				p.turnBad()
+				p.awaitState("reverted", 15*time.Second)
+				p.requireNone("v2")
+				p.requireTakenBackInTime(bad)
+				p.network.Restore(storeAddress(scheduler))
+			})
+		})
+	}
+}
+
 // killAll kills all gateways, which start again after a pause.
 func (p *rolloutPlay) killAll(pause time.Duration) {
 	for i := range p.size {
--- a/internal/role/gateway/rollout_store_test.go
+++ b/internal/role/gateway/rollout_store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"net/http"
 	"strconv"
 	"sync"
@@ -71,7 +72,12 @@
 
 // playRollout orders a rollout under load and runs the script. It stops the callers in the end.
 func playRollout(t *testing.T, script func(p *rolloutPlay)) {
-	runFleet(t, func(f *fleet) {
+	playRolloutOf(t, &fleet{size: gateways, slots: slots, logger: slog.New(slog.DiscardHandler)}, script)
+}
+
+// playRolloutOf is playRollout with a fleet.
+func playRolloutOf(t *testing.T, played *fleet, script func(p *rolloutPlay)) {
+	playFleet(t, played, func(f *fleet) {
 		p := &rolloutPlay{fleet: f, stopped: make(chan struct{}), runs: make(map[string][]time.Time)}
 		f.store.Put("op/config", `{"version":2,
 			"routes":[{"name":"r","hostname":"h","prefix":"/desk/","kind":"non_idempotent","timeoutMs":1000,"targetLatencyMs":100,
--- a/internal/role/gateway/rollouts.go
+++ b/internal/role/gateway/rollouts.go
@@ -323,7 +323,7 @@
 	c.mu.Lock()
 	_, known := c.rollouts[service].record.Stored()
 	c.mu.Unlock()
-	revision, err := c.store.Commit(ctx, kv.Transaction{
+	revision, err := c.peers.commitForAll(ctx, kv.Transaction{
 		Conditions: []kv.Condition{{Key: rolloutStatePrefix + service, Revision: known}},
 		Puts:       []kv.Put{{Key: rolloutStatePrefix + service, Value: value}, {Key: statusKey, Value: status}},
 	})
