A version is completed once all gateways have reported to the one that decides

A gateway that takes over the decisions on rollouts has the evidence of its own callers, and that of the others up to a second later, when they have heard of it. At its first step it completed a version whose time had come on a part of the evidence, and complete is final. It now waits for a second. A version that is bad on what is known is taken back at once, as before.

Test: TestVersionIsNotDecidedOnPartialEvidence.

--- a/internal/role/gateway/rollouts.go
+++ b/internal/role/gateway/rollouts.go
@@ -28,6 +28,9 @@
 	// minLostStateDelay and maxLostStateDelay after they see that it lacks it.
 	minLostStateDelay = time.Second
 	maxLostStateDelay = 3 * time.Second
+	// reportsDelay is after what time as the keeper a gateway has the reports of the others:
+	// they learn of a keeper by gossip and report at their next step.
+	reportsDelay = time.Second
 )
 
 // rolloutController applies operators' rollout orders and rollout states, reports the
@@ -40,6 +43,8 @@
 	rollouts map[string]*serviceRollout
 	// era is the latest era in which the store was read.
 	era int64
+	// keeperSince is since when this gateway is the keeper, zero while it is not.
+	keeperSince time.Time
 }
 
 // serviceRollout is the rollout of one service.
@@ -199,6 +204,7 @@
 		now := c.now()
 		c.replaceLostOrders(now)
 		keeper := c.peers.keeper(now)
+		c.noteKeeper(now, keeper == c.settings.Name)
 		for service, report := range c.versionPicker.Reports(now, keeper) {
 			c.sendReport(now, keeper, service, report)
 		}
@@ -208,6 +214,18 @@
 	return nil
 }
 
+// noteKeeper records whether this gateway is the keeper.
+func (c *rolloutController) noteKeeper(now time.Time, keeper bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !keeper:
+		c.keeperSince = time.Time{}
+	case c.keeperSince.IsZero():
+		c.keeperSince = now
+	}
+}
+
 // replaceLostOrders puts orders in force that the store has in place of lost ones.
 func (c *rolloutController) replaceLostOrders(now time.Time) {
 	c.mu.Lock()
@@ -279,7 +297,10 @@
 			upstreams++
 		}
 	}
-	observed := rollout.Observed{Judgement: r.judge.Judge(now, upstreams), Ready: upstreams > 0, Since: r.judge.Since(now)}
+	observed := rollout.Observed{
+		Judgement: r.judge.Judge(now, upstreams), Ready: upstreams > 0, Since: r.judge.Since(now),
+		Partial: now.Sub(c.keeperSince) < reportsDelay,
+	}
 	next, changed := rollout.Step(now, order, current, observed)
 	if changed {
 		c.logJudgement(service, next, observed.Judgement)
--- a/internal/version/rollout/rollout.go
+++ b/internal/version/rollout/rollout.go
@@ -83,6 +83,9 @@
 	// Since is from when on any process has counted its runs. What others counted before is
 	// gone with them.
 	Since time.Time
+	// Partial reports that the gateway decides only since so short a time that others may not
+	// have reported to it yet.
+	Partial bool
 }
 
 // suffices reports whether the target was observed for long enough not to be taken for sound on
@@ -108,6 +111,9 @@
 		return s.end(Reverted, 0, observed.Judgement.why()), true
 	}
 	elapsed := float64(now.UnixMilli()-s.BeganMs) / float64(max(1, o.Duration.Milliseconds()))
+	if elapsed >= completeFraction && observed.Partial {
+		return s, false
+	}
 	if elapsed >= completeFraction && observed.Ready && !observed.Judgement.Doubt && observed.suffices(o, s) {
 		return s.end(Complete, 1, "nothing speaks against the version"), true
 	}
--- a/internal/version/rollout/rollout_test.go
+++ b/internal/version/rollout/rollout_test.go
@@ -147,3 +147,18 @@
 	_, changed := rollout.Step(start.Add(time.Hour), order, state, rollout.Observed{Ready: true})
 	require.False(t, changed)
 }
+
+// Guards against a version that is completed on the evidence of one gateway, as the gateway that
+// decides has just taken over and the others have not reported to it.
+func TestVersionIsNotDecidedOnPartialEvidence(t *testing.T) {
+	running := rollout.Begin(start, order)
+	for _, elapsed := range []time.Duration{17500 * time.Millisecond, 19500 * time.Millisecond} {
+		observed := rollout.Observed{Ready: true, Since: start, Partial: true}
+		state, changed := rollout.Step(start.Add(elapsed), order, running, observed)
+		require.False(t, changed, "%s", state.Phase)
+		observed.Partial = false
+		state, changed = rollout.Step(start.Add(elapsed), order, running, observed)
+		require.True(t, changed)
+		require.Equal(t, rollout.Complete, state.Phase)
+	}
+}
