Registrations that cannot be read do not keep changes from a gateway

Messages between gateways are read up to 2 MiB, and were sent at any size: a gateway that the store turned away asked a peer for the configuration and the upstreams, the answer held the values of three registrations of a megabyte each that name no upstream (the store takes any bytes there), the receiver ended the connection, and asked again. It kept the old configuration and sent to an upstream that had left for as long as that lasted; with its gossip, all else on the connection was lost, too.

Peers get such registrations without their values, of which they need to know only that they are there. And a message that is too large is left out and logged; the connection goes on.

--- a/internal/fleet/link/stream.go
+++ b/internal/fleet/link/stream.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"encoding/binary"
 	"errors"
 	"net"
 	"sync"
@@ -12,6 +13,7 @@
 
 	"github.com/joomcode/errorx"
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
 )
@@ -26,6 +28,9 @@
 	Silent = namespace.NewType("silent")
 	// Broken: the stream ended or its data cannot be decoded.
 	Broken = namespace.NewType("broken")
+	// TooLarge: an envelope was not sent because the other side would not read it. The stream can
+	// be used on, and all other envelopes were sent.
+	TooLarge = namespace.NewType("too-large")
 )
 
 const (
@@ -61,22 +66,41 @@
 // Session returns the number of the session the stream belongs to.
 func (s *Stream) Session() uint64 { return s.session }
 
-// Send writes the envelopes before the deadline.
+// Send writes the envelopes before the deadline, but for those of more than MaxFrame bytes.
 func (s *Stream) Send(deadline time.Time, envelopes ...*wire.Envelope) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.conn.SetWriteDeadline(deadline); err != nil {
 		return Broken.Wrap(err, "set a write deadline; open a new stream")
 	}
+	var tooLarge error
 	for _, envelope := range envelopes {
-		if _, err := protodelim.MarshalTo(s.writer, envelope); err != nil {
+		raw, err := proto.Marshal(envelope)
+		if err == nil && len(raw) > MaxFrame {
+			tooLarge = TooLarge.New("a message of %d bytes (%T) was not sent, as at most %d are read; send less at a time", len(raw), envelope.GetBody(), MaxFrame)
+			continue
+		}
+		if err == nil {
+			err = s.writeFrame(raw)
+		}
+		if err != nil {
 			return Broken.Wrap(err, "write a message; open a new stream")
 		}
 	}
 	if err := s.writer.Flush(); err != nil {
 		return Broken.Wrap(err, "write a message; open a new stream")
 	}
-	return nil
+	return tooLarge
+}
+
+// writeFrame writes an encoded envelope after its size.
+func (s *Stream) writeFrame(raw []byte) error {
+	var size [binary.MaxVarintLen64]byte
+	if _, err := s.writer.Write(binary.AppendUvarint(size[:0], uint64(len(raw)))); err != nil {
+		return err
+	}
+	_, err := s.writer.Write(raw)
+	return err
 }
 
 // Receive reads one envelope before the deadline. After any error, also after a
--- a/internal/fleet/link/stream_test.go
+++ b/internal/fleet/link/stream_test.go
@@ -144,3 +144,28 @@
 		require.NoError(t, server.Close())
 	})
 }
+
+// Guards against a connection that ends with all that was to come on it because one message is
+// larger than the other side reads.
+func TestMessageThatIsTooLargeIsLeftOut(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		net := network.New()
+		listener, err := net.Listen("127.0.0.1:0")
+		require.NoError(t, err)
+		server := link.Serve(listener, echo)
+		pool := link.NewPool(net, nil)
+		stream, err := pool.Open(context.Background(), server.Addr())
+		require.NoError(t, err)
+		large := &wire.Envelope{Body: &wire.Envelope_Snapshot{Snapshot: &wire.Snapshot{Config: make([]byte, link.MaxFrame)}}}
+		err = stream.Send(time.Now().Add(time.Second), heartbeat(), large, heartbeat())
+		require.True(t, errorx.IsOfType(err, link.TooLarge), "%v", err)
+		for range 2 {
+			envelope, err := stream.Receive(time.Now().Add(time.Second))
+			require.NoError(t, err)
+			require.NotNil(t, envelope.GetHeartbeat())
+		}
+		require.NoError(t, stream.Close())
+		require.NoError(t, pool.Close())
+		require.NoError(t, server.Close())
+	})
+}
--- a/internal/fleet/mesh/alternate.go
+++ b/internal/fleet/mesh/alternate.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/persimmonridge/persimmonridge/internal/fleet/link"
@@ -155,7 +156,7 @@
 			case <-a.ended:
 				return errPeerDown
 			case envelope := <-a.queue:
-				if err := stream.Send(m.now().Add(writeTimeout), envelope); err != nil {
+				if err := stream.Send(m.now().Add(writeTimeout), envelope); err != nil && !errorx.IsOfType(err, link.TooLarge) {
 					return err
 				}
 				if m.traffic != nil {
--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/persimmonridge/persimmonridge/internal/fleet/link"
@@ -294,7 +295,9 @@
 			}
 			batch = append(batch, envelope)
 		}
-		if err := stream.Send(m.now().Add(writeTimeout), batch...); err != nil {
+		if err := stream.Send(m.now().Add(writeTimeout), batch...); errorx.IsOfType(err, link.TooLarge) {
+			m.logger.Warn("message to peer not sent", "peer", p.address, "err", err)
+		} else if err != nil {
 			m.logger.Info("connection to peer lost", "peer", p.address, "err", err)
 			return
 		}
--- a/internal/role/gateway/upstreams.go
+++ b/internal/role/gateway/upstreams.go
@@ -45,8 +45,9 @@
 	changedAt := make(map[string]kv.Revision, len(s.Items))
 	var upstreams []roster.Upstream
 	for _, item := range s.Items {
-		registrations[item.Key], changedAt[item.Key] = item, item.Revision
+		changedAt[item.Key] = item.Revision
 		u, err := v.gateway.decoder.Upstream(item.Key, item.Value, item.Revision)
+		registrations[item.Key] = passedOn(item, err)
 		if err != nil {
 			v.gateway.logger.Warn("registration ignored", "err", err)
 			continue
@@ -73,6 +74,16 @@
 	v.gateway.logger.Info("upstream list replaced", "count", len(upstreams), "revision", s.Revision)
 }
 
+// passedOn returns a registration as it is passed on to peers. Of one that could not be read they
+// need to know only that it is there: it may be as large as any value of the store, and a message
+// cannot hold many of these.
+func passedOn(item kv.Item, err error) kv.Item {
+	if err != nil {
+		item.Value = nil
+	}
+	return item
+}
+
 // recordWarmUpLocked passes a complete list of registrations to the guard.
 func (v *upstreamView) recordWarmUpLocked(now time.Time, registrations map[string]kv.Item, upstreams []roster.Upstream) {
 	guard := v.gateway.guard
@@ -198,7 +209,7 @@
 	if !v.isNewerLocked(e) {
 		return false
 	}
-	v.registrations[e.Key] = e.Item
+	v.registrations[e.Key] = passedOn(e.Item, err)
 	delete(v.removedAt, e.Key)
 	if changed {
 		v.changedAt[e.Key] = e.Revision
