--- a/internal/role/gateway/fleet_test.go
+++ b/internal/role/gateway/fleet_test.go
@@ -47,15 +47,17 @@
 	// size is the number of gateways, and slots that of each engine.
 	size, slots int
 	// links holds the links of the gateways that have one of limited bandwidth.
-	links    map[int]*network.Link
-	store    *standin.Store
-	cancels  []context.CancelFunc
-	stopOnce []*sync.Once
-	exits    []chan error
-	servers  []*http.Server
-	nodes    []*gateway.Gateway
-	logger   *slog.Logger
-	dialers  map[int]*dialer
+	links map[int]*network.Link
+	// storeOverLinks is set if the connections to the store are over the links, too.
+	storeOverLinks bool
+	store          *standin.Store
+	cancels        []context.CancelFunc
+	stopOnce       []*sync.Once
+	exits          []chan error
+	servers        []*http.Server
+	nodes          []*gateway.Gateway
+	logger         *slog.Logger
+	dialers        map[int]*dialer
 	// sockets holds, by gateway, the listeners and accepted connections of its process.
 	sockets map[int]*sockets
 	// configApply is the setting of the gateways, two seconds if it is 0.
@@ -286,7 +288,7 @@
 	f.sockets[i] = process
 	f.mu.Unlock()
 	g := gateway.New(gateway.Dependencies{
-		Settings: settings, Store: platform.NewStore(storeAddress(i), f.dialer(i).dialStore), Decoder: platform.Decoder{},
+		Settings: settings, Store: platform.NewStore(storeAddress(i), f.dialStore(i)), Decoder: platform.Decoder{},
 		Headers: platform.Headers{}, AnswerHeaders: platform.AnswerHeaders(), Dialer: f.dialer(i),
 		Listen: func(_, address string) (net.Listener, error) { return f.listen(i, process, address) },
 		Logger: f.logger.With("node", settings.Name), Now: time.Now,
--- a/internal/role/gateway/silent_scheduler_test.go
+++ b/internal/role/gateway/silent_scheduler_test.go
@@ -50,6 +50,14 @@
 	return &severableConn{Conn: conn, dialer: d, toPeer: strings.HasSuffix(address, linkPort)}, nil
 }
 
+// dialStore returns how a gateway connects to the store.
+func (f *fleet) dialStore(i int) func(ctx context.Context, network, address string) (net.Conn, error) {
+	if f.storeOverLinks {
+		return f.dialer(i).DialContext
+	}
+	return f.dialer(i).dialStore
+}
+
 // dialStore opens a connection to the store, which the VM's link does not limit.
 func (d *dialer) dialStore(ctx context.Context, network, address string) (net.Conn, error) {
 	conn, err := d.network.DialContext(ctx, network, address)
