Test: gateways that do not hear each other take a bad version back

Each of them holds itself to be the keeper and has a part of the evidence. All apart, and one apart, with a version that turns bad after 20, 29 and 32 s of 40: taken back in time, and completed by none. No change of logic.

--- a/internal/role/gateway/rollout_duty_test.go
+++ b/internal/role/gateway/rollout_duty_test.go
@@ -150,3 +150,37 @@
 		})
 	}
 }
+
+// Guards against a bad version that is completed, or kept, as gateways that do not hear each other
+// all decide, each on the evidence of its own callers.
+func TestBadVersionIsTakenBackWhileGatewaysDoNotHearEachOther(t *testing.T) {
+	for name, apart := range map[string][]int{"all apart": {0, 1, 2}, "one apart": {0}} {
+		for _, bad := range []time.Duration{20 * time.Second, 29 * time.Second, 32 * time.Second} {
+			t.Run(fmt.Sprintf("%s, bad after %s", name, bad), func(t *testing.T) {
+				playRollout(t, func(p *rolloutPlay) {
+					p.at(15 * time.Second)
+					p.partHearing(true, apart)
+					p.at(bad)
+					began := time.Now()
+					p.turnBad()
+					p.awaitState("reverted", 20*time.Second)
+					p.requireNone("v2")
+					p.requireTakenBackInTime(began)
+					p.partHearing(false, apart)
+				})
+			})
+		}
+	}
+}
+
+// partHearing cuts gateways off from all others, or lets them hear each other again.
+func (p *rolloutPlay) partHearing(cut bool, apart []int) {
+	for _, i := range apart {
+		p.dialer(i).severedPeers.Store(cut)
+		if cut {
+			p.network.Vanish(linkAddress(i))
+		} else {
+			p.network.Restore(linkAddress(i))
+		}
+	}
+}
