--- a/internal/edge/flow/breakoff_test.go
+++ b/internal/edge/flow/breakoff_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"testing"
 
@@ -14,37 +13,18 @@
 
 	"github.com/persimmonridge/persimmonridge/internal/edge/flow"
 	"github.com/persimmonridge/persimmonridge/internal/limit/memory"
+	"github.com/persimmonridge/persimmonridge/internal/proof/heads"
 	"github.com/persimmonridge/persimmonridge/internal/state/roster"
 )
 
-// resetMark at the end of an upstream's text makes it reset the connection.
-const resetMark = "RESET"
-
 // addCutUpstream adds an upstream that sends the text as it is and ends the connection, or
-// resets it if the text ends with resetMark.
+// resets it if the text ends with heads.Reset.
 func (f *fixture) addCutUpstream(name, text string) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(f.t, err)
 	f.t.Cleanup(func() { _ = listener.Close() })
 	f.upstreams = append(f.upstreams, roster.Upstream{ID: name, Service: "s", Address: listener.Addr().String(), Slots: 8})
-	text, reset := strings.CutSuffix(text, resetMark)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			request, err := http.ReadRequest(bufio.NewReader(conn))
-			if err == nil {
-				_, _ = io.Copy(io.Discard, request.Body)
-				_, _ = io.WriteString(conn, text)
-			}
-			if reset {
-				_ = conn.(*net.TCPConn).SetLinger(0)
-			}
-			_ = conn.Close()
-		}
-	}()
+	go heads.Serve(listener, text)
 }
 
 // callAs makes one request with the version of HTTP on a connection of its own.
@@ -87,14 +67,12 @@
 // Guards against a head that broke off and reaches a caller as a success or as a promise that
 // nothing ran.
 func TestHeadThatBreaksOffLooksWholeToNoCaller(t *testing.T) {
-	data, err := os.ReadFile("../exchange/testdata/heads.txt")
-	require.NoError(t, err)
-	headers := strings.NewReplacer("@id", idHeader+": r1", "@seal", sealHeader+": s", "@other-id", idHeader+": r0",
-		"@not-executed", "X-Persimmonridge-Not-Executed: 1", "@load", "X-Persimmonridge-Instance-Load: 3,1,12", "\n", "\r\n")
-	for _, section := range strings.Split(string(data), "-- ")[1:] {
-		name, text, _ := strings.Cut(section, " --\n")
-		head := headers.Replace(text)
-		for _, ending := range []string{"", resetMark} {
+	lines := heads.Lines{
+		ID: idHeader + ": r1", OtherID: idHeader + ": r0", Seal: sealHeader + ": s",
+		NotExecuted: "X-Persimmonridge-Not-Executed: 1", Load: "X-Persimmonridge-Instance-Load: 3,1,12",
+	}
+	for name, head := range heads.All(lines) {
+		for _, ending := range []string{"", heads.Reset} {
 			t.Run(name+" "+ending, func(t *testing.T) {
 				t.Parallel()
 				f := newFixture(t)
@@ -156,15 +134,15 @@
 		"stream in chunks":             {"/once/x", head + "Transfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n", len(event), event)},
 		"stream within a chunk":        {"/once/x", head + "Transfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s", 2*len(event), event)},
 		"stream of stated length":      {"/once/x", head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", 2*len(event), event)},
-		"stream without a length":      {"/once/x", head + "\r\n" + event + resetMark},
+		"stream without a length":      {"/once/x", head + "\r\n" + event + heads.Reset},
 		"stream within an event":       {"/once/x", head + "\r\n" + event + "id: 2\r\n"},
 		"stream before its event":      {"/once/x", head + "\r\n"},
 		"stream that may be resumed":   {"/long/x", head + "\r\n" + event + "id: 2\r\n"},
 		"large answer of stated size":  {"/pay/x", head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", 2*len(large), large)},
 		"large answer in chunks":       {"/pay/x", head + "Transfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n", len(large), large)},
-		"large answer without a size":  {"/pay/x", head + "\r\n" + large + resetMark},
+		"large answer without a size":  {"/pay/x", head + "\r\n" + large + heads.Reset},
 		"small answer of stated size":  {"/pay/x", head + "Content-Length: 3\r\n\r\nok"},
-		"small answer without a size":  {"/pay/x", head + "\r\nok" + resetMark},
+		"small answer without a size":  {"/pay/x", head + "\r\nok" + heads.Reset},
 		"answer without its body":      {"/pay/x", head + "\r\n"},
 		"read without its body":        {"/read/x", head + "\r\n"},
 		"read of which a half arrived": {"/read/x", head + "Content-Length: 4\r\n\r\nok"},
--- a/internal/upstream/engine/engine_test.go
+++ b/internal/upstream/engine/engine_test.go
@@ -1,13 +1,10 @@
 package engine_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -15,12 +12,10 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
+	"github.com/persimmonridge/persimmonridge/internal/proof/heads"
 	"github.com/persimmonridge/persimmonridge/internal/upstream/engine"
 )
 
-// resetMark at the end of an upstream's text makes it reset the connection.
-const resetMark = "RESET"
-
 // sink records an answer.
 type sink struct {
 	head *wire.Head
@@ -50,22 +45,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer func() { _ = listener.Close() }()
-	text, reset := strings.CutSuffix(text, resetMark)
-	go func() {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		request, err := http.ReadRequest(bufio.NewReader(conn))
-		if err == nil {
-			_, _ = io.Copy(io.Discard, request.Body)
-			_, _ = io.WriteString(conn, text)
-		}
-		if reset {
-			_ = conn.(*net.TCPConn).SetLinger(0)
-		}
-		_ = conn.Close()
-	}()
+	go heads.Serve(listener, text)
 	s := &sink{}
 	call := engine.NewCall("r1", http.MethodPost, "/x", nil, []byte("body"))
 	return engine.New("http://"+listener.Addr().String(), time.Now, &net.Dialer{}).Run(t.Context(), call, s, observer{}), s
@@ -73,16 +53,12 @@
 
 // Guards against an answer whose head broke off that is taken for one with an empty body.
 func TestHeadThatBreaksOffIsNoAnswer(t *testing.T) {
-	data, err := os.ReadFile("../../edge/exchange/testdata/heads.txt")
-	require.NoError(t, err)
-	headers := strings.NewReplacer("@id", "Request-Id: r1", "@seal", "Seal: s", "@not-executed", "Not-Run: 1", "@load", "Load: 1", "\n", "\r\n")
-	for _, section := range strings.Split(string(data), "-- ")[1:] {
-		name, text, _ := strings.Cut(section, " --\n")
-		if strings.Contains(text, "@other-id") {
+	lines := heads.Lines{ID: "Request-Id: r1", OtherID: "Request-Id: r1", Seal: "Seal: s", NotExecuted: "Not-Run: 1", Load: "Load: 1"}
+	for name, head := range heads.All(lines) {
+		if strings.HasPrefix(name, "after an answer to another request") {
 			continue // Each call has a connection of its own.
 		}
-		head := headers.Replace(text)
-		for _, ending := range []string{"", resetMark} {
+		for _, ending := range []string{"", heads.Reset} {
 			t.Run(name+" "+ending, func(t *testing.T) {
 				t.Parallel()
 				for cut := range len(head) {
@@ -103,11 +79,11 @@
 		"stated length":             head + "Content-Length: 4\r\n\r\nok",
 		"chunks":                    head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
 		"within a chunk":            head + "Transfer-Encoding: chunked\r\n\r\n9\r\nok",
-		"reset without a length":    head + "\r\nok" + resetMark,
+		"reset without a length":    head + "\r\nok" + heads.Reset,
 		"no body":                   head + "\r\n",
 		"no body, version 1.0":      "HTTP/1.0 200 OK\r\n\r\n",
 		"stream without events":     head + "Content-Type: text/event-stream\r\n\r\n",
-		"reset stream":              head + "Content-Type: text/event-stream\r\n\r\n" + event + resetMark,
+		"reset stream":              head + "Content-Type: text/event-stream\r\n\r\n" + event + heads.Reset,
 		"stream in chunks, no last": head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n", len(event), event),
 	} {
 		t.Run(name, func(t *testing.T) {
