A request that has no answer at the exit of its gateway gets one

The callers' connections are closed at the end of the grace period, and handlers end by that. Only requests that wait for an upstream were given up 40 ms before.

A request of which nothing was passed on to its caller is now given up then, wherever it waits: 502 if an upstream may have executed it. Streams under way go on until the exit.

Test: TestRequestWithoutAnAnswerGetsOneBeforeTheExit, taken before and in the stop; EOF in both before.

--- a/internal/edge/flow/ending.go
+++ b/internal/edge/flow/ending.go
@@ -37,6 +37,10 @@
 		c.finishDisconnected(c.disconnectOutcome(), c.lastAttempt()...)
 		panic(http.ErrAbortHandler)
 	}
+	if errors.Is(context.Cause(ctx), errExits) {
+		c.giveUp(errExits.Error())
+		return
+	}
 	c.giveUp("deadline exceeded")
 }
 
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -67,6 +68,8 @@
 	// ShutdownStatus reports whether the process is shutting down, since when, and when
 	// it will exit.
 	ShutdownStatus func() (since, until time.Time, leaving bool)
+	// Exit returns a context that ends AnswerMargin before the process exits. It may be nil.
+	Exit func() context.Context
 	// OthersAccept reports whether callers that this process refuses while it shuts
 	// down are likely to reach one that accepts them, given whether the load balancer
 	// has noticed the shutdown; if nil, they are not.
@@ -169,8 +172,10 @@
 	failedAnswer *exchange.Answer
 	failedBody   []byte
 	progress     streamProgress
-	logger       *slog.Logger
-	held         heldMemory
+	// passing is set once the caller is sent an answer.
+	passing atomic.Bool
+	logger  *slog.Logger
+	held    heldMemory
 	// released reports that the placement of the last attempt was released.
 	released bool
 }
@@ -198,6 +203,8 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	ctx, release := c.endBeforeExit(ctx)
+	defer release()
 	c.openMemory(r)
 	defer c.closeMemory()
 	if !c.readBody(r) {
@@ -235,7 +242,7 @@
 			return
 		}
 		if !c.mayBeRefused() && c.exitsBeforeAttempt(now) {
-			c.giveUp("this process exits")
+			c.giveUp(errExits.Error())
 			return
 		}
 		if c.crashesUpstreams() {
--- a/internal/edge/flow/plain.go
+++ b/internal/edge/flow/plain.go
@@ -25,6 +25,7 @@
 }
 
 func (c *call) writePlain(answer *exchange.Answer, body []byte) {
+	c.passing.Store(true)
 	c.Headers.Caller(answer.Header, c.w.Header())
 	c.stateLength(int64(len(body)))
 	c.w.WriteHeader(answer.Status)
--- a/internal/edge/flow/request.go
+++ b/internal/edge/flow/request.go
@@ -135,7 +135,7 @@
 // WaitDeadline returns until when the request may wait for a slot.
 func (a *PlacementRequest) WaitDeadline() time.Time {
 	if a.UntilExit || a.EndConstraint != EndUnconstrained {
-		return a.Deadline.Add(-refusalTime)
+		return a.Deadline.Add(-AnswerMargin)
 	}
 	return a.Deadline
 }
--- a/internal/edge/flow/shutdown.go
+++ b/internal/edge/flow/shutdown.go
@@ -1,6 +1,8 @@
 package flow
 
 import (
+	"context"
+	"errors"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -98,14 +100,34 @@
 	return c.shutdown.started() && judged && c.shutdown.exitAt.Before(c.deadline) && !c.mayHaveExecuted
 }
 
-// refusalTime is how long before the exit of this process a request is given up that waits for
-// an upstream, so that the answer still reaches the caller.
-const refusalTime = 40 * time.Millisecond
+// AnswerMargin is how long before the exit of the process a request is given up that waits for
+// an upstream or its answer, so that an answer still reaches the caller.
+const AnswerMargin = 40 * time.Millisecond
+
+var errExits = errors.New("this process exits")
+
+// endBeforeExit returns a context that ends shortly before the process exits, unless the caller
+// is sent an answer by then.
+func (c *call) endBeforeExit(ctx context.Context) (ending context.Context, release func()) {
+	if c.Exit == nil {
+		return ctx, func() {}
+	}
+	ending, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(c.Exit(), func() {
+		if !c.passing.Load() {
+			cancel(errExits)
+		}
+	})
+	return ending, func() {
+		stop()
+		cancel(nil)
+	}
+}
 
 // exitsBeforeAttempt reports whether the process exits before an attempt that begins now could
 // have an answer.
 func (c *call) exitsBeforeAttempt(now time.Time) bool {
-	return c.shutdown.started() && !now.Before(c.shutdown.exitAt.Add(-refusalTime))
+	return c.shutdown.started() && !now.Before(c.shutdown.exitAt.Add(-AnswerMargin))
 }
 
 // limitToExit restricts the placement if the process exits before the request's
--- a/internal/edge/flow/stream.go
+++ b/internal/edge/flow/stream.go
@@ -174,6 +174,7 @@
 		return err
 	}
 	c.progress.opened = true
+	c.passing.Store(true)
 	c.Headers.Caller(answer.Header, c.w.Header())
 	c.w.WriteHeader(answer.Status)
 	c.Metrics.FirstEventSent(c.tier, c.Now().Sub(c.arrivedAt))
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -182,6 +182,9 @@
 	link       *linkLoad
 	ingress    *ingress.Server
 	stop       atomic.Pointer[stopWindow]
+	// exit ends shortly before the process exits.
+	exit    context.Context
+	endExit context.CancelFunc
 
 	// omittedLoggedAt is when omitted log lines were last checked, sampledLogged
 	// and droppedLogged are the totals that were last reported.
@@ -223,6 +226,7 @@
 		runID: uint64(now().UnixNano()), startedAt: now(),
 		roster: roster.New(), ledger: quota.NewLedger(), metrics: newMetrics(),
 	}
+	g.exit, g.endExit = context.WithCancel(context.Background())
 	g.link = newLinkLoad(g, s.LinkBytesPerSecond)
 	dialer := g.link.meter.Dialer(deps.Dialer)
 	g.pool = exchange.NewPool(dialer.DialContext)
@@ -278,7 +282,7 @@
 	requests := flow.New(flow.Dependencies{
 		Headers: deps.Headers, Client: exchange.NewClient(g.pool, deps.AnswerHeaders, now), Catalog: g.catalog.Load,
 		Picker: demandPicker{g.versionPicker, g.partLoans}, Quota: g.quota, Retries: g.retryBudget, Crashes: g.crashes,
-		Metrics: g.metrics, Logger: logger, Now: now, ShutdownStatus: g.stopTimes,
+		Metrics: g.metrics, Logger: logger, Now: now, ShutdownStatus: g.stopTimes, Exit: func() context.Context { return g.exit },
 		OthersAccept:  func(shutdownNoticed bool) bool { return g.peers.othersAccept(now(), shutdownNoticed) },
 		NextAccepting: g.nextAccepting, ConfigurationDue: g.hubList.configurationDue, Guard: g.guard, Domains: g.domainsIn, Memory: g.memory, Unfinished: g.unfinished,
 	})
@@ -363,6 +367,7 @@
 	g.mesh.AnnounceLeaving()
 	ctx, cancel := context.WithTimeout(context.Background(), grace-stopMargin)
 	defer cancel()
+	defer time.AfterFunc(grace-stopMargin-flow.AnswerMargin, g.endExit).Stop()
 	err := g.ingress.Shutdown(ctx)
 	g.mesh.AnnounceExit()
 	return err
