Tests: heads break off in memory, and outcomes are read after the handler

Thousands of listeners on loopback took ports on which tests of other packages expect that nobody listens: two of them failed once in a run of several packages. And a caller who knows the length of a large answer may have all of it before the handler has recorded its outcome, which the race detector found in a test that reads it.

--- a/internal/edge/flow/breakoff_test.go
+++ b/internal/edge/flow/breakoff_test.go
@@ -14,13 +14,26 @@
 	"github.com/persimmonridge/persimmonridge/internal/edge/flow"
 	"github.com/persimmonridge/persimmonridge/internal/limit/memory"
 	"github.com/persimmonridge/persimmonridge/internal/proof/heads"
+	"github.com/persimmonridge/persimmonridge/internal/standin/network"
 	"github.com/persimmonridge/persimmonridge/internal/state/roster"
 )
 
+// useMemory makes the gateway reach upstreams that addCutUpstream adds in memory: thousands of
+// listeners would take ports on which other tests expect nobody.
+func (f *fixture) useMemory() {
+	f.memory = network.New()
+	f.dial = f.memory.DialContext
+	f.start()
+}
+
 // addCutUpstream adds an upstream that sends the text as it is and ends the connection, or
 // resets it if the text ends with heads.Reset.
 func (f *fixture) addCutUpstream(name, text string) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listen := func() (net.Listener, error) { return net.Listen("tcp", "127.0.0.1:0") }
+	if f.memory != nil {
+		listen = func() (net.Listener, error) { return f.memory.Listen("10.0.0.1:0") }
+	}
+	listener, err := listen()
 	require.NoError(f.t, err)
 	f.t.Cleanup(func() { _ = listener.Close() })
 	f.upstreams = append(f.upstreams, roster.Upstream{ID: name, Service: "s", Address: listener.Addr().String(), Slots: 8})
@@ -76,6 +89,7 @@
 			t.Run(name+" "+ending, func(t *testing.T) {
 				t.Parallel()
 				f := newFixture(t)
+				f.useMemory()
 				for _, cut := range cuts(head) {
 					f.requireNoCallerTakesForWhole(head[:cut] + ending)
 				}
@@ -100,7 +114,7 @@
 		}
 	}
 	f.replaceUpstreams(func() {
-		f.addUpstream("one", brokenStream)
+		f.addCutUpstream("one", strings.ReplaceAll(strings.ReplaceAll(brokenStream, "ID", "r1"), "\n", "\r\n"))
 		f.addCutUpstream("two", text)
 	})
 	for _, version := range versions {
--- a/internal/edge/flow/endless_test.go
+++ b/internal/edge/flow/endless_test.go
@@ -75,6 +75,7 @@
 			require.Equal(t, http.StatusOK, response.StatusCode)
 			require.Equal(t, "s", response.Header.Get(sealHeader))
 			require.Equal(t, body, got)
+			f.server.Close() // A caller that knows the length may have all before the handler ends.
 			require.Equal(t, []flow.Outcome{flow.Answered}, f.outcomes)
 			require.Zero(t, f.unfinished.Taken())
 		})
--- a/internal/edge/flow/flow_test.go
+++ b/internal/edge/flow/flow_test.go
@@ -19,6 +19,7 @@
 	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
 	"github.com/persimmonridge/persimmonridge/internal/edge/flow"
 	"github.com/persimmonridge/persimmonridge/internal/limit/memory"
+	"github.com/persimmonridge/persimmonridge/internal/standin/network"
 	"github.com/persimmonridge/persimmonridge/internal/state/catalog"
 	"github.com/persimmonridge/persimmonridge/internal/state/roster"
 	"github.com/persimmonridge/persimmonridge/platform"
@@ -73,6 +74,8 @@
 	domains map[string][]string
 	// unfinished is nil unless a test sets it and starts again.
 	unfinished *memory.Budget
+	// memory is the network of the upstreams if they are reached in memory.
+	memory *network.Network
 }
 
 func newFixture(t *testing.T) *fixture {
--- a/internal/upstream/engine/engine_test.go
+++ b/internal/upstream/engine/engine_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -13,6 +12,7 @@
 
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
 	"github.com/persimmonridge/persimmonridge/internal/proof/heads"
+	"github.com/persimmonridge/persimmonridge/internal/standin/network"
 	"github.com/persimmonridge/persimmonridge/internal/upstream/engine"
 )
 
@@ -42,13 +42,14 @@
 // run makes one call to an upstream that sends the text and ends the connection.
 func run(t *testing.T, text string) (engine.Result, *sink) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	memory := network.New()
+	listener, err := memory.Listen("10.0.0.1:80")
 	require.NoError(t, err)
 	defer func() { _ = listener.Close() }()
 	go heads.Serve(listener, text)
 	s := &sink{}
 	call := engine.NewCall("r1", http.MethodPost, "/x", nil, []byte("body"))
-	return engine.New("http://"+listener.Addr().String(), time.Now, &net.Dialer{}).Run(t.Context(), call, s, observer{}), s
+	return engine.New("http://"+listener.Addr().String(), time.Now, memory).Run(t.Context(), call, s, observer{}), s
 }
 
 // Guards against an answer whose head broke off that is taken for one with an empty body.
