--- a/internal/upstream/framing/framing.go
+++ b/internal/upstream/framing/framing.go
@@ -21,9 +21,10 @@
 }
 
 // CheckEnd returns an error if an answer that ended after the number of bytes cannot be taken
-// for complete. Only success is doubted, as a caller acts on it.
+// for complete. Only success is doubted, as a caller acts on it, and none whose status says that
+// there is no body.
 func CheckEnd(status int, endsWithConnection bool, bytes int64) error {
-	if bytes > 0 || !endsWithConnection || status < 200 || status >= 300 {
+	if bytes > 0 || !endsWithConnection || status < 200 || status >= 300 || status == http.StatusResetContent {
 		return nil
 	}
 	return NoBody.New("answer with status %d states no length, and its connection ended without a body; state a Content-Length of 0 if there is none", status)
--- a/internal/upstream/framing/framing_test.go
+++ b/internal/upstream/framing/framing_test.go
@@ -37,5 +37,6 @@
 	require.NoError(t, framing.CheckEnd(http.StatusOK, true, 1))
 	require.NoError(t, framing.CheckEnd(http.StatusOK, false, 0))
 	require.NoError(t, framing.CheckEnd(http.StatusFound, true, 0))
+	require.NoError(t, framing.CheckEnd(http.StatusResetContent, true, 0))
 	require.NoError(t, framing.CheckEnd(http.StatusInternalServerError, true, 0))
 }
