Soak: a broken head excuses streams alone

The change for answers without end made one excuse of two, and the one for heads that break off lost its limit to streams: a plain answer that the gateway itself cuts, after an attempt whose head broke off, would have been excused. The two are apart again, as strict as each was.

--- a/internal/trial/soak/backend_test.go
+++ b/internal/trial/soak/backend_test.go
@@ -59,13 +59,13 @@
 	// arrivals are the requests that reached upstreams which stated a need.
 	arrivals []arrival
 	repeats  repeatLogs
-	// cutAnswers holds the requests of which the head of an answer broke off, or an answer has no
-	// end.
-	cutAnswers map[string]bool
+	// brokenHeads and endless hold the requests of which the head of an answer broke off, and those
+	// of which an answer has no end.
+	brokenHeads, endless map[string]bool
 }
 
 func newRequestLog() *requestLog {
-	return &requestLog{receivers: make(map[string][]*upstream), executions: make(map[string][]execution), repeats: newRepeatLogs(), cutAnswers: make(map[string]bool)}
+	return &requestLog{receivers: make(map[string][]*upstream), executions: make(map[string][]execution), repeats: newRepeatLogs(), brokenHeads: make(map[string]bool), endless: make(map[string]bool)}
 }
 
 // execution is one execution of a request by an upstream.
--- a/internal/trial/soak/endless_test.go
+++ b/internal/trial/soak/endless_test.go
@@ -66,7 +66,7 @@
 		return false
 	}
 	defer func() { _ = conn.Close() }()
-	u.requestLog.recordCutAnswer(attempt)
+	u.requestLog.recordCut(u.requestLog.endless, attempt)
 	piece := []byte(strings.Repeat(shape.rest, max(1, 64<<10/len(shape.rest))))
 	if _, err := conn.Write([]byte(shape.start)); err != nil {
 		return true
--- a/internal/trial/soak/heads_test.go
+++ b/internal/trial/soak/heads_test.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return false
 	}
-	u.requestLog.recordCutAnswer(attempt)
+	u.requestLog.recordCut(u.requestLog.brokenHeads, attempt)
 	_, _ = conn.Write([]byte(head[:choice%uint64(len(head))]))
 	if tcp, ok := conn.(*net.TCPConn); ok && choice/uint64(len(head))%2 == 0 {
 		_ = tcp.SetLinger(0)
@@ -69,10 +69,11 @@
 	return true
 }
 
-func (l *requestLog) recordCutAnswer(attempt string) {
+// recordCut adds a request to brokenHeads or endless.
+func (l *requestLog) recordCut(requests map[string]bool, attempt string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.cutAnswers[attempt] = true
+	requests[attempt] = true
 }
 
 // cutByUpstream reports whether an answer of which the caller got a part was cut off by an
@@ -81,7 +82,8 @@
 func (tb *testbed) cutByUpstream(c call) bool {
 	tb.requestLog.mu.Lock()
 	defer tb.requestLog.mu.Unlock()
-	return c.status == http.StatusOK && tb.requestLog.cutAnswers[c.id]
+	cut := tb.requestLog.endless[c.id] || (c.kind.stream && tb.requestLog.brokenHeads[c.id])
+	return c.status == http.StatusOK && cut
 }
 
 // version returns the version of HTTP that the caller speaks.
