Tests: repeats and limited requests that a paused upstream gets later

The network of the tests can pause a process: its kernel accepts connections, bytes and their ends, which it gets later.

--- a/internal/role/gateway/fleet_test.go
+++ b/internal/role/gateway/fleet_test.go
@@ -84,10 +84,10 @@
 	// of the requests in arrivals.
 	refuses map[string]bool
 	senders map[string][]string
-	// resets is set while engines reset all requests, and observe is called with each request
-	// that reaches an engine, if it is not nil.
-	resets  bool
-	observe func(at time.Time, id string)
+	// resets is set while engines reset all requests, and errors while they answer all with an
+	// error. observe is called with each request that reaches an engine, if it is not nil.
+	resets, errors bool
+	observe        func(at time.Time, id string)
 }
 
 // storeAddress returns the store's address for one gateway; each has its own, so that
@@ -210,7 +210,7 @@
 			w.Header().Set(header, value)
 		}
 		f.senders[name] = append(f.senders[name], r.Header.Get(attemptIDHeader))
-		refuses, resets, observe := f.refuses[name], f.resets, f.observe
+		refuses, resets, errors, observe := f.refuses[name], f.resets, f.errors, f.observe
 		f.mu.Unlock()
 		defer func() {
 			f.mu.Lock()
@@ -230,6 +230,10 @@
 			return
 		}
 		w.Header().Set(sealHeader, "s")
+		if errors {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
 		events := 3
 		if r.URL.Path == longPath {
 			events = longEvents
--- a/internal/role/gateway/repeats_test.go
+++ b/internal/role/gateway/repeats_test.go
@@ -19,9 +19,10 @@
 )
 
 const (
-	// repeatsGateways is the size of the fleet, and deadlineMs how long its callers wait.
+	// repeatsGateways is the size of the fleet, and callersWait how long its callers wait if the
+	// script does not tell.
 	repeatsGateways = 4
-	deadlineMs      = "1000"
+	callersWait     = time.Second
 )
 
 // repeatsPlay is a fleet whose upstreams fail, with what callers sent and upstreams received.
@@ -30,6 +31,8 @@
 	log     *repeats.Log
 	callers sync.WaitGroup
 	sent    int
+	// callersWait is how long the callers wait for an answer.
+	callersWait time.Duration
 	// next is the gateway that starts again next.
 	next int
 }
@@ -48,7 +51,7 @@
 			f := &fleet{size: repeatsGateways, slots: 16, logger: slog.New(slog.DiscardHandler)}
 			var worst repeats.Span
 			playFleet(t, f, func(f *fleet) {
-				p := &repeatsPlay{fleet: f, log: repeats.NewLog()}
+				p := &repeatsPlay{fleet: f, log: repeats.NewLog(), callersWait: callersWait}
 				f.putPlainConfig()
 				f.observe = p.log.Arrived
 				p.play(string(script))
@@ -96,12 +99,25 @@
 			called = p.gateways(words[5])
 		}
 		p.request(perSecond, p.duration(words[3]), called)
+	case "slots":
+		n, err := strconv.Atoi(words[1])
+		require.NoError(p.t, err)
+		p.slots = n
+		for i := range engines {
+			p.register(i, "a", "")
+		}
+	case "callers-wait":
+		p.callersWait = p.duration(words[1])
 	case "wait":
 		bubble.Sleep(p.duration(words[1]))
 	case "upstreams":
 		p.mu.Lock()
-		p.resets = words[1] == "reset"
+		p.resets, p.errors = words[1] == "reset", words[1] == "fail"
 		p.mu.Unlock()
+	case "pause":
+		for i := range engines / 2 {
+			p.network.Pause(engineAddress(i), p.duration(words[len(words)-1]))
+		}
 	case "kill":
 		for _, i := range p.gateways(words[1]) {
 			p.kill(i)
@@ -145,7 +161,7 @@
 
 // request makes calls for a time, spread over the gateways.
 func (p *repeatsPlay) request(perSecond float64, during time.Duration, called []int) {
-	interval := time.Duration(float64(time.Second) / perSecond)
+	interval, deadlineMs := time.Duration(float64(time.Second)/perSecond), fmt.Sprint(p.callersWait.Milliseconds())
 	for end := time.Now().Add(during); time.Now().Before(end); bubble.Sleep(interval) {
 		p.sent++
 		id, i := fmt.Sprintf("r%d", p.sent), called[p.sent%len(called)]
--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -20,11 +20,15 @@
 	conns       map[*conn]bool
 	vanished    map[string]bool
 	frozenUntil map[string]time.Time
+	pausedUntil map[string]time.Time
 }
 
 // New returns a network without listeners.
 func New() *Network {
-	return &Network{nextPort: 1000, listeners: make(map[string]*listener), conns: make(map[*conn]bool), vanished: make(map[string]bool), frozenUntil: make(map[string]time.Time)}
+	return &Network{
+		nextPort: 1000, listeners: make(map[string]*listener), conns: make(map[*conn]bool), vanished: make(map[string]bool),
+		frozenUntil: make(map[string]time.Time), pausedUntil: make(map[string]time.Time),
+	}
 }
 
 // address implements net.Addr.
@@ -94,6 +98,16 @@
 	}
 }
 
+// Pause delays all traffic to and from an address until d has passed, also that of new
+// connections, as when only the process is paused: its kernel accepts connections, data and
+// their ends, which the process gets later.
+func (n *Network) Pause(to string, d time.Duration) {
+	n.Stall(to, d)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.pausedUntil[to] = time.Now().Add(d)
+}
+
 // DialContext connects to a listener. It fails at once if there is none, and after
 // dialTimeout if the address has vanished or is frozen for longer than that; it
 // waits for the end of a shorter freeze.
@@ -125,6 +139,9 @@
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Addr: address(to), Err: syscall.ECONNREFUSED}
 	}
 	near, far := newConnPair(n, to)
+	if rest := time.Until(n.pausedUntil[to]); rest > 0 {
+		near.freeze(rest)
+	}
 	select {
 	case l.backlog <- far:
 		n.conns[near] = true
