Gateways know which retries may still arrive

A request that is given up before a byte of its answer was forgotten when its connection was closed. Nothing told whether its upstream would get it yet, so that repeats which arrive late, sends without a charge and charges beyond the limit looked alike in lines and metrics. No decision changes.

A retry is now settled by what shows that it has arrived or cannot any more: a byte of the answer, the end of the connection, or, if it is given up, that the upstream's kernel had acknowledged nothing when the connection was reset. Otherwise the sending side is closed and the end of the connection awaited: whatever holds the request back, such as a paused process or a proxy, passes it on before it notices the end. A minute bounds that. persimmonridge_retries_unsettled and unsettled= of the line of retries count them, and the line 'send settled' tells how, and after what time, if it took more than a second.

--- a/internal/edge/exchange/exchange.go
+++ b/internal/edge/exchange/exchange.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"math"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -84,9 +83,11 @@
 	NonIdempotent bool
 	// NewConnection forbids the reuse of a kept connection.
 	NewConnection bool
-	// Admit is called immediately before the request is written to a connection. If it
-	// returns false, nothing is written. It may be nil.
-	Admit func() bool
+	// Admit is called immediately before the request is written to a connection, and again
+	// before it is written to another one because nothing could be sent on the first. If it
+	// returns false, nothing is written. If settled is not nil, it is called once, as soon as
+	// the request has arrived or cannot arrive any more. Admit may be nil.
+	Admit func() (settled func(Settlement), admitted bool)
 }
 
 // Load is the load that an upstream states in an answer.
@@ -163,15 +164,17 @@
 	if err != nil {
 		return nil, NotSent.Wrap(err, "no connection to %s", address)
 	}
-	if r.Admit != nil && !r.Admit() {
+	settled, admitted := r.admit()
+	if !admitted {
 		c.pool.release(c.now(), conn, 0)
 		return nil, NotAdmitted.New("%s may get no request now", address)
 	}
-	stopContextWatch := context.AfterFunc(ctx, func() { closeQuietly(conn) })
+	conn.begin(settled != nil)
+	stopContextWatch := context.AfterFunc(ctx, conn.interrupt)
 	answer, err := c.roundTrip(conn, r)
 	if err != nil {
 		stopContextWatch()
-		closeQuietly(conn)
+		c.end(ctx, conn, err, settled)
 		if conn.reused && ctx.Err() == nil && errorx.IsOfType(err, NotSent) {
 			// Only the kept connection has ended, which says nothing of the upstream.
 			r.NewConnection = true
@@ -179,10 +182,23 @@
 		}
 		return nil, err
 	}
+	settle(settled, Answered)
+	if ctx.Err() != nil {
+		closeQuietly(conn)
+	}
 	answer.stopContextWatch = stopContextWatch
 	return answer, nil
 }
 
+// admit reports whether the request may be sent now, and whom to tell that it has arrived or
+// cannot arrive any more.
+func (r Request) admit() (settled func(Settlement), admitted bool) {
+	if r.Admit == nil {
+		return nil, true
+	}
+	return r.Admit()
+}
+
 func (c *Client) acquire(ctx context.Context, address string, r Request) (*conn, error) {
 	switch {
 	case r.NewConnection:
@@ -194,26 +210,14 @@
 	}
 }
 
-// countingConn counts the bytes that were sent.
-type countingConn struct {
-	net.Conn
-	sent int
-}
-
-func (c *countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.sent += n
-	return n, err
-}
-
 func (c *Client) roundTrip(conn *conn, r Request) (*Answer, error) {
-	sentAt, counting := c.now(), &countingConn{Conn: conn.Conn}
+	sentAt := c.now()
 	request := &http.Request{Method: r.Method}
 	written := make(chan error, 1)
 	if len(r.Body) <= inlineBodyBytes {
-		written <- r.writeTo(counting)
+		written <- r.writeTo(conn)
 	} else {
-		go func() { written <- r.writeTo(counting) }()
+		go func() { written <- r.writeTo(conn) }()
 	}
 	//nolint:bodyclose // Answer.Close closes or keeps the connection.
 	response, err := c.readAnswer(conn, request, r.ID)
@@ -222,7 +226,7 @@
 	select {
 	case writeErr := <-written:
 		bodySent = writeErr == nil
-		if writeErr != nil && counting.sent == 0 {
+		if writeErr != nil && conn.sent.Load() == 0 {
 			return nil, NotSent.Wrap(writeErr, "nothing could be sent to %s", conn.address)
 		}
 	default:
--- a/internal/edge/exchange/head.go
+++ b/internal/edge/exchange/head.go
@@ -70,6 +70,7 @@
 	if _, err := conn.reader.Peek(1); err != nil {
 		return nil, fmt.Errorf("%w: %w", errNoByte, err)
 	}
+	conn.answered.Store(true)
 	unrelated, informational := 0, 0
 	for {
 		response, err := conn.readHead(request)
--- a/internal/edge/exchange/pool.go
+++ b/internal/edge/exchange/pool.go
@@ -8,6 +8,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -36,6 +37,18 @@
 	idleUntil time.Time
 	idleSince time.Time
 	reused    bool
+	// sent is how many bytes of the present request were written.
+	sent atomic.Int64
+	// awaited reports that the end of the present request is awaited if it is given up, and
+	// answered that its answer has begun.
+	awaited, answered atomic.Bool
+}
+
+// Write implements io.Writer.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.sent.Add(int64(n))
+	return n, err
 }
 
 // Dial opens a connection, like DialContext of net.Dialer.
@@ -48,11 +61,14 @@
 	mu     sync.Mutex
 	idle   map[string][]*conn
 	closed bool
+	// abandoned holds the connections whose request was given up and may still arrive.
+	abandoned map[*conn]bool
+	watches   sync.WaitGroup
 }
 
 // NewPool returns an empty pool.
 func NewPool(dial Dial) *Pool {
-	return &Pool{dial: dial, idle: make(map[string][]*conn)}
+	return &Pool{dial: dial, idle: make(map[string][]*conn), abandoned: make(map[*conn]bool)}
 }
 
 // acquire returns a connection that was idle for less than maxIdle, or a new one.
@@ -132,7 +148,7 @@
 				kept = append(kept, c)
 				continue
 			}
-			closeQuietly(c)
+			closeIdle(c)
 		}
 		if len(kept) == 0 {
 			delete(p.idle, address)
@@ -142,18 +158,27 @@
 	}
 }
 
-// Close closes all idle connections. Connections that are returned later are closed.
+// Close closes all idle connections, and those whose request was given up. Connections that are
+// returned later are closed.
 func (p *Pool) Close() error {
+	p.closeAll()
+	p.watches.Wait()
+	return nil
+}
+
+func (p *Pool) closeAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
 	for _, list := range p.idle {
 		for _, c := range list {
-			closeQuietly(c)
+			closeIdle(c)
 		}
 	}
 	p.idle = make(map[string][]*conn)
-	return nil
+	for c := range p.abandoned {
+		closeQuietly(c)
+	}
 }
 
 // hasNoInput reports whether an idle connection has received nothing: neither its end
@@ -180,6 +205,14 @@
 	return err == nil && empty
 }
 
+// closeIdle closes a connection without a request. It does not reset it.
+func closeIdle(c *conn) {
+	if resettable, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = resettable.SetLinger(-1)
+	}
+	closeQuietly(c)
+}
+
 func closeQuietly(c net.Conn) {
 	// An error does not matter, since the connection is no longer used.
 	_ = c.Close()
--- a/internal/edge/flow/attempt.go
+++ b/internal/edge/flow/attempt.go
@@ -81,7 +81,12 @@
 	answer, err := c.Client.Do(ctx, upstream.Address, exchange.Request{
 		Method: c.request.Method, Target: c.request.Target, Host: c.request.Host, Header: header,
 		Body: c.request.Body, ID: c.request.ID, NonIdempotent: !c.route.Repeatable(), NewConnection: newConnection,
-		Admit: func() bool { return c.admitted(upstream) },
+		Admit: func() (func(exchange.Settlement), bool) {
+			if !c.admitted(upstream) {
+				return nil, false
+			}
+			return c.awaitSend(upstream), true
+		},
 	})
 	if c.sending.admitted && errorx.IsOfType(err, exchange.NotSent) {
 		c.sending.begun--
--- a/internal/edge/flow/budget.go
+++ b/internal/edge/flow/budget.go
@@ -1,5 +1,16 @@
 package flow
 
+import (
+	"time"
+
+	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
+	"github.com/persimmonridge/persimmonridge/internal/state/roster"
+)
+
+// slowSettlement is how long it takes until it is logged that a request has arrived, or cannot
+// arrive any more.
+const slowSettlement = time.Second
+
 // budgetExhausted is why a request that failed is not sent again.
 const budgetExhausted = "retry budget exhausted"
 
@@ -50,6 +61,27 @@
 	return true
 }
 
+// awaitSend returns whom to tell that the present send has arrived, or cannot arrive any more. It is
+// nil if nothing counts that.
+func (c *call) awaitSend(upstream roster.Upstream) func(exchange.Settlement) {
+	sentAt := c.Now()
+	var repeat func()
+	if c.sending.begun > 1 {
+		repeat = c.Retries.Await(c.targetService())
+	}
+	if repeat == nil {
+		return nil
+	}
+	now, logger := c.Now, c.logger
+	return func(how exchange.Settlement) {
+		settledAt := now()
+		repeat()
+		if took := settledAt.Sub(sentAt); took > slowSettlement {
+			logger.Info("send settled", "upstream", upstream.ID, "how", string(how), "after", took)
+		}
+	}
+}
+
 // spendRetry charges the reserved retry, or one that is reserved now.
 func (c *call) spendRetry() bool {
 	service := c.targetService()
--- a/internal/edge/flow/fixture_test.go
+++ b/internal/edge/flow/fixture_test.go
@@ -231,6 +231,8 @@
 
 func (retries) Spend(time.Time, string) bool { return true }
 
+func (retries) Await(string) func() { return nil }
+
 func (r retries) Release(string) {
 	r.fixture.fakes.Lock()
 	defer r.fixture.fakes.Unlock()
--- a/internal/edge/flow/request.go
+++ b/internal/edge/flow/request.go
@@ -249,6 +249,9 @@
 	Reserve(now time.Time, service string) bool
 	// Spend charges a reserved retry that is about to be sent, and reports whether it still may be.
 	Spend(now time.Time, service string) bool
+	// Await records that a retry is sent, which may arrive at any time until settled is called;
+	// settled is nil if that does not matter.
+	Await(service string) (settled func())
 	// Release ends the reservation of a retry that is not sent.
 	Release(service string)
 }
--- a/internal/edge/flow/slow_fixture_test.go
+++ b/internal/edge/flow/slow_fixture_test.go
@@ -146,6 +146,7 @@
 func (lockedRetries) Sent(time.Time, string)         {}
 func (lockedRetries) Reserve(time.Time, string) bool { return true }
 func (lockedRetries) Spend(time.Time, string) bool   { return true }
+func (lockedRetries) Await(string) func()            { return nil }
 func (lockedRetries) Release(string)                 {}
 
 // slowPicker returns the upstreams in their order and records when placements are released.
--- a/internal/limit/retry/retry.go
+++ b/internal/limit/retry/retry.go
@@ -60,8 +60,10 @@
 // serviceBudget holds the retries that may be sent to a service.
 type serviceBudget struct {
 	tokens float64
-	// reserved is how many of the tokens are set aside.
-	reserved   int
+	// reserved is how many of the tokens are set aside, and unsettled how many retries were
+	// sent that may still arrive.
+	reserved, unsettled int
+
 	refilledAt time.Time
 	requests   requestWindow
 	counted    Counts
@@ -83,6 +85,8 @@
 	Counts
 	// Left is how many retries may be sent at once now.
 	Left float64
+	// Unsettled is how many retries were sent that may still arrive.
+	Unsettled int
 }
 
 // requestWindow counts the requests of the latest window in intervals of it. The intervals
@@ -193,6 +197,23 @@
 	return true
 }
 
+// Await records that a retry is sent, which may arrive at any time until settled is called. It
+// returns nil if there is no limit.
+func (b *Budget) Await(service string) (settled func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.services[service]
+	if s == nil || b.settings.unlimited() {
+		return nil
+	}
+	s.unsettled++
+	return sync.OnceFunc(func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		s.unsettled--
+	})
+}
+
 // Release ends the reservation of a retry that is not sent.
 func (b *Budget) Release(service string) {
 	b.mu.Lock()
@@ -209,7 +230,7 @@
 	accounts := make([]Account, 0, len(b.services))
 	for _, service := range slices.Sorted(maps.Keys(b.services)) {
 		s := b.refilledBudget(now, service)
-		accounts = append(accounts, Account{Service: service, Counts: s.counted, Left: max(0, s.free())})
+		accounts = append(accounts, Account{Service: service, Counts: s.counted, Left: max(0, s.free()), Unsettled: s.unsettled})
 	}
 	return accounts
 }
--- a/internal/role/gateway/retryaccounts.go
+++ b/internal/role/gateway/retryaccounts.go
@@ -15,7 +15,7 @@
 // prometheus.Collector.
 type retryAccounts struct {
 	*Gateway
-	retries, left *prometheus.Desc
+	retries, left, unsettled *prometheus.Desc
 	// loggedAt is when the accounts were last logged, and logged is what was counted then.
 	loggedAt time.Time
 	logged   map[string]retry.Counts
@@ -28,6 +28,8 @@
 			"Retries by service that the budget allowed or refused.", []string{"service", "result"}, nil),
 		left: prometheus.NewDesc("persimmonridge_retry_budget_left",
 			"Retries to a service that this gateway may send at once.", []string{"service"}, nil),
+		unsettled: prometheus.NewDesc("persimmonridge_retries_unsettled",
+			"Retries that were sent to a service and may still arrive.", []string{"service"}, nil),
 	}
 	g.metrics.registry.MustRegister(r)
 	return r
@@ -37,6 +39,7 @@
 func (r *retryAccounts) Describe(descs chan<- *prometheus.Desc) {
 	descs <- r.retries
 	descs <- r.left
+	descs <- r.unsettled
 }
 
 // Collect implements prometheus.Collector.
@@ -45,6 +48,7 @@
 		samples <- prometheus.MustNewConstMetric(r.retries, prometheus.CounterValue, float64(a.Allowed), a.Service, "allowed")
 		samples <- prometheus.MustNewConstMetric(r.retries, prometheus.CounterValue, float64(a.Refused), a.Service, "refused")
 		samples <- prometheus.MustNewConstMetric(r.left, prometheus.GaugeValue, a.Left, a.Service)
+		samples <- prometheus.MustNewConstMetric(r.unsettled, prometheus.GaugeValue, float64(a.Unsettled), a.Service)
 	}
 }
 
@@ -60,7 +64,7 @@
 			continue
 		}
 		r.logger.Info("retries", "service", a.Service, "requests", a.Requests, "allowed", a.Allowed, "refused", a.Refused,
-			"left", a.Left, "gateways", r.peers.gatewayCount(), "since-start", now.Sub(r.startedAt))
+			"left", a.Left, "unsettled", a.Unsettled, "gateways", r.peers.gatewayCount(), "since-start", now.Sub(r.startedAt))
 		r.logged[a.Service] = a.Counts
 	}
 }
--- a/internal/role/gateway/retryaccounts_internal_test.go
+++ b/internal/role/gateway/retryaccounts_internal_test.go
@@ -32,12 +32,14 @@
 			allowed++
 		}
 	}
+	require.NotNil(t, g.retryBudget.Await("busy"))
 	require.Positive(t, allowed)
 	require.Less(t, allowed, 30)
 	g.retryAccounts.log(now)
 	require.Contains(t, lines.String(), "msg=retries service=busy requests=30")
+	require.Contains(t, lines.String(), "unsettled=1")
 	require.NotContains(t, lines.String(), "quiet", "nothing was retried there")
-	counts, left := map[string]float64{}, map[string]float64{}
+	counts, left, unsettled := map[string]float64{}, map[string]float64{}, map[string]float64{}
 	families, err := g.metrics.registry.Gather()
 	require.NoError(t, err)
 	for _, f := range families {
@@ -45,6 +47,8 @@
 			switch f.GetName() {
 			case "persimmonridge_retries_total":
 				counts[m.Label[1].GetValue()+" "+m.Label[0].GetValue()] = m.Counter.GetValue()
+			case "persimmonridge_retries_unsettled":
+				unsettled[m.Label[0].GetValue()] = m.Gauge.GetValue()
 			case "persimmonridge_retry_budget_left":
 				left[m.Label[0].GetValue()] = m.Gauge.GetValue()
 			}
@@ -54,6 +58,7 @@
 		"busy allowed": float64(allowed), "busy refused": float64(30 - allowed), "quiet allowed": 0, "quiet refused": 0,
 	}, counts)
 	require.Less(t, left["busy"], 1.0)
+	require.Equal(t, map[string]float64{"busy": 1, "quiet": 0}, unsettled)
 	require.GreaterOrEqual(t, left["quiet"], 1.0)
 	lines.Reset()
 	g.retryAccounts.log(now.Add(2 * retryLogInterval))
