A request that was given up never arrives after a cut

Closing a connection let the kernel go on sending what the upstream had not acknowledged, also after the process was killed: a request to an upstream that is cut off, given up by its caller, arrived and ran once the cut was over. The new test fails before: an upstream that reads on gets the rest of a body of 32 MB that was given up.

--- a/internal/edge/exchange/abandon_test.go
+++ b/internal/edge/exchange/abandon_test.go
@@ -1,6 +1,7 @@
 package exchange_test
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -76,6 +77,20 @@
 	require.Equal(t, exchange.Answered, <-settled)
 }
 
+// Guards against the rest of a request that arrives after it was given up, once its upstream
+// reads on.
+func TestRestOfARequestThatWasGivenUpNeverArrives(t *testing.T) {
+	address, accept := listenUnread(t)
+	settled := make(settlements, 1)
+	body := bytes.Repeat([]byte("b"), 32<<20)
+	require.Error(t, settled.sendAndGiveUp(t, newClient(t), address, body))
+	received, err := io.ReadAll(accept())
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+	require.NotEmpty(t, received)
+	require.Less(t, len(received), len(body))
+	require.Empty(t, settled, "the upstream may take what it has for a request")
+}
+
 // silentConn is a connection whose peer's kernel acknowledges nothing: its socket is one whose
 // bytes nobody reads.
 type silentConn struct {
--- a/internal/edge/exchange/pool.go
+++ b/internal/edge/exchange/pool.go
@@ -93,6 +93,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if resettable, ok := raw.(interface{ SetLinger(seconds int) error }); ok {
+		// Closing the connection discards what the upstream has not acknowledged. It would
+		// otherwise arrive once the upstream can be reached again, long after the request was
+		// given up, also after this process was killed.
+		_ = resettable.SetLinger(0)
+	}
 	head := &headLimit{Conn: raw}
 	return &conn{Conn: raw, address: address, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}, nil
 }
