Limits of single upstreams count requests that may still arrive

Requests counted for four seconds and one second from their sending.

A request to such an upstream now counts until it is settled, and from then on if that is more than a second later.

--- a/internal/edge/flow/budget.go
+++ b/internal/edge/flow/budget.go
@@ -69,15 +69,24 @@
 	if c.sending.begun > 1 {
 		repeat = c.Retries.Await(c.targetService())
 	}
-	if repeat == nil {
+	var limited func(now time.Time)
+	if c.Guard != nil {
+		limited = c.Guard.Await(sentAt, upstream)
+	}
+	if repeat == nil && limited == nil {
 		return nil
 	}
 	now, logger := c.Now, c.logger
 	return func(how exchange.Settlement) {
 		settledAt := now()
-		repeat()
+		if repeat != nil {
+			repeat()
+		}
+		if limited != nil {
+			limited(settledAt)
+		}
 		if took := settledAt.Sub(sentAt); took > slowSettlement {
-			logger.Info("send settled", "upstream", upstream.ID, "how", string(how), "after", took)
+			logger.Info("send settled", "upstream", upstream.ID, "how", string(how), "after", took, "repeat", repeat != nil)
 		}
 	}
 }
--- a/internal/edge/flow/guard_test.go
+++ b/internal/edge/flow/guard_test.go
@@ -29,6 +29,8 @@
 	return ""
 }
 
+func (g *guard) Await(time.Time, roster.Upstream) func(time.Time) { return nil }
+
 func (g *guard) Pause(time.Time, string) time.Duration { return g.pause }
 
 func (g *guard) AnswerReceived(_ time.Time, _ roster.Upstream, _ time.Time, answer *exchange.Answer) {
--- a/internal/edge/flow/request.go
+++ b/internal/edge/flow/request.go
@@ -214,6 +214,9 @@
 type SendGuard interface {
 	// Admit counts a request that the upstream may get now, or returns why it may not.
 	Admit(now time.Time, upstream roster.Upstream) (reason string)
+	// Await records that a request which was just admitted may arrive at any time until settled
+	// is called; settled is nil if that does not matter.
+	Await(now time.Time, upstream roster.Upstream) (settled func(now time.Time))
 	// Pause returns how long it takes until one of the service's upstreams may get a request.
 	Pause(now time.Time, service string) time.Duration
 	// AnswerReceived records what an upstream states of itself in its answer to a request
--- a/internal/limit/ratelimit/ratelimit.go
+++ b/internal/limit/ratelimit/ratelimit.go
@@ -209,6 +209,23 @@
 	return true
 }
 
+// Await records that a request to the upstream's process, which Take has just counted, may arrive
+// at any time until settled is called. It returns nil if the process is not limited.
+func (l *Limiter) Await(now time.Time, id string, startedAtMs int64) (settled func(now time.Time)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	u := l.limitedLocked(id, startedAtMs)
+	if u == nil {
+		return nil
+	}
+	request := u.sent.Await(now)
+	return func(now time.Time) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		u.sent.Settle(now, request)
+	}
+}
+
 // Wanted returns how many requests to the upstream's process beyond its own part a gateway
 // needs that sends it a number per second.
 func (l *Limiter) Wanted(now time.Time, gateway, id string, startedAtMs int64, perSecond float64) int {
--- a/internal/limit/warmup/guard.go
+++ b/internal/limit/warmup/guard.go
@@ -299,3 +299,20 @@
 	u.sent.Add(now)
 	return true
 }
+
+// Await records that a request to the upstream, which Take has just counted, may arrive at any
+// time until settled is called. It returns nil if the upstream is warm.
+func (g *Guard) Await(now time.Time, id string) (settled func(now time.Time)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	u := g.upstreams[id]
+	if u == nil || !g.coldLocked(now, u) {
+		return nil
+	}
+	request := u.sent.Await(now)
+	return func(now time.Time) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		u.sent.Settle(now, request)
+	}
+}
--- a/internal/role/gateway/sendguard.go
+++ b/internal/role/gateway/sendguard.go
@@ -128,6 +128,21 @@
 	return ""
 }
 
+// Await implements flow.SendGuard.
+func (s *sendGuard) Await(now time.Time, u roster.Upstream) (settled func(now time.Time)) {
+	cold, limited := s.warmUps.Await(now, u.ID), s.rates.Await(now, u.ID, u.StartedAtMs)
+	switch {
+	case cold == nil:
+		return limited
+	case limited == nil:
+		return cold
+	}
+	return func(now time.Time) {
+		cold(now)
+		limited(now)
+	}
+}
+
 // Failed implements flow.SendGuard and board.Limiter.
 func (s *sendGuard) Failed(now time.Time, upstream string) { s.warmUps.Failed(now, upstream) }
 
