--- a/internal/limit/share/history_test.go
+++ b/internal/limit/share/history_test.go
@@ -9,7 +9,6 @@
 	"github.com/persimmonridge/persimmonridge/internal/limit/share"
 )
 
-
 func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
 
 // Guards against requests that no longer count although they have not arrived, and arrive at once.
