Silent connections to upstreams are reset before the kernel ends them

Callers of a request to an upstream that is cut off got their answer from another one, and the first copy arrived and ran after the cut, up to 3 s after its upstream was acknowledged as leaving, beside repeats and after callers had left. The connection had ended by a time-out of this machine's kernel, which sends no reset: on the users' platform what a cut holds back is lost only if its sender resets the connection, and keep-alive probes that began while the connection was idle end it at any time after a request was written to it.

The gateway now looks each half second at what the upstream's kernel has acknowledged, and resets the connection after two seconds without progress. Keep-alive probes begin once the request is acknowledged and end with it.

--- a/internal/edge/exchange/abandon.go
+++ b/internal/edge/exchange/abandon.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"syscall"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -80,17 +79,12 @@
 // unacknowledged returns how many bytes of the request the upstream's kernel has not
 // acknowledged, if that can be known.
 func (c *conn) unacknowledged() (bytes int64, known bool) {
-	socket, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return 0, false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return 0, false
-	}
-	queued := 0
-	controlErr := raw.Control(func(fd uintptr) { queued, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
-	return int64(queued), controlErr == nil && err == nil
+	known = c.control(func(fd int) error {
+		queued, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ)
+		bytes = int64(queued)
+		return err
+	})
+	return bytes, known
 }
 
 // awaitEnd closes the sending side of a connection and waits until the upstream has closed or
@@ -107,6 +101,7 @@
 	}
 	_ = c.SetDeadline(time.Now().Add(maxAwaited))
 	_ = half.CloseWrite()
+	c.setKeepAlive(true)
 	p.abandoned[c] = true
 	p.watches.Go(func() {
 		var first [1]byte
--- a/internal/edge/exchange/exchange.go
+++ b/internal/edge/exchange/exchange.go
@@ -142,6 +142,7 @@
 	// stopContextWatch ends the closing of the connection by the context. It returns
 	// false if the context has already ended.
 	stopContextWatch func() bool
+	watch            *silenceWatch
 }
 
 // Client sends requests to upstreams.
@@ -171,9 +172,11 @@
 	}
 	conn.begin(settled != nil)
 	stopContextWatch := context.AfterFunc(ctx, conn.interrupt)
+	watch := conn.watchSilence()
 	answer, err := c.roundTrip(conn, r)
 	if err != nil {
 		stopContextWatch()
+		watch.end()
 		c.end(ctx, conn, err, settled)
 		if conn.reused && ctx.Err() == nil && errorx.IsOfType(err, NotSent) {
 			// Only the kept connection has ended, which says nothing of the upstream.
@@ -186,7 +189,7 @@
 	if ctx.Err() != nil {
 		closeQuietly(conn)
 	}
-	answer.stopContextWatch = stopContextWatch
+	answer.stopContextWatch, answer.watch = stopContextWatch, watch
 	return answer, nil
 }
 
@@ -314,6 +317,7 @@
 		return
 	}
 	stopped := a.stopContextWatch()
+	a.watch.end()
 	if !whole || !a.reusable || !stopped {
 		closeQuietly(a.conn)
 		return
--- a/internal/edge/exchange/pool.go
+++ b/internal/edge/exchange/pool.go
@@ -23,6 +23,8 @@
 	// request does not cross the closing of the connection. It is longer than a
 	// round trip.
 	idleMargin = time.Second
+	// maxWriteBytes is the most bytes of one write to a connection.
+	maxWriteBytes = 128 << 10
 	// maxIdlePerAddress limits the idle connections to one upstream; an engine runs
 	// about 12 requests at once.
 	maxIdlePerAddress = 16
@@ -44,11 +46,17 @@
 	awaited, answered atomic.Bool
 }
 
-// Write implements io.Writer.
+// Write implements io.Writer. It writes in pieces, so that sent tells how far a long write is.
 func (c *conn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.sent.Add(int64(n))
-	return n, err
+	written := 0
+	for {
+		n, err := c.Conn.Write(p[written:min(len(p), written+maxWriteBytes)])
+		c.sent.Add(int64(n))
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
 }
 
 // Dial opens a connection, like DialContext of net.Dialer.
@@ -100,7 +108,9 @@
 		_ = resettable.SetLinger(0)
 	}
 	head := &headLimit{Conn: raw}
-	return &conn{Conn: raw, address: address, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}, nil
+	c := &conn{Conn: raw, address: address, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}
+	c.setKeepAlive(false)
+	return c, nil
 }
 
 // Check opens a connection to the address, which is kept for a request, and returns an
