No upstream has a gateway's address

Gateways state all addresses at which they listen in their registration, and the roster leaves out upstreams that name one of them, whichever of the two was registered first, while the gateway is registered. The log names them.

--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -141,7 +141,9 @@
 	// configMu is held while a configuration is activated.
 	configMu sync.Mutex
 	// enginesMu is held while the engine list is read and passed to the granter.
-	enginesMu    sync.Mutex
+	enginesMu sync.Mutex
+	// addressTaken holds the upstreams that the log names as left out, by ID.
+	addressTaken map[string]bool
 	catalog      atomic.Pointer[catalog.Catalog]
 	rawConfig    atomic.Pointer[[]byte]
 	roster       *roster.Roster
@@ -159,6 +161,7 @@
 	crashStore   *crashStore
 	peers        *peers
 	membership   *membership.Membership
+	listens      *listens
 	// former is the registration of the former process, zero if there was none, and nil while
 	// that is not known.
 	former            atomic.Pointer[member]
@@ -234,7 +237,7 @@
 	g.grace.Store(int64(s.GracePeriod))
 	g.store = meter.New(deps.Store, g.metrics.StoreCall)
 	g.omittedLogLines = deps.OmittedLogLines
-	g.membership = membership.New(s.settleTime())
+	g.membership, g.listens = membership.New(s.settleTime()), newListens()
 	g.regions.Store(&s.Regions)
 	g.upstreams = newUpstreamView(g)
 	g.evacuations = &evacuations{Gateway: g}
@@ -289,6 +292,7 @@
 	g.ingress = ingress.New(ingress.Dependencies{
 		Handler: requests, Catalog: g.catalog.Load, Metrics: g.metrics, Logger: logger, Now: now, Take: g.takesConnection,
 	})
+	g.reserveAddresses()
 	return g
 }
 
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -58,13 +58,16 @@
 
 // Replace implements follow.View.
 func (p *peers) Replace(now time.Time, s kv.Snapshot) {
-	addresses := make(map[string]string, len(s.Items))
+	addresses, listens := make(map[string]string, len(s.Items)), make(map[string][]string, len(s.Items))
 	for _, item := range s.Items {
 		if m, ok := p.applyMember(now, item); ok {
 			addresses[item.Key] = m.Address
+			listens[item.Key] = m.listens()
 		}
 	}
 	p.membership.Replace(addresses)
+	p.listens.replace(listens)
+	p.reserveAddresses()
 }
 
 // Apply implements follow.View.
@@ -72,10 +75,13 @@
 	for _, e := range c.Events {
 		if e.Deleted {
 			p.membership.Remove(e.Key)
+			p.listens.remove(e.Key)
 		} else if m, ok := p.applyMember(now, e.Item); ok {
 			p.membership.Add(e.Key, m.Address)
+			p.listens.add(e.Key, m.listens())
 		}
 	}
+	p.reserveAddresses()
 }
 
 // applyMember adds a registered gateway to the mesh, or takes this gateway's own rank
--- a/internal/role/gateway/registration.go
+++ b/internal/role/gateway/registration.go
@@ -28,6 +28,8 @@
 	CPUHalvings int64 `json:"halvings,omitempty"`
 	// Domain is the gateway's failure domain.
 	Domain string `json:"domain,omitempty"`
+	// Listens holds the further addresses at which the gateway listens.
+	Listens []string `json:"listens,omitempty"`
 }
 
 const (
@@ -69,7 +71,10 @@
 
 // register keeps the gateway registered in the store until the context ends.
 func (p *peers) register(ctx context.Context) error {
-	value, err := json.Marshal(member{Address: p.settings.LinkAddress, Run: p.runID, CPUHalvings: cpuHalvings(p.settings.CPUCores), Domain: p.settings.Domain})
+	value, err := json.Marshal(member{
+		Address: p.settings.LinkAddress, Run: p.runID, CPUHalvings: cpuHalvings(p.settings.CPUCores), Domain: p.settings.Domain,
+		Listens: []string{p.settings.CallerAddress, p.settings.ReadinessAddress, p.settings.MetricsAddress},
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/role/gateway/views.go
+++ b/internal/role/gateway/views.go
@@ -83,7 +83,14 @@
 		return
 	}
 	var engines []board.Upstream
+	taken := make(map[string]bool)
 	for _, u := range g.roster.All() {
+		if u.AddressTaken {
+			taken[u.ID] = true
+			if !g.addressTaken[u.ID] {
+				g.logger.Warn("registration ignored while another process has its address; remove it", "upstream", u.ID, "address", u.Address)
+			}
+		}
 		service := current.Service(u.Service)
 		if !u.AcceptsRequests() || service == nil || service.Engine == nil {
 			continue
@@ -93,5 +100,6 @@
 			TokensPerEvent: service.Engine.TokensPerEvent, WarmsUp: service.WarmsUp(),
 		})
 	}
+	g.addressTaken = taken
 	g.granter.SetUpstreams(engines)
 }
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -41,6 +41,8 @@
 	Evacuated bool
 	// Leaving reports that the upstream has said in an answer that it leaves.
 	Leaving bool
+	// AddressTaken reports that another process has the upstream's address.
+	AddressTaken bool
 	// Revision is the revision of the registration's last change in the store.
 	Revision kv.Revision
 	// CreatedRevision is the number of the revision at which the registration was created;
@@ -56,12 +58,13 @@
 	}
 	u.Revision, u.CreatedRevision = other.Revision, other.CreatedRevision
 	u.WarmUpRemaining, u.Evacuated, u.Leaving = other.WarmUpRemaining, other.Evacuated, other.Leaving
+	u.AddressTaken = other.AddressTaken
 	return u == other
 }
 
 // AcceptsRequests reports whether the upstream may get new requests.
 func (u Upstream) AcceptsRequests() bool {
-	return u.State == Ready && !u.Evacuated && !u.Leaving
+	return u.State == Ready && !u.Evacuated && !u.Leaving && !u.AddressTaken
 }
 
 // process returns the process that registered.
@@ -96,10 +99,12 @@
 	// departed holds, by ID, the upstreams that have left.
 	departed map[string]departure
 	// leaving holds, by ID, the upstreams that have said in an answer that they leave.
-	leaving         map[string]leavingMark
-	byID            map[string]Upstream
-	readyByService  map[string][]Upstream
-	evacuated       []string
+	leaving        map[string]leavingMark
+	byID           map[string]Upstream
+	readyByService map[string][]Upstream
+	evacuated      []string
+	// reserved holds the addresses that no upstream has.
+	reserved        map[string]bool
 	storeRegainedAt time.Time
 	revision        kv.Revision
 }
@@ -303,6 +308,7 @@
 	byID := make(map[string]Upstream, len(r.records))
 	for id, rec := range r.records {
 		u := rec.upstream
+		u.AddressTaken = r.reserved[u.Address]
 		u.Evacuated = slices.Contains(r.evacuated, u.Domain)
 		u.Leaving = r.leavingLocked(u.process())
 		byID[id] = u
@@ -337,7 +343,7 @@
 		return false
 	}
 	for _, u := range r.byID {
-		if u.Service == service && u.Evacuated && u.State == Ready && !u.Leaving && among(u) {
+		if u.Service == service && u.Evacuated && u.State == Ready && !u.Leaving && !u.AddressTaken && among(u) {
 			return true
 		}
 	}
