An entry gets no requests of an upstream that ends at its address

A registration of another writer that names an upstream's address had requests sent there by its ID after the upstream drained, and after it had left: 2 to 4 of 12 calls.

--- a/internal/role/gateway/odd_registrations_test.go
+++ b/internal/role/gateway/odd_registrations_test.go
@@ -142,6 +142,37 @@
 	bubble.Sleep(time.Second)
 }
 
+// Guards against requests to an upstream that drains or has left, by the ID of another writer's
+// entry that names its address.
+func TestOddRegistrationOfAnotherUpstreamsAddress(t *testing.T) {
+	for name, fields := range map[string]string{
+		"most slots": `,"slots":9223372036854775807`, "many slots": `,"slots":65536`, "as many slots": `,"slots":2`, "born as the upstream": `,"slots":2,"born":10`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			engine := &named{byID: map[string]int{}}
+			var beside, draining, gone []outcome
+			var sent []map[string]int
+			runFleet(t, func(f *fleet) {
+				shareAddress(f, engine, fields)
+				beside = f.callAll(12, "/old/x")
+				f.register(sharedEngine, "a", `,"born":10,"state":"draining"`)
+				bubble.Sleep(2 * time.Second)
+				engine.reset()
+				draining = f.callAll(12, "/old/x")
+				sent = append(sent, engine.reset())
+				f.store.Remove("servers/engine-8")
+				bubble.Sleep(2 * time.Minute)
+				gone = f.callAll(12, "/old/x")
+				sent = append(sent, engine.reset())
+			})
+			require.Equal(t, len(beside), countServed(beside))
+			require.Equal(t, len(draining), countServed(draining))
+			require.Equal(t, len(gone), countServed(gone))
+			require.Equal(t, []map[string]int{{}, {}}, sent)
+		})
+	}
+}
+
 // Guards against a lost call when an entry that no rule tells from a restarted upstream names
 // another's address: the upstream there answers that it is not the one. Each such answer costs a
 // retry, of which a fleet that has just started has none.
