Requests that were given up: settled neither too early nor for too long

The kernel's time-out is now 8 s on connections to upstreams, whose watch looks on until the request is written; what was acknowledged in part, or ends by a time-out, counts for a minute; and an answer to a request that was sent later settles what was given up, as a paused process gives none.

--- a/internal/edge/exchange/abandon_test.go
+++ b/internal/edge/exchange/abandon_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -122,6 +123,24 @@
 	require.Equal(t, exchange.Discarded, <-settled)
 }
 
+// Guards against retries that are refused for a minute because an upstream never closes the
+// connections of requests that were given up, although it answers others.
+func TestRequestThatWasGivenUpIsSettledByTheAnswerToALaterOne(t *testing.T) {
+	var number atomic.Int32
+	u := startUpstream(t, func(conn net.Conn, _ int) bool {
+		if number.Add(1) == 1 {
+			<-t.Context().Done()
+		}
+		return write(conn, completeAnswer)
+	})
+	client, settled := newClient(t), make(settlements, 1)
+	require.Error(t, settled.sendAndGiveUp(t, client, u.address, nil))
+	require.Empty(t, settled)
+	_, err := roundTrip(t, client, u, "one")
+	require.NoError(t, err)
+	require.Equal(t, exchange.Outlived, <-settled)
+}
+
 // Guards against a pool that is closed while it still waits for upstreams, and leaves goroutines.
 func TestClosedPoolWaitsForNoUpstream(t *testing.T) {
 	address, _ := listenUnread(t)
--- a/internal/edge/exchange/exchange.go
+++ b/internal/edge/exchange/exchange.go
@@ -158,8 +158,8 @@
 }
 
 // Do sends the request to the address and returns the answer once its header has
-// arrived. When the context ends, the connection is closed, so that the upstream
-// stops working on the request.
+// arrived. When the context ends, the connection is closed, or its sending side if the end
+// of it is awaited, so that the upstream stops working on the request.
 func (c *Client) Do(ctx context.Context, address string, r Request) (*Answer, error) {
 	conn, err := c.acquire(ctx, address, r)
 	if err != nil {
@@ -170,14 +170,15 @@
 		c.pool.release(c.now(), conn, 0)
 		return nil, NotAdmitted.New("%s may get no request now", address)
 	}
-	conn.begin(settled != nil)
+	sentAt := c.now()
+	conn.begin(sentAt, settled != nil)
 	stopContextWatch := context.AfterFunc(ctx, conn.interrupt)
 	watch := conn.watchSilence()
 	answer, err := c.roundTrip(conn, r)
 	if err != nil {
 		stopContextWatch()
 		watch.end()
-		c.end(ctx, conn, err, settled)
+		c.finishFailed(ctx, conn, err, settled)
 		if conn.reused && ctx.Err() == nil && errorx.IsOfType(err, NotSent) {
 			// Only the kept connection has ended, which says nothing of the upstream.
 			r.NewConnection = true
@@ -185,7 +186,10 @@
 		}
 		return nil, err
 	}
-	settle(settled, Answered)
+	if settled != nil {
+		settled(Answered)
+	}
+	c.pool.outlive(address, sentAt)
 	if ctx.Err() != nil {
 		closeQuietly(conn)
 	}
@@ -218,9 +222,9 @@
 	request := &http.Request{Method: r.Method}
 	written := make(chan error, 1)
 	if len(r.Body) <= inlineBodyBytes {
-		written <- r.writeTo(conn)
+		written <- conn.write(r)
 	} else {
-		go func() { written <- r.writeTo(conn) }()
+		go func() { written <- conn.write(r) }()
 	}
 	//nolint:bodyclose // Answer.Close closes or keeps the connection.
 	response, err := c.readAnswer(conn, request, r.ID)
--- a/internal/edge/exchange/pool.go
+++ b/internal/edge/exchange/pool.go
@@ -6,6 +6,8 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -41,9 +43,28 @@
 	reused    bool
 	// sent is how many bytes of the present request were written.
 	sent atomic.Int64
-	// awaited reports that the end of the present request is awaited if it is given up, and
-	// answered that its answer has begun.
-	awaited, answered atomic.Bool
+	// awaited reports that the end of the present request is awaited if it is given up,
+	// answered that its answer has begun, written that all of it was written, and partlySent that
+	// the connection was reset when a part of it was acknowledged.
+	awaited, answered, written, partlySent atomic.Bool
+	// activity is that of the upstream's address.
+	activity *activity
+}
+
+// Read implements io.Reader.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 || errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
+		c.activity.received()
+	}
+	return n, err
+}
+
+// write writes a request.
+func (c *conn) write(r Request) error {
+	err := r.writeTo(c)
+	c.written.Store(err == nil)
+	return err
 }
 
 // Write implements io.Writer. It writes in pieces, so that sent tells how far a long write is.
@@ -70,13 +91,15 @@
 	idle   map[string][]*conn
 	closed bool
 	// abandoned holds the connections whose request was given up and may still arrive.
-	abandoned map[*conn]bool
+	abandoned map[*abandonment]bool
 	watches   sync.WaitGroup
+	// activities holds when upstreams sent something last, by address.
+	activities map[string]*activity
 }
 
 // NewPool returns an empty pool.
 func NewPool(dial Dial) *Pool {
-	return &Pool{dial: dial, idle: make(map[string][]*conn), abandoned: make(map[*conn]bool)}
+	return &Pool{dial: dial, idle: make(map[string][]*conn), abandoned: make(map[*abandonment]bool), activities: make(map[string]*activity)}
 }
 
 // acquire returns a connection that was idle for less than maxIdle, or a new one.
@@ -90,7 +113,7 @@
 			c.reused = true
 			return c, nil
 		}
-		closeQuietly(c)
+		closeIdle(c)
 	}
 	return p.open(ctx, address)
 }
@@ -107,9 +130,10 @@
 		// given up, also after this process was killed.
 		_ = resettable.SetLinger(0)
 	}
-	head := &headLimit{Conn: raw}
-	c := &conn{Conn: raw, address: address, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}
-	c.setKeepAlive(false)
+	c := &conn{Conn: raw, address: address, activity: p.activityOf(address)}
+	c.head = &headLimit{Conn: c}
+	c.reader = bufio.NewReaderSize(c.head, readBufferBytes)
+	c.setTimeouts()
 	return c, nil
 }
 
@@ -147,7 +171,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || timeout <= 0 || c.reader.Buffered() > 0 || len(p.idle[c.address]) >= maxIdlePerAddress {
-		closeQuietly(c)
+		closeIdle(c)
 		return
 	}
 	p.idle[c.address] = append(p.idle[c.address], c)
@@ -172,6 +196,24 @@
 		}
 		p.idle[address] = kept
 	}
+	for address, a := range p.activities {
+		since := a.waitingSince.Load()
+		if p.idle[address] == nil && (since == 0 || now.Sub(time.Unix(0, since)) > maxAwaited) {
+			delete(p.activities, address)
+		}
+	}
+}
+
+// activityOf returns when the upstream at an address sent something last.
+func (p *Pool) activityOf(address string) *activity {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a := p.activities[address]
+	if a == nil {
+		a = &activity{}
+		p.activities[address] = a
+	}
+	return a
 }
 
 // Close closes all idle connections, and those whose request was given up. Connections that are
@@ -192,8 +234,8 @@
 		}
 	}
 	p.idle = make(map[string][]*conn)
-	for c := range p.abandoned {
-		closeQuietly(c)
+	for a := range p.abandoned {
+		closeQuietly(a.conn)
 	}
 }
 
--- a/internal/edge/exchange/silence.go
+++ b/internal/edge/exchange/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -12,10 +13,15 @@
 	// silenceCheckInterval is the time between two looks at what the upstream's kernel has
 	// acknowledged of a request.
 	silenceCheckInterval = 500 * time.Millisecond
-	// maxSilentChecks is after how many of them without progress the connection is reset. It
-	// comes before the time-outs of this machine's kernel, which end a connection without a
-	// reset: what was sent may then still arrive.
+	// maxSilentChecks is after how many of them without progress the connection is reset.
 	maxSilentChecks = 4
+	// kernelTimeout is the time-out of this machine's kernel for what is not acknowledged. It ends
+	// a connection without a reset, so that what was sent may still arrive, and must not come
+	// first, even if this process is paused for a while.
+	kernelTimeout = 4 * maxSilentChecks * silenceCheckInterval
+	// maxSilence is for how long an upstream may send nothing, while a request waits for its
+	// answer, to be taken for responsive.
+	maxSilence = time.Second
 )
 
 // silenceWatch looks at what an upstream's kernel acknowledges while a request is under way. Until
@@ -49,7 +55,7 @@
 		return
 	}
 	unacknowledged, known := w.conn.unacknowledged()
-	if !known || unacknowledged == 0 {
+	if !known || (unacknowledged == 0 && w.conn.written.Load()) {
 		w.probing = true
 		w.conn.setKeepAlive(true)
 		return
@@ -59,6 +65,7 @@
 		w.acknowledged, w.silentChecks = acknowledged, 0
 	}
 	if w.silentChecks >= maxSilentChecks {
+		w.conn.partlySent.Store(w.acknowledged > 0)
 		closeQuietly(w.conn)
 		return
 	}
@@ -77,6 +84,14 @@
 	}
 }
 
+// setTimeouts sets the time-outs of this machine's kernel for a new connection.
+func (c *conn) setTimeouts() {
+	c.control(func(fd int) error {
+		return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(kernelTimeout.Milliseconds()))
+	})
+	c.setKeepAlive(false)
+}
+
 // setKeepAlive switches keep-alive probes, whose times the dialer has set.
 func (c *conn) setKeepAlive(enabled bool) {
 	value := 0
@@ -100,3 +115,25 @@
 	controlErr := raw.Control(func(fd uintptr) { err = f(int(fd)) })
 	return controlErr == nil && err == nil
 }
+
+// activity is when the upstream at an address sent something last.
+type activity struct {
+	// waitingSince is when the first request was sent since then, in nanoseconds of Unix time,
+	// or 0.
+	waitingSince atomic.Int64
+}
+
+func (a *activity) sent(now time.Time) { a.waitingSince.CompareAndSwap(0, now.UnixNano()) }
+
+func (a *activity) received() {
+	if a.waitingSince.Load() != 0 {
+		a.waitingSince.Store(0)
+	}
+}
+
+// Silent reports whether the upstream at an address has sent nothing for a while although a
+// request waits for its answer.
+func (c *Client) Silent(now time.Time, address string) bool {
+	since := c.pool.activityOf(address).waitingSince.Load()
+	return since != 0 && now.Sub(time.Unix(0, since)) > maxSilence
+}
--- a/internal/edge/flow/request.go
+++ b/internal/edge/flow/request.go
@@ -243,8 +243,8 @@
 	Return(w *catalog.Workspace, cost float64)
 }
 
-// RetryBudget limits how often requests are sent again. What counts is when they are sent: a
-// retry may wait for a slot until then.
+// RetryBudget limits how often requests are sent again. A retry counts from when it is sent, before
+// which it may wait for a slot, until it has arrived or cannot arrive any more.
 type RetryBudget interface {
 	// Sent records the first send of a request to the service.
 	Sent(now time.Time, service string)
