Silent upstreams get no repeats

A repeat is no longer sent to an upstream that has sent nothing for a second while a request waits for its answer; it goes to another one. So what can be held back is what a process sends in about a second. First sends are as before, and tell when it answers again.

--- a/internal/edge/flow/attempt.go
+++ b/internal/edge/flow/attempt.go
@@ -101,6 +101,10 @@
 	switch {
 	case c.crashesUpstreams():
 		reason = "the request crashes upstreams"
+	case c.sending.begun > 0 && !c.sending.admitted && c.Client.Silent(c.Now(), upstream.Address):
+		// A repeat that a paused upstream gets when it goes on arrives beside those of that time.
+		reason = "the upstream is silent, and gets no repeat"
+		c.silentUpstreams = append(c.silentUpstreams, upstream.ID)
 	case c.Guard != nil:
 		reason = c.Guard.Admit(c.Now(), upstream)
 	}
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -150,6 +150,8 @@
 	withheldFrom    string
 	mayHaveExecuted bool
 	triedUpstreams  []string
+	// silentUpstreams are those that got no repeat because they have sent nothing for a while.
+	silentUpstreams []string
 	// domains are the failure domains that may get the request; nil means all.
 	domains     []string
 	fingerprint uint64
@@ -352,9 +354,10 @@
 }
 
 // excludedUpstreams returns the upstreams that must not be chosen again: those that were
-// tried, and the last one that might get no request. One before that may get one by now.
+// tried or are silent, and the last one that might get no request. One before that may get one by
+// now.
 func (c *call) excludedUpstreams() []string {
-	excluded := slices.Clone(c.triedUpstreams)
+	excluded := slices.Concat(c.triedUpstreams, c.silentUpstreams)
 	if c.withheldFrom != "" {
 		excluded = append(excluded, c.withheldFrom)
 	}
