Relay holds what is sent and delivers it later

Silence, resets and cuts lose data. A link that takes connections and bytes and passes all of it on later, closes included, was missing: what callers gave up meanwhile arrives in one moment. The reader of each direction waits for the release; the kernel keeps the rest, also data before a reset.

--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -1,6 +1,7 @@
 // Package relay is a TCP proxy that injects network faults between two processes,
 // for tests and trials: existing connections fall silent while new ones work, one
-// direction is cut, or all connections are delayed or reset.
+// direction is cut, all connections are delayed or reset, or all data is held and
+// delivered later.
 package relay
 
 import (
@@ -21,7 +22,10 @@
 	// discarded. Both apply to existing and new connections.
 	delay       time.Duration
 	dropAnswers bool
-	wg          sync.WaitGroup
+	held        bool
+	// released is signaled when held or closed changes.
+	released sync.Cond
+	wg       sync.WaitGroup
 }
 
 // connPair is one forwarded connection: near to the caller, far to the target.
@@ -29,11 +33,15 @@
 	near, far net.Conn
 	mu        sync.Mutex
 	silent    bool
+	// wasHeld is true if the relay was held since the connection was accepted. From then
+	// on an end is passed on in its own direction, behind the data before it.
+	wasHeld bool
 }
 
 // New starts a relay that forwards connections on the listener to the target.
 func New(listener net.Listener, target string) *Relay {
 	r := &Relay{listener: listener, target: target, pairs: make(map[*connPair]bool)}
+	r.released.L = &r.mu
 	r.wg.Go(r.accept)
 	return r
 }
@@ -84,6 +92,35 @@
 	}
 }
 
+// Hold holds all data and all ends of connections in both directions, or releases them.
+// While held, the relay accepts connections, and the kernel accepts as much data as socket
+// buffers take; nothing reaches the other side. On release everything is delivered in
+// order: data, then the end if the sender has closed or reset its connection.
+func (r *Relay) Hold(hold bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.held = hold
+	if hold {
+		for p := range r.pairs {
+			p.mu.Lock()
+			p.wasHeld = true
+			p.mu.Unlock()
+		}
+	}
+	r.released.Broadcast()
+}
+
+// awaitRelease returns when the relay is not held or is closed, and whether it had to wait.
+func (r *Relay) awaitRelease() (waited bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for r.held && !r.closed {
+		waited = true
+		r.released.Wait()
+	}
+	return waited
+}
+
 func (r *Relay) faults() (delay time.Duration, mute bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -98,6 +135,7 @@
 	for p := range r.pairs {
 		p.close()
 	}
+	r.released.Broadcast()
 	r.mu.Unlock()
 	r.wg.Wait()
 	return err
@@ -114,6 +152,7 @@
 }
 
 func (r *Relay) forward(near net.Conn) {
+	wasHeld := r.awaitRelease()
 	far, err := net.Dial("tcp", r.target)
 	if err != nil {
 		reset(near)
@@ -121,6 +160,7 @@
 	}
 	p := &connPair{near: near, far: far}
 	r.mu.Lock()
+	p.wasHeld = wasHeld || r.held
 	if r.closed {
 		p.close()
 	}
@@ -150,6 +190,7 @@
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
+		r.awaitRelease()
 		p.mu.Lock()
 		silent := p.silent
 		p.mu.Unlock()
@@ -173,7 +214,22 @@
 			break
 		}
 	}
-	p.close()
+	p.end(to)
+}
+
+// end passes on the end of the direction to one of the connections. Connections that were
+// never held end in both directions at once; the others don't, as the opposite direction may
+// have data left to deliver.
+func (p *connPair) end(to net.Conn) {
+	p.mu.Lock()
+	wasHeld := p.wasHeld
+	p.mu.Unlock()
+	tcp, ok := to.(*net.TCPConn)
+	if !wasHeld || !ok {
+		p.close()
+		return
+	}
+	_ = tcp.CloseWrite()
 }
 
 func (p *connPair) close() {
--- a/internal/standin/relay/relay_test.go
+++ b/internal/standin/relay/relay_test.go
@@ -92,3 +92,81 @@
 	require.NoError(t, r.Close())
 	require.NoError(t, target.Close())
 }
+
+// While the relay is held, connections and data are accepted and neither side hears of the
+// other; on release all arrives in order with the ends of connections, data before a reset
+// included, and answers still reach a caller that closed only its own direction.
+func TestHeldConnectionsDeliverEverythingOnRelease(t *testing.T) {
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	r := relay.New(listener, target.Addr().String())
+	dial := func() *net.TCPConn {
+		conn, err := net.Dial("tcp", r.Addr())
+		require.NoError(t, err)
+		return conn.(*net.TCPConn)
+	}
+	send := func(conn net.Conn, text string) {
+		_, err := conn.Write([]byte(text))
+		require.NoError(t, err)
+	}
+	received := make(chan string, 3)
+	first := make(chan struct{})
+	go func() {
+		for {
+			conn, err := target.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				one := make([]byte, 1)
+				if _, err := io.ReadFull(conn, one); err != nil {
+					return
+				}
+				if one[0] == 'x' {
+					close(first)
+				}
+				rest, _ := io.ReadAll(conn)
+				received <- string(one) + string(rest)
+				_, _ = conn.Write([]byte("answer"))
+				_ = conn.Close()
+			}()
+		}
+	}()
+	existing := dial()
+	send(existing, "x")
+	<-first
+	r.Hold(true)
+	send(existing, "y")
+	require.NoError(t, existing.CloseWrite())
+	halfClosed := dial()
+	send(halfClosed, "half-closed")
+	require.NoError(t, halfClosed.CloseWrite())
+	wasReset := dial()
+	send(wasReset, "reset")
+	require.NoError(t, wasReset.SetLinger(0))
+	require.NoError(t, wasReset.Close())
+	for _, conn := range []net.Conn{existing, halfClosed} {
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(100*time.Millisecond)))
+		_, err = conn.Read(make([]byte, 1))
+		var timeout net.Error
+		require.ErrorAs(t, err, &timeout)
+		require.True(t, timeout.Timeout(), "%v", err)
+	}
+	require.Empty(t, received)
+	r.Hold(false)
+	require.ElementsMatch(t, []string{"xy", "half-closed", "reset"}, []string{<-received, <-received, <-received})
+	for _, conn := range []net.Conn{existing, halfClosed} {
+		require.NoError(t, conn.SetReadDeadline(time.Time{}))
+		answer, err := io.ReadAll(conn)
+		require.NoError(t, err)
+		require.Equal(t, "answer", string(answer))
+		require.NoError(t, conn.Close())
+	}
+	r.Hold(true)
+	waiting := dial()
+	require.NoError(t, r.Close(), "a held relay closes")
+	require.NoError(t, waiting.Close())
+	require.NoError(t, target.Close())
+}
