Soak holds links to upstreams beside bad answers, and writes odd entries

A configuration is stored at the very end, when no fault is recent, so that the check that it comes in force isn't excused.

The check and its bound are the same, with the window that the gateways are told. Upstreams answer 5 to 7 of 10 requests badly instead of 9, as gateways send little to worse ones, and run up to 60 at once.

--- a/internal/trial/soak/backend_test.go
+++ b/internal/trial/soak/backend_test.go
@@ -26,7 +26,10 @@
 	streamEvents  = 20
 	eventInterval = 15 * time.Millisecond
 	responseTime  = 10 * time.Millisecond
-	slots         = 8
+	// slots is how many requests an upstream runs at once, and slotsHeld how many beside held
+	// links, so that many are under way there.
+	slots     = 8
+	slotsHeld = 60
 )
 
 // failureMode is the way in which an upstream misbehaves.
@@ -135,13 +138,16 @@
 	drainingSince time.Time
 	coldUntil     time.Time
 	failureMode   atomic.Int32
-	// bad is the failure mode while all upstreams answer badly.
-	bad     atomic.Int32
-	endless atomic.Bool
+	// bad is the failure mode while all upstreams answer badly, and badShare how many of ten
+	// answers are bad then.
+	bad      atomic.Int32
+	badShare uint64
+	endless  atomic.Bool
 	// breaksHeads is set while it breaks off the heads of some answers.
 	breaksHeads atomic.Bool
 	need        atomic.Pointer[need]
 	running     atomic.Int32
+	slots       int32
 	// crashUnder is called when a request crashes the upstream.
 	crashUnder func(u *upstream)
 	conns      map[net.Conn]struct{}
@@ -153,7 +159,7 @@
 	Remove(key string)
 }
 
-func newUpstream(service, domain, id, address string, log *requestLog, store registry) (*upstream, error) {
+func newUpstream(service, domain, id, address string, slots int32, log *requestLog, store registry) (*upstream, error) {
 	inner, err := net.Listen("tcp", net.JoinHostPort(address, "9001"))
 	if err != nil {
 		return nil, err
@@ -162,7 +168,7 @@
 	if err != nil {
 		return nil, err
 	}
-	u := &upstream{service: service, domain: domain, id: id, up: true, state: "ready", requestLog: log, store: store, conns: make(map[net.Conn]struct{})}
+	u := &upstream{service: service, domain: domain, id: id, up: true, state: "ready", slots: slots, requestLog: log, store: store, conns: make(map[net.Conn]struct{})}
 	u.server = &http.Server{Handler: u, ConnState: u.connState}
 	go func() { _ = u.server.Serve(inner) }()
 	u.relay = relay.New(outer, inner.Addr().String())
@@ -190,7 +196,7 @@
 	u.sequence++
 	u.store.Put(platform.UpstreamPrefix+u.id, fmt.Sprintf(
 		`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"sequence":%d,"born":1,"coldRemainingMs":%d}`,
-		u.service, u.relay.Addr(), u.domain, slots, u.state, u.sequence, max(0, time.Until(u.coldUntil).Milliseconds())))
+		u.service, u.relay.Addr(), u.domain, u.slots, u.state, u.sequence, max(0, time.Until(u.coldUntil).Milliseconds())))
 }
 
 // crash closes all connections and takes the upstream down. Its registration
@@ -245,7 +251,7 @@
 	names := platform.AnswerHeaders()
 	w.Header().Set(names.RequestID, attempt)
 	_, pace := u.pace()
-	w.Header().Set(names.Load, fmt.Sprintf("%d,0,%d%s", u.running.Load(), slots, pace))
+	w.Header().Set(names.Load, fmt.Sprintf("%d,0,%d%s", u.running.Load(), u.slots, pace))
 	if r.Header.Get(instanceHeader) != id {
 		w.Header().Set(names.NotExecuted, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -257,7 +263,7 @@
 			return
 		}
 	}
-	if u.running.Add(1) > slots {
+	if u.running.Add(1) > u.slots {
 		u.running.Add(-1)
 		w.Header().Set(names.NotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -285,7 +291,7 @@
 		return
 	}
 	id, _ := u.identity()
-	if bad := failureMode(u.bad.Load()); bad.answersBadly(attempt, id) {
+	if bad := failureMode(u.bad.Load()); bad.answersBadly(attempt, id, u.badShare) {
 		if bad == resetting {
 			panic(http.ErrAbortHandler)
 		}
--- a/internal/trial/soak/caller_test.go
+++ b/internal/trial/soak/caller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -51,6 +52,8 @@
 	key string
 	// version is the version of HTTP that the caller speaks.
 	version string
+	// timeout is how long the caller waits.
+	timeout time.Duration
 	// prompted is true if a stream names the parts of its prompt.
 	prompted bool
 }
@@ -63,9 +66,11 @@
 	gateway int
 	key     string
 	random  *rand.Rand
-	conn    net.Conn
-	reader  *bufio.Reader
-	sent    int
+	// patience is how long the caller waits for an answer, or 0 for as long as the kind says.
+	patience time.Duration
+	conn     net.Conn
+	reader   *bufio.Reader
+	sent     int
 	// lastUsedAt is the end of the previous call.
 	lastUsedAt time.Time
 }
@@ -89,6 +94,9 @@
 			<-time.After(reconnectPause)
 		}
 		<-time.After(time.Duration(5+c.random.IntN(60)) * time.Millisecond)
+		if c.testbed.plays(heldFromSeed) {
+			<-time.After(minPatientPause)
+		}
 	}
 }
 
@@ -103,7 +111,7 @@
 // it; a request that is sent at the same time is not sent again.
 func (c *caller) call(k kind, path string) call {
 	c.sent++
-	result := call{id: fmt.Sprintf("%016x", c.testbed.seed<<40|uint64(c.number)<<24|uint64(c.sent)), kind: k, path: path, gateway: c.gateway, sent: time.Now(), prompted: c.testbed.plays(crashesFromSeed), key: c.key, version: c.version()}
+	result := call{id: fmt.Sprintf("%016x", c.testbed.seed<<40|uint64(c.number)<<24|uint64(c.sent)), kind: k, path: path, gateway: c.gateway, sent: time.Now(), prompted: c.testbed.plays(crashesFromSeed), key: c.key, version: c.version(), timeout: cmp.Or(c.patience, k.timeout())}
 	if c.conn != nil {
 		result.idleBefore = result.sent.Sub(c.lastUsedAt)
 	}
@@ -128,7 +136,7 @@
 		}
 		c.conn, c.reader = conn, bufio.NewReader(conn)
 	}
-	if err := c.conn.SetDeadline(result.sent.Add(result.kind.timeout())); err != nil {
+	if err := c.conn.SetDeadline(result.sent.Add(result.timeout)); err != nil {
 		return err
 	}
 	if _, err := io.WriteString(c.conn, result.requestText()); err != nil {
@@ -152,7 +160,7 @@
 func (c *call) requestText() string {
 	headers := []string{
 		c.kind.method + " " + c.path + " " + c.version, "Host: h", attemptHeader + ": " + c.id, "Api-Key: " + c.key,
-		fmt.Sprintf("X-Persimmonridge-Deadline-Ms: %d", c.kind.timeout().Milliseconds()),
+		fmt.Sprintf("X-Persimmonridge-Deadline-Ms: %d", c.timeout.Milliseconds()),
 	}
 	if c.kind.stream {
 		headers = append(headers, "X-Persimmonridge-Token-Counts: 200,160", "X-Persimmonridge-Length-Hint: 100")
--- a/internal/trial/soak/config_test.go
+++ b/internal/trial/soak/config_test.go
@@ -93,6 +93,9 @@
 
 func (tb *testbed) configDocument(v configVersion, extraRoutes int) string {
 	route := `{"name":%q,"hostname":"h","prefix":%q,"kind":%q,"timeoutMs":3000,"targetLatencyMs":500,"service":%q,"maxAttempts":2,"streamResume":%t,"gapAimMs":250}`
+	if tb.plays(heldFromSeed) {
+		route = strings.NewReplacer("3000", fmt.Sprint(patientTimeout.Milliseconds()), `"maxAttempts":2`, fmt.Sprintf(`"maxAttempts":%d`, patientAttempts)).Replace(route)
+	}
 	routes := []string{
 		fmt.Sprintf(route, "book", "/book/", "non_idempotent", "desk", false),
 		fmt.Sprintf(route, "read", "/read/", "idempotent", "desk", false),
@@ -113,7 +116,7 @@
 	}
 	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"tutor","engine":{"slots":%d,"stride":6}%s},{"name":"desk"%s}],
 		"limits":{"maxBodyBytes":4194304,"idleTimeoutMs":%d},"tenants":[%s]}`,
-		v.version, strings.Join(routes, ","), slots, warmUp, warmUp, v.idleLimit.Milliseconds(), tb.workspaceDocument())
+		v.version, strings.Join(routes, ","), tb.slots(), warmUp, warmUp, v.idleLimit.Milliseconds(), tb.workspaceDocument())
 }
 
 func versionPath(version int) string { return fmt.Sprintf("/version-%d/", version) }
--- a/internal/trial/soak/fault_test.go
+++ b/internal/trial/soak/fault_test.go
@@ -57,6 +57,9 @@
 }
 
 func kill(tb *testbed, r *rand.Rand) {
+	if !tb.ends(syscall.SIGKILL) {
+		return
+	}
 	i := r.IntN(gateways)
 	defer tb.beginFault("kill", i, false, false)()
 	tb.processes[i].signal(syscall.SIGKILL)
@@ -65,6 +68,9 @@
 
 // stop stops a gateway gracefully, which must not affect its callers.
 func stop(tb *testbed, r *rand.Rand) {
+	if !tb.ends(syscall.SIGTERM) {
+		return
+	}
 	i := r.IntN(gateways)
 	defer tb.beginFault("stop", i, false, false)()
 	tb.processes[i].signal(syscall.SIGTERM)
@@ -74,6 +80,9 @@
 // stopSeries stops all gateways in short succession, so that for some seconds none
 // of them is ready.
 func stopSeries(tb *testbed, r *rand.Rand) {
+	if !tb.ends(syscall.SIGTERM) {
+		return
+	}
 	defer tb.beginFault("stop", allGateways, false, false)()
 	gap := randomDuration(r, 10*time.Millisecond, 1500*time.Millisecond)
 	for _, i := range r.Perm(gateways) {
@@ -96,6 +105,9 @@
 }
 
 func killMost(tb *testbed, r *rand.Rand) {
+	if !tb.ends(syscall.SIGKILL) {
+		return
+	}
 	defer tb.beginFault("herd", allGateways, false, false)()
 	for _, g := range tb.processes {
 		if r.IntN(4) > 0 {
--- a/internal/trial/soak/process_test.go
+++ b/internal/trial/soak/process_test.go
@@ -41,6 +41,7 @@
 	wasPaused        bool
 	paused           bool
 	retryRatio       float64
+	retryWindow      time.Duration
 	retryBudgetSlack int
 	// largestSlack is the largest retryBudgetSlack so far.
 	largestSlack int
@@ -64,7 +65,7 @@
 	}
 	g := &gatewayProcess{
 		name: name, address: tb.address(1 + i), binary: tb.binary, storeAddress: storeAddress, log: log, report: tb.report,
-		settingsPath: filepath.Join(tb.folder, name+".json"), done: make(chan struct{}), retryRatio: tb.retryRatio(), retryBudgetSlack: initialSlack,
+		settingsPath: filepath.Join(tb.folder, name+".json"), done: make(chan struct{}), retryRatio: tb.retryRatio(), retryWindow: tb.retryWindow(), retryBudgetSlack: initialSlack,
 		endDisruption: func() {}, contracts: "[]",
 	}
 	if tb.hardLoad() {
@@ -84,7 +85,7 @@
 		"internalPortRange":[7600,7615],"seeds":[%q,%q,%q],"limits":{"memoryMb":200},
 		"bounds":{"graceS":%g,"configApplyMs":2000,"retryBudgetRatio":%g,"retryBudgetSlack":%d,"budgetWindowS":%g,"quotaSlack":140000,"coldOver":%g,"coldSlack":%d},
 		"platform":{"address":%q},"contracts":%s}`,
-		g.name, g.address, g.seeds[0], g.seeds[1], g.seeds[2], stopGrace.Seconds(), g.retryRatio, g.retryBudgetSlack, retryWindow.Seconds(),
+		g.name, g.address, g.seeds[0], g.seeds[1], g.seeds[2], stopGrace.Seconds(), g.retryRatio, g.retryBudgetSlack, g.retryWindow.Seconds(),
 		warmUpFactor, warmUpSlack, g.storeAddress, g.contracts)
 	next := g.settingsPath + ".next"
 	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
--- a/internal/trial/soak/repeat_test.go
+++ b/internal/trial/soak/repeat_test.go
@@ -16,13 +16,17 @@
 	// badAnswersFromSeed is the first seed in which most answers of all upstreams are bad for
 	// seconds while gateways start in series.
 	badAnswersFromSeed = 80000
-	// badShare is how many of ten answers are bad then.
-	badShare = 9
+	// badShare is how many of ten answers are bad then, and badShareHeld how many are at least
+	// beside held links: gateways send fewer requests to upstreams that answer worse.
+	badShare     = 9
+	badShareHeld = 5
 	// retryRatio and retryWindow are the limit on repeats in the settings. Its slack changes.
-	// With bad answers the ratio is lower, so that most of the limit is slack.
+	// With bad answers the ratio is lower, so that most of the limit is slack, and with held
+	// links the window is shorter than most holds.
 	retryRatio       = 0.2
 	retryRatioBad    = 0.05
 	retryWindow      = 10 * time.Second
+	retryWindowHeld  = 3 * time.Second
 	initialSlack     = 50
 	slackChangeBase  = 40
 	slackChangeRange = 20
@@ -37,6 +41,20 @@
 	return retryRatio
 }
 
+func (tb *testbed) retryWindow() time.Duration {
+	if tb.plays(heldFromSeed) {
+		return retryWindowHeld
+	}
+	return retryWindow
+}
+
+func (tb *testbed) badShare() uint64 {
+	if tb.plays(heldFromSeed) {
+		return badShareHeld + tb.seed/2%3
+	}
+	return badShare
+}
+
 // repeatLogs records the requests to each service.
 type repeatLogs map[string]*repeats.Log
 
@@ -55,16 +73,20 @@
 }
 
 // answersBadly reports whether an upstream in the mode answers the attempt badly.
-func (m failureMode) answersBadly(attempt, upstream string) bool {
-	return (m == erring || m == resetting) && xxhash.Sum64String(attempt+upstream)%10 < badShare
+func (m failureMode) answersBadly(attempt, upstream string, share uint64) bool {
+	return (m == erring || m == resetting) && xxhash.Sum64String(attempt+upstream)%10 < share
 }
 
 // answerBadly makes most answers of all upstreams bad now and then, for seconds in which
 // gateways are killed or stopped in series: all at once, one by one, or one again and again.
 func (tb *testbed) answerBadly() {
 	random := rand.New(rand.NewPCG(tb.seed, 0x626164))
+	longestPause, longest := 2*time.Second, 9*time.Second
+	if tb.plays(heldFromSeed) {
+		longestPause, longest = 6*time.Second, maxHold
+	}
 	for time.Now().Before(tb.faultsEndAt) {
-		<-time.After(randomDuration(random, 0, 2*time.Second))
+		<-time.After(randomDuration(random, 0, longestPause))
 		endFault := tb.beginFault("bad-answers", allGateways, false, true)
 		mode := []failureMode{erring, resetting}[random.IntN(2)]
 		var ends []func()
@@ -72,7 +94,7 @@
 			ends = append(ends, u.disruptions.begin())
 			u.bad.Store(int32(mode))
 		}
-		tb.startInSeries(random, randomDuration(random, 2*time.Second, 9*time.Second))
+		tb.startInSeries(random, randomDuration(random, 2*time.Second, longest))
 		for i, u := range tb.upstreams {
 			u.bad.Store(int32(healthy))
 			ends[i]()
@@ -86,6 +108,13 @@
 	how, one := random.IntN(4), random.IntN(gateways)
 	signal := []syscall.Signal{syscall.SIGKILL, syscall.SIGKILL, syscall.SIGTERM}[random.IntN(3)]
 	gap := randomDuration(random, 300*time.Millisecond, 3*time.Second)
+	if tb.plays(heldFromSeed) {
+		signal = syscall.SIGTERM
+	}
+	if !tb.ends(signal) {
+		<-time.After(during)
+		return
+	}
 	for n, end := 0, time.Now().Add(during); time.Now().Before(end); n++ {
 		<-time.After(gap)
 		switch how {
@@ -125,10 +154,11 @@
 		slack = max(slack, g.largestSlack)
 	}
 	for service, log := range tb.requestLog.repeats {
-		worst := log.Worst(repeats.Limit{Ratio: tb.retryRatio(), Slack: float64(slack), Window: retryWindow})
+		worst := log.Worst(repeats.Limit{Ratio: tb.retryRatio(), Slack: float64(slack), Window: tb.retryWindow()})
+		tb.mostRepeats = append(tb.mostRepeats, fmt.Sprintf("%s %d of %.1f", service, worst.Repeats, worst.Allowed))
 		if worst.Exceeds() {
-			tb.report(fmt.Sprintf("%s got %d repeats in the ten seconds from %.3f s, %.1f were allowed for %d requests",
-				service, worst.Repeats, worst.From.Sub(tb.startedAt).Seconds(), worst.Allowed, worst.Requests))
+			tb.report(fmt.Sprintf("%s got %d repeats in the %s from %.3f s, %.1f were allowed for %d requests",
+				service, worst.Repeats, tb.retryWindow(), worst.From.Sub(tb.startedAt).Seconds(), worst.Allowed, worst.Requests))
 		}
 	}
 }
--- a/internal/trial/soak/soak_test.go
+++ b/internal/trial/soak/soak_test.go
@@ -27,7 +27,7 @@
 	build := exec.Command("go", "build", "-o", binary, "../../../cmd/persimmonridge")
 	output, err := build.CombinedOutput()
 	require.NoError(t, err, "%s", output)
-	seeds := append(regressionSeeds(t), warmUpsFromSeed, needsFromSeed, endlessFromSeed, badAnswersFromSeed, headsFromSeed)
+	seeds := append(regressionSeeds(t), warmUpsFromSeed, needsFromSeed, endlessFromSeed, badAnswersFromSeed, headsFromSeed, heldFromSeed)
 	for i := range *seedCount {
 		seeds = append(seeds, *firstSeed+uint64(i))
 	}
@@ -81,8 +81,8 @@
 	for _, f := range tb.faults {
 		names = append(names, fmt.Sprintf("%s@%.1f", f.name, f.from.Sub(tb.startedAt).Seconds()))
 	}
-	t.Logf("%d calls, %d served (%d slow streams), %d met a closed connection; %d versions; %s; logs in %s",
-		len(tb.calls), served, slow, metClosed, len(tb.versions), strings.Join(names, " "), folder)
+	t.Logf("%d calls, %d served (%d slow streams), %d met a closed connection; %d versions; repeats at most %s; %s; logs in %s",
+		len(tb.calls), served, slow, metClosed, len(tb.versions), strings.Join(tb.mostRepeats, ", "), strings.Join(names, " "), folder)
 	tb.removeLogsIfPassed()
 	require.Empty(t, tb.findings, "logs are in %s", folder)
 }
--- a/internal/trial/soak/testbed_test.go
+++ b/internal/trial/soak/testbed_test.go
@@ -86,8 +86,10 @@
 	warmUps     []warmUp
 	needs       []*need
 	// evacuated holds the IDs of the upstreams in the domain that is evacuated.
-	evacuated        map[string]bool
-	findings         []string
+	evacuated map[string]bool
+	findings  []string
+	// mostRepeats are the most repeats of each service in a window, and the limit there.
+	mostRepeats      []string
 	upstreamsStarted int
 	// restarts are those of upstreams that crashed under a request.
 	restarts sync.WaitGroup
@@ -168,11 +170,11 @@
 		if tb.playsWarmUps() && i%2 == 1 {
 			domain = evacuatedDomain
 		}
-		u, err := newUpstream(service, domain, tb.nextUpstream(service, domain), tb.address(150+i), tb.requestLog, tb.store)
+		u, err := newUpstream(service, domain, tb.nextUpstream(service, domain), tb.address(150+i), tb.slots(), tb.requestLog, tb.store)
 		if err != nil {
 			return err
 		}
-		u.crashUnder, u.uneven = tb.crashUnder, tb.hardLoad()
+		u.crashUnder, u.uneven, u.badShare = tb.crashUnder, tb.hardLoad(), tb.badShare()
 		tb.upstreams = append(tb.upstreams, u)
 	}
 	return nil
@@ -224,10 +226,13 @@
 
 // plays reports whether the seed plays what begins with another seed. From badAnswersFromSeed on
 // each second seed plays nothing else of that, so that many requests are repeated, but heads that
-// break off. From headsFromSeed on the others play no bad answers, so that most are served.
+// break off. From headsFromSeed on the others play no bad answers, so that most are served. From
+// heldFromSeed on all seeds play bad answers and held links, and nothing else of that.
 func (tb *testbed) plays(fromSeed uint64) bool {
 	many := tb.seed%2 == 0
 	switch {
+	case tb.seed >= heldFromSeed:
+		return fromSeed == heldFromSeed || fromSeed == badAnswersFromSeed
 	case fromSeed == headsFromSeed || tb.seed < badAnswersFromSeed:
 		return tb.seed >= fromSeed
 	case fromSeed == badAnswersFromSeed:
@@ -319,6 +324,15 @@
 	if tb.plays(badAnswersFromSeed) {
 		background.Go(tb.answerBadly)
 	}
+	if tb.plays(heldFromSeed) {
+		background.Go(tb.holdLinks)
+		background.Go(tb.writeOddEntries)
+		for i := range patientCallers {
+			c := newCaller(tb, 400+i)
+			c.patience = patientTimeout
+			running.Go(c.runPatiently)
+		}
+	}
 	recoveryChecks := 1
 	if tb.hardLoad() {
 		background.Go(tb.surge)
@@ -332,6 +346,9 @@
 	tb.restarts.Wait()
 	tb.clearFaults()
 	<-time.After(recoveryTime)
+	if tb.plays(heldFromSeed) {
+		tb.checkApplied()
+	}
 	close(tb.stopCallers)
 	running.Wait()
 	for i := range recoveryChecks {
@@ -403,6 +420,7 @@
 	for _, u := range tb.upstreams {
 		u.failureMode.Store(int32(healthy))
 		u.need.Store(nil)
+		u.relay.Hold(false)
 		u.relay.SetMute(false)
 		u.relay.SetDelay(0)
 	}
