--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -88,8 +88,8 @@
 
 // departure is an upstream that has left.
 type departure struct {
-	upstream Upstream
-	at       time.Time
+	startedAtMs int64
+	at          time.Time
 }
 
 // Roster is the set of registered upstreams. It is safe for concurrent use.
@@ -104,9 +104,7 @@
 	readyByService map[string][]Upstream
 	evacuated      []string
 	// reserved holds the addresses that no upstream has.
-	reserved map[string]bool
-	// taken holds the upstreams whose address another process has.
-	taken           []Upstream
+	reserved        map[string]bool
 	storeRegainedAt time.Time
 	revision        kv.Revision
 }
@@ -186,7 +184,7 @@
 // store returned, although it has left or begun to drain since. Another write of its
 // registration, or another start of the upstream, counts as a return.
 func (r *Roster) withdrawn(u Upstream, newEra bool) bool {
-	if left, ok := r.departed[u.ID]; ok && newEra && left.upstream.StartedAtMs == u.StartedAtMs {
+	if left, ok := r.departed[u.ID]; ok && newEra && left.startedAtMs == u.StartedAtMs {
 		return true
 	}
 	old, ok := r.records[u.ID]
@@ -266,7 +264,7 @@
 // drop drops a registration and remembers that the upstream has left.
 func (r *Roster) drop(now time.Time, id string, u Upstream) {
 	delete(r.records, id)
-	r.departed[id] = departure{upstream: u, at: now}
+	r.departed[id] = departure{startedAtMs: u.StartedAtMs, at: now}
 }
 
 // Overdue returns the retained registrations that were not renewed in time, which Expire
@@ -295,7 +293,7 @@
 			dropped = true
 		}
 	}
-	maps.DeleteFunc(r.departed, func(_ string, d departure) bool { return now.Sub(d.at) > rememberDeparted && !r.isClaimed(d) })
+	maps.DeleteFunc(r.departed, func(_ string, d departure) bool { return now.Sub(d.at) > rememberDeparted })
 	if dropped {
 		r.rebuildIndexes()
 	}
@@ -308,16 +306,12 @@
 func (r *Roster) rebuildIndexes() {
 	readyByService := make(map[string][]Upstream)
 	byID := make(map[string]Upstream, len(r.records))
-	claims, taken := r.claims(), []Upstream(nil)
 	for id, rec := range r.records {
 		u := rec.upstream
-		u.AddressTaken = r.addressTaken(claims, u)
+		u.AddressTaken = r.reserved[u.Address]
 		u.Evacuated = slices.Contains(r.evacuated, u.Domain)
 		u.Leaving = r.leavingLocked(u.process())
 		byID[id] = u
-		if u.AddressTaken {
-			taken = append(taken, u)
-		}
 		if u.AcceptsRequests() {
 			readyByService[u.Service] = append(readyByService[u.Service], u)
 		}
@@ -325,7 +319,7 @@
 	for _, list := range readyByService {
 		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 	}
-	r.readyByService, r.byID, r.taken = readyByService, byID, taken
+	r.readyByService, r.byID = readyByService, byID
 }
 
 // SetEvacuated sets the failure domains whose upstreams may get no new requests.
