An upstream's silence is measured by the steady clock

It was computed from the time of day, so that a step of a VM's clock forward made every upstream with a request under way look silent for repeats until it sent something. Found on reading; no run showed it.

--- a/internal/edge/exchange/abandon.go
+++ b/internal/edge/exchange/abandon.go
@@ -45,7 +45,7 @@
 	c.answered.Store(false)
 	c.written.Store(false)
 	c.partlySent.Store(false)
-	c.activity.sent(now)
+	c.activity.requestSent(now)
 }
 
 // interrupt ends reading and writing because the request was given up.
--- a/internal/edge/exchange/pool.go
+++ b/internal/edge/exchange/pool.go
@@ -197,8 +197,7 @@
 		p.idle[address] = kept
 	}
 	for address, a := range p.activities {
-		since := a.waitingSince.Load()
-		if p.idle[address] == nil && (since == 0 || now.Sub(time.Unix(0, since)) > maxAwaited) {
+		if silent := a.silentFor(now); p.idle[address] == nil && (silent == 0 || silent > maxAwaited) {
 			delete(p.activities, address)
 		}
 	}
--- a/internal/edge/exchange/silence.go
+++ b/internal/edge/exchange/silence.go
@@ -116,24 +116,35 @@
 	return controlErr == nil && err == nil
 }
 
-// activity is when the upstream at an address sent something last.
+// activity tells whether the upstream at an address sends anything.
 type activity struct {
-	// waitingSince is when the first request was sent since then, in nanoseconds of Unix time,
-	// or 0.
-	waitingSince atomic.Int64
+	// waitingSince is when the first request was sent since the upstream sent something last, or
+	// nil.
+	waitingSince atomic.Pointer[time.Time]
 }
 
-func (a *activity) sent(now time.Time) { a.waitingSince.CompareAndSwap(0, now.UnixNano()) }
+func (a *activity) requestSent(now time.Time) {
+	if a.waitingSince.Load() == nil {
+		a.waitingSince.CompareAndSwap(nil, &now)
+	}
+}
 
 func (a *activity) received() {
-	if a.waitingSince.Load() != 0 {
-		a.waitingSince.Store(0)
+	if a.waitingSince.Load() != nil {
+		a.waitingSince.Store(nil)
+	}
+}
+
+// silentFor returns for how long the upstream has sent nothing although a request waits.
+func (a *activity) silentFor(now time.Time) time.Duration {
+	if since := a.waitingSince.Load(); since != nil {
+		return now.Sub(*since)
 	}
+	return 0
 }
 
 // Silent reports whether the upstream at an address has sent nothing for a while although a
 // request waits for its answer.
 func (c *Client) Silent(now time.Time, address string) bool {
-	since := c.pool.activityOf(address).waitingSince.Load()
-	return since != 0 && now.Sub(time.Unix(0, since)) > maxSilence
+	return c.pool.activityOf(address).silentFor(now) > maxSilence
 }
