--- a/internal/limit/retry/retry.go
+++ b/internal/limit/retry/retry.go
@@ -14,7 +14,8 @@
 	// part, and gets refilledSlack of it anew in each window. Of the share that requests
 	// earn, earnedShare comes as they are sent, and savedShare may be saved.
 	//
-	// What a process sends in a window is at most what it had saved and what it got since.
+	// What arrives of a process in a window is at most what it had saved, or sent without knowing
+	// that it arrived, and what it got since.
 	// A process saves nothing before its start, so processes that follow one another on a
 	// VM get no more in a window than one that lives, and both pairs add up to less than 1.
 	// The rest covers differences between the windows of processes and those of upstreams.
--- a/internal/limit/share/history.go
+++ b/internal/limit/share/history.go
@@ -36,6 +36,7 @@
 	if now.Sub(u.sentAt) < lateArrival {
 		return
 	}
+	// Another request may have been sent at the same time: only the number counts.
 	for i := len(h.times) - 1; i >= 0; i-- {
 		if !h.times[i].After(u.sentAt) {
 			h.times = slices.Delete(h.times, i, i+1)
