Tests of given-up requests do not depend on how soon they get a processor

The socket that stands for a silent one was to be filled within 50 ms; a write that begins later than its deadline writes nothing, and the queue was empty. It is now written to until its queue is full. In the same way the others wait for what they mean: a request is given up after it was admitted, the later request goes to the second connection, and probes are looked at before the first byte. The checks are the same.

--- a/internal/edge/exchange/abandon_test.go
+++ b/internal/edge/exchange/abandon_test.go
@@ -6,12 +6,13 @@
 	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
+	"os"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
 )
@@ -22,11 +23,12 @@
 // sendAndGiveUp sends a request that is given up after a moment, and returns its error.
 func (s settlements) sendAndGiveUp(t *testing.T, client *exchange.Client, address string, body []byte) error {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	r := request("one")
 	r.Body = body
 	r.Admit = func() (func(exchange.Settlement), bool) {
+		time.AfterFunc(100*time.Millisecond, cancel)
 		return func(how exchange.Settlement) { s <- how }, true
 	}
 	answer, err := client.Do(ctx, address, r)
@@ -101,6 +103,20 @@
 
 func (c silentConn) SyscallConn() (syscall.RawConn, error) { return c.socket.SyscallConn() }
 
+// fillSendQueue writes to a connection whose peer reads nothing until its kernel has more bytes
+// that were not acknowledged than a request has.
+func fillSendQueue(t *testing.T, conn *net.TCPConn) {
+	t.Helper()
+	raw, err := conn.SyscallConn()
+	require.NoError(t, err)
+	for queued := 0; queued < 64<<10; {
+		require.NoError(t, conn.SetWriteDeadline(time.Now().Add(50*time.Millisecond)))
+		_, err := conn.Write(make([]byte, 32<<20))
+		require.ErrorIs(t, err, os.ErrDeadlineExceeded, "the peer reads nothing")
+		require.NoError(t, raw.Control(func(fd uintptr) { queued, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }))
+	}
+}
+
 // Guards against a retry that counts as unsettled though nothing of it was acknowledged, so that
 // its connection's reset has discarded all of it.
 func TestRequestThatWasGivenUpUnacknowledgedIsSettledAtOnce(t *testing.T) {
@@ -112,9 +128,7 @@
 		full, err := dialer.DialContext(ctx, network, address)
 		require.NoError(t, err)
 		t.Cleanup(func() { _ = full.Close() })
-		require.NoError(t, full.SetWriteDeadline(time.Now().Add(50*time.Millisecond)))
-		_, err = full.Write(make([]byte, 32<<20))
-		require.Error(t, err, "the peer reads nothing")
+		fillSendQueue(t, full.(*net.TCPConn))
 		return silentConn{conn, full.(*net.TCPConn)}, nil
 	})
 	t.Cleanup(func() { require.NoError(t, pool.Close()) })
@@ -126,9 +140,8 @@
 // Guards against retries that are refused for a minute because an upstream never closes the
 // connections of requests that were given up, although it answers others.
 func TestRequestThatWasGivenUpIsSettledByTheAnswerToALaterOne(t *testing.T) {
-	var number atomic.Int32
-	u := startUpstream(t, func(conn net.Conn, _ int) bool {
-		if number.Add(1) == 1 {
+	u := startUpstream(t, func(conn net.Conn, number int) bool {
+		if number == 0 {
 			<-t.Context().Done()
 		}
 		return write(conn, completeAnswer)
--- a/internal/edge/exchange/silence_test.go
+++ b/internal/edge/exchange/silence_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
 
@@ -81,13 +82,22 @@
 		return value != 0
 	}
 	client := exchange.NewClient(pool, names, time.Now)
-	done := make(chan error, 1)
-	go func() { _, err := roundTrip(t, client, u, "one"); done <- err }()
+	r, before := request("one"), true
+	r.Admit = func() (func(exchange.Settlement), bool) { before = probes(); return nil, true }
+	answered := make(chan *exchange.Answer, 1)
+	go func() {
+		answer, err := client.Do(t.Context(), u.address, r)
+		assert.NoError(t, err)
+		answered <- answer
+	}()
 	<-u.requests
-	require.False(t, probes(), "the request may not have been acknowledged yet")
 	require.Eventually(t, probes, 5*time.Second, 10*time.Millisecond)
 	close(release)
-	require.NoError(t, <-done)
+	answer := <-answered
+	require.False(t, before, "the request is not acknowledged")
+	_, err := io.ReadAll(answer)
+	require.NoError(t, err)
+	answer.Close(true)
 	require.False(t, probes(), "the connection is idle")
 }
 
@@ -99,7 +109,7 @@
 	client := newClient(t)
 	require.False(t, client.Silent(now, address), "nothing was sent")
 	require.Error(t, make(settlements, 1).sendAndGiveUp(t, client, address, nil))
-	require.False(t, client.Silent(time.Now(), address), "it may be about to answer")
+	require.False(t, client.Silent(now.Add(time.Second), address), "it may be about to answer")
 	later := time.Now().Add(2 * time.Second)
 	require.True(t, client.Silent(later, address))
 	require.NoError(t, accept().Close())
