What the exit of a gateway cuts is counted and logged

Around a planned stop, callers saw answers that were not whole, and none of the lines in the users' record names one of these requests. Handlers log the outcome of a request after its connection was closed, and the process ended beside them without waiting: a request without a line could have been cut, or never have reached a handler.

The line of a request that the exit cuts says when it came, counted from the start of the stop, how much time its caller had left, and how many events were read and passed on. No decision changes.

--- a/internal/edge/flow/ending.go
+++ b/internal/edge/flow/ending.go
@@ -150,9 +150,24 @@
 	return outcomeDisconnected
 }
 
+// beginAnswer records that a part of the answer is passed on to the caller.
+func (c *call) beginAnswer() {
+	c.passing.Store(true)
+	if c.conn != nil {
+		c.conn.BeginAnswer()
+	}
+}
+
 // finishDisconnected ends a request whose connection was closed before the answer
-// was complete, and logs how long the connection was idle before the request.
+// was complete, and logs how long the connection was idle before the request. Of one that the
+// exit of the process cut, it logs when it came, counted from the start of the shutdown, how much
+// time its caller had left, and how many events were read and passed on.
 func (c *call) finishDisconnected(outcome string, details ...any) {
+	if since, _, leaving := c.ShutdownStatus(); leaving && outcome == outcomeCutByShutdown {
+		details = append([]any{
+			"arrived", c.arrivedAt.Sub(since), "time-left", c.deadline.Sub(c.Now()), "read", c.events, "passed", c.progress.events,
+		}, details...)
+	}
 	if c.conn != nil {
 		details = append(details, "idle", c.conn.IdleTime())
 	}
--- a/internal/edge/flow/held.go
+++ b/internal/edge/flow/held.go
@@ -236,7 +236,7 @@
 		}
 	}
 	c.progress.opened, c.progress.unfinished = true, true
-	c.passing.Store(true)
+	c.beginAnswer()
 	c.Headers.Caller(answer.Header, c.w.Header())
 	c.stateLength(answer.Length())
 	c.w.WriteHeader(answer.Status)
--- a/internal/edge/flow/stream.go
+++ b/internal/edge/flow/stream.go
@@ -174,7 +174,7 @@
 		return err
 	}
 	c.progress.opened = true
-	c.passing.Store(true)
+	c.beginAnswer()
 	c.Headers.Caller(answer.Header, c.w.Header())
 	c.w.WriteHeader(answer.Status)
 	c.Metrics.FirstEventSent(c.tier, c.Now().Sub(c.arrivedAt))
--- a/internal/edge/ingress/conn.go
+++ b/internal/edge/ingress/conn.go
@@ -38,6 +38,8 @@
 	// inFlight reports that the handler has a request, closedInFlight that this
 	// process closed the connection before the request was answered.
 	inFlight, closed, closedInFlight bool
+	// begun reports that a part of the answer to that request was passed on.
+	begun bool
 }
 
 // Read implements net.Conn.
@@ -116,7 +118,7 @@
 func (c *Conn) setInFlight(inFlight bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.inFlight = inFlight
+	c.inFlight, c.begun = inFlight, false
 	c.countClosedInFlightLocked()
 }
 
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -235,7 +235,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return s.httpServer.Close()
+			return s.abort()
 		case now := <-ticker.C:
 			if now.After(drainFrom) && s.activeRequests.Load() == 0 {
 				return s.drain(ctx)
@@ -263,7 +263,7 @@
 		case <-ticker.C:
 		}
 	}
-	return errors.Join(err, s.httpServer.Close())
+	return errors.Join(err, s.abort())
 }
 
 // stopAccepting closes the listener and waits until the last accepted connection is
