--- a/internal/role/gateway/fleet_test.go
+++ b/internal/role/gateway/fleet_test.go
@@ -197,9 +197,13 @@
 	go func() { _ = server.Serve(listener) }()
 }
 
+// stallTime is how long an engine stalls: longer than any caller of these tests waits.
+const stallTime = 20 * time.Second
+
 // engine returns a handler that streams events a tenth of a second apart and counts
-// its running requests. The query may state the number of events, and after how many the
-// first attempt breaks off; a resumed stream goes on after the last event it had.
+// its running requests. The query may state the number of events, after how many the first
+// attempt breaks off, and after how many it stalls; a resumed stream goes on after the last
+// event it had.
 func (f *fleet) engine(name string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.mu.Lock()
@@ -242,6 +246,10 @@
 		if n, err := strconv.Atoi(query.Get("events")); err == nil {
 			events = n
 		}
+		stallAfter := -1
+		if n, err := strconv.Atoi(query.Get("stall")); err == nil {
+			stallAfter = n
+		}
 		breakAfter, err := strconv.Atoi(query.Get("break"))
 		id := r.Header.Get(attemptIDHeader)
 		f.mu.Lock()
@@ -256,6 +264,10 @@
 			if breaks && i == breakAfter {
 				panic(http.ErrAbortHandler)
 			}
+			if i == stallAfter {
+				bubble.Sleep(stallTime)
+				panic(http.ErrAbortHandler)
+			}
 			bubble.Sleep(100 * time.Millisecond)
 			if _, err := fmt.Fprintf(w, "id: %d\ndata: x\n\n", i+1); err != nil {
 				return
