A stream that comes late in a stop is passed on once it is complete

What callers saw: around planned stops, streams of status 200 that ended in the middle.

Cause: a stopping gateway takes a stream if the most tokens that it may generate end before the exit, at the pace that was learned of the engines and with a learned margin. The tokens are a bound, the pace is not: an engine that turns slow, pauses or gets more to do keeps the stream beyond the exit, which cuts it. The only bound that holds whatever an engine does is the request's deadline.

Change: a stream that is received later than the load balancer needs to notice the stop, and whose deadline lies after the exit, is held until it is complete. If it is not by the exit, nothing of it was passed on and its caller gets a 502, as a plain request does; if its upstream breaks it off, another one may serve it from the start. Streams whose deadline lies before the exit, and those taken earlier, are passed on as they come. Refusing these streams would be an alternative while others accept callers, and none while all stop; most of them end in a tenth of a second.

--- a/internal/edge/flow/ending.go
+++ b/internal/edge/flow/ending.go
@@ -187,6 +187,9 @@
 	}
 	details = append(details, "last-event", c.progress.lastEventID, "longest-gap", c.longestGap,
 		"prompt", c.request.PromptTokens, "output", c.request.OutputTokens, "hint", c.request.LengthHint)
+	if c.whole {
+		details = append(details, "whole", true, "read", c.events)
+	}
 	return append(details, c.exitPlan.attributes()...)
 }
 
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -174,6 +174,8 @@
 	failedAnswer *exchange.Answer
 	failedBody   []byte
 	progress     streamProgress
+	// whole reports that the stream is passed on only once it is complete.
+	whole bool
 	// passing is set once the caller is sent an answer.
 	passing atomic.Bool
 	logger  *slog.Logger
--- a/internal/edge/flow/shutdown.go
+++ b/internal/edge/flow/shutdown.go
@@ -46,6 +46,9 @@
 	return now.Sub(s.startedAt) <= balancerNoticeTime
 }
 
+// receivedAt returns when all of the request had been received.
+func (c *call) receivedAt() time.Time { return c.arrivedAt.Add(c.bodyTime) }
+
 // checkShutdown reads whether the process is shutting down. A shutdown may begin while
 // a request waits for its body or for a placement.
 func (c *call) checkShutdown() {
--- a/internal/edge/flow/stream.go
+++ b/internal/edge/flow/stream.go
@@ -116,19 +116,23 @@
 	}
 }
 
-// deliverStream passes events on as they arrive. A stream that resumes one which
-// another upstream broke off continues the same answer.
+// deliverStream passes a stream on. One that resumes another, which an upstream broke off,
+// continues the same answer.
 func (c *call) deliverStream(ctx context.Context, placement Placement, answer *exchange.Answer) Outcome {
 	source := c.newStreamSource(ctx, placement, answer)
 	defer source.stop()
+	if c.deliversWhole() {
+		return c.deliverWhole(placement, source, answer)
+	}
+	return c.deliverEvents(source, answer)
+}
+
+// deliverEvents passes events on as they arrive.
+func (c *call) deliverEvents(source *streamSource, answer *exchange.Answer) Outcome {
 	for {
 		next, err := source.next()
 		if errors.Is(err, io.EOF) {
-			if err := c.endStream(answer); err != nil {
-				return c.handleUnwritable(answer, err)
-			}
-			c.finish(outcomeAnswered, append(c.lastAttempt(), "load", answer.Load)...)
-			return Answered
+			return c.completeStream(answer)
 		}
 		if err != nil {
 			return source.outcome
@@ -148,6 +152,15 @@
 	}
 }
 
+// completeStream ends an answer of which all events were passed on.
+func (c *call) completeStream(answer *exchange.Answer) Outcome {
+	if err := c.endStream(answer); err != nil {
+		return c.handleUnwritable(answer, err)
+	}
+	c.finish(outcomeAnswered, append(c.lastAttempt(), "load", answer.Load)...)
+	return Answered
+}
+
 // handleUnwritable ends a request whose answer cannot be written any further.
 func (c *call) handleUnwritable(answer *exchange.Answer, err error) Outcome {
 	answer.Close(false)
@@ -191,14 +204,20 @@
 	if err := http.NewResponseController(c.w).Flush(); err != nil {
 		return err
 	}
+	c.recordPassed(e)
+	return nil
+}
+
+// recordPassed records an event that was passed on.
+func (c *call) recordPassed(e event) {
 	c.progress.events++
-	if e.id != "" {
-		c.progress.lastEventID = e.id
-		if number, err := strconv.ParseInt(e.id, 10, 64); err == nil {
-			c.progress.lastEventNumber = number
-		}
+	if e.id == "" {
+		return
+	}
+	c.progress.lastEventID = e.id
+	if number, err := strconv.ParseInt(e.id, 10, 64); err == nil {
+		c.progress.lastEventNumber = number
 	}
-	return nil
 }
 
 func (c *call) endStream(answer *exchange.Answer) error {
