Requests are answered at the exit however late the process notices it

A request of which nothing was passed on is given up 40 ms before the exit, and its caller told so. A process with 0.3 of a core in periods of 100 ms may get none for 70 ms: the timers to answer and to exit then fire together, and the way from the first to an answer is longer than that from the second to the closing of all connections. The same happens at once in a grace period that is no longer than the margin of 700 ms.

The exit now closes the connections whose answer is incomplete, waits 200 ms at most until requests that the handler is about to answer have their answers, flushed, and closes the rest. With the 100 ms for handlers and the 200 ms for the log that is 500 ms of the 700 ms; an exit without such requests does not wait. A handler that does not say that it answers at the exit is cut as before.

--- a/internal/edge/flow/shutdown.go
+++ b/internal/edge/flow/shutdown.go
@@ -115,6 +115,9 @@
 	if c.Exit == nil {
 		return ctx, func() {}
 	}
+	if c.conn != nil {
+		c.conn.AnswerAtExit()
+	}
 	ending, cancel := context.WithCancelCause(ctx)
 	stop := context.AfterFunc(c.Exit(), func() {
 		if !c.passing.Load() {
--- a/internal/edge/ingress/conn.go
+++ b/internal/edge/ingress/conn.go
@@ -40,6 +40,9 @@
 	inFlight, closed, closedInFlight bool
 	// begun reports that a part of the answer to that request was passed on.
 	begun bool
+	// answersAtExit reports that the handler answers the request when the process exits. It is
+	// set until that answer was sent.
+	answersAtExit bool
 }
 
 // Read implements net.Conn.
@@ -172,7 +175,7 @@
 func (c *Conn) beginIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idleSince = now
+	c.idleSince, c.answersAtExit = now, false
 }
 
 // beginHeader sets the deadline of a header whose first bytes were read, by the
