A complete stream is not cut at the exit while its caller takes it

A stream that comes late in a stop is held until it is complete, and was then taken for one that has begun: the exit cut it in the middle of the writing, which a caller that reads slowly, or a process without a processor, makes last. The connection now counts as one whose request is being answered, and has the same 200 ms.

--- a/internal/edge/flow/ending.go
+++ b/internal/edge/flow/ending.go
@@ -150,10 +150,10 @@
 	return outcomeDisconnected
 }
 
-// beginAnswer records that a part of the answer is passed on to the caller.
+// beginAnswer records that the answer, or a part of it, is passed on to the caller.
 func (c *call) beginAnswer() {
 	c.passing.Store(true)
-	if c.conn != nil {
+	if c.conn != nil && !c.read {
 		c.conn.BeginAnswer()
 	}
 }
--- a/internal/edge/flow/slow_fixture_test.go
+++ b/internal/edge/flow/slow_fixture_test.go
@@ -48,6 +48,8 @@
 	account *memory.Account
 	ingress *ingress.Server
 
+	// exit ends as that of the flow.Dependencies.
+	exit context.Context
 	// accepted is the gateway's side of the last caller's connection.
 	accepted net.Conn
 
@@ -64,7 +66,7 @@
 // runSlow runs the script in fake time with an account of the limit.
 func runSlow(t *testing.T, limit int64, script func(f *slowFixture)) {
 	bubble.Run(t, func(t *testing.T) {
-		f := &slowFixture{fixture: &fixture{t: t, retryBudget: 1000}, network: network.New(), startedAt: time.Now()}
+		f := &slowFixture{fixture: &fixture{t: t, retryBudget: 1000}, network: network.New(), startedAt: time.Now(), exit: t.Context()}
 		f.content = catalog.Content{
 			Version: 1,
 			Routes: []catalog.Route{
@@ -90,6 +92,7 @@
 			Catalog: func() *catalog.Catalog { return current }, Picker: slowPicker{f},
 			Quota: f, Retries: lockedRetries{f}, Crashes: slowCrashes{f}, Metrics: metrics{}, Logger: slog.New(slog.DiscardHandler),
 			Now: time.Now, ShutdownStatus: f.shutdown, Memory: f.account,
+			Exit: func() context.Context { return f.exit },
 		})
 		f.ingress = ingress.New(ingress.Dependencies{
 			Handler: handler, Catalog: func() *catalog.Catalog { return current }, Metrics: closedMetrics{},
--- a/internal/edge/flow/whole.go
+++ b/internal/edge/flow/whole.go
@@ -43,6 +43,7 @@
 		}
 		heldBytes += n
 	}
+	c.read = true
 	c.releaseBeforeWrite(placement, Answered)
 	if err := c.passEvents(answer, held); err != nil {
 		return c.handleUnwritable(answer, err)
