A request that comes when the process exits is not passed on

Requests are given up 40 ms before the exit by a function that runs in a goroutine of its own. For one that comes after that, the goroutine raced with the attempt: the request could reach an upstream from a process that closes its connection within 40 ms, or 240 ms. The end of the exit's context is now read before the request goes on.

--- a/internal/edge/flow/whole_exit_test.go
+++ b/internal/edge/flow/exit_test.go
@@ -34,3 +34,20 @@
 		})
 	}
 }
+
+// Guards against a request that is passed on to an upstream though it came after the time at
+// which requests are given up before the exit.
+func TestRequestThatComesWhenTheProcessExitsIsNotPassedOn(t *testing.T) {
+	for range 200 {
+		runSlow(t, ampleMemory, func(f *slowFixture) {
+			f.serveUpstream("one", func(w *upstreamWriter, _ *http.Request) { w.stream(1, 1, 10, 0) })
+			exit, endExit := context.WithCancel(f.t.Context())
+			endExit()
+			f.exit = exit
+			response, _, err := f.send("/read/x", "key", "r1", "Content-Length: 4\r\n", "body").read()
+			require.NoError(f.t, err)
+			require.Equal(f.t, http.StatusServiceUnavailable, response.StatusCode)
+			require.Empty(f.t, f.record().executed)
+		})
+	}
+}
--- a/internal/edge/flow/shutdown.go
+++ b/internal/edge/flow/shutdown.go
@@ -119,7 +119,11 @@
 		c.conn.AnswerAtExit()
 	}
 	ending, cancel := context.WithCancelCause(ctx)
-	stop := context.AfterFunc(c.Exit(), func() {
+	exit := c.Exit()
+	if exit.Err() != nil {
+		cancel(errExits)
+	}
+	stop := context.AfterFunc(exit, func() {
 		if !c.passing.Load() {
 			cancel(errExits)
 		}
