--- a/internal/edge/flow/shutdown.go
+++ b/internal/edge/flow/shutdown.go
@@ -115,8 +115,15 @@
 	if c.Exit == nil {
 		return ctx, func() {}
 	}
+	if c.conn != nil {
+		c.conn.AnswerAtExit()
+	}
 	ending, cancel := context.WithCancelCause(ctx)
-	stop := context.AfterFunc(c.Exit(), func() {
+	exit := c.Exit()
+	if exit.Err() != nil {
+		cancel(errExits)
+	}
+	stop := context.AfterFunc(exit, func() {
 		if !c.passing.Load() {
 			cancel(errExits)
 		}
