Engine time of a stream that must end is counted by its estimate

Cause: a slot request carries one length. In a stop that is the most tokens that the stream may generate, by which its end is planned, and the scheduler counted it as the engine time that the tier got. Maxima are some 20 times the estimates, so that for a second or two a lower tier seemed to get less than its share and went first.

Change: a request that is planned by its maximum states the estimate in a second field; the end is planned by the maximum as before, engine time is counted by the estimate. The old field keeps its meaning, so that a scheduler of an earlier build plans ends as before, and of a gateway of an earlier build, which states no estimate, the one length counts. Outside a stop the field is not set, and nothing changes.

Evidence: TestEngineTimeOfAStreamThatMustEndIsThatOfItsEstimate, eight streams of 60 tokens estimated and 2,940 at most: the lower tier goes first without the change in share.go, the higher one with it, 30 of 30.

TestMaximumOfAStreamThatMustEndIsNotCountedAsEngineTime remains listed: it states one length only, as a gateway of an earlier build does, which counts as before.

--- a/internal/edge/flow/request.go
+++ b/internal/edge/flow/request.go
@@ -115,6 +115,9 @@
 	PromptTokens int
 	OutputTokens int
 	PromptParts  []PromptPart
+	// EstimatedTokens is the estimate of the answer's tokens if OutputTokens is the most that
+	// the request allows, and 0 if OutputTokens is the estimate.
+	EstimatedTokens int
 	// UntilExit is set if Deadline is the exit of this process, and EndConstraint states
 	// whether the stream must end by then.
 	UntilExit     bool
--- a/internal/edge/flow/shutdown.go
+++ b/internal/edge/flow/shutdown.go
@@ -155,7 +155,7 @@
 	case c.shutdown.unnoticed(now) && !othersAccept:
 		req.EndConstraint = EndPreferred
 	default:
-		req.EndConstraint, req.OutputTokens = EndRequired, c.request.OutputTokens
+		req.EndConstraint, req.OutputTokens, req.EstimatedTokens = EndRequired, c.request.OutputTokens, req.OutputTokens
 	}
 	c.exitPlan = exitPlan{
 		sinceStop: now.Sub(c.shutdown.startedAt), timeLeft: c.shutdown.exitAt.Sub(now),
--- a/internal/sched/board/ask.go
+++ b/internal/sched/board/ask.go
@@ -23,8 +23,11 @@
 	// NextEventDue is the deadline of the first event. An answer after Deadline is useless.
 	NextEventDue, Deadline time.Time
 	PromptTokens           int
-	// OutputTokens is the estimated number of tokens to generate.
+	// OutputTokens is the number of tokens by which the stream's end is planned: the estimate
+	// of those to generate or, if EstimatedTokens is that, the most that the request allows.
 	OutputTokens int
+	// EstimatedTokens is 0 if there is no estimate beside OutputTokens.
+	EstimatedTokens int
 	// EndConstraint tells whether the stream is cut off at Deadline.
 	EndConstraint     EndConstraint
 	EventGapTarget    time.Duration
--- a/internal/sched/board/share.go
+++ b/internal/sched/board/share.go
@@ -1,6 +1,7 @@
 package board
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -65,7 +66,7 @@
 	}
 	use := s.tierUse(now, req)
 	use.granted++
-	decoding := float64(req.OutputTokens) * profile.StepMs(e.Slots) / float64(max(1, e.Slots))
+	decoding := float64(cmp.Or(req.EstimatedTokens, req.OutputTokens)) * profile.StepMs(e.Slots) / float64(max(1, e.Slots))
 	use.engineMs += profile.PrefillMs(req.PromptTokens, 1) + decoding
 }
 
