A stream that should end in a stop is planned no longer than its maximum

Cause: while all gateways begin to stop, a stream is planned by its estimate, which counts 1.6 times, since estimates are often off by half. One whose estimate is as large as its maximum cannot be longer, and was refused all the same: 240 tokens, 4 s, with 5.8 s left.

Change: a slot request that is planned by an estimate in a stop states the maximum, too, of a resumed stream that of its rest. The likely length takes no longer than the maximum does, with the 250 ms that a stream of any length may lose to prompts of others: the factor, which hid that allowance, no longer covers it. No stream is planned longer than before. Without the field, from a gateway of an earlier build, 1.6 times the estimate counts as before; outside a stop it is not set, and a required end is planned as before.

--- a/internal/edge/flow/lengths_internal_test.go
+++ b/internal/edge/flow/lengths_internal_test.go
@@ -25,3 +25,22 @@
 		})
 	}
 }
+
+// Guards against a slot request that states only the estimate of a stream whose maximum is known.
+func TestStreamPlannedByItsEstimateStatesItsMaximumToo(t *testing.T) {
+	for _, s := range []struct {
+		stopCase
+		maximum int
+	}{
+		{stopCase{name: "early", arrives: time.Second, hint: testHint}, testMax},
+		{stopCase{name: "early, no hint", arrives: time.Second}, testMax},
+		{stopCase{name: "early, planned by the maximum", arrives: time.Second, hint: testHint, othersAccept: true}, 0},
+		{stopCase{name: "late", arrives: 3 * time.Second, hint: testHint}, 0},
+		{stopCase{name: "ends before the exit", arrives: time.Second, hint: testHint, timeout: time.Second}, 0},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			_, req, _ := s.plan(t)
+			require.Equal(t, s.maximum, req.MaxTokens)
+		})
+	}
+}
--- a/internal/edge/flow/request.go
+++ b/internal/edge/flow/request.go
@@ -118,6 +118,9 @@
 	// EstimatedTokens is the estimate of the answer's tokens if OutputTokens is the most that
 	// the request allows, and 0 if OutputTokens is the estimate.
 	EstimatedTokens int
+	// MaxTokens is the most that the answer may have if OutputTokens is an estimate and
+	// EndConstraint is EndPreferred, else 0.
+	MaxTokens int
 	// UntilExit is set if Deadline is the exit of this process, and EndConstraint states
 	// whether the stream must end by then.
 	UntilExit     bool
--- a/internal/edge/flow/shutdown.go
+++ b/internal/edge/flow/shutdown.go
@@ -151,9 +151,9 @@
 	case c.mayHaveExecuted:
 		// A stream that has begun would be broken off for certain, and one that an
 		// upstream may have executed can no longer be refused as not executed.
-		req.EndConstraint = EndPreferred
+		req.EndConstraint, req.MaxTokens = EndPreferred, c.tokensLeft(c.request.OutputTokens)
 	case c.shutdown.unnoticed(now) && !othersAccept:
-		req.EndConstraint = EndPreferred
+		req.EndConstraint, req.MaxTokens = EndPreferred, c.tokensLeft(c.request.OutputTokens)
 	default:
 		req.EndConstraint, req.OutputTokens, req.EstimatedTokens = EndRequired, c.request.OutputTokens, req.OutputTokens
 	}
--- a/internal/sched/board/ask.go
+++ b/internal/sched/board/ask.go
@@ -28,6 +28,8 @@
 	OutputTokens int
 	// EstimatedTokens is 0 if there is no estimate beside OutputTokens.
 	EstimatedTokens int
+	// MaxTokens is the most that a stream with EndPreferred may generate, 0 if that is not known.
+	MaxTokens int
 	// EndConstraint tells whether the stream is cut off at Deadline.
 	EndConstraint     EndConstraint
 	EventGapTarget    time.Duration
--- a/internal/sched/board/lengths_test.go
+++ b/internal/sched/board/lengths_test.go
@@ -51,3 +51,41 @@
 		require.Equal(t, maximum == 60, countGranted(b.Decisions()) == 1, "maximum %d", maximum)
 	}
 }
+
+// Guards against refusing a stream that should end in time because its estimate counts as longer
+// than it can be.
+func TestPreferredEndIsNotPlannedBeyondTheMaximum(t *testing.T) {
+	const remaining = 5800 * time.Millisecond
+	now := startTime.Add(time.Minute)
+	for _, c := range []struct {
+		estimate, maximum int
+		granted           bool
+	}{
+		{240, 0, false}, // from a gateway of an earlier build
+		{240, 240, true},
+		{240, 300, true},
+		{240, 360, false},
+		{240, 2940, false},
+		{360, 360, false},
+		{180, 180, true},
+		{180, 2940, true},
+	} {
+		b := newSlowScheduler(t)
+		req := newSlotRequest(now, "gateway", "one")
+		req.OutputTokens, req.MaxTokens, req.EndConstraint, req.Deadline = c.estimate, c.maximum, board.EndPreferred, now.Add(remaining)
+		b.Submit(now, req)
+		require.Equal(t, c.granted, countGranted(b.Decisions()) == 1, "estimate %d, maximum %d", c.estimate, c.maximum)
+	}
+}
+
+// Guards against a maximum that counts where the length alone decided.
+func TestMaximumCountsForPreferredEndsOnly(t *testing.T) {
+	now := startTime.Add(time.Minute)
+	for _, end := range []board.EndConstraint{board.EndUnconstrained, board.EndRequired} {
+		b := newSlowScheduler(t)
+		req := newSlotRequest(now, "gateway", "one")
+		req.OutputTokens, req.MaxTokens, req.EndConstraint, req.Deadline = 360, 12, end, now.Add(5800*time.Millisecond)
+		b.Submit(now, req)
+		require.Zero(t, countGranted(b.Decisions()))
+	}
+}
--- a/internal/sched/board/overrun.go
+++ b/internal/sched/board/overrun.go
@@ -96,6 +96,17 @@
 	return e.decodeTime(float64(output)) + prefillInterference
 }
 
+// likelyStreamTime returns the time from the first event to the end that is planned for a
+// stream that should end in time: that of a length which its estimate may be wrong by, but no
+// longer than its maximum takes.
+func (e *engine) likelyStreamTime(req *SlotRequest) time.Duration {
+	likely := e.decodeTime(likelyLengthFactor * float64(req.OutputTokens))
+	if req.MaxTokens > 0 {
+		return min(likely, e.plannedStreamTime(req.MaxTokens))
+	}
+	return likely
+}
+
 // endsInTime reports whether a stream with the given first-event latency ends before
 // its Deadline, with all slots of the engine in use. For an open-ended stream only the
 // estimated length counts: with a margin, the longest streams would fit on the fastest
@@ -106,7 +117,7 @@
 	case EndRequired:
 		return firstEvent+e.maxStreamTime(req.OutputTokens) <= remaining
 	case EndPreferred:
-		return firstEvent+e.decodeTime(likelyLengthFactor*float64(req.OutputTokens)) <= remaining
+		return firstEvent+e.likelyStreamTime(req) <= remaining
 	case EndUnconstrained:
 	}
 	return firstEvent+e.decodeTime(float64(req.OutputTokens)) <= remaining
--- a/internal/sched/permit/permit.go
+++ b/internal/sched/permit/permit.go
@@ -273,7 +273,7 @@
 		Prompt: uint32(req.PromptTokens), Output: uint32(req.OutputTokens), MaxGapMs: uint32(req.Route.EventGapTarget.Milliseconds()),
 		Exclude: req.ExcludedUpstreams, Again: req.Resent, Fingerprint: req.Fingerprint,
 		Domains: req.Domains, OnlyVersion: req.RequiredVersion, NotVersion: req.ExcludedVersion, End: endConstraintMessage(req.EndConstraint),
-		Workspace: req.Workspace, Estimate: uint32(req.EstimatedTokens),
+		Workspace: req.Workspace, Estimate: uint32(req.EstimatedTokens), Maximum: uint32(req.MaxTokens),
 	}}}
 }
 
--- a/internal/sched/permit/serve.go
+++ b/internal/sched/permit/serve.go
@@ -44,7 +44,7 @@
 		PromptTokens: int(a.Prompt), OutputTokens: int(a.Output), EndConstraint: decodeEndConstraint(a.End), EventGapTarget: time.Duration(a.MaxGapMs) * time.Millisecond,
 		ExcludedUpstreams: a.Exclude, Resent: a.Again, Fingerprint: a.Fingerprint,
 		Domains: a.Domains, RequiredVersion: a.OnlyVersion, ExcludedVersion: a.NotVersion, Workspace: a.Workspace, Repeated: a.Repeated,
-		EstimatedTokens: int(a.Estimate),
+		EstimatedTokens: int(a.Estimate), MaxTokens: int(a.Maximum),
 	}
 }
 
