Events of a stream that broke off while it was held leave their memory

What is held is now released with the attempt, and once it was passed on for want of memory.

TestStreamLateInAShutdownThatBreaksOffLeavesItsMemory guards it; it was not run on the code before.

--- a/internal/edge/flow/ending.go
+++ b/internal/edge/flow/ending.go
@@ -153,7 +153,7 @@
 // beginAnswer records that the answer, or a part of it, is passed on to the caller.
 func (c *call) beginAnswer() {
 	c.passing.Store(true)
-	if c.conn != nil && !c.read {
+	if c.conn != nil && !c.complete {
 		c.conn.BeginAnswer()
 	}
 }
--- a/internal/edge/flow/flow.go
+++ b/internal/edge/flow/flow.go
@@ -176,8 +176,8 @@
 	progress     streamProgress
 	// whole reports that the stream is passed on only once it is complete.
 	whole bool
-	// read reports that the whole answer was read, so that only its caller delays its end.
-	read bool
+	// complete reports that the whole answer was read, so that only its caller delays its end.
+	complete bool
 	// passing is set once the caller is sent an answer.
 	passing atomic.Bool
 	logger  *slog.Logger
--- a/internal/edge/flow/whole.go
+++ b/internal/edge/flow/whole.go
@@ -17,14 +17,21 @@
 	return c.shutdown.started() && !c.progress.opened && c.deadline.After(c.shutdown.exitAt) && !c.shutdown.unnoticed(c.receivedAt())
 }
 
+// heldEvents are the events of a stream that is passed on once it is complete.
+type heldEvents struct {
+	events []event
+	// bytes is the memory that they take, and unfinished the part of it that was taken of the
+	// budget for unfinished answers.
+	bytes, unfinished int64
+}
+
 // deliverWhole passes the stream on once it is complete. Until then another upstream may still
 // serve the request, and one that has no whole answer by the exit is told so, in place of a
 // part of a stream. If there is no memory for all of it, the rest is passed on as it comes.
 func (c *call) deliverWhole(placement Placement, source *streamSource, answer *exchange.Answer) Outcome {
 	c.whole = true
-	var held []event
-	var heldBytes int64
-	defer func() { c.releaseEvents(heldBytes) }()
+	var held heldEvents
+	defer c.releaseEvents(&held)
 	for {
 		next, err := source.next()
 		if errors.Is(err, io.EOF) {
@@ -33,47 +40,51 @@
 		if err != nil {
 			return source.outcome
 		}
-		held = append(held, next)
-		n := int64(len(next.raw)) + queuedEventBytes
-		if !c.reserveEvents(heldBytes, n) {
-			if err := c.passEvents(answer, held); err != nil {
+		if !c.hold(&held, next) {
+			if err := c.passEvents(answer, append(held.events, next)); err != nil {
 				return c.handleUnwritable(answer, err)
 			}
+			c.releaseEvents(&held)
 			return c.deliverEvents(source, answer)
 		}
-		heldBytes += n
 	}
-	c.read = true
+	c.complete = true
 	c.releaseBeforeWrite(placement, Answered)
-	if err := c.passEvents(answer, held); err != nil {
+	if err := c.passEvents(answer, held.events); err != nil {
 		return c.handleUnwritable(answer, err)
 	}
 	return c.completeStream(answer)
 }
 
-// reserveEvents reserves n bytes for an event that is held, beside those that are.
-func (c *call) reserveEvents(held, n int64) bool {
-	small := held+n <= smallAnswerBytes
+// hold holds an event beside the others, if there is memory for it.
+func (c *call) hold(held *heldEvents, e event) bool {
+	n := int64(len(e.raw)) + queuedEventBytes
+	small := held.bytes+n <= smallAnswerBytes
 	switch {
-	case c.held.answer != nil && c.held.answer.Grow(c.Now(), n):
-		return true
-	case c.held.answer != nil && small:
-		c.held.answer.Force(n)
-		return true
-	case c.held.answer == nil && small:
-		return true
-	case c.held.answer == nil && c.Unfinished.Take(n):
-		c.held.unfinished += n
-		return true
+	case c.held.answer != nil:
+		if !c.held.answer.Grow(c.Now(), n) {
+			if !small {
+				return false
+			}
+			c.held.answer.Force(n)
+		}
+	case !small:
+		if !c.Unfinished.Take(n) {
+			return false
+		}
+		held.unfinished += n
 	}
-	return false
+	held.events, held.bytes = append(held.events, e), held.bytes+n
+	return true
 }
 
-// releaseEvents releases the memory of events that were held.
-func (c *call) releaseEvents(n int64) {
+// releaseEvents releases the events that are held and their memory.
+func (c *call) releaseEvents(held *heldEvents) {
 	if c.held.answer != nil {
-		c.held.answer.Shrink(c.Now(), n)
+		c.held.answer.Shrink(c.Now(), held.bytes)
 	}
+	c.Unfinished.Return(held.unfinished)
+	*held = heldEvents{}
 }
 
 // passEvents passes the events on together.
--- a/internal/edge/flow/whole_test.go
+++ b/internal/edge/flow/whole_test.go
@@ -68,3 +68,23 @@
 		})
 	}
 }
+
+// Guards against memory that an attempt keeps whose stream broke off while it was held: the next
+// attempt has no room.
+func TestStreamLateInAShutdownThatBreaksOffLeavesItsMemory(t *testing.T) {
+	var events strings.Builder
+	for i := range 100 {
+		fmt.Fprintf(&events, "id: %d\ndata: %s\n\n", i+1, strings.Repeat("x", 1000))
+	}
+	f := lateInShutdown(t)
+	f.unfinished = memory.NewBudget(60 << 10) // for what one attempt holds beyond 64 KiB
+	f.start()
+	f.addUpstream("one", streamHeader+events.String()+"id: 101\ndata:")
+	f.addUpstream("two", streamHeader+events.String())
+	response, body, err := f.call("/long/x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Equal(t, strings.ReplaceAll(events.String(), "\n", "\r\n"), body)
+	f.server.Close() // waits for the handler
+	require.True(t, f.unfinished.Take(60<<10), "memory is still held")
+}
