A scheduler selected while the cache is invalidated is not cached

An engine of two slots got a third request in a stop. A gateway caches the scheduler that it selected for 5 ms, and forgets it when it begins to stop or hears of a stop. A request that selected at that moment put the former scheduler back into the cache afterwards; as selections are recorded one after the other, the look that follows the news then read it there. The gateway reported its slots to the successor with the next gossip, 100 ms late, and others asked that one after 30 ms.

Trace of a case (log of all gateways, fake time): gateway-2 stops at 3.220 and keeps itself in the cache; gateway-0 gets the slots of itself at 3.220 and of gateway-1 at 3.240, grants engine-1 at 3.250 and engine-0 at 3.270, and gets the two slots of gateway-2, of the same engines, at 3.320. Engines counted 3 requests as they began; none had ended, so that the counting of the test is right.

The cache is a type of its own, which counts invalidations and keeps no selection that began before one.

--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -365,7 +365,7 @@
 	g.logger.Info("stopping", "grace", grace)
 	now := g.now()
 	g.stop.Store(&stopWindow{start: now, end: now.Add(grace - stopMargin)})
-	g.peers.invalidateScheduler()
+	g.peers.selected.invalidate()
 	// The successor must know the slots of this gateway before it is asked for others.
 	g.permits.UpdateScheduler(now)
 	g.mesh.AnnounceLeaving()
--- a/internal/role/gateway/peers.go
+++ b/internal/role/gateway/peers.go
@@ -15,13 +15,8 @@
 	"github.com/persimmonridge/persimmonridge/internal/state/kv"
 )
 
-const (
-	// unranked is the rank of a gateway that has not read its own registration yet.
-	unranked = math.MaxInt64
-	// schedulerCacheTTL is how long the selected scheduler is cached: every request and
-	// every gossip message looks it up, and a hub selects among hundreds of peers.
-	schedulerCacheTTL = 5 * time.Millisecond
-)
+// unranked is the rank of a gateway that has not read its own registration yet.
+const unranked = math.MaxInt64
 
 // peers handles the exchange with the other gateways. It implements mesh.Handler, and
 // follow.View for the list of gateways in the store.
@@ -39,9 +34,6 @@
 	// configLag and changeLag track how far this gateway is behind its peers in the
 	// configuration and in the changes from the store.
 	configLag, changeLag lag
-	// cachedScheduler is the scheduler that was selected at schedulerCachedAt.
-	cachedScheduler   string
-	schedulerCachedAt time.Time
 	// storeReachedAt holds, by peer, when it last reported that the store answers it.
 	storeReachedAt map[string]time.Time
 	// writeFailedAt is when the store last failed to answer a write on behalf of all gateways,
@@ -54,6 +46,7 @@
 	// are not selected until they are heard again.
 	silentSince map[string]time.Time
 	stops       *peerStops
+	selected    schedulerCache
 }
 
 // Replace implements follow.View.
@@ -147,7 +140,7 @@
 	p.notePeerWrites(peer, g.WritesFail)
 	if g.Leaving {
 		// The successor of a scheduler must hear of the held slots at once.
-		p.invalidateScheduler()
+		p.selected.invalidate()
 	}
 	p.permits.UpdateScheduler(now)
 }
@@ -195,8 +188,8 @@
 	p.mu.Lock()
 	delete(p.storeReachedAt, peer)
 	delete(p.peerWritesFail, peer)
-	p.schedulerCachedAt = time.Time{}
 	p.mu.Unlock()
+	p.selected.invalidate()
 	p.relay.peerDown(peer)
 	p.stops.down(now, peer)
 	p.granter.OwnerDown(peer)
@@ -212,25 +205,7 @@
 // themselves and grant more slots than the engines have. Gateways that disagree about
 // the scheduler can at worst overload an engine; correctness does not depend on it.
 func (p *peers) scheduler(now time.Time) string {
-	p.mu.Lock()
-	age := now.Sub(p.schedulerCachedAt)
-	node, fresh := p.cachedScheduler, p.schedulerCachedAt != time.Time{} && age >= 0 && age < schedulerCacheTTL
-	p.mu.Unlock()
-	if fresh {
-		return node
-	}
-	node = p.selectScheduler(now)
-	p.mu.Lock()
-	p.cachedScheduler, p.schedulerCachedAt = node, now
-	p.mu.Unlock()
-	return node
-}
-
-// invalidateScheduler makes the next call of scheduler ignore the cached choice.
-func (p *peers) invalidateScheduler() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.schedulerCachedAt = time.Time{}
+	return p.selected.get(now, p.selectScheduler)
 }
 
 func (p *peers) selectScheduler(now time.Time) string {
@@ -330,8 +305,8 @@
 	p.mu.Lock()
 	_, known := p.silentSince[node]
 	p.silentSince[node] = since
-	p.schedulerCachedAt = time.Time{}
 	p.mu.Unlock()
+	p.selected.invalidate()
 	if !known {
 		p.logger.Info("scheduler silent", "node", node, "for", now.Sub(since))
 	}
--- a/internal/role/gateway/views.go
+++ b/internal/role/gateway/views.go
@@ -68,7 +68,7 @@
 	g.quota.AddWorkspaces(g.now(), next.Workspaces())
 	g.ledger.SetWorkspaces(next.Workspaces())
 	g.catalog.Store(next)
-	g.peers.invalidateScheduler()
+	g.peers.selected.invalidate()
 	g.rawConfig.Store(&raw)
 	return true
 }
