No state collected before a stop is sent after its announcement

A stopping gateway announces the stop at once. Its regular gossip, collected just before and queued just after, told the peers the opposite: they selected the stopping scheduler again once their cached choice was 5 ms old, until the next gossip 100 ms later.

States are numbered when their collection begins, and one that is older than the last one queued for a peer is not sent to it.

--- a/internal/fleet/mesh/mesh.go
+++ b/internal/fleet/mesh/mesh.go
@@ -135,6 +135,8 @@
 	exited        bool
 	lastReconnect time.Time
 	gossipsSent   int
+	// sentState is the number of the state that was last queued for the peer.
+	sentState uint64
 	// The checksums are those of the lists of heard peers, of unavailable gateways, of rate
 	// limits, of leaving upstreams, of processes that refused connections and of cleared
 	// crashes that were last sent to the peer, and of the last crash.
@@ -171,10 +173,12 @@
 	byNode map[string]*peer
 	// heardVersion counts how often a peer was heard anew.
 	heardVersion uint64
-	unavailable  unavailableLists
-	ctx          context.Context
-	group        *errgroup.Group
-	closed       bool
+	// lastState is the number of the last state that was collected for gossip.
+	lastState   uint64
+	unavailable unavailableLists
+	ctx         context.Context
+	group       *errgroup.Group
+	closed      bool
 	// exiting is sent in the last gossip message.
 	exiting bool
 	// rank is this process's rank; hub is set if it is a hub, since hubSince.
--- a/internal/fleet/mesh/order_test.go
+++ b/internal/fleet/mesh/order_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -88,3 +89,50 @@
 		require.Zero(t, alive, "b was alive on some of the %d times that it was reported down", down)
 	})
 }
+
+// collectTime is how long a stoppingHandler takes to collect its state.
+const collectTime = 10 * time.Millisecond
+
+// stoppingHandler collects its state slowly until it stops.
+type stoppingHandler struct {
+	downCounter
+	leaving atomic.Bool
+}
+
+func (h *stoppingHandler) FillGossip(_ time.Time, g *wire.Gossip) {
+	g.Ready, g.Leaving = true, h.leaving.Load()
+	if !g.Leaving {
+		bubble.Sleep(collectTime)
+	}
+}
+
+// Guards against peers that go back to a stopping scheduler for a gossip interval: a state that
+// was collected before the stop is sent after the announcement of the stop.
+func TestNoEarlierStateFollowsTheAnnouncementOfAStop(t *testing.T) {
+	for after := time.Second; after < 1150*time.Millisecond; after += collectTime / 2 {
+		bubble.Run(t, func(t *testing.T) {
+			n, handler := network.New(), &stoppingHandler{}
+			listener, err := n.Listen("a:1")
+			require.NoError(t, err)
+			handler.mesh = mesh.New("a:1", "a:1", 1, n, handler, slog.New(slog.DiscardHandler), time.Now)
+			server := link.Serve(listener, handler.mesh.Serve)
+			handler.mesh.AddPeer(time.Now(), "b:1")
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan error, 1)
+			go func() { done <- handler.mesh.Run(ctx) }()
+			b := startProcess(t, n, "b:1", 2, &wire.Gossip{Ready: true}, "a:1")
+
+			bubble.Sleep(after)
+			handler.leaving.Store(true)
+			handler.mesh.AnnounceLeaving()
+			bubble.Sleep(collectTime + time.Millisecond)
+			last, _ := b.handler.gossipFrom("a:1")
+			require.True(t, last.GetLeaving(), "the stop began after %s", after)
+
+			cancel()
+			require.NoError(t, <-done)
+			require.NoError(t, server.Close())
+			b.stop()
+		})
+	}
+}
--- a/internal/fleet/mesh/tell.go
+++ b/internal/fleet/mesh/tell.go
@@ -15,7 +15,9 @@
 // that were added since at the end of the list: their ages change all the time, and that
 // one is forgotten need not be told.
 type gossipState struct {
-	now                 time.Time
+	now time.Time
+	// number orders the states by when they began to be collected.
+	number              uint64
 	gossip              *wire.Gossip
 	heard               heardPeers
 	rateLimitsSum       uint64
@@ -28,7 +30,7 @@
 
 func (m *Mesh) currentGossip() gossipState {
 	now := m.now()
-	state := gossipState{now: now, gossip: &wire.Gossip{Run: m.run}, heard: m.heardPeers(now), livenessTimeout: m.livenessTimeout()}
+	state := gossipState{now: now, number: m.nextStateNumber(), gossip: &wire.Gossip{Run: m.run}, heard: m.heardPeers(now), livenessTimeout: m.livenessTimeout()}
 	m.handler.FillGossip(now, state.gossip)
 	state.rateLimitsSum = rateLimitsSum(state.gossip.RateLimits)
 	state.leavingSum = leavingSum(state.gossip.LeavingUpstreams)
@@ -37,6 +39,13 @@
 	return state
 }
 
+func (m *Mesh) nextStateNumber() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lastState++
+	return m.lastState
+}
+
 // crashSum returns a checksum of the identity of a crash.
 func crashSum(crash *wire.CrashSeen) uint64 {
 	identity := binary.LittleEndian.AppendUint64(nil, crash.Fingerprint)
@@ -120,6 +129,12 @@
 	if p.cancel == nil || len(p.queue) >= sendQueueLength/2 {
 		return
 	}
+	// What is queued last is what the peer goes by: the beginning of a stop must not be
+	// followed by a state that was collected before it.
+	if state.number < p.sentState {
+		return
+	}
+	p.sentState = state.number
 	gossip := &wire.Gossip{
 		Run: state.gossip.Run, Rank: state.gossip.Rank, Ready: state.gossip.Ready, Leaving: state.gossip.Leaving,
 		ConfigVersion: state.gossip.ConfigVersion, StoreEra: state.gossip.StoreEra, RosterRevision: state.gossip.RosterRevision,
