A grant that comes while slots are reported to a successor is not used

A gateway listed its slots, sent the list to the new scheduler, and only then marked the requests that wait at the former one as moved. A grant of the former scheduler that came in between was used, and the successor heard of the slot with the next report, up to a second later: until then it could grant it once more. Found by reading while the overfilled engines in stops were traced; no play of the stop tests shows it, as no slot becomes free in them at that moment.

The requests are marked with the lock held under which the slots are listed. A grant that comes later goes back to the gateway that made it.

The new test failed before (the grant was used, no second slot was asked for), and passes 20 of 20 times.

--- a/internal/sched/permit/late_grant_test.go
+++ b/internal/sched/permit/late_grant_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/persimmonridge/persimmonridge/internal/edge/flow"
+	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
 	"github.com/persimmonridge/persimmonridge/internal/proof/bubble"
 	"github.com/persimmonridge/persimmonridge/internal/sched/permit"
 	"github.com/persimmonridge/persimmonridge/internal/version/rollout"
@@ -113,3 +114,26 @@
 		require.Equal(t, []string{"held 0", "ask 1", "ended 1 canceled"}, r.kinds("old"))
 	})
 }
+
+// Guards against a slot that the successor of a scheduler does not know: it is granted by the
+// former one while the gateway reports its slots, after they were listed.
+func TestGrantDuringTheReportToASuccessorIsNotUsed(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		r := newReplacement()
+		r.client.Send = func(node string, e *wire.Envelope) bool {
+			if node == "new" && e.GetPlacesHeld() != nil {
+				r.grant("old", 1)
+			}
+			return r.send(node, e)
+		}
+		result := r.pickWithin(t.Context(), r.client, 15*time.Second, flow.EndUnconstrained)
+		bubble.Sleep(100 * time.Millisecond)
+		r.replace("new")
+		bubble.Sleep(100 * time.Millisecond)
+		require.Equal(t, []string{"ended 1 canceled", "held 0", "ask 2"}, r.kinds("new"))
+		r.grant("new", 2)
+		p := <-result
+		require.NoError(t, p.err)
+		p.placement.Release(time.Now(), flow.Answered, 0)
+	})
+}
--- a/internal/sched/permit/permit.go
+++ b/internal/sched/permit/permit.go
@@ -387,8 +387,8 @@
 	return scheduler, previous, c.changedAt.Add(settleTime)
 }
 
-// ReportHeld reports all held slots to the scheduler, and then moves to it the slot requests
-// that are pending at others: those hear of no slot that becomes free. It is repeated
+// ReportHeld reports all held slots to the scheduler, and moves to it the slot requests that
+// are pending at others: those hear of no slot that becomes free. It is repeated
 // regularly because a message may be lost, and because a slot granted by a gateway that was
 // the scheduler for a moment would otherwise stay in use there permanently.
 func (c *Client) ReportHeld(now time.Time) {
@@ -402,23 +402,20 @@
 		held.Places = append(held.Places, p.heldMessage())
 	}
 	for _, p := range c.pending {
-		if p.upstream != "" {
+		switch {
+		case p.upstream != "":
 			held.Places = append(held.Places, &wire.PlaceHeld{
 				Id: p.request.ID, Number: p.number, Upstream: p.upstream,
 				Prompt: uint32(p.request.PromptTokens), Output: uint32(p.request.OutputTokens),
 				Workspace: p.request.Workspace, Tier: uint32(p.request.Tier),
 			})
+		case p.movable && p.scheduler != scheduler:
+			// A grant that comes from now on is not in the report, and must not be used.
+			p.decide(decision{replaced: true})
 		}
 	}
 	c.mu.Unlock()
 	c.sendTo(scheduler, &wire.Envelope{Body: &wire.Envelope_PlacesHeld{PlacesHeld: held}})
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, p := range c.pending {
-		if p.movable && p.scheduler != scheduler {
-			p.decide(decision{replaced: true})
-		}
-	}
 }
 
 // ReportInterval is the interval between reports of held slots.
