--- a/internal/edge/ingress/exit_test.go
+++ b/internal/edge/ingress/exit_test.go
@@ -25,7 +25,7 @@
 		var ended atomic.Int64
 		loopback := network.New()
 		server := ingress.New(ingress.Dependencies{
-			Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 				if r.URL.Path == "/begun" {
 					ingress.ConnOf(r.Context()).BeginAnswer()
 				}
