Soak: upstreams that turn slow while gateways stop

Cause: the soak missed streams that a stopping gateway took late and cut at its exit (docs/incidents/stream-cut-by-a-slow-engine-at-the-exit.md). Its streams lasted 300 ms with the same stated tokens, and its upstreams kept their pace in stops.

Gateways stop alone, in series and all at once, with a grace period of 8 s, and 1 to 7 s after each SIGTERM upstreams take 5 to 40 times as long or pause for 0.3 to 3 s. Some callers read slowly, some send chunks. Any answer that is not whole is a finding, unless its deadline was reached, the test disrupted its gateway or its upstream, or its request was sent no later than 3 s after SIGTERM and its upstream was at work on it in the last sixth of the grace period. A request that was not passed on counts if its connection was closed over 200 ms after it was sent and the gateway's log shows that it was read.

--- a/internal/trial/soak/backend_test.go
+++ b/internal/trial/soak/backend_test.go
@@ -65,10 +65,12 @@
 	// brokenHeads and endless hold the requests of which the head of an answer broke off, and those
 	// of which an answer has no end.
 	brokenHeads, endless map[string]bool
+	// ends are the times at which upstreams last ended their work on requests.
+	ends map[string]time.Time
 }
 
 func newRequestLog() *requestLog {
-	return &requestLog{receivers: make(map[string][]*upstream), executions: make(map[string][]execution), repeats: newRepeatLogs(), brokenHeads: make(map[string]bool), endless: make(map[string]bool)}
+	return &requestLog{receivers: make(map[string][]*upstream), executions: make(map[string][]execution), repeats: newRepeatLogs(), brokenHeads: make(map[string]bool), endless: make(map[string]bool), ends: make(map[string]time.Time)}
 }
 
 // execution is one execution of a request by an upstream.
@@ -129,6 +131,9 @@
 	disruptions disruptions
 	// uneven is true if the time that work takes varies.
 	uneven bool
+	// shapeOf returns the shape of a request.
+	shapeOf  func(id string) shape
+	slowness slowness
 
 	mu            sync.Mutex
 	id            string
@@ -271,6 +276,7 @@
 	}
 	defer u.running.Add(-1)
 	u.requestLog.recordExecution(attempt, execution{at: time.Now(), upstream: id, body: string(body), path: r.URL.Path})
+	defer u.requestLog.recordEnd(attempt)
 	w.Header().Set(names.Seal, "seal-"+attempt)
 	if crashesUpstream(r) {
 		w.WriteHeader(http.StatusOK)
@@ -314,8 +320,7 @@
 }
 
 func (u *upstream) plain(w http.ResponseWriter, r *http.Request, attempt string, truncate bool) {
-	pace, _ := u.pace()
-	pause(r.Context(), time.Duration(pace*float64(responseTime)))
+	u.work(r.Context(), responseTime)
 	answer := expectedAnswer(attempt)
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
 	if truncate {
@@ -332,15 +337,16 @@
 
 func (u *upstream) stream(w http.ResponseWriter, r *http.Request, attempt string, truncate bool) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	s := u.shapeOf(attempt)
+	u.readPrompt(r.Context(), s)
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	for i := from + 1; i <= streamEvents; i++ {
-		pace, _ := u.pace()
-		pause(r.Context(), time.Duration(pace*float64(eventInterval)))
+	for i := from + 1; i <= s.events; i++ {
+		u.work(r.Context(), eventInterval)
 		if r.Context().Err() != nil {
 			panic(http.ErrAbortHandler)
 		}
 		text := strings.TrimSuffix(eventText(attempt, i), "\n\n") + limitUnread(w, r) + "\n\n"
-		if truncate && i == streamEvents/2 {
+		if truncate && i == max(1, s.events/2) {
 			_, _ = io.WriteString(w, text[:len(text)/2])
 			panic(http.ErrAbortHandler)
 		}
--- a/internal/trial/soak/caller_test.go
+++ b/internal/trial/soak/caller_test.go
@@ -5,7 +5,6 @@
 	"cmp"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -56,6 +55,7 @@
 	timeout time.Duration
 	// prompted is true if a stream names the parts of its prompt.
 	prompted bool
+	shape    shape
 }
 
 // caller sends requests to one gateway one after another and reuses its connection
@@ -111,7 +111,9 @@
 // it; a request that is sent at the same time is not sent again.
 func (c *caller) call(k kind, path string) call {
 	c.sent++
-	result := call{id: fmt.Sprintf("%016x", c.testbed.seed<<40|uint64(c.number)<<24|uint64(c.sent)), kind: k, path: path, gateway: c.gateway, sent: time.Now(), prompted: c.testbed.plays(crashesFromSeed), key: c.key, version: c.version(), timeout: cmp.Or(c.patience, k.timeout())}
+	id := fmt.Sprintf("%016x", c.testbed.seed<<40|uint64(c.number)<<24|uint64(c.sent))
+	s := c.testbed.shapeOf(id)
+	result := call{id: id, shape: s, kind: k, path: path, gateway: c.gateway, sent: time.Now(), prompted: c.testbed.plays(crashesFromSeed), key: c.key, version: c.version(), timeout: cmp.Or(c.patience, s.timeout, k.timeout())}
 	if c.conn != nil {
 		result.idleBefore = result.sent.Sub(c.lastUsedAt)
 	}
@@ -136,10 +138,10 @@
 		}
 		c.conn, c.reader = conn, bufio.NewReader(conn)
 	}
-	if err := c.conn.SetDeadline(result.sent.Add(result.timeout)); err != nil {
+	if err := c.conn.SetDeadline(result.sent.Add(result.timeout + c.replyTime())); err != nil {
 		return err
 	}
-	if _, err := io.WriteString(c.conn, result.requestText()); err != nil {
+	if err := c.send(result.requestText()); err != nil {
 		return err
 	}
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: result.kind.method})
@@ -163,7 +165,7 @@
 		fmt.Sprintf("X-Persimmonridge-Deadline-Ms: %d", c.timeout.Milliseconds()),
 	}
 	if c.kind.stream {
-		headers = append(headers, "X-Persimmonridge-Token-Counts: 200,160", "X-Persimmonridge-Length-Hint: 100")
+		headers = append(headers, c.shape.headers()...)
 	}
 	if c.kind.stream && c.prompted {
 		headers = append(headers, promptHeader+": "+c.promptOf())
@@ -182,7 +184,7 @@
 		return c.body == expectedAnswer(c.id)
 	}
 	var want strings.Builder
-	for i := 1; i <= streamEvents; i++ {
+	for i := 1; i <= c.shape.events; i++ {
 		want.WriteString(eventText(c.id, i))
 	}
 	return c.body == want.String()
@@ -195,7 +197,7 @@
 		return true
 	}
 	var want strings.Builder
-	for i := 1; i <= streamEvents; i++ {
+	for i := 1; i <= c.shape.events; i++ {
 		if c.body == want.String() {
 			return true
 		}
--- a/internal/trial/soak/config_test.go
+++ b/internal/trial/soak/config_test.go
@@ -96,6 +96,9 @@
 	if tb.plays(heldFromSeed) {
 		route = strings.NewReplacer("3000", fmt.Sprint(patientTimeout.Milliseconds()), `"maxAttempts":2`, fmt.Sprintf(`"maxAttempts":%d`, patientAttempts)).Replace(route)
 	}
+	if tb.plays(slowedFromSeed) {
+		route = strings.Replace(route, "3000", fmt.Sprint(routeTimeoutSlowed.Milliseconds()), 1)
+	}
 	routes := []string{
 		fmt.Sprintf(route, "book", "/book/", "non_idempotent", "desk", false),
 		fmt.Sprintf(route, "read", "/read/", "idempotent", "desk", false),
--- a/internal/trial/soak/fault_test.go
+++ b/internal/trial/soak/fault_test.go
@@ -50,6 +50,14 @@
 	{{"crash", crashUpstream}, {"leave", drainUpstream}, {"sick", misbehave}, {"upstream-link", disruptUpstreamLink}},
 }
 
+// faultGroups returns the groups that the seed selects from.
+func (tb *testbed) faultGroups() [][]faultKind {
+	if tb.plays(slowedFromSeed) && tb.seed%2 == 0 {
+		return nil
+	}
+	return faultGroups
+}
+
 var configChanges = []faultKind{{"config", changeConfig}, {"config-series", changeConfigRepeatedly}, {"config-amid", changeConfigAmidFaults}}
 
 func randomDuration(r *rand.Rand, shortest, longest time.Duration) time.Duration {
--- a/internal/trial/soak/held_test.go
+++ b/internal/trial/soak/held_test.go
@@ -30,8 +30,11 @@
 )
 
 // ends reports whether the signal is sent to gateways in the seed. A gateway that was killed
-// forgets what it sent over a held link.
+// forgets what it sent over a held link. Where upstreams turn slow, stopAmidSlowness stops gateways.
 func (tb *testbed) ends(signal syscall.Signal) bool {
+	if tb.plays(slowedFromSeed) {
+		return signal == syscall.SIGKILL && tb.seed%2 == 1
+	}
 	return !tb.plays(heldFromSeed) || (signal == syscall.SIGTERM && tb.seed%2 == 1)
 }
 
--- a/internal/trial/soak/load_test.go
+++ b/internal/trial/soak/load_test.go
@@ -114,6 +114,9 @@
 // padding of events that arrived whole is dropped, so that they compare like any others.
 func (c *caller) readBody(k kind, body io.Reader) (string, error) {
 	var read strings.Builder
+	if c.readsSlowly() {
+		body = slowReader{body}
+	}
 	if k == slowStream {
 		_, err := io.CopyN(&read, body, c.random.Int64N(2_000_000))
 		if err != nil && !errors.Is(err, io.EOF) {
--- a/internal/trial/soak/process_test.go
+++ b/internal/trial/soak/process_test.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// stopGrace is the graceful stop time in the settings; stopGraceSlack is the
+	// stopGrace is the usual graceful stop time in the settings; stopGraceSlack is the
 	// delay that a busy machine may add until the exit is observed.
 	stopGrace      = 4 * time.Second
 	stopGraceSlack = 2 * time.Second
@@ -37,7 +37,7 @@
 	exitExpected  bool
 	stopRequested bool
 	// wasPaused is true if the process was paused since its start, so that its stop
-	// may take longer than stopGrace.
+	// may take longer than its grace.
 	wasPaused        bool
 	paused           bool
 	retryRatio       float64
@@ -48,8 +48,11 @@
 	// logOffset is the size of the log file when the process was started.
 	logOffset       int64
 	stopRequestedAt time.Time
-	closed          bool
-	done            chan struct{}
+	// stops are the times of all stop requests, and grace is the graceful stop time.
+	stops  []time.Time
+	grace  time.Duration
+	closed bool
+	done   chan struct{}
 
 	// disruptions last from when the process was killed, or was paused while
 	// stopping so that its grace expired, until it has exited.
@@ -66,7 +69,7 @@
 	g := &gatewayProcess{
 		name: name, address: tb.address(1 + i), binary: tb.binary, storeAddress: storeAddress, log: log, report: tb.report,
 		settingsPath: filepath.Join(tb.folder, name+".json"), done: make(chan struct{}), retryRatio: tb.retryRatio(), retryWindow: tb.retryWindow(), retryBudgetSlack: initialSlack,
-		endDisruption: func() {}, contracts: "[]",
+		endDisruption: func() {}, contracts: "[]", grace: tb.grace(),
 	}
 	if tb.hardLoad() {
 		g.contracts = `["pressure"]`
@@ -85,7 +88,7 @@
 		"internalPortRange":[7600,7615],"seeds":[%q,%q,%q],"limits":{"memoryMb":200},
 		"bounds":{"graceS":%g,"configApplyMs":2000,"retryBudgetRatio":%g,"retryBudgetSlack":%d,"budgetWindowS":%g,"quotaSlack":140000,"coldOver":%g,"coldSlack":%d},
 		"platform":{"address":%q},"contracts":%s}`,
-		g.name, g.address, g.seeds[0], g.seeds[1], g.seeds[2], stopGrace.Seconds(), g.retryRatio, g.retryBudgetSlack, g.retryWindow.Seconds(),
+		g.name, g.address, g.seeds[0], g.seeds[1], g.seeds[2], g.grace.Seconds(), g.retryRatio, g.retryBudgetSlack, g.retryWindow.Seconds(),
 		warmUpFactor, warmUpSlack, g.storeAddress, g.contracts)
 	next := g.settingsPath + ".next"
 	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
@@ -145,7 +148,7 @@
 		exit, err = nil, nil
 		g.exitExpected = true
 	}
-	late := g.stopRequested && time.Since(g.stopRequestedAt) > stopGrace+stopGraceSlack
+	late := g.stopRequested && time.Since(g.stopRequestedAt) > g.grace+stopGraceSlack
 	switch {
 	case !g.exitExpected:
 		g.report(fmt.Sprintf("%s exited unexpectedly: %v", g.name, err))
@@ -194,6 +197,7 @@
 		g.beginDisruption()
 	case syscall.SIGTERM:
 		g.exitExpected, g.stopRequested, g.stopRequestedAt = true, true, time.Now()
+		g.stops = append(g.stops, g.stopRequestedAt)
 		g.killAfterGrace(g.cmd)
 	case syscall.SIGSTOP:
 		g.wasPaused, g.paused = true, true
@@ -220,7 +224,7 @@
 
 // killAfterGrace kills a process that does not stop in time, as the platform does.
 func (g *gatewayProcess) killAfterGrace(cmd *exec.Cmd) {
-	time.AfterFunc(stopGrace+stopGraceSlack, func() {
+	time.AfterFunc(g.grace+stopGraceSlack, func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		if g.cmd == cmd {
--- a/internal/trial/soak/testbed_test.go
+++ b/internal/trial/soak/testbed_test.go
@@ -174,7 +174,7 @@
 		if err != nil {
 			return err
 		}
-		u.crashUnder, u.uneven, u.badShare = tb.crashUnder, tb.hardLoad(), tb.badShare()
+		u.crashUnder, u.uneven, u.badShare, u.shapeOf = tb.crashUnder, tb.hardLoad(), tb.badShare(), tb.shapeOf
 		tb.upstreams = append(tb.upstreams, u)
 	}
 	return nil
@@ -227,10 +227,15 @@
 // plays reports whether the seed plays what begins with another seed. From badAnswersFromSeed on
 // each second seed plays nothing else of that, so that many requests are repeated, but heads that
 // break off. From headsFromSeed on the others play no bad answers, so that most are served. From
-// heldFromSeed on all seeds play bad answers and held links, and nothing else of that.
+// heldFromSeed on all seeds play bad answers and held links, and nothing else of that, and from
+// slowedFromSeed on upstreams that turn slow alone.
 func (tb *testbed) plays(fromSeed uint64) bool {
 	many := tb.seed%2 == 0
 	switch {
+	case tb.seed >= slowedFromSeed:
+		return fromSeed == slowedFromSeed
+	case fromSeed == slowedFromSeed:
+		return false
 	case tb.seed >= heldFromSeed:
 		return fromSeed == heldFromSeed || fromSeed == badAnswersFromSeed
 	case fromSeed == headsFromSeed || tb.seed < badAnswersFromSeed:
@@ -333,6 +338,12 @@
 			running.Go(c.runPatiently)
 		}
 	}
+	if tb.plays(slowedFromSeed) {
+		background.Go(tb.stopAmidSlowness)
+		for i := range slowedCallers {
+			running.Go(newCaller(tb, 500+i).run)
+		}
+	}
 	recoveryChecks := 1
 	if tb.hardLoad() {
 		background.Go(tb.surge)
@@ -396,7 +407,7 @@
 func (tb *testbed) injectFaults() {
 	random := rand.New(rand.NewPCG(tb.seed, 0x736f616b))
 	faultKinds := slices.Clone(configChanges)
-	for _, group := range faultGroups {
+	for _, group := range tb.faultGroups() {
 		if random.IntN(10) < 6 {
 			faultKinds = append(faultKinds, group...)
 		}
@@ -420,6 +431,7 @@
 	for _, u := range tb.upstreams {
 		u.failureMode.Store(int32(healthy))
 		u.need.Store(nil)
+		u.slowness.clear()
 		u.relay.Hold(false)
 		u.relay.SetMute(false)
 		u.relay.SetDelay(0)
@@ -436,6 +448,9 @@
 	for i := range gateways {
 		c := newCaller(tb, firstCaller+i)
 		c.gateway = i
+		if tb.plays(slowedFromSeed) {
+			c.patience = routeTimeoutSlowed
+		}
 		for _, k := range kinds {
 			for range 3 {
 				result := c.call(k, k.path)
--- a/internal/trial/soak/verify_test.go
+++ b/internal/trial/soak/verify_test.go
@@ -87,6 +87,10 @@
 		tb.checkSlow(c)
 		return
 	}
+	if tb.plays(slowedFromSeed) {
+		tb.checkNotBrokenOff(c)
+		return
+	}
 	if c.err == nil || c.notConnected || tb.disturbed(c, true) {
 		return
 	}
