--- a/internal/trial/soak/soak_test.go
+++ b/internal/trial/soak/soak_test.go
@@ -27,7 +27,7 @@
 	build := exec.Command("go", "build", "-o", binary, "../../../cmd/persimmonridge")
 	output, err := build.CombinedOutput()
 	require.NoError(t, err, "%s", output)
-	seeds := append(regressionSeeds(t), warmUpsFromSeed, needsFromSeed, endlessFromSeed, badAnswersFromSeed, headsFromSeed, heldFromSeed)
+	seeds := append(regressionSeeds(t), warmUpsFromSeed, needsFromSeed, endlessFromSeed, badAnswersFromSeed, headsFromSeed, heldFromSeed, slowedFromSeed)
 	for i := range *seedCount {
 		seeds = append(seeds, *firstSeed+uint64(i))
 	}
