Memory for bodies and answers is bounded on every deployment

What callers saw: a gateway was killed as it ran out of memory, and with it all requests that it had in hand. Callers outside the limits sent many bodies of legal size at once, most of which stopped just short of their end and stayed open.

Cause: the account of the bytes in bodies and answers was on only where the settings list the contract `pressure`, one of ten deployments; elsewhere a body was read by io.ReadAll with no bound on the sum. The process is killed at its limit on all of them. The class is a protection that a setting of another purpose turns on; `pressure` was read nowhere else, and no other entry of the contracts is read. A second member: without `memoryMb` the runtime's limit was set to 0 bytes, which makes it collect garbage all the time.

Change: the account is always on. Settings without a memory limit get the account of a VM with 128 MB, and leave the runtime's limit alone.

TestMemoryIsBoundedAsSettingsSay asked that a reload without the contract lifts the bound; now it asks for the bound without limits, for that of a reload, and for the room that another reload gives.

--- a/cmd/persimmonridge/gateway.go
+++ b/cmd/persimmonridge/gateway.go
@@ -55,7 +55,9 @@
 		logger.Error("invalid settings", "err", err)
 		return err
 	}
-	debug.SetMemoryLimit(int64(float64(node.MemoryBytes) * memoryLimitShare))
+	if node.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(float64(node.MemoryBytes) * memoryLimitShare))
+	}
 	g := gateway.New(gateway.Dependencies{
 		Settings: gatewaySettings(node), Store: platform.NewStore(node.Store, dial.Dialer{}.DialContext),
 		Decoder: platform.Decoder{}, Headers: platform.Headers{}, AnswerHeaders: platform.AnswerHeaders(),
@@ -98,7 +100,7 @@
 	return gateway.Settings{
 		Name: node.Name, Domain: node.Domain, CallerAddress: node.CallerAddress, ReadinessAddress: node.ReadinessAddress,
 		LinkAddress: node.LinkAddress, MetricsAddress: node.MetricsAddress, SeedAddresses: node.SeedAddresses, GracePeriod: node.GracePeriod, ConfigApplyLimit: node.ConfigApplyLimit,
-		CPUCores: node.CPUCores, BoundMemory: node.BoundMemory, MemoryBytes: node.MemoryBytes,
+		CPUCores: node.CPUCores, MemoryBytes: node.MemoryBytes,
 		LinkBytesPerSecond: node.LinkBytesPerSecond,
 		Retry:              retry.Settings{Ratio: node.RetryRatio, Slack: node.RetrySlack, Window: node.RetryWindow},
 		Quota:              quota.Options{StartFull: node.Bootstrap, Slack: node.QuotaSlack, ExcessFraction: node.QuotaExcessFraction, Window: node.QuotaWindow},
--- a/internal/limit/memory/memory.go
+++ b/internal/limit/memory/memory.go
@@ -20,6 +20,9 @@
 	// limit is unknown.
 	unfinishedShare        = 1.0 / 16
 	defaultUnfinishedBytes = 16 << 20
+	// defaultProcessBytes is the memory limit of a process that was told none: the smallest VMs
+	// have a little more.
+	defaultProcessBytes = 128 << 20
 	// bodyShare is the fraction of the account that request bodies may use. Bodies can be
 	// refused and answers cannot, so the rest is left to answers.
 	bodyShare = 0.75
@@ -66,8 +69,14 @@
 // Kinds returns all kinds.
 func Kinds() []Kind { return []Kind{Body, Answer, Stream} }
 
-// Limit returns the limit of the account in a process with the memory limit.
-func Limit(processBytes int64) int64 { return int64(float64(processBytes) * share) }
+// Limit returns the limit of the account in a process with the memory limit, which is 0 if it is
+// unknown.
+func Limit(processBytes int64) int64 {
+	if processBytes <= 0 {
+		processBytes = defaultProcessBytes
+	}
+	return int64(float64(processBytes) * share)
+}
 
 // UnfinishedLimit returns the bound of what unfinished answers hold in a process with the memory
 // limit, which is 0 if it is unknown.
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -75,9 +75,8 @@
 	// CPUCores is the share of one CPU core that the process may use; 0 means
 	// unknown.
 	CPUCores float64
-	// BoundMemory is set if callers may read slowly. The bytes held in bodies and answers are
-	// then bounded by a share of MemoryBytes, the memory limit of the process.
-	BoundMemory bool
+	// MemoryBytes is the memory limit of the process, which bounds what callers can make it hold;
+	// 0 means unknown.
 	MemoryBytes int64
 	// LinkBytesPerSecond is what the VM's link carries in each direction; 0 means unknown.
 	LinkBytesPerSecond        float64
@@ -276,7 +275,7 @@
 	g.speedStore = &speedStore{Gateway: g}
 	g.relay, g.hubList = newStoreRelay(g), &hubList{Gateway: g}
 	g.follower = g.newFollower()
-	g.memory = memory.New(s.heldBytesLimit(), g.logMemory)
+	g.memory = memory.New(memory.Limit(s.MemoryBytes), g.logMemory)
 	g.metrics.registerGauges(g)
 	g.unfinished = memory.NewBudget(memory.UnfinishedLimit(s.MemoryBytes))
 	g.metrics.registerMemory(g.memory, g.unfinished)
--- a/internal/role/gateway/memory.go
+++ b/internal/role/gateway/memory.go
@@ -7,14 +7,6 @@
 	"github.com/persimmonridge/persimmonridge/internal/limit/memory"
 )
 
-// heldBytesLimit returns the limit of the memory account, 0 if memory is not bounded.
-func (s Settings) heldBytesLimit() int64 {
-	if !s.BoundMemory {
-		return 0
-	}
-	return memory.Limit(s.MemoryBytes)
-}
-
 // logMemory logs that the memory account became full, or has room again.
 func (g *Gateway) logMemory(full bool, held, limit int64) {
 	if full {
--- a/internal/role/gateway/memory_test.go
+++ b/internal/role/gateway/memory_test.go
@@ -8,22 +8,20 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against settings that do not reach the requests, or that bound memory in deployments
-// which do not ask for it; they may change while the process runs.
+// Guards against settings that do not reach the requests, and against memory that is not bounded
+// where the settings state no limit; they may change while the process runs.
 func TestMemoryIsBoundedAsSettingsSay(t *testing.T) {
 	const longBody, shortBody = 3 << 10, 1 << 10
 	runFleet(t, func(f *fleet) {
 		call := func(id string, length int) outcome {
 			return f.callWithBody(0, "/old/x", id, "1000,100", "18", strings.NewReader(strings.Repeat("x", length)))
 		}
+		require.Equal(t, http.StatusOK, call("unknown limits", longBody).status)
+		// That of a VM with 128 MB.
+		require.Contains(t, f.metrics(0), "\npersimmonridge_memory_limit_bytes 3.3554432e+07\n")
 		settings := f.settings(0)
 		settings.MemoryBytes = 16 << 10 // The account has 4 KB, and one workspace 2 KB.
 		f.nodes[0].Reload(settings)
-		require.Equal(t, http.StatusOK, call("unbounded", longBody).status)
-		require.Contains(t, f.metrics(0), "\npersimmonridge_memory_limit_bytes 0\n")
-
-		settings.BoundMemory = true
-		f.nodes[0].Reload(settings)
 		refused := call("long", longBody)
 		require.Equal(t, http.StatusServiceUnavailable, refused.status)
 		require.NotEmpty(t, refused.retryAfter)
@@ -36,8 +34,8 @@
 			require.Contains(t, text, "\n"+line+"\n")
 		}
 
-		settings.BoundMemory = false
+		settings.MemoryBytes = 134 << 20
 		f.nodes[0].Reload(settings)
-		require.Equal(t, http.StatusOK, call("unbounded again", longBody).status)
+		require.Equal(t, http.StatusOK, call("room again", longBody).status)
 	})
 }
--- /dev/null
+++ b/internal/trial/hostile/hostile_test.go
@@ -0,0 +1,122 @@
+package hostile_test
+
+import (
+	"encoding/json"
+	"flag"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var (
+	alone   = flag.Bool("alone", false, "run the tests, which need the machine for themselves")
+	program = flag.String("program", "", "path of the program to test; empty builds that of this module")
+)
+
+// playTime is how long a crowd sends, and answerTimeout how long an ordinary request may take.
+const (
+	playTime      = 6 * time.Second
+	answerTimeout = 20 * time.Second
+)
+
+// scenario is a crowd of callers that do not keep to the limits.
+type scenario struct {
+	Name string `json:"name"`
+	// Guards says which failure the scenario guards against.
+	Guards string `json:"guards"`
+	// Crowd is the number of connections, which are opened again when they are closed.
+	Crowd int     `json:"crowd"`
+	Send  []piece `json:"send"`
+	// Completes is set if the requests are complete, so that they may run.
+	Completes bool `json:"completes"`
+}
+
+// piece is text that a connection sends: once, until that many bytes were sent, or without end.
+type piece struct {
+	Text    string `json:"text"`
+	Bytes   int    `json:"bytes"`
+	Endless bool   `json:"endless"`
+	PauseMs int    `json:"pause-ms"`
+}
+
+func buildProgram(t *testing.T) string {
+	if !*alone {
+		t.Skip("runs alone: go test ./internal/trial/hostile -args -alone")
+	}
+	if *program != "" {
+		return *program
+	}
+	binary := filepath.Join(t.TempDir(), "persimmonridge")
+	output, err := exec.Command("go", "build", "-o", binary, "../../../cmd/persimmonridge").CombinedOutput() //nolint:gosec // The path is the test's own.
+	require.NoError(t, err, "%s", output)
+	return binary
+}
+
+// Guards against callers that end a gateway: each scenario names its failure in testdata.
+func TestCallersThatDoNotKeepToTheLimits(t *testing.T) {
+	binary := buildProgram(t)
+	raw, err := os.ReadFile("testdata/scenarios.json")
+	require.NoError(t, err)
+	var scenarios []scenario
+	require.NoError(t, json.Unmarshal(raw, &scenarios))
+	for _, s := range scenarios {
+		t.Run(s.Name, func(t *testing.T) {
+			g := startGateway(t, binary)
+			usage := g.watch()
+			runCrowd(g.callerAddress(), s, time.Now().Add(playTime))
+			most := usage.stop()
+			t.Logf("%s: %s", s.Guards, most)
+			require.False(t, g.ended(), "the process ended")
+			require.LessOrEqual(t, most.memoryMB, memoryMB, "memory of the process and bytes it has not read")
+			require.LessOrEqual(t, most.descriptors, maxDescriptors)
+			if !s.Completes {
+				require.Zero(t, g.upstream.ran(hostileWorkspace), "an incomplete request has run")
+			}
+			g.requireAnswer(ordinaryRequest())
+		})
+	}
+}
+
+// Guards against limits that refuse a caller who keeps to them: the largest header and the largest
+// body are served in calm, at once and in slow pieces, with a length and in chunks.
+func TestLargestRequestIsServedInCalm(t *testing.T) {
+	g := startGateway(t, buildProgram(t))
+	for _, chunked := range []bool{false, true} {
+		for _, pause := range []time.Duration{0, 10 * time.Millisecond} {
+			r := ordinaryRequest()
+			r.header.Set("X-Pad", strings.Repeat("p", maxHeaderBytes-2048))
+			r.body, r.chunked, r.pause = strings.Repeat("b", maxBodyBytes), chunked, pause
+			g.requireAnswer(r)
+		}
+	}
+	r := ordinaryRequest()
+	for len(r.header)*len("X-00000: v\r\n") < maxHeaderBytes-2048 {
+		r.header.Set(shortName(len(r.header)), "v")
+	}
+	g.requireAnswer(r)
+	require.Equal(t, maxBodyBytes, g.upstream.longestBody())
+}
+
+// Guards against refusals of ordinary callers after the largest requests, several at once, that a
+// gateway's memory holds: one workspace may have half of what all may.
+func TestSeveralLargestBodiesAreServedAtOnce(t *testing.T) {
+	g := startGateway(t, buildProgram(t))
+	answers := make(chan int)
+	const several = 2
+	for range several {
+		go func() {
+			r := ordinaryRequest()
+			r.body = strings.Repeat("b", maxBodyBytes)
+			answers <- g.send(r)
+		}()
+	}
+	for range several {
+		require.Equal(t, http.StatusOK, <-answers)
+	}
+}
--- /dev/null
+++ b/internal/trial/hostile/usage_test.go
@@ -0,0 +1,101 @@
+package hostile_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// sampleInterval is how often a process is observed.
+const sampleInterval = 50 * time.Millisecond
+
+// usage is what a process has used at most.
+type usage struct {
+	// memoryMB is the resident memory with the bytes that the process has received and not read.
+	memoryMB, residentMB, unreadMB int
+	descriptors                    int
+}
+
+// String describes the usage.
+func (u usage) String() string {
+	return fmt.Sprintf("at most %d MB, %d MB resident, %d MB unread, %d descriptors", u.memoryMB, u.residentMB, u.unreadMB, u.descriptors)
+}
+
+// watcher observes a process until it is stopped.
+type watcher struct {
+	stopping chan struct{}
+	most     chan usage
+}
+
+func (g *gateway) watch() *watcher {
+	w := &watcher{stopping: make(chan struct{}), most: make(chan usage)}
+	go func() {
+		var most usage
+		ticker := time.NewTicker(sampleInterval)
+		defer ticker.Stop()
+		for {
+			most.add(g.cmd.Process.Pid, g.callerAddress())
+			select {
+			case <-ticker.C:
+			case <-w.stopping:
+				w.most <- most
+				return
+			}
+		}
+	}()
+	return w
+}
+
+func (w *watcher) stop() usage {
+	close(w.stopping)
+	return <-w.most
+}
+
+// add takes a sample of the process that listens for callers at the address.
+func (u *usage) add(pid int, address string) {
+	unread := unreadBytes(address) >> 20
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return
+	}
+	for line := range strings.Lines(string(raw)) {
+		switch name, _, _ := strings.Cut(line, ":"); name {
+		case "VmRSS":
+			u.memoryMB = max(u.memoryMB, parseKB(line)>>10+unread)
+		case "VmHWM":
+			u.residentMB = max(u.residentMB, parseKB(line)>>10)
+			u.memoryMB = max(u.memoryMB, u.residentMB)
+		}
+	}
+	u.unreadMB = max(u.unreadMB, unread)
+	if entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid)); err == nil {
+		u.descriptors = max(u.descriptors, len(entries))
+	}
+}
+
+// unreadBytes returns the bytes that were received at the address and not read yet.
+func unreadBytes(address string) int {
+	host, port, _ := net.SplitHostPort(address)
+	number, _ := strconv.Atoi(port)
+	local := fmt.Sprintf("%08X:%04X", binary.LittleEndian.Uint32(net.ParseIP(host).To4()), number)
+	raw, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return 0
+	}
+	const listening = "0A"
+	total := 0
+	for line := range strings.Lines(string(raw)) {
+		fields := strings.Fields(line)
+		if len(fields) < 5 || fields[1] != local || fields[3] == listening {
+			continue
+		}
+		_, received, _ := strings.Cut(fields[4], ":")
+		n, _ := strconv.ParseInt(received, 16, 64)
+		total += int(n)
+	}
+	return total
+}
