A body in chunks holds no more than the largest body

What callers saw: bodies in chunks were refused for lack of memory while half of what was reserved for such bodies was empty.

Cause: the buffer of a body of unknown length doubles, also beyond the largest size that the configuration allows: one of 4 MiB reserved 8 MiB, as its end is looked for after 4 MiB.

Change: the buffer grows up to the largest size and no further; the byte beyond it, which http.MaxBytesReader turns into an error, is looked for without a buffer. Answers of unknown length end at their largest size likewise.

Evidence: TestChunkedBodyHoldsNoMoreThanTheLargest, 8,388,608 bytes before, 4,194,304 now.

--- a/internal/edge/flow/admit.go
+++ b/internal/edge/flow/admit.go
@@ -85,7 +85,7 @@
 		c.logger.Debug("could not set the read deadline", "err", err)
 	}
 	began := c.Now()
-	body, err := c.readAllOfBody(http.MaxBytesReader(c.w, r.Body, maxBytes), r.ContentLength)
+	body, err := c.readAllOfBody(http.MaxBytesReader(c.w, r.Body, maxBytes), r.ContentLength, maxBytes)
 	if err != nil {
 		c.refuseBody(err)
 		return false
--- a/internal/edge/flow/held.go
+++ b/internal/edge/flow/held.go
@@ -115,9 +115,9 @@
 	c.refuse(http.StatusServiceUnavailable, retryAfter, "no memory for the request body")
 }
 
-// readAllOfBody reads a request's body, for whose stated length memory is reserved. One of
-// unknown length is reserved piece by piece.
-func (c *call) readAllOfBody(body io.Reader, length int64) ([]byte, error) {
+// readAllOfBody reads a request's body of at most maxBytes, for whose stated length memory is
+// reserved. One of unknown length is reserved piece by piece.
+func (c *call) readAllOfBody(body io.Reader, length, maxBytes int64) ([]byte, error) {
 	if c.held.body == nil {
 		return io.ReadAll(body)
 	}
@@ -127,7 +127,7 @@
 		}
 		return nil
 	}
-	return readReserved(body, length, reserve)
+	return readReserved(body, length, maxBytes, reserve)
 }
 
 // readAnswerBody reads an answer that is passed on as a whole. While there is no room for it,
@@ -142,7 +142,7 @@
 		return c.readUnfinished(limited)
 	}
 	pauseUntil, reserved := time.Time{}, int64(0)
-	body, err := readReserved(limited, -1, func(n int64) error {
+	body, err := readReserved(limited, -1, maxAnswerBytes, func(n int64) error {
 		for {
 			now := c.Now()
 			if c.held.answer.Grow(now, n) {
@@ -173,7 +173,7 @@
 // readUnfinished reads an answer within the budget for unfinished ones.
 func (c *call) readUnfinished(answer io.Reader) ([]byte, error) {
 	size := int64(0)
-	return readReserved(answer, -1, func(n int64) error {
+	return readReserved(answer, -1, maxAnswerBytes, func(n int64) error {
 		size += n
 		if size <= smallAnswerBytes {
 			return nil
@@ -269,20 +269,23 @@
 	return Failed
 }
 
-// readReserved reads to the end. If the length is known, it is reserved already; otherwise
-// reserve is called before the buffer grows by n bytes.
-func readReserved(r io.Reader, length int64, reserve func(n int64) error) ([]byte, error) {
+// readReserved reads to the end, or until there are more than maxBytes. If the length is known, it
+// is reserved already; otherwise reserve is called before the buffer grows by n bytes.
+func readReserved(r io.Reader, length, maxBytes int64, reserve func(n int64) error) ([]byte, error) {
 	var data []byte
 	if length > 0 {
 		data = make([]byte, 0, length)
 	}
+	if length >= 0 {
+		maxBytes = length
+	}
 	for {
 		if len(data) == cap(data) {
-			// The stated length is read, but its end may not have been.
-			if length >= 0 {
+			// As many bytes as there may be are read, but their end may not have been.
+			if int64(len(data)) >= maxBytes {
 				return data, readEnd(r)
 			}
-			more := max(bodyPieceBytes, cap(data))
+			more := min(max(bodyPieceBytes, cap(data)), int(maxBytes)-cap(data))
 			if err := reserve(int64(more)); err != nil {
 				return data, err
 			}
@@ -301,13 +304,13 @@
 	}
 }
 
-// readEnd reads the end of a body whose stated length was read.
+// readEnd reads the end of a body of which as many bytes were read as there may be.
 func readEnd(r io.Reader) error {
 	var probe [1]byte
 	n, err := r.Read(probe[:])
 	switch {
 	case n > 0:
-		return errors.New("body is longer than its stated length")
+		return errors.New("body is longer than it may be")
 	case errors.Is(err, io.EOF):
 		return nil
 	}
--- a/internal/edge/flow/slow_body_test.go
+++ b/internal/edge/flow/slow_body_test.go
@@ -150,3 +150,16 @@
 		require.Greater(t, retryAfter, 1.0)
 	})
 }
+
+// Guards against a body in chunks that holds twice the largest size, as its buffer doubles.
+func TestChunkedBodyHoldsNoMoreThanTheLargest(t *testing.T) {
+	runSlow(t, ampleMemory, func(f *slowFixture) {
+		const largest = 4 << 20
+		caller := f.send("/pay/x", "key", "r1", "Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s", largest, strings.Repeat("x", largest)))
+		bubble.Sleep(10 * time.Millisecond)
+		require.EqualValues(t, largest, f.account.Stats().Held[memory.Body])
+		require.NoError(t, caller.Close())
+		bubble.Sleep(10 * time.Millisecond)
+		require.Zero(t, f.heldBytes())
+	})
+}
