A body that stops short of its end gives way to others

Cause: a body keeps its reservation until its request ends, and one that does not arrive ends at the route's timeout. Nothing told bodies that arrive from those that have stopped, and the largest ones took the room of small ones.

Change: a body that does not fit displaces bodies that have been arriving for a second or longer, those of the lowest tier first and of these the oldest; never one of a higher tier, and only of the same caller where that caller's own bound is exceeded. What is displaced gets a 503 with Retry-After: it has not run, as it was never complete. A refused body whose rest does not come keeps its connection for two seconds, not for the route's timeout. In calm nothing is displaced.

--- a/internal/edge/flow/admit.go
+++ b/internal/edge/flow/admit.go
@@ -77,7 +77,7 @@
 		c.refuseBody(&http.MaxBytesError{Limit: maxBytes})
 		return false
 	}
-	if !c.reserveStatedBody(r.ContentLength) {
+	if !c.reserveStatedBody(r.Context(), r.ContentLength) {
 		return false
 	}
 	controller := http.NewResponseController(c.w)
@@ -85,7 +85,11 @@
 		c.logger.Debug("could not set the read deadline", "err", err)
 	}
 	began := c.Now()
-	body, err := c.readAllOfBody(http.MaxBytesReader(c.w, r.Body, maxBytes), r.ContentLength, maxBytes)
+	if r.ContentLength != 0 {
+		c.beginArrival(began, controller)
+	}
+	body, err := c.readAllOfBody(r.Context(), http.MaxBytesReader(c.w, r.Body, maxBytes), r.ContentLength, maxBytes)
+	c.endArrival()
 	if err != nil {
 		c.refuseBody(err)
 		return false
@@ -107,6 +111,8 @@
 	switch {
 	case errors.As(err, &doesNotFit):
 		c.refuseForMemory(doesNotFit.pieceBytes)
+	case c.held.displaced.Load():
+		c.refuseForMemory(0)
 	case errors.As(err, &tooLarge):
 		c.refuse(http.StatusRequestEntityTooLarge, 0, "request body too large")
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/edge/flow/held.go
+++ b/internal/edge/flow/held.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
@@ -29,6 +30,12 @@
 	// Upstreams cut off an answer that is unread for some seconds, and the answer must not
 	// be lost.
 	maxAnswerPause = time.Second
+	// displaceTimeout is how long a body waits for the room of others that are dropped for it:
+	// their goroutines have to notice it on a VM with a tenth of a core.
+	displaceTimeout = 200 * time.Millisecond
+	// refusedBodyTimeout limits the time for the rest of a refused body: http.Server reads some
+	// of it so that the caller gets the refusal.
+	refusedBodyTimeout = 2 * time.Second
 )
 
 // bodyDoesNotFitError reports that the next piece of a body does not fit into the memory.
@@ -43,6 +50,8 @@
 	memory       *memory.Account
 	holder       string
 	body, answer *memory.Reservation
+	// displaced is set when the body is dropped, while it arrives, in favor of another one.
+	displaced atomic.Bool
 	// unfinished is what the request's answers have of the budget for unfinished ones.
 	unfinished int64
 }
@@ -99,30 +108,65 @@
 
 // reserveStatedBody reserves the memory for a body of the stated length, or refuses the
 // request. A length below 0 is unknown.
-func (c *call) reserveStatedBody(length int64) bool {
-	if c.held.body == nil || length <= 0 || c.held.body.Grow(c.Now(), length) {
+func (c *call) reserveStatedBody(ctx context.Context, length int64) bool {
+	if c.held.body == nil || length <= 0 || c.growBody(ctx, length) {
 		return true
 	}
 	c.refuseForMemory(length)
 	return false
 }
 
+// growBody reserves n more bytes for the body, if need be in place of other bodies that have been
+// arriving for long, and reports whether there was room.
+func (c *call) growBody(ctx context.Context, n int64) bool {
+	now := c.Now()
+	if c.held.body.Grow(now, n) {
+		return true
+	}
+	if !c.held.body.Displace(now, n) {
+		return false
+	}
+	c.awaitRoom(ctx, c.held.body, n, displaceTimeout)
+	return c.held.body.Grow(c.Now(), n)
+}
+
+// beginArrival lets other bodies displace this one while it arrives. The caller is then refused.
+func (c *call) beginArrival(now time.Time, controller *http.ResponseController) {
+	if c.held.body == nil {
+		return
+	}
+	c.held.body.BeginArrival(now, func() {
+		c.held.displaced.Store(true)
+		// It fails only on a closed connection.
+		_ = controller.SetReadDeadline(now)
+	})
+}
+
+func (c *call) endArrival() {
+	if c.held.body != nil {
+		c.held.body.EndArrival()
+	}
+}
+
 // refuseForMemory refuses a request whose body, of which n bytes are missing, does not fit.
 func (c *call) refuseForMemory(n int64) {
 	now := c.Now()
 	retryAfter := c.held.body.Refuse(now, n)
 	c.held.body.Discard(now)
+	if err := http.NewResponseController(c.w).SetReadDeadline(now.Add(refusedBodyTimeout)); err != nil {
+		c.logger.Debug("could not set the read deadline", "err", err)
+	}
 	c.refuse(http.StatusServiceUnavailable, retryAfter, "no memory for the request body")
 }
 
 // readAllOfBody reads a request's body of at most maxBytes, for whose stated length memory is
 // reserved. One of unknown length is reserved piece by piece.
-func (c *call) readAllOfBody(body io.Reader, length, maxBytes int64) ([]byte, error) {
+func (c *call) readAllOfBody(ctx context.Context, body io.Reader, length, maxBytes int64) ([]byte, error) {
 	if c.held.body == nil {
 		return io.ReadAll(body)
 	}
 	reserve := func(n int64) error {
-		if !c.held.body.Grow(c.Now(), n) {
+		if !c.growBody(ctx, n) {
 			return bodyDoesNotFitError{pieceBytes: n}
 		}
 		return nil
@@ -153,7 +197,7 @@
 				pauseUntil = now.Add(maxAnswerPause)
 			}
 			if now.Before(pauseUntil) && ctx.Err() == nil {
-				c.awaitAnswerRoom(ctx, n, pauseUntil.Sub(now))
+				c.awaitRoom(ctx, c.held.answer, n, pauseUntil.Sub(now))
 				continue
 			}
 			if reserved >= smallAnswerBytes {
@@ -193,8 +237,9 @@
 	}
 }
 
-func (c *call) awaitAnswerRoom(ctx context.Context, n int64, timeout time.Duration) {
-	ready, stop := c.held.answer.Room(c.Now(), n)
+// awaitRoom waits until the reservation may grow by n bytes, the timeout passes or the context ends.
+func (c *call) awaitRoom(ctx context.Context, reservation *memory.Reservation, n int64, timeout time.Duration) {
+	ready, stop := reservation.Room(c.Now(), n)
 	defer stop()
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
--- a/internal/edge/flow/slow_body_test.go
+++ b/internal/edge/flow/slow_body_test.go
@@ -151,6 +151,31 @@
 	})
 }
 
+// Guards against bodies that stop short of their end and keep others out until their routes'
+// timeout, and against one that is dropped without a refusal that says it has not run.
+func TestBodyThatStopsGivesWayToAnother(t *testing.T) {
+	runSlow(t, smallMemory, func(f *slowFixture) {
+		f.serveUpstream("one", answerOK(0))
+		stopped := f.send("/pay/x", "key", "stopped", stated(400<<10), strings.Repeat("x", 400<<10-1))
+		bubble.Sleep(100 * time.Millisecond)
+		chunked := f.send("/pay/x", "other", "chunked", "Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s", 400<<10, strings.Repeat("x", 200<<10)))
+		bubble.Sleep(2 * time.Second)
+		response, _, err := f.send("/pay/x", "other", "whole", stated(150<<10), strings.Repeat("x", 150<<10)).read()
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		response, _, err = stopped.read()
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+		require.NotEmpty(t, response.Header.Get("Retry-After"))
+		require.True(t, response.Close, "the rest of the body cannot be told from a request")
+		require.Len(t, f.record().executed, 1)
+		require.EqualValues(t, 1, f.account.Stats().Displaced)
+		require.NoError(t, chunked.Close())
+		bubble.Sleep(10 * time.Millisecond)
+		require.Zero(t, f.heldBytes())
+	})
+}
+
 // Guards against a body in chunks that holds twice the largest size, as its buffer doubles.
 func TestChunkedBodyHoldsNoMoreThanTheLargest(t *testing.T) {
 	runSlow(t, ampleMemory, func(f *slowFixture) {
--- a/internal/limit/memory/memory.go
+++ b/internal/limit/memory/memory.go
@@ -31,6 +31,11 @@
 	// left to the higher tier, which must not be shed before a lower one.
 	lowerTierShare = 0.5
 	shedTime       = time.Second
+	// smallBodyFraction is the fraction of the account up to which a body is small, and
+	// smallBodyShare the fraction of the account that bodies may use if the next one is small.
+	// Large bodies that stop before their end thus leave room for those of other callers.
+	smallBodyFraction = 1.0 / 2048
+	smallBodyShare    = 0.875
 	// holderShare is the fraction of the account that one holder may use.
 	holderShare = 0.5
 	// streamShare is the fraction of the account that one stream may use.
@@ -94,6 +99,8 @@
 	// Refused counts the requests that were refused for lack of memory, and ReadAhead the
 	// streams that were read ahead of their callers.
 	Refused, ReadAhead int64
+	// Displaced counts the bodies that were dropped while they arrived.
+	Displaced int64
 }
 
 // Account bounds the bytes held. Without a limit it is disabled and bounds nothing. It is
@@ -118,6 +125,9 @@
 	shedTier           int
 	shedUntil          time.Time
 	refused, readAhead int64
+	// arriving are the reservations of bodies of which a part may be outstanding.
+	arriving  map[*Reservation]struct{}
+	displaced int64
 }
 
 // waiter waits until a reservation can grow by need bytes.
@@ -133,7 +143,7 @@
 	if changed == nil {
 		changed = func(bool, int64, int64) {}
 	}
-	return &Account{limit: limit, changed: changed, holders: make(map[string]int64)}
+	return &Account{limit: limit, changed: changed, holders: make(map[string]int64), arriving: make(map[*Reservation]struct{})}
 }
 
 // SetLimit changes the limit. Bytes that are held beyond it stay.
@@ -158,7 +168,9 @@
 func (a *Account) Stats() Stats {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return Stats{Limit: a.limit, Held: a.byKind, Refused: a.refused, ReadAhead: a.readAhead}
+	return Stats{
+		Limit: a.limit, Held: a.byKind, Refused: a.refused, ReadAhead: a.readAhead, Displaced: a.displaced,
+	}
 }
 
 // Open returns an empty reservation of the holder, which bounds what several reservations
@@ -184,24 +196,38 @@
 // its bound if the reservation grew, at most 0 if it may grow. It also reports whether the
 // bound of the whole account is exceeded.
 func (a *Account) excessLocked(now time.Time, r *Reservation, n int64) (excess int64, total bool) {
+	inTotal, ofHolder := a.excessesLocked(now, r, n)
+	excess, total = max(inTotal, ofHolder), inTotal > 0
+	if a.limit > 0 && r.kind == Stream {
+		excess = max(excess, r.held+n-int64(streamShare*float64(a.limit)))
+	}
+	return excess, total
+}
+
+// excessesLocked returns by how much the account and the holder would exceed their bounds if the
+// reservation grew.
+func (a *Account) excessesLocked(now time.Time, r *Reservation, n int64) (total, holder int64) {
 	if a.limit <= 0 {
-		return 0, false
+		return 0, 0
 	}
-	limit := float64(a.limit)
 	bound := a.limit
 	if r.kind == Body {
-		bound = int64(bodyShare * limit)
-		if r.tier > a.shedTier && now.Before(a.shedUntil) {
-			bound = int64(lowerTierShare * limit)
-		}
+		bound = a.bodyBoundLocked(now, r, n)
 	}
-	excess = a.held + n - bound
-	total = excess > 0
-	excess = max(excess, a.holders[r.holder]+n-int64(holderShare*limit))
-	if r.kind == Stream {
-		excess = max(excess, r.held+n-int64(streamShare*limit))
+	return a.held + n - bound, a.holders[r.holder] + n - int64(holderShare*float64(a.limit))
+}
+
+// bodyBoundLocked returns how many bytes the account may hold once the reservation of a body has
+// grown by n bytes.
+func (a *Account) bodyBoundLocked(now time.Time, r *Reservation, n int64) int64 {
+	limit := float64(a.limit)
+	switch {
+	case r.tier > a.shedTier && now.Before(a.shedUntil):
+		return int64(lowerTierShare * limit)
+	case float64(r.held+n) <= smallBodyFraction*limit:
+		return int64(smallBodyShare * limit)
 	}
-	return excess, total
+	return int64(bodyShare * limit)
 }
 
 // addLocked adds n bytes, which may be negative, to what the reservation holds.
--- a/internal/limit/memory/reservation.go
+++ b/internal/limit/memory/reservation.go
@@ -12,6 +12,9 @@
 	// held and closed are guarded by the account's mutex.
 	held   int64
 	closed bool
+	// arrivingSince is when the body began to arrive, and drop ends that.
+	arrivingSince time.Time
+	drop          func()
 }
 
 // Grow reserves n more bytes, and reports whether there was room for them.
@@ -61,6 +64,7 @@
 	a.mu.Lock()
 	if all {
 		n, r.closed = r.held, true
+		delete(a.arriving, r)
 	}
 	n = min(n, r.held)
 	hasRoom := n > 0 && a.releaseLocked(now, r, n, used)
--- a/internal/role/gateway/memory.go
+++ b/internal/role/gateway/memory.go
@@ -35,6 +35,9 @@
 	auto.NewCounterFunc(prometheus.CounterOpts{
 		Name: "persimmonridge_memory_refused_total", Help: "Requests that were refused for lack of memory.",
 	}, func() float64 { return float64(account.Stats().Refused) })
+	auto.NewCounterFunc(prometheus.CounterOpts{
+		Name: "persimmonridge_memory_displaced_total", Help: "Request bodies that were dropped while they arrived, for lack of memory.",
+	}, func() float64 { return float64(account.Stats().Displaced) })
 	auto.NewCounterFunc(prometheus.CounterOpts{
 		Name: "persimmonridge_streams_read_ahead_total", Help: "Streams that were read ahead of their callers.",
 	}, func() float64 { return float64(account.Stats().ReadAhead) })
--- a/internal/role/gateway/memory_test.go
+++ b/internal/role/gateway/memory_test.go
@@ -28,7 +28,7 @@
 		require.Equal(t, http.StatusOK, call("short", shortBody).status)
 		text := f.metrics(0)
 		for _, line := range []string{
-			"persimmonridge_memory_limit_bytes 4096", "persimmonridge_memory_refused_total 1", "persimmonridge_streams_read_ahead_total 0",
+			"persimmonridge_memory_limit_bytes 4096", "persimmonridge_memory_displaced_total 0", "persimmonridge_memory_refused_total 1", "persimmonridge_streams_read_ahead_total 0",
 			`persimmonridge_memory_held_bytes{kind="body"} 0`, `persimmonridge_memory_held_bytes{kind="stream"} 0`,
 		} {
 			require.Contains(t, text, "\n"+line+"\n")
