Connections of callers are bounded by memory and descriptors

What callers saw: silent connections, or ones that state a body and send nothing of it, used up the descriptors of a gateway, which peers, the store and upstreams need, too; each costs memory besides.

Cause: `limits.maxFds` was read nowhere, and nothing bounded the connections of callers.

Change: the memory account, which owns what callers can make a process hold, counts their connections, too: at most a quarter of the process's memory at 32 KB each, and half of the descriptors that files leave (200 of them), 64 at least: 1,072 on a VM with 134 MB and 4,100 descriptors, 1,950 with 284 MB. From seven eighths of that on the connection that has waited longest, without a request or within its header, is closed for each new one; a request that crosses its end is still read. Connections with a request never give way; at the bound new ones are reset unread, which callers may try elsewhere.

--- a/cmd/persimmonridge/gateway.go
+++ b/cmd/persimmonridge/gateway.go
@@ -100,7 +100,7 @@
 	return gateway.Settings{
 		Name: node.Name, Domain: node.Domain, CallerAddress: node.CallerAddress, ReadinessAddress: node.ReadinessAddress,
 		LinkAddress: node.LinkAddress, MetricsAddress: node.MetricsAddress, SeedAddresses: node.SeedAddresses, GracePeriod: node.GracePeriod, ConfigApplyLimit: node.ConfigApplyLimit,
-		CPUCores: node.CPUCores, MemoryBytes: node.MemoryBytes,
+		CPUCores: node.CPUCores, MemoryBytes: node.MemoryBytes, Descriptors: node.Descriptors,
 		LinkBytesPerSecond: node.LinkBytesPerSecond,
 		Retry:              retry.Settings{Ratio: node.RetryRatio, Slack: node.RetrySlack, Window: node.RetryWindow},
 		Quota:              quota.Options{StartFull: node.Bootstrap, Slack: node.QuotaSlack, ExcessFraction: node.QuotaExcessFraction, Window: node.QuotaWindow},
--- a/internal/edge/ingress/conn.go
+++ b/internal/edge/ingress/conn.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"container/list"
 	"context"
 	"errors"
 	"net"
@@ -43,6 +44,11 @@
 	// answersAtExit reports that the handler answers the request when the process exits. It is
 	// set until that answer was sent.
 	answersAtExit bool
+	// yielding reports that the connection is to be closed in favor of others.
+	yielding bool
+	// place is the position among the connections that wait, guarded by the server's mutex, nil
+	// while there is a request.
+	place *list.Element
 }
 
 // Read implements net.Conn.
@@ -60,7 +66,7 @@
 			return n, err
 		}
 		if final {
-			c.server.Metrics.ConnectionClosed(CloseIdle)
+			c.server.Metrics.ConnectionClosed(c.idleReason())
 			return n, err
 		}
 	}
@@ -75,7 +81,7 @@
 		return false, nil
 	}
 	deadline := c.idleSince.Add(c.server.idleLimit())
-	if final = !now.Before(deadline); final {
+	if final = c.yielding || !now.Before(deadline); final {
 		deadline = now.Add(finalReadTimeout)
 	}
 	return final, c.Conn.SetReadDeadline(deadline)
@@ -183,11 +189,16 @@
 // while it runs.
 func (c *Conn) beginHeader(now time.Time) error {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.endIdleLocked(now) {
-		return nil
+	first := c.endIdleLocked(now)
+	var err error
+	if first {
+		err = c.setHeaderDeadlineLocked(now)
+	}
+	c.mu.Unlock()
+	if first {
+		c.server.beginWait(c)
 	}
-	return c.setHeaderDeadlineLocked(now)
+	return err
 }
 
 // setHeaderDeadlineLocked sets or shortens the deadline of the header. It never
@@ -215,7 +226,7 @@
 	if c.idleSince.IsZero() {
 		return false
 	}
-	c.idleTime, c.idleSince = now.Sub(c.idleSince), time.Time{}
+	c.idleTime, c.idleSince, c.yielding = now.Sub(c.idleSince), time.Time{}, false
 	return true
 }
 
@@ -242,6 +253,10 @@
 			l.server.reject(raw)
 			continue
 		}
+		if !l.server.makeRoom(now) {
+			l.server.reject(raw)
+			continue
+		}
 		c := &Conn{Conn: raw, server: l.server, idleSince: now}
 		l.server.track(c)
 		return c, nil
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -3,6 +3,7 @@
 package ingress
 
 import (
+	"container/list"
 	"context"
 	"errors"
 	"log/slog"
@@ -14,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/persimmonridge/persimmonridge/internal/limit/memory"
 	"github.com/persimmonridge/persimmonridge/internal/state/catalog"
 )
 
@@ -54,6 +56,9 @@
 	CloseInFlight CloseReason = "in-flight"
 	// CloseBusy: the connection was new and not taken.
 	CloseBusy CloseReason = "busy"
+	// CloseCrowded: the connection waited for a request, or for the rest of its header, and gave
+	// way to others.
+	CloseCrowded CloseReason = "crowded"
 )
 
 // Metrics counts closed connections of callers.
@@ -73,6 +78,8 @@
 	// Take reports whether a new connection is taken. The others are closed at once, with
 	// nothing read. If it is nil, all are taken.
 	Take func(now time.Time) bool
+	// Memory bounds the open connections; nil does not.
+	Memory *memory.Account
 }
 
 // Server is an HTTP server for callers.
@@ -89,6 +96,10 @@
 	// acceptDone is closed when no more connections are accepted.
 	acceptDone chan struct{}
 	conns      map[*Conn]struct{}
+	// waiting holds the connections without a request, that which changed last at the end.
+	waiting list.List
+	// crowdedLoggedAt is when the log last told that connections give way.
+	crowdedLoggedAt time.Time
 }
 
 // New returns a server with the given dependencies. Serve starts it.
@@ -154,25 +165,15 @@
 	c := conn.(*Conn)
 	switch state {
 	case http.StateActive:
+		s.endWait(c)
 		// The deadline can only fail to be set on a closed connection.
 		_ = c.endHeader(s.Now())
 	case http.StateIdle:
 		c.beginIdle(s.Now())
+		s.beginWait(c)
 	}
 }
 
-func (s *Server) track(c *Conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.conns[c] = struct{}{}
-}
-
-func (s *Server) untrack(c *Conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.conns, c)
-}
-
 func (s *Server) openConns() []*Conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/limit/memory/memory.go
+++ b/internal/limit/memory/memory.go
@@ -1,5 +1,6 @@
-// Package memory accounts for the bytes that a gateway holds in request bodies and answers,
-// and bounds them by a share of the memory limit of its process.
+// Package memory accounts for what a gateway holds for its callers: the bytes of request bodies
+// and answers, and their connections. It bounds them by shares of the memory limit
+// of its process and of its descriptors.
 package memory
 
 import (
@@ -101,6 +102,10 @@
 	Refused, ReadAhead int64
 	// Displaced counts the bodies that were dropped while they arrived.
 	Displaced int64
+	// Connections are open, of ConnectionLimit at most, 0 if they are not bounded.
+	Connections, ConnectionLimit int
+	// ConnectionsRefused counts the connections that were not taken for lack of room.
+	ConnectionsRefused int64
 }
 
 // Account bounds the bytes held. Without a limit it is disabled and bounds nothing. It is
@@ -128,6 +133,9 @@
 	// arriving are the reservations of bodies of which a part may be outstanding.
 	arriving  map[*Reservation]struct{}
 	displaced int64
+
+	connections, connectionLimit int
+	connectionsRefused           int64
 }
 
 // waiter waits until a reservation can grow by need bytes.
@@ -170,6 +178,7 @@
 	defer a.mu.Unlock()
 	return Stats{
 		Limit: a.limit, Held: a.byKind, Refused: a.refused, ReadAhead: a.readAhead, Displaced: a.displaced,
+		Connections: a.connections, ConnectionLimit: a.connectionLimit, ConnectionsRefused: a.connectionsRefused,
 	}
 }
 
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -75,9 +75,10 @@
 	// CPUCores is the share of one CPU core that the process may use; 0 means
 	// unknown.
 	CPUCores float64
-	// MemoryBytes is the memory limit of the process, which bounds what callers can make it hold;
-	// 0 means unknown.
+	// MemoryBytes and Descriptors are the limits of the process, which bound what callers can
+	// make it hold; 0 means unknown.
 	MemoryBytes int64
+	Descriptors int
 	// LinkBytesPerSecond is what the VM's link carries in each direction; 0 means unknown.
 	LinkBytesPerSecond        float64
 	Retry                     retry.Settings
@@ -276,6 +277,7 @@
 	g.relay, g.hubList = newStoreRelay(g), &hubList{Gateway: g}
 	g.follower = g.newFollower()
 	g.memory = memory.New(memory.Limit(s.MemoryBytes), g.logMemory)
+	g.memory.SetConnectionLimit(memory.ConnectionLimit(s.MemoryBytes, s.Descriptors))
 	g.metrics.registerGauges(g)
 	g.unfinished = memory.NewBudget(memory.UnfinishedLimit(s.MemoryBytes))
 	g.metrics.registerMemory(g.memory, g.unfinished)
@@ -289,7 +291,7 @@
 		NextAccepting: g.nextAccepting, ConfigurationDue: g.hubList.configurationDue, Guard: g.guard, Domains: g.domainsIn, Memory: g.memory, Unfinished: g.unfinished,
 	})
 	g.ingress = ingress.New(ingress.Dependencies{
-		Handler: requests, Catalog: g.catalog.Load, Metrics: g.metrics, Logger: logger, Now: now, Take: g.takesConnection,
+		Handler: requests, Catalog: g.catalog.Load, Metrics: g.metrics, Logger: logger, Now: now, Take: g.takesConnection, Memory: g.memory,
 	})
 	g.reserveAddresses()
 	return g
--- a/internal/role/gateway/memory.go
+++ b/internal/role/gateway/memory.go
@@ -38,6 +38,15 @@
 	auto.NewCounterFunc(prometheus.CounterOpts{
 		Name: "persimmonridge_memory_displaced_total", Help: "Request bodies that were dropped while they arrived, for lack of memory.",
 	}, func() float64 { return float64(account.Stats().Displaced) })
+	auto.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "persimmonridge_caller_connections", Help: "Connections of callers that are open.",
+	}, func() float64 { return float64(account.Stats().Connections) })
+	auto.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "persimmonridge_caller_connections_limit", Help: "Connections of callers that may be open.",
+	}, func() float64 { return float64(account.Stats().ConnectionLimit) })
+	auto.NewCounterFunc(prometheus.CounterOpts{
+		Name: "persimmonridge_caller_connections_refused_total", Help: "Connections of callers that were closed unread as too many were open.",
+	}, func() float64 { return float64(account.Stats().ConnectionsRefused) })
 	auto.NewCounterFunc(prometheus.CounterOpts{
 		Name: "persimmonridge_streams_read_ahead_total", Help: "Streams that were read ahead of their callers.",
 	}, func() float64 { return float64(account.Stats().ReadAhead) })
