Receive buffers of callers' connections are bounded

What callers saw: a gateway whose memory account was full could still be killed: bytes that a process has received and not read count towards its memory, and the kernel keeps up to 6 MB of them for each connection.

Cause: the receive buffers grew as the kernel chose. A refused body in chunks is not read on, while its caller goes on sending.

Change: connections of callers have receive buffers of 16 KB (the kernel allocates twice as much), set on the listener so that connections inherit it before they are accepted. A body of 1 MiB and more whose length is stated, and reserved, gets 128 KB until its request ends, as its rate is the buffer divided by the round-trip time; few of these fit into the account.

--- a/internal/edge/flow/admit.go
+++ b/internal/edge/flow/admit.go
@@ -84,6 +84,11 @@
 	if err := controller.SetReadDeadline(c.deadline); err != nil {
 		c.logger.Debug("could not set the read deadline", "err", err)
 	}
+	if c.conn != nil && c.held.body != nil {
+		if err := c.conn.ExpectBody(r.ContentLength); err != nil {
+			c.logger.Debug("could not set the receive buffer", "err", err)
+		}
+	}
 	began := c.Now()
 	if r.ContentLength != 0 {
 		c.beginArrival(began, controller)
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -169,6 +169,9 @@
 		// The deadline can only fail to be set on a closed connection.
 		_ = c.endHeader(s.Now())
 	case http.StateIdle:
+		if err := c.endBody(); err != nil {
+			s.Logger.Debug("could not set the receive buffer", "err", err)
+		}
 		c.beginIdle(s.Now())
 		s.beginWait(c)
 	}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -311,6 +311,9 @@
 	if err != nil {
 		return err
 	}
+	if err := ingress.LimitReceiveBuffers(callers); err != nil {
+		g.logger.Warn("receive buffers of callers' connections are not bounded", "err", err)
+	}
 	g.logger.Info("started", "name", g.settings.Name, "domain", g.settings.Domain)
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
