Headers are bounded while they are read

What callers saw: a gateway ran out of memory under headers over the limit that were never complete, most of all in short lines.

Cause: http.Server read up to 256 KB of a header on each connection, whatever the configuration allows, and the size was checked once the header was parsed. Fields hold several times their bytes (two map entries and strings each), and nothing bounded the sum of all headers.

Change: the connection counts the bytes and lines of a header as they are read. One that exceeds the configured limit by more than a read buffer is answered 431 at once, and its connection closed; the exact size is checked as before. Of what a header is estimated to hold (3 bytes for each and 256 for each line), 8 KB are part of what each connection counts for, and the rest is reserved in the memory account, of which headers may have a quarter, until the request is answered. Without room the answer is 503 with Retry-After: the header is not complete, so that nothing has run. A refused connection stays open for half a second, as in net/http, or until it gives way to another one.

--- a/internal/edge/ingress/conn.go
+++ b/internal/edge/ingress/conn.go
@@ -48,6 +48,7 @@
 	yielding bool
 	// enlarged reports that the receive buffer is that of a large body.
 	enlarged bool
+	header   header
 	// place is the position among the connections that wait, guarded by the server's mutex, nil
 	// while there is a request.
 	place *list.Element
@@ -62,7 +63,9 @@
 		}
 		n, err := c.Conn.Read(p)
 		if n > 0 && err == nil {
-			err = c.beginHeader(c.server.Now())
+			if err = c.readHeader(c.server.Now(), p[:n]); err != nil {
+				return 0, err
+			}
 		}
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.idle() {
 			return n, err
@@ -121,6 +124,7 @@
 	c.closed = true
 	c.countClosedInFlightLocked()
 	c.mu.Unlock()
+	c.header.close(c.server.Now())
 	c.server.untrack(c)
 	return c.Conn.Close()
 }
@@ -188,19 +192,15 @@
 
 // beginHeader sets the deadline of a header whose first bytes were read, by the
 // limit that is configured then. ReadHeaderTimeout of http.Server cannot change
-// while it runs.
-func (c *Conn) beginHeader(now time.Time) error {
+// while it runs. It reports whether the bytes that were read belong to a header, and whether they
+// are its first.
+func (c *Conn) beginHeader(now time.Time) (inHeader, first bool, err error) {
 	c.mu.Lock()
-	first := c.endIdleLocked(now)
-	var err error
-	if first {
-		err = c.setHeaderDeadlineLocked(now)
-	}
-	c.mu.Unlock()
-	if first {
-		c.server.beginWait(c)
+	defer c.mu.Unlock()
+	if !c.endIdleLocked(now) {
+		return !c.headerDeadline.IsZero(), false, nil
 	}
-	return err
+	return true, true, c.setHeaderDeadlineLocked(now)
 }
 
 // setHeaderDeadlineLocked sets or shortens the deadline of the header. It never
--- a/internal/edge/ingress/crowd.go
+++ b/internal/edge/ingress/crowd.go
@@ -41,6 +41,7 @@
 	if longest != nil {
 		// It only fails on a closed connection.
 		_ = longest.yield(now)
+		longest.header.endLinger()
 	}
 }
 
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -59,6 +59,8 @@
 	// CloseCrowded: the connection waited for a request, or for the rest of its header, and gave
 	// way to others.
 	CloseCrowded CloseReason = "crowded"
+	// CloseHeader: the header was too large, or there was no memory for it.
+	CloseHeader CloseReason = "header"
 )
 
 // Metrics counts closed connections of callers.
@@ -78,7 +80,7 @@
 	// Take reports whether a new connection is taken. The others are closed at once, with
 	// nothing read. If it is nil, all are taken.
 	Take func(now time.Time) bool
-	// Memory bounds the open connections; nil does not.
+	// Memory bounds the open connections and the bytes of large headers; nil bounds neither.
 	Memory *memory.Account
 }
 
@@ -169,6 +171,7 @@
 		// The deadline can only fail to be set on a closed connection.
 		_ = c.endHeader(s.Now())
 	case http.StateIdle:
+		c.header.close(s.Now())
 		if err := c.endBody(); err != nil {
 			s.Logger.Debug("could not set the receive buffer", "err", err)
 		}
@@ -210,7 +213,7 @@
 // headerByteLimit returns how many bytes a header may have.
 func (s *Server) headerByteLimit() int {
 	if c := s.Catalog(); c != nil && c.Limits().MaxHeaderBytes > 0 {
-		return c.Limits().MaxHeaderBytes
+		return min(c.Limits().MaxHeaderBytes, maxHeaderBytes)
 	}
 	return defaultHeaderBytes
 }
--- a/internal/limit/memory/displace_test.go
+++ b/internal/limit/memory/displace_test.go
@@ -80,3 +80,13 @@
 	require.True(t, small.Grow(start, 16<<10))
 	require.False(t, small.Grow(start, 1), "it is not small any more")
 }
+
+// Guards against large headers that leave no room for bodies and answers.
+func TestHeadersHaveAQuarter(t *testing.T) {
+	a := memory.New(1000, nil)
+	require.True(t, a.Open(memory.Header, "headers").Grow(start, 250))
+	require.False(t, a.Open(memory.Header, "headers").Grow(start, 1))
+	require.True(t, a.Open(memory.Answer, "a").Grow(start, 500))
+	require.True(t, a.Open(memory.Answer, "b").Grow(start, 250))
+	require.False(t, a.Open(memory.Answer, "b").Grow(start, 1))
+}
--- a/internal/limit/memory/memory.go
+++ b/internal/limit/memory/memory.go
@@ -1,5 +1,5 @@
-// Package memory accounts for what a gateway holds for its callers: the bytes of request bodies
-// and answers, and their connections. It bounds them by shares of the memory limit
+// Package memory accounts for what a gateway holds for its callers: the bytes of large headers,
+// request bodies and answers, and their connections. It bounds them by shares of the memory limit
 // of its process and of its descriptors.
 package memory
 
@@ -32,6 +32,8 @@
 	// left to the higher tier, which must not be shed before a lower one.
 	lowerTierShare = 0.5
 	shedTime       = time.Second
+	// headerShare is the fraction of the account that large headers may use.
+	headerShare = 0.25
 	// smallBodyFraction is the fraction of the account up to which a body is small, and
 	// smallBodyShare the fraction of the account that bodies may use if the next one is small.
 	// Large bodies that stop before their end thus leave room for those of other callers.
@@ -64,16 +66,18 @@
 	Answer
 	// Stream is the part of a stream that was read ahead of its caller.
 	Stream
+	// Header is a request's header beyond the usual size.
+	Header
 	kindCount
 )
 
-var kindNames = [kindCount]string{"body", "answer", "stream"}
+var kindNames = [kindCount]string{"body", "answer", "stream", "header"}
 
 // String returns the kind's name in metrics.
 func (k Kind) String() string { return kindNames[k] }
 
 // Kinds returns all kinds.
-func Kinds() []Kind { return []Kind{Body, Answer, Stream} }
+func Kinds() []Kind { return []Kind{Body, Answer, Stream, Header} }
 
 // Limit returns the limit of the account in a process with the memory limit, which is 0 if it is
 // unknown.
@@ -220,8 +224,11 @@
 		return 0, 0
 	}
 	bound := a.limit
-	if r.kind == Body {
+	switch r.kind {
+	case Body:
 		bound = a.bodyBoundLocked(now, r, n)
+	case Header:
+		return max(a.held+n-bound, a.byKind[Header]+n-int64(headerShare*float64(a.limit))), 0
 	}
 	return a.held + n - bound, a.holders[r.holder] + n - int64(holderShare*float64(a.limit))
 }
--- a/internal/role/gateway/memory.go
+++ b/internal/role/gateway/memory.go
@@ -25,7 +25,7 @@
 	}, func() float64 { return float64(unfinished.Taken()) })
 	for _, kind := range memory.Kinds() {
 		auto.NewGaugeFunc(prometheus.GaugeOpts{
-			Name: "persimmonridge_memory_held_bytes", Help: "Bytes held in request bodies, buffered answers and streams that were read ahead.",
+			Name: "persimmonridge_memory_held_bytes", Help: "Bytes held in large headers, request bodies, buffered answers and streams that were read ahead.",
 			ConstLabels: prometheus.Labels{"kind": kind.String()},
 		}, func() float64 { return float64(account.Stats().Held[kind]) })
 	}
