Send buffers of callers' connections are bounded

What callers saw: a gateway could be killed by answers that its callers do not read: the kernel keeps up to 4 MB of them for each connection, beyond the memory account.

Cause: the send buffers grew as the kernel chose, like the receive buffers. And the larger receive buffers of large bodies were counted nowhere.

Change: connections of callers have send buffers of 16 KB, too. A buffered answer of 64 KiB and more gets 128 KB, and so does a body of 1 MiB and more, if the account has room for what the kernel may allocate for it; both end with the request.

--- a/internal/edge/flow/admit.go
+++ b/internal/edge/flow/admit.go
@@ -10,6 +10,7 @@
 	"os"
 	"time"
 
+	"github.com/persimmonridge/persimmonridge/internal/edge/ingress"
 	"github.com/persimmonridge/persimmonridge/internal/state/catalog"
 	"github.com/persimmonridge/persimmonridge/internal/state/wait"
 )
@@ -84,10 +85,8 @@
 	if err := controller.SetReadDeadline(c.deadline); err != nil {
 		c.logger.Debug("could not set the read deadline", "err", err)
 	}
-	if c.conn != nil && c.held.body != nil {
-		if err := c.conn.ExpectBody(r.ContentLength); err != nil {
-			c.logger.Debug("could not set the receive buffer", "err", err)
-		}
+	if r.ContentLength >= largeBodyBytes {
+		c.enlargeBuffer(c.held.body, (*ingress.Conn).EnlargeReceiveBuffer)
 	}
 	began := c.Now()
 	if r.ContentLength != 0 {
--- a/internal/edge/flow/held.go
+++ b/internal/edge/flow/held.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
+	"github.com/persimmonridge/persimmonridge/internal/edge/ingress"
 	"github.com/persimmonridge/persimmonridge/internal/limit/memory"
 )
 
@@ -33,6 +34,10 @@
 	// displaceTimeout is how long a body waits for the room of others that are dropped for it:
 	// their goroutines have to notice it on a VM with a tenth of a core.
 	displaceTimeout = 200 * time.Millisecond
+	// largeBodyBytes and largeAnswerBytes are the sizes from which on a body and an answer get a
+	// larger buffer in the kernel.
+	largeBodyBytes   = 1 << 20
+	largeAnswerBytes = 64 << 10
 	// refusedBodyTimeout limits the time for the rest of a refused body: http.Server reads some
 	// of it so that the caller gets the refusal.
 	refusedBodyTimeout = 2 * time.Second
@@ -148,6 +153,16 @@
 	}
 }
 
+// enlargeBuffer enlarges a buffer of the caller's connection if there is memory for it.
+func (c *call) enlargeBuffer(reservation *memory.Reservation, enlarge func(*ingress.Conn) error) {
+	if c.conn == nil || reservation == nil || !reservation.Grow(c.Now(), ingress.LargeBufferCost) {
+		return
+	}
+	if err := enlarge(c.conn); err != nil {
+		c.logger.Debug("could not enlarge a buffer of the connection", "err", err)
+	}
+}
+
 // refuseForMemory refuses a request whose body, of which n bytes are missing, does not fit.
 func (c *call) refuseForMemory(n int64) {
 	now := c.Now()
--- a/internal/edge/flow/plain.go
+++ b/internal/edge/flow/plain.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
+	"github.com/persimmonridge/persimmonridge/internal/edge/ingress"
 )
 
 // handleTruncated ends an attempt whose answer broke off, or has no end.
@@ -28,6 +29,9 @@
 	c.passing.Store(true)
 	c.Headers.Caller(answer.Header, c.w.Header())
 	c.stateLength(int64(len(body)))
+	if len(body) >= largeAnswerBytes {
+		c.enlargeBuffer(c.held.answer, (*ingress.Conn).EnlargeSendBuffer)
+	}
 	c.w.WriteHeader(answer.Status)
 	if _, err := c.w.Write(body); err != nil {
 		c.logger.Info("caller disconnected while the answer was written", "err", err)
--- a/internal/edge/ingress/buffers.go
+++ b/internal/edge/ingress/buffers.go
@@ -7,20 +7,23 @@
 )
 
 const (
-	// receiveBufferBytes is the kernel's buffer for what a caller sends, of which Linux allocates
-	// twice as much. What is received and not read counts towards the memory of the process.
-	receiveBufferBytes = 16 << 10
-	// largeBodyBytes is the stated length from which on a body gets largeBodyBufferBytes, as its
-	// rate is the buffer divided by the round-trip time. Few of them fit into the memory account.
-	largeBodyBytes       = 1 << 20
-	largeBodyBufferBytes = 128 << 10
+	// bufferBytes is the kernel's buffer for what a caller sends, and that for what it is sent.
+	// Linux allocates twice as much. Both count towards the memory of the process.
+	bufferBytes = 16 << 10
+	// largeBufferBytes is the buffer of a large body or answer, whose rate is the buffer divided by
+	// the round-trip time.
+	largeBufferBytes = 128 << 10
+	// LargeBufferCost is what Linux allocates for such a buffer. It must be reserved.
+	LargeBufferCost = 2 * largeBufferBytes
 )
 
-// LimitReceiveBuffers bounds the receive buffers of the connections that the listener accepts.
+// LimitBuffers bounds the receive and send buffers of the connections that the listener accepts.
 // Others than those of the operating system have none.
-func LimitReceiveBuffers(l net.Listener) error { return setReceiveBuffer(l, receiveBufferBytes) }
+func LimitBuffers(l net.Listener) error {
+	return errors.Join(setBuffer(l, syscall.SO_RCVBUF, bufferBytes), setBuffer(l, syscall.SO_SNDBUF, bufferBytes))
+}
 
-func setReceiveBuffer(socket any, size int) error {
+func setBuffer(socket any, option, size int) error {
 	conn, ok := socket.(syscall.Conn)
 	if !ok {
 		return nil
@@ -31,30 +34,33 @@
 	}
 	var setErr error
 	err = raw.Control(func(fd uintptr) {
-		setErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, size)
+		setErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, option, size)
 	})
 	return errors.Join(err, setErr)
 }
 
-// ExpectBody prepares the connection for a body of n bytes, for which memory is reserved.
-func (c *Conn) ExpectBody(n int64) error {
-	if n < largeBodyBytes {
-		return nil
-	}
+// EnlargeReceiveBuffer enlarges the receive buffer until the connection's request has ended.
+func (c *Conn) EnlargeReceiveBuffer() error { return c.enlarge(syscall.SO_RCVBUF) }
+
+// EnlargeSendBuffer enlarges the send buffer until the connection's request has ended.
+func (c *Conn) EnlargeSendBuffer() error { return c.enlarge(syscall.SO_SNDBUF) }
+
+func (c *Conn) enlarge(option int) error {
 	c.mu.Lock()
-	c.enlarged = true
+	c.enlarged = append(c.enlarged, option)
 	c.mu.Unlock()
-	return setReceiveBuffer(c.Conn, largeBodyBufferBytes)
+	return setBuffer(c.Conn, option, largeBufferBytes)
 }
 
-// endBody restores the receive buffer after a request with a large body.
-func (c *Conn) endBody() error {
+// restoreBuffers ends what was enlarged for a request.
+func (c *Conn) restoreBuffers() error {
 	c.mu.Lock()
 	enlarged := c.enlarged
-	c.enlarged = false
+	c.enlarged = nil
 	c.mu.Unlock()
-	if !enlarged {
-		return nil
+	var errs []error
+	for _, option := range enlarged {
+		errs = append(errs, setBuffer(c.Conn, option, bufferBytes))
 	}
-	return setReceiveBuffer(c.Conn, receiveBufferBytes)
+	return errors.Join(errs...)
 }
--- a/internal/edge/ingress/conn.go
+++ b/internal/edge/ingress/conn.go
@@ -46,8 +46,8 @@
 	answersAtExit bool
 	// yielding reports that the connection is to be closed in favor of others.
 	yielding bool
-	// enlarged reports that the receive buffer is that of a large body.
-	enlarged bool
+	// enlarged are the socket options of the buffers that are larger than usual.
+	enlarged []int
 	header   header
 	// place is the position among the connections that wait, guarded by the server's mutex, nil
 	// while there is a request.
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -172,8 +172,8 @@
 		_ = c.endHeader(s.Now())
 	case http.StateIdle:
 		c.header.close(s.Now())
-		if err := c.endBody(); err != nil {
-			s.Logger.Debug("could not set the receive buffer", "err", err)
+		if err := c.restoreBuffers(); err != nil {
+			s.Logger.Debug("could not restore the buffers", "err", err)
 		}
 		c.beginIdle(s.Now())
 		s.beginWait(c)
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -311,8 +311,8 @@
 	if err != nil {
 		return err
 	}
-	if err := ingress.LimitReceiveBuffers(callers); err != nil {
-		g.logger.Warn("receive buffers of callers' connections are not bounded", "err", err)
+	if err := ingress.LimitBuffers(callers); err != nil {
+		g.logger.Warn("buffers of callers' connections are not bounded", "err", err)
 	}
 	g.logger.Info("started", "name", g.settings.Name, "domain", g.settings.Domain)
 	background, cancel := context.WithCancel(context.Background())
--- a/internal/trial/hostile/crowd_test.go
+++ b/internal/trial/hostile/crowd_test.go
@@ -33,7 +33,7 @@
 		crowd.Go(func() {
 			for time.Now().Before(until) {
 				if c, err := net.DialTimeout("tcp", address, dialTimeout); err == nil {
-					sendPieces(c, s.Send, i, until)
+					s.sendOn(c, i, until)
 					_ = c.Close()
 				}
 				<-time.After(reconnectDelay)
@@ -43,14 +43,18 @@
 	crowd.Wait()
 }
 
-// sendPieces sends the pieces, and then stays open until the peer closes or the time.
-func sendPieces(c net.Conn, pieces []piece, number int, until time.Time) {
+// sendOn sends the pieces on a connection, and then keeps it until the peer closes it or the time.
+func (s scenario) sendOn(c net.Conn, number int, until time.Time) {
 	_ = c.SetDeadline(until)
-	for _, p := range pieces {
+	for _, p := range s.Send {
 		if !p.send(c, number, until) {
 			return
 		}
 	}
+	if s.Unread {
+		<-time.After(time.Until(until))
+		return
+	}
 	_, _ = io.Copy(io.Discard, c)
 }
 
--- a/internal/trial/hostile/gateway_test.go
+++ b/internal/trial/hostile/gateway_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -214,6 +215,11 @@
 	require.Equal(g.t, http.StatusOK, g.send(r))
 }
 
+// largeAnswerPath is answered with largeAnswer.
+const largeAnswerPath = "/plain/large"
+
+var largeAnswer = strings.Repeat("a", 4<<20)
+
 // upstream answers all requests and counts them by workspace.
 type upstream struct {
 	mu       sync.Mutex
@@ -236,6 +242,11 @@
 	u.longest = max(u.longest, body.Len())
 	u.mu.Unlock()
 	w.Header().Set(names.Seal, "seal")
+	if r.URL.Path == largeAnswerPath {
+		w.Header().Set("Content-Length", strconv.Itoa(len(largeAnswer)))
+		_, _ = io.WriteString(w, largeAnswer)
+		return
+	}
 	_, _ = io.WriteString(w, "done")
 }
 
--- a/internal/trial/hostile/hostile_test.go
+++ b/internal/trial/hostile/hostile_test.go
@@ -35,6 +35,8 @@
 	Send  []piece `json:"send"`
 	// Completes is set if the requests are complete, so that they may run.
 	Completes bool `json:"completes"`
+	// Unread is set if the answers are not read.
+	Unread bool `json:"unread"`
 }
 
 // piece is text that a connection sends: once, until that many bytes were sent, or without end.
--- a/internal/trial/hostile/usage_test.go
+++ b/internal/trial/hostile/usage_test.go
@@ -15,14 +15,15 @@
 
 // usage is what a process has used at most.
 type usage struct {
-	// memoryMB is the resident memory with the bytes that the process has received and not read.
-	memoryMB, residentMB, unreadMB int
-	descriptors                    int
+	// memoryMB is the resident memory with the bytes that the kernel holds for the process: those
+	// received and not read, and those sent that callers have not taken.
+	memoryMB, residentMB, unreadMB, unsentMB int
+	descriptors                              int
 }
 
 // String describes the usage.
 func (u usage) String() string {
-	return fmt.Sprintf("at most %d MB, %d MB resident, %d MB unread, %d descriptors", u.memoryMB, u.residentMB, u.unreadMB, u.descriptors)
+	return fmt.Sprintf("at most %d MB, %d MB resident, %d MB unread, %d MB unsent, %d descriptors", u.memoryMB, u.residentMB, u.unreadMB, u.unsentMB, u.descriptors)
 }
 
 // watcher observes a process until it is stopped.
@@ -57,7 +58,7 @@
 
 // add takes a sample of the process that listens for callers at the address.
 func (u *usage) add(pid int, address string) {
-	unread := unreadBytes(address) >> 20
+	unread, unsent := kernelMB(address)
 	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return
@@ -65,37 +66,39 @@
 	for line := range strings.Lines(string(raw)) {
 		switch name, _, _ := strings.Cut(line, ":"); name {
 		case "VmRSS":
-			u.memoryMB = max(u.memoryMB, parseKB(line)>>10+unread)
+			u.memoryMB = max(u.memoryMB, parseKB(line)>>10+unread+unsent)
 		case "VmHWM":
 			u.residentMB = max(u.residentMB, parseKB(line)>>10)
 			u.memoryMB = max(u.memoryMB, u.residentMB)
 		}
 	}
-	u.unreadMB = max(u.unreadMB, unread)
+	u.unreadMB, u.unsentMB = max(u.unreadMB, unread), max(u.unsentMB, unsent)
 	if entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid)); err == nil {
 		u.descriptors = max(u.descriptors, len(entries))
 	}
 }
 
-// unreadBytes returns the bytes that were received at the address and not read yet.
-func unreadBytes(address string) int {
+// kernelMB returns the megabytes that were received at the address and not read yet, and those that were
+// written there and not taken.
+func kernelMB(address string) (unread, unsent int) {
 	host, port, _ := net.SplitHostPort(address)
 	number, _ := strconv.Atoi(port)
 	local := fmt.Sprintf("%08X:%04X", binary.LittleEndian.Uint32(net.ParseIP(host).To4()), number)
 	raw, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
-		return 0
+		return 0, 0
 	}
 	const listening = "0A"
-	total := 0
 	for line := range strings.Lines(string(raw)) {
 		fields := strings.Fields(line)
 		if len(fields) < 5 || fields[1] != local || fields[3] == listening {
 			continue
 		}
-		_, received, _ := strings.Cut(fields[4], ":")
+		written, received, _ := strings.Cut(fields[4], ":")
 		n, _ := strconv.ParseInt(received, 16, 64)
-		total += int(n)
+		unread += int(n)
+		n, _ = strconv.ParseInt(written, 16, 64)
+		unsent += int(n)
 	}
-	return total
+	return unread >> 20, unsent >> 20
 }
