Connections to the ports for readiness and metrics are bounded

What callers saw: nothing yet; silent connections to these ports used up the descriptors that callers, peers and the store need. Only the platform reaches them, so that it takes one of its own programs.

Cause: these servers had no bound on connections, and headers of 1 MB.

--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -19,7 +19,6 @@
 	"github.com/persimmonridge/persimmonridge/internal/edge/exchange"
 	"github.com/persimmonridge/persimmonridge/internal/edge/flow"
 	"github.com/persimmonridge/persimmonridge/internal/edge/ingress"
-	"github.com/persimmonridge/persimmonridge/internal/fleet/dial"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/link"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/membership"
 	"github.com/persimmonridge/persimmonridge/internal/fleet/mesh"
@@ -394,20 +393,6 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-func (g *Gateway) serveHTTP(ctx context.Context, address string, handler http.Handler) error {
-	listener, err := g.listen("tcp", address)
-	if err != nil {
-		return err
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: dial.Timeout}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
-}
-
 // sweep drops idle connections and expired upstreams until the context ends, and logs
 // omitted log lines.
 func (g *Gateway) sweep(ctx context.Context) error {
--- a/internal/trial/hostile/gateway_test.go
+++ b/internal/trial/hostile/gateway_test.go
@@ -78,7 +78,7 @@
 
 func startGateway(t *testing.T, binary string) *gateway {
 	g := &gateway{t: t, host: reserveHost(t), store: standin.NewStore(), upstream: newUpstream(), done: make(chan struct{})}
-	g.store.Put(platform.ConfigPrefix, configDocument())
+	g.putConfig(1, maxHeaderBytes, maxBodyBytes)
 	serve(t, g.host+":8000", g.store)
 	serve(t, g.host+":9000", g.upstream)
 	stopHeartbeats := make(chan struct{})
@@ -115,14 +115,14 @@
 		"platform":{"address":"%[1]s:8000"}}`, g.host, memoryMB, maxDescriptors, graceSeconds)
 }
 
-func configDocument() string {
-	return fmt.Sprintf(`{"version":1,"routes":[{"name":"plain","hostname":"h","prefix":"/plain/","kind":"non_idempotent",
+func (g *gateway) putConfig(version, headerBytes, bodyBytes int) {
+	g.store.Put(platform.ConfigPrefix, fmt.Sprintf(`{"version":%d,"routes":[{"name":"plain","hostname":"h","prefix":"/plain/","kind":"non_idempotent",
 		"timeoutMs":%d,"targetLatencyMs":500,"service":"plain","maxAttempts":1}],"services":[{"name":"plain"}],
 		"limits":{"maxHeaderBytes":%d,"maxBodyBytes":%d,"headerTimeoutMs":%d,"idleTimeoutMs":%d},
 		"tenants":[{"name":%q,"apiKeys":["hostile-key"]},{"name":"second","apiKeys":["second-key"]},
 		{"name":"third","apiKeys":["third-key"]},{"name":%q,"apiKeys":["ordinary-key"]}]}`,
-		routeTimeout.Milliseconds(), maxHeaderBytes, maxBodyBytes, headerTimeout.Milliseconds(), idleTimeout.Milliseconds(),
-		hostileWorkspace, ordinaryWorkspace)
+		version, routeTimeout.Milliseconds(), headerBytes, bodyBytes, headerTimeout.Milliseconds(), idleTimeout.Milliseconds(),
+		hostileWorkspace, ordinaryWorkspace))
 }
 
 func (g *gateway) callerAddress() string { return g.host + ":8221" }
--- a/internal/trial/hostile/hostile_test.go
+++ b/internal/trial/hostile/hostile_test.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -60,14 +61,18 @@
 	return binary
 }
 
-// Guards against callers that end a gateway: each scenario names its failure in testdata.
-func TestCallersThatDoNotKeepToTheLimits(t *testing.T) {
-	binary := buildProgram(t)
+func readScenarios(t *testing.T) []scenario {
 	raw, err := os.ReadFile("testdata/scenarios.json")
 	require.NoError(t, err)
 	var scenarios []scenario
 	require.NoError(t, json.Unmarshal(raw, &scenarios))
-	for _, s := range scenarios {
+	return scenarios
+}
+
+// Guards against callers that end a gateway: each scenario names its failure in testdata.
+func TestCallersThatDoNotKeepToTheLimits(t *testing.T) {
+	binary := buildProgram(t)
+	for _, s := range readScenarios(t) {
 		t.Run(s.Name, func(t *testing.T) {
 			g := startGateway(t, binary)
 			usage := g.watch()
@@ -122,3 +127,76 @@
 		require.Equal(t, http.StatusOK, <-answers)
 	}
 }
+
+// crowdOf returns the scenario of the name.
+func crowdOf(t *testing.T, name string) scenario {
+	for _, s := range readScenarios(t) {
+		if s.Name == name {
+			return s
+		}
+	}
+	require.Fail(t, "no such scenario", name)
+	return scenario{}
+}
+
+// Guards against a crowd that keeps a gateway from stopping, so that the platform kills it.
+func TestGatewayStopsAmidACrowd(t *testing.T) {
+	binary := buildProgram(t)
+	for _, name := range []string{"header-byte-by-byte", "body-short-of-its-end", "chunks-of-one-byte", "large-answers-unread", "idle-connections"} {
+		t.Run(name, func(t *testing.T) {
+			g := startGateway(t, binary)
+			usage := g.watch()
+			crowd := make(chan struct{})
+			go func() {
+				runCrowd(g.callerAddress(), crowdOf(t, name), time.Now().Add(playTime))
+				close(crowd)
+			}()
+			<-time.After(playTime / 4)
+			require.NoError(t, g.cmd.Process.Signal(syscall.SIGTERM))
+			<-g.done
+			most := usage.stop()
+			require.True(t, g.cmd.ProcessState.Success(), "%v", g.cmd.ProcessState)
+			require.LessOrEqual(t, most.memoryMB, memoryMB)
+			require.LessOrEqual(t, most.descriptors, maxDescriptors)
+			<-crowd
+		})
+	}
+}
+
+// Guards against a change of the limits amid a crowd that the new limits refuse.
+func TestLimitsChangeAmidACrowd(t *testing.T) {
+	g := startGateway(t, buildProgram(t))
+	usage := g.watch()
+	crowd := make(chan struct{})
+	go func() {
+		runCrowd(g.callerAddress(), crowdOf(t, "body-piece-by-piece"), time.Now().Add(playTime))
+		close(crowd)
+	}()
+	for version := 2; version < 8; version++ {
+		<-time.After(playTime / 8)
+		// The limits shrink to an eighth and grow again.
+		g.putConfig(version, maxHeaderBytes>>(version%4), maxBodyBytes>>(version%4))
+	}
+	<-crowd
+	most := usage.stop()
+	require.False(t, g.ended())
+	require.LessOrEqual(t, most.memoryMB, memoryMB)
+	require.LessOrEqual(t, most.descriptors, maxDescriptors)
+	g.requireAnswer(ordinaryRequest())
+}
+
+// Guards against silent connections to the ports for readiness and metrics that use up the
+// descriptors, and keep the platform from asking whether the gateway is ready.
+func TestInternalPortsAreBounded(t *testing.T) {
+	g := startGateway(t, buildProgram(t))
+	usage := g.watch()
+	idle := crowdOf(t, "idle-connections")
+	idle.Crowd = maxDescriptors
+	for _, port := range []string{":8224", ":7610"} {
+		runCrowd(g.host+port, idle, time.Now().Add(playTime/2))
+	}
+	most := usage.stop()
+	t.Log(most)
+	require.LessOrEqual(t, most.descriptors, maxDescriptors)
+	g.awaitReady()
+}
