Refused callers are not told the end of their connection at once

What callers saw: beside a crowd that states bodies and sends nothing of them, nine of ten ordinary callers got no answer, though memory held.

Cause: a request that is refused before its body was read is answered, its connection is shut down for writing, and it is closed half a second later (net/http).

Change: the connection is not shut down for writing. The answer comes at once, as before, and states its length; its caller may close the connection then. The end of the connection comes with its closing half a second later. The same holds for headers that are refused.

TestRefusedCallerIsNotToldTheEndAtOnce: the end after 0 s before, after 500 ms now.

--- a/internal/edge/ingress/conn.go
+++ b/internal/edge/ingress/conn.go
@@ -146,14 +146,11 @@
 	}
 }
 
-// CloseWrite shuts down the writing side, so that the caller reads an answer to its
-// end before the connection is closed.
-func (c *Conn) CloseWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
-	}
-	return errors.ErrUnsupported
-}
+// CloseWrite does nothing. http.Server calls it after an answer to a request whose body it does not
+// read to its end, and closes the connection half a second later, so that the caller can read the
+// answer, which states its length. Callers that wait for the end of the connection would otherwise
+// return at once.
+func (c *Conn) CloseWrite() error { return nil }
 
 // SetLinger sets what Close does with bytes that were not sent, as that of net.TCPConn.
 func (c *Conn) SetLinger(seconds int) error {
--- a/internal/edge/ingress/crowd_test.go
+++ b/internal/edge/ingress/crowd_test.go
@@ -1,6 +1,7 @@
 package ingress_test
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -70,3 +71,23 @@
 		}
 	})
 }
+
+// Guards against refused callers that come back at once, as the end of their connections tells them
+// to, and take the processor from the others.
+func TestRefusedCallerIsNotToldTheEndAtOnce(t *testing.T) {
+	runServer(t, 0, func(f *fixture) {
+		c := f.dial()
+		// http.Server does not read so long a body, and closes the connection.
+		require.NoError(t, c.write("POST "+refusedPath+" HTTP/1.1\r\nHost: h\r\nContent-Length: 4000000\r\n\r\nx"))
+		began := time.Now()
+		response, err := http.ReadResponse(c.reader, nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusNotFound, response.StatusCode)
+		require.True(t, response.Close)
+		require.Zero(t, response.ContentLength, "the answer ends without the connection")
+		require.Less(t, time.Since(began), 10*time.Millisecond)
+		_, err = c.reader.ReadByte()
+		require.Error(t, err)
+		require.Equal(t, 500*time.Millisecond, time.Since(began))
+	})
+}
--- a/internal/edge/ingress/fixture_test.go
+++ b/internal/edge/ingress/fixture_test.go
@@ -161,6 +161,9 @@
 	return n, err
 }
 
+// CloseWrite shuts down the sending side, as that of net.TCPConn.
+func (c delayedConn) CloseWrite() error { return c.Conn.(interface{ CloseWrite() error }).CloseWrite() }
+
 // recordRead records the paths of complete requests.
 func (f *fixture) recordRead(text string) {
 	f.mu.Lock()
--- a/internal/edge/ingress/header.go
+++ b/internal/edge/ingress/header.go
@@ -125,7 +125,6 @@
 	c.header.close(now)
 	_ = c.SetWriteDeadline(now.Add(refusalLinger))
 	if _, err := c.Write([]byte(text)); err == nil {
-		_ = c.CloseWrite()
 		c.header.linger()
 	}
 	// http.Server closes the connection after such an error and writes nothing.
