--- a/internal/trial/hostile/gateway_test.go
+++ b/internal/trial/hostile/gateway_test.go
@@ -45,12 +45,18 @@
 
 // gateway is a gateway's process with a stand-in of the store and one upstream.
 type gateway struct {
-	t        *testing.T
-	host     string
-	store    *standin.Store
-	upstream *upstream
-	cmd      *exec.Cmd
-	done     chan struct{}
+	t            *testing.T
+	binary, name string
+	host         string
+	// memoryMB and descriptors are the limits in the settings.
+	memoryMB, descriptors int
+	settingsFile          string
+	// storeHost is the host of the store and of the upstream, and of the first gateway.
+	storeHost string
+	store     *standin.Store
+	upstream  *upstream
+	cmd       *exec.Cmd
+	done      chan struct{}
 }
 
 // reserveHost returns a loopback address that no other test uses.
@@ -77,19 +83,45 @@
 }
 
 func startGateway(t *testing.T, binary string) *gateway {
-	g := &gateway{t: t, host: reserveHost(t), store: standin.NewStore(), upstream: newUpstream(), done: make(chan struct{})}
+	return startGatewayWith(t, binary, memoryMB, maxDescriptors)
+}
+
+// startGatewayWith starts a gateway whose settings state the limits.
+func startGatewayWith(t *testing.T, binary string, megabytes, descriptors int) *gateway {
+	host := reserveHost(t)
+	g := &gateway{
+		t: t, binary: binary, name: "gateway-1", host: host, memoryMB: megabytes, descriptors: descriptors, storeHost: host,
+		store: standin.NewStore(), upstream: newUpstream(), done: make(chan struct{}),
+	}
 	g.putConfig(1, maxHeaderBytes, maxBodyBytes)
 	serve(t, g.host+":8000", g.store)
 	serve(t, g.host+":9000", g.upstream)
 	stopHeartbeats := make(chan struct{})
 	t.Cleanup(func() { close(stopHeartbeats) })
 	go g.heartbeats(stopHeartbeats)
-	settings := filepath.Join(t.TempDir(), "settings.json")
-	require.NoError(t, os.WriteFile(settings, []byte(g.settings()), 0o600))
+	g.start()
+	return g
+}
+
+// startPeer starts another gateway with the same store and upstream.
+func (g *gateway) startPeer(name string) *gateway {
+	p := &gateway{
+		t: g.t, binary: g.binary, name: name, host: reserveHost(g.t), memoryMB: g.memoryMB, descriptors: g.descriptors, storeHost: g.storeHost,
+		store: g.store, upstream: g.upstream, done: make(chan struct{}),
+	}
+	p.start()
+	return p
+}
+
+// start starts the process and waits until it answers.
+func (g *gateway) start() {
+	t := g.t
+	g.settingsFile = filepath.Join(t.TempDir(), "settings.json")
+	g.writeSettings()
 	log, err := os.Create(filepath.Join(t.TempDir(), "gateway.log"))
 	require.NoError(t, err)
-	g.cmd = exec.Command(binary, "gateway") //nolint:gosec // The binary was built by the test itself.
-	g.cmd.Env = append(os.Environ(), "PERSIMMONRIDGE_NODE_FILE="+settings)
+	g.cmd = exec.Command(g.binary, "gateway") //nolint:gosec // The binary was built by the test itself.
+	g.cmd.Env = append(os.Environ(), "PERSIMMONRIDGE_NODE_FILE="+g.settingsFile)
 	g.cmd.Stdout, g.cmd.Stderr = log, log
 	require.NoError(t, g.cmd.Start())
 	go func() {
@@ -102,17 +134,20 @@
 		_ = log.Close()
 	})
 	g.awaitReady()
-	return g
+}
+
+func (g *gateway) writeSettings() {
+	require.NoError(g.t, os.WriteFile(g.settingsFile, []byte(g.settings()), 0o600))
 }
 
 // settings returns the settings file, with the fewest of the platform's additions to its rules.
 func (g *gateway) settings() string {
-	return fmt.Sprintf(`{"nodeName":"gateway-1","zone":"a","ip":%q,"bootstrap":true,
-		"listen":{"frontend":"%[1]s:8221","readiness":"%[1]s:8224","control":"%[1]s:8229"},
-		"internalPortRange":[7600,7615],"seeds":["%[1]s:8229"],"contracts":["base"],
-		"limits":{"memoryMb":%[2]d,"maxFds":%[3]d,"cpuShare":0.304,"cpuCores":1,"linkMbps":100000},
-		"bounds":{"graceS":%[4]d,"configApplyMs":2000,"retryBudgetRatio":0.2,"retryBudgetSlack":50,"budgetWindowS":10},
-		"platform":{"address":"%[1]s:8000"}}`, g.host, memoryMB, maxDescriptors, graceSeconds)
+	return fmt.Sprintf(`{"nodeName":%q,"zone":"a","ip":%q,"bootstrap":true,
+		"listen":{"frontend":"%[2]s:8221","readiness":"%[2]s:8224","control":"%[2]s:8229"},
+		"internalPortRange":[7600,7615],"seeds":["%[3]s:8229"],"contracts":["base"],
+		"limits":{"memoryMb":%[4]d,"maxFds":%[5]d,"cpuShare":0.304,"cpuCores":1,"linkMbps":100000},
+		"bounds":{"graceS":%[6]d,"configApplyMs":2000,"retryBudgetRatio":0.2,"retryBudgetSlack":50,"budgetWindowS":10},
+		"platform":{"address":"%[3]s:8000"}}`, g.name, g.host, g.storeHost, g.memoryMB, g.descriptors, graceSeconds)
 }
 
 func (g *gateway) putConfig(version, headerBytes, bodyBytes int) {
@@ -127,6 +162,36 @@
 
 func (g *gateway) callerAddress() string { return g.host + ":8221" }
 
+// linkAddress is the address for other gateways.
+func (g *gateway) linkAddress() string { return g.host + ":8229" }
+
+// metric returns the value of a metric without labels, or -1.
+func (g *gateway) metric(name string) float64 {
+	response, err := http.Get("http://" + g.host + ":7610/metrics")
+	if err != nil {
+		return -1
+	}
+	defer func() { _ = response.Body.Close() }()
+	raw, err := io.ReadAll(response.Body)
+	if err != nil {
+		return -1
+	}
+	for line := range strings.Lines(string(raw)) {
+		if text, found := strings.CutPrefix(line, name+" "); found {
+			if value, err := strconv.ParseFloat(strings.TrimSpace(text), 64); err == nil {
+				return value
+			}
+		}
+	}
+	return -1
+}
+
+// awaitMetric waits until a metric has the value.
+func (g *gateway) awaitMetric(name string, value float64) {
+	g.t.Helper()
+	require.Eventually(g.t, func() bool { return g.metric(name) == value }, answerTimeout, 50*time.Millisecond, "%s of %s", name, g.name)
+}
+
 func (g *gateway) heartbeats(stop <-chan struct{}) {
 	for sequence := 1; ; sequence++ {
 		g.store.Put(platform.UpstreamPrefix+"plain-1", fmt.Sprintf(
--- a/internal/trial/hostile/hostile_test.go
+++ b/internal/trial/hostile/hostile_test.go
@@ -79,9 +79,7 @@
 			runCrowd(g.callerAddress(), s, time.Now().Add(playTime))
 			most := usage.stop()
 			t.Logf("%s: %s", s.Guards, most)
-			require.False(t, g.ended(), "the process ended")
-			require.LessOrEqual(t, most.memoryMB, memoryMB, "memory of the process and bytes it has not read")
-			require.LessOrEqual(t, most.descriptors, maxDescriptors)
+			g.requireWithinLimits(most)
 			if !s.Completes {
 				require.Zero(t, g.upstream.ran(hostileWorkspace), "an incomplete request has run")
 			}
--- a/internal/trial/hostile/usage_test.go
+++ b/internal/trial/hostile/usage_test.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/stretchr/testify/require"
 )
 
 // sampleInterval is how often a process is observed.
@@ -56,6 +58,14 @@
 	return <-w.most
 }
 
+// requireWithinLimits requires that the process lives, and has used no more than its settings state.
+func (g *gateway) requireWithinLimits(most usage) {
+	g.t.Helper()
+	require.False(g.t, g.ended(), "the process ended")
+	require.LessOrEqual(g.t, most.memoryMB, g.memoryMB, "memory of the process and bytes it has not read")
+	require.LessOrEqual(g.t, most.descriptors, g.descriptors)
+}
+
 // add takes a sample of the process that listens for callers at the address.
 func (u *usage) add(pid int, address string) {
 	unread, unsent := kernelMB(address)
