The port for gateways is bounded before a message was received

Seen: anyone who reaches the port ended the process from it.

Cause: sessions were accepted without number, and a stream of 256 KB, a frame of 256 KB and a message of 2 MB were buffered for whoever stated them; the memory for a message was taken by its stated size.

Change: until a message was received on a session, it is unproven. At most 64 of these are open, the oldest gives way to a new one; they are served one stream at a time; and the bytes that they sent are charged to a budget of limit/memory, a sixteenth of the memory limit, for which the oldest of at least 250 ms gives way. Peers send a message as soon as they have connected, and never give way after it. Memory for frames and messages is taken as they arrive. The budget, and that for unfinished answers, follow settings that change.

--- a/internal/fleet/link/frames.go
+++ b/internal/fleet/link/frames.go
@@ -16,6 +16,9 @@
 	dataFrame = 0
 	// maxKeptFrame bounds the buffer that is kept between two frames.
 	maxKeptFrame = 16 << 10
+	// framePiece is how much of a frame is read at once. Memory is taken as it arrives, whatever
+	// length is stated.
+	framePiece = 16 << 10
 )
 
 // frameConn passes a peer's frames to the multiplexer only once they are complete. The
@@ -54,9 +57,13 @@
 	}
 	// A longer body than the window is not awaited: the multiplexer rejects its header.
 	if length := binary.BigEndian.Uint32(c.buffer[8:]); c.buffer[1] == dataFrame && length <= maxStreamWindow {
-		c.buffer = slices.Grow(c.buffer, int(length))[:frameHeaderSize+int(length)]
-		if _, err := io.ReadFull(c.reader, c.buffer[frameHeaderSize:]); err != nil {
-			return err
+		for missing := int(length); missing > 0; {
+			begin, piece := len(c.buffer), min(missing, framePiece)
+			c.buffer = slices.Grow(c.buffer, piece)[:begin+piece]
+			if _, err := io.ReadFull(c.reader, c.buffer[begin:]); err != nil {
+				return err
+			}
+			missing -= piece
 		}
 	}
 	c.rest = c.buffer
--- a/internal/fleet/link/server.go
+++ b/internal/fleet/link/server.go
@@ -23,6 +23,7 @@
 type Server struct {
 	listener   net.Listener
 	handle     Handler
+	unproven   *unproven
 	lastNumber atomic.Uint64
 
 	mu       sync.Mutex
@@ -33,10 +34,25 @@
 	ctx      context.Context
 }
 
+// ServerOption configures a server.
+type ServerOption func(*Server)
+
+// WithBudget sets the bound of what sessions hold on which no message was received yet. It should
+// be MinUnprovenBytes at least. Without it, their number alone is bounded.
+func WithBudget(budget Budget) ServerOption {
+	return func(s *Server) { s.unproven.budget = budget }
+}
+
 // Serve starts to accept sessions on the listener.
-func Serve(listener net.Listener, handle Handler) *Server {
+func Serve(listener net.Listener, handle Handler, options ...ServerOption) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Server{listener: listener, handle: handle, sessions: make(map[uint64]*yamux.Session), ctx: ctx, cancel: cancel}
+	s := &Server{
+		listener: listener, handle: handle, unproven: newUnproven(),
+		sessions: make(map[uint64]*yamux.Session), ctx: ctx, cancel: cancel,
+	}
+	for _, option := range options {
+		option(s)
+	}
 	s.wg.Add(1)
 	go s.acceptSessions()
 	return s
@@ -62,9 +78,10 @@
 }
 
 func (s *Server) startSession(conn net.Conn) {
-	mux, err := yamux.Server(newFrameConn(conn), muxConfig(serverPingInterval))
+	session := s.unproven.add(time.Now(), conn)
+	mux, err := yamux.Server(newFrameConn(session), muxConfig(serverPingInterval))
 	if err != nil {
-		closeQuietly(conn)
+		closeQuietly(session)
 		return
 	}
 	s.mu.Lock()
@@ -76,10 +93,11 @@
 	number := s.lastNumber.Add(1)
 	s.sessions[number] = mux
 	s.wg.Add(1)
-	go s.acceptStreams(number, mux)
+	go s.acceptStreams(number, mux, session)
 }
 
-func (s *Server) acceptStreams(number uint64, mux *yamux.Session) {
+// acceptStreams serves the streams of a session, one at a time until a message was received.
+func (s *Server) acceptStreams(number uint64, mux *yamux.Session, session *accepted) {
 	defer s.wg.Done()
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
@@ -90,10 +108,18 @@
 			break
 		}
 		streams.Add(1)
+		ended := make(chan struct{})
 		go func() {
 			defer streams.Done()
-			s.handle(ctx, NewStream(conn, number))
+			defer close(ended)
+			stream := NewStream(conn, number)
+			stream.onMessage = session.prove
+			s.handle(ctx, stream)
 		}()
+		select {
+		case <-session.proven:
+		case <-ended:
+		}
 	}
 	cancel()
 	streams.Wait()
--- a/internal/fleet/link/stream.go
+++ b/internal/fleet/link/stream.go
@@ -5,8 +5,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -47,6 +49,8 @@
 	conn    net.Conn
 	reader  *bufio.Reader
 	session uint64
+	// onMessage is called for each message that was received; it may be nil.
+	onMessage func()
 
 	mu     sync.Mutex
 	writer *bufio.Writer
@@ -111,6 +115,9 @@
 	}
 	envelope, err := Decode(s.reader)
 	if err == nil {
+		if s.onMessage != nil && envelope.GetBody() != nil {
+			s.onMessage()
+		}
 		return envelope, nil
 	}
 	var netErr net.Error
@@ -120,15 +127,45 @@
 	return nil, Broken.Wrap(err, "read a message; open a new stream")
 }
 
-// Decode reads one envelope of at most MaxFrame bytes.
-func Decode(reader protodelim.Reader) (*wire.Envelope, error) {
+// Decode reads one envelope of at most MaxFrame bytes. Memory is taken as they arrive, whatever
+// size is stated.
+func Decode(reader *bufio.Reader) (*wire.Envelope, error) {
+	size, err := binary.ReadUvarint(reader)
+	if err != nil {
+		return nil, err
+	}
+	if size > MaxFrame {
+		return nil, &protodelim.SizeTooLargeError{Size: size, MaxSize: MaxFrame}
+	}
 	envelope := &wire.Envelope{}
-	options := protodelim.UnmarshalOptions{MaxSize: MaxFrame}
-	if err := options.UnmarshalFrom(reader, envelope); err != nil {
+	if int(size) <= reader.Size() {
+		raw, err := reader.Peek(int(size))
+		if err != nil {
+			return nil, unexpectedEnd(err)
+		}
+		if err := proto.Unmarshal(raw, envelope); err != nil {
+			return nil, err
+		}
+		_, err = reader.Discard(int(size))
+		return envelope, err
+	}
+	var raw bytes.Buffer
+	if _, err := io.CopyN(&raw, reader, int64(size)); err != nil {
+		return nil, unexpectedEnd(err)
+	}
+	if err := proto.Unmarshal(raw.Bytes(), envelope); err != nil {
 		return nil, err
 	}
 	return envelope, nil
 }
 
+// unexpectedEnd returns the error of a message that ends before its size.
+func unexpectedEnd(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
 // Close closes the stream in both directions.
 func (s *Stream) Close() error { return s.conn.Close() }
--- a/internal/limit/memory/memory.go
+++ b/internal/limit/memory/memory.go
@@ -24,6 +24,9 @@
 	// defaultProcessBytes is the memory limit of a process that was told none: the smallest VMs
 	// have a little more.
 	defaultProcessBytes = 128 << 20
+	// linkShare is the fraction of the process's memory limit for what connections of other
+	// gateways hold before they have sent a message: anyone who reaches their port can open them.
+	linkShare = 1.0 / 16
 	// bodyShare is the fraction of the account that request bodies may use. Bodies can be
 	// refused and answers cannot, so the rest is left to answers.
 	bodyShare = 0.75
@@ -97,6 +100,15 @@
 	return int64(float64(processBytes) * unfinishedShare)
 }
 
+// LinkLimit returns the bound of what connections hold that did not prove to be another gateway's,
+// in a process with the memory limit, which is 0 if it is unknown.
+func LinkLimit(processBytes int64) int64 {
+	if processBytes <= 0 {
+		processBytes = defaultProcessBytes
+	}
+	return int64(float64(processBytes) * linkShare)
+}
+
 // Stats are the figures of an account.
 type Stats struct {
 	Limit int64
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -181,9 +181,11 @@
 	metrics    *metrics
 	memory     *memory.Account
 	unfinished *memory.Budget
-	link       *linkLoad
-	ingress    *ingress.Server
-	stop       atomic.Pointer[stopWindow]
+	// unproven bounds what connections from other gateways hold before they have sent a message.
+	unproven *memory.Budget
+	link     *linkLoad
+	ingress  *ingress.Server
+	stop     atomic.Pointer[stopWindow]
 	// exit ends shortly before the process exits.
 	exit    context.Context
 	endExit context.CancelFunc
@@ -275,10 +277,10 @@
 	g.speedStore = &speedStore{Gateway: g}
 	g.relay, g.hubList = newStoreRelay(g), &hubList{Gateway: g}
 	g.follower = g.newFollower()
-	g.memory = memory.New(memory.Limit(s.MemoryBytes), g.logMemory)
-	g.memory.SetConnectionLimit(memory.ConnectionLimit(s.MemoryBytes, s.Descriptors))
+	g.memory = memory.New(0, g.logMemory)
+	g.unfinished, g.unproven = memory.NewBudget(0), memory.NewBudget(0)
+	g.setMemoryLimits(s.MemoryBytes, s.Descriptors)
 	g.metrics.registerGauges(g)
-	g.unfinished = memory.NewBudget(memory.UnfinishedLimit(s.MemoryBytes))
 	g.metrics.registerMemory(g.memory, g.unfinished)
 	g.metrics.registerLink(g.link)
 	g.retryAccounts = newRetryAccounts(g)
@@ -322,7 +324,7 @@
 		return err
 	}
 	callers, links = g.link.meter.Listener(callers), g.link.meter.Listener(links)
-	server := link.Serve(links, g.mesh.Serve)
+	server := link.Serve(links, g.mesh.Serve, link.WithBudget(g.unproven))
 	for _, address := range g.settings.SeedAddresses {
 		g.mesh.AddPeer(g.now(), address)
 	}
--- a/internal/role/gateway/memory.go
+++ b/internal/role/gateway/memory.go
@@ -4,6 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
+	"github.com/persimmonridge/persimmonridge/internal/fleet/link"
 	"github.com/persimmonridge/persimmonridge/internal/limit/memory"
 )
 
@@ -16,6 +17,15 @@
 	g.logger.Info("memory for bodies and answers has room again", "held", held, "limit", limit)
 }
 
+// setMemoryLimits sets what callers may make a process with the memory limit hold, which is 0 if it
+// is unknown.
+func (g *Gateway) setMemoryLimits(processBytes int64, descriptors int) {
+	g.memory.SetLimit(g.now(), memory.Limit(processBytes))
+	g.memory.SetConnectionLimit(memory.ConnectionLimit(processBytes, descriptors))
+	g.unfinished.SetLimit(memory.UnfinishedLimit(processBytes))
+	g.unproven.SetLimit(max(memory.LinkLimit(processBytes), link.MinUnprovenBytes))
+}
+
 // registerMemory registers the metrics of the memory account and of the budget for unfinished
 // answers.
 func (m *metrics) registerMemory(account *memory.Account, unfinished *memory.Budget) {
--- a/internal/role/gateway/reload.go
+++ b/internal/role/gateway/reload.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/persimmonridge/persimmonridge/internal/limit/memory"
 )
 
 // Reload applies settings that changed while the process runs. The listen
@@ -17,8 +15,7 @@
 	}
 	g.retryBudget.SetSettings(next.Retry)
 	g.setQuotaOptions(next.Quota)
-	g.memory.SetLimit(g.now(), memory.Limit(next.MemoryBytes))
-	g.memory.SetConnectionLimit(memory.ConnectionLimit(next.MemoryBytes, next.Descriptors))
+	g.setMemoryLimits(next.MemoryBytes, next.Descriptors)
 	g.link.setCapacity(next.LinkBytesPerSecond)
 	g.regions.Store(&next.Regions)
 	g.guard.warmUps.SetLimit(next.WarmUp)
