The runtime's memory limit follows the settings

Found by reading: settings that change apply at once to the account of callers, but the memory limit of the Go runtime was set at the start only. A process whose limit shrinks from 768 to 96 MB kept a limit of 461 MB for its heap, garbage included.

Change: the limit is set whenever the settings are read anew.

Test: TestMemoryFollowsChangedSettings, a real process whose limit shrinks before a crowd of all scenarios.

--- a/cmd/persimmonridge/gateway.go
+++ b/cmd/persimmonridge/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math"
 	"net"
 	"os"
 	"os/signal"
@@ -55,9 +56,7 @@
 		logger.Error("invalid settings", "err", err)
 		return err
 	}
-	if node.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(float64(node.MemoryBytes) * memoryLimitShare))
-	}
+	limitRuntime(node)
 	g := gateway.New(gateway.Dependencies{
 		Settings: gatewaySettings(node), Store: platform.NewStore(node.Store, dial.Dialer{}.DialContext),
 		Decoder: platform.Decoder{}, Headers: platform.Headers{}, AnswerHeaders: platform.AnswerHeaders(),
@@ -92,10 +91,20 @@
 			continue
 		}
 		current = next
+		limitRuntime(next)
 		g.Reload(gatewaySettings(next))
 	}
 }
 
+// limitRuntime sets the memory limit of the Go runtime by the settings.
+func limitRuntime(node platform.Node) {
+	limit := int64(math.MaxInt64)
+	if node.MemoryBytes > 0 {
+		limit = int64(float64(node.MemoryBytes) * memoryLimitShare)
+	}
+	debug.SetMemoryLimit(limit)
+}
+
 func gatewaySettings(node platform.Node) gateway.Settings {
 	return gateway.Settings{
 		Name: node.Name, Domain: node.Domain, CallerAddress: node.CallerAddress, ReadinessAddress: node.ReadinessAddress,
--- a/internal/trial/hostile/sum_test.go
+++ b/internal/trial/hostile/sum_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -72,3 +73,20 @@
 	g.requireWithinLimits(most)
 	g.requireAnswer(ordinaryRequest())
 }
+
+// Guards against a memory limit that shrinks while the process runs and binds a part of it only: the
+// account of callers, but not the garbage beside it.
+func TestMemoryFollowsChangedSettings(t *testing.T) {
+	g := startGatewayWith(t, buildProgram(t), 8*memoryMB, maxDescriptors)
+	g.memoryMB = memoryMB
+	g.writeSettings()
+	require.NoError(t, g.cmd.Process.Signal(syscall.SIGHUP))
+	g.awaitMetric("persimmonridge_memory_limit_bytes", float64(g.memoryMB<<20/4))
+	require.LessOrEqual(t, g.metric("go_gc_gomemlimit_bytes"), float64(g.memoryMB<<20), "memory limit of the runtime")
+	usage := g.watch()
+	runMixedCrowd(t, g.callerAddress(), time.Now().Add(playTime))
+	most := usage.stop()
+	t.Log(most)
+	g.requireWithinLimits(most)
+	g.requireAnswer(ordinaryRequest())
+}
