Few large requests are processed at once

An ordinary request needs some ten turns, each behind all of them.

Change: of connections with a header of which more than 4 KB were read, or a body of which more than 16 KB, one more than there are processors is processed at a time, from a read that delivers bytes to the next one. Usual requests need no such turn, and in calm none waits. A turn ends with the body, while the body waits for memory, and with the connection.

Test: in fake time, crowds of three times as many large bodies: no more than the turns are processed at once, an ordinary request is answered meanwhile, and turns of connections that end are not lost.

--- a/internal/edge/flow/held.go
+++ b/internal/edge/flow/held.go
@@ -148,11 +148,19 @@
 }
 
 func (c *call) endArrival() {
+	c.endTurn()
 	if c.held.body != nil {
 		c.held.body.EndArrival()
 	}
 }
 
+// endTurn lets other large bodies be read.
+func (c *call) endTurn() {
+	if c.conn != nil {
+		c.conn.EndTurn()
+	}
+}
+
 // enlargeBuffer enlarges a buffer of the caller's connection if there is memory for it.
 func (c *call) enlargeBuffer(reservation *memory.Reservation, enlarge func(*ingress.Conn) error) {
 	if c.conn == nil || reservation == nil || !reservation.Grow(c.Now(), ingress.LargeBufferCost) {
@@ -254,6 +262,7 @@
 
 // awaitRoom waits until the reservation may grow by n bytes, the timeout passes or the context ends.
 func (c *call) awaitRoom(ctx context.Context, reservation *memory.Reservation, n int64, timeout time.Duration) {
+	c.endTurn()
 	ready, stop := reservation.Room(c.Now(), n)
 	defer stop()
 	timer := time.NewTimer(timeout)
--- a/internal/edge/ingress/conn.go
+++ b/internal/edge/ingress/conn.go
@@ -49,6 +49,7 @@
 	// enlarged are the socket options of the buffers that are larger than usual.
 	enlarged []int
 	header   header
+	turn     turn
 	// place is the position among the connections that wait, guarded by the server's mutex, nil
 	// while there is a request.
 	place *list.Element
@@ -61,11 +62,18 @@
 		if err != nil {
 			return 0, err
 		}
+		c.turn.end(c.server.turns)
 		n, err := c.Conn.Read(p)
 		if n > 0 && err == nil {
-			if err = c.readHeader(c.server.Now(), p[:n]); err != nil {
+			inHeader, err := c.readHeader(c.server.Now(), p[:n])
+			if err != nil {
 				return 0, err
 			}
+			free := turnFreeBodyBytes
+			if inHeader {
+				free = turnFreeHeaderBytes
+			}
+			c.turn.begin(c.server.turns, n, free)
 		}
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.idle() {
 			return n, err
@@ -125,10 +133,15 @@
 	c.countClosedInFlightLocked()
 	c.mu.Unlock()
 	c.header.close(c.server.Now())
+	c.turn.close(c.server.turns)
 	c.server.untrack(c)
 	return c.Conn.Close()
 }
 
+// EndTurn lets other connections with large requests be processed. A handler calls it when it has
+// read a body, and before it waits for something else than the body's bytes.
+func (c *Conn) EndTurn() { c.turn.reset(c.server.turns) }
+
 // setInFlight records whether the handler has a request.
 func (c *Conn) setInFlight(inFlight bool) {
 	c.mu.Lock()
@@ -146,11 +159,14 @@
 	}
 }
 
-// CloseWrite does nothing. http.Server calls it after an answer to a request whose body it does not
-// read to its end, and closes the connection half a second later, so that the caller can read the
-// answer, which states its length. Callers that wait for the end of the connection would otherwise
-// return at once.
-func (c *Conn) CloseWrite() error { return nil }
+// CloseWrite leaves the connection open. http.Server calls it after an answer to a request whose
+// body it does not read to its end, and closes the connection half a second later, so that the
+// caller can read the answer, which states its length. Callers that wait for the end of the
+// connection would otherwise return at once. The turn ends, for nothing is read any more.
+func (c *Conn) CloseWrite() error {
+	c.EndTurn()
+	return nil
+}
 
 // SetLinger sets what Close does with bytes that were not sent, as that of net.TCPConn.
 func (c *Conn) SetLinger(seconds int) error {
@@ -256,7 +272,7 @@
 			l.server.reject(raw)
 			continue
 		}
-		c := &Conn{Conn: raw, server: l.server, idleSince: now}
+		c := &Conn{Conn: raw, server: l.server, idleSince: now, turn: turn{ended: make(chan struct{})}}
 		l.server.track(c)
 		return c, nil
 	}
--- a/internal/edge/ingress/fixture_test.go
+++ b/internal/edge/ingress/fixture_test.go
@@ -60,6 +60,8 @@
 	accepted atomic.Int64
 	// busy is set while the server takes no new connections.
 	busy atomic.Bool
+	// handle replaces the handler if it is not nil.
+	handle http.HandlerFunc
 
 	mu        sync.Mutex
 	readPaths map[string]bool
@@ -110,6 +112,10 @@
 // serve answers after handlerTime, a request for slow after more than the idle
 // limit, unless the request's context ends.
 func (f *fixture) serve(w http.ResponseWriter, r *http.Request) {
+	if f.handle != nil {
+		f.handle(w, r)
+		return
+	}
 	duration := handlerTime
 	switch r.URL.Path {
 	case slowPath:
--- a/internal/edge/ingress/header.go
+++ b/internal/edge/ingress/header.go
@@ -53,12 +53,12 @@
 	return int64(headerByteFactor*h.bytes + headerLineBytes*h.lines)
 }
 
-// readHeader accounts for bytes that were read if they belong to a header. It refuses one that is
-// too large, or for which there is no memory, without waiting for its end.
-func (c *Conn) readHeader(now time.Time, p []byte) error {
+// readHeader accounts for bytes that were read if they belong to a header, which it reports. It
+// refuses one that is too large, or for which there is no memory, without waiting for its end.
+func (c *Conn) readHeader(now time.Time, p []byte) (inHeader bool, err error) {
 	inHeader, first, err := c.beginHeader(now)
 	if !inHeader || err != nil {
-		return err
+		return inHeader, err
 	}
 	h := &c.header
 	if first {
@@ -72,13 +72,13 @@
 	h.lines += bytes.Count(p, []byte{'\n'})
 	if limit := c.server.headerByteLimit(); h.bytes > limit+readBufferBytes {
 		c.server.Logger.Warn("header too large", "bytes", h.bytes, "most", limit)
-		return c.refuseHeader(http.StatusRequestHeaderFieldsTooLarge, "")
+		return true, c.refuseHeader(http.StatusRequestHeaderFieldsTooLarge, "")
 	}
 	if !h.reserve(now, c.server.Memory) {
 		c.server.Logger.Warn("no memory for a header", "bytes", h.bytes, "lines", h.lines)
-		return c.refuseHeader(http.StatusServiceUnavailable, fmt.Sprintf("Retry-After: %.3f\r\n", headerRetryAfter.Seconds()))
+		return true, c.refuseHeader(http.StatusServiceUnavailable, fmt.Sprintf("Retry-After: %.3f\r\n", headerRetryAfter.Seconds()))
 	}
-	return nil
+	return true, nil
 }
 
 // reserve reserves what the header holds beyond the usual size, and reports whether there was room.
--- a/internal/edge/ingress/ingress.go
+++ b/internal/edge/ingress/ingress.go
@@ -88,6 +88,7 @@
 type Server struct {
 	Dependencies
 	httpServer *http.Server
+	turns      turns
 
 	// draining reports that connections are closed as soon as they are idle.
 	draining       atomic.Bool
@@ -106,7 +107,7 @@
 
 // New returns a server with the given dependencies. Serve starts it.
 func New(deps Dependencies) *Server {
-	s := &Server{Dependencies: deps, conns: make(map[*Conn]struct{})}
+	s := &Server{Dependencies: deps, conns: make(map[*Conn]struct{}), turns: newTurns()}
 	s.httpServer = &http.Server{
 		Handler: s.trackRequest(deps.Handler), MaxHeaderBytes: maxHeaderBytes,
 		ConnState: s.trackState, ConnContext: withConn, DisableGeneralOptionsHandler: true,
@@ -168,10 +169,12 @@
 	switch state {
 	case http.StateActive:
 		s.endWait(c)
+		c.EndTurn()
 		// The deadline can only fail to be set on a closed connection.
 		_ = c.endHeader(s.Now())
 	case http.StateIdle:
 		c.header.close(s.Now())
+		c.EndTurn()
 		if err := c.restoreBuffers(); err != nil {
 			s.Logger.Debug("could not restore the buffers", "err", err)
 		}
