--- a/internal/trial/hostile/links_test.go
+++ b/internal/trial/hostile/links_test.go
@@ -47,9 +47,7 @@
 			{Text: begin}, {Text: fill, Bytes: (largestMessage/pieceBytes - 1) * len(fill)},
 		}},
 		{Name: "messages-stated-on-many-streams", Crowd: 20, Send: []piece{{Text: streams.String()}}},
-		{Name: "streams-without-number", Crowd: 20, Send: []piece{
-			{Text: manyStreams()},
-		}},
+		{Name: "streams-without-number", Crowd: 20, Send: []piece{{Text: manyStreams()}}},
 	}
 }
 
@@ -72,12 +70,7 @@
 	for _, s := range linkScenarios() {
 		t.Run(s.Name, func(t *testing.T) {
 			g := startGateway(t, binary)
-			usage := g.watch()
-			runCrowd(g.linkAddress(), s, time.Now().Add(playTime/2))
-			most := usage.stop()
-			t.Log(most)
-			g.requireWithinLimits(most)
-			g.requireAnswer(ordinaryRequest())
+			g.requireHolds(func() { runCrowd(g.linkAddress(), s, time.Now().Add(playTime/2)) })
 			peer := g.startPeer("gateway-2")
 			g.awaitMetric("persimmonridge_gateways_heard", 2)
 			peer.awaitMetric("persimmonridge_gateways_heard", 2)
--- a/internal/trial/hostile/sum_test.go
+++ b/internal/trial/hostile/sum_test.go
@@ -32,12 +32,7 @@
 // sum is more than its memory: headers, bodies, answers, connections and what the kernel holds.
 func TestAllThatCallersHoldIsBoundedTogether(t *testing.T) {
 	g := startGatewayWith(t, buildProgram(t), memoryMB, manyDescriptors)
-	usage := g.watch()
-	runMixedCrowd(t, g.callerAddress(), time.Now().Add(playTime))
-	most := usage.stop()
-	t.Log(most)
-	g.requireWithinLimits(most)
-	g.requireAnswer(ordinaryRequest())
+	g.requireHolds(func() { runMixedCrowd(t, g.callerAddress(), time.Now().Add(playTime)) })
 }
 
 // Guards against connections whose buffers are full in both directions, as many as the memory
@@ -47,14 +42,9 @@
 	for _, name := range []string{"pipelined-requests-without-readers", "large-answers-unread", "body-short-of-its-end", "header-of-short-lines-within-the-limit", "idle-connections"} {
 		t.Run(name, func(t *testing.T) {
 			g := startGatewayWith(t, binary, memoryMB, manyDescriptors)
-			usage := g.watch()
 			crowd := crowdOf(t, name)
 			crowd.Crowd = manyConnections
-			runCrowd(g.callerAddress(), crowd, time.Now().Add(playTime))
-			most := usage.stop()
-			t.Log(most)
-			g.requireWithinLimits(most)
-			g.requireAnswer(ordinaryRequest())
+			g.requireHolds(func() { runCrowd(g.callerAddress(), crowd, time.Now().Add(playTime)) })
 		})
 	}
 }
@@ -62,16 +52,11 @@
 // Guards against answers that many callers ask for again on each connection and do not read.
 func TestPipelinedLargeAnswersAreBounded(t *testing.T) {
 	g := startGatewayWith(t, buildProgram(t), memoryMB, manyDescriptors)
-	usage := g.watch()
 	crowd := crowdOf(t, "large-answers-unread")
 	crowd.Crowd = manyConnections
 	crowd.Send = append(crowd.Send, piece{Text: crowd.Send[0].Text, Endless: true})
-	runCrowd(g.callerAddress(), crowd, time.Now().Add(playTime))
-	most := usage.stop()
-	t.Log(most)
+	g.requireHolds(func() { runCrowd(g.callerAddress(), crowd, time.Now().Add(playTime)) })
 	require.NotZero(t, g.upstream.ran(hostileWorkspace))
-	g.requireWithinLimits(most)
-	g.requireAnswer(ordinaryRequest())
 }
 
 // Guards against a memory limit that shrinks while the process runs and binds a part of it only: the
@@ -83,10 +68,5 @@
 	require.NoError(t, g.cmd.Process.Signal(syscall.SIGHUP))
 	g.awaitMetric("persimmonridge_memory_limit_bytes", float64(g.memoryMB<<20/4))
 	require.LessOrEqual(t, g.metric("go_gc_gomemlimit_bytes"), float64(g.memoryMB<<20), "memory limit of the runtime")
-	usage := g.watch()
-	runMixedCrowd(t, g.callerAddress(), time.Now().Add(playTime))
-	most := usage.stop()
-	t.Log(most)
-	g.requireWithinLimits(most)
-	g.requireAnswer(ordinaryRequest())
+	g.requireHolds(func() { runMixedCrowd(t, g.callerAddress(), time.Now().Add(playTime)) })
 }
--- a/internal/trial/hostile/usage_test.go
+++ b/internal/trial/hostile/usage_test.go
@@ -66,6 +66,18 @@
 	require.LessOrEqual(g.t, most.descriptors, g.descriptors)
 }
 
+// requireHolds requires that the process keeps to its limits while the crowd runs, and that an ordinary
+// request is answered afterwards.
+func (g *gateway) requireHolds(crowd func()) {
+	g.t.Helper()
+	usage := g.watch()
+	crowd()
+	most := usage.stop()
+	g.t.Log(most)
+	g.requireWithinLimits(most)
+	g.requireAnswer(ordinaryRequest())
+}
+
 // add takes a sample of the process that listens for callers at the address.
 func (u *usage) add(pid int, address string) {
 	unread, unsent := kernelMB(address)
