Peers that all connect at once keep their sessions

The bound of 64 sessions without a message, new in, is below what a hub accepts when the whole fleet starts: of 330 peers that connect before the first has sent its message, the first 266 lost their sessions, and would have dialed again and again on a slow VM. Found by reading the reason that stood at the constant.

Change: the bound is an eighth of the descriptors that are not reserved, 64 at least: 487 on VMs with 4,100. More sessions are possible, so that each is charged to the budget with 24 KB, and each frame, which may open a stream, with 1 KB.

Test: 330 peers on the smallest VM connect before any sends, and all get their answers; with 64 it fails with a session that ended.

--- a/internal/fleet/link/frames.go
+++ b/internal/fleet/link/frames.go
@@ -27,6 +27,8 @@
 type frameConn struct {
 	net.Conn
 	reader *bufio.Reader
+	// begin is called for each frame; it may be nil.
+	begin func() error
 	// buffer holds the current frame, and rest the part of it that is not passed on yet.
 	buffer, rest []byte
 }
@@ -55,6 +57,11 @@
 	if _, err := io.ReadFull(c.reader, c.buffer); err != nil {
 		return err
 	}
+	if c.begin != nil {
+		if err := c.begin(); err != nil {
+			return err
+		}
+	}
 	// A longer body than the window is not awaited: the multiplexer rejects its header.
 	if length := binary.BigEndian.Uint32(c.buffer[8:]); c.buffer[1] == dataFrame && length <= maxStreamWindow {
 		for missing := int(length); missing > 0; {
--- a/internal/fleet/link/server.go
+++ b/internal/fleet/link/server.go
@@ -43,6 +43,12 @@
 	return func(s *Server) { s.unproven.budget = budget }
 }
 
+// WithUnprovenSessions sets how many sessions may be open on which no message was received yet: 64
+// without it. All peers may connect at once.
+func WithUnprovenSessions(limit int) ServerOption {
+	return func(s *Server) { s.unproven.limit = limit }
+}
+
 // Serve starts to accept sessions on the listener.
 func Serve(listener net.Listener, handle Handler, options ...ServerOption) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -79,7 +85,9 @@
 
 func (s *Server) startSession(conn net.Conn) {
 	session := s.unproven.add(time.Now(), conn)
-	mux, err := yamux.Server(newFrameConn(session), muxConfig(serverPingInterval))
+	frames := newFrameConn(session)
+	frames.begin = session.beginFrame
+	mux, err := yamux.Server(frames, muxConfig(serverPingInterval))
 	if err != nil {
 		closeQuietly(session)
 		return
--- a/internal/fleet/link/unproven.go
+++ b/internal/fleet/link/unproven.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// maxUnproven is how many sessions may be open on which no message was received. Peers send
-	// one as soon as they have connected, so that a fleet that starts at once has few of them open.
-	maxUnproven = 64
+	// defaultUnproven is how many sessions may be open on which no message was received. Peers send
+	// one as soon as they have connected, but all peers may connect at once.
+	defaultUnproven = 64
 	// minUnprovenTime is how long a session may be unproven before it gives way to the bytes of
 	// another one. Otherwise, bytes would be dropped as fast as they arrive, and the garbage of those
 	// that were dropped is not bounded.
@@ -19,9 +19,13 @@
 	// heldPerByte estimates what is held for each byte that was received: it is in the buffers of a
 	// frame, of a stream and of a message, which grow by doubling.
 	heldPerByte = 3
+	// sessionBytes and frameBytes estimate what is held for a session, in goroutines and buffers, and
+	// for each frame, which may open a stream.
+	sessionBytes = 24 << 10
+	frameBytes   = 1 << 10
 	// MinUnprovenBytes is the least bound of what unproven sessions hold: that of the largest
-	// message and of what is read with it.
-	MinUnprovenBytes = heldPerByte * (MaxFrame + maxStreamWindow)
+	// message, of what is read with it, and of some sessions beside it.
+	MinUnprovenBytes = heldPerByte*(MaxFrame+maxStreamWindow) + defaultUnproven*sessionBytes
 )
 
 // Budget bounds what unproven sessions hold, in bytes.
@@ -43,6 +47,7 @@
 // accepted. Anyone who reaches the port can open them, so that the first ones give way to others.
 type unproven struct {
 	budget Budget
+	limit  int
 
 	mu       sync.Mutex
 	sessions list.List
@@ -53,7 +58,7 @@
 }
 
 func newUnproven() *unproven {
-	u := &unproven{budget: unlimited{}}
+	u := &unproven{budget: unlimited{}, limit: defaultUnproven}
 	u.changed = sync.NewCond(&u.mu)
 	return u
 }
@@ -74,13 +79,18 @@
 	dropped bool
 }
 
-// add adds a connection. The oldest gives way to it if there are too many.
+// add adds a connection. The oldest give way to it if there are too many, or if there is no room.
 func (u *unproven) add(now time.Time, conn net.Conn) *accepted {
 	s := &accepted{Conn: conn, unproven: u, since: now, proven: make(chan struct{})}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	s.place = u.sessions.PushBack(s)
-	if u.sessions.Len() > maxUnproven {
+	if u.sessions.Len() > u.limit {
+		u.dropOldestLocked()
+	}
+	if u.budget.Take(sessionBytes) {
+		s.held = sessionBytes
+	} else if u.sessions.Len() > 1 {
 		u.dropOldestLocked()
 	}
 	return s
@@ -142,26 +152,34 @@
 // Read implements net.Conn.
 func (s *accepted) Read(p []byte) (int, error) {
 	n, err := s.Conn.Read(p)
-	if n > 0 && !s.charge(int64(n)) {
+	if n > 0 && !s.charge(heldPerByte*int64(n)) {
 		return 0, io.ErrUnexpectedEOF
 	}
 	return n, err
 }
 
-// charge takes what n received bytes hold, and reports whether the session goes on. Sessions that
-// are unproven for longest give way, and their bytes are awaited.
+// beginFrame charges a frame that is about to be read.
+func (s *accepted) beginFrame() error {
+	if !s.charge(frameBytes) {
+		return io.ErrUnexpectedEOF
+	}
+	return nil
+}
+
+// charge takes n bytes of the budget, and reports whether the session goes on. Sessions that are
+// unproven for longest give way, and their bytes are awaited.
 func (s *accepted) charge(n int64) bool {
 	u := s.unproven
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for s.place != nil && !u.budget.Take(n*heldPerByte) {
+	for s.place != nil && !u.budget.Take(n) {
 		u.makeRoomLocked(time.Now())
 		if s.place != nil {
 			u.changed.Wait()
 		}
 	}
 	if s.place != nil {
-		s.held += n * heldPerByte
+		s.held += n
 	}
 	return !s.dropped
 }
--- a/internal/fleet/link/unproven_test.go
+++ b/internal/fleet/link/unproven_test.go
@@ -22,6 +22,9 @@
 	linkAddress = "a:1"
 	// mostUnproven is the bound of sessions without a message.
 	mostUnproven = 64
+	// smallestVM and fewestDescriptors are the limits of the smallest VMs.
+	smallestVM        = 134 << 20
+	fewestDescriptors = 4100
 )
 
 // dialRaw opens connections on which nothing is sent.
@@ -140,3 +143,31 @@
 	runtime.ReadMemStats(&after)
 	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(most))
 }
+
+// Guards against peers that lose their connections because all connect at once, as after a restart
+// of the fleet, before the first of them has sent its message.
+func TestPeersThatConnectAtOnceKeepTheirSessions(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		const peers = 330
+		n := network.New()
+		listener, err := n.Listen(linkAddress)
+		require.NoError(t, err)
+		budget := memory.NewBudget(max(memory.LinkLimit(smallestVM), link.MinUnprovenBytes))
+		server := link.Serve(listener, echo, link.WithBudget(budget), link.WithUnprovenSessions(memory.LinkConnectionLimit(fewestDescriptors)))
+		pools, streams := make([]*link.Pool, peers), make([]*link.Stream, peers)
+		for i := range pools {
+			pools[i] = link.NewPool(n, nil)
+			streams[i], err = pools[i].Open(t.Context(), linkAddress)
+			require.NoError(t, err)
+		}
+		for _, stream := range streams {
+			requireEcho(t, stream, 10)
+		}
+		require.Equal(t, peers, server.Sessions())
+		require.Zero(t, budget.Taken())
+		for _, pool := range pools {
+			require.NoError(t, pool.Close())
+		}
+		require.NoError(t, server.Close())
+	})
+}
--- a/internal/limit/memory/connections.go
+++ b/internal/limit/memory/connections.go
@@ -16,6 +16,10 @@
 	reservedDescriptors   = 200
 	callerDescriptorShare = 0.5
 	defaultDescriptors    = 4096
+	// linkDescriptorShare is the fraction of the others for connections to the port for gateways on
+	// which no message was received, and minLinkConnections the least bound.
+	linkDescriptorShare = 0.125
+	minLinkConnections  = 64
 	// crowdedShare is the fraction of the bound from which on connections that wait for a request
 	// are closed in favor of new ones.
 	crowdedShare = 0.875
@@ -35,6 +39,15 @@
 	return max(minConnections, min(byMemory, byDescriptors))
 }
 
+// LinkConnectionLimit returns how many connections to the port for gateways may be open on which no
+// message was received, in a process with the limit of descriptors, which is 0 if it is unknown.
+func LinkConnectionLimit(descriptors int) int {
+	if descriptors <= 0 {
+		descriptors = defaultDescriptors
+	}
+	return max(minLinkConnections, int(float64(descriptors-reservedDescriptors)*linkDescriptorShare))
+}
+
 // SetConnectionLimit changes how many connections may be open; 0 bounds none.
 func (a *Account) SetConnectionLimit(limit int) {
 	a.mu.Lock()
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -324,7 +324,7 @@
 		return err
 	}
 	callers, links = g.link.meter.Listener(callers), g.link.meter.Listener(links)
-	server := link.Serve(links, g.mesh.Serve, link.WithBudget(g.unproven))
+	server := link.Serve(links, g.mesh.Serve, link.WithBudget(g.unproven), link.WithUnprovenSessions(memory.LinkConnectionLimit(g.settings.Descriptors)))
 	for _, address := range g.settings.SeedAddresses {
 		g.mesh.AddPeer(g.now(), address)
 	}
