A reset that only the write was told is no end of an answer

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got 200 with a Content-Length of that part, whole. The same with 500, with HTTP/1.0 and with events of a stream.

Cause: the kernel tells a reset once, to the call that asks first. If the write of the request asks first, it gets ECONNRESET, and the next read gets a plain end, which is the end of a body without a length. The error of the write was looked at only until the head had come, and never for the body. A time-out of the kernel, or a host that cannot be reached any more, is told in the same way.

Why the fix works: at an end, the read gives up a write that is under way (its deadline is set to the past) and takes its error. Whatever the write was told, it was told before the read got the plain end, and what the kernel has told a write no deadline takes back; so the wait has an end, and needs no guess of its length. A write that gets EPIPE tells only that the upstream reads no more: the kernel says so for a reset after the upstream's own end, and that answer is whole. An upstream that has ended its answer needs no more of the request (RFC 9112, 9.3: the client should stop sending); before, the request was cut at the same moment, when the answer was closed.

--- a/internal/edge/exchange/pool.go
+++ b/internal/edge/exchange/pool.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/persimmonridge/persimmonridge/internal/upstream/framing"
 )
 
 const (
@@ -35,6 +37,8 @@
 // conn is one connection to an upstream.
 type conn struct {
 	net.Conn
+	// framed is the connection for reading and writing.
+	framed    *framing.Conn
 	address   string
 	head      *headLimit
 	reader    *bufio.Reader
@@ -53,7 +57,7 @@
 
 // Read implements io.Reader.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.framed.Read(p)
 	if n > 0 || errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
 		c.activity.received()
 	}
@@ -71,7 +75,7 @@
 func (c *conn) Write(p []byte) (int, error) {
 	written := 0
 	for {
-		n, err := c.Conn.Write(p[written:min(len(p), written+maxWriteBytes)])
+		n, err := c.framed.Write(p[written:min(len(p), written+maxWriteBytes)])
 		c.sent.Add(int64(n))
 		written += n
 		if err != nil || written == len(p) {
@@ -130,7 +134,7 @@
 		// given up, also after this process was killed.
 		_ = resettable.SetLinger(0)
 	}
-	c := &conn{Conn: raw, address: address, activity: p.activityOf(address)}
+	c := &conn{Conn: raw, framed: framing.NewConn(raw), address: address, activity: p.activityOf(address)}
 	c.head = &headLimit{Conn: c}
 	c.reader = bufio.NewReaderSize(c.head, readBufferBytes)
 	c.setTimeouts()
