An answer whose status code is none is no answer

What callers saw: an upstream in trouble sent an answer with status 000, and where its body was, the bytes of another sealed answer. The caller got that inner answer: 200, whole. So it was with each number below 100. With a number from 600 on, the caller got a sealed answer with that status; beside a field that says that nothing ran, it got a 503, which is a promise.

Cause: net/http takes any three characters that are an integer for a status code, "+12" and "-00" as well. The client took all below 200 for informational answers, skipped the head, and read what followed it as the next head; nothing looked at numbers from 600 on.

Why the fix works: the bytes of a head are checked as they arrive, beside the parser and before what it makes of them is used, for what RFC 9110, section 15, allows: three digits from 100 to 599, and a version 1.x. What is not so is no answer: the request may have been executed, the connection is closed, and a kept one does not count as stale, since bytes came. RFC 9110 wants an invalid status processed as a 5xx; callers get 502. Unusual answers that are sound stay delivered, at once and byte by byte: informational ones before, folded lines, odd names, a length beside chunks.

--- a/internal/edge/exchange/head.go
+++ b/internal/edge/exchange/head.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/persimmonridge/persimmonridge/internal/upstream/framing"
 )
 
 const (
@@ -35,20 +37,29 @@
 	errHeadTooLong = fmt.Errorf("the head of the answer exceeds %d bytes or %d lines", maxHeadBytes, maxHeadLines)
 )
 
-// headLimit bounds the bytes that are read from a connection until the head of an answer is
-// complete. What one read returns beyond the head belongs to the body and does no harm: the
+// headLimit checks and bounds the bytes that are read from a connection until the head of an answer
+// is complete. What one read returns beyond the head belongs to the body and does no harm: the
 // bounds count only if more is needed.
 type headLimit struct {
 	net.Conn
 	active       bool
 	bytes, lines int
+	// head checks the head, once its start has arrived; nil otherwise.
+	head *framing.Head
 }
 
 // begin bounds the head that comes next.
 func (l *headLimit) begin() { l.active, l.bytes, l.lines = true, 0, 0 }
 
+// check begins to check the head, of which the bytes were read already.
+func (l *headLimit) check(read []byte) error {
+	l.head = &framing.Head{}
+	_, err := l.head.Check(read)
+	return err
+}
+
 // end lifts the bounds.
-func (l *headLimit) end() { l.active = false }
+func (l *headLimit) end() { l.active, l.head = false, nil }
 
 // Read implements io.Reader.
 func (l *headLimit) Read(p []byte) (int, error) {
@@ -61,6 +72,11 @@
 	n, err := l.Conn.Read(p)
 	l.bytes += n
 	l.lines += bytes.Count(p[:n], []byte("\n"))
+	if l.head != nil {
+		if _, headErr := l.head.Check(p[:n]); headErr != nil {
+			return 0, headErr
+		}
+	}
 	return n, err
 }
 
@@ -113,6 +129,10 @@
 	if err := checkStart(c.reader); err != nil {
 		return nil, err
 	}
+	read, _ := c.reader.Peek(c.reader.Buffered())
+	if err := c.head.check(read); err != nil {
+		return nil, unreadableHeadError{err}
+	}
 	//nolint:bodyclose // Answer.Close closes or keeps the connection.
 	response, err := http.ReadResponse(c.reader, request)
 	if err != nil {
--- a/internal/edge/flow/breakoff_test.go
+++ b/internal/edge/flow/breakoff_test.go
@@ -80,11 +80,7 @@
 // Guards against a head that broke off and reaches a caller as a success or as a promise that
 // nothing ran.
 func TestHeadThatBreaksOffLooksWholeToNoCaller(t *testing.T) {
-	lines := heads.Lines{
-		ID: idHeader + ": r1", OtherID: idHeader + ": r0", Seal: sealHeader + ": s",
-		NotExecuted: "X-Persimmonridge-Not-Executed: 1", Load: "X-Persimmonridge-Instance-Load: 3,1,12",
-	}
-	for name, head := range heads.All(lines) {
+	for name, head := range heads.All(headLines) {
 		for _, ending := range []string{"", heads.Reset} {
 			t.Run(name+" "+ending, func(t *testing.T) {
 				t.Parallel()
--- a/internal/proof/heads/heads.go
+++ b/internal/proof/heads/heads.go
@@ -17,10 +17,13 @@
 // Lines are the header lines that the heads have.
 type Lines struct{ ID, OtherID, Seal, NotExecuted, Load string }
 
+func (l Lines) replacer() *strings.Replacer {
+	return strings.NewReplacer("@id", l.ID, "@other-id", l.OtherID, "@seal", l.Seal, "@not-executed", l.NotExecuted, "@load", l.Load)
+}
+
 // All returns the heads by name, each with both kinds of line ends.
 func All(lines Lines) map[string]string {
-	replacer := strings.NewReplacer("@id", lines.ID, "@other-id", lines.OtherID, "@seal", lines.Seal,
-		"@not-executed", lines.NotExecuted, "@load", lines.Load)
+	replacer := lines.replacer()
 	all := make(map[string]string)
 	for _, section := range strings.Split(sections, "-- ")[1:] {
 		name, text, _ := strings.Cut(section, " --\n")
--- /dev/null
+++ b/internal/proof/heads/malformed.go
@@ -0,0 +1,56 @@
+package heads
+
+import "strings"
+
+// unknownStatuses are status codes, some with a reason phrase, that RFC 9110 does not allow.
+var unknownStatuses = []string{"000", "000 OK", "007 No", "099", "+12 OK", "-00", "600 Odd", "999 Odd"}
+
+// statusTails follow a status line. The last ones hold another answer.
+var statusTails = map[string]string{
+	"stated length":  "@id\n@seal\nContent-Length: 5\n\nouter",
+	"to the end":     "@id\n@seal\n\nouter",
+	"no body":        "@id\n@seal\nContent-Length: 0\n\n",
+	"chunks":         "@id\n@seal\nTransfer-Encoding: chunked\n\n5\nouter\n0\n\n",
+	"events":         "@id\n@seal\nContent-Type: text/event-stream\n\nid: 1\ndata: a\n\n",
+	"not executed":   "@id\n@not-executed\nContent-Length: 0\n\n",
+	"inner answer":   "@id\n@seal\nContent-Type: text/plain\n\n" + soundAnswer,
+	"answer behind":  "\n" + soundAnswer,
+	"refusal behind": "\nHTTP/1.1 503 Busy\n@id\n@not-executed\nContent-Length: 0\n\n",
+}
+
+const soundAnswer = "HTTP/1.1 200 OK\n@id\n@seal\nContent-Length: 5\n\ninner"
+
+// UnknownStatuses returns answers by name whose status code is none.
+func UnknownStatuses(lines Lines) map[string]string {
+	all := make(map[string]string)
+	for _, status := range unknownStatuses {
+		for name, tail := range statusTails {
+			all["status "+status+", "+name] = lines.fill("HTTP/1.1 " + status + "\n" + tail)
+		}
+	}
+	all["version 2.0"] = lines.fill("HTTP/2.0 200 OK\n" + statusTails["stated length"])
+	return all
+}
+
+// Sound returns answers by name that are unusual and sound. Their body is "inner".
+func Sound(lines Lines) map[string]string {
+	all := make(map[string]string)
+	for name, text := range map[string]string{
+		"after a 100": "HTTP/1.1 100 Continue\n\n" + soundAnswer,
+		"after a 103": "HTTP/1.1 103 Early Hints\nLink: </a>\n@id\n@seal\n\n" + soundAnswer,
+		"odd names and values": "HTTP/1.1 200 \n@id\n@seal\nX-!#$%&'*+.^_`|~9:   v  \nX-Empty:\nX-High: \xe9\xff\n" +
+			"X-Folded: a\n\tb\ncontent-length:5\n\ninner",
+		"blanks before the status": "HTTP/1.1   200 OK\n@id\n@seal\nContent-Length: 5\n\ninner",
+		"length beside chunks":     "HTTP/1.1 200 OK\n@id\n@seal\nContent-Length: 99\nTransfer-Encoding: chunked\n\n5\ninner\n0\n\n",
+		"blank in a trailer":       "HTTP/1.1 200 OK\n@id\n@seal\nTransfer-Encoding: chunked\n\n5\ninner\n0\nX Y: v\n\n",
+		"version 1.2":              "HTTP/1.2 200 OK\n@id\n@seal\nContent-Length: 5\n\ninner",
+	} {
+		all[name] = lines.fill(text)
+	}
+	return all
+}
+
+// fill returns the text with the lines in it, and with the line ends of HTTP.
+func (l Lines) fill(text string) string {
+	return strings.ReplaceAll(l.replacer().Replace(text), "\n", "\r\n")
+}
--- /dev/null
+++ b/internal/upstream/framing/head.go
@@ -0,0 +1,81 @@
+package framing
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+	"strings"
+)
+
+// Malformed is the error of a head that is none of an answer in HTTP/1.x, as RFC 9110 and 9112
+// define it.
+var Malformed = namespace.NewType("malformed-head")
+
+const (
+	// minStatus and maxStatus bound the status codes of RFC 9110, section 15.
+	minStatus = 100
+	maxStatus = 599
+)
+
+// Head checks the head of an answer while it arrives. The parser of net/http is lenient, and what
+// it passes over it may frame in another way than the upstream did.
+type Head struct {
+	// line is the incomplete last line, and lines the number of complete ones.
+	line   []byte
+	lines  int
+	status int
+	done   bool
+}
+
+// Done reports whether the whole head was checked.
+func (h *Head) Done() bool { return h.done }
+
+// Status returns the status code, or 0 before the status line was checked.
+func (h *Head) Status() int { return h.status }
+
+// Check checks the bytes that arrive next, and returns how many of them belong to the head. It
+// keeps an incomplete line: who reads the head bounds it.
+func (h *Head) Check(p []byte) (n int, err error) {
+	for n < len(p) && !h.done {
+		end := bytes.IndexByte(p[n:], '\n')
+		if end < 0 {
+			h.line = append(h.line, p[n:]...)
+			return len(p), nil
+		}
+		line := p[n : n+end]
+		if len(h.line) > 0 {
+			line = append(h.line, line...)
+			h.line = nil
+		}
+		n += end + 1
+		if err := h.checkLine(bytes.TrimSuffix(line, []byte("\r"))); err != nil {
+			return n, err
+		}
+		h.lines++
+	}
+	return n, nil
+}
+
+func (h *Head) checkLine(line []byte) error {
+	switch {
+	case h.lines == 0:
+		return h.checkStatusLine(string(line))
+	case len(line) == 0:
+		h.done = true
+	}
+	return nil
+}
+
+func (h *Head) checkStatusLine(line string) error {
+	version, rest, _ := strings.Cut(line, " ")
+	if major, _, ok := http.ParseHTTPVersion(version); !ok || major != 1 {
+		return Malformed.New("answer of version %q; this process speaks HTTP/1.1", version)
+	}
+	code, _, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
+	status, err := strconv.ParseUint(code, 10, 16)
+	if err != nil || status < minStatus || status > maxStatus || len(code) != 3 {
+		return Malformed.New("answer with status code %q, which is no number from %d to %d", code, minStatus, maxStatus)
+	}
+	h.status = int(status)
+	return nil
+}
