A line that is no header field makes a head that is no answer

What callers saw: an upstream in trouble sent an answer in whose head the name of a field held a blank: "Content-Length : 5", "Transfer-Encoding : chunked", "X Y: v". The caller got 200, whole, without that line; under "Transfer-Encoding : chunked" the chunks' own bytes were the body. The same with 500, and in the head of an informational answer. Beside the field that says that nothing ran, the caller got a 503.

Cause: net/textproto takes a blank in a name on purpose and keeps the field under that name, which nobody asks for, so that it frames nothing. On the way out net/http leaves names out that are not valid.

Why the fix works: each line of a head, also of an informational one, is checked as it arrives; a name must be a token (RFC 9110, section 5.1 and 5.6.2). RFC 9112, section 5.1, lets a proxy pass such an answer on only without the blank, which would frame its body anew; an upstream that writes it is not known to have meant that, so it is no answer, and what became of the request is unknown. Folded lines stay allowed (section 5.2).

--- a/internal/edge/exchange/malformed_test.go
+++ b/internal/edge/exchange/malformed_test.go
@@ -56,6 +56,12 @@
 	require.Len(t, u.connections, 1)
 }
 
+// Guards against a line that is no header field and is passed over, so that an answer is read
+// without it, or framed otherwise than its upstream did.
+func TestAnswerWithALineThatIsNoFieldIsNone(t *testing.T) {
+	requireNoAnswers(t, heads.BadLines(headLines))
+}
+
 // Guards against a sound answer that is refused because it is unusual.
 func TestUnusualAnswersAreRead(t *testing.T) {
 	for name, text := range heads.Sound(headLines) {
--- a/internal/edge/flow/malformed_test.go
+++ b/internal/edge/flow/malformed_test.go
@@ -35,6 +35,12 @@
 	requireNoCallerGets(t, heads.UnknownStatuses(headLines))
 }
 
+// Guards against an answer with a line that is no header field which reaches a caller without that
+// line, with a body that is not its upstream's, or as a promise that nothing ran.
+func TestAnswerWithALineThatIsNoFieldReachesNoCaller(t *testing.T) {
+	requireNoCallerGets(t, heads.BadLines(headLines))
+}
+
 // Guards against a sound answer that is refused because it is unusual.
 func TestUnusualAnswersReachCallers(t *testing.T) {
 	for name, text := range heads.Sound(headLines) {
--- a/internal/proof/heads/malformed.go
+++ b/internal/proof/heads/malformed.go
@@ -32,6 +32,48 @@
 	return all
 }
 
+// badLines are lines that are no header fields.
+var badLines = map[string]string{
+	"length, blank after the name":  "Content-Length : 5",
+	"length, tab after the name":    "Content-Length\t: 5",
+	"chunked, blank after the name": "Transfer-Encoding : chunked",
+	"blank in the name":             "X Y: v",
+	"blank after the name":          "X-Y : v",
+	"blank alone":                   "X-Y :",
+	"control byte in the name":      "X\x01Y: v",
+	"NUL in the name":               "X\x00Y: v",
+	"DEL in the name":               "X\x7fY: v",
+	"high byte in the name":         "X\x80Y: v",
+	"return in the name":            "X\rY: v",
+	"separator in the name":         "X(Y): v",
+	"no name":                       ": v",
+	"no colon":                      "X-Y",
+	"control byte in the value":     "X-Y: a\x01b",
+	"NUL in the value":              "X-Y: a\x00b",
+	"return in the value":           "X-Y: a\rb",
+}
+
+// BadLines returns answers by name that have a line in their head, or in that of an informational
+// answer before it, which is no header field.
+func BadLines(lines Lines) map[string]string {
+	all := make(map[string]string)
+	for name, line := range badLines {
+		body := "inner"
+		if strings.HasPrefix(name, "chunked") {
+			body = "5\ninner\n0\n\n"
+		}
+		for place, fields := range map[string]string{"before": line + "\n@id\n@seal\n", "after": "@id\n@seal\n" + line + "\n"} {
+			all[name+", "+place] = lines.fill("HTTP/1.1 200 OK\n" + fields + "\n" + body)
+			all[name+", "+place+", failure"] = lines.fill("HTTP/1.1 500 No\n" + fields + "\n" + body)
+			all[name+", "+place+", stated length"] = lines.fill("HTTP/1.1 200 OK\n" + fields + "Content-Length: 5\n\ninner")
+			all[name+", "+place+", events"] = lines.fill("HTTP/1.1 200 OK\n" + fields + "Content-Type: text/event-stream\n\nid: 1\ndata: a\n\n")
+		}
+		all[name+", not executed"] = lines.fill("HTTP/1.1 503 Busy\n@id\n@not-executed\n" + line + "\nContent-Length: 0\n\n")
+		all[name+", informational"] = lines.fill("HTTP/1.1 103 Early Hints\n" + line + "\n\n" + soundAnswer)
+	}
+	return all
+}
+
 // Sound returns answers by name that are unusual and sound. Their body is "inner".
 func Sound(lines Lines) map[string]string {
 	all := make(map[string]string)
--- a/internal/upstream/framing/head.go
+++ b/internal/upstream/framing/head.go
@@ -62,10 +62,33 @@
 		return h.checkStatusLine(string(line))
 	case len(line) == 0:
 		h.done = true
+		return nil
+	case line[0] == ' ' || line[0] == '\t':
+		// A folded line, which RFC 9112, section 5.2, lets the parser replace by a blank.
+		return nil
+	}
+	return h.checkField(line)
+}
+
+func (h *Head) checkField(line []byte) error {
+	name, _, ok := bytes.Cut(line, []byte(":"))
+	if !ok || !isToken(name) {
+		return Malformed.New("header field with the name %q, which is no token", name)
 	}
 	return nil
 }
 
+// isToken reports whether the text is a token of RFC 9110, section 5.6.2.
+func isToken(text []byte) bool {
+	for _, c := range text {
+		isAlphanumeric := '0' <= c && c <= '9' || 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z'
+		if !isAlphanumeric && strings.IndexByte("!#$%&'*+-.^_`|~", c) < 0 {
+			return false
+		}
+	}
+	return len(text) > 0
+}
+
 func (h *Head) checkStatusLine(line string) error {
 	version, rest, _ := strings.Cut(line, " ")
 	if major, _, ok := http.ParseHTTPVersion(version); !ok || major != 1 {
