An answer of version 1.0 in a transfer coding is no answer

An upstream answers "HTTP/1.0 200 OK" with "Transfer-Encoding: chunked", and the caller gets 200, whole, with the sizes and line ends of the chunks as its body.

Cause: net/http deletes the field from the header of such an answer and reads the body to the end of the connection.

Why the fix works: RFC 9112, section 6.1, says that a client must treat such a message as if its framing were faulty, even beside a length. The line is seen while the head is checked, before net/http drops it.

--- a/internal/edge/exchange/malformed_test.go
+++ b/internal/edge/exchange/malformed_test.go
@@ -62,6 +62,12 @@
 	requireNoAnswers(t, heads.BadLines(headLines))
 }
 
+// Guards against the bytes of chunks that are read as a body, because the version of the answer
+// has no chunks.
+func TestAnswerInACodingThatItsVersionLacksIsNone(t *testing.T) {
+	requireNoAnswers(t, heads.OldCodings(headLines))
+}
+
 // Guards against a sound answer that is refused because it is unusual.
 func TestUnusualAnswersAreRead(t *testing.T) {
 	for name, text := range heads.Sound(headLines) {
--- a/internal/edge/flow/malformed_test.go
+++ b/internal/edge/flow/malformed_test.go
@@ -41,6 +41,12 @@
 	requireNoCallerGets(t, heads.BadLines(headLines))
 }
 
+// Guards against the bytes of chunks that reach a caller as a body, because the version of the
+// answer has no chunks.
+func TestAnswerInACodingThatItsVersionLacksReachesNoCaller(t *testing.T) {
+	requireNoCallerGets(t, heads.OldCodings(headLines))
+}
+
 // Guards against a sound answer that is refused because it is unusual.
 func TestUnusualAnswersReachCallers(t *testing.T) {
 	for name, text := range heads.Sound(headLines) {
--- a/internal/proof/heads/malformed.go
+++ b/internal/proof/heads/malformed.go
@@ -74,6 +74,27 @@
 	return all
 }
 
+// OldCodings returns answers by name of version 1.0, which has no transfer codings, that state one.
+func OldCodings(lines Lines) map[string]string {
+	const chunks = "5\ninner\n0\n\n"
+	all := make(map[string]string)
+	for name, text := range map[string]string{
+		"chunks":                  "HTTP/1.0 200 OK\n@id\n@seal\nTransfer-Encoding: chunked\n\n" + chunks,
+		"chunks, stated length":   "HTTP/1.0 200 OK\nContent-Length: 15\n@id\n@seal\ntransfer-encoding: chunked\n\n" + chunks,
+		"chunks, failure":         "HTTP/1.0 500 No\n@id\n@seal\nTransfer-Encoding: chunked\n\n" + chunks,
+		"another coding":          "HTTP/1.0 200 OK\n@id\n@seal\nTransfer-Encoding: gzip\n\ninner",
+		"no coding":               "HTTP/1.0 200 OK\n@id\n@seal\nTransfer-Encoding:\n\ninner",
+		"chunks, not executed":    "HTTP/1.0 503 Busy\n@id\n@not-executed\nTransfer-Encoding: chunked\n\n0\n\n",
+		"chunks, kept alive":      "HTTP/1.0 200 OK\nConnection: keep-alive\n@id\n@seal\nTransfer-Encoding: chunked\n\n" + chunks,
+		"chunks, events":          "HTTP/1.0 200 OK\n@id\n@seal\nContent-Type: text/event-stream\nTransfer-Encoding: chunked\n\n11\nid: 1\ndata: a\n\n0\n\n",
+		"chunks, after a fold":    "HTTP/1.0 200 OK\n@id\n@seal\nX: a\n b\nTransfer-Encoding: chunked\n\n" + chunks,
+		"chunks, after another's": "HTTP/1.1 200 OK\n@other-id\n@seal\nContent-Length: 2\n\nokHTTP/1.0 200 OK\n@id\n@seal\nTransfer-Encoding: chunked\n\n" + chunks,
+	} {
+		all[name] = lines.fill(text)
+	}
+	return all
+}
+
 // Sound returns answers by name that are unusual and sound. Their body is "inner".
 func Sound(lines Lines) map[string]string {
 	all := make(map[string]string)
@@ -85,6 +106,7 @@
 		"blanks before the status": "HTTP/1.1   200 OK\n@id\n@seal\nContent-Length: 5\n\ninner",
 		"length beside chunks":     "HTTP/1.1 200 OK\n@id\n@seal\nContent-Length: 99\nTransfer-Encoding: chunked\n\n5\ninner\n0\n\n",
 		"blank in a trailer":       "HTTP/1.1 200 OK\n@id\n@seal\nTransfer-Encoding: chunked\n\n5\ninner\n0\nX Y: v\n\n",
+		"version 1.0":              "HTTP/1.0 200 OK\n@id\n@seal\nContent-Length: 5\n\ninner",
 		"version 1.2":              "HTTP/1.2 200 OK\n@id\n@seal\nContent-Length: 5\n\ninner",
 	} {
 		all[name] = lines.fill(text)
--- a/internal/upstream/framing/head.go
+++ b/internal/upstream/framing/head.go
@@ -23,6 +23,7 @@
 	// line is the incomplete last line, and lines the number of complete ones.
 	line   []byte
 	lines  int
+	minor  int
 	status int
 	done   bool
 }
@@ -75,6 +76,10 @@
 	if !ok || !isToken(name) {
 		return Malformed.New("header field with the name %q, which is no token", name)
 	}
+	if h.minor == 0 && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+		// The parser would take the bytes of the coding for the body (RFC 9112, section 6.1).
+		return Malformed.New("answer of version 1.0 with a Transfer-Encoding, which that version does not have")
+	}
 	return nil
 }
 
@@ -91,7 +96,8 @@
 
 func (h *Head) checkStatusLine(line string) error {
 	version, rest, _ := strings.Cut(line, " ")
-	if major, _, ok := http.ParseHTTPVersion(version); !ok || major != 1 {
+	major, minor, ok := http.ParseHTTPVersion(version)
+	if !ok || major != 1 {
 		return Malformed.New("answer of version %q; this process speaks HTTP/1.1", version)
 	}
 	code, _, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
@@ -99,6 +105,6 @@
 	if err != nil || status < minStatus || status > maxStatus || len(code) != 3 {
 		return Malformed.New("answer with status code %q, which is no number from %d to %d", code, minStatus, maxStatus)
 	}
-	h.status = int(status)
+	h.minor, h.status = minor, int(status)
 	return nil
 }
