An answer that switches to another protocol is no answer

An upstream answers 101, for which nobody asked, and the caller gets what follows, if it looks like an answer: 200, whole, or a refusal that says that nothing ran.

Cause: the client took 101 for an informational answer and read the next bytes as the next head.

Why the fix works: after a 101 the connection carries another protocol (RFC 9110, section 15.2.2), and no request of this process asks for one: Upgrade is never passed on. It is no answer, and what became of the request is unknown.

--- a/internal/edge/exchange/malformed_test.go
+++ b/internal/edge/exchange/malformed_test.go
@@ -68,6 +68,11 @@
 	requireNoAnswers(t, heads.OldCodings(headLines))
 }
 
+// Guards against bytes of another protocol that are read as the answer.
+func TestAnswerThatSwitchesTheProtocolIsNone(t *testing.T) {
+	requireNoAnswers(t, heads.Switches(headLines))
+}
+
 // Guards against a sound answer that is refused because it is unusual.
 func TestUnusualAnswersAreRead(t *testing.T) {
 	for name, text := range heads.Sound(headLines) {
--- a/internal/edge/flow/malformed_test.go
+++ b/internal/edge/flow/malformed_test.go
@@ -47,6 +47,11 @@
 	requireNoCallerGets(t, heads.OldCodings(headLines))
 }
 
+// Guards against bytes of another protocol that reach a caller as the answer.
+func TestAnswerThatSwitchesTheProtocolReachesNoCaller(t *testing.T) {
+	requireNoCallerGets(t, heads.Switches(headLines))
+}
+
 // Guards against a sound answer that is refused because it is unusual.
 func TestUnusualAnswersReachCallers(t *testing.T) {
 	for name, text := range heads.Sound(headLines) {
--- a/internal/proof/heads/malformed.go
+++ b/internal/proof/heads/malformed.go
@@ -95,6 +95,16 @@
 	return all
 }
 
+// Switches returns answers by name that switch to a protocol that nobody asked for.
+func Switches(lines Lines) map[string]string {
+	all := make(map[string]string)
+	for name, tail := range statusTails {
+		all[name] = lines.fill("HTTP/1.1 101 Switching Protocols\nConnection: upgrade\nUpgrade: odd\n" + tail)
+		all[name+", no field"] = lines.fill("HTTP/1.1 101 Switching Protocols\n" + tail)
+	}
+	return all
+}
+
 // Sound returns answers by name that are unusual and sound. Their body is "inner".
 func Sound(lines Lines) map[string]string {
 	all := make(map[string]string)
--- a/internal/upstream/framing/head.go
+++ b/internal/upstream/framing/head.go
@@ -105,6 +105,9 @@
 	if err != nil || status < minStatus || status > maxStatus || len(code) != 3 {
 		return Malformed.New("answer with status code %q, which is no number from %d to %d", code, minStatus, maxStatus)
 	}
+	if status == http.StatusSwitchingProtocols {
+		return Malformed.New("answer that switches to another protocol, for which no request asks")
+	}
 	h.minor, h.status = minor, int(status)
 	return nil
 }
