Agents: a reset that only the write was told is no end of an answer

Cause: http.Transport gives no word of it either: a write that fails closes the connection, and a body that was read to the plain end before that is whole.

Why the fix works: the transport's connections are those of the edge, on which a plain end is believed only once the write has said what it was told. The run counts as failed and sent, never as not run.

--- a/internal/proof/early/early.go
+++ b/internal/proof/early/early.go
@@ -12,9 +12,9 @@
 	"time"
 )
 
-// Conn is a connection on which an answer arrives while the request is written. Reads get the
-// answer and, once a write has begun, its plain end. The write blocks until that end was read; then
-// it returns an error or goes on to block until its deadline.
+// Conn is a connection on which an answer arrives once the request is being written. Reads get the
+// answer and its plain end. A write blocks until that end was read; then it returns an error or
+// goes on to block until its deadline.
 type Conn struct {
 	// Conn is nil: methods that are not implemented must not be called.
 	net.Conn
@@ -41,13 +41,13 @@
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
+	select {
+	case <-c.begun:
+	case <-c.closed:
+		return 0, net.ErrClosed
+	}
 	n, err := c.answer.Read(p)
 	if errors.Is(err, io.EOF) {
-		select {
-		case <-c.begun:
-		case <-c.closed:
-			return 0, net.ErrClosed
-		}
 		c.endOnce.Do(func() { close(c.ended) })
 	}
 	return n, err
--- a/internal/upstream/engine/engine.go
+++ b/internal/upstream/engine/engine.go
@@ -107,12 +107,12 @@
 // must reach the upstream at most once. A new connection over loopback is cheap
 // and cannot be stale.
 func New(base string, now func() time.Time, dialer Dialer) *Client {
-	transport := &http.Transport{
+	transport := framing.NewTransport(&http.Transport{
 		DialContext:            dialer.DialContext,
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}
+	})
 	return &Client{base: base, dialer: dialer, http: &http.Client{Transport: transport, CheckRedirect: noRedirect}, now: now}
 }
 
--- a/internal/upstream/engine/engine_test.go
+++ b/internal/upstream/engine/engine_test.go
@@ -1,16 +1,20 @@
 package engine_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/persimmonridge/persimmonridge/internal/fleet/wire"
+	"github.com/persimmonridge/persimmonridge/internal/proof/early"
 	"github.com/persimmonridge/persimmonridge/internal/proof/heads"
 	"github.com/persimmonridge/persimmonridge/internal/standin/network"
 	"github.com/persimmonridge/persimmonridge/internal/upstream/engine"
@@ -109,3 +113,35 @@
 		require.Equal(t, body, s.body.String())
 	}
 }
+
+// dialer opens the connection.
+type dialer struct{ conn net.Conn }
+
+// DialContext implements engine.Dialer.
+func (d dialer) DialContext(context.Context, string, string) (net.Conn, error) { return d.conn, nil }
+
+// Guards against a part of an answer that is taken for all of it, because the reset of its
+// connection was told to the write of the request, and against a sound early answer that is lost.
+func TestEarlyAnswerIsWholeOnlyIfItEndsInOrder(t *testing.T) {
+	for name, c := range map[string]struct {
+		text  string
+		told  error
+		after time.Duration
+		want  wire.End_Outcome
+	}{
+		"reset":            {"HTTP/1.1 200 OK\n\npart", syscall.ECONNRESET, 0, wire.End_OUTCOME_FAILED},
+		"reset, told late": {"HTTP/1.1 200 OK\n\npart", syscall.ECONNRESET, 100 * time.Millisecond, wire.End_OUTCOME_FAILED},
+		"reset failure":    {"HTTP/1.1 500 No\n\npart", syscall.ECONNRESET, 0, wire.End_OUTCOME_FAILED},
+		"reset stream":     {"HTTP/1.1 200 OK\nContent-Type: text/event-stream\n\ndata: a\n\n", syscall.ECONNRESET, 0, wire.End_OUTCOME_FAILED},
+		"reads no more":    {"HTTP/1.1 200 OK\n\nwhole", syscall.EPIPE, 0, wire.End_OUTCOME_ANSWERED},
+		"does not read":    {"HTTP/1.1 200 OK\n\nwhole", nil, 0, wire.End_OUTCOME_ANSWERED},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			call := engine.NewCall("r1", http.MethodPost, "/x", nil, bytes.Repeat([]byte("u"), 1<<20))
+			result := engine.New("http://upstream", time.Now, dialer{early.NewConn(c.text, c.told, c.after)}).Run(t.Context(), call, &sink{}, observer{})
+			require.Equal(t, c.want, result.Outcome(), "%s", result.Detail())
+			require.True(t, result.Sent())
+		})
+	}
+}
