Agents: a head that is none of an answer is no answer

Cause: the client asks net/http alone, which is lenient on purpose.

Why the fix works: the bytes that the transport reads are checked as on the edge, from the moment at which a request gets its connection to the end of the final head, and the answer is dropped after the transport has parsed it. An error of the read itself would count as the end of a kept connection, on which the transport sends a request once more by itself. The run counts as failed and sent, never as not run.

--- a/internal/proof/heads/malformed.go
+++ b/internal/proof/heads/malformed.go
@@ -1,6 +1,9 @@
 package heads
 
-import "strings"
+import (
+	"maps"
+	"strings"
+)
 
 // unknownStatuses are status codes, some with a reason phrase, that RFC 9110 does not allow.
 var unknownStatuses = []string{"000", "000 OK", "007 No", "099", "+12 OK", "-00", "600 Odd", "999 Odd"}
@@ -20,6 +23,17 @@
 
 const soundAnswer = "HTTP/1.1 200 OK\n@id\n@seal\nContent-Length: 5\n\ninner"
 
+// Malformed returns answers by name whose head is none of an answer on a new connection.
+func Malformed(lines Lines) map[string]string {
+	all := UnknownStatuses(lines)
+	for _, more := range []map[string]string{BadLines(lines), OldCodings(lines), Switches(lines)} {
+		maps.Copy(all, more)
+	}
+	// A client that expects one answer reads that one as its own.
+	delete(all, afterAnother)
+	return all
+}
+
 // UnknownStatuses returns answers by name whose status code is none.
 func UnknownStatuses(lines Lines) map[string]string {
 	all := make(map[string]string)
@@ -74,21 +88,24 @@
 	return all
 }
 
+// afterAnother is the name of an answer that follows one to another request.
+const afterAnother = "version 1.0, chunks after another answer"
+
 // OldCodings returns answers by name of version 1.0, which has no transfer codings, that state one.
 func OldCodings(lines Lines) map[string]string {
 	const chunks = "5\ninner\n0\n\n"
 	all := make(map[string]string)
 	for name, text := range map[string]string{
-		"chunks":                  "HTTP/1.0 200 OK\n@id\n@seal\nTransfer-Encoding: chunked\n\n" + chunks,
-		"chunks, stated length":   "HTTP/1.0 200 OK\nContent-Length: 15\n@id\n@seal\ntransfer-encoding: chunked\n\n" + chunks,
-		"chunks, failure":         "HTTP/1.0 500 No\n@id\n@seal\nTransfer-Encoding: chunked\n\n" + chunks,
-		"another coding":          "HTTP/1.0 200 OK\n@id\n@seal\nTransfer-Encoding: gzip\n\ninner",
-		"no coding":               "HTTP/1.0 200 OK\n@id\n@seal\nTransfer-Encoding:\n\ninner",
-		"chunks, not executed":    "HTTP/1.0 503 Busy\n@id\n@not-executed\nTransfer-Encoding: chunked\n\n0\n\n",
-		"chunks, kept alive":      "HTTP/1.0 200 OK\nConnection: keep-alive\n@id\n@seal\nTransfer-Encoding: chunked\n\n" + chunks,
-		"chunks, events":          "HTTP/1.0 200 OK\n@id\n@seal\nContent-Type: text/event-stream\nTransfer-Encoding: chunked\n\n11\nid: 1\ndata: a\n\n0\n\n",
-		"chunks, after a fold":    "HTTP/1.0 200 OK\n@id\n@seal\nX: a\n b\nTransfer-Encoding: chunked\n\n" + chunks,
-		"chunks, after another's": "HTTP/1.1 200 OK\n@other-id\n@seal\nContent-Length: 2\n\nokHTTP/1.0 200 OK\n@id\n@seal\nTransfer-Encoding: chunked\n\n" + chunks,
+		"version 1.0, chunks":                "HTTP/1.0 200 OK\n@id\n@seal\nTransfer-Encoding: chunked\n\n" + chunks,
+		"version 1.0, chunks, stated length": "HTTP/1.0 200 OK\nContent-Length: 15\n@id\n@seal\ntransfer-encoding: chunked\n\n" + chunks,
+		"version 1.0, chunks, failure":       "HTTP/1.0 500 No\n@id\n@seal\nTransfer-Encoding: chunked\n\n" + chunks,
+		"version 1.0, another coding":        "HTTP/1.0 200 OK\n@id\n@seal\nTransfer-Encoding: gzip\n\ninner",
+		"version 1.0, no coding":             "HTTP/1.0 200 OK\n@id\n@seal\nTransfer-Encoding:\n\ninner",
+		"version 1.0, chunks, not executed":  "HTTP/1.0 503 Busy\n@id\n@not-executed\nTransfer-Encoding: chunked\n\n0\n\n",
+		"version 1.0, chunks, kept alive":    "HTTP/1.0 200 OK\nConnection: keep-alive\n@id\n@seal\nTransfer-Encoding: chunked\n\n" + chunks,
+		"version 1.0, chunks, events":        "HTTP/1.0 200 OK\n@id\n@seal\nContent-Type: text/event-stream\nTransfer-Encoding: chunked\n\n11\nid: 1\ndata: a\n\n0\n\n",
+		"version 1.0, chunks, after a fold":  "HTTP/1.0 200 OK\n@id\n@seal\nX: a\n b\nTransfer-Encoding: chunked\n\n" + chunks,
+		afterAnother:                         "HTTP/1.1 200 OK\n@other-id\n@seal\nContent-Length: 2\n\nokHTTP/1.0 200 OK\n@id\n@seal\nTransfer-Encoding: chunked\n\n" + chunks,
 	} {
 		all[name] = lines.fill(text)
 	}
@@ -99,8 +116,8 @@
 func Switches(lines Lines) map[string]string {
 	all := make(map[string]string)
 	for name, tail := range statusTails {
-		all[name] = lines.fill("HTTP/1.1 101 Switching Protocols\nConnection: upgrade\nUpgrade: odd\n" + tail)
-		all[name+", no field"] = lines.fill("HTTP/1.1 101 Switching Protocols\n" + tail)
+		all["switch, "+name] = lines.fill("HTTP/1.1 101 Switching Protocols\nConnection: upgrade\nUpgrade: odd\n" + tail)
+		all["switch, "+name+", no field"] = lines.fill("HTTP/1.1 101 Switching Protocols\n" + tail)
 	}
 	return all
 }
--- a/internal/upstream/engine/engine_test.go
+++ b/internal/upstream/engine/engine_test.go
@@ -145,3 +145,26 @@
 		})
 	}
 }
+
+// Guards against a head that is none of an answer and is passed on as one, without a line of it or
+// with a body that is not the upstream's.
+func TestMalformedHeadIsNoAnswer(t *testing.T) {
+	lines := heads.Lines{ID: "Request-Id: r1", OtherID: "Request-Id: r0", Seal: "Seal: s", NotExecuted: "Not-Run: 1", Load: "Load: 1"}
+	for name, text := range heads.Malformed(lines) {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			result, s := run(t, text)
+			require.Equal(t, wire.End_OUTCOME_FAILED, result.Outcome())
+			require.Nil(t, s.head)
+			require.True(t, result.Sent())
+		})
+	}
+}
+
+func TestUnusualAnswersAreRead(t *testing.T) {
+	for name, text := range heads.Sound(heads.Lines{ID: "Request-Id: r1", Seal: "Seal: s"}) {
+		result, s := run(t, text)
+		require.Equal(t, wire.End_OUTCOME_ANSWERED, result.Outcome(), "%s: %s", name, result.Detail())
+		require.Equal(t, "inner", s.body.String(), name)
+	}
+}
--- a/internal/upstream/framing/transport.go
+++ b/internal/upstream/framing/transport.go
@@ -4,18 +4,101 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
 )
 
-// NewTransport returns the transport with connections on which a reset is no end of an answer. The
-// transport must have a DialContext, and not be in use yet.
-func NewTransport(t *http.Transport) *http.Transport {
-	dial := t.DialContext
-	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+// Transport sends requests over an http.Transport, and returns only answers of which the reader
+// can know whether they are whole.
+type Transport struct{ inner *http.Transport }
+
+// NewTransport returns a transport that uses the connections of the inner one, which must have a
+// DialContext and not be in use yet.
+func NewTransport(inner *http.Transport) *Transport {
+	dial := inner.DialContext
+	inner.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return NewConn(c), nil
+		return &checkedConn{Conn: NewConn(c)}, nil
+	}
+	return &Transport{inner: inner}
+}
+
+// RoundTrip implements http.RoundTripper. It returns a Malformed error if what the server sent is
+// no answer in HTTP/1.x; the request may have been executed.
+func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	// The inner transport may use another connection if the first one had ended.
+	var used atomic.Pointer[checkedConn]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*checkedConn); ok {
+			c.begin()
+			used.Store(c)
+		}
+	}}
+	response, err := t.inner.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if c := used.Load(); c != nil {
+		if err := c.headError(); err != nil {
+			_ = response.Body.Close()
+			return nil, err
+		}
+	}
+	return response, nil
+}
+
+// CloseIdleConnections closes the connections without a request. http.Client calls it.
+func (t *Transport) CloseIdleConnections() { t.inner.CloseIdleConnections() }
+
+// checkedConn checks the heads that are read from it.
+type checkedConn struct {
+	*Conn
+
+	mu sync.Mutex
+	// head is the head that is awaited, nil if there is none, and err what was wrong with one.
+	head *Head
+	err  error
+}
+
+// begin begins to check the answer to the next request.
+func (c *checkedConn) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head, c.err = &Head{}, nil
+}
+
+// Read implements net.Conn. A malformed head is no error yet: the transport would take it for the
+// end of a kept connection, and send the request again.
+func (c *checkedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.check(p[:n])
+	return n, err
+}
+
+func (c *checkedConn) check(p []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.head != nil && len(p) > 0 {
+		n, err := c.head.Check(p)
+		p = p[n:]
+		switch {
+		case err != nil:
+			c.head, c.err = nil, err
+		case c.head.Done() && c.head.Status() >= http.StatusOK:
+			c.head = nil
+		case c.head.Done():
+			c.head = &Head{}
+		}
 	}
-	return t
+}
+
+// headError returns what was wrong with a head since begin.
+func (c *checkedConn) headError() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.err
 }
