Agents' store and VM list: what is no whole answer tells nothing

What callers saw: nobody reported it; the class of the faults on the edge was looked for. Status 000 passed in the client of the store: with "null" a key did not exist, with "true" or "false" a write had taken effect or not, and a session had expired. In a body of chunks whose line was not recognized a write that took effect counted as refused. A malformed head was taken for a new list of VMs. A part of an early answer counted although only the write was told its reset; "tru" would be the word that a write was refused.

Cause: both clients ask net/http alone, and that of the store looks only for 5xx and 404.

Why the fix works: both clients use the transport of the agents' one, which ends the call with an error on either fault; this is one line each, so both are in one commit. The outcome of a write is then indeterminate, and the list before stays in use.

--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -24,6 +24,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/persimmonridge/persimmonridge/internal/dispatch/budget"
+	"github.com/persimmonridge/persimmonridge/internal/upstream/framing"
 )
 
 var namespace = errorx.NewNamespace("store")
@@ -133,11 +134,11 @@
 // New returns a client for the store at the addresses, such as
 // "http://127.0.0.1:8500". The rate limit uses the clock now.
 func New(addresses []string, now func() time.Time, dialer Dialer, options ...Option) *Client {
-	transport := &http.Transport{
+	transport := framing.NewTransport(&http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     90 * time.Second,
-	}
+	})
 	c := &Client{
 		addresses: addresses,
 		http:      &http.Client{Transport: transport},
--- a/internal/platform/vmlist/vmlist.go
+++ b/internal/platform/vmlist/vmlist.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"github.com/persimmonridge/persimmonridge/internal/upstream/framing"
 )
 
 var namespace = errorx.NewNamespace("vmlist")
@@ -142,7 +144,8 @@
 // Poll starts polling the list at url; onChange is called with each new list.
 func Poll(url string, dialer Dialer, logger *slog.Logger, onChange func([]VM)) *Poller {
 	ctx, cancel := context.WithCancel(context.Background())
-	client := &http.Client{Timeout: pollTimeout, Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1}}
+	transport := framing.NewTransport(&http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1})
+	client := &http.Client{Timeout: pollTimeout, Transport: transport}
 	p := &Poller{url: url, http: client, logger: logger, onChange: onChange, cancel: cancel, done: make(chan struct{})}
 	go p.run(ctx)
 	return p
