The load tool reads answers as the agents do

Callers of the load tool read answers over the transport that tells a reset from an end, and a malformed head from an answer, so that its report cannot count a part of an answer as a whole one. Nothing was seen there: its requests are written in one piece long before their answer. The tests of internal/trial/load and of the scenarios pass.

--- a/internal/trial/load/load.go
+++ b/internal/trial/load/load.go
@@ -17,6 +17,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/persimmonridge/persimmonridge/internal/upstream/framing"
 )
 
 // Action is one kind of request in the traffic mix.
@@ -114,7 +116,7 @@
 // New returns callers that send each request to one of the entries that urls
 // returns at that moment.
 func New(plan Plan, dialer Dialer, urls func() []string) *Callers {
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 256, DisableCompression: true}
+	transport := framing.NewTransport(&http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 256, DisableCompression: true})
 	return &Callers{plan: plan, urls: urls, client: &http.Client{Transport: transport}}
 }
 
