The platform's store: a malformed response is unavailable, not cut

What callers saw: nothing; found by a test of the transport.

Cause: the check asked the error itself for its type, and http.Client had wrapped it.

Why the fix works: the check asks each cause.

--- a/internal/upstream/framing/head.go
+++ b/internal/upstream/framing/head.go
@@ -2,15 +2,24 @@
 
 import (
 	"bytes"
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
+
+	"github.com/joomcode/errorx"
 )
 
 // Malformed is the error of a head that is none of an answer in HTTP/1.x, as RFC 9110 and 9112
 // define it.
 var Malformed = namespace.NewType("malformed-head")
 
+// IsMalformed reports whether the error, or a cause of it, is a Malformed one.
+func IsMalformed(err error) bool {
+	var typed *errorx.Error
+	return errors.As(err, &typed) && typed.IsOfType(Malformed)
+}
+
 const (
 	// minStatus and maxStatus bound the status codes of RFC 9110, section 15.
 	minStatus = 100
