--- a/internal/upstream/framing/framing.go
+++ b/internal/upstream/framing/framing.go
@@ -1,5 +1,5 @@
-// Package framing tells whether the answer of an upstream is complete where its framing alone
-// does not.
+// Package framing tells whether what a server sends is an answer in HTTP/1.x, and whether it is
+// complete where its framing alone does not tell.
 package framing
 
 import (
