Errors of malformed heads quote a bounded part

Seen by no caller: found in the reading of the diff. The errors of the check of heads quoted a whole line, which a faulty server may make as long as its reader allows, on many connections at once. On the edge the quote was cut later; clients on http.Transport logged it. TestErrorsOfLongLinesAreShort failed on the code before and passes: an error quotes 64 bytes.

--- a/internal/upstream/framing/head.go
+++ b/internal/upstream/framing/head.go
@@ -24,6 +24,8 @@
 	// minStatus and maxStatus bound the status codes of RFC 9110, section 15.
 	minStatus = 100
 	maxStatus = 599
+	// maxQuotedBytes is how much of a line an error quotes. A faulty server may send a long one.
+	maxQuotedBytes = 64
 )
 
 // Head checks the head of an answer while it arrives. The parser of net/http is lenient, and what
@@ -83,7 +85,7 @@
 func (h *Head) checkField(line []byte) error {
 	name, _, ok := bytes.Cut(line, []byte(":"))
 	if !ok || !isToken(name) {
-		return Malformed.New("header field with the name %q, which is no token", name)
+		return Malformed.New("header field with the name %q, which is no token", quoted(name))
 	}
 	if h.minor == 0 && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
 		// The parser would take the bytes of the coding for the body (RFC 9112, section 6.1).
@@ -92,6 +94,9 @@
 	return nil
 }
 
+// quoted returns as much of the text as an error quotes.
+func quoted[T string | []byte](text T) T { return text[:min(len(text), maxQuotedBytes)] }
+
 // isToken reports whether the text is a token of RFC 9110, section 5.6.2.
 func isToken(text []byte) bool {
 	for _, c := range text {
@@ -107,12 +112,12 @@
 	version, rest, _ := strings.Cut(line, " ")
 	major, minor, ok := http.ParseHTTPVersion(version)
 	if !ok || major != 1 {
-		return Malformed.New("answer of version %q; this process speaks HTTP/1.1", version)
+		return Malformed.New("answer of version %q; this process speaks HTTP/1.1", quoted(version))
 	}
 	code, _, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
 	status, err := strconv.ParseUint(code, 10, 16)
 	if err != nil || status < minStatus || status > maxStatus || len(code) != 3 {
-		return Malformed.New("answer with status code %q, which is no number from %d to %d", code, minStatus, maxStatus)
+		return Malformed.New("answer with status code %q, which is no number from %d to %d", quoted(code), minStatus, maxStatus)
 	}
 	if status == http.StatusSwitchingProtocols {
 		return Malformed.New("answer that switches to another protocol, for which no request asks")
--- a/internal/upstream/framing/head_test.go
+++ b/internal/upstream/framing/head_test.go
@@ -44,6 +44,16 @@
 	}
 }
 
+// Guards against an error that quotes a long line whole.
+func TestErrorsOfLongLinesAreShort(t *testing.T) {
+	long := strings.Repeat("x", 1<<20)
+	for _, text := range []string{long + "\n", "HTTP/1.1 " + long + "\n", "HTTP/1.1 200 OK\n" + long + "\n", "HTTP/1.1 200 OK\n" + long + " : v\n"} {
+		_, err := new(framing.Head).Check([]byte(text))
+		require.True(t, framing.IsMalformed(err), "%.100s", text)
+		require.Less(t, len(err.Error()), 200)
+	}
+}
+
 // FuzzHead looks for heads on which the verdict depends on the pieces in which they arrive, and for
 // those that pass and of which the parser makes something else.
 func FuzzHead(f *testing.F) {
