--- a/internal/edge/flow/breakoff_test.go
+++ b/internal/edge/flow/breakoff_test.go
@@ -42,18 +42,22 @@
 
 // callAs makes one request with the version of HTTP on a connection of its own.
 func (f *fixture) callAs(version, path string) (*http.Response, string, error) {
+	return f.callWith(version, path, "body")
+}
+
+func (f *fixture) callWith(version, path, body string) (*http.Response, string, error) {
 	conn, err := net.Dial("tcp", f.server.Listener.Addr().String())
 	require.NoError(f.t, err)
 	defer func() { _ = conn.Close() }()
-	_, err = fmt.Fprintf(conn, "POST %s %s\r\nHost: h\r\n%s: r1\r\nApi-Key: key\r\nContent-Length: 4\r\n\r\nbody", path, version, idHeader)
+	_, err = fmt.Fprintf(conn, "POST %s %s\r\nHost: h\r\n%s: r1\r\nApi-Key: key\r\nContent-Length: %d\r\n\r\n%s", path, version, idHeader, len(body), body)
 	require.NoError(f.t, err)
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return nil, "", err
 	}
-	body, err := io.ReadAll(response.Body)
+	content, err := io.ReadAll(response.Body)
 	_ = response.Body.Close()
-	return response, string(body), err
+	return response, string(content), err
 }
 
 // versions are the versions of HTTP that callers send.
--- a/internal/edge/flow/early_test.go
+++ b/internal/edge/flow/early_test.go
@@ -1,10 +1,7 @@
 package flow_test
 
 import (
-	"bufio"
 	"context"
-	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -20,19 +17,7 @@
 
 // callWithUpload makes one request with a body that is not written in one piece.
 func (f *fixture) callWithUpload(version, path string) (*http.Response, string, error) {
-	conn, err := net.Dial("tcp", f.server.Listener.Addr().String())
-	require.NoError(f.t, err)
-	defer func() { _ = conn.Close() }()
-	body := strings.Repeat("u", 64<<10)
-	_, err = fmt.Fprintf(conn, "POST %s %s\r\nHost: h\r\n%s: r1\r\nApi-Key: key\r\nContent-Length: %d\r\n\r\n%s", path, version, idHeader, len(body), body)
-	require.NoError(f.t, err)
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		return nil, "", err
-	}
-	content, err := io.ReadAll(response.Body)
-	_ = response.Body.Close()
-	return response, string(content), err
+	return f.callWith(version, path, strings.Repeat("u", 64<<10))
 }
 
 // answerEarly makes all upstreams answer with the text while they are sent the request, whose
