--- a/internal/edge/exchange/head.go
+++ b/internal/edge/exchange/head.go
@@ -37,24 +37,24 @@
 	errHeadTooLong = fmt.Errorf("the head of the answer exceeds %d bytes or %d lines", maxHeadBytes, maxHeadLines)
 )
 
-// headLimit checks and bounds the bytes that are read from a connection until the head of an answer
+// headLimit validates and bounds the bytes that are read from a connection until the head of an answer
 // is complete. What one read returns beyond the head belongs to the body and does no harm: the
 // bounds count only if more is needed.
 type headLimit struct {
 	net.Conn
 	active       bool
 	bytes, lines int
-	// head checks the head, once its start has arrived; nil otherwise.
+	// head validates the head once its start has arrived, and is nil otherwise.
 	head *framing.Head
 }
 
 // begin bounds the head that comes next.
 func (l *headLimit) begin() { l.active, l.bytes, l.lines = true, 0, 0 }
 
-// check begins to check the head, of which the bytes were read already.
-func (l *headLimit) check(read []byte) error {
+// check starts the validation of the head with the bytes that are buffered.
+func (l *headLimit) check(buffered []byte) error {
 	l.head = &framing.Head{}
-	_, err := l.head.Check(read)
+	_, err := l.head.Check(buffered)
 	return err
 }
 
@@ -129,8 +129,8 @@
 	if err := checkStart(c.reader); err != nil {
 		return nil, err
 	}
-	read, _ := c.reader.Peek(c.reader.Buffered())
-	if err := c.head.check(read); err != nil {
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	if err := c.head.check(buffered); err != nil {
 		return nil, unreadableHeadError{err}
 	}
 	//nolint:bodyclose // Answer.Close closes or keeps the connection.
--- a/internal/edge/exchange/pool.go
+++ b/internal/edge/exchange/pool.go
@@ -37,7 +37,7 @@
 // conn is one connection to an upstream.
 type conn struct {
 	net.Conn
-	// framed is the connection for reading and writing.
+	// framed reads and writes the connection.
 	framed    *framing.Conn
 	address   string
 	head      *headLimit
--- a/internal/proof/early/early.go
+++ b/internal/proof/early/early.go
@@ -1,5 +1,5 @@
-// Package early holds a connection to an upstream that answers before it has read the request, for
-// tests of which answers are taken for whole.
+// Package early holds a connection to an upstream that responds before it has read the request, for
+// tests that detect truncated responses.
 package early
 
 import (
@@ -12,29 +12,29 @@
 	"time"
 )
 
-// Conn is a connection on which an answer arrives once the request is being written. Reads get the
-// answer and its plain end. A write blocks until that end was read; then it returns an error or
-// goes on to block until its deadline.
+// Conn is a connection on which a response arrives as soon as the request is being written. Reads
+// return the response and then io.EOF. A write blocks until io.EOF was read; then it returns an error,
+// or blocks until its deadline.
 type Conn struct {
-	// Conn is nil: methods that are not implemented must not be called.
+	// Conn is nil, as no other methods are called.
 	net.Conn
-	told   error
-	after  time.Duration
-	answer *strings.Reader
+	writeErr error
+	delay    time.Duration
+	answer   *strings.Reader
 
 	begun, ended, overdue, closed              chan struct{}
 	beginOnce, endOnce, overdueOnce, closeOnce sync.Once
 }
 
-// NewConn returns a connection with the answer, whose line ends become those of HTTP. A write
-// returns told, as the kernel's error, so long after the end of the answer was read, or only at
-// its deadline if told is nil.
-func NewConn(answer string, told error, after time.Duration) *Conn {
-	if told != nil {
-		told = &net.OpError{Op: "write", Net: "tcp", Err: os.NewSyscallError("write", told)}
+// NewConn returns a connection with the response, whose line feeds become those of HTTP. A write
+// returns writeErr as an error of the kernel, with a delay after io.EOF was read, or its deadline's
+// error if writeErr is nil.
+func NewConn(answer string, writeErr error, delay time.Duration) *Conn {
+	if writeErr != nil {
+		writeErr = &net.OpError{Op: "write", Net: "tcp", Err: os.NewSyscallError("write", writeErr)}
 	}
 	return &Conn{
-		answer: strings.NewReader(strings.ReplaceAll(answer, "\n", "\r\n")), told: told, after: after,
+		answer: strings.NewReader(strings.ReplaceAll(answer, "\n", "\r\n")), writeErr: writeErr, delay: delay,
 		begun: make(chan struct{}), ended: make(chan struct{}), overdue: make(chan struct{}), closed: make(chan struct{}),
 	}
 }
@@ -53,7 +53,7 @@
 	return n, err
 }
 
-// Write implements net.Conn. The first byte is taken.
+// Write implements net.Conn. It writes one byte.
 func (c *Conn) Write([]byte) (int, error) {
 	c.beginOnce.Do(func() { close(c.begun) })
 	select {
@@ -61,13 +61,13 @@
 	case <-c.closed:
 		return 1, net.ErrClosed
 	}
-	if c.told != nil {
-		// No deadline takes back what the kernel has told the write.
+	if c.writeErr != nil {
+		// A deadline does not replace an error that the kernel has returned.
 		select {
-		case <-time.After(c.after):
+		case <-time.After(c.delay):
 		case <-c.closed:
 		}
-		return 1, c.told
+		return 1, c.writeErr
 	}
 	select {
 	case <-c.overdue:
--- a/internal/upstream/framing/framing.go
+++ b/internal/upstream/framing/framing.go
@@ -1,5 +1,5 @@
-// Package framing tells whether what a server sends is an answer in HTTP/1.x, and whether it is
-// complete where its framing alone does not tell.
+// Package framing validates responses in HTTP/1.x, and detects truncated ones whose framing does
+// not show it.
 package framing
 
 import (
--- a/internal/upstream/framing/head.go
+++ b/internal/upstream/framing/head.go
@@ -10,8 +10,8 @@
 	"github.com/joomcode/errorx"
 )
 
-// Malformed is the error of a head that is none of an answer in HTTP/1.x, as RFC 9110 and 9112
-// define it.
+// Malformed is the error of a response head that is not valid HTTP/1.x, as RFC 9110 and 9112 define
+// it.
 var Malformed = namespace.NewType("malformed-head")
 
 // IsMalformed reports whether the error, or a cause of it, is a Malformed one.
@@ -28,8 +28,8 @@
 	maxQuotedBytes = 64
 )
 
-// Head checks the head of an answer while it arrives. The parser of net/http is lenient, and what
-// it passes over it may frame in another way than the upstream did.
+// Head validates the head of a response while it arrives. The parser of net/http is lenient, and may
+// frame a malformed response differently than its sender.
 type Head struct {
 	// line is the incomplete last line, and lines the number of complete ones.
 	line   []byte
@@ -39,14 +39,14 @@
 	done   bool
 }
 
-// Done reports whether the whole head was checked.
+// Done reports whether the head is complete.
 func (h *Head) Done() bool { return h.done }
 
 // Status returns the status code, or 0 before the status line was checked.
 func (h *Head) Status() int { return h.status }
 
-// Check checks the bytes that arrive next, and returns how many of them belong to the head. It
-// keeps an incomplete line: who reads the head bounds it.
+// Check validates the bytes that arrive next, and returns how many of them belong to the head. It
+// buffers an incomplete line, which the caller must bound.
 func (h *Head) Check(p []byte) (n int, err error) {
 	for n < len(p) && !h.done {
 		end := bytes.IndexByte(p[n:], '\n')
--- a/internal/upstream/framing/transport.go
+++ b/internal/upstream/framing/transport.go
@@ -9,12 +9,11 @@
 	"sync/atomic"
 )
 
-// Transport sends requests over an http.Transport, and returns only answers of which the reader
-// can know whether they are whole.
+// Transport sends requests over an http.Transport. It rejects malformed responses, and truncated
+// ones end with an error.
 type Transport struct{ inner *http.Transport }
 
-// NewTransport returns a transport that uses the connections of the inner one, which must have a
-// DialContext and not be in use yet.
+// NewTransport wraps a transport that has a DialContext and is not in use yet.
 func NewTransport(inner *http.Transport) *Transport {
 	dial := inner.DialContext
 	inner.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -27,10 +26,10 @@
 	return &Transport{inner: inner}
 }
 
-// RoundTrip implements http.RoundTripper. It returns a Malformed error if what the server sent is
-// no answer in HTTP/1.x; the request may have been executed.
+// RoundTrip implements http.RoundTripper. It returns a Malformed error if the response is not valid
+// HTTP/1.x; the request may have been executed.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	// The inner transport may use another connection if the first one had ended.
+	// The inner transport may retry on another connection.
 	var used atomic.Pointer[checkedConn]
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*checkedConn); ok {
@@ -51,28 +50,28 @@
 	return response, nil
 }
 
-// CloseIdleConnections closes the connections without a request. http.Client calls it.
+// CloseIdleConnections closes idle connections. http.Client calls it.
 func (t *Transport) CloseIdleConnections() { t.inner.CloseIdleConnections() }
 
-// checkedConn checks the heads that are read from it.
+// checkedConn validates the response heads that are read from it.
 type checkedConn struct {
 	*Conn
 
 	mu sync.Mutex
-	// head is the head that is awaited, nil if there is none, and err what was wrong with one.
+	// head is the head that is being read, or nil, and err the error of a malformed one.
 	head *Head
 	err  error
 }
 
-// begin begins to check the answer to the next request.
+// begin starts the validation of the response to the next request.
 func (c *checkedConn) begin() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.head, c.err = &Head{}, nil
 }
 
-// Read implements net.Conn. A malformed head is no error yet: the transport would take it for the
-// end of a kept connection, and send the request again.
+// Read implements net.Conn. It does not return the error of a malformed head: on a reused
+// connection the transport would retry the request.
 func (c *checkedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.check(p[:n])
@@ -96,7 +95,7 @@
 	}
 }
 
-// headError returns what was wrong with a head since begin.
+// headError returns the error of a malformed head since begin.
 func (c *checkedConn) headError() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
